--- /dev/null
+++ b/group/placement.go
@@ -0,0 +1,166 @@
+package group
+
+import (
+	"encoding/json"
+	"sort"
+
+	"github.com/juju/errors"
+)
+
+// A Placement is the record of one fabric domain: every VM mapped to at most
+// one group and rank, and the epoch and state of each group. A map keyed by
+// VM cannot hold a VM twice.
+type Placement struct {
+	domain string
+	fence  uint64
+	leader string
+	change string
+	vms    map[string]Assignment
+	groups map[string]Group
+}
+
+// An Assignment places one VM.
+type Assignment struct {
+	Group         string `json:"group"`
+	Rank          int    `json:"rank"`
+	Address       string `json:"address"`
+	Incarnation   string `json:"incarnation"`
+	FailureDomain string `json:"failure-domain"`
+}
+
+// A Group is one serving group in the record.
+type Group struct {
+	// Name identifies the replica in the whole fleet.
+	Name string `json:"name"`
+
+	// Spec is the name of the folder's group that it is a replica of.
+	Spec    string `json:"spec"`
+	Epoch   uint64 `json:"epoch"`
+	State   State  `json:"state"`
+	Size    int    `json:"size"`
+	Model   string `json:"model"`
+	Version string `json:"version"`
+}
+
+type placementRecord struct {
+	Domain string                `json:"domain"`
+	Fence  uint64                `json:"fence"`
+	Leader string                `json:"leader"`
+	Change string                `json:"change"`
+	VMs    map[string]Assignment `json:"vms"`
+	Groups map[string]Group      `json:"groups"`
+}
+
+// NewPlacement returns an empty record for a fabric domain.
+func NewPlacement(domain string) *Placement {
+	return &Placement{
+		domain: domain,
+		vms:    map[string]Assignment{},
+		groups: map[string]Group{},
+	}
+}
+
+// DecodePlacement reads a stored record. It returns an errors.NotValid error
+// for a record that is malformed or that breaks an invariant.
+func DecodePlacement(record []byte) (*Placement, error) {
+	var stored placementRecord
+	if err := json.Unmarshal(record, &stored); err != nil {
+		return nil, errors.NewNotValid(err, "placement record")
+	}
+	placement := NewPlacement(stored.Domain)
+	placement.fence = stored.Fence
+	placement.leader = stored.Leader
+	placement.change = stored.Change
+	if stored.VMs != nil {
+		placement.vms = stored.VMs
+	}
+	if stored.Groups != nil {
+		placement.groups = stored.Groups
+	}
+	if err := placement.validate(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return placement, nil
+}
+
+func (placement *Placement) validate() error {
+	type seat struct {
+		group string
+		rank  int
+	}
+	taken := map[seat]string{}
+	for vm, assignment := range placement.vms {
+		if _, found := placement.groups[assignment.Group]; !found {
+			return errors.NotValidf("placement of VM %q in unknown group %q", vm, assignment.Group)
+		}
+		key := seat{assignment.Group, assignment.Rank}
+		if other, found := taken[key]; found {
+			return errors.NotValidf("rank %d of group %q held by VMs %q and %q", assignment.Rank, assignment.Group, vm, other)
+		}
+		taken[key] = vm
+	}
+	return nil
+}
+
+// Encode returns the stored form of the record.
+func (placement *Placement) Encode() ([]byte, error) {
+	record, err := json.Marshal(placementRecord{
+		Domain: placement.domain,
+		Fence:  placement.fence,
+		Leader: placement.leader,
+		Change: placement.change,
+		VMs:    placement.vms,
+		Groups: placement.groups,
+	})
+	return record, errors.Trace(err)
+}
+
+// Domain returns the fabric domain.
+func (placement *Placement) Domain() string { return placement.domain }
+
+// Fence returns the fencing number.
+func (placement *Placement) Fence() uint64 { return placement.fence }
+
+// Leader returns the node that wrote the record.
+func (placement *Placement) Leader() string { return placement.leader }
+
+// Change returns the id of the write, by which a lost answer is resolved.
+func (placement *Placement) Change() string { return placement.change }
+
+// Assignment returns where a VM is placed.
+func (placement *Placement) Assignment(vm string) (Assignment, bool) {
+	assignment, found := placement.vms[vm]
+	return assignment, found
+}
+
+// VMs returns the names of the placed VMs in order.
+func (placement *Placement) VMs() []string {
+	names := make([]string, 0, len(placement.vms))
+	for name := range placement.vms {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// Groups returns the groups in the order of their names.
+func (placement *Placement) Groups() []Group {
+	groups := make([]Group, 0, len(placement.groups))
+	for _, group := range placement.groups {
+		groups = append(groups, group)
+	}
+	sort.Slice(groups, func(i, j int) bool { return groups[i].Name < groups[j].Name })
+	return groups
+}
+
+// Members returns the names of a group's VMs by rank. A rank without a VM is
+// empty.
+func (placement *Placement) Members(group string) []string {
+	members := make([]string, placement.groups[group].Size)
+	for vm, assignment := range placement.vms {
+		if assignment.Group == group && assignment.Rank < len(members) {
+			members[assignment.Rank] = vm
+		}
+	}
+	return members
+}
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,3 @@
+// Package peer keeps the TCP links between nodes and carries msgpack frames
+// over them.
+package peer
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,128 @@
+package route
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"lacewingspoke.org/lacewingspoke/folder"
+	"lacewingspoke.org/lacewingspoke/group"
+)
+
+// A GroupTarget is a serving group that may receive drafts.
+type GroupTarget struct {
+	Name string
+
+	// Spec is the name of the folder's group.
+	Spec  string
+	Epoch uint64
+
+	// Address is IP:port of rank 0.
+	Address       string
+	FailureDomain string
+
+	// Open is false when the group takes no new requests, for example because
+	// it is draining or one of its VMs is leaving.
+	Open  bool
+	Grant group.Grant
+	Load  group.Load
+}
+
+// A ServiceTarget is one runner of a service.
+type ServiceTarget struct {
+	Service       string
+	Address       string
+	FailureDomain string
+
+	// Open is false when the runner is leaving.
+	Open bool
+	Load group.Load
+}
+
+// TableConfig holds the content of a Table.
+type TableConfig struct {
+	// Folder is nil when no configuration is known.
+	Folder     *folder.Folder
+	Generation uint64
+	Groups     []GroupTarget
+	Services   []ServiceTarget
+}
+
+// A Table is an immutable snapshot of what traffic needs.
+type Table struct {
+	folder     *folder.Folder
+	generation uint64
+	bySpec     map[string][]GroupTarget
+	byName     map[string]GroupTarget
+	services   map[string][]ServiceTarget
+}
+
+// NewTable returns a snapshot. The caller does not change the slices later.
+func NewTable(config TableConfig) *Table {
+	table := &Table{
+		folder:     config.Folder,
+		generation: config.Generation,
+		bySpec:     map[string][]GroupTarget{},
+		byName:     map[string]GroupTarget{},
+		services:   map[string][]ServiceTarget{},
+	}
+	for _, target := range config.Groups {
+		table.bySpec[target.Spec] = append(table.bySpec[target.Spec], target)
+		table.byName[target.Name] = target
+	}
+	for _, target := range config.Services {
+		table.services[target.Service] = append(table.services[target.Service], target)
+	}
+	return table
+}
+
+// Folder returns the configuration in force, nil when none is known.
+func (table *Table) Folder() *folder.Folder { return table.folder }
+
+// Generation returns the generation in force, 0 when none is known.
+func (table *Table) Generation() uint64 { return table.generation }
+
+// Groups returns the serving groups of a folder's group.
+func (table *Table) Groups(spec string) []GroupTarget { return table.bySpec[spec] }
+
+// Group returns one serving group.
+func (table *Table) Group(name string) (GroupTarget, bool) {
+	target, found := table.byName[name]
+	return target, found
+}
+
+// Services returns the runners of a service.
+func (table *Table) Services(service string) []ServiceTarget { return table.services[service] }
+
+// A Publisher hands the newest Table to traffic.
+type Publisher struct {
+	current atomic.Pointer[Table]
+	mutex   sync.Mutex
+	changed chan struct{}
+}
+
+// NewPublisher returns a publisher that holds an empty table.
+func NewPublisher() *Publisher {
+	publisher := &Publisher{changed: make(chan struct{})}
+	publisher.current.Store(NewTable(TableConfig{}))
+	return publisher
+}
+
+// Current returns the newest table.
+func (publisher *Publisher) Current() *Table { return publisher.current.Load() }
+
+// Publish replaces the table and wakes all that wait on Changed.
+func (publisher *Publisher) Publish(table *Table) {
+	publisher.mutex.Lock()
+	defer publisher.mutex.Unlock()
+	publisher.current.Store(table)
+	close(publisher.changed)
+	publisher.changed = make(chan struct{})
+}
+
+// Changed returns a channel that closes at the next Publish. Call it before
+// Current, so that no change is missed between the two.
+func (publisher *Publisher) Changed() <-chan struct{} {
+	publisher.mutex.Lock()
+	defer publisher.mutex.Unlock()
+	return publisher.changed
+}
