--- /dev/null
+++ b/timer/timer.go
@@ -0,0 +1,179 @@
+// Package timer is the timer service that components subscribe to.
+//
+// One goroutine serves every subscription, so that components need no timers
+// of their own and stop with their owner. A subscription whose channel is full
+// loses the tick: a slow component sees fewer ticks, never a burst of old
+// ones.
+//
+// # Usage
+//
+//	service := timer.New(timer.Config{Logger: logger})
+//	go service.Run(ctx)
+//	renewals := service.Every("renewals", 3*time.Second, time.Second)
+//	defer renewals.Cancel()
+//	for {
+//		select {
+//		case now := <-renewals.C():
+//			renew(now)
+//		case err := <-service.Done():
+//			return err
+//		}
+//	}
+package timer
+
+import (
+	"container/heap"
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Config is the configuration of a Service.
+type Config struct {
+	// Logger is optional.
+	Logger *zap.Logger
+
+	// Random spreads the ticks. It is optional; tests pass a fixed seed.
+	Random *rand.Rand
+}
+
+// A Service tells subscribers that time has passed. Its methods may be called
+// from any goroutine, before and after Run.
+type Service struct {
+	logger *zap.Logger
+	done   chan error
+	wake   chan struct{}
+
+	mutex    sync.Mutex
+	random   *rand.Rand
+	schedule schedule
+}
+
+// New returns a service that starts with Run.
+func New(config Config) *Service {
+	service := &Service{
+		logger: config.Logger,
+		random: config.Random,
+		done:   make(chan error, 1),
+		wake:   make(chan struct{}, 1),
+	}
+	if service.logger == nil {
+		service.logger = zap.NewNop()
+	}
+	if service.random == nil {
+		service.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	return service
+}
+
+// Now returns the time with its monotonic reading.
+func (service *Service) Now() time.Time { return time.Now() }
+
+// Every returns a subscription that ticks after each interval plus a random
+// part of jitter. The interval must be positive.
+func (service *Service) Every(name string, interval, jitter time.Duration) *Subscription {
+	if interval <= 0 {
+		panic("timer: interval of " + name + " is not positive")
+	}
+	return service.subscribe(name, interval, jitter, true)
+}
+
+// After returns a subscription that ticks once, after delay plus a random part
+// of jitter.
+func (service *Service) After(name string, delay, jitter time.Duration) *Subscription {
+	return service.subscribe(name, delay, jitter, false)
+}
+
+// Done reports the end of Run.
+func (service *Service) Done() <-chan error { return service.done }
+
+// Run serves the subscriptions until the context ends.
+func (service *Service) Run(ctx context.Context) {
+	alarm := time.NewTimer(time.Hour)
+	defer alarm.Stop()
+	for {
+		alarm.Reset(service.fire(service.Now()))
+		select {
+		case <-alarm.C:
+		case <-service.wake:
+		case <-ctx.Done():
+			service.logger.Info("timer service stopped")
+			service.done <- nil
+			return
+		}
+	}
+}
+
+func (service *Service) subscribe(name string, interval, jitter time.Duration, repeats bool) *Subscription {
+	subscription := &Subscription{
+		service:  service,
+		name:     name,
+		interval: interval,
+		jitter:   jitter,
+		repeats:  repeats,
+		ticks:    make(chan time.Time, 1),
+	}
+	service.mutex.Lock()
+	subscription.due = service.Now().Add(service.delay(subscription))
+	heap.Push(&service.schedule, subscription)
+	service.mutex.Unlock()
+	service.notify()
+	return subscription
+}
+
+func (service *Service) delay(subscription *Subscription) time.Duration {
+	if subscription.jitter <= 0 {
+		return subscription.interval
+	}
+	return subscription.interval + time.Duration(service.random.Int64N(int64(subscription.jitter)))
+}
+
+// fire ticks the subscriptions that are due and returns the time until the
+// next one.
+func (service *Service) fire(now time.Time) time.Duration {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	for len(service.schedule) > 0 {
+		next := service.schedule[0]
+		if next.due.After(now) {
+			return next.due.Sub(now)
+		}
+		next.tick(now)
+		if !next.repeats {
+			heap.Pop(&service.schedule)
+			continue
+		}
+		next.due = service.nextDue(next, now)
+		heap.Fix(&service.schedule, next.index)
+	}
+	return time.Hour
+}
+
+// nextDue keeps the cadence unless the process was paused for longer than an
+// interval; missed ticks are not made up for.
+func (service *Service) nextDue(subscription *Subscription, now time.Time) time.Time {
+	delay := service.delay(subscription)
+	due := subscription.due.Add(delay)
+	if due.After(now) {
+		return due
+	}
+	return now.Add(delay)
+}
+
+func (service *Service) cancel(subscription *Subscription) {
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	if subscription.index >= 0 {
+		heap.Remove(&service.schedule, subscription.index)
+	}
+}
+
+func (service *Service) notify() {
+	select {
+	case service.wake <- struct{}{}:
+	default:
+	}
+}
