--- a/engine/control.go
+++ b/engine/control.go
@@ -217,5 +217,5 @@
 	if err := json.Unmarshal(body, &message); err != nil {
 		return OrderRefused{Err: errors.NewNotValid(err, "refusal of an order")}
 	}
-	return OrderFenced{Fence: message.Fence}
+	return OrderFenced(message)
 }
--- a/peer/event.go
+++ b/peer/event.go
@@ -16,7 +16,8 @@
 	Reason Reason
 }
 
-// Received is a frame from a peer other than Hello.
+// Received is a frame from a peer other than Hello. A Heartbeat is passed on
+// when its generation is not that of the one before.
 type Received struct {
 	// From is the name of the peer at the other end of the link, which is not
 	// always the frame's origin.
@@ -49,6 +50,9 @@
 	// ReasonMalformed: the peer sent a frame that is malformed or oversized.
 	ReasonMalformed Reason = "malformed"
 
+	// ReasonSlow: more frames waited for the peer than the queue holds.
+	ReasonSlow Reason = "slow"
+
 	// ReasonReplaced: another connection to the same node took over.
 	ReasonReplaced Reason = "replaced"
 
