--- a/fleet/event.go
+++ b/fleet/event.go
@@ -12,21 +12,24 @@
 // Tick lets time pass. The shell sends one about every 250 ms.
 type Tick struct{}
 
-// KeysListed is the store's complete content below a prefix: NodePrefix, or
-// DomainPrefix on a node that watches. Entries of other kinds are ignored, so
-// the shell passes a listing as it is.
+// KeysListed is the store's complete content below a prefix, NodePrefix or
+// DomainPrefix, at a revision. Entries of other kinds are ignored, so the shell
+// passes a listing as it is.
 type KeysListed struct {
-	Prefix  string
-	Entries []platform.Entry
+	Prefix   string
+	Revision uint64
+	Entries  []platform.Entry
 }
 
 // ListFailed says that a ListNodes effect got no answer.
 type ListFailed struct{}
 
-// KeysChanged is the result of a watch. Keys of other kinds are ignored.
+// KeysChanged is the result of a watch, up to a revision. Keys of other kinds
+// are ignored.
 type KeysChanged struct {
-	Entries []platform.Entry
-	Deleted []string
+	Revision uint64
+	Entries  []platform.Entry
+	Deleted  []string
 }
 
 // DomainsKnown lists the fabric domains that have VMs. A domain that is
--- /dev/null
+++ b/fleet/topology.go
@@ -0,0 +1,171 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"sort"
+)
+
+const (
+	// FullMeshNodes is the largest fleet in which every node links to every
+	// other.
+	FullMeshNodes = 12
+
+	// WatchersPerFailureDomain is how many nodes of a failure domain hold the
+	// store's watches.
+	WatchersPerFailureDomain = 2
+)
+
+// watchSubject is what the nodes of a failure domain are ordered for to find
+// its watchers.
+var watchSubject = hashName("watch")
+
+// choose sets peers and watches after the members changed.
+func (fleet *Fleet) choose() {
+	if !fleet.changed {
+		return
+	}
+	fleet.changed = false
+	fleet.choosePeers()
+	fleet.chooseWatch()
+	fleet.chooseCandidates()
+}
+
+func (fleet *Fleet) choosePeers() {
+	targets := fleet.seeds()
+	for _, peer := range pickPeers(fleet.self.Name, fleet.sortedMembers()) {
+		targets = append(targets, Target{Name: peer.node.Name, Address: peer.node.PeerAddress})
+	}
+	slices.SortFunc(targets, func(left, right Target) int {
+		return cmp.Or(cmp.Compare(left.Name, right.Name), cmp.Compare(left.Address, right.Address))
+	})
+	if slices.Equal(targets, fleet.targets) {
+		return
+	}
+	fleet.targets = targets
+	fleet.emit(SetPeers{Targets: slices.Clone(targets)})
+}
+
+// seeds returns the seeds that no known node has as its address. A large fleet
+// needs them only while no link is up.
+func (fleet *Fleet) seeds() []Target {
+	known := make(map[string]bool, len(fleet.members))
+	linked := false
+	for _, member := range fleet.members {
+		known[member.node.PeerAddress] = true
+		linked = linked || member.linked
+	}
+	if linked && len(fleet.members) > FullMeshNodes {
+		return nil
+	}
+	var targets []Target
+	for _, address := range fleet.config.Seeds {
+		if !known[address] {
+			targets = append(targets, Target{Address: address})
+		}
+	}
+	return targets
+}
+
+func (fleet *Fleet) chooseWatch() {
+	watching := fleet.listed && fleet.isWatcher()
+	if watching == fleet.watching {
+		return
+	}
+	fleet.watching = watching
+	fleet.emit(SetWatching{Watching: watching})
+}
+
+func (fleet *Fleet) isWatcher() bool {
+	own := score(fleet.members[fleet.self.Name].hash, watchSubject)
+	before := 0
+	for _, member := range fleet.members {
+		if member.self || !member.recorded || member.node.FailureDomain != fleet.self.FailureDomain {
+			continue
+		}
+		if score(member.hash, watchSubject) > own {
+			before++
+		}
+	}
+	return before < WatchersPerFailureDomain
+}
+
+// sortedMembers returns the members with a peer address by their place on the
+// ring.
+func (fleet *Fleet) sortedMembers() []*member {
+	members := make([]*member, 0, len(fleet.members))
+	for _, member := range fleet.members {
+		if member.node.PeerAddress != "" || member.self {
+			members = append(members, member)
+		}
+	}
+	slices.SortFunc(members, func(left, right *member) int {
+		return cmp.Or(cmp.Compare(left.hash, right.hash), cmp.Compare(left.node.Name, right.node.Name))
+	})
+	return members
+}
+
+// pickPeers returns the members that a node dials. Together with those that
+// dial it they are its links.
+//
+// Above FullMeshNodes a node dials in its own failure domain its successor on
+// the ring and the successors of the points at a third and two thirds of the
+// ring from it. The first makes the domain connected, the others make its
+// paths short. It also dials its successor in the next failure domain and its
+// predecessor in the one before, which gives it a link into both and connects
+// the failure domains. A change of one node moves only the links next to it.
+func pickPeers(name string, members []*member) []*member {
+	if len(members) <= FullMeshNodes {
+		return slices.DeleteFunc(slices.Clone(members), func(member *member) bool {
+			return member.node.Name == name
+		})
+	}
+	self := members[slices.IndexFunc(members, func(member *member) bool { return member.node.Name == name })]
+	rings, order := ringsOf(members)
+	own := slices.Index(order, self.node.FailureDomain)
+	ring := rings[self.node.FailureDomain]
+	picked := []*member{
+		successor(ring, self.hash+1),
+		successor(ring, self.hash+ringThird),
+		successor(ring, self.hash+2*ringThird),
+	}
+	if len(order) > 1 {
+		after := rings[order[(own+1)%len(order)]]
+		before := rings[order[(own+len(order)-1)%len(order)]]
+		picked = append(picked, successor(after, self.hash), predecessor(before, self.hash))
+	}
+	slices.SortFunc(picked, func(left, right *member) int { return cmp.Compare(left.node.Name, right.node.Name) })
+	picked = slices.Compact(picked)
+	return slices.DeleteFunc(picked, func(member *member) bool { return member.node.Name == name })
+}
+
+// ringThird is a third of the ring.
+const ringThird = ^uint64(0) / 3
+
+// ringsOf returns the members of each failure domain in ring order, and the
+// failure domains by name.
+func ringsOf(members []*member) (map[string][]*member, []string) {
+	rings := make(map[string][]*member)
+	var order []string
+	for _, member := range members {
+		failureDomain := member.node.FailureDomain
+		if rings[failureDomain] == nil {
+			order = append(order, failureDomain)
+		}
+		rings[failureDomain] = append(rings[failureDomain], member)
+	}
+	slices.Sort(order)
+	return rings, order
+}
+
+// successor returns the first member at or after a point of the ring.
+func successor(ring []*member, point uint64) *member {
+	index := sort.Search(len(ring), func(index int) bool { return ring[index].hash >= point })
+	return ring[index%len(ring)]
+}
+
+// predecessor returns the last member before a point of the ring.
+func predecessor(ring []*member, point uint64) *member {
+	index := sort.Search(len(ring), func(index int) bool { return ring[index].hash >= point })
+	return ring[(index+len(ring)-1)%len(ring)]
+}
