--- /dev/null
+++ b/admin/admin.go
@@ -0,0 +1,172 @@
+// Package admin is the HTTP interface of a node for operators and monitoring.
+//
+// It serves the node's metrics, its health for the platform's balancer, its
+// status, and the request to drain a target. It belongs on an address that
+// callers cannot reach.
+//
+// # Usage
+//
+//	server := admin.New(admin.Config{
+//		Node:     controller,
+//		Gatherer: registry,
+//	})
+//	http.Serve(listener, server.Handler())
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/gorilla/mux"
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// MaxRequestBytes bounds the body of a request to the admin interface.
+const MaxRequestBytes = 64 << 10
+
+// A Node is what the admin interface reads and commands.
+type Node interface {
+	// Status returns the node's view of the fleet.
+	Status(ctx context.Context) (Status, error)
+
+	// Healthy returns nil when the node should receive callers, and otherwise
+	// the reason why not.
+	Healthy() error
+
+	// Drain stops new work for a target. It returns an errors.NotFound error
+	// for an unknown target and an errors.NotValid error for a bad request.
+	Drain(ctx context.Context, request DrainRequest) (DrainResult, error)
+}
+
+// Status is a node's view of the fleet.
+type Status struct {
+	Node          string        `json:"node"`
+	Incarnation   string        `json:"incarnation"`
+	FailureDomain string        `json:"failure-domain"`
+	Generation    uint64        `json:"generation"`
+	Change        string        `json:"change"`
+	Digest        string        `json:"digest"`
+	Ready         bool          `json:"ready"`
+	Stopping      bool          `json:"stopping"`
+	StoreReached  bool          `json:"store-reached"`
+	Peers         []PeerStatus  `json:"peers"`
+	Leads         []string      `json:"leads"`
+	Groups        []GroupStatus `json:"groups"`
+	Leaving       []string      `json:"leaving"`
+}
+
+// PeerStatus is one linked node.
+type PeerStatus struct {
+	Name       string `json:"name"`
+	Generation uint64 `json:"generation"`
+}
+
+// GroupStatus is one serving group.
+type GroupStatus struct {
+	Name    string   `json:"name"`
+	Spec    string   `json:"spec"`
+	Epoch   uint64   `json:"epoch"`
+	State   string   `json:"state"`
+	Granted bool     `json:"granted"`
+	Running int      `json:"running"`
+	Queued  int      `json:"queued"`
+	Members []string `json:"members"`
+}
+
+// DrainRequest asks that a target receives no new work.
+type DrainRequest struct {
+	Target string `json:"target"`
+	Author string `json:"author"`
+	Reason string `json:"reason"`
+}
+
+// DrainResult says how far a drain has been made known.
+type DrainResult struct {
+	// Recorded is false while the store has not taken the audit entry; the
+	// node goes on trying.
+	Recorded bool `json:"recorded"`
+	Peers    int  `json:"peers"`
+}
+
+// Config holds what a Server needs.
+type Config struct {
+	Node     Node
+	Gatherer prometheus.Gatherer
+}
+
+// A Server is the admin interface of one node.
+type Server struct {
+	node   Node
+	router *mux.Router
+}
+
+// New returns a server that reads from the node in config.
+func New(config Config) *Server {
+	server := &Server{node: config.Node, router: mux.NewRouter()}
+	server.router.Handle("/metrics", promhttp.HandlerFor(config.Gatherer, promhttp.HandlerOpts{})).Methods(http.MethodGet)
+	server.router.HandleFunc("/healthz", server.serveHealth).Methods(http.MethodGet)
+	server.router.HandleFunc("/v1/status", server.serveStatus).Methods(http.MethodGet)
+	server.router.HandleFunc("/v1/drain", server.serveDrain).Methods(http.MethodPost)
+	return server
+}
+
+// Handler returns the HTTP handler of the interface.
+func (server *Server) Handler() http.Handler { return server.router }
+
+func (server *Server) serveHealth(writer http.ResponseWriter, request *http.Request) {
+	if err := server.node.Healthy(); err != nil {
+		http.Error(writer, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(writer, http.StatusOK, healthBody{Healthy: true})
+}
+
+type healthBody struct {
+	Healthy bool `json:"healthy"`
+}
+
+func (server *Server) serveStatus(writer http.ResponseWriter, request *http.Request) {
+	status, err := server.node.Status(request.Context())
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(writer, http.StatusOK, status)
+}
+
+func (server *Server) serveDrain(writer http.ResponseWriter, request *http.Request) {
+	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, MaxRequestBytes))
+	decoder.DisallowUnknownFields()
+	var drain DrainRequest
+	if err := decoder.Decode(&drain); err != nil {
+		http.Error(writer, "drain request is not valid: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	result, err := server.node.Drain(request.Context(), drain)
+	if err != nil {
+		http.Error(writer, err.Error(), drainStatus(err))
+		return
+	}
+	writeJSON(writer, http.StatusOK, result)
+}
+
+func drainStatus(err error) int {
+	switch {
+	case errors.Is(err, errors.NotFound):
+		return http.StatusNotFound
+	case errors.Is(err, errors.NotValid):
+		return http.StatusBadRequest
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+func writeJSON(writer http.ResponseWriter, status int, body any) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	// The client is gone when this fails; there is nobody left to tell.
+	_ = json.NewEncoder(writer).Encode(body)
+}
