--- /dev/null
+++ b/standin/store/handler.go
@@ -0,0 +1,292 @@
+package store
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/juju/errors"
+
+	"lacewingspoke.org/lacewingspoke/standin/fault"
+)
+
+const maxVMListBytes = 4 << 20
+
+type revisionAnswer struct {
+	Revision uint64 `json:"revision"`
+}
+
+type listAnswer struct {
+	Revision uint64  `json:"revision"`
+	Entries  []entry `json:"entries"`
+}
+
+type watchAnswer struct {
+	Revision uint64   `json:"revision"`
+	Entries  []entry  `json:"entries"`
+	Deleted  []string `json:"deleted"`
+}
+
+type leaseAnswer struct {
+	Lease string         `json:"lease"`
+	TTL   fault.Duration `json:"ttl"`
+}
+
+type vmsBody struct {
+	VMs []VM `json:"vms"`
+}
+
+type countersAnswer struct {
+	Counters []Counter `json:"counters"`
+}
+
+func (store *Store) routes() http.Handler {
+	router := mux.NewRouter().SkipClean(true)
+	store.route(router, http.MethodGet, "/v1/kv/{key:.+}", "get", store.reads, store.get)
+	store.route(router, http.MethodPut, "/v1/kv/{key:.+}", "put", store.writes, store.put)
+	store.route(router, http.MethodDelete, "/v1/kv/{key:.+}", "delete", store.writes, store.delete)
+	store.route(router, http.MethodGet, "/v1/list", "list", store.reads, store.list)
+	store.route(router, http.MethodGet, "/v1/watch", "watch", store.reads, store.watch)
+	store.route(router, http.MethodPost, "/v1/lease", "grant", store.writes, store.grant)
+	store.route(router, http.MethodPost, "/v1/lease/{lease}/renew", "renew", store.writes, store.renew)
+	store.route(router, http.MethodDelete, "/v1/lease/{lease}", "revoke", store.writes, store.revoke)
+	store.route(router, http.MethodGet, "/v1/vms", "vms", store.reads, store.getVMs)
+	store.route(router, http.MethodPost, "/v1/weights/acquire", "weights", nil, store.acquireWeights)
+	router.Methods(http.MethodPost).Path("/v1/vms").HandlerFunc(store.postVMs)
+	router.Methods(http.MethodGet).Path("/counters").HandlerFunc(store.getCounters)
+	return router
+}
+
+// route counts the calls of a kind and applies their rate limit.
+func (store *Store) route(router *mux.Router, method, path, kind string, limit *bucket, handle http.HandlerFunc) {
+	router.Methods(method).Path(path).HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		wait, allowed := time.Duration(0), true
+		if limit != nil {
+			wait, allowed = limit.take(1, time.Now())
+		}
+		store.counters.add(kind, firstSegment(request), !allowed)
+		if !allowed {
+			writeLimited(writer, wait)
+			return
+		}
+		handle(writer, request)
+	})
+}
+
+func firstSegment(request *http.Request) string {
+	key, found := mux.Vars(request)["key"]
+	if !found {
+		key = request.URL.Query().Get("prefix")
+	}
+	segment, _, _ := strings.Cut(key, "/")
+	return segment
+}
+
+func writeLimited(writer http.ResponseWriter, wait time.Duration) {
+	seconds := int(wait/time.Second) + 1
+	writer.Header().Set("Retry-After", strconv.Itoa(seconds))
+	http.Error(writer, "over the rate limit", http.StatusTooManyRequests)
+}
+
+func writeJSON(writer http.ResponseWriter, status int, body any) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	// A failed write means that the client has gone.
+	_ = json.NewEncoder(writer).Encode(body)
+}
+
+func (store *Store) get(writer http.ResponseWriter, request *http.Request) {
+	found, exists := store.data.get(mux.Vars(request)["key"], time.Now())
+	if !exists {
+		http.Error(writer, "key does not exist", http.StatusNotFound)
+		return
+	}
+	writeJSON(writer, http.StatusOK, found)
+}
+
+func expectation(request *http.Request) (*uint64, error) {
+	text := request.URL.Query().Get("expect")
+	if text == "" {
+		return nil, nil
+	}
+	revision, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return nil, errors.NotValidf("expect %q", text)
+	}
+	return &revision, nil
+}
+
+func (store *Store) put(writer http.ResponseWriter, request *http.Request) {
+	expect, err := expectation(request)
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	value, err := io.ReadAll(io.LimitReader(request.Body, defaultMaxValue+1))
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if len(value) > defaultMaxValue {
+		http.Error(writer, "value is larger than 1 MB", http.StatusRequestEntityTooLarge)
+		return
+	}
+	key := mux.Vars(request)["key"]
+	lease := request.URL.Query().Get("lease")
+	revision, result := store.data.put(key, value, expect, lease, time.Now())
+	writeResultAnswer(writer, revision, result)
+}
+
+func (store *Store) delete(writer http.ResponseWriter, request *http.Request) {
+	expect, err := expectation(request)
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	revision, result := store.data.delete(mux.Vars(request)["key"], expect, time.Now())
+	writeResultAnswer(writer, revision, result)
+}
+
+func writeResultAnswer(writer http.ResponseWriter, revision uint64, result writeResult) {
+	switch result {
+	case written:
+		writeJSON(writer, http.StatusOK, revisionAnswer{revision})
+	case conflict:
+		writeJSON(writer, http.StatusConflict, revisionAnswer{revision})
+	case missing:
+		http.Error(writer, "key does not exist", http.StatusNotFound)
+	case leaseUnknown:
+		http.Error(writer, "lease is unknown", http.StatusPreconditionFailed)
+	}
+}
+
+func (store *Store) list(writer http.ResponseWriter, request *http.Request) {
+	revision, entries := store.data.list(request.URL.Query().Get("prefix"), time.Now())
+	writeJSON(writer, http.StatusOK, listAnswer{revision, entries})
+}
+
+func (store *Store) watch(writer http.ResponseWriter, request *http.Request) {
+	query := request.URL.Query()
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	if err != nil {
+		http.Error(writer, "after is not a revision", http.StatusBadRequest)
+		return
+	}
+	wait, err := time.ParseDuration(query.Get("wait"))
+	if err != nil {
+		http.Error(writer, "wait is not a duration", http.StatusBadRequest)
+		return
+	}
+	found := store.await(request, query.Get("prefix"), after, min(wait, defaultMaxWait))
+	switch {
+	case found.tooOld:
+		http.Error(writer, "revision is too old", http.StatusGone)
+	case found.empty():
+		writer.WriteHeader(http.StatusNoContent)
+	default:
+		writeJSON(writer, http.StatusOK, watchAnswer{found.revision, found.entries, found.deleted})
+	}
+}
+
+// await waits for changes until the client goes or wait has passed.
+func (store *Store) await(request *http.Request, prefix string, after uint64, wait time.Duration) changes {
+	deadline := time.Now().Add(wait)
+	for {
+		now := time.Now()
+		found := store.data.after(prefix, after, now)
+		if !found.empty() || !now.Before(deadline) {
+			return found
+		}
+		end := deadline
+		if !found.next.IsZero() && found.next.Before(end) {
+			end = found.next
+		}
+		clock := time.NewTimer(end.Sub(now))
+		select {
+		case <-request.Context().Done():
+			clock.Stop()
+			return found
+		case <-found.wake:
+		case <-clock.C:
+		}
+		clock.Stop()
+	}
+}
+
+func (store *Store) grant(writer http.ResponseWriter, request *http.Request) {
+	ttl, err := time.ParseDuration(request.URL.Query().Get("ttl"))
+	if err != nil || ttl <= 0 {
+		http.Error(writer, "ttl is not a positive duration", http.StatusBadRequest)
+		return
+	}
+	id := store.data.grant(ttl, time.Now())
+	writeJSON(writer, http.StatusOK, leaseAnswer{id, fault.Duration(ttl)})
+}
+
+func (store *Store) renew(writer http.ResponseWriter, request *http.Request) {
+	id := mux.Vars(request)["lease"]
+	ttl, found := store.data.renew(id, time.Now())
+	if !found {
+		http.Error(writer, "lease is unknown", http.StatusNotFound)
+		return
+	}
+	writeJSON(writer, http.StatusOK, leaseAnswer{id, fault.Duration(ttl)})
+}
+
+func (store *Store) revoke(writer http.ResponseWriter, request *http.Request) {
+	if !store.data.revoke(mux.Vars(request)["lease"], time.Now()) {
+		http.Error(writer, "lease is unknown", http.StatusNotFound)
+		return
+	}
+	writer.WriteHeader(http.StatusOK)
+}
+
+func (store *Store) getVMs(writer http.ResponseWriter, _ *http.Request) {
+	writeJSON(writer, http.StatusOK, vmsBody{store.vms.visible(time.Now())})
+}
+
+func (store *Store) postVMs(writer http.ResponseWriter, request *http.Request) {
+	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, maxVMListBytes))
+	decoder.DisallowUnknownFields()
+	var body vmsBody
+	if err := decoder.Decode(&body); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return
+	}
+	store.SetVMs(body.VMs)
+	writer.WriteHeader(http.StatusNoContent)
+}
+
+func (store *Store) acquireWeights(writer http.ResponseWriter, request *http.Request) {
+	bytes, err := strconv.ParseUint(request.URL.Query().Get("bytes"), 10, 63)
+	if err != nil {
+		http.Error(writer, "bytes is not a number", http.StatusBadRequest)
+		return
+	}
+	wait, allowed := store.weights.take(float64(bytes), time.Now())
+	if !allowed {
+		writeLimited(writer, wait)
+		return
+	}
+	writer.WriteHeader(http.StatusOK)
+}
+
+func (store *Store) getCounters(writer http.ResponseWriter, _ *http.Request) {
+	writeJSON(writer, http.StatusOK, countersAnswer{store.Counters()})
+}
+
+func (store *Store) applyFault(order fault.Order) error {
+	switch order.Fault {
+	case "lag":
+		store.vms.setLag(time.Duration(order.Amount))
+		return nil
+	case fault.Clear:
+		return nil
+	default:
+		return errors.NotValidf("fault %q", order.Fault)
+	}
+}
--- /dev/null
+++ b/standin/store/store_test.go
@@ -0,0 +1,191 @@
+package store_test
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lacewingspoke.org/lacewingspoke/standin/fault"
+	"lacewingspoke.org/lacewingspoke/standin/store"
+)
+
+type answer struct {
+	Revision uint64
+	Value    []byte
+	Lease    string
+	Entries  []struct{ Key string }
+	Deleted  []string
+	VMs      []store.VM `json:"vms"`
+}
+
+type client struct {
+	t      *testing.T
+	server *httptest.Server
+}
+
+func newClient(t *testing.T, config store.Config) (client, *store.Store) {
+	stand := store.New(config)
+	server := httptest.NewServer(stand)
+	t.Cleanup(server.Close)
+	return client{t, server}, stand
+}
+
+func (client client) try(method, path, body string) (int, answer, error) {
+	request, err := http.NewRequest(method, client.server.URL+path, strings.NewReader(body))
+	require.NoError(client.t, err)
+	response, err := client.server.Client().Do(request)
+	if err != nil {
+		return 0, answer{}, err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	require.NoError(client.t, err)
+	var decoded answer
+	if strings.HasPrefix(response.Header.Get("Content-Type"), "application/json") {
+		require.NoError(client.t, json.Unmarshal(data, &decoded))
+	}
+	return response.StatusCode, decoded, nil
+}
+
+func (client client) call(method, path, body string) (int, answer) {
+	status, decoded, err := client.try(method, path, body)
+	require.NoError(client.t, err)
+	return status, decoded
+}
+
+// Guards against two writers that both win a compare-and-swap.
+func TestCompareAndSwap(t *testing.T) {
+	client, _ := newClient(t, store.Config{})
+	status, first := client.call("PUT", "/v1/kv/config/head?expect=0", "one")
+	assert.Equal(t, 200, status)
+	status, current := client.call("PUT", "/v1/kv/config/head?expect=0", "two")
+	assert.Equal(t, 409, status)
+	assert.Equal(t, first.Revision, current.Revision)
+	status, _ = client.call("PUT", "/v1/kv/config/head?expect=1", "two")
+	assert.Equal(t, 200, status)
+	_, read := client.call("GET", "/v1/kv/config/head", "")
+	assert.Equal(t, "two", string(read.Value))
+	status, _ = client.call("PUT", "/v1/kv/large", strings.Repeat("x", 1<<20+1))
+	assert.Equal(t, 413, status)
+	status, _ = client.call("DELETE", "/v1/kv/config/head?expect=1", "")
+	assert.Equal(t, 409, status)
+	status, _ = client.call("DELETE", "/v1/kv/config/head", "")
+	assert.Equal(t, 200, status)
+	status, _ = client.call("GET", "/v1/kv/config/head", "")
+	assert.Equal(t, 404, status)
+}
+
+// Guards against a key that outlives its lease, and against a watch that does
+// not see the expiry because no other call arrives.
+func TestLeaseExpiryReachesWatch(t *testing.T) {
+	client, _ := newClient(t, store.Config{})
+	_, lease := client.call("POST", "/v1/lease?ttl=50ms", "")
+	_, put := client.call("PUT", "/v1/kv/node/a?lease="+lease.Lease, "x")
+	path := "/v1/watch?prefix=node/&wait=10s&after="
+	status, seen := client.call("GET", path+"1", "")
+	require.Equal(t, 200, status)
+	assert.EqualValues(t, 1, put.Revision)
+	assert.Equal(t, []string{"node/a"}, seen.Deleted)
+	status, _ = client.call("POST", "/v1/lease/"+lease.Lease+"/renew", "")
+	assert.Equal(t, 404, status)
+	status, _ = client.call("PUT", "/v1/kv/node/a?lease="+lease.Lease, "x")
+	assert.Equal(t, 412, status)
+}
+
+// Guards against a watch that silently skips changes that are no longer kept.
+func TestWatch(t *testing.T) {
+	client, _ := newClient(t, store.Config{History: 2})
+	for range 4 {
+		client.call("PUT", "/v1/kv/a/x", "v")
+	}
+	status, _ := client.call("GET", "/v1/watch?prefix=a/&after=1&wait=1s", "")
+	assert.Equal(t, 410, status)
+	status, seen := client.call("GET", "/v1/watch?prefix=a/&after=2&wait=1s", "")
+	assert.Equal(t, 200, status)
+	assert.Len(t, seen.Entries, 1)
+	status, _ = client.call("GET", "/v1/watch?prefix=b/&after=4&wait=1ms", "")
+	assert.Equal(t, 204, status)
+	status, _ = client.call("GET", "/v1/watch?prefix=a/&after=99&wait=1s", "")
+	assert.Equal(t, 410, status)
+}
+
+// Guards against rate limits that are not applied or not counted.
+func TestLimits(t *testing.T) {
+	client, stand := newClient(t, store.Config{WritesPerSecond: 0.001, WeightBytesPerSecond: 10})
+	client.call("PUT", "/v1/kv/a/x", "v")
+	status, _ := client.call("PUT", "/v1/kv/a/x", "v")
+	assert.Equal(t, 429, status)
+	status, _ = client.call("GET", "/v1/kv/a/x", "")
+	assert.Equal(t, 200, status)
+	assert.Equal(t, []store.Counter{
+		{Kind: "get", Prefix: "a", Calls: 1},
+		{Kind: "put", Prefix: "a", Calls: 2, Limited: 1},
+	}, stand.Counters())
+	status, _ = client.call("POST", "/v1/weights/acquire?bytes=1000", "")
+	assert.Equal(t, 200, status)
+	status, _ = client.call("POST", "/v1/weights/acquire?bytes=1", "")
+	assert.Equal(t, 429, status)
+}
+
+// Guards against a dropped answer whose write did not take effect, which
+// would hide a missing read-back.
+func TestDropAnswerAfterEffect(t *testing.T) {
+	client, stand := newClient(t, store.Config{})
+	require.NoError(t, stand.Injector().Apply(fault.Order{Fault: fault.DropAnswer, Count: 1, Prefix: "config/"}))
+	status, _ := client.call("PUT", "/v1/kv/node/a", "kept")
+	assert.Equal(t, 200, status)
+	_, _, err := client.try("PUT", "/v1/kv/config/head?expect=0", "written")
+	assert.Error(t, err)
+	_, read := client.call("GET", "/v1/kv/config/head", "")
+	assert.Equal(t, "written", string(read.Value))
+}
+
+// Guards against a silent fault that also holds new connections, or that does
+// not hold the open ones.
+func TestSilentConnections(t *testing.T) {
+	client, stand := newClient(t, store.Config{})
+	client.call("PUT", "/v1/kv/a", "v")
+	require.NoError(t, stand.Injector().Apply(fault.Order{Fault: fault.Silent}))
+	short := &http.Client{Transport: client.server.Client().Transport, Timeout: 50 * time.Millisecond}
+	_, err := short.Get(client.server.URL + "/v1/kv/a")
+	assert.Error(t, err)
+	fresh := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := fresh.Get(client.server.URL + "/v1/kv/a")
+	require.NoError(t, err)
+	response.Body.Close()
+	assert.Equal(t, 200, response.StatusCode)
+}
+
+// Guards against an outage that lets calls through, and against a control path
+// that an outage cuts off.
+func TestOutageAndControl(t *testing.T) {
+	client, _ := newClient(t, store.Config{})
+	status, _ := client.call("POST", "/control", `{"fault":"outage"}`)
+	assert.Equal(t, 204, status)
+	status, _ = client.call("PUT", "/v1/kv/a", "v")
+	assert.Equal(t, 503, status)
+	client.call("POST", "/control", `{"fault":"clear"}`)
+	status, _ = client.call("GET", "/v1/kv/a", "")
+	assert.Equal(t, 404, status)
+	status, _ = client.call("POST", "/control", `{"fault":"unheard-of"}`)
+	assert.Equal(t, 400, status)
+}
+
+// Guards against a VM list without lag, which would hide decisions based on a
+// stale list.
+func TestVMListLag(t *testing.T) {
+	client, stand := newClient(t, store.Config{VMs: []store.VM{{Name: "a"}}, VMLag: time.Hour})
+	client.call("POST", "/v1/vms", `{"vms":[{"name":"b"}]}`)
+	_, seen := client.call("GET", "/v1/vms", "")
+	assert.Equal(t, "a", seen.VMs[0].Name)
+	require.NoError(t, stand.Injector().Apply(fault.Order{Fault: "lag"}))
+	_, seen = client.call("GET", "/v1/vms", "")
+	assert.Equal(t, "b", seen.VMs[0].Name)
+}
