--- /dev/null
+++ b/cmd/lacewingspoke/module.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"lacewingspoke.org/lacewingspoke/admin"
+	"lacewingspoke.org/lacewingspoke/control"
+	"lacewingspoke.org/lacewingspoke/engine"
+	"lacewingspoke.org/lacewingspoke/entry"
+	"lacewingspoke.org/lacewingspoke/group"
+	"lacewingspoke.org/lacewingspoke/limit"
+	"lacewingspoke.org/lacewingspoke/peer"
+	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/route"
+	"lacewingspoke.org/lacewingspoke/service"
+	"lacewingspoke.org/lacewingspoke/settings"
+	"lacewingspoke.org/lacewingspoke/timer"
+)
+
+// nodeModule builds the parts of a node.
+var nodeModule = fx.Provide(
+	newIncarnation,
+	newRegistry,
+	newTimers,
+	newPlatform,
+	newMesh,
+	newEngines,
+	route.NewPublisher,
+	newEntry,
+	newController,
+	newAdmin,
+	newDaemon,
+)
+
+// incarnation tells two runs of a node apart.
+type incarnation string
+
+func newIncarnation() incarnation { return incarnation(uuid.NewString()) }
+
+func newRegistry() *prometheus.Registry {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return registry
+}
+
+func newTimers(logger *zap.Logger) *timer.Service {
+	return timer.New(timer.Config{Logger: logger})
+}
+
+func newPlatform(loaded *settings.Settings, registry *prometheus.Registry) (*platform.Client, error) {
+	client, err := platform.NewClient(platform.ClientConfig{
+		Addresses:  loaded.StoreAddresses(),
+		Timeout:    loaded.StoreTimeout(),
+		Registerer: registry,
+	})
+	return client, errors.Trace(err)
+}
+
+func newMesh(loaded *settings.Settings, run incarnation, logger *zap.Logger, registry *prometheus.Registry) (*peer.Mesh, error) {
+	mesh, err := peer.New(peer.Config{
+		Name:          loaded.Name(),
+		Incarnation:   string(run),
+		FailureDomain: loaded.FailureDomain(),
+		Listen:        loaded.PeersAddress(),
+		Logger:        logger,
+		Registerer:    registry,
+	})
+	return mesh, errors.Trace(err)
+}
+
+func newEngines(registry *prometheus.Registry) (*engine.ControlClient, error) {
+	client, err := engine.NewControlClient(engine.ControlConfig{Registerer: registry})
+	return client, errors.Trace(err)
+}
+
+// entryParams are what the entry server is built from.
+type entryParams struct {
+	fx.In
+
+	Settings  *settings.Settings
+	Publisher *route.Publisher
+	Platform  *platform.Client
+	Logger    *zap.Logger
+	Registry  *prometheus.Registry
+}
+
+func newEntry(params entryParams) (*entry.Server, error) {
+	server, err := entry.New(entry.Config{
+		Publisher:     params.Publisher,
+		Store:         params.Platform,
+		Node:          params.Settings.Name(),
+		FailureDomain: params.Settings.FailureDomain(),
+		MaxBody:       params.Settings.MaxBody(),
+		MaxAnswer:     params.Settings.MaxAnswer(),
+		MaxInFlight:   params.Settings.MaxInFlight(),
+		MaxQueue:      params.Settings.MaxQueue(),
+		Logger:        params.Logger,
+		Registerer:    params.Registry,
+	})
+	return server, errors.Trace(err)
+}
+
+// controllerParams are what the control thread is built from.
+type controllerParams struct {
+	fx.In
+
+	Settings    *settings.Settings
+	Incarnation incarnation
+	Platform    *platform.Client
+	Mesh        *peer.Mesh
+	Engines     *engine.ControlClient
+	Entry       *entry.Server
+	Publisher   *route.Publisher
+	Timers      *timer.Service
+	Logger      *zap.Logger
+	Registry    *prometheus.Registry
+}
+
+func newController(params controllerParams) (*control.Controller, error) {
+	controller, err := control.New(control.Config{
+		Name:          params.Settings.Name(),
+		Incarnation:   string(params.Incarnation),
+		FailureDomain: params.Settings.FailureDomain(),
+		PeerAddress:   params.Mesh.Address(),
+		AdminAddress:  params.Settings.AdminAddress(),
+		Seeds:         params.Settings.Seeds(),
+		Platform:      params.Platform,
+		Mesh:          params.Mesh,
+		Engines:       params.Engines,
+		Services:      serviceReports{client: service.NewReporter()},
+		Traffic:       traffic{server: params.Entry},
+		Publisher:     params.Publisher,
+		Timers:        params.Timers,
+		Logger:        params.Logger,
+		Registerer:    params.Registry,
+		Random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	return controller, errors.Trace(err)
+}
+
+func newAdmin(controller *control.Controller, registry *prometheus.Registry) *admin.Server {
+	return admin.New(admin.Config{Node: controller, Gatherer: registry})
+}
+
+// serviceReports reads reports of service runners for the control thread.
+type serviceReports struct{ client *service.Reporter }
+
+// Report reads the report of one runner.
+func (reports serviceReports) Report(ctx context.Context, address string) (control.ServiceReport, error) {
+	report, err := reports.client.Report(ctx, address)
+	if err != nil {
+		return control.ServiceReport{}, errors.Trace(err)
+	}
+	return control.ServiceReport{
+		Load:    group.Load{Running: report.Running, Queued: report.Queued},
+		Leaving: report.State == service.StateLeaving,
+	}, nil
+}
+
+// traffic passes workspace demand between the entry server and the peers.
+type traffic struct{ server *entry.Server }
+
+// Usage returns this node's demand.
+func (traffic traffic) Usage() []peer.WorkspaceUsage {
+	var demand []peer.WorkspaceUsage
+	for _, usage := range traffic.server.Usage() {
+		demand = append(demand, peer.WorkspaceUsage{
+			Workspace: usage.Workspace,
+			InFlight:  usage.InFlight,
+			Queued:    usage.Queued,
+		})
+	}
+	return demand
+}
+
+// SetUsage replaces the demand at the other nodes.
+func (traffic traffic) SetUsage(frames []peer.Usage) {
+	others := make([]limit.NodeUsage, 0, len(frames))
+	for _, frame := range frames {
+		other := limit.NodeUsage{Node: frame.Origin}
+		for _, usage := range frame.Workspaces {
+			other.Workspaces = append(other.Workspaces, limit.Usage{
+				Workspace: usage.Workspace,
+				InFlight:  usage.InFlight,
+				Queued:    usage.Queued,
+			})
+		}
+		others = append(others, other)
+	}
+	traffic.server.SetUsage(others)
+}
--- /dev/null
+++ b/cmd/lacewingspoke/node.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/juju/errors"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"go.uber.org/zap"
+
+	"lacewingspoke.org/lacewingspoke/settings"
+)
+
+// nodeCommand runs the daemon.
+type nodeCommand struct {
+	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"INI settings file of the node"`
+}
+
+func addNodeCommand(parser *flags.Parser) error {
+	_, err := parser.AddCommand("node", "Run the daemon",
+		"Runs the daemon of one entry VM until SIGTERM, which stops it without cutting off a request in progress.",
+		&nodeCommand{})
+	return errors.Trace(err)
+}
+
+// exitSettings is the exit code for settings that are not valid.
+const exitSettings = 2
+
+// Execute runs the daemon.
+func (command *nodeCommand) Execute([]string) error {
+	loaded, problems := settings.Load(command.Settings)
+	if len(problems) > 0 {
+		for _, problem := range problems {
+			fmt.Fprintln(os.Stderr, problem)
+		}
+		os.Exit(exitSettings)
+	}
+	logger, err := zap.NewProduction()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer func() { _ = logger.Sync() }()
+	return errors.Trace(runNode(loaded, logger.With(zap.String("node", loaded.Name()))))
+}
+
+// runNode runs the daemon until a signal or the failure of one of its parts.
+func runNode(loaded *settings.Settings, logger *zap.Logger) error {
+	var running *daemon
+	app := fx.New(
+		fx.Supply(loaded, logger),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		nodeModule,
+		fx.Populate(&running),
+	)
+	if err := app.Start(context.Background()); err != nil {
+		return errors.Annotate(err, "start")
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	cause := running.wait(signals)
+	stopping, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go cancelOnSignal(stopping, signals, cancel)
+	if err := app.Stop(stopping); err != nil {
+		logger.Warn("stopped before all requests had ended", zap.Error(err))
+	}
+	logger.Info("stopped")
+	return errors.Trace(cause)
+}
+
+// cancelOnSignal ends a graceful stop at the second signal.
+func cancelOnSignal(ctx context.Context, signals <-chan os.Signal, cancel context.CancelFunc) {
+	select {
+	case <-signals:
+		cancel()
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/control/leadership.go
@@ -0,0 +1,291 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"lacewingspoke.org/lacewingspoke/engine"
+	"lacewingspoke.org/lacewingspoke/fleet"
+	"lacewingspoke.org/lacewingspoke/group"
+	"lacewingspoke.org/lacewingspoke/platform"
+)
+
+// A leadership is one term of this node as the leader of a fabric domain.
+type leadership struct {
+	domain string
+	term   uint64
+	leader *group.Leader
+
+	// ctx ends with the term, so that its calls end too.
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+const (
+	placementRetry = 300 * time.Millisecond
+
+	// weightsRetry is the pause after the weight store did not answer.
+	weightsRetry = time.Second
+)
+
+func placementKey(domain string) string {
+	return fleet.DomainPrefix + domain + placementSuffix
+}
+
+// holdLeadership begins a term or extends it.
+func (state *state) holdLeadership(now time.Time, effect fleet.LeadershipHeld) {
+	led, found := state.led[effect.Domain]
+	if !found {
+		led = state.beginTerm(now, effect.Domain)
+	}
+	state.handleGroup(now, led, group.LeaseHeld{Until: effect.Until})
+}
+
+func (state *state) beginTerm(now time.Time, name string) *leadership {
+	state.terms++
+	ctx, cancel := context.WithCancel(state.workers)
+	led := &leadership{
+		domain: name,
+		term:   state.terms,
+		leader: group.NewLeader(state.leaderConfig(name)),
+		ctx:    ctx,
+		cancel: cancel,
+	}
+	state.led[name] = led
+	state.metrics.led.Set(float64(len(state.led)))
+	state.logger.Info("began to lead fabric domain", zap.String("domain", name))
+	if state.configuration.folder != nil {
+		state.handleGroup(now, led, state.folderEvent())
+	}
+	state.handleGroup(now, led, state.elsewhere(name))
+	if len(state.vms) > 0 {
+		state.handleGroup(now, led, group.VMsListed{VMs: state.domainVMs(name)})
+	}
+	for target, departure := range state.leaving {
+		state.handleGroup(now, led, group.LeavingKnown{VM: target, Incarnation: departure.incarnation})
+	}
+	return led
+}
+
+func (state *state) loseLeadership(now time.Time, name string) {
+	led, found := state.led[name]
+	if !found {
+		return
+	}
+	state.handleGroup(now, led, group.LeaseLost{})
+	led.cancel()
+	delete(state.led, name)
+	state.metrics.led.Set(float64(len(state.led)))
+	state.logger.Info("stopped leading fabric domain", zap.String("domain", name))
+}
+
+func (state *state) handleGroupResult(now time.Time, result groupResult) {
+	led, found := state.led[result.domain]
+	if !found || led.term != result.term {
+		return
+	}
+	state.handleGroup(now, led, result.event)
+}
+
+func (state *state) handleGroup(now time.Time, led *leadership, event group.Event) {
+	for _, effect := range led.leader.Handle(now, event) {
+		state.runGroupEffect(now, led, effect)
+	}
+}
+
+func (state *state) runGroupEffect(now time.Time, led *leadership, effect group.Effect) {
+	switch effect := effect.(type) {
+	case group.ReadPlacement:
+		state.startGroup(led, state.readPlacement)
+	case group.Commit:
+		state.metrics.commits.Inc()
+		state.startGroup(led, func(ctx context.Context, domain string) group.Event {
+			return state.commit(ctx, domain, effect)
+		})
+	case group.ReadReport:
+		state.startGroup(led, func(ctx context.Context, domain string) group.Event {
+			return state.readReport(ctx, effect)
+		})
+	case group.SendOrder:
+		state.metrics.orders.WithLabelValues(string(effect.Order.Action)).Inc()
+		state.startGroup(led, func(ctx context.Context, domain string) group.Event {
+			return state.sendOrder(ctx, effect)
+		})
+	case group.AcquireWeights:
+		state.startGroup(led, func(ctx context.Context, domain string) group.Event {
+			return state.acquireWeights(ctx, effect)
+		})
+	case group.PublishGrants:
+		state.publishGrants(now, led, effect)
+	case group.PublishPlacement:
+		state.setPlacement(now, led.domain, effect.Revision, effect.Record)
+	default:
+		panic(errors.Errorf("control: group effect %T is not handled", effect))
+	}
+}
+
+// startGroup runs a worker for a term of leadership.
+func (state *state) startGroup(led *leadership, work func(ctx context.Context, domain string) group.Event) {
+	state.start(func(context.Context) message {
+		return groupResult{domain: led.domain, term: led.term, event: work(led.ctx, led.domain)}
+	})
+}
+
+// readPlacement reads the record until the store answers or the term ends.
+func (state *state) readPlacement(ctx context.Context, domain string) group.Event {
+	for {
+		entry, err := state.config.Platform.Get(ctx, placementKey(domain))
+		switch {
+		case err == nil:
+			return group.PlacementRead{Record: entry.Value, Revision: entry.Revision}
+		case errors.Is(err, errors.NotFound):
+			return group.PlacementRead{}
+		}
+		if !pause(ctx, placementRetry) {
+			return group.Tick{}
+		}
+	}
+}
+
+// pause waits and reports whether the context still holds.
+func pause(ctx context.Context, delay time.Duration) bool {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (state *state) commit(ctx context.Context, domain string, effect group.Commit) group.Event {
+	outcome := state.config.Platform.Put(ctx, platform.PutRequest{
+		Key:    placementKey(domain),
+		Value:  effect.Record,
+		Expect: effect.Expect,
+	})
+	return group.CommitDone{ID: effect.ID, Outcome: outcome}
+}
+
+func (state *state) readReport(ctx context.Context, effect group.ReadReport) group.Event {
+	ctx, cancel := context.WithTimeout(ctx, effect.Timeout)
+	defer cancel()
+	sent := state.now()
+	report, err := state.config.Engines.Report(ctx, effect.Address)
+	if err != nil || report.VM != effect.VM {
+		return group.ReportFailed{VM: effect.VM}
+	}
+	return group.ReportRead{Sent: sent, Report: report}
+}
+
+// sendOrder reads the monotonic clock right before it sends, because the
+// process may have been paused since the leader decided.
+func (state *state) sendOrder(ctx context.Context, effect group.SendOrder) group.Event {
+	remaining := effect.Deadline.Sub(state.now())
+	if remaining <= 0 {
+		return group.OrderRefused{VM: effect.VM, Order: effect.Order.ID}
+	}
+	order := effect.Order
+	order.ExpiresInMillis = min(order.ExpiresInMillis, remaining.Milliseconds())
+	ctx, cancel := context.WithTimeout(ctx, remaining)
+	defer cancel()
+	switch outcome := state.config.Engines.SendOrder(ctx, effect.Address, order).(type) {
+	case engine.OrderAccepted:
+		return group.OrderAccepted{VM: effect.VM, Order: order.ID}
+	case engine.OrderFenced:
+		return group.OrderRefused{VM: effect.VM, Order: order.ID, Fence: outcome.Fence}
+	case engine.OrderExpired, engine.OrderRefused:
+		return group.OrderRefused{VM: effect.VM, Order: order.ID}
+	default:
+		return group.OrderUnknown{VM: effect.VM, Order: order.ID}
+	}
+}
+
+func (state *state) acquireWeights(ctx context.Context, effect group.AcquireWeights) group.Event {
+	granted, retry, err := state.config.Platform.AcquireWeights(ctx, effect.Bytes)
+	switch {
+	case err != nil:
+		return group.WeightsRefused{VM: effect.VM, Retry: weightsRetry}
+	case !granted:
+		return group.WeightsRefused{VM: effect.VM, Retry: retry}
+	default:
+		return group.WeightsAcquired{VM: effect.VM}
+	}
+}
+
+func (state *state) leaderConfig(domain string) group.LeaderConfig {
+	return group.LeaderConfig{
+		Domain:      domain,
+		Node:        state.config.Name,
+		Incarnation: state.config.Incarnation,
+	}
+}
+
+// elsewhere counts the replicas placed in the other fabric domains.
+func (state *state) elsewhere(name string) group.Elsewhere {
+	counts := map[group.PlacedReplicas]int{}
+	for other, known := range state.domains {
+		if other == name || known.placement == nil {
+			continue
+		}
+		for _, placed := range placedReplicas(known.placement) {
+			counts[placed]++
+		}
+	}
+	result := group.Elsewhere{}
+	for placed, count := range counts {
+		placed.Count = count
+		result.Replicas = append(result.Replicas, placed)
+	}
+	return result
+}
+
+// placedReplicas returns one entry with Count 0 for each group of a record.
+func placedReplicas(placement *group.Placement) []group.PlacedReplicas {
+	failureDomains := map[string]string{}
+	for _, vm := range placement.VMs() {
+		assignment, _ := placement.Assignment(vm)
+		failureDomains[assignment.Group] = assignment.FailureDomain
+	}
+	var placed []group.PlacedReplicas
+	for _, placedGroup := range placement.Groups() {
+		if placedGroup.State == group.StateReleased {
+			continue
+		}
+		placed = append(placed, group.PlacedReplicas{
+			Group:         placedGroup.Spec,
+			FailureDomain: failureDomains[placedGroup.Name],
+		})
+	}
+	return placed
+}
+
+// setPlacement takes in a committed record if it is newer than the known one
+// and spreads it.
+func (state *state) setPlacement(now time.Time, name string, revision uint64, record []byte) {
+	known := state.domain(name)
+	if revision <= known.revision {
+		return
+	}
+	placement, err := group.DecodePlacement(record)
+	if err != nil {
+		state.metrics.badRecords.Inc()
+		state.logger.Error("placement record is not valid", zap.String("domain", name), zap.Error(err))
+		return
+	}
+	known.placement = placement
+	known.record = record
+	known.revision = revision
+	known.fence = max(known.fence, placement.Fence())
+	state.dirty = true
+	state.relayPlacement(name, "")
+	for other, led := range state.led {
+		if other != name {
+			state.handleGroup(now, led, state.elsewhere(other))
+		}
+	}
+}
--- /dev/null
+++ b/control/leaving.go
@@ -0,0 +1,253 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"lacewingspoke.org/lacewingspoke/admin"
+	"lacewingspoke.org/lacewingspoke/fleet"
+	"lacewingspoke.org/lacewingspoke/group"
+	"lacewingspoke.org/lacewingspoke/peer"
+	"lacewingspoke.org/lacewingspoke/platform"
+)
+
+// A departure is a target that takes no new work. It holds for one
+// incarnation of the target and never turns back.
+type departure struct {
+	incarnation string
+	author      string
+	reason      string
+}
+
+// drainRecord is the audit entry of a drain in the store.
+type drainRecord struct {
+	Target      string    `json:"target"`
+	Incarnation string    `json:"incarnation"`
+	Author      string    `json:"author"`
+	Reason      string    `json:"reason"`
+	Time        time.Time `json:"time"`
+}
+
+// platformAuthor is the author of a departure that the platform's list told.
+const platformAuthor = "platform"
+
+const drainRetry = 2 * time.Second
+
+func (departure departure) frame(target string) peer.Leaving {
+	return peer.Leaving{
+		Target:      target,
+		Incarnation: departure.incarnation,
+		Author:      departure.author,
+		Reason:      departure.reason,
+	}
+}
+
+// markLeaving takes in a departure and spreads it if it is new.
+func (state *state) markLeaving(now time.Time, frame peer.Leaving, from string) {
+	known, found := state.leaving[frame.Target]
+	if found && known.incarnation == frame.Incarnation {
+		return
+	}
+	if vm, listed := state.vms[frame.Target]; listed && frame.Incarnation != "" && vm.Incarnation != frame.Incarnation {
+		return
+	}
+	state.leaving[frame.Target] = departure{
+		incarnation: frame.Incarnation,
+		author:      frame.Author,
+		reason:      frame.Reason,
+	}
+	state.dirty = true
+	state.logger.Info("target is leaving",
+		zap.String("target", frame.Target),
+		zap.String("author", frame.Author),
+		zap.String("reason", frame.Reason))
+	state.config.Mesh.Broadcast(frame, from)
+	for _, led := range state.led {
+		state.handleGroup(now, led, group.LeavingKnown{VM: frame.Target, Incarnation: frame.Incarnation})
+	}
+}
+
+// handleVMs takes in the platform's list.
+func (state *state) handleVMs(now time.Time, vms []platform.VM) {
+	state.pollingVMs = false
+	state.vms = map[string]platform.VM{}
+	for _, vm := range vms {
+		state.vms[vm.Name] = vm
+		state.clearReplaced(vm)
+		if vm.State == platform.VMLeaving {
+			state.markLeaving(now, peer.Leaving{
+				Target:      vm.Name,
+				Incarnation: vm.Incarnation,
+				Author:      platformAuthor,
+				Reason:      "the platform's list says that the VM is leaving",
+			}, "")
+		}
+	}
+	state.handleFleet(now, fleet.DomainsKnown{Domains: fabricDomains(vms)})
+	for name, led := range state.led {
+		state.handleGroup(now, led, group.VMsListed{VMs: state.domainVMs(name)})
+	}
+}
+
+// clearReplaced forgets the departure of a VM's earlier incarnation.
+func (state *state) clearReplaced(vm platform.VM) {
+	known, found := state.leaving[vm.Name]
+	if found && known.incarnation != vm.Incarnation {
+		delete(state.leaving, vm.Name)
+		state.dirty = true
+	}
+}
+
+func fabricDomains(vms []platform.VM) []fleet.Domain {
+	var domains []fleet.Domain
+	known := map[string]bool{}
+	for _, vm := range vms {
+		if vm.FabricDomain == "" || known[vm.FabricDomain] {
+			continue
+		}
+		known[vm.FabricDomain] = true
+		domains = append(domains, fleet.Domain{Name: vm.FabricDomain, FailureDomain: vm.FailureDomain})
+	}
+	return domains
+}
+
+// domainVMs returns the listed VMs of a fabric domain.
+func (state *state) domainVMs(name string) []platform.VM {
+	var vms []platform.VM
+	for _, vm := range state.vms {
+		if vm.FabricDomain == name {
+			vms = append(vms, vm)
+		}
+	}
+	return vms
+}
+
+// pollVMs reads the platform's list on the nodes that watch the store or lead
+// a domain; the others learn of departures by relay.
+func (state *state) pollVMs() {
+	if state.pollingVMs || !(state.fleet.Watching() || len(state.led) > 0 || len(state.vms) == 0) {
+		return
+	}
+	state.pollingVMs = true
+	state.start(func(ctx context.Context) message {
+		vms, err := state.config.Platform.VMs(ctx)
+		if err != nil {
+			return vmsFailed{}
+		}
+		return vmsRead{vms: vms}
+	})
+}
+
+// Drain stops new work for a target at this node and spreads it.
+func (controller *Controller) Drain(ctx context.Context, request admin.DrainRequest) (admin.DrainResult, error) {
+	if request.Target == "" || request.Reason == "" {
+		return admin.DrainResult{}, errors.NotValidf("drain without target or reason")
+	}
+	var result admin.DrainResult
+	var failure error
+	err := controller.do(ctx, func(now time.Time) {
+		result, failure = controller.state.drain(now, request)
+	})
+	if err != nil {
+		return admin.DrainResult{}, errors.Trace(err)
+	}
+	return result, failure
+}
+
+func (state *state) drain(now time.Time, request admin.DrainRequest) (admin.DrainResult, error) {
+	incarnation, found := state.targetIncarnation(request.Target)
+	if !found {
+		return admin.DrainResult{}, errors.NotFoundf("target %q", request.Target)
+	}
+	state.markLeaving(now, peer.Leaving{
+		Target:      request.Target,
+		Incarnation: incarnation,
+		Author:      request.Author,
+		Reason:      request.Reason,
+	}, "")
+	state.recordDrain(drainRecord{
+		Target:      request.Target,
+		Incarnation: incarnation,
+		Author:      request.Author,
+		Reason:      request.Reason,
+		Time:        now.UTC(),
+	})
+	return admin.DrainResult{Peers: len(state.config.Mesh.Linked())}, nil
+}
+
+// targetIncarnation finds a VM or a service runner.
+func (state *state) targetIncarnation(target string) (string, bool) {
+	if vm, found := state.vms[target]; found {
+		return vm.Incarnation, true
+	}
+	for _, known := range state.domains {
+		if known.placement == nil {
+			continue
+		}
+		if assignment, found := known.placement.Assignment(target); found {
+			return assignment.Incarnation, true
+		}
+	}
+	if state.configuration.folder == nil {
+		return "", false
+	}
+	for _, service := range state.configuration.folder.Services() {
+		for _, address := range service.Addresses {
+			if address.Address == target {
+				return "", true
+			}
+		}
+	}
+	return "", false
+}
+
+// recordDrain writes the audit entry and repeats until the store has it.
+func (state *state) recordDrain(record drainRecord) {
+	value, err := json.Marshal(record)
+	if err != nil {
+		panic(errors.Annotate(err, "control: drain record"))
+	}
+	state.start(func(ctx context.Context) message {
+		for {
+			outcome := state.config.Platform.Put(ctx, platform.PutRequest{
+				Key:    drainPrefix + record.Target,
+				Value:  value,
+				Expect: platform.ExpectAny(),
+			})
+			if _, written := outcome.(platform.Written); written || !pause(ctx, drainRetry) {
+				return drainRecorded{target: record.Target, outcome: outcome}
+			}
+		}
+	})
+}
+
+func (state *state) handleDrainRecorded(result drainRecorded) {
+	if _, written := result.outcome.(platform.Written); written {
+		state.logger.Info("drain recorded", zap.String("target", result.target))
+	}
+}
+
+// handleDrainEntries takes in the drains that the store holds.
+func (state *state) handleDrainEntries(now time.Time, entries []platform.Entry) {
+	for _, entry := range entries {
+		if !strings.HasPrefix(entry.Key, drainPrefix) {
+			continue
+		}
+		var record drainRecord
+		if err := json.Unmarshal(entry.Value, &record); err != nil {
+			state.metrics.badRecords.Inc()
+			continue
+		}
+		state.markLeaving(now, peer.Leaving{
+			Target:      record.Target,
+			Incarnation: record.Incarnation,
+			Author:      record.Author,
+			Reason:      record.Reason,
+		}, "")
+	}
+}
--- /dev/null
+++ b/control/membership.go
@@ -0,0 +1,162 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"lacewingspoke.org/lacewingspoke/fleet"
+	"lacewingspoke.org/lacewingspoke/peer"
+	"lacewingspoke.org/lacewingspoke/platform"
+)
+
+// handleFleet feeds an event to the membership core and carries out the
+// effects.
+func (state *state) handleFleet(now time.Time, event fleet.Event) {
+	for _, effect := range state.fleet.Handle(now, event) {
+		state.runFleetEffect(now, effect)
+	}
+}
+
+func (state *state) runFleetEffect(now time.Time, effect fleet.Effect) {
+	switch effect := effect.(type) {
+	case fleet.ListNodes:
+		state.start(state.listNodes)
+	case fleet.SetWatching:
+		state.setWatching(effect.Watching)
+	case fleet.GrantLease:
+		state.start(func(ctx context.Context) message { return state.grantLease(ctx, effect) })
+	case fleet.RenewLease:
+		state.start(func(ctx context.Context) message { return state.renewLease(ctx, effect) })
+	case fleet.RevokeLease:
+		state.revoking++
+		state.start(func(ctx context.Context) message { return state.revokeLease(ctx, effect) })
+	case fleet.WriteNode:
+		state.start(func(ctx context.Context) message { return state.writeNode(ctx, effect) })
+	case fleet.ClaimDomain:
+		state.start(func(ctx context.Context) message { return state.claimDomain(ctx, effect) })
+	case fleet.ReadLeader:
+		state.start(func(ctx context.Context) message { return state.readLeader(ctx, effect) })
+	case fleet.ReleaseDomain:
+		state.start(func(ctx context.Context) message { return state.releaseDomain(ctx, effect) })
+	case fleet.SetPeers:
+		state.setPeers(effect.Targets)
+	case fleet.LeadershipHeld:
+		state.holdLeadership(now, effect)
+	case fleet.LeadershipLost:
+		state.loseLeadership(now, effect.Domain)
+	default:
+		panic(errors.Errorf("control: fleet effect %T is not handled", effect))
+	}
+}
+
+func (state *state) listNodes(ctx context.Context) message {
+	listing, err := state.config.Platform.List(ctx, fleet.NodePrefix)
+	if err != nil {
+		return fleetResult{event: fleet.ListFailed{}}
+	}
+	return fleetResult{
+		event:   fleet.KeysListed{Prefix: fleet.NodePrefix, Entries: listing.Entries},
+		reached: true,
+	}
+}
+
+func (state *state) grantLease(ctx context.Context, effect fleet.GrantLease) message {
+	sent := state.now()
+	lease, err := state.config.Platform.Grant(ctx, effect.TTL)
+	if err != nil {
+		return fleetResult{event: fleet.LeaseGrantFailed{}}
+	}
+	return fleetResult{
+		event:   fleet.LeaseGranted{Lease: lease, TTL: effect.TTL, Sent: sent},
+		reached: true,
+	}
+}
+
+func (state *state) renewLease(ctx context.Context, effect fleet.RenewLease) message {
+	sent := state.now()
+	err := state.config.Platform.Renew(ctx, effect.Lease)
+	switch {
+	case err == nil:
+		return fleetResult{event: fleet.LeaseRenewed{Lease: effect.Lease, Sent: sent}, reached: true}
+	case errors.Is(err, errors.NotFound):
+		return fleetResult{event: fleet.LeaseMissing{Lease: effect.Lease}, reached: true}
+	default:
+		return fleetResult{event: fleet.LeaseRenewFailed{Lease: effect.Lease}}
+	}
+}
+
+func (state *state) revokeLease(ctx context.Context, effect fleet.RevokeLease) message {
+	// A lease that is not revoked lapses by itself.
+	_ = state.config.Platform.Revoke(ctx, effect.Lease)
+	return leaseRevoked{}
+}
+
+func (state *state) writeNode(ctx context.Context, effect fleet.WriteNode) message {
+	outcome := state.config.Platform.Put(ctx, platform.PutRequest{
+		Key:    effect.Key,
+		Value:  effect.Value,
+		Expect: platform.ExpectAny(),
+		Lease:  effect.Lease,
+	})
+	return fleetResult{
+		event:   fleet.NodeWritten{Lease: effect.Lease, Outcome: outcome},
+		reached: answered(outcome),
+	}
+}
+
+func (state *state) claimDomain(ctx context.Context, effect fleet.ClaimDomain) message {
+	outcome := state.putBefore(ctx, effect.Deadline, platform.PutRequest{
+		Key:    effect.Key,
+		Value:  effect.Value,
+		Expect: platform.ExpectAbsent(),
+		Lease:  effect.Lease,
+	})
+	return fleetResult{
+		event:   fleet.ClaimDone{Domain: effect.Domain, Lease: effect.Lease, Outcome: outcome},
+		reached: answered(outcome),
+	}
+}
+
+// putBefore writes unless the deadline has passed on the monotonic clock.
+func (state *state) putBefore(ctx context.Context, deadline time.Time, request platform.PutRequest) platform.PutOutcome {
+	if !state.now().Before(deadline) {
+		return platform.Refused{Err: errors.Timeoutf("write of %s", request.Key)}
+	}
+	return state.config.Platform.Put(ctx, request)
+}
+
+func (state *state) readLeader(ctx context.Context, effect fleet.ReadLeader) message {
+	entry, err := state.config.Platform.Get(ctx, effect.Key)
+	if errors.Is(err, errors.NotFound) {
+		return fleetResult{event: fleet.LeaderRead{Domain: effect.Domain}, reached: true}
+	}
+	return fleetResult{
+		event:   fleet.LeaderRead{Domain: effect.Domain, Entry: entry, Err: err},
+		reached: err == nil,
+	}
+}
+
+func (state *state) releaseDomain(ctx context.Context, effect fleet.ReleaseDomain) message {
+	state.config.Platform.Delete(ctx, effect.Key, platform.ExpectRevision(effect.Revision))
+	return workerEnded{name: "release domain"}
+}
+
+// answered reports whether the store answered a write.
+func answered(outcome platform.PutOutcome) bool {
+	switch outcome.(type) {
+	case platform.Written, platform.Conflict:
+		return true
+	default:
+		return false
+	}
+}
+
+func (state *state) setPeers(targets []fleet.Target) {
+	dialled := make([]peer.Target, 0, len(targets))
+	for _, target := range targets {
+		dialled = append(dialled, peer.Target{Name: target.Name, Address: target.Address})
+	}
+	state.config.Mesh.SetTargets(dialled)
+}
--- /dev/null
+++ b/control/metrics.go
@@ -0,0 +1,53 @@
+package control
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// metrics are the counters of the control thread.
+type metrics struct {
+	generation      prometheus.Gauge
+	behind          prometheus.Gauge
+	led             prometheus.Gauge
+	commits         prometheus.Counter
+	orders          *prometheus.CounterVec
+	storeFailures   prometheus.Counter
+	serviceFailures prometheus.Counter
+	staleFrames     prometheus.Counter
+	unknownFrames   prometheus.Counter
+	badRecords      prometheus.Counter
+	conflicts       prometheus.Counter
+}
+
+const metricsPrefix = "lacewingspoke_control_"
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	collected := &metrics{
+		generation:      gauge("generation", "Generation of the configuration in force."),
+		behind:          gauge("store_behind", "1 while the store holds a lower generation than this node."),
+		led:             gauge("led_domains", "Fabric domains that this node leads."),
+		commits:         counter("placement_commits_total", "Writes of placement records."),
+		storeFailures:   counter("watch_failures_total", "Watches of the store that failed."),
+		serviceFailures: counter("service_report_failures_total", "Service runners that did not report in time."),
+		staleFrames:     counter("stale_frames_total", "Frames with an old version or fencing number."),
+		unknownFrames:   counter("unknown_frames_total", "Frames of a kind that is not handled."),
+		badRecords:      counter("bad_records_total", "Store records that are not valid."),
+		conflicts:       counter("generation_conflicts_total", "Offers of another configuration with the generation in force."),
+	}
+	collected.orders = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: metricsPrefix + "orders_total",
+		Help: "Orders to engines by action.",
+	}, []string{"action"})
+	if registerer != nil {
+		registerer.MustRegister(collected.generation, collected.behind, collected.led,
+			collected.commits, collected.orders, collected.storeFailures, collected.serviceFailures,
+			collected.staleFrames, collected.unknownFrames, collected.badRecords, collected.conflicts)
+	}
+	return collected
+}
+
+func gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Name: metricsPrefix + name, Help: help})
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Name: metricsPrefix + name, Help: help})
+}
--- /dev/null
+++ b/control/relay.go
@@ -0,0 +1,111 @@
+package control
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"lacewingspoke.org/lacewingspoke/fleet"
+	"lacewingspoke.org/lacewingspoke/peer"
+)
+
+// handlePeer takes in an event of the mesh.
+func (state *state) handlePeer(now time.Time, event peer.Event) {
+	switch event := event.(type) {
+	case peer.LinkUp:
+		state.handleLinkUp(now, event.Hello)
+	case peer.LinkDown:
+		state.logger.Info("link closed", zap.String("peer", event.Name), zap.String("reason", string(event.Reason)))
+		delete(state.usage, event.Name)
+		delete(state.configuration.generations, event.Name)
+		state.handleFleet(now, fleet.LinkClosed{Name: event.Name})
+	case peer.Received:
+		state.handleFrame(now, event)
+	default:
+		panic(errors.Errorf("control: peer event %T is not handled", event))
+	}
+}
+
+// handleLinkUp tells a new peer what it may have missed.
+func (state *state) handleLinkUp(now time.Time, hello peer.Hello) {
+	state.logger.Info("link opened", zap.String("peer", hello.Name))
+	state.handleFleet(now, fleet.LinkOpened{Node: fleet.Node{
+		Name:          hello.Name,
+		Incarnation:   hello.Incarnation,
+		FailureDomain: hello.FailureDomain,
+		PeerAddress:   hello.Address,
+	}})
+	if state.configuration.folder != nil {
+		state.config.Mesh.Send(hello.Name, state.configuration.headFrame())
+	}
+	for name, known := range state.domains {
+		if known.placement != nil {
+			state.config.Mesh.Send(hello.Name, known.frame(name))
+		}
+	}
+	for target, departure := range state.leaving {
+		state.config.Mesh.Send(hello.Name, departure.frame(target))
+	}
+}
+
+func (known *domain) frame(name string) peer.Placement {
+	return peer.Placement{Domain: name, Revision: known.revision, Record: known.record}
+}
+
+func (state *state) handleFrame(now time.Time, received peer.Received) {
+	switch frame := received.Frame.(type) {
+	case peer.Heartbeat:
+		state.observeGeneration(now, received.From, frame.Generation)
+	case peer.Head:
+		state.offerHead(now, received.From, decodeHead(frame))
+	case peer.BodyRequest:
+		state.answerBody(received.From, frame)
+	case peer.Body:
+		state.adopt(now, decodeHead(frame.Head), frame.Data, received.From)
+	case peer.Placement:
+		state.receivePlacement(now, received.From, frame)
+	case peer.Grants:
+		if state.receiveGrants(frame, received.SentAfter) {
+			state.forwardGrants(now, frame, received.From)
+		}
+	case peer.Usage:
+		state.receiveUsage(received.From, frame)
+	case peer.Leaving:
+		state.markLeaving(now, frame, received.From)
+	default:
+		state.metrics.unknownFrames.Inc()
+	}
+}
+
+// receivePlacement takes in a record; setPlacement relays it if it is new.
+func (state *state) receivePlacement(now time.Time, from string, frame peer.Placement) {
+	state.setPlacement(now, frame.Domain, frame.Revision, frame.Record)
+}
+
+func (state *state) relayPlacement(name, except string) {
+	state.config.Mesh.Broadcast(state.domains[name].frame(name), except)
+}
+
+// publishUsage tells the peers this node's demand.
+func (state *state) publishUsage() {
+	state.config.Mesh.Broadcast(peer.Usage{
+		Origin:      state.config.Name,
+		Incarnation: state.config.Incarnation,
+		Version:     state.nextVersion(),
+		Workspaces:  state.config.Traffic.Usage(),
+	}, "")
+}
+
+func (state *state) receiveUsage(from string, frame peer.Usage) {
+	if !state.versions.Advance("usage/"+frame.Origin, frame.Incarnation, frame.Version) {
+		state.metrics.staleFrames.Inc()
+		return
+	}
+	state.usage[frame.Origin] = frame
+	others := make([]peer.Usage, 0, len(state.usage))
+	for _, usage := range state.usage {
+		others = append(others, usage)
+	}
+	state.config.Traffic.SetUsage(others)
+}
--- /dev/null
+++ b/control/status.go
@@ -0,0 +1,85 @@
+package control
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/juju/errors"
+
+	"lacewingspoke.org/lacewingspoke/admin"
+	"lacewingspoke.org/lacewingspoke/group"
+)
+
+// Status returns the node's view of the fleet.
+func (controller *Controller) Status(ctx context.Context) (admin.Status, error) {
+	var status admin.Status
+	err := controller.do(ctx, func(now time.Time) {
+		status = controller.state.status(now)
+	})
+	return status, errors.Trace(err)
+}
+
+func (state *state) status(now time.Time) admin.Status {
+	head := state.configuration.head()
+	return admin.Status{
+		Node:          state.config.Name,
+		Incarnation:   state.config.Incarnation,
+		FailureDomain: state.config.FailureDomain,
+		Generation:    head.Generation,
+		Change:        head.Change,
+		Digest:        head.Digest,
+		Ready:         state.controller.Healthy() == nil,
+		Stopping:      state.stopping,
+		StoreReached:  now.Sub(state.storeReached) < isolationBound,
+		Peers:         state.peerStatus(),
+		Leads:         state.fleet.Led(now),
+		Groups:        state.groupStatus(now),
+		Leaving:       state.leavingTargets(),
+	}
+}
+
+func (state *state) peerStatus() []admin.PeerStatus {
+	peers := []admin.PeerStatus{}
+	for _, name := range state.config.Mesh.Linked() {
+		peers = append(peers, admin.PeerStatus{Name: name, Generation: state.configuration.generations[name]})
+	}
+	return peers
+}
+
+func (state *state) groupStatus(now time.Time) []admin.GroupStatus {
+	groups := []admin.GroupStatus{}
+	for _, known := range state.domains {
+		if known.placement == nil {
+			continue
+		}
+		for _, placed := range known.placement.Groups() {
+			groups = append(groups, known.status(placed, now))
+		}
+	}
+	sort.Slice(groups, func(i, j int) bool { return groups[i].Name < groups[j].Name })
+	return groups
+}
+
+func (known *domain) status(placed group.Group, now time.Time) admin.GroupStatus {
+	granted := known.grants[placed.Name]
+	return admin.GroupStatus{
+		Name:    placed.Name,
+		Spec:    placed.Spec,
+		Epoch:   placed.Epoch,
+		State:   string(placed.State),
+		Granted: granted.Grant.Holds(placed.Epoch, now),
+		Running: granted.Load.Running,
+		Queued:  granted.Load.Queued,
+		Members: known.placement.Members(placed.Name),
+	}
+}
+
+func (state *state) leavingTargets() []string {
+	targets := []string{}
+	for target := range state.leaving {
+		targets = append(targets, target)
+	}
+	sort.Strings(targets)
+	return targets
+}
--- /dev/null
+++ b/control/table.go
@@ -0,0 +1,123 @@
+package control
+
+import (
+	"context"
+
+	"lacewingspoke.org/lacewingspoke/folder"
+	"lacewingspoke.org/lacewingspoke/group"
+	"lacewingspoke.org/lacewingspoke/route"
+)
+
+// publishTable hands traffic a new table when something changed.
+func (state *state) publishTable() {
+	if !state.dirty {
+		return
+	}
+	state.dirty = false
+	state.config.Publisher.Publish(route.NewTable(route.TableConfig{
+		Folder:     state.configuration.folder,
+		Generation: state.configuration.head().Generation,
+		Groups:     state.groupTargets(),
+		Services:   state.serviceTargets(),
+	}))
+}
+
+func (state *state) groupTargets() []route.GroupTarget {
+	var targets []route.GroupTarget
+	for _, known := range state.domains {
+		if known.placement == nil {
+			continue
+		}
+		for _, placed := range known.placement.Groups() {
+			targets = append(targets, state.groupTarget(known, placed))
+		}
+	}
+	return targets
+}
+
+func (state *state) groupTarget(known *domain, placed group.Group) route.GroupTarget {
+	target := route.GroupTarget{
+		Name:  placed.Name,
+		Spec:  placed.Spec,
+		Epoch: placed.Epoch,
+		Open:  placed.State == group.StateReady,
+	}
+	for rank, vm := range known.placement.Members(placed.Name) {
+		assignment, _ := known.placement.Assignment(vm)
+		if rank == 0 {
+			target.Address = assignment.Address
+			target.FailureDomain = assignment.FailureDomain
+		}
+		if _, leaving := state.leaving[vm]; leaving {
+			target.Open = false
+		}
+	}
+	granted := known.grants[placed.Name]
+	target.Grant = granted.Grant
+	target.Load = granted.Load
+	return target
+}
+
+func (state *state) serviceTargets() []route.ServiceTarget {
+	if state.configuration.folder == nil {
+		return nil
+	}
+	var targets []route.ServiceTarget
+	for _, service := range state.configuration.folder.Services() {
+		for _, address := range service.Addresses {
+			targets = append(targets, state.serviceTarget(service, address))
+		}
+	}
+	return targets
+}
+
+func (state *state) serviceTarget(service folder.Service, address folder.ServiceAddress) route.ServiceTarget {
+	report := state.services[address.Address]
+	_, leaving := state.leaving[address.Address]
+	return route.ServiceTarget{
+		Service:       service.Name,
+		Address:       address.Address,
+		FailureDomain: address.FailureDomain,
+		Open:          !leaving && !report.Leaving,
+		Load:          report.Load,
+	}
+}
+
+// pollServices reads the reports of all service runners.
+func (state *state) pollServices() {
+	if state.configuration.folder == nil {
+		return
+	}
+	for _, service := range state.configuration.folder.Services() {
+		for _, address := range service.Addresses {
+			state.pollService(address.Address)
+		}
+	}
+}
+
+func (state *state) pollService(address string) {
+	if state.polling[address] {
+		return
+	}
+	state.polling[address] = true
+	state.start(func(ctx context.Context) message {
+		ctx, cancel := context.WithTimeout(ctx, servicePoll)
+		defer cancel()
+		report, err := state.config.Services.Report(ctx, address)
+		return serviceRead{address: address, report: report, failed: err != nil}
+	})
+}
+
+// handleService takes in a report. A runner that does not report keeps its
+// last report: only its own word or an operator says that it is leaving.
+func (state *state) handleService(result serviceRead) {
+	delete(state.polling, result.address)
+	if result.failed {
+		state.metrics.serviceFailures.Inc()
+		return
+	}
+	if state.services[result.address] != result.report {
+		state.services[result.address] = result.report
+		state.dirty = true
+	}
+}
--- /dev/null
+++ b/control/watch.go
@@ -0,0 +1,158 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"lacewingspoke.org/lacewingspoke/fleet"
+	"lacewingspoke.org/lacewingspoke/platform"
+)
+
+// The store keys that the control thread watches beside those of the fleet.
+const (
+	headKey         = "config/head"
+	bodyPrefix      = "config/body/"
+	drainPrefix     = "drain/"
+	placementSuffix = "/placement"
+)
+
+const (
+	// watchWait is how long one watch call waits at the store.
+	watchWait = 20 * time.Second
+
+	// watchRetry and watchRetryJitter spread the calls of all nodes after a
+	// store outage.
+	watchRetry       = 250 * time.Millisecond
+	watchRetryMax    = 4 * time.Second
+	watchRetryJitter = time.Second
+)
+
+// setWatching starts or stops the watches of the store.
+func (state *state) setWatching(watching bool) {
+	if !watching {
+		if state.stopWatch != nil {
+			state.stopWatch()
+			state.stopWatch = nil
+		}
+		return
+	}
+	if state.stopWatch != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(state.workers)
+	state.stopWatch = cancel
+	for _, prefix := range []string{headKey, fleet.NodePrefix, fleet.DomainPrefix, drainPrefix} {
+		watcher := &watcher{
+			store:   state.config.Platform,
+			prefix:  prefix,
+			results: state.controller.results,
+			random:  rand.New(rand.NewPCG(state.config.Random.Uint64(), state.config.Random.Uint64())),
+		}
+		state.pending++
+		go func(ctx context.Context, results chan<- message) {
+			watcher.run(ctx)
+			results <- workerEnded{name: "watch " + watcher.prefix}
+		}(ctx, state.controller.results)
+	}
+}
+
+// A watcher follows one prefix of the store.
+type watcher struct {
+	store   platform.Store
+	prefix  string
+	results chan<- message
+	random  *rand.Rand
+	failed  int
+}
+
+// run lists the prefix and then watches it, again from the start after a
+// failure, until the context ends.
+func (watcher *watcher) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := watcher.follow(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		watcher.send(ctx, storeFailed{err: err})
+		watcher.wait(ctx)
+	}
+}
+
+func (watcher *watcher) follow(ctx context.Context) error {
+	listing, err := watcher.store.List(ctx, watcher.prefix)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	watcher.failed = 0
+	watcher.send(ctx, listed{prefix: watcher.prefix, entries: listing.Entries})
+	revision := listing.Revision
+	for {
+		changes, err := watcher.store.Watch(ctx, watcher.prefix, revision, watchWait)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		revision = max(revision, changes.Revision)
+		watcher.send(ctx, changed{prefix: watcher.prefix, entries: changes.Entries, deleted: changes.Deleted})
+	}
+}
+
+func (watcher *watcher) send(ctx context.Context, result message) {
+	select {
+	case watcher.results <- result:
+	case <-ctx.Done():
+	}
+}
+
+func (watcher *watcher) wait(ctx context.Context) {
+	delay := min(watchRetry<<min(watcher.failed, 8), watchRetryMax)
+	watcher.failed++
+	delay += time.Duration(watcher.random.Int64N(int64(watchRetryJitter)))
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (state *state) handleListed(now time.Time, result listed) {
+	switch result.prefix {
+	case headKey:
+		state.handleHeadEntries(now, result.entries)
+	case drainPrefix:
+		state.handleDrainEntries(now, result.entries)
+	default:
+		state.handlePlacementEntries(now, result.entries)
+		state.handleFleet(now, fleet.KeysListed{Prefix: result.prefix, Entries: result.entries})
+	}
+}
+
+func (state *state) handleChanged(now time.Time, result changed) {
+	switch result.prefix {
+	case headKey:
+		state.handleHeadEntries(now, result.entries)
+	case drainPrefix:
+		state.handleDrainEntries(now, result.entries)
+	default:
+		state.handlePlacementEntries(now, result.entries)
+		state.handleFleet(now, fleet.KeysChanged{Entries: result.entries, Deleted: result.deleted})
+	}
+}
+
+func (state *state) handlePlacementEntries(now time.Time, entries []platform.Entry) {
+	for _, entry := range entries {
+		name, found := strings.CutPrefix(entry.Key, fleet.DomainPrefix)
+		if !found {
+			continue
+		}
+		name, found = strings.CutSuffix(name, placementSuffix)
+		if !found {
+			continue
+		}
+		state.setPlacement(now, name, entry.Revision, entry.Value)
+	}
+}
