--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,87 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lacewingspoke.org/lacewingspoke/settings"
+)
+
+const minimal = `
+[node]
+name = port-1
+failure-domain = constanta-port
+[listen]
+callers = 127.0.0.1:8080
+peers = 127.0.0.1:8081
+admin = 127.0.0.1:0
+[store]
+addresses = 127.0.0.1:7000, 127.0.0.1:7001
+`
+
+// TestLoadDefaults guards against a node that runs with a zero limit because
+// a key is absent.
+func TestLoadDefaults(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "node.ini")
+	require.NoError(t, os.WriteFile(path, []byte(minimal), 0o600))
+	loaded, problems := settings.Load(path)
+	require.Empty(t, problems)
+	assert.Equal(t, "port-1", loaded.Name())
+	assert.Equal(t, []string{"127.0.0.1:7000", "127.0.0.1:7001"}, loaded.StoreAddresses())
+	assert.Equal(t, 3*time.Second, loaded.StopNotice())
+	assert.Equal(t, 2*time.Second, loaded.StoreTimeout())
+	assert.Empty(t, loaded.Seeds())
+	assert.Equal(t, int64(1<<20), loaded.MaxBody())
+	assert.Equal(t, int64(64<<10), loaded.MaxHeader())
+	assert.Equal(t, int64(16<<20), loaded.MaxAnswer())
+	assert.Equal(t, 4096, loaded.MaxInFlight())
+	assert.Equal(t, 1024, loaded.MaxQueue())
+
+	_, problems = settings.Load(path + ".missing")
+	assert.Len(t, problems, 1)
+}
+
+// TestParseFaults guards against a fault that hides another one.
+func TestParseFaults(t *testing.T) {
+	parsed, problems := settings.Parse("node.ini", []byte(`[node]
+name = Port 1
+stop-notice = 3
+colour = red
+[listen]
+callers = localhost:8080
+peers = 127.0.0.1:8081
+admin = 127.0.0.1:8081
+[store]
+timeout = 0s
+[peers]
+seeds = 0.0.0.0:1
+[limits]
+max-body = 0B
+max-queue = -1
+[policy]
+`))
+	assert.Nil(t, parsed)
+	var lines []string
+	for _, problem := range problems {
+		lines = append(lines, problem.String())
+	}
+	assert.Equal(t, []string{
+		`node.ini:2: name: name "Port 1" (want lower-case letters, digits and hyphens, at most 63) not valid`,
+		`node.ini:3: stop-notice: duration "3" (want for example 250ms, 3s or 24h) not valid`,
+		`node.ini:4: colour: unknown key of [node]`,
+		`node.ini:6: callers: address "localhost:8080" (want IP:port; host names are not accepted) not valid`,
+		`node.ini:10: timeout: duration "0s" (want at least 1ms) not valid`,
+		`node.ini:12: seeds: address "0.0.0.0:1" (want the IP and port of one VM) not valid`,
+		`node.ini:14: max-body: byte count "0B" (want more than 0) not valid`,
+		`node.ini:15: max-queue: number "-1" (want a whole number from 0 to 1000000) not valid`,
+		`node.ini:16: [policy]: unknown section`,
+		`node.ini:1: failure-domain: missing in [node]`,
+		`node.ini:1: addresses: missing in [store]`,
+		`node.ini:8: admin: same address as peers`,
+	}, lines)
+}
