Add the leader of a fabric domain and the placement policy

The leader takes the placement record over under a new fencing number, forms, loads and repairs groups and publishes grants; Plan is the policy as a pure function.

Changes to the shared types: events PlacementUnavailable and StoreUnreachable; FolderAdopted.Routes; Elsewhere.Domains and the fabric domain, ready and outdated counts of PlacedReplicas (Summarize computes them); PublishGrants.Fence and GroupGrant.Open. The placement record holds the highest epoch, so that a group that is formed again gets a higher one.

--- /dev/null
+++ b/group/change.go
@@ -0,0 +1,55 @@
+package group
+
+import "maps"
+
+// clone returns a copy that can be changed and committed.
+func (placement *Placement) clone() *Placement {
+	copied := *placement
+	copied.vms = maps.Clone(placement.vms)
+	copied.groups = maps.Clone(placement.groups)
+	copied.index = nil
+	return &copied
+}
+
+// compose gives a group a new composition: a higher epoch in StateForming.
+func (placement *Placement) compose(group Group) {
+	placement.epoch++
+	group.Epoch = placement.epoch
+	group.State = StateForming
+	placement.groups[group.Name] = group
+}
+
+// setState changes the state of a group without a new epoch.
+func (placement *Placement) setState(name string, state State) {
+	group := placement.groups[name]
+	group.State = state
+	placement.groups[name] = group
+}
+
+// assign seats a VM that has no seat. It reports false when the VM has one or
+// when the seat is taken.
+func (placement *Placement) assign(vm string, assignment Assignment) bool {
+	if _, found := placement.vms[vm]; found {
+		return false
+	}
+	for _, other := range placement.vms {
+		if other.Group == assignment.Group && other.Rank == assignment.Rank {
+			return false
+		}
+	}
+	placement.vms[vm] = assignment
+	return true
+}
+
+// free removes a VM from its group.
+func (placement *Placement) free(vm string) { delete(placement.vms, vm) }
+
+// remove deletes a group and frees its VMs.
+func (placement *Placement) remove(name string) {
+	for vm, assignment := range placement.vms {
+		if assignment.Group == name {
+			delete(placement.vms, vm)
+		}
+	}
+	delete(placement.groups, name)
+}
--- a/group/effect.go
+++ b/group/effect.go
@@ -25,6 +25,15 @@
 	Revision uint64
 }
 
+// PlacementUnavailable says that a ReadPlacement got no answer.
+type PlacementUnavailable struct{}
+
+// StoreUnreachable says that the lease cannot be renewed because the store
+// does not answer. The leader then gives no order and changes no placement,
+// but it keeps reading reports and publishing grants: a grant rests on the
+// members' own reports and stays true without a lease.
+type StoreUnreachable struct{}
+
 // CommitDone is the outcome of a Commit.
 type CommitDone struct {
 	ID      string
@@ -70,17 +79,43 @@
 	Groups  []folder.Group
 	Classes []folder.TargetClass
 	Policy  folder.Policy
+
+	// Routes tell how many replicas a planned stop leaves serving.
+	Routes []folder.Route
 }
 
-// Elsewhere is the number of replicas of each group name placed in each other
-// failure domain.
-type Elsewhere struct{ Replicas []PlacedReplicas }
+// Elsewhere is what the other fabric domains hold.
+type Elsewhere struct {
+	Replicas []PlacedReplicas
 
-// PlacedReplicas is a count of placed replicas.
+	// Domains lists the other fabric domains with their listed VMs.
+	Domains []DomainSize
+}
+
+// A DomainSize is a fabric domain and its number of listed VMs that are not
+// leaving.
+type DomainSize struct {
+	Name          string
+	FailureDomain string
+	VMs           int
+}
+
+// PlacedReplicas counts the replicas of one of the folder's groups in another
+// fabric domain.
 type PlacedReplicas struct {
 	Group         string
+	FabricDomain  string
 	FailureDomain string
-	Count         int
+
+	// Count is the number of replicas in the placement record.
+	Count int
+
+	// Ready is the number of replicas with a current grant that admit requests.
+	Ready int
+
+	// Outdated is the number of replicas at another model or version than the
+	// folder's. They await a planned stop.
+	Outdated int
 }
 
 // LeavingKnown says that a VM is leaving.
@@ -89,22 +124,24 @@
 // Tick lets time pass.
 type Tick struct{}
 
-func (LeaseHeld) event()       {}
-func (LeaseLost) event()       {}
-func (PlacementRead) event()   {}
-func (CommitDone) event()      {}
-func (ReportRead) event()      {}
-func (ReportFailed) event()    {}
-func (OrderAccepted) event()   {}
-func (OrderRefused) event()    {}
-func (OrderUnknown) event()    {}
-func (WeightsAcquired) event() {}
-func (WeightsRefused) event()  {}
-func (VMsListed) event()       {}
-func (FolderAdopted) event()   {}
-func (Elsewhere) event()       {}
-func (LeavingKnown) event()    {}
-func (Tick) event()            {}
+func (LeaseHeld) event()            {}
+func (LeaseLost) event()            {}
+func (PlacementRead) event()        {}
+func (CommitDone) event()           {}
+func (PlacementUnavailable) event() {}
+func (StoreUnreachable) event()     {}
+func (ReportRead) event()           {}
+func (ReportFailed) event()         {}
+func (OrderAccepted) event()        {}
+func (OrderRefused) event()         {}
+func (OrderUnknown) event()         {}
+func (WeightsAcquired) event()      {}
+func (WeightsRefused) event()       {}
+func (VMsListed) event()            {}
+func (FolderAdopted) event()        {}
+func (Elsewhere) event()            {}
+func (LeavingKnown) event()         {}
+func (Tick) event()                 {}
 
 // An Effect is something that the shell carries out for the leader.
 type Effect interface{ effect() }
@@ -143,12 +180,20 @@
 
 // PublishGrants replaces the grants of the domain. A group that is not listed
 // has no grant.
-type PublishGrants struct{ Grants []GroupGrant }
+type PublishGrants struct {
+	// Fence is the fencing number of the leader; a lower one is stale.
+	Fence  uint64
+	Grants []GroupGrant
+}
 
 // GroupGrant is the grant of one group and the load of its rank 0.
 type GroupGrant struct {
 	Grant Grant
 	Load  Load
+
+	// Open is false for a group that is draining: its grant only lets the
+	// requests in progress finish.
+	Open bool
 }
 
 // PublishPlacement spreads a committed placement record to all nodes.
--- /dev/null
+++ b/group/leader.go
@@ -0,0 +1,292 @@
+package group
+
+import (
+	"fmt"
+	"time"
+
+	"lacewingspoke.org/lacewingspoke/folder"
+	"lacewingspoke.org/lacewingspoke/platform"
+)
+
+// LeaderConfig names the leader of one fabric domain.
+type LeaderConfig struct {
+	Domain      string
+	Node        string
+	Incarnation string
+
+	// LeaseDuration is the longest time that another node's lease can last
+	// after this node began to lead.
+	LeaseDuration time.Duration
+
+	// Planner decides on changes of the placement; Plan when nil.
+	Planner func(PlanInput) []Decision
+}
+
+// phase is where the leader is between a lease and its first order.
+type phase int
+
+const (
+	// phaseIdle means that the node holds no lease of the domain.
+	phaseIdle phase = iota
+
+	// phaseReading means that the record is wanted.
+	phaseReading
+
+	// phaseTaking means that the record is written under a new fencing number.
+	phaseTaking
+
+	// phaseLeading means that the record is this node's.
+	phaseLeading
+
+	// phaseSevered means that the store does not answer: the record stands
+	// and only grants are published.
+	phaseSevered
+)
+
+// Bounds of the leader's own timing.
+const (
+	// readRetry is the time after which an unanswered read is repeated.
+	readRetry = 2 * time.Second
+
+	// commitRetry is the pause after a refused write.
+	commitRetry = 500 * time.Millisecond
+)
+
+// A Leader runs the groups of one fabric domain. It is not safe for
+// concurrent use.
+type Leader struct {
+	config LeaderConfig
+	phase  phase
+	until  time.Time
+
+	placement *Placement
+	revision  uint64
+	fence     uint64
+
+	// quietUntil is when no order of an earlier leader can be on its way.
+	quietUntil time.Time
+	readAt     time.Time
+	reading    bool
+	commit     pendingCommit
+	retryAt    time.Time
+	changes    uint64
+	orders     uint64
+
+	groups  []folder.Group
+	classes map[string]folder.TargetClass
+	policy  folder.Policy
+	keep    map[string]int
+
+	elsewhere Elsewhere
+	members   map[string]*member
+	names     []string
+	suspect   bool
+	darkSince time.Time
+	darkUntil time.Time
+	settleAt  time.Time
+
+	planAt    time.Time
+	weightsAt time.Time
+	closedAt  map[string]time.Time
+	published publication
+}
+
+// NewLeader returns a leader that waits for its lease and its configuration.
+func NewLeader(config LeaderConfig) *Leader {
+	if config.Planner == nil {
+		config.Planner = Plan
+	}
+	return &Leader{
+		config:    config,
+		placement: NewPlacement(config.Domain),
+		classes:   map[string]folder.TargetClass{},
+		keep:      map[string]int{},
+		members:   map[string]*member{},
+		closedAt:  map[string]time.Time{},
+	}
+}
+
+// Handle takes one event at a time and returns the effects to carry out. now
+// is the time at which the event is handled, not the time of the event.
+func (leader *Leader) Handle(now time.Time, event Event) []Effect {
+	leader.checkLease(now)
+	effects := leader.note(now, event)
+	return append(effects, leader.step(now)...)
+}
+
+// Placement returns the committed record as the leader last saw it. The
+// caller does not change it.
+func (leader *Leader) Placement() *Placement { return leader.placement }
+
+// Leading reports whether the record is this node's and its lease runs.
+func (leader *Leader) Leading() bool { return leader.phase == phaseLeading }
+
+func (leader *Leader) note(now time.Time, event Event) []Effect {
+	switch event := event.(type) {
+	case LeaseHeld:
+		leader.noteLease(now, event)
+	case LeaseLost:
+		leader.resign()
+	case StoreUnreachable:
+		leader.noteStoreUnreachable()
+	case PlacementRead:
+		return leader.notePlacement(now, event)
+	case PlacementUnavailable:
+		leader.noteNoPlacement(now)
+	case CommitDone:
+		return leader.noteCommit(now, event)
+	case ReportRead:
+		leader.noteReportRead(now, event)
+	case ReportFailed:
+		leader.noteReportFailed(event)
+	case OrderAccepted:
+		leader.noteOrder(event.VM, event.Order, now)
+	case OrderRefused:
+		leader.noteOrderRefused(now, event)
+	case OrderUnknown:
+		leader.noteOrderUnknown(now, event)
+	case WeightsAcquired:
+		leader.noteWeights(event.VM, true)
+	case WeightsRefused:
+		leader.noteWeights(event.VM, false)
+		leader.weightsAt = now.Add(event.Retry)
+	case VMsListed:
+		leader.noteList(now, event.VMs)
+	case FolderAdopted:
+		leader.noteFolder(event)
+	case Elsewhere:
+		leader.noteElsewhere(event)
+	case LeavingKnown:
+		leader.noteLeaving(event)
+	case Tick:
+	default:
+		panic(fmt.Sprintf("group: unknown event %T", event))
+	}
+	return nil
+}
+
+func (leader *Leader) step(now time.Time) []Effect {
+	for _, vm := range leader.members {
+		vm.noteTime(now, leader.missingAfter())
+	}
+	switch leader.phase {
+	case phaseIdle:
+		return nil
+	case phaseReading:
+		effects := append(leader.readPlacement(now), leader.readReports(now)...)
+		if leader.fence == 0 {
+			return effects
+		}
+		return append(effects, leader.publishGrants(now)...)
+	case phaseTaking:
+		return append(leader.takeOver(now), leader.readReports(now)...)
+	case phaseSevered:
+		return append(leader.readReports(now), leader.publishGrants(now)...)
+	}
+	effects := leader.readReports(now)
+	effects = append(effects, leader.changePlacement(now)...)
+	effects = append(effects, leader.sendOrders(now)...)
+	effects = append(effects, leader.acquireWeights(now)...)
+	return append(effects, leader.publishGrants(now)...)
+}
+
+func (leader *Leader) noteLease(now time.Time, held LeaseHeld) {
+	if !now.Before(held.Until) {
+		return
+	}
+	leader.until = held.Until
+	if leader.phase == phaseIdle || leader.phase == phaseSevered {
+		leader.phase = phaseReading
+		leader.reading = false
+		leader.fence = 0
+		leader.commit = pendingCommit{}
+	}
+}
+
+// checkLease ends the term when the lease has run out on the monotonic clock.
+func (leader *Leader) checkLease(now time.Time) {
+	if leader.phase == phaseIdle || leader.phase == phaseSevered {
+		return
+	}
+	if !now.Before(leader.until) {
+		leader.resign()
+	}
+}
+
+func (leader *Leader) resign() {
+	leader.phase = phaseIdle
+	leader.forgetOrders()
+	leader.commit = pendingCommit{}
+	leader.published = publication{}
+}
+
+func (leader *Leader) noteStoreUnreachable() {
+	if leader.phase != phaseLeading {
+		leader.resign()
+		return
+	}
+	leader.phase = phaseSevered
+	leader.forgetOrders()
+	leader.commit = pendingCommit{}
+}
+
+func (leader *Leader) forgetOrders() {
+	for _, vm := range leader.members {
+		vm.order = pendingOrder{}
+		vm.weights = weightClaim{}
+	}
+}
+
+func (leader *Leader) noteReportRead(now time.Time, read ReportRead) {
+	if vm, found := leader.members[read.Report.VM]; found {
+		vm.noteReport(now, read)
+	}
+}
+
+func (leader *Leader) noteReportFailed(failed ReportFailed) {
+	if vm, found := leader.members[failed.VM]; found {
+		vm.reading = false
+	}
+}
+
+func (leader *Leader) noteFolder(adopted FolderAdopted) {
+	leader.groups = adopted.Groups
+	leader.policy = adopted.Policy
+	leader.classes = map[string]folder.TargetClass{}
+	for _, class := range adopted.Classes {
+		leader.classes[class.Name] = class
+	}
+	leader.keep = map[string]int{}
+	for _, route := range adopted.Routes {
+		leader.keep[route.Group] = max(leader.keep[route.Group], route.MinReplicas)
+	}
+}
+
+// noteElsewhere keeps the known sizes when the list of domains loses a large
+// share of its VMs at once.
+func (leader *Leader) noteElsewhere(event Elsewhere) {
+	if totalVMs(event.Domains)*largeShareDivisor < totalVMs(leader.elsewhere.Domains) {
+		event.Domains = leader.elsewhere.Domains
+	}
+	leader.elsewhere = event
+}
+
+func totalVMs(domains []DomainSize) int {
+	total := 0
+	for _, domain := range domains {
+		total += domain.VMs
+	}
+	return total
+}
+
+// writer is the name under which the leader writes the record.
+func (leader *Leader) writer() string {
+	return leader.config.Node + "/" + leader.config.Incarnation
+}
+
+func (leader *Leader) expect() platform.Expect {
+	if leader.revision == 0 {
+		return platform.ExpectAbsent()
+	}
+	return platform.ExpectRevision(leader.revision)
+}
--- /dev/null
+++ b/group/order.go
@@ -0,0 +1,338 @@
+package group
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"lacewingspoke.org/lacewingspoke/engine"
+	"lacewingspoke.org/lacewingspoke/folder"
+)
+
+// orderRetry is the pause after a refused order.
+const orderRetry = 500 * time.Millisecond
+
+// A pendingOrder is the last order to a VM. The next one waits until a report
+// that was asked for after it could have arrived.
+type pendingOrder struct {
+	id      string
+	settled bool
+
+	// settledAt is the time from which a report shows what the order did.
+	settledAt time.Time
+	retryAt   time.Time
+	delay     time.Duration
+}
+
+// readBack reports whether the last report shows what the last order did.
+func (vm *member) readBack() bool {
+	if vm.order.id == "" {
+		return true
+	}
+	return vm.order.settled && !vm.sent.Before(vm.order.settledAt)
+}
+
+// A wantedOrder is what the committed record asks of one VM.
+type wantedOrder struct {
+	vm    *member
+	name  string
+	class folder.TargetClass
+	order engine.Order
+}
+
+// longestDelay returns the longest order delay over all target classes.
+func (leader *Leader) longestDelay() time.Duration {
+	longest := time.Duration(0)
+	for _, class := range leader.classes {
+		longest = max(longest, class.OrderDelay)
+	}
+	return longest
+}
+
+// strictest returns a class that stands for a VM of unknown class.
+func (leader *Leader) strictest() folder.TargetClass {
+	checks := len(leader.classes) > 0
+	for _, class := range leader.classes {
+		checks = checks && class.ChecksFencing
+	}
+	return folder.TargetClass{ChecksFencing: checks, OrderDelay: leader.longestDelay()}
+}
+
+func (leader *Leader) class(spec string) folder.TargetClass {
+	for _, group := range leader.groups {
+		if group.Name != spec {
+			continue
+		}
+		if class, found := leader.classes[group.TargetClass]; found {
+			return class
+		}
+	}
+	return leader.strictest()
+}
+
+// sendOrders sends the orders that the committed record asks for.
+func (leader *Leader) sendOrders(now time.Time) []Effect {
+	if leader.commit.outstanding() {
+		return nil
+	}
+	var effects []Effect
+	for _, name := range leader.memberNames() {
+		wanted, found := leader.wanted(now, name)
+		if !found || !leader.mayOrder(now, wanted) {
+			continue
+		}
+		effects = append(effects, leader.send(now, wanted))
+	}
+	return effects
+}
+
+// wanted compares the committed record with a VM's report.
+func (leader *Leader) wanted(now time.Time, name string) (wantedOrder, bool) {
+	vm := leader.members[name]
+	if !vm.live() {
+		return wantedOrder{}, false
+	}
+	wanted := wantedOrder{vm: vm, name: name}
+	assignment, placed := leader.placement.Assignment(name)
+	if !placed {
+		wanted.class = leader.strictest()
+		wanted.order = releaseOrder(vm)
+		return wanted, !vm.idle()
+	}
+	group := leader.placement.groups[assignment.Group]
+	wanted.class = leader.class(group.Spec)
+	if assignment.Incarnation != vm.report.Incarnation || vm.report.Group != "" && vm.report.Group != group.Name {
+		wanted.order = releaseOrder(vm)
+		return wanted, !vm.idle()
+	}
+	switch group.State {
+	case StateReleased:
+		wanted.order = releaseOrder(vm)
+		return wanted, !vm.idle()
+	case StateDraining:
+		wanted.order = leader.memberOrder(engine.ActionDrain, group, assignment)
+		return wanted, leader.gateClosed(now, group) && vm.report.State != engine.StateDraining
+	}
+	wanted.order = leader.memberOrder(engine.ActionLoad, group, assignment)
+	if vm.holds(group, assignment) {
+		return wanted, vm.report.State == engine.StateIdle || vm.report.State == engine.StateDraining
+	}
+	return wanted, !vm.needsWeights(group) || vm.weights.grantedFor(group)
+}
+
+// holds reports whether the engine names the seat in its last report.
+func (vm *member) holds(group Group, assignment Assignment) bool {
+	return vm.report.Incarnation == assignment.Incarnation &&
+		vm.report.Group == group.Name &&
+		vm.report.Epoch == group.Epoch &&
+		vm.report.Rank == assignment.Rank
+}
+
+func releaseOrder(vm *member) engine.Order {
+	return engine.Order{
+		Action: engine.ActionRelease,
+		Group:  vm.report.Group,
+		Epoch:  vm.report.Epoch,
+		Rank:   vm.report.Rank,
+	}
+}
+
+func (leader *Leader) memberOrder(action engine.Action, group Group, assignment Assignment) engine.Order {
+	order := engine.Order{
+		Action:  action,
+		Group:   group.Name,
+		Epoch:   group.Epoch,
+		Rank:    assignment.Rank,
+		Size:    group.Size,
+		Model:   group.Model,
+		Version: group.Version,
+	}
+	for _, vm := range leader.placement.Members(group.Name) {
+		order.Members = append(order.Members, leader.placement.vms[vm].Address)
+	}
+	return order
+}
+
+// mayOrder holds an order back while an earlier order to the VM may still
+// arrive, while an earlier leader's may, or when the lease is too short.
+func (leader *Leader) mayOrder(now time.Time, wanted wantedOrder) bool {
+	last := wanted.vm.order
+	if !wanted.vm.readBack() || now.Before(last.retryAt) {
+		return false
+	}
+	if !wanted.class.ChecksFencing && now.Before(leader.quietUntil) {
+		return false
+	}
+	return now.Before(leader.orderDeadline(wanted.class))
+}
+
+// orderDeadline returns the last time at which an order may be sent so that
+// it arrives within the lease. A class that checks fencing needs no margin.
+func (leader *Leader) orderDeadline(class folder.TargetClass) time.Time {
+	if class.ChecksFencing {
+		return leader.until
+	}
+	return leader.until.Add(-class.OrderDelay)
+}
+
+func (leader *Leader) send(now time.Time, wanted wantedOrder) Effect {
+	leader.orders++
+	deadline := leader.orderDeadline(wanted.class)
+	order := wanted.order
+	order.ID = fmt.Sprintf("%s/%d/%d", leader.writer(), leader.fence, leader.orders)
+	order.Fence = leader.fence
+	order.ExpiresInMillis = leader.until.Sub(now).Milliseconds()
+	wanted.vm.order = pendingOrder{id: order.ID, delay: wanted.class.OrderDelay}
+	return SendOrder{VM: wanted.name, Address: wanted.vm.vm.Address, Order: order, Deadline: deadline}
+}
+
+func (leader *Leader) pending(vm string, order string) *pendingOrder {
+	member, found := leader.members[vm]
+	if !found || member.order.id != order {
+		return nil
+	}
+	return &member.order
+}
+
+func (leader *Leader) noteOrder(vm string, order string, settledAt time.Time) {
+	if pending := leader.pending(vm, order); pending != nil {
+		pending.settled = true
+		pending.settledAt = settledAt
+	}
+}
+
+// noteOrderRefused reads the record again when the engine has seen a higher
+// fencing number: another node leads.
+func (leader *Leader) noteOrderRefused(now time.Time, refused OrderRefused) {
+	pending := leader.pending(refused.VM, refused.Order)
+	if pending == nil {
+		return
+	}
+	pending.settled = true
+	pending.settledAt = now
+	pending.retryAt = now.Add(orderRetry)
+	if refused.Fence > leader.fence && leader.phase == phaseLeading && !leader.commit.outstanding() {
+		leader.reread()
+	}
+}
+
+// noteOrderUnknown waits until the order cannot arrive any more.
+func (leader *Leader) noteOrderUnknown(now time.Time, unknown OrderUnknown) {
+	if pending := leader.pending(unknown.VM, unknown.Order); pending != nil {
+		pending.settled = true
+		pending.settledAt = now.Add(pending.delay)
+	}
+}
+
+// A weightClaim is the right to load one composition's weights on a VM.
+type weightClaim struct {
+	group   string
+	epoch   uint64
+	granted bool
+}
+
+func (claim weightClaim) grantedFor(group Group) bool {
+	return claim.granted && claim.group == group.Name && claim.epoch == group.Epoch
+}
+
+// needsWeights reports whether the engine has to fetch the group's weights.
+func (vm *member) needsWeights(group Group) bool {
+	return vm.report.Model != group.Model || vm.report.Version != group.Version
+}
+
+// maxAcquire bounds the weight requests without an answer, so that a more
+// valuable group that appears later does not wait behind a long queue.
+const maxAcquire = 4
+
+// A weightNeed is a VM whose load waits for the weight store.
+type weightNeed struct {
+	vm      string
+	group   Group
+	spec    folder.Group
+	missing int
+}
+
+// acquireWeights asks for the loads of the most valuable groups first, and
+// among equals for the group with the fewest loads left.
+func (leader *Leader) acquireWeights(now time.Time) []Effect {
+	if now.Before(leader.weightsAt) || leader.commit.outstanding() {
+		return nil
+	}
+	asked := 0
+	for _, vm := range leader.members {
+		if vm.weights.group != "" && !vm.weights.granted {
+			asked++
+		}
+	}
+	var effects []Effect
+	for _, need := range leader.weightNeeds() {
+		if asked >= maxAcquire {
+			break
+		}
+		vm := leader.members[need.vm]
+		if vm.weights.group != "" && !vm.weights.granted {
+			continue
+		}
+		asked++
+		vm.weights = weightClaim{group: need.group.Name, epoch: need.group.Epoch}
+		effects = append(effects, AcquireWeights{VM: need.vm, Bytes: need.spec.WeightBytes})
+	}
+	return effects
+}
+
+func (leader *Leader) weightNeeds() []weightNeed {
+	var needs []weightNeed
+	for _, group := range leader.placement.Groups() {
+		if group.State == StateDraining || group.State == StateReleased {
+			continue
+		}
+		needs = append(needs, leader.groupNeeds(group)...)
+	}
+	sort.SliceStable(needs, func(i, j int) bool {
+		if needs[i].spec.Value != needs[j].spec.Value {
+			return needs[i].spec.Value > needs[j].spec.Value
+		}
+		return needs[i].missing < needs[j].missing
+	})
+	return needs
+}
+
+func (leader *Leader) groupNeeds(group Group) []weightNeed {
+	spec, _ := findSpec(leader.groups, group.Spec)
+	var needs []weightNeed
+	for _, name := range leader.placement.Members(group.Name) {
+		vm, found := leader.members[name]
+		if !found || !vm.live() || !vm.needsWeights(group) || vm.weights.grantedFor(group) {
+			continue
+		}
+		if vm.report.Incarnation != leader.placement.vms[name].Incarnation {
+			continue
+		}
+		needs = append(needs, weightNeed{vm: name, group: group, spec: spec})
+	}
+	for index := range needs {
+		needs[index].missing = len(needs)
+	}
+	return needs
+}
+
+func findSpec(groups []folder.Group, name string) (folder.Group, bool) {
+	for _, group := range groups {
+		if group.Name == name {
+			return group, true
+		}
+	}
+	return folder.Group{}, false
+}
+
+func (leader *Leader) noteWeights(name string, granted bool) {
+	vm, found := leader.members[name]
+	if !found || vm.weights.group == "" {
+		return
+	}
+	if granted {
+		vm.weights.granted = true
+		return
+	}
+	vm.weights = weightClaim{}
+}
--- a/group/placement.go
+++ b/group/placement.go
@@ -13,10 +13,20 @@
 type Placement struct {
 	domain string
 	fence  uint64
+	epoch  uint64
 	leader string
 	change string
 	vms    map[string]Assignment
 	groups map[string]Group
+
+	// index is nil while the record is being changed.
+	index *placementIndex
+}
+
+// A placementIndex answers what every event asks.
+type placementIndex struct {
+	groups  []Group
+	members map[string][]string
 }
 
 // An Assignment places one VM.
@@ -45,12 +55,16 @@
 type placementRecord struct {
 	Domain string                `json:"domain"`
 	Fence  uint64                `json:"fence"`
+	Epoch  uint64                `json:"epoch"`
 	Leader string                `json:"leader"`
 	Change string                `json:"change"`
 	VMs    map[string]Assignment `json:"vms"`
 	Groups map[string]Group      `json:"groups"`
 }
 
+// maxGroupSize bounds what a damaged record can make a reader allocate.
+const maxGroupSize = 1 << 12
+
 // NewPlacement returns an empty record for a fabric domain.
 func NewPlacement(domain string) *Placement {
 	return &Placement{
@@ -69,6 +83,7 @@
 	}
 	placement := NewPlacement(stored.Domain)
 	placement.fence = stored.Fence
+	placement.epoch = stored.Epoch
 	placement.leader = stored.Leader
 	placement.change = stored.Change
 	if stored.VMs != nil {
@@ -80,6 +95,7 @@
 	if err := placement.validate(); err != nil {
 		return nil, errors.Trace(err)
 	}
+	placement.seal()
 	return placement, nil
 }
 
@@ -99,6 +115,22 @@
 		}
 		taken[key] = vm
 	}
+	for vm, assignment := range placement.vms {
+		if rank := assignment.Rank; rank < 0 || rank >= placement.groups[assignment.Group].Size {
+			return errors.NotValidf("rank %d of VM %q in group %q", rank, vm, assignment.Group)
+		}
+	}
+	for name, group := range placement.groups {
+		if group.Size < 1 || group.Size > maxGroupSize {
+			return errors.NotValidf("size %d of group %q", group.Size, name)
+		}
+		if group.Name != name {
+			return errors.NotValidf("group %q under the name %q", group.Name, name)
+		}
+		if group.Epoch > placement.epoch {
+			return errors.NotValidf("epoch %d of group %q above the record's %d", group.Epoch, name, placement.epoch)
+		}
+	}
 	return nil
 }
 
@@ -107,6 +139,7 @@
 	record, err := json.Marshal(placementRecord{
 		Domain: placement.domain,
 		Fence:  placement.fence,
+		Epoch:  placement.epoch,
 		Leader: placement.leader,
 		Change: placement.change,
 		VMs:    placement.vms,
@@ -121,6 +154,15 @@
 // Fence returns the fencing number.
 func (placement *Placement) Fence() uint64 { return placement.fence }
 
+// Epoch returns the highest epoch that any group of the domain has had.
+func (placement *Placement) Epoch() uint64 { return placement.epoch }
+
+// Group returns one group.
+func (placement *Placement) Group(name string) (Group, bool) {
+	group, found := placement.groups[name]
+	return group, found
+}
+
 // Leader returns the node that wrote the record.
 func (placement *Placement) Leader() string { return placement.leader }
 
@@ -143,8 +185,26 @@
 	return names
 }
 
-// Groups returns the groups in the order of their names.
+// seal builds the index of a record that does not change any more.
+func (placement *Placement) seal() {
+	index := &placementIndex{groups: placement.Groups(), members: map[string][]string{}}
+	for _, group := range index.groups {
+		index.members[group.Name] = make([]string, group.Size)
+	}
+	for vm, assignment := range placement.vms {
+		if members := index.members[assignment.Group]; assignment.Rank < len(members) {
+			members[assignment.Rank] = vm
+		}
+	}
+	placement.index = index
+}
+
+// Groups returns the groups in the order of their names. The caller does not
+// change the slice.
 func (placement *Placement) Groups() []Group {
+	if placement.index != nil {
+		return placement.index.groups
+	}
 	groups := make([]Group, 0, len(placement.groups))
 	for _, group := range placement.groups {
 		groups = append(groups, group)
@@ -154,8 +214,11 @@
 }
 
 // Members returns the names of a group's VMs by rank. A rank without a VM is
-// empty.
+// empty. The caller does not change the slice.
 func (placement *Placement) Members(group string) []string {
+	if placement.index != nil {
+		return placement.index.members[group]
+	}
 	members := make([]string, placement.groups[group].Size)
 	for vm, assignment := range placement.vms {
 		if assignment.Group == group && assignment.Rank < len(members) {
