Serve drafts, services and keyed bookings through the route table

Callers had no way in. Adds the request path: outcome (attempt facts, assembler), route.Picker with load tracker and prefix history, limit (weighted admission, shares, retry budget), booking (claims), the engine's generate client, the service client and the entry server.

--- /dev/null
+++ b/engine/generate.go
@@ -0,0 +1,270 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// maxEventBytes bounds one event of a generated stream.
+	maxEventBytes = 64 << 10
+
+	// maxRefusalBytes bounds the text that is read of a refusal.
+	maxRefusalBytes = 4 << 10
+
+	defaultDialTimeout     = time.Second
+	defaultFirstTimeout    = 10 * time.Second
+	defaultProgressTimeout = 2 * time.Second
+)
+
+var dataPrefix = []byte("data: ")
+
+// GeneratorConfig holds the bounds of a Generator. A zero duration takes its
+// default.
+type GeneratorConfig struct {
+	// DialTimeout bounds the connection, default 1 s.
+	DialTimeout time.Duration
+
+	// FirstTimeout bounds the wait for the first piece, which includes the
+	// engine's queue, default 10 s.
+	FirstTimeout time.Duration
+
+	// ProgressTimeout bounds the wait between two pieces, default 2 s. A
+	// connection that is silent for longer counts as broken.
+	ProgressTimeout time.Duration
+}
+
+// A Generator starts and cancels generated streams. It is safe for concurrent
+// use.
+//
+// Every stream uses a connection of its own. A kept connection may have gone
+// silent, which would cost a whole timeout where a new connection costs one
+// round trip.
+type Generator struct {
+	transport *http.Transport
+	config    GeneratorConfig
+}
+
+// NewGenerator returns a generator.
+func NewGenerator(config GeneratorConfig) *Generator {
+	config.DialTimeout = durationOr(config.DialTimeout, defaultDialTimeout)
+	config.FirstTimeout = durationOr(config.FirstTimeout, defaultFirstTimeout)
+	config.ProgressTimeout = durationOr(config.ProgressTimeout, defaultProgressTimeout)
+	dialer := &net.Dialer{Timeout: config.DialTimeout}
+	return &Generator{
+		config: config,
+		transport: &http.Transport{
+			DisableKeepAlives:  true,
+			DisableCompression: true,
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := dialer.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, err
+				}
+				sent, _ := ctx.Value(sentKey{}).(*atomic.Bool)
+				return &sentConn{Conn: conn, sent: sent}, nil
+			},
+		},
+	}
+}
+
+func durationOr(value, fallback time.Duration) time.Duration {
+	if value > 0 {
+		return value
+	}
+	return fallback
+}
+
+// A RefusedError says that the engine did not run the request: it is not
+// rank 0 of the group and epoch, or is not ready.
+type RefusedError struct {
+	Status  int
+	Message string
+}
+
+// Error returns the status and the engine's words.
+func (refused *RefusedError) Error() string {
+	return "engine refused: " + http.StatusText(refused.Status) + ": " + refused.Message
+}
+
+// A StreamError says that a stream ended without its done event.
+type StreamError struct {
+	// Sent is false when no byte of the request was written.
+	Sent bool
+
+	// Silent is true when the progress timeout ended the stream.
+	Silent bool
+	Err    error
+}
+
+// Error returns the cause.
+func (broken *StreamError) Error() string { return "engine stream broken: " + broken.Err.Error() }
+
+// Unwrap returns the cause.
+func (broken *StreamError) Unwrap() error { return broken.Err }
+
+var errSilent = errors.New("no piece within the progress timeout")
+
+// A Stream is one generated answer. It belongs to one goroutine.
+type Stream struct {
+	body     io.ReadCloser
+	reader   *bufio.Reader
+	cancel   context.CancelCauseFunc
+	watchdog *time.Timer
+	progress time.Duration
+	ctx      context.Context
+
+	// started is true after the first event, when FirstTimeout is over.
+	started bool
+}
+
+// Generate starts a stream at address, IP:port. Its error is a *RefusedError
+// or a *StreamError. MaxTokens counts all pieces of the answer, including the
+// ones before ResumeIndex. The caller closes the stream.
+func (generator *Generator) Generate(ctx context.Context, address string, request Generate) (*Stream, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, &StreamError{Err: errors.Trace(err)}
+	}
+	sent := &atomic.Bool{}
+	streamCtx, cancel := context.WithCancelCause(context.WithValue(ctx, sentKey{}, sent))
+	watchdog := time.AfterFunc(generator.config.FirstTimeout, func() { cancel(errSilent) })
+	response, err := generator.post(streamCtx, address, "/v1/generate", body)
+	if err != nil {
+		watchdog.Stop()
+		broken := streamError(streamCtx, sent.Load(), err)
+		cancel(nil)
+		return nil, broken
+	}
+	if response.StatusCode != http.StatusOK {
+		defer cancel(nil)
+		defer watchdog.Stop()
+		return nil, refusal(streamCtx, response)
+	}
+	return &Stream{
+		body:     response.Body,
+		reader:   bufio.NewReaderSize(response.Body, maxEventBytes),
+		cancel:   cancel,
+		watchdog: watchdog,
+		progress: generator.config.ProgressTimeout,
+		ctx:      streamCtx,
+	}, nil
+}
+
+// Cancel tells the engine to stop an attempt.
+func (generator *Generator) Cancel(ctx context.Context, address, attempt string) error {
+	body, err := json.Marshal(Cancel{Attempt: attempt})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	response, err := generator.post(ctx, address, "/v1/cancel", body)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return errors.Errorf("cancel at %s: status %d", address, response.StatusCode)
+	}
+	return nil
+}
+
+func (generator *Generator) post(ctx context.Context, address, path string, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	// RoundTrip follows no redirect: the engine's answer is the only one.
+	return generator.transport.RoundTrip(request)
+}
+
+// refusal turns an answer that is not a stream into an error. Only the
+// statuses by which the engine says that it ran nothing count as refused.
+func refusal(ctx context.Context, response *http.Response) error {
+	defer response.Body.Close()
+	message, _ := io.ReadAll(io.LimitReader(response.Body, maxRefusalBytes))
+	switch response.StatusCode {
+	case http.StatusConflict, http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusBadRequest:
+		return &RefusedError{Status: response.StatusCode, Message: string(message)}
+	default:
+		err := errors.Errorf("status %d: %s", response.StatusCode, message)
+		return streamError(ctx, true, err)
+	}
+}
+
+func streamError(ctx context.Context, sent bool, err error) *StreamError {
+	return &StreamError{Sent: sent, Silent: context.Cause(ctx) == errSilent, Err: err}
+}
+
+// Next returns the next event. Its error is a *StreamError. The progress
+// timeout runs only inside Next: the time that the owner spends on a slow
+// caller is not the engine's silence.
+func (stream *Stream) Next() (Piece, error) {
+	if stream.started {
+		stream.watchdog.Reset(stream.progress)
+	}
+	for {
+		line, err := stream.reader.ReadSlice('\n')
+		if err != nil {
+			return Piece{}, stream.broken(err)
+		}
+		data, isData := bytes.CutPrefix(bytes.TrimSpace(line), dataPrefix)
+		if !isData {
+			continue
+		}
+		stream.watchdog.Stop()
+		stream.started = true
+		var piece Piece
+		if err := json.Unmarshal(data, &piece); err != nil {
+			return Piece{}, stream.broken(errors.Annotate(err, "event"))
+		}
+		return piece, nil
+	}
+}
+
+// Ready reports whether a whole event has arrived that Next has not returned,
+// so that the owner can write several pieces at once.
+func (stream *Stream) Ready() bool {
+	waiting, err := stream.reader.Peek(stream.reader.Buffered())
+	if err != nil {
+		return false
+	}
+	start := bytes.Index(waiting, dataPrefix)
+	return start >= 0 && bytes.IndexByte(waiting[start:], '\n') >= 0
+}
+
+// Close ends the stream and its connection.
+func (stream *Stream) Close() {
+	stream.watchdog.Stop()
+	stream.cancel(nil)
+	stream.body.Close()
+}
+
+func (stream *Stream) broken(err error) error {
+	return streamError(stream.ctx, true, err)
+}
+
+type sentKey struct{}
+
+// A sentConn records that a byte may have been written.
+type sentConn struct {
+	net.Conn
+	sent *atomic.Bool
+}
+
+// Write sets the mark before the first byte leaves.
+func (conn *sentConn) Write(data []byte) (int, error) {
+	if conn.sent != nil {
+		conn.sent.Store(true)
+	}
+	return conn.Conn.Write(data)
+}
--- /dev/null
+++ b/entry/admission.go
@@ -0,0 +1,162 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lacewingspoke.org/lacewingspoke/folder"
+	"lacewingspoke.org/lacewingspoke/limit"
+	"lacewingspoke.org/lacewingspoke/route"
+)
+
+// An admission makes a limit.Queue and a limit.RetryBudget safe for the
+// handlers' goroutines.
+type admission struct {
+	now func() time.Time
+
+	mutex   sync.Mutex
+	queue   *limit.Queue
+	retries *limit.RetryBudget
+	waiters map[uint64]chan limit.Effect
+	lastID  uint64
+
+	// folder is the configuration that the queue was set from.
+	folder *folder.Folder
+}
+
+func newAdmission(config Config) *admission {
+	return &admission{
+		now:     config.Now,
+		retries: limit.NewRetryBudget(0),
+		waiters: map[uint64]chan limit.Effect{},
+		queue: limit.NewQueue(limit.Config{
+			Node:       config.Node,
+			Capacity:   config.Capacity,
+			QueueLimit: config.QueueLimit,
+		}),
+	}
+}
+
+// acquire waits until the request is admitted or refused. It returns the id
+// to release, or the refusal.
+func (admission *admission) acquire(ctx context.Context, request limit.Request, table *route.Table) (uint64, *limit.Refuse) {
+	waiter := make(chan limit.Effect, 1)
+	request.ID = admission.offer(request, waiter, table)
+	select {
+	case effect := <-waiter:
+		return settle(request.ID, effect)
+	case <-ctx.Done():
+	}
+	if effect, late := admission.abandon(request, waiter); late {
+		return settle(request.ID, effect)
+	}
+	return 0, &limit.Refuse{ID: request.ID, Cause: limit.RefuseDeadline, RetryAfter: time.Second}
+}
+
+func settle(id uint64, effect limit.Effect) (uint64, *limit.Refuse) {
+	switch effect := effect.(type) {
+	case limit.Refuse:
+		return 0, &effect
+	default:
+		return id, nil
+	}
+}
+
+func (admission *admission) offer(request limit.Request, waiter chan limit.Effect, table *route.Table) uint64 {
+	admission.mutex.Lock()
+	defer admission.mutex.Unlock()
+	admission.configure(table)
+	admission.lastID++
+	request.ID = admission.lastID
+	admission.waiters[request.ID] = waiter
+	admission.retries.Request(request.Workspace)
+	admission.deliver(admission.queue.Offer(request, admission.now()))
+	return request.ID
+}
+
+// abandon removes a request that waits. If the request was decided in the
+// meantime, the decision counts.
+func (admission *admission) abandon(request limit.Request, waiter chan limit.Effect) (limit.Effect, bool) {
+	admission.mutex.Lock()
+	defer admission.mutex.Unlock()
+	select {
+	case effect := <-waiter:
+		return effect, true
+	default:
+	}
+	admission.queue.Abandon(request.Workspace, request.ID)
+	delete(admission.waiters, request.ID)
+	return nil, false
+}
+
+func (admission *admission) release(id uint64) {
+	admission.mutex.Lock()
+	defer admission.mutex.Unlock()
+	admission.deliver(admission.queue.Finish(id, admission.now()))
+}
+
+// deliver hands effects to the requests that wait for them. The channels have
+// room for the one effect that each request gets.
+func (admission *admission) deliver(effects []limit.Effect) {
+	for _, effect := range effects {
+		var id uint64
+		switch effect := effect.(type) {
+		case limit.Admit:
+			id = effect.ID
+		case limit.Refuse:
+			id = effect.ID
+		}
+		if waiter, found := admission.waiters[id]; found {
+			delete(admission.waiters, id)
+			waiter <- effect
+		}
+	}
+}
+
+func (admission *admission) adopt(table *route.Table, now time.Time) {
+	admission.mutex.Lock()
+	defer admission.mutex.Unlock()
+	admission.configure(table)
+}
+
+// configure takes the workspaces and the retry policy of a new folder.
+func (admission *admission) configure(table *route.Table) {
+	config := table.Folder()
+	if config == nil || config == admission.folder {
+		return
+	}
+	admission.folder = config
+	workspaces := make([]limit.Workspace, 0, len(config.Workspaces()))
+	keep := map[string]bool{}
+	for _, workspace := range config.Workspaces() {
+		keep[workspace.Name] = true
+		workspaces = append(workspaces, limit.Workspace{
+			Name:   workspace.Name,
+			Weight: workspace.Weight,
+			Limit:  workspace.MaxInFlight,
+		})
+	}
+	admission.queue.SetWorkspaces(workspaces)
+	admission.retries.SetPercent(config.Policy().RetryPercent)
+	admission.retries.Retain(keep)
+}
+
+func (admission *admission) setOthers(others []limit.NodeUsage, now time.Time) {
+	admission.mutex.Lock()
+	defer admission.mutex.Unlock()
+	admission.deliver(admission.queue.SetOthers(others, now))
+}
+
+func (admission *admission) usage() []limit.Usage {
+	admission.mutex.Lock()
+	defer admission.mutex.Unlock()
+	return admission.queue.Usage()
+}
+
+// retry takes a token of the workspace's retry budget.
+func (admission *admission) retry(workspace string) bool {
+	admission.mutex.Lock()
+	defer admission.mutex.Unlock()
+	return admission.retries.Retry(workspace)
+}
--- /dev/null
+++ b/entry/draft.go
@@ -0,0 +1,141 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"lacewingspoke.org/lacewingspoke/outcome"
+)
+
+const (
+	defaultMaxTokens = 256
+	limitMaxTokens   = 128 << 10
+)
+
+// A draftForm is one of the two forms of a draft request.
+type draftForm int
+
+const (
+	formCompletion draftForm = iota + 1
+	formChat
+)
+
+// A Message is one message of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// ChatPrompt returns the prompt that a chat is sent to engines as: one line
+// "role: content" for each message and "assistant:" at the end.
+func ChatPrompt(messages []Message) string {
+	var prompt strings.Builder
+	for _, message := range messages {
+		prompt.WriteString(message.Role)
+		prompt.WriteString(": ")
+		prompt.WriteString(message.Content)
+		prompt.WriteString("\n")
+	}
+	prompt.WriteString("assistant:")
+	return prompt.String()
+}
+
+// draftBody is the JSON body of both forms. Parameters that engines cannot
+// honour are errors, not ignored.
+type draftBody struct {
+	Model               string    `json:"model"`
+	Prompt              *string   `json:"prompt"`
+	Messages            []Message `json:"messages"`
+	Stream              bool      `json:"stream"`
+	MaxTokens           int       `json:"max_tokens"`
+	MaxCompletionTokens int       `json:"max_completion_tokens"`
+	User                string    `json:"user"`
+}
+
+// A draft is a checked draft request.
+type draft struct {
+	form      draftForm
+	model     string
+	prompt    string
+	stream    bool
+	maxTokens int
+}
+
+func parseDraft(path string, body []byte) (draft, error) {
+	form, err := parseForm(path)
+	if err != nil {
+		return draft{}, err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	var decoded draftBody
+	if err := decoder.Decode(&decoded); err != nil {
+		return draft{}, errors.NewNotValid(err, "body")
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return draft{}, errors.NotValidf("data after the body's JSON value")
+	}
+	maxTokens := max(decoded.MaxTokens, decoded.MaxCompletionTokens)
+	if maxTokens == 0 {
+		maxTokens = defaultMaxTokens
+	}
+	if decoded.MaxTokens < 0 || decoded.MaxCompletionTokens < 0 || maxTokens > limitMaxTokens {
+		return draft{}, errors.NotValidf("max_tokens outside 1 to %d", limitMaxTokens)
+	}
+	parsed := draft{form: form, model: decoded.Model, stream: decoded.Stream, maxTokens: maxTokens}
+	if form == formChat {
+		if len(decoded.Messages) == 0 || decoded.Prompt != nil {
+			return draft{}, errors.NotValidf("chat without messages or with a prompt")
+		}
+		parsed.prompt = ChatPrompt(decoded.Messages)
+		return parsed, nil
+	}
+	if decoded.Prompt == nil || len(decoded.Messages) > 0 {
+		return draft{}, errors.NotValidf("completion without a prompt or with messages")
+	}
+	parsed.prompt = *decoded.Prompt
+	return parsed, nil
+}
+
+func parseForm(path string) (draftForm, error) {
+	switch {
+	case strings.HasSuffix(path, "/chat/completions"):
+		return formChat, nil
+	case strings.HasSuffix(path, "/completions"):
+		return formCompletion, nil
+	default:
+		return 0, errors.NotFoundf("draft path %q", path)
+	}
+}
+
+// serveDraft answers a draft request.
+func (exchange *exchange) serveDraft(ctx context.Context, body []byte) {
+	if exchange.request.Method != http.MethodPost {
+		exchange.writer.Header().Set("Allow", http.MethodPost)
+		exchange.refuse(http.StatusMethodNotAllowed, outcome.NotRun{Reason: "drafts are requested with POST"})
+		return
+	}
+	parsed, err := parseDraft(exchange.request.URL.Path, body)
+	switch {
+	case errors.Is(err, errors.NotFound):
+		exchange.refuse(http.StatusNotFound, outcome.NotRun{Reason: err.Error()})
+		return
+	case err != nil:
+		exchange.refuse(http.StatusBadRequest, outcome.NotRun{Reason: err.Error()})
+		return
+	}
+	var answer sink
+	if parsed.stream {
+		answer = newStreamSink(exchange, parsed)
+	} else {
+		answer = newWholeSink(exchange, parsed)
+	}
+	relay := newRelay(exchange, parsed, answer)
+	answer.finish(relay.run(ctx), relay.assembler)
+}
--- /dev/null
+++ b/entry/harness_test.go
@@ -0,0 +1,416 @@
+package entry_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"lacewingspoke.org/lacewingspoke/engine"
+	"lacewingspoke.org/lacewingspoke/entry"
+	"lacewingspoke.org/lacewingspoke/folder"
+	"lacewingspoke.org/lacewingspoke/group"
+	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/route"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const (
+	callerKey = "key-of-zarnesti"
+
+	// longGrant outlasts every test, waitLimit is the limit of a condition.
+	longGrant = time.Hour
+	waitLimit = 10 * time.Second
+)
+
+// token is the text of piece index of a prompt.
+func token(prompt string, index int) string { return fmt.Sprintf("<%s %d>", prompt, index) }
+
+func wholeText(prompt string, count int) string {
+	var text strings.Builder
+	for index := range count {
+		text.WriteString(token(prompt, index))
+	}
+	return text.String()
+}
+
+// A fakeEngine is rank 0 of a group.
+type fakeEngine struct {
+	server *httptest.Server
+
+	// emit, when set, replaces the stream of pieces.
+	emit func(ctx context.Context, request engine.Generate, send func(engine.Piece))
+
+	mutex     sync.Mutex
+	requests  []engine.Generate
+	cancelled []string
+}
+
+func newFakeEngine(t *testing.T) *fakeEngine {
+	fake := &fakeEngine{}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/generate", fake.generate)
+	mux.HandleFunc("POST /v1/cancel", func(_ http.ResponseWriter, request *http.Request) {
+		var cancel engine.Cancel
+		_ = json.NewDecoder(request.Body).Decode(&cancel)
+		fake.mutex.Lock()
+		defer fake.mutex.Unlock()
+		fake.cancelled = append(fake.cancelled, cancel.Attempt)
+	})
+	fake.server = httptest.NewServer(mux)
+	t.Cleanup(fake.server.Close)
+	return fake
+}
+
+func (fake *fakeEngine) address() string { return fake.server.Listener.Addr().String() }
+
+func (fake *fakeEngine) generate(writer http.ResponseWriter, request *http.Request) {
+	var generate engine.Generate
+	if err := json.NewDecoder(request.Body).Decode(&generate); err != nil {
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	fake.mutex.Lock()
+	fake.requests = append(fake.requests, generate)
+	fake.mutex.Unlock()
+	send := func(piece engine.Piece) {
+		data, _ := json.Marshal(piece)
+		_, _ = fmt.Fprintf(writer, "data: %s\n\n", data)
+		_ = http.NewResponseController(writer).Flush()
+	}
+	if fake.emit != nil {
+		fake.emit(request.Context(), generate, send)
+		return
+	}
+	sendFrom(generate, generate.ResumeIndex, generate.MaxTokens, send)
+	sendDone(generate, send)
+}
+
+func sendFrom(request engine.Generate, from, to int, send func(engine.Piece)) {
+	for index := from; index < to; index++ {
+		send(engine.Piece{Attempt: request.Attempt, Index: index, Text: token(request.Prompt, index)})
+	}
+}
+
+func sendDone(request engine.Generate, send func(engine.Piece)) {
+	send(engine.Piece{Attempt: request.Attempt, Index: request.MaxTokens, Done: true})
+}
+
+func (fake *fakeEngine) received() []engine.Generate {
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	return append([]engine.Generate(nil), fake.requests...)
+}
+
+func (fake *fakeEngine) cancels() int {
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	return len(fake.cancelled)
+}
+
+// A fakeStore keeps keys in memory. Hooks change what a caller sees.
+type fakeStore struct {
+	platform.Store
+
+	mutex    sync.Mutex
+	entries  map[string]platform.Entry
+	revision uint64
+	puts     int
+
+	// onPut runs after the write took effect, or in its place when replace is
+	// true, and its outcome is returned unless it is nil.
+	onPut   func(call int, request platform.PutRequest) platform.PutOutcome
+	replace bool
+	getErr  error
+}
+
+func newFakeStore() *fakeStore { return &fakeStore{entries: map[string]platform.Entry{}} }
+
+func (store *fakeStore) Get(_ context.Context, key string) (platform.Entry, error) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	if store.getErr != nil {
+		return platform.Entry{}, store.getErr
+	}
+	found, exists := store.entries[key]
+	if !exists {
+		return platform.Entry{}, errors.NotFoundf("key %q", key)
+	}
+	return found, nil
+}
+
+func (store *fakeStore) Put(_ context.Context, request platform.PutRequest) platform.PutOutcome {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.puts++
+	if store.replace {
+		return store.onPut(store.puts, request)
+	}
+	result := store.apply(request)
+	if store.onPut != nil {
+		if seen := store.onPut(store.puts, request); seen != nil {
+			return seen
+		}
+	}
+	return result
+}
+
+func (store *fakeStore) apply(request platform.PutRequest) platform.PutOutcome {
+	current := store.entries[request.Key].Revision
+	if !request.Expect.Any() && request.Expect.Revision() != current {
+		return platform.Conflict{Revision: current}
+	}
+	store.revision++
+	store.entries[request.Key] = platform.Entry{Key: request.Key, Value: request.Value, Revision: store.revision}
+	return platform.Written{Revision: store.revision}
+}
+
+func (store *fakeStore) Delete(_ context.Context, key string, expect platform.Expect) platform.PutOutcome {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	if store.entries[key].Revision != expect.Revision() {
+		return platform.Conflict{Revision: store.entries[key].Revision}
+	}
+	delete(store.entries, key)
+	return platform.Written{}
+}
+
+// A harness is one node with its table.
+type harness struct {
+	t         *testing.T
+	publisher *route.Publisher
+	store     *fakeStore
+	server    *entry.Server
+	front     *httptest.Server
+	registry  *prometheus.Registry
+	folder    *folder.Folder
+
+	mutex    sync.Mutex
+	groups   []route.GroupTarget
+	services []route.ServiceTarget
+}
+
+func newHarness(t *testing.T, change func(*entry.Config)) *harness {
+	sum := sha256.Sum256([]byte(callerKey))
+	built := &harness{
+		t:         t,
+		publisher: route.NewPublisher(),
+		store:     newFakeStore(),
+		registry:  prometheus.NewRegistry(),
+		folder: folder.New(folder.Config{
+			Workspaces: []folder.Workspace{{
+				Name: "zarnesti", KeyDigests: []string{hex.EncodeToString(sum[:])}, Weight: 1, MaxInFlight: 100, Deadline: waitLimit,
+			}},
+			Routes: []folder.Route{
+				{Name: "drafts", Workspace: "zarnesti", PathPrefix: "/v1", Kind: folder.KindDraft, Group: "copy"},
+				{Name: "bookings", Workspace: "zarnesti", PathPrefix: "/bookings", Kind: folder.KindService, Service: "planks"},
+				{Name: "planks", Workspace: "zarnesti", PathPrefix: "/planks", Kind: folder.KindService, Service: "planks", Idempotent: true},
+			},
+			Groups:   []folder.Group{{Name: "copy", Model: "m", Version: "1", Size: 2, Replicas: 2}},
+			Services: []folder.Service{{Name: "planks"}},
+			Policy:   folder.Policy{RetryPercent: 10, GrantBound: time.Second},
+		}),
+	}
+	config := entry.Config{
+		Publisher: built.publisher, Store: built.store, Node: "entry-1", FailureDomain: "mamaia-north", Seed: 1,
+		Registerer: built.registry,
+	}
+	config.Generator.FirstTimeout = waitLimit
+	config.Generator.ProgressTimeout = waitLimit
+	if change != nil {
+		change(&config)
+	}
+	server, err := entry.New(config)
+	require.NoError(t, err)
+	built.server = server
+	built.front = httptest.NewServer(server)
+	t.Cleanup(func() {
+		built.front.Close()
+		server.Close()
+		http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+	})
+	built.publish()
+	return built
+}
+
+// addGroup adds a serving group with a grant that was reported just now.
+func (built *harness) addGroup(name string, fake *fakeEngine, valid time.Duration) {
+	now := time.Now()
+	built.change(func() {
+		built.groups = append(built.groups, route.GroupTarget{
+			Name: name, Spec: "copy", Epoch: 1, Address: fake.address(), FailureDomain: "mamaia-north", Open: true,
+			Grant: group.Grant{Group: name, Epoch: 1, ReportedAt: now, ValidUntil: now.Add(valid)},
+		})
+	})
+}
+
+func (built *harness) addService(address string) {
+	built.change(func() {
+		built.services = append(built.services, route.ServiceTarget{
+			Service: "planks", Address: address, FailureDomain: "mamaia-north", Open: true,
+		})
+	})
+}
+
+// renew gives a group a grant that was reported just now, with a validity;
+// a negative one is a grant that has expired.
+func (built *harness) renew(name string, valid time.Duration) {
+	now := time.Now()
+	built.changeGroup(name, func(target *route.GroupTarget) {
+		target.Grant.ReportedAt = now
+		target.Grant.ValidUntil = now.Add(valid)
+	})
+}
+
+func (built *harness) changeGroup(name string, change func(*route.GroupTarget)) {
+	built.change(func() {
+		for index := range built.groups {
+			if built.groups[index].Name == name {
+				change(&built.groups[index])
+			}
+		}
+	})
+}
+
+func (built *harness) change(change func()) {
+	built.mutex.Lock()
+	change()
+	built.mutex.Unlock()
+	built.publish()
+}
+
+func (built *harness) publish() {
+	built.mutex.Lock()
+	defer built.mutex.Unlock()
+	built.publisher.Publish(route.NewTable(route.TableConfig{
+		Folder:   built.folder,
+		Groups:   append([]route.GroupTarget(nil), built.groups...),
+		Services: append([]route.ServiceTarget(nil), built.services...),
+	}))
+}
+
+// keepGranted renews the grants of the named groups until the test ends.
+func (built *harness) keepGranted(names ...string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		ticker := time.NewTicker(5 * time.Millisecond)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				for _, name := range names {
+					built.renew(name, longGrant)
+				}
+			}
+		}
+	}()
+	built.t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+}
+
+// A reply is a response that was read to its end or to its reset.
+type reply struct {
+	status  int
+	header  http.Header
+	trailer http.Header
+	body    string
+	err     error
+}
+
+func (got reply) outcome() string {
+	if value := got.trailer.Get("Lacewingspoke-Outcome"); value != "" {
+		return value
+	}
+	return got.header.Get("Lacewingspoke-Outcome")
+}
+
+// streamed returns the texts of a stream and whether it has the final marker.
+func (got reply) streamed(t *testing.T) (string, bool) {
+	var text strings.Builder
+	done := false
+	for line := range strings.SplitSeq(got.body, "\n") {
+		data, isData := strings.CutPrefix(line, "data: ")
+		if !isData {
+			continue
+		}
+		if data == "[DONE]" {
+			done = true
+			continue
+		}
+		var event struct {
+			Choices []struct {
+				Text  string
+				Delta struct{ Content string }
+			}
+		}
+		require.NoError(t, json.Unmarshal([]byte(data), &event))
+		text.WriteString(event.Choices[0].Text + event.Choices[0].Delta.Content)
+	}
+	return text.String(), done
+}
+
+func (built *harness) request(ctx context.Context, method, path, body string, header map[string]string) *http.Request {
+	request, err := http.NewRequestWithContext(ctx, method, built.front.URL+path, strings.NewReader(body))
+	require.NoError(built.t, err)
+	request.Header.Set("Authorization", "Bearer "+callerKey)
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	return request
+}
+
+func (built *harness) do(method, path, body string, header map[string]string) reply {
+	response, err := http.DefaultClient.Do(built.request(context.Background(), method, path, body, header))
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, trailer: response.Trailer, body: string(data), err: err}
+}
+
+// draft requests a completion of count pieces.
+func (built *harness) draft(prompt string, count int, stream bool) reply {
+	body := fmt.Sprintf(`{"model":"m","prompt":%q,"max_tokens":%d,"stream":%t}`, prompt, count, stream)
+	return built.do(http.MethodPost, "/v1/completions", body, nil)
+}
+
+func (built *harness) counter(name string) float64 {
+	families, err := built.registry.Gather()
+	require.NoError(built.t, err)
+	total := 0.0
+	for _, family := range families {
+		if family.GetName() != name {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			total += metric.GetCounter().GetValue()
+		}
+	}
+	return total
+}
+
+func eventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	require.Eventually(t, condition, waitLimit, time.Millisecond)
+}
--- /dev/null
+++ b/limit/retry.go
@@ -0,0 +1,56 @@
+package limit
+
+// retryBurst is the number of retries that a workspace can save up. It lets a
+// workspace with few requests survive the loss of one group.
+const retryBurst = 10
+
+// A RetryBudget is a token bucket for each workspace: a request adds a part of
+// a token and a retry takes one, so that retries cannot multiply the load
+// while targets are failing. It is not safe for concurrent use.
+type RetryBudget struct {
+	percent int
+
+	// hundredths holds the tokens of each workspace in hundredths.
+	hundredths map[string]int
+}
+
+// NewRetryBudget returns a budget in which every workspace has a full bucket.
+// percent is the number of retries for 100 requests.
+func NewRetryBudget(percent int) *RetryBudget {
+	return &RetryBudget{percent: percent, hundredths: map[string]int{}}
+}
+
+// SetPercent changes the number of retries for 100 requests.
+func (budget *RetryBudget) SetPercent(percent int) { budget.percent = percent }
+
+// Request counts a request.
+func (budget *RetryBudget) Request(workspace string) {
+	budget.hundredths[workspace] = min(budget.tokens(workspace)+budget.percent, retryBurst*100)
+}
+
+// Retry takes a token. It returns false when there is none.
+func (budget *RetryBudget) Retry(workspace string) bool {
+	tokens := budget.tokens(workspace)
+	if tokens < 100 || budget.percent == 0 {
+		return false
+	}
+	budget.hundredths[workspace] = tokens - 100
+	return true
+}
+
+func (budget *RetryBudget) tokens(workspace string) int {
+	tokens, found := budget.hundredths[workspace]
+	if !found {
+		return retryBurst * 100
+	}
+	return tokens
+}
+
+// Retain forgets workspaces that keep does not contain.
+func (budget *RetryBudget) Retain(keep map[string]bool) {
+	for workspace := range budget.hundredths {
+		if !keep[workspace] {
+			delete(budget.hundredths, workspace)
+		}
+	}
+}
