--- a/cmd/lacewingspoke/daemon.go
+++ b/cmd/lacewingspoke/daemon.go
@@ -70,7 +70,7 @@
 		mesh:       params.Mesh,
 		controller: params.Controller,
 		entry:      params.Entry,
-		callers:    newHTTPServer(params.Entry.Handler(), params.Settings.MaxHeader()),
+		callers:    newHTTPServer(params.Entry, params.Settings.MaxHeader()),
 		admin:      newHTTPServer(params.Admin.Handler(), params.Settings.MaxHeader()),
 		ends:       make(chan error, 2),
 	}
@@ -144,10 +144,11 @@
 	if err := daemon.controller.BeginStop(ctx); err != nil {
 		return errors.Trace(err)
 	}
-	daemon.entry.Stop()
 	daemon.callers.SetKeepAlivesEnabled(false)
 	waitFor(ctx, daemon.settings.StopNotice())
+	daemon.entry.Stop()
 	err := daemon.callers.Shutdown(ctx)
+	daemon.entry.Close()
 	finishing, cancel := context.WithTimeout(context.Background(), finishTimeout)
 	defer cancel()
 	if finishErr := daemon.controller.FinishStop(finishing); finishErr != nil {
--- a/cmd/lacewingspoke/module.go
+++ b/cmd/lacewingspoke/module.go
@@ -97,16 +97,16 @@
 
 func newEntry(params entryParams) (*entry.Server, error) {
 	server, err := entry.New(entry.Config{
-		Publisher:     params.Publisher,
-		Store:         params.Platform,
-		Node:          params.Settings.Name(),
-		FailureDomain: params.Settings.FailureDomain(),
-		MaxBody:       params.Settings.MaxBody(),
-		MaxAnswer:     params.Settings.MaxAnswer(),
-		MaxInFlight:   params.Settings.MaxInFlight(),
-		MaxQueue:      params.Settings.MaxQueue(),
-		Logger:        params.Logger,
-		Registerer:    params.Registry,
+		Publisher:      params.Publisher,
+		Store:          params.Platform,
+		Node:           params.Settings.Name(),
+		FailureDomain:  params.Settings.FailureDomain(),
+		MaxBodyBytes:   params.Settings.MaxBody(),
+		MaxAnswerBytes: int(params.Settings.MaxAnswer()),
+		Capacity:       params.Settings.MaxInFlight(),
+		QueueLimit:     params.Settings.MaxQueue(),
+		Logger:         params.Logger,
+		Registerer:     params.Registry,
 	})
 	return server, errors.Trace(err)
 }
--- a/control/configuration.go
+++ b/control/configuration.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/juju/errors"
@@ -120,7 +119,7 @@
 // pollHead reads the store's head, in case that watches and relay missed it.
 func (state *state) pollHead() {
 	state.start(func(ctx context.Context) message {
-		entry, err := state.config.Platform.Get(ctx, headKey)
+		entry, err := state.config.Platform.Get(ctx, generation.HeadKey)
 		switch {
 		case err == nil:
 			return headRead{value: entry.Value}
@@ -134,7 +133,7 @@
 
 func (state *state) handleHeadEntries(now time.Time, entries []platform.Entry) {
 	for _, entry := range entries {
-		if entry.Key == headKey {
+		if entry.Key == generation.HeadKey {
 			state.offerStoredHead(now, entry.Value)
 		}
 	}
@@ -181,16 +180,12 @@
 		zap.Uint64("generation", state.configuration.head().Generation))
 }
 
-func bodyKey(head generation.Head) string {
-	return head.BodyKey()
-}
-
 func (state *state) fetchBody(now time.Time, head generation.Head) {
 	if !state.configuration.mayRequest(now, head.Generation) {
 		return
 	}
 	state.start(func(ctx context.Context) message {
-		entry, err := state.config.Platform.Get(ctx, bodyKey(head))
+		entry, err := state.config.Platform.Get(ctx, head.BodyKey())
 		if err != nil {
 			return bodyFailed{}
 		}
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -219,9 +219,10 @@
 
 func (state *state) leaderConfig(domain string) group.LeaderConfig {
 	return group.LeaderConfig{
-		Domain:      domain,
-		Node:        state.config.Name,
-		Incarnation: state.config.Incarnation,
+		Domain:        domain,
+		Node:          state.config.Name,
+		Incarnation:   state.config.Incarnation,
+		LeaseDuration: fleet.DefaultLeaseMinimum,
 	}
 }
 
--- a/control/watch.go
+++ b/control/watch.go
@@ -9,13 +9,12 @@
 	"github.com/juju/errors"
 
 	"lacewingspoke.org/lacewingspoke/fleet"
+	"lacewingspoke.org/lacewingspoke/generation"
 	"lacewingspoke.org/lacewingspoke/platform"
 )
 
 // The store keys that the control thread watches beside those of the fleet.
 const (
-	headKey         = "config/head"
-	bodyPrefix      = "config/body/"
 	drainPrefix     = "drain/"
 	placementSuffix = "/placement"
 )
@@ -45,7 +44,7 @@
 	}
 	ctx, cancel := context.WithCancel(state.workers)
 	state.stopWatch = cancel
-	for _, prefix := range []string{headKey, fleet.NodePrefix, fleet.DomainPrefix, drainPrefix} {
+	for _, prefix := range []string{generation.HeadKey, fleet.NodePrefix, fleet.DomainPrefix, drainPrefix} {
 		watcher := &watcher{
 			store:   state.config.Platform,
 			prefix:  prefix,
@@ -121,7 +120,7 @@
 
 func (state *state) handleListed(now time.Time, result listed) {
 	switch result.prefix {
-	case headKey:
+	case generation.HeadKey:
 		state.handleHeadEntries(now, result.entries)
 	case drainPrefix:
 		state.handleDrainEntries(now, result.entries)
@@ -133,7 +132,7 @@
 
 func (state *state) handleChanged(now time.Time, result changed) {
 	switch result.prefix {
-	case headKey:
+	case generation.HeadKey:
 		state.handleHeadEntries(now, result.entries)
 	case drainPrefix:
 		state.handleDrainEntries(now, result.entries)
