Keep grants going when the store does not answer

A lease that lapses during a store outage ended the leader's term, which would have closed every gate. The term now goes on without orders or placement changes until another node's record is seen.

--- a/control/configuration.go
+++ b/control/configuration.go
@@ -225,6 +225,7 @@
 	folder := state.configuration.folder
 	return group.FolderAdopted{
 		Groups:  folder.Groups(),
+		Routes:  folder.Routes(),
 		Classes: folder.TargetClasses(),
 		Policy:  folder.Policy(),
 	}
--- a/control/grants.go
+++ b/control/grants.go
@@ -14,6 +14,7 @@
 // sends them to the peers.
 func (state *state) publishGrants(now time.Time, led *leadership, effect group.PublishGrants) {
 	known := state.domain(led.domain)
+	known.fence = max(known.fence, effect.Fence)
 	known.grants = map[string]group.GroupGrant{}
 	for _, granted := range effect.Grants {
 		known.grants[granted.Grant.Group] = granted
@@ -23,7 +24,7 @@
 		Origin:      state.config.Name,
 		Incarnation: state.config.Incarnation,
 		Version:     state.nextVersion(),
-		Fence:       known.fence,
+		Fence:       effect.Fence,
 		Domain:      led.domain,
 		Groups:      encodeGrants(now, effect.Grants),
 	}
@@ -52,7 +53,7 @@
 // SentAfter, which is not later than when the frame was sent, so a frame that
 // was delayed on its way loses that delay from its validity.
 func (state *state) receiveGrants(frame peer.Grants, sentAfter time.Time) bool {
-	if sentAfter.IsZero() || state.leads(frame.Domain) {
+	if sentAfter.IsZero() || state.grantsItself(frame) {
 		return false
 	}
 	known := state.domain(frame.Domain)
@@ -104,7 +105,12 @@
 	state.config.Mesh.BroadcastComposed(frame, except, now)
 }
 
-func (state *state) leads(domain string) bool {
-	_, found := state.led[domain]
-	return found
+// grantsItself reports whether this node publishes the grants of the frame's
+// domain and the frame is not of a later leader.
+func (state *state) grantsItself(frame peer.Grants) bool {
+	led, found := state.led[frame.Domain]
+	if !found {
+		return false
+	}
+	return !led.severed || frame.Fence <= state.domain(frame.Domain).fence
 }
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sort"
 	"time"
 
 	"github.com/juju/errors"
@@ -19,17 +20,16 @@
 	term   uint64
 	leader *group.Leader
 
+	// severed is true after the lease lapsed while the store did not answer.
+	severed bool
+
 	// ctx ends with the term, so that its calls end too.
 	ctx    context.Context
 	cancel context.CancelFunc
 }
 
-const (
-	placementRetry = 300 * time.Millisecond
-
-	// weightsRetry is the pause after the weight store did not answer.
-	weightsRetry = time.Second
-)
+// weightsRetry is the pause after the weight store did not answer.
+const weightsRetry = time.Second
 
 func placementKey(domain string) string {
 	return fleet.DomainPrefix + domain + placementSuffix
@@ -41,6 +41,7 @@
 	if !found {
 		led = state.beginTerm(now, effect.Domain)
 	}
+	led.severed = false
 	state.handleGroup(now, led, group.LeaseHeld{Until: effect.Until})
 }
 
@@ -60,7 +61,7 @@
 	if state.configuration.folder != nil {
 		state.handleGroup(now, led, state.folderEvent())
 	}
-	state.handleGroup(now, led, state.elsewhere(name))
+	state.handleGroup(now, led, state.elsewhere(now, name))
 	if len(state.vms) > 0 {
 		state.handleGroup(now, led, group.VMsListed{VMs: state.domainVMs(name)})
 	}
@@ -70,16 +71,46 @@
 	return led
 }
 
+// loseLeadership ends a term. While the store does not answer, no other node
+// can lead the domain, so the term goes on without orders and changes: its
+// grants rest on the members' own reports.
 func (state *state) loseLeadership(now time.Time, name string) {
 	led, found := state.led[name]
 	if !found {
 		return
 	}
+	if state.storeSilent(now) && !state.stopping {
+		led.severed = true
+		state.logger.Warn("lease lapsed while the store does not answer", zap.String("domain", name))
+		state.handleGroup(now, led, group.StoreUnreachable{})
+		return
+	}
+	state.endTerm(now, led)
+}
+
+// storeSilentBound is the time without an answer of the store after which a
+// lapsed lease is put down to the store.
+const storeSilentBound = 3 * time.Second
+
+func (state *state) storeSilent(now time.Time) bool {
+	return now.Sub(state.storeReached) > storeSilentBound
+}
+
+func (state *state) endTerm(now time.Time, led *leadership) {
 	state.handleGroup(now, led, group.LeaseLost{})
 	led.cancel()
-	delete(state.led, name)
+	delete(state.led, led.domain)
 	state.metrics.led.Set(float64(len(state.led)))
-	state.logger.Info("stopped leading fabric domain", zap.String("domain", name))
+	state.logger.Info("stopped leading fabric domain", zap.String("domain", led.domain))
+}
+
+// yieldTo ends a term that lost its lease when another node has taken the
+// domain over.
+func (state *state) yieldTo(now time.Time, name, writer string) {
+	led, found := state.led[name]
+	if found && led.severed && writer != state.config.Name+"/"+state.config.Incarnation {
+		state.endTerm(now, led)
+	}
 }
 
 func (state *state) handleGroupResult(now time.Time, result groupResult) {
@@ -134,19 +165,15 @@
 	})
 }
 
-// readPlacement reads the record until the store answers or the term ends.
 func (state *state) readPlacement(ctx context.Context, domain string) group.Event {
-	for {
-		entry, err := state.config.Platform.Get(ctx, placementKey(domain))
-		switch {
-		case err == nil:
-			return group.PlacementRead{Record: entry.Value, Revision: entry.Revision}
-		case errors.Is(err, errors.NotFound):
-			return group.PlacementRead{}
-		}
-		if !pause(ctx, placementRetry) {
-			return group.Tick{}
-		}
+	entry, err := state.config.Platform.Get(ctx, placementKey(domain))
+	switch {
+	case err == nil:
+		return group.PlacementRead{Record: entry.Value, Revision: entry.Revision}
+	case errors.Is(err, errors.NotFound):
+		return group.PlacementRead{}
+	default:
+		return group.PlacementUnavailable{}
 	}
 }
 
@@ -226,43 +253,63 @@
 	}
 }
 
-// elsewhere counts the replicas placed in the other fabric domains.
-func (state *state) elsewhere(name string) group.Elsewhere {
-	counts := map[group.PlacedReplicas]int{}
+// elsewhere returns what the other fabric domains hold.
+func (state *state) elsewhere(now time.Time, name string) group.Elsewhere {
+	result := group.Elsewhere{Domains: state.domainSizes(name)}
+	if state.configuration.folder == nil {
+		return result
+	}
+	specs := state.configuration.folder.Groups()
 	for other, known := range state.domains {
 		if other == name || known.placement == nil {
 			continue
 		}
-		for _, placed := range placedReplicas(known.placement) {
-			counts[placed]++
-		}
-	}
-	result := group.Elsewhere{}
-	for placed, count := range counts {
-		placed.Count = count
-		result.Replicas = append(result.Replicas, placed)
+		result.Replicas = append(result.Replicas, group.Summarize(known.placement, specs, known.open(now))...)
 	}
 	return result
 }
 
-// placedReplicas returns one entry with Count 0 for each group of a record.
-func placedReplicas(placement *group.Placement) []group.PlacedReplicas {
-	failureDomains := map[string]string{}
-	for _, vm := range placement.VMs() {
-		assignment, _ := placement.Assignment(vm)
-		failureDomains[assignment.Group] = assignment.FailureDomain
+// open returns the names of the groups with a current grant that admit
+// requests.
+func (known *domain) open(now time.Time) []string {
+	var names []string
+	for _, placed := range known.placement.Groups() {
+		if placed.State == group.StateReady && known.grants[placed.Name].Grant.Holds(placed.Epoch, now) {
+			names = append(names, placed.Name)
+		}
 	}
-	var placed []group.PlacedReplicas
-	for _, placedGroup := range placement.Groups() {
-		if placedGroup.State == group.StateReleased {
+	return names
+}
+
+// domainSizes counts the listed VMs of the other fabric domains.
+func (state *state) domainSizes(except string) []group.DomainSize {
+	sizes := map[string]*group.DomainSize{}
+	for _, vm := range state.vms {
+		if vm.FabricDomain == except || vm.FabricDomain == "" {
 			continue
 		}
-		placed = append(placed, group.PlacedReplicas{
-			Group:         placedGroup.Spec,
-			FailureDomain: failureDomains[placedGroup.Name],
-		})
+		size, found := sizes[vm.FabricDomain]
+		if !found {
+			size = &group.DomainSize{Name: vm.FabricDomain, FailureDomain: vm.FailureDomain}
+			sizes[vm.FabricDomain] = size
+		}
+		if _, leaving := state.leaving[vm.Name]; !leaving {
+			size.VMs++
+		}
+	}
+	result := make([]group.DomainSize, 0, len(sizes))
+	for _, size := range sizes {
+		result = append(result, *size)
+	}
+	sort.Slice(result, func(i, j int) bool { return result[i].Name < result[j].Name })
+	return result
+}
+
+// tellElsewhere tells the led domains what the others hold.
+func (state *state) tellElsewhere(now time.Time) {
+	for name, led := range state.led {
+		state.handleGroup(now, led, state.elsewhere(now, name))
 	}
-	return placed
 }
 
 // setPlacement takes in a committed record if it is newer than the known one
@@ -284,9 +331,5 @@
 	known.fence = max(known.fence, placement.Fence())
 	state.dirty = true
 	state.relayPlacement(name, "")
-	for other, led := range state.led {
-		if other != name {
-			state.handleGroup(now, led, state.elsewhere(other))
-		}
-	}
+	state.yieldTo(now, name, placement.Leader())
 }
--- a/control/leaving.go
+++ b/control/leaving.go
@@ -92,6 +92,7 @@
 	for name, led := range state.led {
 		state.handleGroup(now, led, group.VMsListed{VMs: state.domainVMs(name)})
 	}
+	state.tellElsewhere(now)
 }
 
 // clearReplaced forgets the departure of a VM's earlier incarnation.
