--- /dev/null
+++ b/control/control_test.go
@@ -0,0 +1,133 @@
+package control_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lacewingspoke.org/lacewingspoke/admin"
+	"lacewingspoke.org/lacewingspoke/route"
+	"lacewingspoke.org/lacewingspoke/standin/fault"
+)
+
+// unreachable is an address at which nothing listens.
+const unreachable = "127.0.0.1:1"
+
+// A node that is cut off from the store must still get the configuration.
+func TestConfigurationReachesNodeWithoutStore(test *testing.T) {
+	cluster := newCluster(test, 0)
+	first := cluster.startNode(cluster.storeAddress())
+	second := cluster.startNode(unreachable)
+	cluster.apply(1)
+	for _, running := range []*node{first, second} {
+		running.await(test, "generation 1", func(table *route.Table) bool { return table.Generation() == 1 })
+	}
+	cluster.apply(2)
+	second.await(test, "generation 2", func(table *route.Table) bool { return table.Generation() == 2 })
+}
+
+// A store that lost its newest state must not turn nodes back.
+func TestStoreWithLowerHeadIsNotFollowed(test *testing.T) {
+	cluster := newCluster(test, 0)
+	running := cluster.startNode(cluster.storeAddress())
+	cluster.apply(1)
+	cluster.apply(2)
+	running.await(test, "generation 2", func(table *route.Table) bool { return table.Generation() == 2 })
+	cluster.apply(1)
+	late := cluster.startNode(cluster.storeAddress())
+	late.await(test, "generation 2 from the peer", func(table *route.Table) bool { return table.Generation() == 2 })
+	require.EqualValues(test, 2, running.publisher.Current().Generation())
+}
+
+// A group must be formed, granted at every node, lose its grants with a
+// member, and be repaired with a spare.
+func TestGroupLosesGrantWithMemberAndIsRepaired(test *testing.T) {
+	cluster := newCluster(test, 3)
+	nodes := []*node{
+		cluster.startNode(cluster.storeAddress()),
+		cluster.startNode(cluster.storeAddress()),
+		cluster.startNode(cluster.storeAddress()),
+	}
+	cluster.apply(1)
+	for _, running := range nodes {
+		running.await(test, "grant", func(table *route.Table) bool {
+			_, found := granted(table)
+			return found
+		})
+	}
+	before, _ := granted(nodes[0].publisher.Current())
+	cluster.engines.kill(before.Address)
+	for _, running := range nodes {
+		running.await(test, "repaired group", func(table *route.Table) bool {
+			after, found := granted(table)
+			return found && after.Epoch > before.Epoch
+		})
+	}
+}
+
+// Groups must go on serving through a store outage that outlasts every lease.
+func TestGrantsGoOnWithoutStore(test *testing.T) {
+	cluster := newCluster(test, 2)
+	nodes := []*node{
+		cluster.startNode(cluster.storeAddress()),
+		cluster.startNode(cluster.storeAddress()),
+	}
+	cluster.apply(1)
+	for _, running := range nodes {
+		running.await(test, "grant", func(table *route.Table) bool {
+			_, found := granted(table)
+			return found
+		})
+	}
+	require.NoError(test, cluster.store.Injector().Apply(fault.Order{Fault: "outage", Duration: fault.Duration(time.Hour)}))
+	end := time.Now().Add(4 * testLease)
+	lost := 0
+	require.Eventually(test, func() bool {
+		for _, running := range nodes {
+			if _, found := granted(running.publisher.Current()); !found {
+				lost++
+			}
+		}
+		return time.Now().After(end)
+	}, waitBound, waitTick)
+	require.Zero(test, lost, "a node had no grant during the outage")
+}
+
+// A drain must close the group at every node, also while the store is down.
+func TestDrainSpreadsWithoutStore(test *testing.T) {
+	cluster := newCluster(test, 2)
+	nodes := []*node{
+		cluster.startNode(cluster.storeAddress()),
+		cluster.startNode(cluster.storeAddress()),
+	}
+	cluster.apply(1)
+	for _, running := range nodes {
+		running.await(test, "grant", func(table *route.Table) bool {
+			_, found := granted(table)
+			return found
+		})
+	}
+	require.NoError(test, cluster.store.Injector().Apply(fault.Order{Fault: "outage", Duration: fault.Duration(time.Hour)}))
+	_, err := nodes[0].controller.Drain(context.Background(), admin.DrainRequest{Target: "vm-0", Author: "operator", Reason: "test"})
+	require.NoError(test, err)
+	for _, running := range nodes {
+		running.await(test, "closed group", func(table *route.Table) bool {
+			for _, target := range table.Groups("dedication") {
+				if target.Open {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
+
+// A drain of an unknown target must be refused with a clear error.
+func TestDrainOfUnknownTarget(test *testing.T) {
+	cluster := newCluster(test, 1)
+	running := cluster.startNode(cluster.storeAddress())
+	_, err := running.controller.Drain(context.Background(), admin.DrainRequest{Target: "vm-9", Author: "operator", Reason: "test"})
+	require.ErrorContains(test, err, `target "vm-9" not found`)
+}
--- a/control/grants.go
+++ b/control/grants.go
@@ -3,13 +3,11 @@
 import (
 	"time"
 
+	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/group"
 	"lacewingspoke.org/lacewingspoke/peer"
 )
 
-// fullMeshNodes is the largest fleet in which every node links to every other.
-const fullMeshNodes = 12
-
 // publishGrants takes in the grants of a domain that this node leads and
 // sends them to the peers.
 func (state *state) publishGrants(now time.Time, led *leadership, effect group.PublishGrants) {
@@ -93,7 +91,7 @@
 // forwardGrants sends grants on to other peers in a fleet that is not fully
 // meshed. The ages are those at this node, so that each hop adds its delay.
 func (state *state) forwardGrants(now time.Time, frame peer.Grants, except string) {
-	if len(state.fleet.Nodes()) <= fullMeshNodes {
+	if len(state.fleet.Nodes()) <= fleet.FullMeshNodes {
 		return
 	}
 	known := state.domain(frame.Domain)
--- /dev/null
+++ b/control/harness_test.go
@@ -0,0 +1,273 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap/zaptest"
+
+	"lacewingspoke.org/lacewingspoke/control"
+	"lacewingspoke.org/lacewingspoke/engine"
+	"lacewingspoke.org/lacewingspoke/folder"
+	"lacewingspoke.org/lacewingspoke/generation"
+	"lacewingspoke.org/lacewingspoke/peer"
+	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/route"
+	"lacewingspoke.org/lacewingspoke/standin/store"
+	"lacewingspoke.org/lacewingspoke/timer"
+)
+
+const (
+	// waitBound is how long a test waits for a condition. It is far above the
+	// times that the code promises, so that a loaded machine fails no test.
+	waitBound = 10 * time.Second
+	waitTick  = 10 * time.Millisecond
+
+	testLease = 1500 * time.Millisecond
+)
+
+// engines is a fake of all engines of a fleet.
+type engines struct {
+	mutex sync.Mutex
+	vms   map[string]*engine.Report
+	dead  map[string]bool
+}
+
+func (fake *engines) Report(_ context.Context, address string) (engine.Report, error) {
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	report, found := fake.vms[address]
+	if !found || fake.dead[address] {
+		return engine.Report{}, errors.New("engine does not answer")
+	}
+	return *report, nil
+}
+
+func (fake *engines) SendOrder(_ context.Context, address string, order engine.Order) engine.OrderOutcome {
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	report, found := fake.vms[address]
+	if !found || fake.dead[address] {
+		return engine.OrderUnknown{Err: errors.New("engine does not answer")}
+	}
+	if order.Fence < report.Fence {
+		return engine.OrderFenced{Fence: report.Fence}
+	}
+	report.Fence = order.Fence
+	switch order.Action {
+	case engine.ActionRelease:
+		report.Group, report.Epoch, report.State = "", 0, engine.StateIdle
+	case engine.ActionDrain:
+		report.State = engine.StateDraining
+	default:
+		report.Group, report.Epoch, report.Rank = order.Group, order.Epoch, order.Rank
+		report.Model, report.Version, report.State = order.Model, order.Version, engine.StateReady
+	}
+	return engine.OrderAccepted{}
+}
+
+func (fake *engines) kill(address string) {
+	fake.mutex.Lock()
+	defer fake.mutex.Unlock()
+	fake.dead[address] = true
+}
+
+type services struct{}
+
+func (services) Report(context.Context, string) (control.ServiceReport, error) {
+	return control.ServiceReport{}, nil
+}
+
+type traffic struct{}
+
+func (traffic) Usage() []peer.WorkspaceUsage { return nil }
+func (traffic) SetUsage([]peer.Usage)        {}
+
+// A cluster is a store and nodes in one process.
+type cluster struct {
+	test    *testing.T
+	store   *store.Store
+	server  *httptest.Server
+	engines *engines
+	vms     []store.VM
+	nodes   []*node
+}
+
+// A node is one control thread with its links.
+type node struct {
+	name       string
+	controller *control.Controller
+	publisher  *route.Publisher
+	mesh       *peer.Mesh
+	cancel     context.CancelFunc
+}
+
+// newCluster starts a store that lists VMs in one fabric domain.
+func newCluster(test *testing.T, vms int) *cluster {
+	built := &cluster{
+		test:    test,
+		engines: &engines{vms: map[string]*engine.Report{}, dead: map[string]bool{}},
+	}
+	for index := range vms {
+		vm := store.VM{
+			Name:          fmt.Sprintf("vm-%d", index),
+			Address:       fmt.Sprintf("127.0.0.1:%d", 20000+index),
+			Incarnation:   "1",
+			FabricDomain:  "fabric-a",
+			FailureDomain: "zone-a",
+			Accelerators:  4,
+			State:         "live",
+		}
+		built.vms = append(built.vms, vm)
+		built.engines.vms[vm.Address] = &engine.Report{VM: vm.Name, Incarnation: "1", State: engine.StateIdle}
+	}
+	built.store = store.New(store.Config{VMs: built.vms})
+	built.server = httptest.NewServer(built.store)
+	test.Cleanup(built.stop)
+	return built
+}
+
+func (cluster *cluster) stop() {
+	for _, running := range cluster.nodes {
+		running.cancel()
+	}
+	for _, running := range cluster.nodes {
+		<-running.controller.Done()
+		<-running.mesh.Done()
+	}
+	cluster.server.CloseClientConnections()
+	cluster.server.Close()
+}
+
+func (cluster *cluster) seeds() []string {
+	var seeds []string
+	for _, running := range cluster.nodes {
+		seeds = append(seeds, running.mesh.Address())
+	}
+	return seeds
+}
+
+// startNode starts a node that reads the store at storeAddress.
+func (cluster *cluster) startNode(storeAddress string) *node {
+	test := cluster.test
+	index := len(cluster.nodes)
+	name := fmt.Sprintf("node-%d", index)
+	mesh, err := peer.New(peer.Config{Name: name, Incarnation: "1", FailureDomain: "zone-a", Listen: "127.0.0.1:0"})
+	require.NoError(test, err)
+	client, err := platform.NewClient(platform.ClientConfig{Addresses: []string{storeAddress}, Timeout: time.Second})
+	require.NoError(test, err)
+	timers := timer.New(timer.Config{Random: rand.New(rand.NewPCG(uint64(index), 1))})
+	running := &node{name: name, mesh: mesh, publisher: route.NewPublisher()}
+	running.controller, err = control.New(control.Config{
+		Name:          name,
+		Incarnation:   "1",
+		FailureDomain: "zone-a",
+		PeerAddress:   mesh.Address(),
+		AdminAddress:  "127.0.0.1:1",
+		Seeds:         cluster.seeds(),
+		LeaseMinimum:  testLease,
+		Platform:      client,
+		Mesh:          mesh,
+		Engines:       cluster.engines,
+		Services:      services{},
+		Traffic:       traffic{},
+		Publisher:     running.publisher,
+		Timers:        timers,
+		Random:        rand.New(rand.NewPCG(uint64(index), 2)),
+		Logger:        zaptest.NewLogger(test),
+	})
+	require.NoError(test, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	running.cancel = cancel
+	go timers.Run(ctx)
+	go mesh.Run(ctx)
+	go running.controller.Run(ctx)
+	cluster.nodes = append(cluster.nodes, running)
+	return running
+}
+
+func (cluster *cluster) storeAddress() string { return cluster.server.Listener.Addr().String() }
+
+// testFolder asks for one replica of two VMs.
+func testFolder() *folder.Folder {
+	return folder.New(folder.Config{
+		Workspaces: []folder.Workspace{{Name: "memorials", Weight: 1, MaxInFlight: 10, Deadline: time.Minute}},
+		Groups: []folder.Group{{
+			Name: "dedication", Model: "dedication", Version: "1", Size: 2, Replicas: 1, Value: 1, WeightBytes: 1 << 20, TargetClass: "checking",
+		}},
+		TargetClasses: []folder.TargetClass{{Name: "checking", ChecksFencing: true, OrderDelay: 100 * time.Millisecond}},
+		Policy: folder.Policy{
+			DowntimeWeight:   3,
+			StrandedWeight:   1,
+			ReportInterval:   100 * time.Millisecond,
+			GrantBound:       500 * time.Millisecond,
+			WeightRate:       1 << 40,
+			RetryPercent:     10,
+			BookingRetention: time.Hour,
+			SpreadTime:       500 * time.Millisecond,
+		},
+	})
+}
+
+// apply writes a configuration as the apply command does.
+func (cluster *cluster) apply(number uint64) {
+	client, err := platform.NewClient(platform.ClientConfig{Addresses: []string{cluster.storeAddress()}, Timeout: time.Second})
+	require.NoError(cluster.test, err)
+	defer client.Close()
+	base := generation.Head{}
+	if number > 1 {
+		base = cluster.body(number - 1).Head()
+	}
+	body := cluster.bodyOn(number, base)
+	data, err := body.Encode()
+	require.NoError(cluster.test, err)
+	head, err := body.Head().Encode()
+	require.NoError(cluster.test, err)
+	for _, request := range []platform.PutRequest{
+		{Key: body.Head().BodyKey(), Value: data, Expect: platform.ExpectAny()},
+		{Key: generation.HeadKey, Value: head, Expect: platform.ExpectAny()},
+	} {
+		require.IsType(cluster.test, platform.Written{}, client.Put(context.Background(), request))
+	}
+}
+
+func (cluster *cluster) body(number uint64) *generation.Body {
+	return cluster.bodyOn(number, generation.Head{})
+}
+
+func (cluster *cluster) bodyOn(number uint64, base generation.Head) *generation.Body {
+	body, err := generation.NewBody(generation.BodyConfig{
+		Generation: number,
+		Change:     fmt.Sprintf("change-%d", number),
+		Base:       base,
+		Author:     "operator",
+		Reason:     "test",
+		Time:       time.Unix(0, 0),
+		Folder:     testFolder(),
+	})
+	require.NoError(cluster.test, err)
+	return body
+}
+
+// await waits until a condition on a node's table holds.
+func (running *node) await(test *testing.T, what string, holds func(table *route.Table) bool) {
+	test.Helper()
+	require.Eventually(test, func() bool { return holds(running.publisher.Current()) }, waitBound, waitTick, "%s at %s", what, running.name)
+}
+
+// granted returns the serving group of the test folder if it is granted.
+func granted(table *route.Table) (route.GroupTarget, bool) {
+	for _, target := range table.Groups("dedication") {
+		if target.Open && target.Grant.Holds(target.Epoch, time.Now()) {
+			return target, true
+		}
+	}
+	return route.GroupTarget{}, false
+}
