--- a/cmd/lacewingspoke/main.go
+++ b/cmd/lacewingspoke/main.go
@@ -32,6 +32,12 @@
 func addCommands(parser *flags.Parser) error {
 	for _, add := range []func(*flags.Parser) error{
 		addNodeCommand,
+		addCheckCommand,
+		addApplyCommand,
+		addStatusCommand,
+		addAuditCommand,
+		addDrainCommand,
+		addBookingCommand,
 	} {
 		if err := add(parser); err != nil {
 			return errors.Trace(err)
@@ -40,9 +46,12 @@
 	return nil
 }
 
-// exitCodeOf prints the error of a command and returns its exit code. Help is
-// a success.
+// exitCodeOf returns the exit code of a command's error and prints the error
+// unless the command has. Help is a success.
 func exitCodeOf(err error) int {
+	if status, ok := errors.AsType[exitStatus](err); ok {
+		return int(status)
+	}
 	if problem, ok := errors.AsType[*flags.Error](err); ok && problem.Type == flags.ErrHelp {
 		fmt.Println(problem.Message)
 		return 0
--- /dev/null
+++ b/operator/apply.go
@@ -0,0 +1,280 @@
+package operator
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+
+	"lacewingspoke.org/lacewingspoke/generation"
+	"lacewingspoke.org/lacewingspoke/platform"
+)
+
+// pollInterval is the time between two surveys of a wait. Each survey reads
+// the store once.
+const pollInterval = 250 * time.Millisecond
+
+// ApplyRequest holds the parameters of Apply.
+type ApplyRequest struct {
+	Directory string
+	Author    string
+	Reason    string
+
+	// Based says that the apply is only valid on generation Base.
+	Based bool
+	Base  uint64
+
+	// Change is the GENERATION/ID that an apply with an unknown outcome
+	// printed, empty for a new apply.
+	Change string
+
+	// Wait is how long to wait until the configuration is in force on every
+	// node, 0 for not at all.
+	Wait time.Duration
+}
+
+// changeID is a parsed GENERATION/ID.
+type changeID struct {
+	generation uint64
+	id         string
+}
+
+// newChangeID returns the id of an apply. Text is empty for a new one. It
+// returns an errors.NotValid error for a text that is not GENERATION/ID.
+func newChangeID(text string) (changeID, error) {
+	if text == "" {
+		return changeID{id: uuid.NewString()}, nil
+	}
+	number, id, found := strings.Cut(text, "/")
+	generation, err := strconv.ParseUint(number, 10, 64)
+	if !found || err != nil || generation == 0 || uuid.Validate(id) != nil {
+		return changeID{}, errors.NotValidf("change %q (want GENERATION/ID as apply printed it)", text)
+	}
+	return changeID{generation: generation, id: id}, nil
+}
+
+// Apply brings a folder into force.
+func (operator *Operator) Apply(ctx context.Context, request ApplyRequest) ExitCode {
+	merged, files, code := operator.readFolder(request.Directory)
+	if code != ExitDone {
+		return code
+	}
+	change, err := newChangeID(request.Change)
+	if err != nil {
+		operator.warn("%v", err)
+		return ExitRejected
+	}
+	apply := generation.NewApply(generation.ApplyConfig{
+		Folder: merged,
+		Files:  files,
+		Author: request.Author,
+		Reason: request.Reason,
+		Time:   operator.timers.Now(),
+		Change: change.id,
+		Resume: change.generation,
+		Based:  request.Based,
+		Base:   request.Base,
+		Held:   operator.heldHead(ctx),
+	})
+	outcome := operator.runApply(ctx, apply)
+	head, code := operator.printOutcome(outcome)
+	if code != ExitDone || request.Wait == 0 {
+		return code
+	}
+	return operator.waitInForce(ctx, head, request.Wait)
+}
+
+// heldHead returns the highest head that a node holds. Nodes that do not
+// answer are left out: apply must work when a node is down, and any one node
+// is enough to notice that the store came back with an older state.
+func (operator *Operator) heldHead(ctx context.Context) generation.Head {
+	reports, err := operator.survey(ctx)
+	if err != nil {
+		operator.warn("nodes in the store are not known: %v", err)
+	}
+	for _, report := range reports {
+		if report.err != nil {
+			operator.warn("node %s does not answer: %v", report.address, report.err)
+		}
+	}
+	return highestHead(reports)
+}
+
+// runApply executes the steps of an apply.
+func (operator *Operator) runApply(ctx context.Context, apply *generation.Apply) generation.Outcome {
+	step := apply.Start()
+	for {
+		switch current := step.(type) {
+		case generation.ReadHead:
+			operator.pause(ctx, current.Delay)
+			step = apply.Next(operator.readHead(ctx))
+		case generation.ReadBody:
+			operator.pause(ctx, current.Delay)
+			step = apply.Next(operator.readBody(ctx, current.Key))
+		case generation.WriteBody:
+			operator.pause(ctx, current.Delay)
+			step = apply.Next(operator.put(ctx, current.Key, current.Value, platform.ExpectAbsent()))
+		case generation.SwapHead:
+			operator.pause(ctx, current.Delay)
+			step = apply.Next(operator.put(ctx, generation.HeadKey, current.Value, current.Expect))
+		case generation.Done:
+			return current.Outcome
+		}
+	}
+}
+
+// pause waits for the delay or the end of the context.
+func (operator *Operator) pause(ctx context.Context, delay time.Duration) {
+	if delay == 0 {
+		return
+	}
+	wake := operator.timers.After("operator", delay, 0)
+	defer wake.Cancel()
+	select {
+	case <-wake.C():
+	case <-ctx.Done():
+	}
+}
+
+func (operator *Operator) readHead(ctx context.Context) generation.Event {
+	entry, err := operator.store.Get(ctx, generation.HeadKey)
+	if errors.Is(err, errors.NotFound) {
+		return generation.HeadRead{}
+	}
+	if err != nil {
+		return generation.Failed{Err: errors.Trace(err)}
+	}
+	head, err := generation.DecodeHead(entry.Value)
+	if err != nil {
+		return generation.Failed{Err: errors.Trace(err)}
+	}
+	return generation.HeadRead{Head: head, Revision: entry.Revision}
+}
+
+func (operator *Operator) readBody(ctx context.Context, key string) generation.Event {
+	body, err := operator.getBody(ctx, key)
+	if errors.Is(err, errors.NotFound) {
+		return generation.BodyRead{}
+	}
+	if err != nil {
+		return generation.Failed{Err: errors.Trace(err)}
+	}
+	return generation.BodyRead{Body: body}
+}
+
+func (operator *Operator) getBody(ctx context.Context, key string) (*generation.Body, error) {
+	entry, err := operator.store.Get(ctx, key)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	body, err := generation.DecodeBody(entry.Value)
+	return body, errors.Trace(err)
+}
+
+func (operator *Operator) put(ctx context.Context, key string, value []byte, expect platform.Expect) generation.Event {
+	outcome := operator.store.Put(ctx, platform.PutRequest{Key: key, Value: value, Expect: expect})
+	return generation.PutDone{Outcome: outcome}
+}
+
+// printOutcome prints an outcome. The head is the one to wait for.
+func (operator *Operator) printOutcome(outcome generation.Outcome) (generation.Head, ExitCode) {
+	switch outcome := outcome.(type) {
+	case generation.Accepted:
+		operator.print("accepted as generation %d, change %s, digest %s",
+			outcome.Head.Generation, outcome.Head.Change, outcome.Head.Digest)
+		if outcome.Current != outcome.Head {
+			operator.print("replaced since by generation %d", outcome.Current.Generation)
+		}
+		return outcome.Head, ExitDone
+	case generation.Unchanged:
+		operator.print("generation %d already has this content, digest %s", outcome.Head.Generation, outcome.Head.Digest)
+		return outcome.Head, ExitDone
+	case generation.Lost:
+		operator.warn("lost to %s", describe(outcome.Winner, outcome.Body))
+		return outcome.Winner, ExitLost
+	case generation.Unresolved:
+		operator.warn("outcome unknown: %v", outcome.Err)
+		operator.warn("repeat the command with --change %d/%s to find out and complete it",
+			outcome.Head.Generation, outcome.Head.Change)
+		return outcome.Head, ExitUnknown
+	case generation.NotApplied:
+		operator.warn("not applied: %v", outcome.Err)
+		return generation.Head{}, notAppliedCode(outcome.Err)
+	default:
+		operator.warn("outcome %T is not known", outcome)
+		return generation.Head{}, ExitUnknown
+	}
+}
+
+func notAppliedCode(err error) ExitCode {
+	if errors.Is(err, errors.NotValid) || errors.Is(err, errors.QuotaLimitExceeded) {
+		return ExitRejected
+	}
+	return ExitFailed
+}
+
+// describe returns generation, author, time and reason of a configuration.
+// Body is nil when it could not be read.
+func describe(head generation.Head, body *generation.Body) string {
+	text := "generation " + strconv.FormatUint(head.Generation, 10)
+	if body == nil {
+		return text + ", whose audit entry cannot be read"
+	}
+	return text + " by " + body.Author() + " at " + formatTime(body.Time()) + ": " + body.Reason()
+}
+
+// waitInForce waits until every node holds the head or a later one.
+func (operator *Operator) waitInForce(ctx context.Context, head generation.Head, wait time.Duration) ExitCode {
+	deadline := operator.timers.After("wait in force", wait, 0)
+	defer deadline.Cancel()
+	for {
+		reports, err := operator.survey(ctx)
+		behind := nodesBehind(reports, head)
+		if err == nil && len(reports) > 0 && len(behind) == 0 {
+			operator.print("in force on %d nodes", len(reports))
+			return ExitDone
+		}
+		operator.pause(ctx, pollInterval)
+		select {
+		case <-deadline.C():
+			operator.printBehind(behind, len(reports), err)
+			return ExitFailed
+		case <-ctx.Done():
+			operator.printBehind(behind, len(reports), ctx.Err())
+			return ExitFailed
+		default:
+		}
+	}
+}
+
+// nodesBehind returns what keeps the head from being in force, a line for
+// each node.
+func nodesBehind(reports []nodeReport, head generation.Head) []string {
+	var behind []string
+	for _, report := range reports {
+		held := report.head()
+		switch {
+		case report.err != nil:
+			behind = append(behind, report.address+": "+report.err.Error())
+		case held.Generation < head.Generation:
+			behind = append(behind, report.status.Node+": has generation "+strconv.FormatUint(held.Generation, 10))
+		case held.Generation == head.Generation && held.Digest != head.Digest:
+			behind = append(behind, report.status.Node+": has another content for this generation")
+		}
+	}
+	return behind
+}
+
+func (operator *Operator) printBehind(behind []string, nodes int, err error) {
+	operator.warn("accepted, but not in force on all of %d nodes", nodes)
+	for _, line := range behind {
+		operator.warn("%s", line)
+	}
+	if err != nil {
+		operator.warn("nodes in the store are not known: %v", err)
+	}
+}
+
--- /dev/null
+++ b/operator/check.go
@@ -0,0 +1,87 @@
+package operator
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/juju/errors"
+
+	"lacewingspoke.org/lacewingspoke/folder"
+	"lacewingspoke.org/lacewingspoke/platform"
+)
+
+// fileExtension selects the files of an operators' folder, so that an
+// editor's backup copies have no effect.
+const fileExtension = ".ini"
+
+// CheckRequest holds the parameters of Check.
+type CheckRequest struct {
+	Directory string
+
+	// Explain prints the file and line that set each effective key.
+	Explain bool
+}
+
+// Check prints every fault of a folder. It reads neither store nor nodes.
+func (operator *Operator) Check(request CheckRequest) ExitCode {
+	merged, _, code := operator.readFolder(request.Directory)
+	if code != ExitDone {
+		return code
+	}
+	if !request.Explain {
+		operator.print("no faults; digest %s", merged.Digest())
+		return ExitDone
+	}
+	for _, origin := range merged.Provenance() {
+		operator.print("%s", origin)
+	}
+	return ExitDone
+}
+
+// readFolder reads and merges a folder and prints its faults.
+func (operator *Operator) readFolder(directory string) (*folder.Folder, []folder.File, ExitCode) {
+	files, err := readFiles(directory)
+	if err != nil {
+		operator.warn("%s: %v", directory, err)
+		return nil, nil, ExitRejected
+	}
+	merged, problems := folder.Merge(files)
+	for _, problem := range problems {
+		operator.print("%s", problem)
+	}
+	if len(problems) > 0 {
+		return nil, nil, ExitRejected
+	}
+	return merged, files, ExitDone
+}
+
+// readFiles reads the INI files of a directory. Files whose sizes add up to
+// more than the store holds are not read.
+func readFiles(directory string) ([]folder.File, error) {
+	entries, err := os.ReadDir(directory)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	var files []folder.File
+	total := int64(0)
+	for _, entry := range entries {
+		if entry.IsDir() || filepath.Ext(entry.Name()) != fileExtension {
+			continue
+		}
+		path := filepath.Join(directory, entry.Name())
+		info, err := os.Stat(path)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		total += info.Size()
+		if total > platform.MaxValueBytes {
+			return nil, errors.QuotaLimitExceededf("%s: files of %d bytes, more than %d,", entry.Name(), total, platform.MaxValueBytes)
+		}
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		files = append(files, folder.File{Name: entry.Name(), Data: data})
+	}
+	return files, nil
+}
