Test the operator commands as sessions over HTTP

They found unsorted nodes in status; a test of inifile found that a "]" in a comment broke a section header. Both are fixed.

--- /dev/null
+++ b/cmd/lacewingspoke/session_test.go
@@ -0,0 +1,227 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"lacewingspoke.org/lacewingspoke/admin"
+	"lacewingspoke.org/lacewingspoke/booking"
+	"lacewingspoke.org/lacewingspoke/fleet"
+	"lacewingspoke.org/lacewingspoke/generation"
+	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/standin/fault"
+	"lacewingspoke.org/lacewingspoke/standin/store"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"lacewingspoke": func() { os.Exit(run(os.Args[1:])) },
+	})
+}
+
+// TestSessions runs the golden sessions of the operators' commands against
+// the store stand-in over HTTP.
+func TestSessions(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata/script",
+		Setup: setUpSession,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"race":    raceCommand,
+			"fault":   faultCommand,
+			"node":    nodeStandinCommand,
+			"hold":    holdCommand,
+			"claim":   claimCommand,
+			"capture": captureCommand,
+		},
+	})
+}
+
+type sessionKey struct{}
+
+// session is the surroundings of one script.
+type session struct {
+	stand  *store.Store
+	client *platform.Client
+	nodes  map[string]*nodeStandin
+
+	mutex sync.Mutex
+
+	// beforeSwap runs once before the next write of the head.
+	beforeSwap func()
+
+	// outageAfterSwap makes the next write of the head take effect, lose its
+	// answer, and be followed by an outage.
+	outageAfterSwap bool
+}
+
+func setUpSession(env *testscript.Env) error {
+	current := &session{stand: store.New(store.Config{}), nodes: map[string]*nodeStandin{}}
+	server := httptest.NewServer(current)
+	env.Defer(server.Close)
+	address := server.Listener.Addr().String()
+	client, err := platform.NewClient(platform.ClientConfig{Addresses: []string{address}})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	env.Defer(client.Close)
+	current.client = client
+	env.Values[sessionKey{}] = current
+	env.Setenv("LACEWINGSPOKE_STORE", address)
+	env.Setenv("LACEWINGSPOKE_AUTHOR", "mirela")
+	return errors.Trace(os.CopyFS(filepath.Join(env.WorkDir, "examples"), os.DirFS("../../examples")))
+}
+
+func sessionOf(ts *testscript.TestScript) *session {
+	return ts.Value(sessionKey{}).(*session)
+}
+
+// ServeHTTP serves the store with the session's faults around a write of the
+// head.
+func (session *session) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if request.Method != http.MethodPut || request.URL.Path != "/v1/kv/"+generation.HeadKey {
+		session.stand.ServeHTTP(writer, request)
+		return
+	}
+	session.mutex.Lock()
+	before, outage := session.beforeSwap, session.outageAfterSwap
+	session.beforeSwap, session.outageAfterSwap = nil, false
+	session.mutex.Unlock()
+	if before != nil {
+		before()
+	}
+	if !outage {
+		session.stand.ServeHTTP(writer, request)
+		return
+	}
+	session.stand.ServeHTTP(httptest.NewRecorder(), request)
+	_ = session.stand.Injector().Apply(fault.Order{Fault: fault.Outage})
+	panic(http.ErrAbortHandler)
+}
+
+// raceCommand is "race ARGUMENTS...": the command line runs in this process
+// when the next apply is about to write the head.
+func raceCommand(ts *testscript.TestScript, _ bool, arguments []string) {
+	session := sessionOf(ts)
+	arguments[len(arguments)-1] = ts.MkAbs(arguments[len(arguments)-1])
+	arguments = append(arguments, "--store", ts.Getenv("LACEWINGSPOKE_STORE"))
+	session.mutex.Lock()
+	defer session.mutex.Unlock()
+	session.beforeSwap = func() { run(arguments) }
+}
+
+// faultCommand is "fault drop-answer PREFIX", "fault outage",
+// "fault outage-after-swap" or "fault clear".
+func faultCommand(ts *testscript.TestScript, _ bool, arguments []string) {
+	session := sessionOf(ts)
+	if arguments[0] == "outage-after-swap" {
+		session.mutex.Lock()
+		defer session.mutex.Unlock()
+		session.outageAfterSwap = true
+		return
+	}
+	order := fault.Order{Fault: fault.Kind(arguments[0])}
+	if len(arguments) > 1 {
+		order.Prefix = arguments[1]
+	}
+	ts.Check(session.stand.Injector().Apply(order))
+}
+
+// captureCommand is "capture VARIABLE FILE PATTERN": it sets the variable to
+// the pattern's first group.
+func captureCommand(ts *testscript.TestScript, _ bool, arguments []string) {
+	match := regexp.MustCompile(arguments[2]).FindStringSubmatch(ts.ReadFile(arguments[1]))
+	if match == nil {
+		ts.Fatalf("no match for %s", arguments[2])
+	}
+	ts.Setenv(arguments[0], match[1])
+}
+
+// claimCommand is "claim WORKSPACE KEY AGE": it stores an unfinished booking
+// claim that expired AGE ago.
+func claimCommand(ts *testscript.TestScript, _ bool, arguments []string) {
+	age, err := time.ParseDuration(arguments[2])
+	ts.Check(err)
+	ticket := booking.NewTicket(booking.TicketConfig{
+		Workspace: arguments[0], IdempotencyKey: arguments[1], Attempt: "attempt-1", Validity: time.Second,
+	}, time.Now().Add(-age-time.Second))
+	_, written := sessionOf(ts).client.Put(context.Background(), ticket.CreateRequest()).(platform.Written)
+	if !written {
+		ts.Fatalf("claim not stored")
+	}
+}
+
+// nodeStandin answers as the admin interface of a node that holds the store's
+// head, or a fixed generation.
+type nodeStandin struct {
+	name    string
+	session *session
+	held    generation.Head
+}
+
+// nodeStandinCommand is "node NAME": it starts a node that holds what the
+// store holds.
+func nodeStandinCommand(ts *testscript.TestScript, _ bool, arguments []string) {
+	session := sessionOf(ts)
+	node := &nodeStandin{name: arguments[0], session: session}
+	session.nodes[node.name] = node
+	server := httptest.NewServer(admin.New(admin.Config{Node: node, Gatherer: prometheus.NewRegistry()}).Handler())
+	ts.Defer(server.Close)
+	record, err := json.Marshal(fleet.Node{
+		Name: node.name, Incarnation: "1", FailureDomain: "constanta-port", AdminAddress: server.Listener.Addr().String(),
+	})
+	ts.Check(err)
+	session.client.Put(context.Background(), platform.PutRequest{
+		Key: fleet.NodeKey(node.name), Value: record, Expect: platform.ExpectAny(),
+	})
+}
+
+// holdCommand is "hold NAME GENERATION": the node keeps this generation.
+func holdCommand(ts *testscript.TestScript, _ bool, arguments []string) {
+	number, err := strconv.ParseUint(arguments[1], 10, 64)
+	ts.Check(err)
+	sessionOf(ts).nodes[arguments[0]].held = generation.Head{Generation: number, Change: "held", Digest: "held"}
+}
+
+// Status implements admin.Node.
+func (node *nodeStandin) Status(ctx context.Context) (admin.Status, error) {
+	head := node.held
+	if entry, err := node.session.client.Get(ctx, generation.HeadKey); err == nil && head.Generation == 0 {
+		head, err = generation.DecodeHead(entry.Value)
+		if err != nil {
+			return admin.Status{}, errors.Trace(err)
+		}
+	}
+	return admin.Status{
+		Node: node.name, FailureDomain: "constanta-port", Generation: head.Generation, Change: head.Change,
+		Digest: head.Digest, Ready: true, StoreReached: true, Leads: []string{"fabric-1"},
+		Groups: []admin.GroupStatus{{
+			Name: "letters-1", Spec: "letters", Epoch: 4, State: "serving", Granted: node.name == "port-1", Running: 2,
+			Members: []string{"vm-1", "vm-2"},
+		}},
+	}, nil
+}
+
+// Healthy implements admin.Node.
+func (node *nodeStandin) Healthy() error { return nil }
+
+// Drain implements admin.Node.
+func (node *nodeStandin) Drain(_ context.Context, request admin.DrainRequest) (admin.DrainResult, error) {
+	if !strings.HasPrefix(request.Target, "vm-") {
+		return admin.DrainResult{}, errors.NotFoundf("target %s", request.Target)
+	}
+	return admin.DrainResult{Recorded: true, Peers: 5}, nil
+}
--- a/inifile/inifile.go
+++ b/inifile/inifile.go
@@ -224,11 +224,13 @@
 }
 
 func parseHeader(line string) (Section, string) {
-	file, err := ini.LoadSources(lineOptions, []byte(line))
-	if err != nil {
+	// ini.v1 looks for the last "]", which can belong to a comment.
+	header, rest, closed := strings.Cut(line, "]")
+	file, err := ini.LoadSources(lineOptions, []byte(header+"]"))
+	if !closed || err != nil {
 		return Section{}, "unclosed section header"
 	}
-	rest := strings.TrimSpace(line[strings.LastIndexByte(line, ']')+1:])
+	rest = strings.TrimSpace(rest)
 	if rest != "" && rest[0] != '#' && rest[0] != ';' {
 		return Section{}, "text after the section header"
 	}
--- a/operator/apply.go
+++ b/operator/apply.go
@@ -277,4 +277,3 @@
 		operator.warn("nodes in the store are not known: %v", err)
 	}
 }
-
--- a/operator/status.go
+++ b/operator/status.go
@@ -21,6 +21,7 @@
 		operator.warn("nodes in the store are not known: %v", err)
 		code = ExitFailed
 	}
+	sort.SliceStable(reports, func(i, j int) bool { return reports[i].status.Node < reports[j].status.Node })
 	operator.printNodes(reports)
 	operator.printGroups(reports)
 	head := highestHead(reports)
