--- /dev/null
+++ b/limit/limit_test.go
@@ -0,0 +1,121 @@
+package limit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lacewingspoke.org/lacewingspoke/limit"
+)
+
+func newQueue(capacity, queueLimit int, workspaces ...limit.Workspace) *limit.Queue {
+	queue := limit.NewQueue(limit.Config{Node: "n0", Capacity: capacity, QueueLimit: queueLimit})
+	queue.SetWorkspaces(workspaces)
+	return queue
+}
+
+func request(id uint64, workspace string, deadline time.Duration) limit.Request {
+	return limit.Request{ID: id, Workspace: workspace, Class: workspace, Deadline: epoch.Add(deadline)}
+}
+
+// Guards against an unbounded queue and one that a large workspace fills up.
+func TestQueueBound(t *testing.T) {
+	queue := newQueue(1, 2, limit.Workspace{Name: "large", Weight: 1}, limit.Workspace{Name: "small", Weight: 1})
+	require.Equal(t, []limit.Effect{limit.Admit{ID: 1}}, queue.Offer(request(1, "large", time.Hour), epoch))
+	require.Empty(t, queue.Offer(request(2, "large", time.Hour), epoch))
+	require.Empty(t, queue.Offer(request(3, "large", 2*time.Hour), epoch))
+	full := queue.Offer(request(4, "large", time.Hour), epoch)
+	require.Equal(t, []limit.Effect{limit.Refuse{ID: 4, Cause: limit.RefuseQueue, RetryAfter: time.Second}}, full)
+	evicted := queue.Offer(request(5, "small", time.Hour), epoch)
+	require.Equal(t, []limit.Effect{limit.Refuse{ID: 3, Cause: limit.RefuseQueue, RetryAfter: time.Second}}, evicted)
+	require.Equal(t, []limit.Usage{{Workspace: "large", InFlight: 1, Queued: 1}, {Workspace: "small", Queued: 1}}, queue.Usage())
+	queue.Abandon("large", 2)
+	require.Equal(t, []limit.Effect{limit.Admit{ID: 5}}, queue.Finish(1, epoch.Add(time.Second)))
+	require.Empty(t, queue.Finish(1, epoch), "a second finish changes nothing")
+	require.Equal(t, 1, queue.InFlight())
+}
+
+// Guards against a request that waits although it cannot meet its deadline.
+func TestDeadlineRefusedEarly(t *testing.T) {
+	queue := newQueue(1, 10, limit.Workspace{Name: "w", Weight: 1})
+	queue.Offer(request(1, "w", time.Hour), epoch)
+	queue.Finish(1, epoch.Add(10*time.Second))
+	now := epoch.Add(10 * time.Second)
+	require.Equal(t, []limit.Effect{limit.Admit{ID: 2}}, queue.Offer(request(2, "w", 11*time.Second), now), "room needs no estimate")
+	refused := queue.Offer(request(3, "w", 34*time.Second), now)
+	require.Equal(t, []limit.Effect{limit.Refuse{ID: 3, Cause: limit.RefuseDeadline, RetryAfter: 10 * time.Second}}, refused)
+	require.Empty(t, queue.Offer(request(4, "w", 36*time.Second), now))
+	late := queue.Finish(2, now.Add(12*time.Second))
+	require.Len(t, late, 1)
+	require.IsType(t, limit.Refuse{}, late[0])
+	require.Equal(t, limit.RefuseWorkspace, queue.Offer(request(5, "x", time.Hour), now)[0].(limit.Refuse).Cause)
+	require.Equal(t, limit.RefuseDeadline, queue.Offer(request(6, "w", time.Second), now)[0].(limit.Refuse).Cause)
+}
+
+// Guards against priorities and weights without effect.
+func TestOrderAndWeights(t *testing.T) {
+	queue := newQueue(4, 100, limit.Workspace{Name: "a", Weight: 3}, limit.Workspace{Name: "b", Weight: 1})
+	for id := range uint64(4) {
+		queue.Offer(request(id, "b", time.Hour), epoch)
+	}
+	for id := uint64(10); id < 20; id++ {
+		waiting := request(id, "a", time.Hour)
+		if id == 15 {
+			waiting.Priority = 1
+		}
+		queue.Offer(waiting, epoch)
+		queue.Offer(request(id+10, "b", time.Hour), epoch)
+	}
+	var order []limit.Effect
+	for id := range uint64(4) {
+		order = append(order, queue.Finish(id, epoch)...)
+	}
+	want := []limit.Effect{limit.Admit{ID: 15}, limit.Admit{ID: 10}, limit.Admit{ID: 11}, limit.Admit{ID: 20}}
+	require.Equal(t, want, order)
+}
+
+// Guards against nodes whose shares add up to more than a workspace's limit,
+// and against a share that leaves demand unserved while there is room.
+func TestSharesAddUpToLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		maximum := rapid.IntRange(1, 50).Draw(t, "limit")
+		demand := rapid.SliceOfN(rapid.IntRange(0, 30), 1, 8).Draw(t, "demand")
+		total, wanted := 0, 0
+		for own := range demand {
+			queue := limit.NewQueue(limit.Config{Node: fmt.Sprint("n", own), Capacity: 1000, QueueLimit: 1000})
+			queue.SetWorkspaces([]limit.Workspace{{Name: "w", Weight: 1, Limit: maximum}})
+			var others []limit.NodeUsage
+			for node, count := range demand {
+				if node != own {
+					others = append(others, limit.NodeUsage{Node: fmt.Sprint("n", node), Workspaces: []limit.Usage{{Workspace: "w", Queued: count}}})
+				}
+			}
+			queue.SetOthers(others, epoch)
+			for id := range demand[own] {
+				queue.Offer(request(uint64(id), "w", time.Hour), epoch)
+			}
+			total += queue.InFlight()
+			wanted += demand[own]
+		}
+		require.Equal(t, min(maximum, wanted), total)
+	})
+}
+
+// Guards against retries that multiply the load while targets fail.
+func TestRetryBudget(t *testing.T) {
+	budget := limit.NewRetryBudget(10)
+	retries := 0
+	for range 1000 {
+		budget.Request("w")
+		for budget.Retry("w") {
+			retries++
+		}
+	}
+	require.Equal(t, 110-1, retries, "10 per 100 requests and a burst of 10, the first request finds it full")
+	require.True(t, budget.Retry("other"))
+	budget.SetPercent(0)
+	require.False(t, budget.Retry("other"))
+}
--- /dev/null
+++ b/route/picker_test.go
@@ -0,0 +1,152 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lacewingspoke.org/lacewingspoke/group"
+	"lacewingspoke.org/lacewingspoke/route"
+)
+
+var now = time.Date(2026, 12, 4, 4, 0, 0, 0, time.UTC)
+
+func newPicker(change func(*route.PickerConfig)) (*route.Picker, *route.Tracker) {
+	tracker := route.NewTracker()
+	config := route.PickerConfig{FailureDomain: "near", Source: rand.NewPCG(1, 2), Tracker: tracker, HistorySize: -1}
+	if change != nil {
+		change(&config)
+	}
+	return route.NewPicker(config), tracker
+}
+
+func target(name, domain string, running int) route.GroupTarget {
+	return route.GroupTarget{
+		Name: name, Spec: "copy", Epoch: 3, Address: name, FailureDomain: domain, Open: true,
+		Grant: group.Grant{Group: name, Epoch: 3, ReportedAt: now, ValidUntil: now.Add(time.Second)},
+		Load:  group.Load{Running: running},
+	}
+}
+
+func table(targets ...route.GroupTarget) *route.Table {
+	return route.NewTable(route.TableConfig{Groups: targets})
+}
+
+// Guards against a draft that is sent to a group without a grant, to a closed
+// one or to one that was tried.
+func TestPickOnlyUsable(t *testing.T) {
+	expired, oldEpoch, foreign, closed := target("a", "near", 0), target("b", "near", 0), target("c", "near", 0), target("d", "near", 0)
+	expired.Grant.ValidUntil = now
+	oldEpoch.Grant.Epoch = 2
+	foreign.Grant.Group = "x"
+	closed.Open = false
+	unusable := table(expired, oldEpoch, foreign, closed, target("e", "near", 0))
+	picker, _ := newPicker(nil)
+	_, found := picker.PickGroup(unusable, route.GroupRequest{Spec: "copy", Excluded: map[string]bool{"e": true}}, now)
+	require.False(t, found)
+	chosen, found := picker.PickGroup(unusable, route.GroupRequest{Spec: "copy"}, now)
+	require.True(t, found)
+	require.Equal(t, "e", chosen.Name)
+}
+
+// Guards against a load estimate that counts a node's own request twice or
+// not at all.
+func TestTrackerCorrectsLoad(t *testing.T) {
+	tracker := route.NewTracker()
+	load := group.Load{Running: 3, Queued: 1}
+	require.Equal(t, 4, tracker.Load("a", load, now))
+	early := tracker.Start("a", now.Add(-time.Second))
+	late := tracker.Start("a", now.Add(time.Second))
+	require.Equal(t, 5, tracker.Load("a", load, now), "the late request is not in the report")
+	early(now.Add(2 * time.Second))
+	early(now.Add(3 * time.Second))
+	require.Equal(t, 4, tracker.Load("a", load, now), "the early one is and has ended")
+	late(now.Add(3 * time.Second))
+	require.Equal(t, 3, tracker.Load("a", load, now))
+	require.Equal(t, 4, tracker.Load("a", load, now.Add(5*time.Second)), "a newer report contains all")
+	for range 9 {
+		tracker.Start("a", now.Add(-time.Second))
+	}
+	require.Equal(t, 9, tracker.Load("a", load, now), "own requests are a lower bound")
+	require.Equal(t, 9, tracker.Load("a", load, time.Time{}))
+	tracker.Retain(nil)
+	require.Equal(t, 9, tracker.InFlight("a"))
+}
+
+// Guards against all requests going to the group with the lowest report until
+// the next report arrives, and against an uneven spread.
+func TestTwoChoicesSpread(t *testing.T) {
+	picker, tracker := newPicker(nil)
+	var targets []route.GroupTarget
+	for index := range 8 {
+		targets = append(targets, target(fmt.Sprint(index), "near", index%2))
+	}
+	snapshot := table(targets...)
+	for range 80 {
+		chosen, _ := picker.PickGroup(snapshot, route.GroupRequest{Spec: "copy"}, now)
+		tracker.Start(chosen.Name, now.Add(time.Millisecond))
+	}
+	for _, target := range targets {
+		require.InDelta(t, 10, tracker.InFlight(target.Name), 4, target.Name)
+	}
+}
+
+// Guards against a far group that is preferred without need, and a near one
+// that is preferred at any load.
+func TestNearerUnlessItCostsMore(t *testing.T) {
+	picker, _ := newPicker(nil)
+	pick := func(nearLoad, farLoad int) string {
+		chosen, _ := picker.PickGroup(table(target("n", "near", nearLoad), target("f", "far", farLoad)), route.GroupRequest{Spec: "copy"}, now)
+		return chosen.Name
+	}
+	require.Equal(t, "n", pick(0, 0))
+	require.Equal(t, "n", pick(2, 0))
+	require.Equal(t, "f", pick(3, 0))
+	services := route.NewTable(route.TableConfig{Services: []route.ServiceTarget{
+		{Service: "s", Address: "closed", FailureDomain: "near"},
+		{Service: "s", Address: "tried", FailureDomain: "near", Open: true},
+		{Service: "s", Address: "far", FailureDomain: "far", Open: true},
+	}})
+	runner, found := picker.PickService(services, "s", map[string]bool{"tried": true})
+	require.True(t, found)
+	require.Equal(t, "far", runner.Address)
+	_, found = picker.PickService(services, "s", map[string]bool{"tried": true, "far": true})
+	require.False(t, found)
+}
+
+// Guards against a lost prefix preference, and against one that overloads its
+// group.
+func TestPrefixAffinity(t *testing.T) {
+	picker, tracker := newPicker(func(config *route.PickerConfig) { config.HistorySize = 100 })
+	var targets []route.GroupTarget
+	for index := range 6 {
+		targets = append(targets, target(fmt.Sprint(index), "near", 0))
+	}
+	snapshot := table(targets...)
+	shared := strings.Repeat("system prompt ", 40)
+	pick := func(suffix string) string {
+		chosen, found := picker.PickGroup(snapshot, route.GroupRequest{Spec: "copy", Prompt: shared + suffix}, now)
+		require.True(t, found)
+		return chosen.Name
+	}
+	first := pick("first")
+	for index := range 20 {
+		require.Equal(t, first, pick(fmt.Sprint(index)))
+	}
+	for range 5 {
+		tracker.Start(first, now.Add(time.Millisecond))
+	}
+	second := pick("over the bound")
+	require.NotEqual(t, first, second)
+	require.Equal(t, second, pick("the preference moved"))
+	for index := range 1000 {
+		_, _ = picker.PickGroup(snapshot, route.GroupRequest{Spec: "copy", Prompt: strings.Repeat(fmt.Sprint(index), 64)}, now)
+	}
+	short, found := picker.PickGroup(snapshot, route.GroupRequest{Spec: "copy", Prompt: "short"}, now)
+	require.True(t, found)
+	require.NotEmpty(t, short.Name)
+}
