--- a/control/configuration.go
+++ b/control/configuration.go
@@ -15,8 +15,8 @@
 )
 
 // bodyRetry is how long a requested body may take before it is requested
-// again, from whoever offers the head next.
-const bodyRetry = time.Second
+// again. The request or the body is lost when a link closes.
+const bodyRetry = 500 * time.Millisecond
 
 // configuration is the configuration in force and what is known of newer ones.
 type configuration struct {
@@ -26,6 +26,9 @@
 	// data is the stored form of the body, as it is relayed to peers.
 	data []byte
 
+	// adoptedAt is when the configuration came into force at this node.
+	adoptedAt time.Time
+
 	// requested is the highest generation whose body was requested, and
 	// requestedAt the time of the request.
 	requested   uint64
@@ -75,6 +78,7 @@
 
 // offerHead takes in the head that a peer holds.
 func (state *state) offerHead(now time.Time, from string, head generation.Head) {
+	state.configuration.generations[from] = head.Generation
 	switch state.configuration.adopter.Offer(head).(type) {
 	case generation.Adopt:
 		state.requestBody(now, from, head.Generation)
@@ -92,6 +96,14 @@
 	state.requestBody(now, from, known)
 }
 
+// requestMissing requests the body of a generation that a peer holds and that
+// has not arrived.
+func (state *state) requestMissing(now time.Time) {
+	for name, known := range state.configuration.generations {
+		state.requestBody(now, name, known)
+	}
+}
+
 func (state *state) requestBody(now time.Time, from string, wanted uint64) {
 	if state.configuration.mayRequest(now, wanted) {
 		state.config.Mesh.Send(from, peer.BodyRequest{Generation: wanted})
@@ -119,12 +131,13 @@
 // pollHead reads the store's head, in case that watches and relay missed it.
 func (state *state) pollHead() {
 	state.start(func(ctx context.Context) message {
+		sent := state.now()
 		entry, err := state.config.Platform.Get(ctx, generation.HeadKey)
 		switch {
 		case err == nil:
-			return headRead{value: entry.Value}
+			return headRead{sent: sent, value: entry.Value}
 		case errors.Is(err, errors.NotFound):
-			return headRead{}
+			return headRead{sent: sent}
 		default:
 			return headFailed{}
 		}
@@ -134,13 +147,14 @@
 func (state *state) handleHeadEntries(now time.Time, entries []platform.Entry) {
 	for _, entry := range entries {
 		if entry.Key == generation.HeadKey {
-			state.offerStoredHead(now, entry.Value)
+			state.offerStoredHead(now, time.Time{}, entry.Value)
 		}
 	}
 }
 
 // offerStoredHead takes in the store's head; an empty value is an empty store.
-func (state *state) offerStoredHead(now time.Time, value []byte) {
+// sent is when the store was asked, zero when that is not known.
+func (state *state) offerStoredHead(now, sent time.Time, value []byte) {
 	var head generation.Head
 	if len(value) > 0 {
 		var err error
@@ -151,12 +165,16 @@
 			return
 		}
 	}
-	decision := state.configuration.adopter.Offer(head)
-	_, stale := decision.(generation.Stale)
-	state.setBehind(stale, head)
-	switch decision.(type) {
+	switch state.configuration.adopter.Offer(head).(type) {
 	case generation.Adopt:
 		state.fetchBody(now, head)
+	case generation.Stale:
+		// An answer that was sent before the adoption is only late.
+		if sent.After(state.configuration.adoptedAt) {
+			state.setBehind(true, head)
+		}
+	case generation.Same:
+		state.setBehind(false, head)
 	case generation.Conflict:
 		state.reportConflict(head, "store")
 	}
@@ -206,6 +224,7 @@
 		return
 	}
 	state.configuration.data = data
+	state.configuration.adoptedAt = now
 	state.configuration.folder = state.configuration.adopter.Body().Folder()
 	state.dirty = true
 	state.metrics.generation.Set(float64(head.Generation))
--- a/control/harness_test.go
+++ b/control/harness_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -198,7 +199,7 @@
 // testFolder asks for one replica of two VMs.
 func testFolder() *folder.Folder {
 	return folder.New(folder.Config{
-		Workspaces: []folder.Workspace{{Name: "memorials", Weight: 1, MaxInFlight: 10, Deadline: time.Minute}},
+		Workspaces: []folder.Workspace{{Name: "memorials", KeyDigests: []string{strings.Repeat("0", 64)}, Weight: 1, MaxInFlight: 10, Deadline: time.Minute}},
 		Groups: []folder.Group{{
 			Name: "dedication", Model: "dedication", Version: "1", Size: 2, Replicas: 1, Value: 1, WeightBytes: 1 << 20, TargetClass: "checking",
 		}},
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -20,7 +20,7 @@
 	term   uint64
 	leader *group.Leader
 
-	// severed is true after the lease lapsed while the store did not answer.
+	// severed is true after the lease was lost.
 	severed bool
 
 	// ctx ends with the term, so that its calls end too.
@@ -71,29 +71,21 @@
 	return led
 }
 
-// loseLeadership ends a term. While the store does not answer, no other node
-// can lead the domain, so the term goes on without orders and changes: its
-// grants rest on the members' own reports.
+// loseLeadership goes on without orders and placement changes until another
+// node has taken the domain over. Grants rest on the members' own reports, so
+// they stay true without a lease, and callers see no gap during a store outage
+// or a change of leader.
 func (state *state) loseLeadership(now time.Time, name string) {
 	led, found := state.led[name]
 	if !found {
 		return
 	}
-	if state.storeSilent(now) && !state.stopping {
-		led.severed = true
-		state.logger.Warn("lease lapsed while the store does not answer", zap.String("domain", name))
-		state.handleGroup(now, led, group.StoreUnreachable{})
-		return
+	led.severed = true
+	state.logger.Info("lost the lease of fabric domain", zap.String("domain", name))
+	state.handleGroup(now, led, group.StoreUnreachable{})
+	if !led.leader.Severed() {
+		state.endTerm(now, led)
 	}
-	state.endTerm(now, led)
-}
-
-// storeSilentBound is the time without an answer of the store after which a
-// lapsed lease is put down to the store.
-const storeSilentBound = 3 * time.Second
-
-func (state *state) storeSilent(now time.Time) bool {
-	return now.Sub(state.storeReached) > storeSilentBound
 }
 
 func (state *state) endTerm(now time.Time, led *leadership) {
@@ -244,12 +236,20 @@
 	}
 }
 
+// longestLease returns the longest lease that another node can hold.
+func (state *state) longestLease() time.Duration {
+	if state.config.LeaseMinimum > 0 {
+		return state.config.LeaseMinimum
+	}
+	return fleet.DefaultLeaseMinimum
+}
+
 func (state *state) leaderConfig(domain string) group.LeaderConfig {
 	return group.LeaderConfig{
 		Domain:        domain,
 		Node:          state.config.Name,
 		Incarnation:   state.config.Incarnation,
-		LeaseDuration: fleet.DefaultLeaseMinimum,
+		LeaseDuration: state.longestLease(),
 	}
 }
 
--- a/control/loop.go
+++ b/control/loop.go
@@ -78,6 +78,7 @@
 		state.handleCommand(state.now(), request)
 	case <-ticks.fleet.C():
 		state.handleFleet(state.now(), fleet.Tick{})
+		state.requestMissing(state.now())
 	case <-ticks.leaders.C():
 		state.tickLeaders(state.now())
 	case <-ticks.vms.C():
@@ -154,7 +155,7 @@
 		state.metrics.storeFailures.Inc()
 	case headRead:
 		state.storeReached = now
-		state.offerStoredHead(now, result.value)
+		state.offerStoredHead(now, result.sent, result.value)
 	case bodyRead:
 		state.storeReached = now
 		state.adopt(now, result.head, result.value, "store")
--- a/control/message.go
+++ b/control/message.go
@@ -44,7 +44,11 @@
 type storeFailed struct{ err error }
 
 // headRead is the configuration head of the store.
-type headRead struct{ value []byte }
+type headRead struct {
+	// sent is when the request was sent.
+	sent  time.Time
+	value []byte
+}
 
 // headFailed says that the head could not be read.
 type headFailed struct{}
--- a/group/leader.go
+++ b/group/leader.go
@@ -121,6 +121,10 @@
 // Leading reports whether the record is this node's and its lease runs.
 func (leader *Leader) Leading() bool { return leader.phase == phaseLeading }
 
+// Severed reports whether the leader only publishes grants for the record that
+// it held when it lost the lease.
+func (leader *Leader) Severed() bool { return leader.phase == phaseSevered }
+
 func (leader *Leader) note(now time.Time, event Event) []Effect {
 	switch event := event.(type) {
 	case LeaseHeld:
@@ -128,7 +132,7 @@
 	case LeaseLost:
 		leader.resign()
 	case StoreUnreachable:
-		leader.noteStoreUnreachable()
+		leader.sever()
 	case PlacementRead:
 		return leader.notePlacement(now, event)
 	case PlacementUnavailable:
@@ -203,13 +207,14 @@
 	}
 }
 
-// checkLease ends the term when the lease has run out on the monotonic clock.
+// checkLease stops orders and changes when the lease has run out on the
+// monotonic clock.
 func (leader *Leader) checkLease(now time.Time) {
 	if leader.phase == phaseIdle || leader.phase == phaseSevered {
 		return
 	}
 	if !now.Before(leader.until) {
-		leader.resign()
+		leader.sever()
 	}
 }
 
@@ -220,8 +225,15 @@
 	leader.published = publication{}
 }
 
-func (leader *Leader) noteStoreUnreachable() {
-	if leader.phase != phaseLeading {
+// sever goes on publishing grants for a record that was this node's. A write
+// whose outcome is not known changes nothing about them: no member takes a new
+// seat without an order.
+func (leader *Leader) sever() {
+	if leader.phase == phaseSevered {
+		return
+	}
+	own := leader.phase == phaseLeading || leader.phase == phaseReading && leader.fence != 0
+	if !own {
 		leader.resign()
 		return
 	}
