Add engine, service and balancer stand-ins and their command

The clients of the daemon and the process tests need engines, a booking service and a balancer. Die, refuse and cut streams reset their connections, so that no cut answer looks whole.

--- /dev/null
+++ b/cmd/lacewingspoke-standin/serve.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+
+	"lacewingspoke.org/lacewingspoke/standin/fault"
+)
+
+// endpoint is one address that a command serves.
+type endpoint struct {
+	// label names the endpoint in the printed line; it may be empty.
+	label    string
+	listener net.Listener
+	server   *http.Server
+}
+
+// openEndpoint listens for a stand-in with faults.
+func openEndpoint(label, address string, handler http.Handler, injector *fault.Injector) (endpoint, error) {
+	listener, err := injector.Listen(address)
+	if err != nil {
+		return endpoint{}, errors.Trace(err)
+	}
+	server := &http.Server{Handler: handler, ConnState: injector.ConnState}
+	return endpoint{label, listener, server}, nil
+}
+
+// openControl listens on an address that no fault closes.
+func openControl(address string, handler http.Handler) (endpoint, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return endpoint{}, errors.Annotatef(err, "listen on %s", address)
+	}
+	return endpoint{"control=", listener, &http.Server{Handler: handler}}, nil
+}
+
+func announce(name string, endpoints []endpoint) {
+	addresses := make([]string, 0, len(endpoints))
+	for _, point := range endpoints {
+		addresses = append(addresses, point.label+point.listener.Addr().String())
+	}
+	fmt.Printf("lacewingspoke-standin %s: listening on %s\n", name, strings.Join(addresses, " "))
+}
+
+func signalContext() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+}
+
+// serve runs the endpoints until a signal arrives.
+func serve(name string, endpoints []endpoint) error {
+	ctx, stop := signalContext()
+	defer stop()
+	group, ctx := errgroup.WithContext(ctx)
+	for _, point := range endpoints {
+		group.Go(func() error {
+			err := point.server.Serve(point.listener)
+			if errors.Is(err, http.ErrServerClosed) {
+				return nil
+			}
+			return errors.Annotate(err, "serve")
+		})
+		context.AfterFunc(ctx, func() { point.server.Close() })
+	}
+	announce(name, endpoints)
+	return group.Wait()
+}
+
+// openRecord opens a record file for appending; without a name it returns nil.
+func openRecord(name string) (*os.File, error) {
+	if name == "" {
+		return nil, nil
+	}
+	file, err := os.OpenFile(name, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	return file, errors.Trace(err)
+}
--- /dev/null
+++ b/standin/engine/handler.go
@@ -0,0 +1,193 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/juju/errors"
+
+	wire "lacewingspoke.org/lacewingspoke/engine"
+	"lacewingspoke.org/lacewingspoke/standin/fault"
+)
+
+const maxCallBytes = 4 << 20
+
+// slowdown is added to the interval of each token.
+type slowdown struct{ amount atomic.Int64 }
+
+type acceptedAnswer struct {
+	Accepted bool `json:"accepted"`
+}
+
+type fenceAnswer struct {
+	Fence uint64 `json:"fence"`
+}
+
+type eventsAnswer struct {
+	Sequence uint64       `json:"sequence"`
+	Events   []CacheEvent `json:"events"`
+}
+
+func (engine *Engine) routes() http.Handler {
+	router := mux.NewRouter()
+	router.Methods(http.MethodGet).Path("/v1/report").HandlerFunc(engine.getReport)
+	router.Methods(http.MethodPost).Path("/v1/order").HandlerFunc(engine.postOrder)
+	router.Methods(http.MethodPost).Path("/v1/generate").HandlerFunc(engine.postGenerate)
+	router.Methods(http.MethodPost).Path("/v1/cancel").HandlerFunc(engine.postCancel)
+	router.Methods(http.MethodGet).Path("/v1/cache-events").HandlerFunc(engine.getCacheEvents)
+	router.Methods(http.MethodGet).Path("/record").HandlerFunc(engine.getRecord)
+	return router
+}
+
+func writeJSON(writer http.ResponseWriter, status int, body any) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	// A failed write means that the client has gone.
+	_ = json.NewEncoder(writer).Encode(body)
+}
+
+func decode(writer http.ResponseWriter, request *http.Request, body any) bool {
+	decoder := json.NewDecoder(io.LimitReader(request.Body, maxCallBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(body); err != nil {
+		http.Error(writer, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func (engine *Engine) getReport(writer http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
+	role := engine.role.view(now)
+	load, age := engine.batch.report(now)
+	writeJSON(writer, http.StatusOK, wire.Report{
+		VM:          engine.config.VM,
+		Incarnation: engine.config.Incarnation,
+		Group:       role.order.Group,
+		Epoch:       role.order.Epoch,
+		Rank:        role.order.Rank,
+		State:       role.state,
+		Model:       role.order.Model,
+		Version:     role.order.Version,
+		Fence:       role.fence,
+		Running:     load.running,
+		Queued:      load.queued,
+		FreeCache:   load.free,
+		AgeMillis:   age.Milliseconds(),
+	})
+}
+
+func (engine *Engine) postOrder(writer http.ResponseWriter, request *http.Request) {
+	var order wire.Order
+	if !decode(writer, request, &order) {
+		return
+	}
+	now := time.Now()
+	before := engine.role.view(now)
+	result, fence := engine.role.apply(order, fault.Arrival(request), now)
+	if before.live.Err() != nil {
+		engine.cache.clear(now)
+	}
+	line := Line{
+		Event: EventOrder, Group: order.Group, Epoch: order.Epoch,
+		Order: order.ID, Action: string(order.Action), Fence: order.Fence,
+	}
+	switch result {
+	case orderAccepted:
+		line.End = "accepted"
+		engine.record.add(line)
+		writeJSON(writer, http.StatusOK, acceptedAnswer{true})
+	case orderOldFence:
+		line.End = "old-fence"
+		engine.record.add(line)
+		writeJSON(writer, http.StatusConflict, fenceAnswer{fence})
+	case orderExpired:
+		line.End = "expired"
+		engine.record.add(line)
+		http.Error(writer, "order has expired", http.StatusGone)
+	case orderUnknown:
+		http.Error(writer, "action is unknown", http.StatusBadRequest)
+	}
+}
+
+func (engine *Engine) postGenerate(writer http.ResponseWriter, request *http.Request) {
+	var generate wire.Generate
+	if !decode(writer, request, &generate) {
+		return
+	}
+	if generate.MaxTokens == 0 {
+		generate.MaxTokens = DefaultMaxTokens
+	}
+	role := engine.role.view(time.Now())
+	if role.order.Group != generate.Group || role.order.Epoch != generate.Epoch || role.order.Rank != 0 {
+		http.Error(writer, "this VM is not rank 0 of that group and epoch", http.StatusConflict)
+		return
+	}
+	if role.state != wire.StateReady {
+		http.Error(writer, "group is not ready", http.StatusServiceUnavailable)
+		return
+	}
+	cancelled, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	engine.batch.register(generate.Attempt, cancel)
+	defer engine.batch.unregister(generate.Attempt)
+	run := &run{
+		engine: engine, generate: generate, live: role.live,
+		cancelled: cancelled, request: request, writer: writer,
+	}
+	run.serve()
+}
+
+func (engine *Engine) postCancel(writer http.ResponseWriter, request *http.Request) {
+	var cancel wire.Cancel
+	if !decode(writer, request, &cancel) {
+		return
+	}
+	engine.batch.cancel(cancel.Attempt)
+	writer.WriteHeader(http.StatusOK)
+}
+
+func (engine *Engine) getCacheEvents(writer http.ResponseWriter, request *http.Request) {
+	after, err := strconv.ParseUint(request.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(writer, "after is not a sequence number", http.StatusBadRequest)
+		return
+	}
+	sequence, events := engine.cache.after(after, time.Now())
+	writeJSON(writer, http.StatusOK, eventsAnswer{sequence, events})
+}
+
+func (engine *Engine) getRecord(writer http.ResponseWriter, _ *http.Request) {
+	encoder := json.NewEncoder(writer)
+	for _, line := range engine.record.list() {
+		if encoder.Encode(line) != nil {
+			return
+		}
+	}
+}
+
+func (engine *Engine) applyFault(order fault.Order) error {
+	switch order.Fault {
+	case FaultSlow:
+		engine.slow.amount.Store(int64(order.Amount))
+	case FaultLag:
+		engine.batch.setLag(time.Duration(order.Amount))
+	case FaultDie:
+		if engine.config.Die != nil {
+			engine.config.Die()
+		}
+		return engine.config.Injector.Apply(fault.Order{Fault: fault.Refuse})
+	case fault.Clear:
+		engine.slow.amount.Store(0)
+		engine.batch.setLag(engine.config.ReportLag)
+	default:
+		return errors.NotValidf("fault %q", order.Fault)
+	}
+	return nil
+}
--- a/standin/fault/injector.go
+++ b/standin/fault/injector.go
@@ -64,6 +64,7 @@
 	open       map[string]int
 	silent     map[string]span
 	extra      func(Order) error
+	listener   *Listener
 }
 
 // New returns an Injector without faults.
@@ -82,6 +83,9 @@
 // Apply starts a fault.
 func (injector *Injector) Apply(order Order) error {
 	known := injector.applyKnown(order)
+	if order.Fault == Refuse {
+		injector.closePort()
+	}
 	if known && order.Fault != Clear {
 		return nil
 	}
@@ -126,6 +130,21 @@
 	return true
 }
 
+func (injector *Injector) closePort() {
+	injector.mu.Lock()
+	listener := injector.listener
+	injector.mu.Unlock()
+	if listener != nil {
+		listener.refuse()
+	}
+}
+
+func (injector *Injector) refusing() bool {
+	injector.mu.Lock()
+	defer injector.mu.Unlock()
+	return injector.refuse.covers(time.Now())
+}
+
 func (injector *Injector) clear() {
 	injector.pause = span{}
 	injector.outage = span{}
@@ -179,15 +198,12 @@
 	}
 	now := time.Now()
 	injector.mu.Lock()
-	refused := injector.refuse.covers(now)
 	out := injector.outage.covers(now)
 	drop := injector.takeDrop(request)
 	injector.mu.Unlock()
 	switch {
-	case refused:
-		panic(http.ErrAbortHandler)
 	case out:
-		http.Error(writer, "store is down", http.StatusServiceUnavailable)
+		http.Error(writer, "service is down", http.StatusServiceUnavailable)
 	case drop:
 		next.ServeHTTP(&discard{header: http.Header{}}, request)
 		panic(http.ErrAbortHandler)
@@ -231,17 +247,21 @@
 }
 
 // hold waits while the connection is paused or silent. It returns false when
-// the client has gone.
+// the client has gone or connections are refused.
 func (injector *Injector) hold(ctx context.Context, address string) bool {
 	for {
 		injector.mu.Lock()
 		now := time.Now()
+		refused := injector.refuse.covers(now)
 		held := injector.pause
 		if !held.covers(now) {
 			held = injector.silent[address]
 		}
 		changed := injector.changed
 		injector.mu.Unlock()
+		if refused {
+			return false
+		}
 		if !held.covers(now) {
 			return ctx.Err() == nil
 		}
