Apply above nodes that hold another content for the store's generation

After the store came back older, an operator who reached no node could get a generation accepted that nodes hold with another content. Applying the same folder again was then "unchanged", and those nodes kept the other content. Apply now knows all heads of the asked nodes and takes a higher generation.

A head of which only the generation is known can be the change that is being resumed; the outcome is then unknown and not lost. Faults of reading the folder print as file:line: key: problem.

--- a/generation/apply.go
+++ b/generation/apply.go
@@ -36,10 +36,10 @@
 	Based bool
 	Base  uint64
 
-	// Held is the highest head that a node holds. It is above the store's
-	// head when the store came back with an older state. Change and Digest
-	// are empty when only the generation is known.
-	Held Head
+	// Held are the heads that nodes hold. They are above the store's head
+	// when the store came back with an older state. Change and Digest are
+	// empty when only the generation is known.
+	Held []Head
 }
 
 // An Apply brings one configuration into force. It is a state machine: Start
@@ -144,7 +144,7 @@
 	if apply.config.Based && base.Generation != apply.config.Base {
 		return apply.walk(base)
 	}
-	if base == apply.current && base.Digest == apply.proposal().Digest {
+	if base == apply.current && base.Digest == apply.proposal().Digest && !apply.contradicted() {
 		return apply.done(Unchanged{Head: base})
 	}
 	if err := apply.build(base); err != nil {
@@ -153,15 +153,43 @@
 	return apply.writeBody()
 }
 
-// base returns the higher of the heads that store and nodes hold. A node that
-// holds this very change is no base for it: the swap had taken effect before
-// the store came back with an older state.
+// base returns the highest of the heads that store and nodes hold. A node
+// that holds this very change is no base for it: the swap had taken effect
+// before the store came back with an older state.
 func (apply *Apply) base() Head {
-	held := apply.config.Held
-	if held.Generation > apply.current.Generation && held.Change != apply.config.Change {
-		return held
+	own := apply.heldGeneration()
+	base := apply.current
+	for _, held := range apply.config.Held {
+		isOwn := held.Change == apply.config.Change || held.Change == "" && held.Generation == own
+		higher := held.Generation > base.Generation || held.Generation == base.Generation && base.Change == ""
+		if higher && !isOwn {
+			base = held
+		}
+	}
+	return base
+}
+
+// heldGeneration returns the generation at which a node holds this change, 0
+// when none does.
+func (apply *Apply) heldGeneration() uint64 {
+	for _, held := range apply.config.Held {
+		if held.Change == apply.config.Change {
+			return held.Generation
+		}
+	}
+	return 0
+}
+
+// contradicted reports whether a node holds another content for the store's
+// generation. It will not adopt the store's content before a higher
+// generation has it.
+func (apply *Apply) contradicted() bool {
+	for _, held := range apply.config.Held {
+		if held.Generation == apply.current.Generation && held.Digest != "" && held.Digest != apply.current.Digest {
+			return true
+		}
 	}
-	return apply.current
+	return false
 }
 
 func (apply *Apply) build(base Head) error {
@@ -343,11 +371,11 @@
 
 // lose ends an apply whose change is not among the accepted ones. A store
 // that came back with a head below the proposal may have forgotten it, while
-// nodes hold it.
+// nodes hold it; so may a head of which only the generation is known be it.
 func (apply *Apply) lose() Step {
 	proposal := apply.proposal()
-	if apply.uncertain && apply.winner.Generation < proposal.Generation {
-		return apply.fail(errors.Errorf("head went back to generation %d", apply.winner.Generation))
+	if apply.uncertain && (apply.winner.Generation < proposal.Generation || apply.winner.Change == "") {
+		return apply.fail(errors.Errorf("store has generation %d, nodes may hold this change", apply.current.Generation))
 	}
 	if apply.winner == apply.current && apply.winner.Digest == proposal.Digest {
 		return apply.done(Unchanged{Head: apply.winner})
--- a/generation/apply_test.go
+++ b/generation/apply_test.go
@@ -302,7 +302,7 @@
 	store.accept(first)
 	held := generation.Head{Generation: 6, Change: "c6", Digest: merged.Digest()}
 	config := generation.ApplyConfig{
-		Folder: merged, Files: files, Author: "a", Reason: "r", Time: testTime, Change: "own", Held: held,
+		Folder: merged, Files: files, Author: "a", Reason: "r", Time: testTime, Change: "own", Held: []generation.Head{{Generation: 5}, held},
 	}
 	outcome := store.run(t, generation.NewApply(config), nil, faultNone, never)
 	require.IsType(t, generation.Accepted{}, outcome)
@@ -317,21 +317,43 @@
 	assert.Equal(t, generation.Lost{Winner: held}, outcome)
 
 	// Only the generation of the nodes' head is known.
-	config.Held = generation.Head{Generation: 6}
+	config.Held = []generation.Head{{Generation: 6}}
 	outcome = store.run(t, generation.NewApply(config), nil, faultRefused, never)
 	assert.IsType(t, generation.NotApplied{}, outcome)
 	outcome = store.run(t, generation.NewApply(config), nil, faultNone, never)
-	assert.Equal(t, generation.Lost{Winner: config.Held}, outcome)
-	config.Held = held
+	assert.Equal(t, generation.Lost{Winner: config.Held[0]}, outcome)
 
 	// The nodes hold this change, which the store has forgotten.
 	config.Based = false
-	config.Resume, config.Held.Change = 6, "own"
+	config.Resume, config.Held = 6, []generation.Head{{Generation: 6}}
+	outcome = store.run(t, generation.NewApply(config), nil, faultNone, never)
+	assert.IsType(t, generation.Unresolved{}, outcome, "the node may hold this change")
+	held.Change = "own"
+	config.Held = append(config.Held, held)
 	outcome = store.run(t, generation.NewApply(config), nil, faultNone, never)
 	require.IsType(t, generation.Accepted{}, outcome)
 	assert.Equal(t, generation.Head{Generation: 6, Change: "own", Digest: merged.Digest()}, store.head)
 }
 
+// TestApplyConflictingNodes guards against nodes that keep another content for
+// the store's generation for ever, because applying the store's content again
+// changes nothing.
+func TestApplyConflictingNodes(t *testing.T) {
+	merged, files := testFolder(t, "900ms")
+	store := newFakeStore()
+	first := testBody(t, generation.Head{}, "first", "900ms")
+	store.accept(first)
+	config := generation.ApplyConfig{Folder: merged, Files: files, Author: "a", Reason: "r", Time: testTime, Change: "own"}
+	config.Held = []generation.Head{first.Head(), {Generation: 1, Change: "x", Digest: "y"}}
+	outcome := store.run(t, generation.NewApply(config), nil, faultNone, never)
+	require.IsType(t, generation.Accepted{}, outcome)
+	assert.Equal(t, uint64(2), store.head.Generation)
+
+	config.Change, config.Held = "again", []generation.Head{store.head, first.Head()}
+	outcome = store.run(t, generation.NewApply(config), nil, faultNone, never)
+	assert.Equal(t, generation.Unchanged{Head: store.head}, outcome)
+}
+
 // TestApplyBase guards against an apply that overwrites a change that its
 // author has not seen.
 func TestApplyBase(t *testing.T) {
--- a/operator/apply.go
+++ b/operator/apply.go
@@ -77,7 +77,7 @@
 		Resume: change.generation,
 		Based:  request.Based,
 		Base:   request.Base,
-		Held:   operator.heldHead(ctx),
+		Held:   operator.askHeads(ctx),
 	})
 	outcome := operator.runApply(ctx, apply)
 	head, code := operator.printOutcome(outcome)
@@ -87,11 +87,10 @@
 	return operator.waitInForce(ctx, head, request.Wait)
 }
 
-// heldHead returns the highest head that the asked nodes hold or have heard
-// of. Nodes that do not answer are left out: apply must work when a node is
+// askHeads returns the heads that a sample of the nodes hold or have heard of. Nodes that do not answer are left out: apply must work when a node is
 // down, and any one node is enough to notice that the store came back with an
 // older state.
-func (operator *Operator) heldHead(ctx context.Context) generation.Head {
+func (operator *Operator) askHeads(ctx context.Context) []generation.Head {
 	addresses, err := operator.nodeAddresses(ctx)
 	if err != nil {
 		operator.warn("nodes in the store are not known: %v", err)
@@ -102,7 +101,7 @@
 			operator.warn("node %s does not answer: %v", report.address, report.err)
 		}
 	}
-	return highestHead(reports)
+	return heldHeads(reports)
 }
 
 // runApply executes the steps of an apply.
--- a/operator/check.go
+++ b/operator/check.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"lacewingspoke.org/lacewingspoke/folder"
+	"lacewingspoke.org/lacewingspoke/inifile"
 	"lacewingspoke.org/lacewingspoke/platform"
 )
 
@@ -40,12 +41,16 @@
 
 // readFolder reads and merges a folder and prints its faults.
 func (operator *Operator) readFolder(directory string) (*folder.Folder, []folder.File, ExitCode) {
-	files, err := readFiles(directory)
+	entries, err := os.ReadDir(directory)
 	if err != nil {
-		operator.warn("%s: %v", directory, err)
+		operator.warn("%v", err)
 		return nil, nil, ExitRejected
 	}
-	merged, problems := folder.Merge(files)
+	files, problems := readFiles(directory, entries)
+	var merged *folder.Folder
+	if len(problems) == 0 {
+		merged, problems = folder.Merge(files)
+	}
 	for _, problem := range problems {
 		operator.print("%s", problem)
 	}
@@ -55,33 +60,37 @@
 	return merged, files, ExitDone
 }
 
-// readFiles reads the INI files of a directory. Files whose sizes add up to
-// more than the store holds are not read.
-func readFiles(directory string) ([]folder.File, error) {
-	entries, err := os.ReadDir(directory)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
+// readFiles reads the INI files of a directory. Files from the one on with
+// which the sizes add up to more than the store holds are not read.
+func readFiles(directory string, entries []os.DirEntry) ([]folder.File, []folder.Problem) {
 	var files []folder.File
+	var problems []folder.Problem
 	total := int64(0)
 	for _, entry := range entries {
 		if entry.IsDir() || filepath.Ext(entry.Name()) != fileExtension {
 			continue
 		}
-		path := filepath.Join(directory, entry.Name())
-		info, err := os.Stat(path)
-		if err != nil {
-			return nil, errors.Trace(err)
-		}
-		total += info.Size()
-		if total > platform.MaxValueBytes {
-			return nil, errors.QuotaLimitExceededf("%s: files of %d bytes, more than %d,", entry.Name(), total, platform.MaxValueBytes)
-		}
-		data, err := os.ReadFile(path)
+		data, err := readFile(filepath.Join(directory, entry.Name()), &total)
 		if err != nil {
-			return nil, errors.Trace(err)
+			problems = append(problems, inifile.NewProblem(entry.Name(), 1, "file", err.Error()))
+			continue
 		}
 		files = append(files, folder.File{Name: entry.Name(), Data: data})
 	}
-	return files, nil
+	return files, problems
+}
+
+// readFile adds the file's size to the total and reads the file if the total
+// is not too large.
+func readFile(path string, total *int64) ([]byte, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	*total += info.Size()
+	if *total > platform.MaxValueBytes {
+		return nil, errors.Errorf("brings the folder to %d bytes, over the store's %d", *total, platform.MaxValueBytes)
+	}
+	data, err := os.ReadFile(path)
+	return data, errors.Trace(err)
 }
--- a/operator/node.go
+++ b/operator/node.go
@@ -157,21 +157,29 @@
 	return errors.Errorf("status %d: %s", reply.Status, bytes.TrimSpace(reply.Body))
 }
 
-// highestHead returns the highest head that a node holds or has heard of from
-// a peer. Change and digest are empty for one that only a peer holds.
-func highestHead(reports []nodeReport) generation.Head {
-	var highest generation.Head
+// heldHeads returns the heads that nodes hold or have heard of from a peer.
+// Change and digest are empty for one that only a peer holds.
+func heldHeads(reports []nodeReport) []generation.Head {
+	var heads []generation.Head
 	for _, report := range reports {
 		if report.err != nil {
 			continue
 		}
-		if report.head().Generation >= highest.Generation {
-			highest = report.head()
-		}
+		heads = append(heads, report.head())
 		for _, linked := range report.status.Peers {
-			if linked.Generation > highest.Generation {
-				highest = generation.Head{Generation: linked.Generation}
-			}
+			heads = append(heads, generation.Head{Generation: linked.Generation})
+		}
+	}
+	return heads
+}
+
+// highestHead returns the highest head, preferably one with a digest.
+func highestHead(heads []generation.Head) generation.Head {
+	var highest generation.Head
+	for _, head := range heads {
+		known := head.Generation == highest.Generation && highest.Digest == ""
+		if head.Generation > highest.Generation || known {
+			highest = head
 		}
 	}
 	return highest
--- a/operator/node_test.go
+++ b/operator/node_test.go
@@ -17,11 +17,11 @@
 		{err: errors.New("down"), status: admin.Status{Generation: 99}},
 		{status: admin.Status{Generation: 4, Change: "c", Digest: "d", Peers: []admin.PeerStatus{{Name: "b", Generation: 4}}}},
 	}
-	assert.Equal(t, generation.Head{Generation: 4, Change: "c", Digest: "d"}, highestHead(reports))
+	assert.Equal(t, generation.Head{Generation: 4, Change: "c", Digest: "d"}, highestHead(heldHeads(reports)))
 	reports[1].status.Peers[0].Generation = 6
-	assert.Equal(t, generation.Head{Generation: 6}, highestHead(reports))
+	assert.Equal(t, generation.Head{Generation: 6}, highestHead(heldHeads(reports)))
 	reports = append(reports, nodeReport{status: admin.Status{Generation: 6, Change: "e", Digest: "f"}})
-	assert.Equal(t, generation.Head{Generation: 6, Change: "e", Digest: "f"}, highestHead(reports))
+	assert.Equal(t, generation.Head{Generation: 6, Change: "e", Digest: "f"}, highestHead(heldHeads(reports)))
 }
 
 // TestSample guards against a sample of neighbours, which can all be cut off
--- a/operator/status.go
+++ b/operator/status.go
@@ -24,7 +24,7 @@
 	sort.SliceStable(reports, func(i, j int) bool { return reports[i].status.Node < reports[j].status.Node })
 	operator.printNodes(reports)
 	operator.printGroups(reports)
-	head := highestHead(reports)
+	head := highestHead(heldHeads(reports))
 	for _, report := range reports {
 		if line := behindText(report, head); line != "" {
 			operator.warn("%s", line)
