Test the fleet against a simulated store

A simulation with delays, lost answers, pauses, cuts, restarts and stops checks that at most one node leads a domain.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -83,6 +83,10 @@
 
 	lease   lease
 	members map[string]*member
+
+	// loose is the members that may be neither recorded nor linked.
+	loose map[string]*member
+
 	domains map[string]*domain
 
 	// ordered is the domains by name.
@@ -95,6 +99,9 @@
 	listAt     time.Time
 	listErrors int
 
+	// writtenAt is when this node's record was first written.
+	writtenAt time.Time
+
 	watching bool
 	stopping bool
 	stopped  bool
@@ -127,6 +134,7 @@
 		value:   value,
 		random:  config.Random,
 		members: make(map[string]*member),
+		loose:   make(map[string]*member),
 		domains: make(map[string]*domain),
 		changed: true,
 	}
@@ -159,7 +167,7 @@
 	case ListFailed:
 		fleet.listing = false
 		fleet.listErrors++
-		fleet.listAt = now.Add(fleet.backoff(fleet.listErrors))
+		fleet.listAt = now.Add(fleet.listRetry())
 	case KeysChanged:
 		fleet.takeChanges(now, event)
 	case DomainsKnown:
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,285 @@
+package fleet
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lacewingspoke.org/lacewingspoke/platform"
+)
+
+// testSeed makes property tests repeatable; -rapid.seed overrides it.
+const testSeed = "20261204"
+
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", testSeed); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+func testDomains(count int) []Domain {
+	var domains []Domain
+	for index := range count {
+		domains = append(domains, Domain{Name: fmt.Sprint("fabric-", index), FailureDomain: fmt.Sprint("fd-", index%3)})
+	}
+	return domains
+}
+
+// startSix runs six nodes in three failure domains until they settle.
+func startSix(seed uint64, domains []Domain) *simulation {
+	sim := newSimulation(seed)
+	for index := range 6 {
+		name := fmt.Sprint("node-", index)
+		node := sim.add(name, "1", fmt.Sprint("fd-", index%3))
+		sim.give(name, node, DomainsKnown{Domains: domains})
+	}
+	sim.advance(20 * time.Second)
+	return sim
+}
+
+// At most one node leads a domain at any moment, whatever is paused, lost,
+// delayed, cut off, restarted or stopped, and a node that leads holds the key
+// in the store. Guards against a lease that is taken to begin with its answer.
+func TestAtMostOneLeader(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		domains := testDomains(3)
+		sim := startSix(rapid.Uint64().Draw(t, "seed"), domains)
+		sim.loss = rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(t, "loss")
+		sim.delay = rapid.SampledFrom([]time.Duration{5 * time.Millisecond, time.Second, 8 * time.Second}).Draw(t, "delay")
+		restarts := 1
+		for range rapid.IntRange(5, 30).Draw(t, "steps") {
+			name := rapid.SampledFrom(sim.order).Draw(t, "node")
+			node := sim.nodes[name]
+			switch rapid.IntRange(0, 8).Draw(t, "action") {
+			case 0, 1:
+				node.paused = true
+			case 2, 3:
+				sim.resume(name)
+			case 4:
+				sim.cut[name] = !sim.cut[name]
+			case 5:
+				sim.down = !sim.down
+			case 6:
+				restarts++
+				fresh := sim.add(name, fmt.Sprint(restarts), node.fleet.self.FailureDomain)
+				sim.give(name, fresh, DomainsKnown{Domains: domains})
+			case 7:
+				sim.give(name, node, Stopping{})
+			case 8:
+				sim.give(name, node, Stopped{})
+			}
+			for range rapid.IntRange(1, 40).Draw(t, "quarters") {
+				sim.advance(250 * time.Millisecond)
+				checkLeaders(t, sim, domains)
+			}
+		}
+	})
+}
+
+func checkLeaders(t *rapid.T, sim *simulation, domains []Domain) {
+	for _, domain := range domains {
+		leaders := sim.leaders(domain.Name)
+		if len(leaders) > 1 {
+			t.Fatalf("%s is led by %v", domain.Name, leaders)
+		}
+		if told := sim.told(domain.Name); len(told) > 1 {
+			t.Fatalf("%v were told that they lead %s", told, domain.Name)
+		}
+		for _, name := range leaders {
+			leader, err := ParseLeader(sim.entries[LeaderKey(domain.Name)].Value)
+			if err != nil || leader != sim.nodes[name].fleet.ownLeader() {
+				t.Fatalf("%s believes that it leads %s without the key", name, domain.Name)
+			}
+		}
+	}
+}
+
+// After any disturbance that ends, every domain has a leader again.
+func TestEveryDomainIsLedAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		domains := testDomains(4)
+		sim := startSix(rapid.Uint64().Draw(t, "seed"), domains)
+		sim.loss = 0.5
+		sim.delay = 3 * time.Second
+		sim.down = rapid.Bool().Draw(t, "down")
+		for _, name := range sim.order {
+			sim.nodes[name].paused = rapid.Bool().Draw(t, "paused")
+			sim.cut[name] = rapid.Bool().Draw(t, "cut")
+		}
+		sim.advance(time.Duration(rapid.IntRange(0, 60).Draw(t, "seconds")) * time.Second)
+		sim.loss, sim.delay, sim.down = 0, 20*time.Millisecond, false
+		clear(sim.cut)
+		for _, name := range sim.order {
+			sim.resume(name)
+		}
+		sim.advance(90 * time.Second)
+		for _, domain := range domains {
+			if leaders := sim.leaders(domain.Name); len(leaders) != 1 {
+				t.Fatalf("%s is led by %v", domain.Name, leaders)
+			}
+		}
+	})
+}
+
+// Leaders are in the domain's own failure domain while it has nodes.
+func TestLeaderIsNear(t *testing.T) {
+	domains := testDomains(9)
+	sim := startSix(1, domains)
+	for _, domain := range domains {
+		leaders := sim.leaders(domain.Name)
+		require.Len(t, leaders, 1)
+		assert.Equal(t, domain.FailureDomain, sim.nodes[leaders[0]].fleet.self.FailureDomain)
+	}
+}
+
+// A node that stops hands its domains over within a few seconds, without the
+// wait for its lease.
+func TestStopHandsDomainsOver(t *testing.T) {
+	domains := testDomains(3)
+	sim := startSix(1, domains)
+	stopped := sim.leaders(domains[0].Name)[0]
+	sim.give(stopped, sim.nodes[stopped], Stopping{})
+	assert.Empty(t, sim.leaders(domains[0].Name))
+	sim.advance(3 * time.Second)
+	leaders := sim.leaders(domains[0].Name)
+	require.Len(t, leaders, 1)
+	assert.NotEqual(t, stopped, leaders[0])
+	assert.Contains(t, sim.entries, NodeKey(stopped))
+	sim.give(stopped, sim.nodes[stopped], Stopped{})
+	sim.remove(stopped)
+	sim.advance(time.Second)
+	assert.NotContains(t, sim.entries, NodeKey(stopped))
+}
+
+// A leader that was paused past its lease must give up the domain before it
+// returns any other effect, and an answer that waited during the pause must
+// not extend the lease.
+func TestPausedLeaderGivesUpFirst(t *testing.T) {
+	now := time.Now()
+	fleet := New(Config{Name: "a", Incarnation: "1", Random: newSimulation(1).random})
+	domain := Domain{Name: "d"}
+	fleet.Handle(now, DomainsKnown{Domains: []Domain{domain}})
+	fleet.Handle(now, KeysListed{Prefix: NodePrefix, Revision: 1})
+	fleet.Handle(now, KeysListed{Prefix: DomainPrefix, Revision: 1})
+	fleet.Handle(now, LeaseGranted{Lease: "l", TTL: 9 * time.Second, Sent: now})
+	fleet.Handle(now, NodeWritten{Lease: "l", Outcome: platform.Written{Revision: 2}})
+	effects := fleet.Handle(now.Add(settleNear), Tick{})
+	require.IsType(t, ClaimDomain{}, effects[len(effects)-1])
+	effects = fleet.Handle(now.Add(settleNear), ClaimDone{Domain: "d", Lease: "l", Outcome: platform.Written{Revision: 3}})
+	until := now.Add(9*time.Second - 90*time.Millisecond)
+	assert.Equal(t, []Effect{LeadershipHeld{Domain: "d", Until: until}}, effects)
+
+	resumed := now.Add(10 * time.Second)
+	_, leads := fleet.Leads("d", resumed)
+	assert.False(t, leads)
+	effects = fleet.Handle(resumed, LeaseRenewed{Lease: "l", Sent: now.Add(500 * time.Millisecond)})
+	assert.Equal(t, LeadershipLost{Domain: "d"}, effects[0])
+	assert.NotContains(t, fmt.Sprintf("%T", effects), "LeadershipHeld")
+
+	effects = fleet.Handle(resumed, LeaseRenewed{Lease: "l", Sent: resumed})
+	require.NotEmpty(t, effects)
+	assert.IsType(t, LeadershipHeld{}, effects[0])
+}
+
+// A partition with the store on one side: the other side leads nothing after
+// its leases, and the nodes with the store lead every domain.
+func TestPartitionFromStore(t *testing.T) {
+	domains := testDomains(6)
+	sim := startSix(1, domains)
+	for _, name := range []string{"node-0", "node-1", "node-2"} {
+		sim.cut[name] = true
+	}
+	sim.advance(30 * time.Second)
+	for _, domain := range domains {
+		leaders := sim.leaders(domain.Name)
+		require.Len(t, leaders, 1)
+		assert.False(t, sim.cut[leaders[0]])
+	}
+	assert.True(t, sim.nodes["node-0"].fleet.Alive("node-3"))
+}
+
+// All nodes are replaced one after the other within minutes: the domains stay
+// led and the old nodes are forgotten.
+func TestEveryNodeIsReplaced(t *testing.T) {
+	domains := testDomains(3)
+	sim := startSix(1, domains)
+	for index := range 6 {
+		old := fmt.Sprint("node-", index)
+		sim.remove(old)
+		fresh := fmt.Sprint("fresh-", index)
+		node := sim.add(fresh, "1", fmt.Sprint("fd-", index%3))
+		sim.give(fresh, node, DomainsKnown{Domains: domains})
+		sim.advance(30 * time.Second)
+	}
+	for _, domain := range domains {
+		assert.Len(t, sim.leaders(domain.Name), 1)
+	}
+	for _, name := range sim.order {
+		assert.Len(t, sim.nodes[name].fleet.Nodes(), 6)
+	}
+}
+
+// A store outage longer than the leases of 730 nodes must not end in more
+// calls a second than the store admits. The same run measures the calls before
+// the outage.
+func TestNoRenewalStormAfterOutage(t *testing.T) {
+	const nodes = 730
+	sim := newSimulation(1)
+	for index := range nodes {
+		name := fmt.Sprint("node-", index)
+		node := sim.add(name, "1", fmt.Sprint("fd-", index%7))
+		node.fleet.listAt = sim.now.Add(time.Duration(index) * 75 * time.Millisecond)
+	}
+	sim.advance(3 * time.Minute)
+	steady := busiest(sim, 2*time.Minute, 3*time.Minute)
+	sim.down = true
+	sim.advance(90 * time.Second)
+	sim.down = false
+	sim.advance(90 * time.Second)
+	recovery := busiest(sim, 270*time.Second, 6*time.Minute)
+	t.Logf("busiest second: %d calls before the outage, %d after it", steady, recovery)
+	assert.LessOrEqual(t, steady, 150)
+	assert.LessOrEqual(t, recovery, 300)
+	assert.Len(t, sim.listed(NodePrefix).(KeysListed).Entries, nodes)
+}
+
+func busiest(sim *simulation, from, to time.Duration) int {
+	most := 0
+	for second := int(from / time.Second); second < int(to/time.Second); second++ {
+		most = max(most, sim.calls[second])
+	}
+	return most
+}
+
+// Versions of an incarnation never go back, and after the current incarnation
+// is known no other is accepted.
+func TestVersionsNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		versions := NewVersions()
+		newest := map[string]uint64{}
+		confirmed := ""
+		for range rapid.IntRange(1, 100).Draw(t, "frames") {
+			incarnation := rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, "incarnation")
+			if rapid.IntRange(0, 9).Draw(t, "confirm") == 0 {
+				versions.Confirm("origin", incarnation)
+				confirmed = incarnation
+			}
+			version := rapid.Uint64Range(1, 20).Draw(t, "version")
+			accepted := versions.Advance("origin", incarnation, version)
+			isNew := version > newest[incarnation] && (confirmed == "" || confirmed == incarnation)
+			if accepted != isNew {
+				t.Fatalf("version %d of %s after %d: %v", version, incarnation, newest[incarnation], accepted)
+			}
+			if accepted {
+				newest[incarnation] = version
+			}
+		}
+	})
+}
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -16,6 +16,13 @@
 	// the watch's delay and the write of the one before.
 	claimStep = 2 * time.Second
 
+	// settleNear and settleFar are how long a node that was just started leaves
+	// domains in its own failure domain and in others to nodes that may be
+	// starting at the same time. Leaders are not moved later, because the
+	// domain's groups are without grants meanwhile.
+	settleNear = 2 * time.Second
+	settleFar  = 10 * time.Second
+
 	// pollingCandidates is how many candidates of a domain poll its leader's
 	// key without a watch. Watchers stand in when all of them are gone.
 	pollingCandidates = 3
@@ -309,13 +316,21 @@
 	if now.Before(domain.tryAt) || !fleet.lease.safe(now) || !fleet.lease.written {
 		return false
 	}
-	if domain.rank >= pollingCandidates && !fleet.watching {
+	if domain.rank >= pollingCandidates && !fleet.watching || !fleet.settled(now, domain) {
 		return false
 	}
 	wait := time.Duration(min(fleet.claimRank(domain), pollingCandidates)) * claimStep
 	return !now.Before(domain.absentAt.Add(wait))
 }
 
+func (fleet *Fleet) settled(now time.Time, domain *domain) bool {
+	settle := settleFar
+	if domain.failureDomain == fleet.self.FailureDomain {
+		settle = settleNear
+	}
+	return !now.Before(fleet.writtenAt.Add(settle))
+}
+
 // claimRank is the rank without the candidate that gave the domain up: it does
 // not claim it again.
 func (fleet *Fleet) claimRank(domain *domain) int {
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -145,6 +145,9 @@
 		return
 	}
 	lease.written = true
+	if fleet.writtenAt.IsZero() {
+		fleet.writtenAt = now
+	}
 	self := fleet.members[fleet.self.Name]
 	self.recorded = true
 	self.revision = max(self.revision, written.Revision)
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -99,11 +99,11 @@
 		present = &member{hash: hashName(name)}
 		fleet.members[name] = present
 	}
+	fleet.changed = fleet.changed || !present.recorded || present.node != node
 	present.node = node
 	present.recorded = true
 	present.removed = false
 	present.revision = entry.Revision
-	fleet.changed = true
 }
 
 // recordSelf notes this node's own record. One of another incarnation or lease
@@ -131,6 +131,7 @@
 	}
 	present.recorded = false
 	present.removed = true
+	fleet.loose[name] = present
 	fleet.changed = true
 	if present.self {
 		fleet.rewriteSelf(now)
@@ -162,17 +163,20 @@
 	}
 	present.linked = false
 	present.closedAt = now
+	fleet.loose[name] = present
 	fleet.changed = true
 }
 
 // forget drops nodes that are neither recorded nor linked.
 func (fleet *Fleet) forget(now time.Time) {
-	for name, member := range fleet.members {
+	for name, member := range fleet.loose {
 		if member.self || member.recorded || member.linked {
+			delete(fleet.loose, name)
 			continue
 		}
 		if member.removed || now.Sub(member.closedAt) >= ForgetNode {
 			delete(fleet.members, name)
+			delete(fleet.loose, name)
 			fleet.changed = true
 		}
 	}
@@ -194,6 +198,16 @@
 	return fleet.between(interval/2, interval+interval/2)
 }
 
+// listRetry keeps the retries of a large fleet during an outage near the rate
+// of its polls, after a first quick retry.
+func (fleet *Fleet) listRetry() time.Duration {
+	wait := fleet.backoff(fleet.listErrors)
+	if fleet.listErrors > 1 {
+		wait = max(wait, fleet.pollWait())
+	}
+	return wait
+}
+
 // list asks for the nodes, which a node without a watch polls.
 func (fleet *Fleet) list(now time.Time) {
 	if fleet.listing || now.Before(fleet.listAt) || fleet.watching && fleet.listed {
--- a/fleet/topology.go
+++ b/fleet/topology.go
@@ -49,6 +49,9 @@
 // seeds returns the seeds that no known node has as its address. A large fleet
 // needs them only while no link is up.
 func (fleet *Fleet) seeds() []Target {
+	if len(fleet.config.Seeds) == 0 {
+		return nil
+	}
 	known := make(map[string]bool, len(fleet.members))
 	linked := false
 	for _, member := range fleet.members {
@@ -100,7 +103,10 @@
 		}
 	}
 	slices.SortFunc(members, func(left, right *member) int {
-		return cmp.Or(cmp.Compare(left.hash, right.hash), cmp.Compare(left.node.Name, right.node.Name))
+		if left.hash != right.hash {
+			return cmp.Compare(left.hash, right.hash)
+		}
+		return cmp.Compare(left.node.Name, right.node.Name)
 	})
 	return members
 }
--- /dev/null
+++ b/fleet/topology_test.go
@@ -0,0 +1,175 @@
+package fleet
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// members returns nodes on the ring, spread unevenly over failure domains.
+func members(count, failureDomains int) []*member {
+	var members []*member
+	for index := range count {
+		name := fmt.Sprint("node-", index)
+		failureDomain := index % failureDomains
+		if index%5 == 0 {
+			failureDomain = 0
+		}
+		members = append(members, &member{
+			node: Node{Name: name, FailureDomain: fmt.Sprint("fd-", failureDomain), PeerAddress: name},
+			hash: hashName(name),
+		})
+	}
+	slices.SortFunc(members, func(left, right *member) int { return cmp.Compare(left.hash, right.hash) })
+	return members
+}
+
+// linksOf returns the links of every node, whichever side dials.
+func linksOf(members []*member) map[*member]map[*member]bool {
+	links := make(map[*member]map[*member]bool)
+	for _, node := range members {
+		links[node] = make(map[*member]bool)
+	}
+	for _, node := range members {
+		for _, peer := range pickPeers(node.node.Name, members) {
+			links[node][peer] = true
+			links[peer][node] = true
+		}
+	}
+	return links
+}
+
+// reached returns how many nodes a flood from the first live one reaches, and
+// in how many hops.
+func reached(members []*member, links map[*member]map[*member]bool, dead map[*member]bool) (nodes, hops int) {
+	seen := make(map[*member]bool)
+	var wave []*member
+	for _, node := range members {
+		if !dead[node] {
+			wave = append(wave, node)
+			seen[node] = true
+			break
+		}
+	}
+	for ; len(wave) > 0; hops++ {
+		var next []*member
+		for _, node := range wave {
+			for peer := range links[node] {
+				if !dead[peer] && !seen[peer] {
+					seen[peer] = true
+					next = append(next, peer)
+				}
+			}
+		}
+		wave = next
+	}
+	return len(seen), hops - 1
+}
+
+func TestFullMesh(t *testing.T) {
+	members := members(FullMeshNodes, 3)
+	for _, links := range linksOf(members) {
+		assert.Len(t, links, FullMeshNodes-1)
+	}
+}
+
+// Above the full mesh every node is reached, has about 8 links, most in its own
+// failure domain and at least two outside.
+func TestSparseMesh(t *testing.T) {
+	for _, size := range []int{13, 24, 48, 100, 730} {
+		failureDomains := 3
+		if size == 730 {
+			failureDomains = 7
+		}
+		members := members(size, failureDomains)
+		links := linksOf(members)
+		nodes, hops := reached(members, links, nil)
+		assert.Equal(t, size, nodes)
+		total, inside, most := 0, 0, 0
+		for member, peers := range links {
+			outside := 0
+			for peer := range peers {
+				if peer.node.FailureDomain == member.node.FailureDomain {
+					inside++
+				} else {
+					outside++
+				}
+			}
+			assert.GreaterOrEqual(t, outside, 2, member.node.Name)
+			total += len(peers)
+			most = max(most, len(peers))
+		}
+		t.Logf("%d nodes: %.1f links each, %.1f inside, at most %d, %d hops",
+			size, float64(total)/float64(size), float64(inside)/float64(size), most, hops)
+		assert.Less(t, total, 10*size)
+		if size >= 48 {
+			assert.Greater(t, 2*inside, total)
+		}
+	}
+}
+
+// A fifth of the nodes, or a whole failure domain, goes at once: nearly all, or
+// all, of the others stay connected before anyone chooses new peers.
+func TestSparseMeshSurvivesFailures(t *testing.T) {
+	members := members(730, 7)
+	links := linksOf(members)
+	random := rand.New(rand.NewPCG(3, 4))
+	dead := make(map[*member]bool)
+	for _, index := range random.Perm(len(members))[:146] {
+		dead[members[index]] = true
+	}
+	nodes, _ := reached(members, links, dead)
+	t.Logf("%d of %d live nodes are connected", nodes, 730-146)
+	assert.GreaterOrEqual(t, nodes, 580)
+
+	for failureDomain := range 7 {
+		clear(dead)
+		for _, member := range members {
+			if member.node.FailureDomain == fmt.Sprint("fd-", failureDomain) {
+				dead[member] = true
+			}
+		}
+		nodes, _ = reached(members, links, dead)
+		assert.Equal(t, 730-len(dead), nodes)
+	}
+}
+
+// The loss of one node must not move links elsewhere.
+func TestSparseMeshIsStable(t *testing.T) {
+	members := members(730, 7)
+	before := linksOf(members)
+	gone := members[100]
+	after := linksOf(slices.Delete(slices.Clone(members), 100, 101))
+	moved := 0
+	for member, peers := range after {
+		for peer := range peers {
+			if !before[member][peer] {
+				moved++
+			}
+		}
+	}
+	t.Logf("%d new link ends after the loss of a node with %d links", moved, len(before[gone]))
+	assert.LessOrEqual(t, moved, 2*len(before[gone]))
+}
+
+// Two nodes of each failure domain watch, also when the nodes see each other
+// only in the store.
+func TestTwoWatchersPerFailureDomain(t *testing.T) {
+	sim := newSimulation(1)
+	for index := range 12 {
+		sim.add(fmt.Sprint("node-", index), "1", fmt.Sprint("fd-", index%3))
+	}
+	sim.advance(30e9)
+	watchers := make(map[string]int)
+	for _, node := range sim.nodes {
+		if node.fleet.Watching() {
+			watchers[node.fleet.self.FailureDomain]++
+		}
+	}
+	require.Equal(t, map[string]int{"fd-0": 2, "fd-1": 2, "fd-2": 2}, watchers)
+}
