--- a/peer/queue.go
+++ b/peer/queue.go
@@ -102,6 +102,14 @@
 	return queue.result(queued)
 }
 
+// mayEcho reports whether a heartbeat has arrived that was not echoed yet and
+// that a packet composed at a time may be put behind.
+func (queue *queue) mayEcho(composed time.Time) bool {
+	queue.mutex.Lock()
+	defer queue.mutex.Unlock()
+	return queue.receivedAt.After(queue.echoed) && !composed.Before(queue.receivedAt)
+}
+
 // take removes every packet.
 func (queue *queue) take() []packet {
 	queue.mutex.Lock()
