--- a/peer/link.go
+++ b/peer/link.go
@@ -74,7 +74,13 @@
 // send puts a frame into the queue. A peer that is too slow for the bounds of
 // the queue loses its link, because a lost frame would go unnoticed while a
 // new link begins with the complete state.
+//
+// Grants are sent behind a fresh echo: the receiver counts their ages from the
+// heartbeat echoed last, which would otherwise be up to an interval older.
 func (link *link) send(packet packet, composed time.Time) {
+	if packet.kind == kindGrants && link.queue.mayEcho(composed) {
+		link.beat()
+	}
 	switch link.queue.put(packet, composed) {
 	case replaced:
 		link.mesh.metrics.replaced.Inc()
