Add caller, checker, demo and tests of the stand-ins

Process tests and the demo need to know whether what callers were told is true. The caller keeps what it was told, and the checker compares that with the records of engines and services. The demo runs the whole system as separate processes on loopback and checks each answer.

--- a/cmd/lacewingspoke-standin/main.go
+++ b/cmd/lacewingspoke-standin/main.go
@@ -20,6 +20,7 @@
 	Engine   engineCommand   `command:"engine" description:"Engines of one or more VMs"`
 	Service  serviceCommand  `command:"service" description:"Booking service"`
 	Balancer balancerCommand `command:"balancer" description:"TCP balancer over healthy nodes"`
+	Call     callCommand     `command:"call" description:"Send one request as a caller and check its answer"`
 }
 
 func main() {
--- /dev/null
+++ b/scripts/demo.sh
@@ -0,0 +1,155 @@
+#!/usr/bin/env bash
+# Starts the whole system on loopback as separate processes, applies
+# examples/folder, sends requests through the balancer, checks each answer and
+# stops every process that it started. DEMO_DIR keeps logs and records there.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+work=${DEMO_DIR:-$(mktemp -d)}
+mkdir -p "$work"
+pids=()
+
+stop() {
+  status=$?
+  trap - EXIT
+  # Nodes finish their requests first; the stand-ins go after them.
+  for ((index = ${#pids[@]} - 1; index >= 0; index--)); do
+    kill -TERM "${pids[index]}" 2>/dev/null || true
+  done
+  for pid in "${pids[@]}"; do
+    wait "$pid" 2>/dev/null || true
+  done
+  if [ "$status" -ne 0 ]; then
+    echo "demo failed with status $status" >&2
+    tail -n 5 "$work"/*.log >&2 || true
+  else
+    echo "demo passed, all processes stopped"
+  fi
+  if [ -z "${DEMO_DIR:-}" ]; then
+    rm -rf "$work"
+  fi
+  exit "$status"
+}
+trap stop EXIT
+trap 'exit 130' INT TERM
+
+# start NAME COMMAND... runs a process and notes its id.
+start() {
+  local name=$1
+  shift
+  "$@" >"$work/$name.log" 2>&1 &
+  pids+=($!)
+}
+
+# await SECONDS WHAT COMMAND... repeats a command until it succeeds.
+await() {
+  local limit=$((SECONDS + $1)) what=$2
+  shift 2
+  until "$@" >"$work/await.out" 2>&1; do
+    if [ "$SECONDS" -ge "$limit" ]; then
+      echo "timed out: $what" >&2
+      cat "$work/await.out" >&2
+      return 1
+    fi
+    sleep 0.1
+  done
+  echo "$what"
+}
+
+listening() { grep -q 'listening on' "$work/$1.log"; }
+
+standin=bin/lacewingspoke-standin
+domains=(constanta-port mamaia-north eforie-south)
+store=127.0.0.1:7000
+
+# One fabric domain per failure domain with three VMs each, and a spare VM.
+vms=()
+entries=()
+for index in 0 1 2 3 4 5 6 7 8 9; do
+  domain=${domains[index % 3]}
+  vms+=("vm-$index=127.0.0.1:$((7100 + index))")
+  entries+=("{\"name\":\"vm-$index\",\"address\":\"127.0.0.1:$((7100 + index))\",\"incarnation\":\"\",\"fabric-domain\":\"fabric-$domain\",\"failure-domain\":\"$domain\",\"accelerators\":4,\"state\":\"live\"}")
+done
+(IFS=,; echo "{\"vms\":[${entries[*]}]}") >"$work/vms.json"
+
+start store "$standin" store --listen "$store" --vms "$work/vms.json"
+for vm in "${vms[@]}"; do
+  start "engine-${vm%%=*}" "$standin" engine --vm "$vm" --checks-fencing --record "$work"
+done
+for index in 0 1 2; do
+  start "service-$index" "$standin" service --name "bookings-$index" \
+    --listen "127.0.0.1:$((7301 + index))" --record "$work/service-$index.jsonl"
+done
+
+seeds=()
+balanced=()
+admins=()
+for index in 0 1 2 3 4 5; do
+  seeds+=("127.0.0.1:$((7500 + index))")
+  balanced+=(--node "127.0.0.1:$((7400 + index))=127.0.0.1:$((7600 + index))")
+  admins+=("127.0.0.1:$((7600 + index))")
+done
+for index in 0 1 2 3 4 5; do
+  cat >"$work/node-$index.ini" <<SETTINGS
+[node]
+name           = node-$index
+failure-domain = ${domains[index % 3]}
+stop-notice    = 500ms
+
+[listen]
+callers = 127.0.0.1:$((7400 + index))
+peers   = 127.0.0.1:$((7500 + index))
+admin   = 127.0.0.1:$((7600 + index))
+
+[store]
+addresses = $store
+
+[peers]
+seeds = $(IFS=,; echo "${seeds[*]}")
+SETTINGS
+  start "node-$index" bin/lacewingspoke node --settings "$work/node-$index.ini"
+done
+start balancer "$standin" balancer --listen 127.0.0.1:7800 "${balanced[@]}"
+
+await 10 "store listens" listening store
+await 10 "balancer listens" listening balancer
+
+export LACEWINGSPOKE_STORE=$store
+LACEWINGSPOKE_NODE=$(IFS=,; echo "${admins[*]}")
+export LACEWINGSPOKE_NODE
+nodes_started() {
+  local index
+  for index in 0 1 2 3 4 5; do
+    grep -q '"msg":"started"' "$work/node-$index.log" || return 1
+  done
+}
+await 10 "nodes started" nodes_started
+bin/lacewingspoke apply examples/folder --reason "demo" --author demo --wait 10s
+
+call() { "$standin" call --address 127.0.0.1:7800 "$@"; }
+farul=(--key farul-demo-key)
+try=0
+first_draft() {
+  try=$((try + 1))
+  call "${farul[@]}" draft "warm-up $try"
+}
+await 60 "first draft answered" first_draft
+call "${farul[@]}" --stream draft "a streamed draft"
+call "${farul[@]}" draft "an unstreamed draft"
+call --key delfin-demo-key --stream draft "a draft of another workspace"
+call "${farul[@]}" lookup oak-17
+first=$(call "${farul[@]}" --idempotency-key demo-1 booking oak-17)
+second=$(call "${farul[@]}" --idempotency-key demo-1 booking oak-17)
+echo "$first"
+echo "$second"
+receipt() { sed 's/.*"receipts":\["\([^"]*\)"\].*/\1/' <<<"$1"; }
+if [ "$(receipt "$first")" != "$(receipt "$second")" ]; then
+  echo "the repeated booking has another receipt" >&2
+  exit 1
+fi
+runs=$(cat "$work"/service-*.jsonl | grep -c '"plank":"oak-17"')
+if [ "$runs" -ne 1 ]; then
+  echo "the booking ran $runs times" >&2
+  exit 1
+fi
+bin/lacewingspoke status
--- a/standin/balancer/balancer.go
+++ b/standin/balancer/balancer.go
@@ -22,6 +22,7 @@
 
 const (
 	defaultInterval = 100 * time.Millisecond
+	defaultTimeout  = 500 * time.Millisecond
 	dialTimeout     = time.Second
 )
 
@@ -36,8 +37,9 @@
 type Config struct {
 	Nodes []Node
 
-	// Interval is the time between two health checks, and the timeout of one.
+	// Interval is the time between two health checks, Timeout that of one.
 	Interval time.Duration
+	Timeout  time.Duration
 }
 
 // A Balancer spreads connections over healthy nodes.
@@ -53,11 +55,14 @@
 	if config.Interval == 0 {
 		config.Interval = defaultInterval
 	}
+	if config.Timeout == 0 {
+		config.Timeout = defaultTimeout
+	}
 	return &Balancer{
 		config:  config,
 		healthy: make([]atomic.Bool, len(config.Nodes)),
 		client: &http.Client{
-			Timeout:   config.Interval,
+			Timeout:   config.Timeout,
 			Transport: &http.Transport{DisableKeepAlives: true},
 		},
 	}
--- /dev/null
+++ b/standin/checker/checker.go
@@ -0,0 +1,229 @@
+// Package checker compares what callers were told with what the stand-ins
+// recorded, and reports every contradiction.
+//
+// # Usage
+//
+//	faults := checker.Check(checker.Evidence{
+//		Results:  results,
+//		Engines:  engineLines,
+//		Services: serviceLines,
+//	})
+package checker
+
+import (
+	"fmt"
+	"sort"
+
+	"lacewingspoke.org/lacewingspoke/standin/caller"
+	"lacewingspoke.org/lacewingspoke/standin/engine"
+	"lacewingspoke.org/lacewingspoke/standin/service"
+)
+
+// Evidence is what happened.
+type Evidence struct {
+	// Results are all requests for the prompts and planks in the records. A
+	// prompt belongs to one request; requests for one plank are repeats.
+	Results  []caller.Result
+	Engines  []engine.Line
+	Services []service.Line
+}
+
+// Rule names what a fault contradicts.
+type Rule string
+
+// The rules.
+const (
+	// RuleNotRun: a caller who was told "not-run" was told the truth.
+	RuleNotRun Rule = "not-run"
+
+	// RuleOnce: no booking ran more often than it may.
+	RuleOnce Rule = "once"
+
+	// RuleWhole: an answer that ended or was called complete is whole.
+	RuleWhole Rule = "whole"
+
+	// RuleOwn: an answer belongs to its request, also when it is not whole.
+	RuleOwn Rule = "own"
+
+	// RuleResume: a resumed stream begins where the earlier one ended.
+	RuleResume Rule = "resume"
+
+	// RuleKnown: every run has a request.
+	RuleKnown Rule = "known"
+)
+
+// A Fault is one contradiction.
+type Fault struct {
+	Rule   Rule
+	Detail string
+}
+
+// String returns the rule and the detail.
+func (fault Fault) String() string { return string(fault.Rule) + ": " + fault.Detail }
+
+// Check returns the faults in a fixed order.
+func Check(evidence Evidence) []Fault {
+	check := &check{}
+	check.drafts(evidence)
+	check.bookings(evidence)
+	check.lookups(evidence)
+	sort.Slice(check.faults, func(i, j int) bool {
+		return check.faults[i].String() < check.faults[j].String()
+	})
+	return check.faults
+}
+
+type check struct{ faults []Fault }
+
+func (check *check) add(rule Rule, format string, values ...any) {
+	check.faults = append(check.faults, Fault{rule, fmt.Sprintf(format, values...)})
+}
+
+func (check *check) drafts(evidence Evidence) {
+	runs := map[string]int{}
+	for _, line := range evidence.Engines {
+		if line.Event != engine.EventStart {
+			continue
+		}
+		runs[line.Prompt]++
+		if line.WrongResume {
+			check.add(RuleResume, "attempt %s was resumed at %d with another text", line.Attempt, line.From)
+		}
+	}
+	known := map[string]bool{}
+	for _, result := range evidence.Results {
+		if result.Kind != caller.KindDraft {
+			continue
+		}
+		if known[result.Prompt] {
+			check.add(RuleKnown, "prompt %q was sent twice, its runs cannot be told apart", result.Prompt)
+		}
+		known[result.Prompt] = true
+		check.draft(result, runs[result.Prompt])
+	}
+	for prompt := range runs {
+		if !known[prompt] {
+			check.add(RuleKnown, "prompt %q ran without a request", prompt)
+		}
+	}
+}
+
+func (check *check) draft(result caller.Result, runs int) {
+	whole := engine.Answer(result.Prompt, result.MaxTokens)
+	if result.Told == caller.ToldNotRun && runs > 0 {
+		check.add(RuleNotRun, "prompt %q ran %d times, its caller was told not-run", result.Prompt, runs)
+	}
+	if len(result.Text) > len(whole) || whole[:len(result.Text)] != result.Text {
+		check.add(RuleOwn, "prompt %q was answered with another text", result.Prompt)
+		return
+	}
+	if (result.Ended || result.Told == caller.ToldComplete) && result.Text != whole {
+		check.add(RuleWhole, "prompt %q was ended after %d of %d bytes", result.Prompt, len(result.Text), len(whole))
+	}
+	if result.Told == caller.ToldComplete && (!result.Ended || result.Error != "") {
+		check.add(RuleWhole, "prompt %q was called complete without its end: %s", result.Prompt, result.Error)
+	}
+	if result.Text != "" && runs == 0 {
+		check.add(RuleOwn, "prompt %q was answered but never ran", result.Prompt)
+	}
+}
+
+func (check *check) bookings(evidence Evidence) {
+	receipts := map[string][]string{}
+	for _, line := range evidence.Services {
+		receipts[line.Plank] = append(receipts[line.Plank], line.Receipt)
+	}
+	requests := map[string][]caller.Result{}
+	for _, result := range evidence.Results {
+		if result.Kind == caller.KindBooking {
+			requests[result.Plank] = append(requests[result.Plank], result)
+		}
+	}
+	for plank, results := range requests {
+		check.booking(plank, results, receipts[plank])
+	}
+	for plank := range receipts {
+		if len(requests[plank]) == 0 {
+			check.add(RuleKnown, "plank %q was booked without a request", plank)
+		}
+	}
+}
+
+// booking checks the requests for one plank. Each distinct key, and each
+// request without a key, may run once.
+func (check *check) booking(plank string, results []caller.Result, receipts []string) {
+	allowed := 0
+	keys := map[string]bool{}
+	possible := map[string]bool{}
+	for index, result := range results {
+		identity := "key " + result.Key
+		if result.Key == "" {
+			identity = fmt.Sprintf("request %d", index)
+		}
+		if !keys[identity] {
+			keys[identity] = true
+			allowed++
+		}
+		if result.Told != caller.ToldNotRun {
+			possible[identity] = true
+		}
+		check.receipt(result, receipts)
+	}
+	if len(receipts) > allowed {
+		check.add(RuleOnce, "plank %q was booked %d times for %d bookings", plank, len(receipts), allowed)
+	}
+	if len(receipts) > len(possible) {
+		check.add(RuleNotRun, "plank %q was booked %d times, all but %d bookings were told not-run", plank, len(receipts), len(possible))
+	}
+	check.replays(plank, results)
+}
+
+// receipt checks that the receipt of one answer is a recorded run.
+func (check *check) receipt(result caller.Result, receipts []string) {
+	if result.Told == caller.ToldComplete && !result.Ended && result.Status < 300 {
+		check.add(RuleWhole, "booking of plank %q was called complete without a receipt: %s", result.Plank, result.Error)
+	}
+	for _, receipt := range result.Receipts {
+		if !contains(receipts, receipt) {
+			check.add(RuleOwn, "booking of plank %q was answered with receipt %q", result.Plank, receipt)
+		}
+	}
+}
+
+// replays checks that requests with one key got one answer.
+func (check *check) replays(plank string, results []caller.Result) {
+	first := map[string]string{}
+	for _, result := range results {
+		if result.Key == "" || len(result.Receipts) == 0 {
+			continue
+		}
+		earlier, found := first[result.Key]
+		if found && earlier != result.Receipts[0] {
+			check.add(RuleOwn, "plank %q key %q has receipts %q and %q", plank, result.Key, earlier, result.Receipts[0])
+		}
+		first[result.Key] = result.Receipts[0]
+	}
+}
+
+func (check *check) lookups(evidence Evidence) {
+	for _, result := range evidence.Results {
+		if result.Kind != caller.KindLookup {
+			continue
+		}
+		if result.Told == caller.ToldComplete && result.Status == 200 && !result.Ended {
+			check.add(RuleWhole, "lookup of plank %q was called complete without an answer", result.Plank)
+		}
+		if result.Ended && result.Text != result.Plank {
+			check.add(RuleOwn, "lookup of plank %q was answered with plank %q", result.Plank, result.Text)
+		}
+	}
+}
+
+func contains(items []string, wanted string) bool {
+	for _, item := range items {
+		if item == wanted {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/standin/checker/checker_test.go
@@ -0,0 +1,91 @@
+package checker_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"lacewingspoke.org/lacewingspoke/standin/caller"
+	"lacewingspoke.org/lacewingspoke/standin/checker"
+	"lacewingspoke.org/lacewingspoke/standin/engine"
+	"lacewingspoke.org/lacewingspoke/standin/service"
+)
+
+const tokens = 4
+
+func draft(told, text string, ended bool) caller.Result {
+	return caller.Result{
+		Kind: caller.KindDraft, Prompt: "p", MaxTokens: tokens, Status: 200, Told: told, Text: text, Ended: ended,
+	}
+}
+
+func booked(told, key string, receipts ...string) caller.Result {
+	return caller.Result{
+		Kind: caller.KindBooking, Plank: "oak", Key: key, Status: 201, Told: told,
+		Receipts: receipts, Ended: len(receipts) > 0,
+	}
+}
+
+func ran(receipts ...string) []service.Line {
+	var lines []service.Line
+	for _, receipt := range receipts {
+		lines = append(lines, service.Line{Plank: "oak", Receipt: receipt})
+	}
+	return lines
+}
+
+// Guards against a checker that misses a planted fault, or that reports a
+// truthful record.
+func TestCheck(t *testing.T) {
+	whole := engine.Answer("p", tokens)
+	part := engine.Answer("p", 2)
+	start := engine.Line{Event: engine.EventStart, Prompt: "p", Attempt: "a"}
+	runs := []engine.Line{start}
+	tests := []struct {
+		name     string
+		results  []caller.Result
+		engines  []engine.Line
+		services []service.Line
+		want     []checker.Rule
+	}{
+		{"whole draft", []caller.Result{draft("complete", whole, true)}, runs, nil, nil},
+		{"broken draft", []caller.Result{draft("", part, false)}, runs, nil, nil},
+		{"refused draft", []caller.Result{draft("not-run", "", false)}, nil, nil, nil},
+		{"refused draft that ran", []caller.Result{draft("not-run", "", false)}, runs, nil, []checker.Rule{checker.RuleNotRun}},
+		{"cut draft", []caller.Result{draft("complete", part, true)}, runs, nil, []checker.Rule{checker.RuleWhole}},
+		{"cut draft with marker only", []caller.Result{draft("", part, true)}, runs, nil, []checker.Rule{checker.RuleWhole}},
+		{"complete without end", []caller.Result{draft("complete", whole, false)}, runs, nil, []checker.Rule{checker.RuleWhole}},
+		{"other answer", []caller.Result{draft("complete", engine.Answer("q", tokens), true)}, runs, nil, []checker.Rule{checker.RuleOwn}},
+		{"repeated token", []caller.Result{draft("", part+part, false)}, runs, nil, []checker.Rule{checker.RuleOwn}},
+		{"answer without run", []caller.Result{draft("complete", whole, true)}, nil, nil, []checker.Rule{checker.RuleOwn}},
+		{"run without request", nil, runs, nil, []checker.Rule{checker.RuleKnown}},
+		{
+			"wrong resume", []caller.Result{draft("complete", whole, true)},
+			[]engine.Line{{Event: engine.EventStart, Prompt: "p", WrongResume: true}}, nil, []checker.Rule{checker.RuleResume},
+		},
+		{"booking", []caller.Result{booked("complete", "", "r1")}, nil, ran("r1"), nil},
+		{"replayed booking", []caller.Result{booked("complete", "k", "r1"), booked("complete", "k", "r1")}, nil, ran("r1"), nil},
+		{"retried booking", []caller.Result{booked("not-run", "k"), booked("complete", "k", "r1")}, nil, ran("r1"), nil},
+		{"unknown booking", []caller.Result{booked("unknown", "k")}, nil, ran("r1"), nil},
+		{"refused booking that ran", []caller.Result{booked("not-run", "k")}, nil, ran("r1"), []checker.Rule{checker.RuleNotRun}},
+		{"keyed booking twice", []caller.Result{booked("complete", "k", "r1"), booked("unknown", "k")}, nil, ran("r1", "r2"), []checker.Rule{checker.RuleNotRun, checker.RuleOnce}},
+		{"booking twice", []caller.Result{booked("complete", "", "r1")}, nil, ran("r1", "r2"), []checker.Rule{checker.RuleNotRun, checker.RuleOnce}},
+		{"other receipt", []caller.Result{booked("complete", "", "r9")}, nil, ran("r1"), []checker.Rule{checker.RuleOwn}},
+		{"receipt missing", []caller.Result{booked("complete", "")}, nil, ran("r1"), []checker.Rule{checker.RuleWhole}},
+		{"booking without request", nil, nil, ran("r1"), []checker.Rule{checker.RuleKnown}},
+		{
+			"other plank", []caller.Result{{Kind: caller.KindLookup, Plank: "oak", Status: 200, Told: "complete", Ended: true, Text: "ash"}},
+			nil, nil, []checker.Rule{checker.RuleOwn},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			faults := checker.Check(checker.Evidence{Results: test.results, Engines: test.engines, Services: test.services})
+			var rules []checker.Rule
+			for _, fault := range faults {
+				rules = append(rules, fault.Rule)
+			}
+			assert.Equal(t, test.want, rules, "%v", faults)
+		})
+	}
+}
--- a/standin/store/handler.go
+++ b/standin/store/handler.go
@@ -285,6 +285,7 @@
 		store.vms.setLag(time.Duration(order.Amount))
 		return nil
 	case fault.Clear:
+		store.vms.setLag(store.config.VMLag)
 		return nil
 	default:
 		return errors.NotValidf("fault %q", order.Fault)
--- a/standin/store/store.go
+++ b/standin/store/store.go
@@ -72,6 +72,7 @@
 
 // A Store is an http.Handler that serves the protocol.
 type Store struct {
+	config   Config
 	injector *fault.Injector
 	handler  http.Handler
 	data     *data
@@ -91,6 +92,7 @@
 		config.Injector = fault.New()
 	}
 	store := &Store{
+		config:   config,
 		injector: config.Injector,
 		data:     newData(config.History),
 		vms:      newVMList(config.VMs, config.VMLag),
