Let the demo use other ports and notice processes that end early

Another run of the stand-ins held some of the demo's fixed ports, and the demo waited ten seconds before it failed. DEMO_PORT moves all ports, and a process that ends by itself fails the demo at once.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,11 +1,15 @@
 #!/usr/bin/env bash
 # Starts the whole system on loopback as separate processes, applies
 # examples/folder, sends requests through the balancer, checks each answer and
-# stops every process that it started. DEMO_DIR keeps logs and records there.
+# stops every process that it started.
+#
+# DEMO_DIR keeps logs and records there. DEMO_PORT moves the ports, which start
+# at 7000; the folder is then applied with a file that moves its services.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 work=${DEMO_DIR:-$(mktemp -d)}
+port=${DEMO_PORT:-7000}
 mkdir -p "$work"
 pids=()
 
@@ -41,11 +45,23 @@
   pids+=($!)
 }
 
+# require_running fails when a process has ended by itself.
+require_running() {
+  local pid
+  for pid in "${pids[@]}"; do
+    if ! kill -0 "$pid" 2>/dev/null; then
+      echo "process $pid ended early" >&2
+      return 1
+    fi
+  done
+}
+
 # await SECONDS WHAT COMMAND... repeats a command until it succeeds.
 await() {
   local limit=$((SECONDS + $1)) what=$2
   shift 2
   until "$@" >"$work/await.out" 2>&1; do
+    require_running
     if [ "$SECONDS" -ge "$limit" ]; then
       echo "timed out: $what" >&2
       cat "$work/await.out" >&2
@@ -60,15 +76,16 @@
 
 standin=bin/lacewingspoke-standin
 domains=(constanta-port mamaia-north eforie-south)
-store=127.0.0.1:7000
+balancer=$((port + 800))
+store=127.0.0.1:$port
 
 # One fabric domain per failure domain with three VMs each, and a spare VM.
 vms=()
 entries=()
 for index in 0 1 2 3 4 5 6 7 8 9; do
   domain=${domains[index % 3]}
-  vms+=("vm-$index=127.0.0.1:$((7100 + index))")
-  entries+=("{\"name\":\"vm-$index\",\"address\":\"127.0.0.1:$((7100 + index))\",\"incarnation\":\"\",\"fabric-domain\":\"fabric-$domain\",\"failure-domain\":\"$domain\",\"accelerators\":4,\"state\":\"live\"}")
+  vms+=("vm-$index=127.0.0.1:$((port + 100 + index))")
+  entries+=("{\"name\":\"vm-$index\",\"address\":\"127.0.0.1:$((port + 100 + index))\",\"incarnation\":\"\",\"fabric-domain\":\"fabric-$domain\",\"failure-domain\":\"$domain\",\"accelerators\":4,\"state\":\"live\"}")
 done
 (IFS=,; echo "{\"vms\":[${entries[*]}]}") >"$work/vms.json"
 
@@ -78,16 +95,16 @@
 done
 for index in 0 1 2; do
   start "service-$index" "$standin" service --name "bookings-$index" \
-    --listen "127.0.0.1:$((7301 + index))" --record "$work/service-$index.jsonl"
+    --listen "127.0.0.1:$((port + 301 + index))" --record "$work/service-$index.jsonl"
 done
 
 seeds=()
 balanced=()
 admins=()
 for index in 0 1 2 3 4 5; do
-  seeds+=("127.0.0.1:$((7500 + index))")
-  balanced+=(--node "127.0.0.1:$((7400 + index))=127.0.0.1:$((7600 + index))")
-  admins+=("127.0.0.1:$((7600 + index))")
+  seeds+=("127.0.0.1:$((port + 500 + index))")
+  balanced+=(--node "127.0.0.1:$((port + 400 + index))=127.0.0.1:$((port + 600 + index))")
+  admins+=("127.0.0.1:$((port + 600 + index))")
 done
 for index in 0 1 2 3 4 5; do
   cat >"$work/node-$index.ini" <<SETTINGS
@@ -97,9 +114,9 @@
 stop-notice    = 500ms
 
 [listen]
-callers = 127.0.0.1:$((7400 + index))
-peers   = 127.0.0.1:$((7500 + index))
-admin   = 127.0.0.1:$((7600 + index))
+callers = 127.0.0.1:$((port + 400 + index))
+peers   = 127.0.0.1:$((port + 500 + index))
+admin   = 127.0.0.1:$((port + 600 + index))
 
 [store]
 addresses = $store
@@ -109,7 +126,7 @@
 SETTINGS
   start "node-$index" bin/lacewingspoke node --settings "$work/node-$index.ini"
 done
-start balancer "$standin" balancer --listen 127.0.0.1:7800 "${balanced[@]}"
+start balancer "$standin" balancer --listen 127.0.0.1:$balancer "${balanced[@]}"
 
 await 10 "store listens" listening store
 await 10 "balancer listens" listening balancer
@@ -124,9 +141,18 @@
   done
 }
 await 10 "nodes started" nodes_started
-bin/lacewingspoke apply examples/folder --reason "demo" --author demo --wait 10s
+folder=examples/folder
+if [ "$port" -ne 7000 ]; then
+  cp -r examples/folder "$work/folder"
+  folder=$work/folder
+  cat >"$folder/90-demo.ini" <<FOLDER
+[service bookings]
+addresses = 127.0.0.1:$((port + 301)) ${domains[0]}, 127.0.0.1:$((port + 302)) ${domains[1]}, 127.0.0.1:$((port + 303)) ${domains[2]}
+FOLDER
+fi
+bin/lacewingspoke apply "$folder" --reason "demo" --author demo --wait 10s
 
-call() { "$standin" call --address 127.0.0.1:7800 "$@"; }
+call() { "$standin" call --address 127.0.0.1:$balancer "$@"; }
 farul=(--key farul-demo-key)
 try=0
 first_draft() {
