--- a/generation/apply.go
+++ b/generation/apply.go
@@ -370,8 +370,9 @@
 }
 
 // lose ends an apply whose change is not among the accepted ones. A store
-// that came back with a head below the proposal may have forgotten it, while
-// nodes hold it; so may a head of which only the generation is known be it.
+// that came back with a head below the proposal may have forgotten it while
+// nodes hold it, and a head of which only the generation is known may be this
+// change itself.
 func (apply *Apply) lose() Step {
 	proposal := apply.proposal()
 	if apply.uncertain && (apply.winner.Generation < proposal.Generation || apply.winner.Change == "") {
