Publish grants in place of a leader that died during a store outage

Nobody can take a lease while the store does not answer, so the groups of a dead leader stayed closed until the store returned.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -95,6 +95,39 @@
 	require.Zero(test, lost, "a node had no grant during the outage")
 }
 
+// Groups must serve again when their leader dies during a store outage, in
+// which nobody can take its lease.
+func TestGrantsReturnWithoutStoreAndLeader(test *testing.T) {
+	cluster := newCluster(test, 2)
+	nodes := []*node{
+		cluster.startNode(cluster.storeAddress()),
+		cluster.startNode(cluster.storeAddress()),
+		cluster.startNode(cluster.storeAddress()),
+	}
+	cluster.apply(1)
+	for _, running := range nodes {
+		running.await(test, "grant", func(table *route.Table) bool {
+			_, found := granted(table)
+			return found
+		})
+	}
+	require.NoError(test, cluster.store.Injector().Apply(fault.Order{Fault: "outage", Duration: fault.Duration(time.Hour)}))
+	leader := cluster.leader()
+	cluster.stopNode(leader)
+	for _, running := range cluster.nodes {
+		running.await(test, "lost grant", func(table *route.Table) bool {
+			_, found := granted(table)
+			return !found
+		})
+	}
+	for _, running := range cluster.nodes {
+		running.await(test, "grant of an observer", func(table *route.Table) bool {
+			_, found := granted(table)
+			return found
+		})
+	}
+}
+
 // A drain must close the group at every node, also while the store is down.
 func TestDrainSpreadsWithoutStore(test *testing.T) {
 	cluster := newCluster(test, 2)
--- a/control/grants.go
+++ b/control/grants.go
@@ -50,7 +50,7 @@
 // receiveGrants takes in the grants of a peer. Times are counted from
 // SentAfter, which is not later than when the frame was sent, so a frame that
 // was delayed on its way loses that delay from its validity.
-func (state *state) receiveGrants(frame peer.Grants, sentAfter time.Time) bool {
+func (state *state) receiveGrants(now time.Time, frame peer.Grants, sentAfter time.Time) bool {
 	if sentAfter.IsZero() || state.grantsItself(frame) {
 		return false
 	}
@@ -64,6 +64,7 @@
 		return false
 	}
 	known.fence = frame.Fence
+	known.grantedAt = now
 	known.grants = map[string]group.GroupGrant{}
 	for _, granted := range frame.Groups {
 		known.grants[granted.Group] = decodeGrant(granted, sentAfter)
--- a/control/harness_test.go
+++ b/control/harness_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -147,6 +148,29 @@
 	cluster.server.Close()
 }
 
+// stopNode ends a node without a word to the others.
+func (cluster *cluster) stopNode(stopped *node) {
+	stopped.cancel()
+	<-stopped.controller.Done()
+	<-stopped.mesh.Done()
+	cluster.nodes = slices.DeleteFunc(cluster.nodes, func(running *node) bool { return running == stopped })
+}
+
+// leader returns the node that leads the fabric domain.
+func (cluster *cluster) leader() *node {
+	var leader *node
+	require.Eventually(cluster.test, func() bool {
+		for _, running := range cluster.nodes {
+			status, err := running.controller.Status(context.Background())
+			if err == nil && len(status.Leads) > 0 {
+				leader = running
+			}
+		}
+		return leader != nil
+	}, waitBound, waitTick)
+	return leader
+}
+
 func (cluster *cluster) seeds() []string {
 	var seeds []string
 	for _, running := range cluster.nodes {
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -40,6 +40,7 @@
 	led, found := state.led[effect.Domain]
 	if !found {
 		led = state.beginTerm(now, effect.Domain)
+		state.logger.Info("began to lead fabric domain", zap.String("domain", effect.Domain))
 	}
 	led.severed = false
 	state.handleGroup(now, led, group.LeaseHeld{Until: effect.Until})
@@ -57,7 +58,6 @@
 	}
 	state.led[name] = led
 	state.metrics.led.Set(float64(len(state.led)))
-	state.logger.Info("began to lead fabric domain", zap.String("domain", name))
 	if state.configuration.folder != nil {
 		state.handleGroup(now, led, state.folderEvent())
 	}
@@ -71,6 +71,14 @@
 	return led
 }
 
+// storeSilentBound is the time without an answer after which the store counts
+// as not answering. Watching nodes poll it every second.
+const storeSilentBound = 3 * time.Second
+
+func (state *state) storeSilent(now time.Time) bool {
+	return now.Sub(state.storeReached) > storeSilentBound
+}
+
 // loseLeadership goes on without orders and placement changes until another
 // node has taken the domain over. Grants rest on the members' own reports, so
 // they stay true without a lease, and callers see no gap during a store outage
--- a/control/membership.go
+++ b/control/membership.go
@@ -57,7 +57,7 @@
 		return fleetResult{event: fleet.ListFailed{}}
 	}
 	return fleetResult{
-		event:   fleet.KeysListed{Prefix: fleet.NodePrefix, Entries: listing.Entries},
+		event:   fleet.KeysListed{Prefix: fleet.NodePrefix, Revision: listing.Revision, Entries: listing.Entries},
 		reached: true,
 	}
 }
--- a/control/message.go
+++ b/control/message.go
@@ -29,15 +29,17 @@
 
 // listed is the content of a watched prefix.
 type listed struct {
-	prefix  string
-	entries []platform.Entry
+	prefix   string
+	revision uint64
+	entries  []platform.Entry
 }
 
 // changed is a change below a watched prefix.
 type changed struct {
-	prefix  string
-	entries []platform.Entry
-	deleted []string
+	prefix   string
+	revision uint64
+	entries  []platform.Entry
+	deleted  []string
 }
 
 // storeFailed says that a watch got no answer.
--- a/control/relay.go
+++ b/control/relay.go
@@ -66,7 +66,7 @@
 	case peer.Placement:
 		state.receivePlacement(now, received.From, frame)
 	case peer.Grants:
-		if state.receiveGrants(frame, received.SentAfter) {
+		if state.receiveGrants(now, frame, received.SentAfter) {
 			state.forwardGrants(now, frame, received.From)
 		}
 	case peer.Usage:
--- a/control/state.go
+++ b/control/state.go
@@ -40,6 +40,7 @@
 	pollingVMs    bool
 	polling       map[string]bool
 	storeReached  time.Time
+	startedAt     time.Time
 	wasIsolated   bool
 	stopping      bool
 	revoking      int
@@ -53,6 +54,9 @@
 	revision  uint64
 	fence     uint64
 	grants    map[string]group.GroupGrant
+
+	// grantedAt is when grants of the domain arrived last.
+	grantedAt time.Time
 }
 
 func newState(controller *Controller) *state {
@@ -80,6 +84,7 @@
 // begin takes the first steps of a started node.
 func (state *state) begin(now time.Time) {
 	state.storeReached = now
+	state.startedAt = now
 	state.handleFleet(now, fleet.Tick{})
 	state.pollHead()
 	state.pollVMs()
--- a/control/watch.go
+++ b/control/watch.go
@@ -87,7 +87,7 @@
 		return errors.Trace(err)
 	}
 	watcher.failed = 0
-	watcher.send(ctx, listed{prefix: watcher.prefix, entries: listing.Entries})
+	watcher.send(ctx, listed{prefix: watcher.prefix, revision: listing.Revision, entries: listing.Entries})
 	revision := listing.Revision
 	for {
 		changes, err := watcher.store.Watch(ctx, watcher.prefix, revision, watchWait)
@@ -95,7 +95,12 @@
 			return errors.Trace(err)
 		}
 		revision = max(revision, changes.Revision)
-		watcher.send(ctx, changed{prefix: watcher.prefix, entries: changes.Entries, deleted: changes.Deleted})
+		watcher.send(ctx, changed{
+			prefix:   watcher.prefix,
+			revision: revision,
+			entries:  changes.Entries,
+			deleted:  changes.Deleted,
+		})
 	}
 }
 
@@ -126,7 +131,11 @@
 		state.handleDrainEntries(now, result.entries)
 	default:
 		state.handlePlacementEntries(now, result.entries)
-		state.handleFleet(now, fleet.KeysListed{Prefix: result.prefix, Entries: result.entries})
+		state.handleFleet(now, fleet.KeysListed{
+			Prefix:   result.prefix,
+			Revision: result.revision,
+			Entries:  result.entries,
+		})
 	}
 }
 
@@ -138,7 +147,11 @@
 		state.handleDrainEntries(now, result.entries)
 	default:
 		state.handlePlacementEntries(now, result.entries)
-		state.handleFleet(now, fleet.KeysChanged{Entries: result.entries, Deleted: result.deleted})
+		state.handleFleet(now, fleet.KeysChanged{
+			Revision: result.revision,
+			Entries:  result.entries,
+			Deleted:  result.deleted,
+		})
 	}
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -258,6 +258,16 @@
 	return state.leader, true
 }
 
+// Rank returns how many candidates to lead a domain come before this node. It
+// reports false for an unknown domain.
+func (fleet *Fleet) Rank(domain string) (rank int, known bool) {
+	state, found := fleet.domains[domain]
+	if !found {
+		return 0, false
+	}
+	return state.rank, true
+}
+
 // Watching reports whether this node holds store watches.
 func (fleet *Fleet) Watching() bool { return fleet.watching }
 
--- a/group/effect.go
+++ b/group/effect.go
@@ -40,6 +40,11 @@
 	Outcome platform.PutOutcome
 }
 
+// Observe makes a node that does not lead the domain publish grants for a
+// committed record, while nobody can take the lease because the store does not
+// answer. It gives no order and changes no placement.
+type Observe struct{ PlacementRead }
+
 // ReportRead is a VM's report. Sent is when the request for it was sent.
 type ReportRead struct {
 	Sent   time.Time
@@ -130,6 +135,7 @@
 func (CommitDone) event()           {}
 func (PlacementUnavailable) event() {}
 func (StoreUnreachable) event()     {}
+func (Observe) event()              {}
 func (ReportRead) event()           {}
 func (ReportFailed) event()         {}
 func (OrderAccepted) event()        {}
--- a/group/leader.go
+++ b/group/leader.go
@@ -133,6 +133,8 @@
 		leader.resign()
 	case StoreUnreachable:
 		leader.sever()
+	case Observe:
+		leader.observe(now, event)
 	case PlacementRead:
 		return leader.notePlacement(now, event)
 	case PlacementUnavailable:
@@ -242,6 +244,21 @@
 	leader.commit = pendingCommit{}
 }
 
+// observe publishes grants for a record that another node wrote.
+func (leader *Leader) observe(now time.Time, event Observe) {
+	if leader.phase != phaseIdle {
+		return
+	}
+	placement, err := leader.decode(event.PlacementRead)
+	if err != nil {
+		return
+	}
+	leader.placement = placement
+	leader.revision = event.Revision
+	leader.phase = phaseSevered
+	leader.adoptSeats(now)
+}
+
 func (leader *Leader) forgetOrders() {
 	for _, vm := range leader.members {
 		vm.order = pendingOrder{}
