--- a/group/leader_test.go
+++ b/group/leader_test.go
@@ -234,3 +234,234 @@
 	}
 	require.Equal(test, 4, loads)
 }
+
+// Guards against a repaired group that keeps waiting for the incarnation that
+// a restarted VM no longer has.
+func TestLeaderReseatsRestartedMember(test *testing.T) {
+	domain := newTestDomain(test, 8, testFolder(2))
+	domain.until(20*time.Second, domain.granted(2))
+	domain.restart("vm-02", "b")
+	domain.until(2*time.Second, domain.granted(1))
+	domain.until(20*time.Second, domain.granted(2))
+	assignment, _ := domain.leader.Placement().Assignment("vm-02")
+	require.Equal(test, "b", assignment.Incarnation)
+}
+
+// Guards against a commit that took effect but is written again, and against
+// grants that stop while the outcome is read back.
+func TestLeaderResolvesLostCommitAnswer(test *testing.T) {
+	domain := newTestDomain(test, 9, testFolder(2))
+	domain.until(20*time.Second, domain.granted(2))
+	commits := domain.commits
+	lose := func(done CommitDone) CommitDone {
+		return CommitDone{ID: done.ID, Outcome: platform.Unknown{}}
+	}
+	domain.answer = lose
+	domain.engines["vm-01"].dead = true
+	domain.until(20*time.Second, func() bool { return domain.answer == nil })
+	require.Equal(test, commits+1, domain.commits)
+	domain.until(20*time.Second, domain.granted(2))
+	require.Equal(test, uint64(1), domain.leader.Placement().Fence())
+}
+
+// Guards against orders and grants after the lease has run out.
+func TestLeaderStopsWithoutLease(test *testing.T) {
+	domain := newTestDomain(test, 9, testFolder(2))
+	domain.until(20*time.Second, domain.granted(2))
+	domain.hold = true
+	domain.pass(testLease)
+	domain.grants = nil
+	orders, commits := len(domain.orders), domain.commits
+	domain.engines["vm-01"].dead = true
+	domain.pass(testLease)
+	require.Empty(test, domain.grants)
+	require.Len(test, domain.orders, orders)
+	require.Equal(test, commits, domain.commits)
+	require.False(test, domain.leader.Leading())
+}
+
+// Guards against traffic that stops because the store, and not the node, is
+// away.
+func TestLeaderKeepsGrantsWhileStoreIsUnreachable(test *testing.T) {
+	domain := newTestDomain(test, 9, testFolder(2))
+	domain.until(20*time.Second, domain.granted(2))
+	domain.hold = true
+	domain.send(StoreUnreachable{})
+	domain.pass(2 * testLease)
+	require.Len(test, domain.grants, 2)
+	require.True(test, domain.grants[0].Grant.Holds(domain.grants[0].Grant.Epoch, domain.now))
+	commits := domain.commits
+	domain.engines["vm-01"].dead = true
+	domain.until(2*time.Second, domain.granted(1))
+	domain.pass(testLease)
+	require.Equal(test, commits, domain.commits)
+	domain.hold = false
+	domain.until(30*time.Second, domain.granted(2))
+}
+
+// Guards against churn and reloads when a whole domain is dark for a while.
+func TestLeaderResumesDarkDomainWithoutLoading(test *testing.T) {
+	domain := newTestDomain(test, 9, testFolder(2))
+	domain.until(20*time.Second, domain.granted(2))
+	orders, commits := len(domain.orders), domain.commits
+	for _, runner := range domain.engines {
+		runner.dead = true
+	}
+	domain.until(2*time.Second, domain.granted(0))
+	domain.pass(5 * time.Minute)
+	for _, runner := range domain.engines {
+		runner.dead = false
+		domain.pass(time.Second)
+	}
+	domain.until(5*time.Second, domain.granted(2))
+	domain.pass(time.Minute)
+	require.Len(test, domain.orders, orders)
+	require.Equal(test, commits, domain.commits)
+}
+
+// Guards against groups that are released because the list of VMs is empty.
+func TestLeaderKeepsGroupsWhenListEmpties(test *testing.T) {
+	domain := newTestDomain(test, 9, testFolder(2))
+	domain.until(20*time.Second, domain.granted(2))
+	commits := domain.commits
+	domain.send(VMsListed{})
+	domain.pass(time.Minute)
+	require.Len(test, domain.grants, 2)
+	require.Equal(test, commits, domain.commits)
+}
+
+// Guards against a planned stop that interrupts requests or that ends because
+// a lagging list calls the VM live again.
+func TestLeaderDrainsForLeavingMember(test *testing.T) {
+	domain := newTestDomain(test, 9, testFolder(2))
+	domain.until(20*time.Second, domain.granted(2))
+	domain.engines["vm-00"].report.Running = 1
+	domain.send(LeavingKnown{VM: "vm-01", Incarnation: "a"})
+	domain.until(2*time.Second, func() bool { return len(domain.grants) == 2 && !domain.grants[0].Open })
+	domain.send(VMsListed{VMs: domain.list})
+	domain.pass(10 * time.Second)
+	require.Len(test, domain.grants, 2)
+	_, placed := domain.leader.Placement().Assignment("vm-01")
+	require.True(test, placed)
+	domain.engines["vm-00"].report.Running = 0
+	domain.until(20*time.Second, func() bool { return len(domain.grants) == 2 && domain.grants[0].Open })
+	_, placed = domain.leader.Placement().Assignment("vm-01")
+	require.False(test, placed)
+}
+
+// Guards against a version change that takes both replicas down at once.
+func TestLeaderChangesVersionOneReplicaAtATime(test *testing.T) {
+	domain := newTestDomain(test, 8, testFolder(2))
+	domain.until(20*time.Second, domain.granted(2))
+	adopted := testFolder(2)
+	adopted.Groups[0].Version = "2"
+	domain.send(adopted)
+	domain.until(60*time.Second, func() bool {
+		open := 0
+		for _, grant := range domain.grants {
+			if grant.Open {
+				open++
+			}
+		}
+		require.GreaterOrEqual(test, open, 1)
+		groups := domain.leader.Placement().Groups()
+		return open == 2 && groups[0].Version == "2" && groups[1].Version == "2"
+	})
+}
+
+// Guards against two half groups that wait side by side, and against a group
+// that is not formed again when its VMs return.
+func TestLeaderDissolvesOneIncompleteGroupToCompleteAnother(test *testing.T) {
+	domain := newTestDomain(test, 8, testFolder(2))
+	domain.until(20*time.Second, domain.granted(2))
+	domain.engines["vm-00"].dead = true
+	domain.engines["vm-04"].dead = true
+	domain.until(2*time.Second, domain.granted(0))
+	domain.until(60*time.Second, domain.granted(1))
+	domain.restart("vm-00", "b")
+	domain.restart("vm-04", "b")
+	domain.until(60*time.Second, domain.granted(2))
+}
+
+// Guards against a leader that orders engines that ignore fencing numbers
+// while an order of its predecessor can still arrive.
+func TestLeaderWaitsForOldOrders(test *testing.T) {
+	adopted := testFolder(2)
+	adopted.Classes[0].ChecksFencing = false
+	domain := newTestDomain(test, 9, adopted)
+	start := domain.now
+	domain.until(60*time.Second, func() bool { return len(domain.orders) > 0 })
+	require.GreaterOrEqual(test, domain.now.Sub(start), testLease+adopted.Classes[0].OrderDelay)
+	domain.until(60*time.Second, domain.granted(2))
+
+	// The VM dies so late that the repair falls into the margin of the lease.
+	delay := adopted.Classes[0].OrderDelay
+	domain.hold = true
+	end := domain.now.Add(testLease)
+	domain.pass(testLease - delay - 600*time.Millisecond)
+	domain.engines["vm-01"].dead = true
+	orders, commits := len(domain.orders), domain.commits
+	domain.until(testLease, func() bool { return domain.commits > commits })
+	require.True(test, domain.now.Before(end))
+	domain.until(testLease, func() bool { return domain.now.After(end) })
+	for _, order := range domain.orders[orders:] {
+		require.LessOrEqual(test, order.Deadline, end.Add(-delay))
+	}
+	require.Len(test, domain.orders, orders)
+}
+
+// Guards against a surplus replica that is kept and a removed group that
+// holds its VMs for ever.
+func TestLeaderReleasesSurplus(test *testing.T) {
+	domain := newTestDomain(test, 9, testFolder(2))
+	domain.until(20*time.Second, domain.granted(2))
+	domain.send(testFolder(1))
+	domain.until(20*time.Second, domain.granted(1))
+	domain.until(20*time.Second, func() bool { return len(domain.leader.Placement().VMs()) == 4 })
+	adopted := testFolder(1)
+	adopted.Groups = nil
+	adopted.Routes = nil
+	domain.send(adopted)
+	domain.until(20*time.Second, func() bool { return len(domain.leader.Placement().Groups()) == 0 })
+}
+
+// Guards against a leader that goes on with its own copy after another leader
+// has written the record.
+func TestLeaderTakesOverAfterLostRace(test *testing.T) {
+	domain := newTestDomain(test, 9, testFolder(2))
+	domain.until(20*time.Second, domain.granted(2))
+	other, err := DecodePlacement(domain.record)
+	require.NoError(test, err)
+	other = other.clone()
+	other.fence = 7
+	other.leader = "n2/i1"
+	domain.record, err = other.Encode()
+	require.NoError(test, err)
+	domain.revision++
+	domain.engines["vm-01"].dead = true
+	orders := len(domain.orders)
+	domain.until(30*time.Second, func() bool { return domain.leader.Placement().Fence() > 7 && len(domain.grants) == 2 })
+	for _, order := range domain.orders[orders:] {
+		if order.VM == "vm-08" {
+			require.Equal(test, engine.ActionRelease, order.Order.Action, "the spare was assigned before its fencing number was raised")
+			return
+		}
+	}
+}
+
+// Guards against a damaged record that is taken for a valid one.
+func TestDecodePlacementRejects(test *testing.T) {
+	for name, record := range map[string]string{
+		"malformed":       `{`,
+		"unknown group":   `{"vms":{"a":{"group":"g"}}}`,
+		"seat held twice": `{"epoch":1,"groups":{"g":{"name":"g","size":2,"epoch":1}},"vms":{"a":{"group":"g"},"b":{"group":"g"}}}`,
+		"rank too high":   `{"epoch":1,"groups":{"g":{"name":"g","size":1,"epoch":1}},"vms":{"a":{"group":"g","rank":1}}}`,
+		"rank below 0":    `{"epoch":1,"groups":{"g":{"name":"g","size":1,"epoch":1}},"vms":{"a":{"group":"g","rank":-1}}}`,
+		"epoch too high":  `{"epoch":1,"groups":{"g":{"name":"g","size":1,"epoch":2}}}`,
+		"size too large":  `{"epoch":1,"groups":{"g":{"name":"g","size":1000000000,"epoch":1}}}`,
+		"other name":      `{"epoch":1,"groups":{"g":{"name":"h","size":1,"epoch":1}}}`,
+	} {
+		_, err := DecodePlacement([]byte(record))
+		require.Error(test, err, name)
+	}
+}
--- a/group/lifecycle.go
+++ b/group/lifecycle.go
@@ -213,7 +213,10 @@
 	if !vm.readBack() {
 		return false
 	}
-	return vm.report.Fence == leader.fence || !now.Before(leader.quietUntil)
+	if leader.strictest().ChecksFencing {
+		return !leader.unclaimed(vm)
+	}
+	return !now.Before(leader.quietUntil)
 }
 
 func (leader *Leader) groupStatus(now time.Time, group Group) GroupStatus {
--- a/group/order.go
+++ b/group/order.go
@@ -97,7 +97,7 @@
 	if !placed {
 		wanted.class = leader.strictest()
 		wanted.order = releaseOrder(vm)
-		return wanted, !vm.idle()
+		return wanted, !vm.idle() || leader.unclaimed(vm)
 	}
 	group := leader.placement.groups[assignment.Group]
 	wanted.class = leader.class(group.Spec)
@@ -120,6 +120,13 @@
 	return wanted, !vm.needsWeights(group) || vm.weights.grantedFor(group)
 }
 
+// unclaimed reports whether an engine that checks fencing would still take an
+// order of an earlier leader. A release order raises its fencing number before
+// the VM is assigned.
+func (leader *Leader) unclaimed(vm *member) bool {
+	return leader.strictest().ChecksFencing && vm.report.Fence < leader.fence
+}
+
 // holds reports whether the engine names the seat in its last report.
 func (vm *member) holds(group Group, assignment Assignment) bool {
 	return vm.report.Incarnation == assignment.Incarnation &&
--- a/group/placement.go
+++ b/group/placement.go
@@ -1,10 +1,13 @@
 package group
 
 import (
+	"bytes"
 	"encoding/json"
 	"sort"
 
 	"github.com/juju/errors"
+
+	"lacewingspoke.org/lacewingspoke/platform"
 )
 
 // A Placement is the record of one fabric domain: every VM mapped to at most
@@ -77,8 +80,13 @@
 // DecodePlacement reads a stored record. It returns an errors.NotValid error
 // for a record that is malformed or that breaks an invariant.
 func DecodePlacement(record []byte) (*Placement, error) {
+	if len(record) > platform.MaxValueBytes {
+		return nil, errors.NotValidf("placement record of %d bytes", len(record))
+	}
 	var stored placementRecord
-	if err := json.Unmarshal(record, &stored); err != nil {
+	decoder := json.NewDecoder(bytes.NewReader(record))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&stored); err != nil {
 		return nil, errors.NewNotValid(err, "placement record")
 	}
 	placement := NewPlacement(stored.Domain)
