--- a/cmd/lacewingspoke/session_test.go
+++ b/cmd/lacewingspoke/session_test.go
@@ -169,7 +169,9 @@
 type nodeStandin struct {
 	name    string
 	session *session
-	held    generation.Head
+
+	// held is guarded by the session's mutex.
+	held generation.Head
 }
 
 // nodeStandinCommand is "node NAME": it starts a node that holds what the
@@ -193,12 +195,17 @@
 func holdCommand(ts *testscript.TestScript, _ bool, arguments []string) {
 	number, err := strconv.ParseUint(arguments[1], 10, 64)
 	ts.Check(err)
-	sessionOf(ts).nodes[arguments[0]].held = generation.Head{Generation: number, Change: "held", Digest: "held"}
+	session := sessionOf(ts)
+	session.mutex.Lock()
+	defer session.mutex.Unlock()
+	session.nodes[arguments[0]].held = generation.Head{Generation: number, Change: "held", Digest: "held"}
 }
 
 // Status implements admin.Node.
 func (node *nodeStandin) Status(ctx context.Context) (admin.Status, error) {
+	node.session.mutex.Lock()
 	head := node.held
+	node.session.mutex.Unlock()
 	if entry, err := node.session.client.Get(ctx, generation.HeadKey); err == nil && head.Generation == 0 {
 		head, err = generation.DecodeHead(entry.Value)
 		if err != nil {
