--- a/control/membership.go
+++ b/control/membership.go
@@ -81,9 +81,9 @@
 	case err == nil:
 		return fleetResult{event: fleet.LeaseRenewed{Lease: effect.Lease, Sent: sent}, reached: true}
 	case errors.Is(err, errors.NotFound):
-		return fleetResult{event: fleet.LeaseMissing{Lease: effect.Lease}, reached: true}
+		return fleetResult{event: fleet.LeaseMissing(effect), reached: true}
 	default:
-		return fleetResult{event: fleet.LeaseRenewFailed{Lease: effect.Lease}}
+		return fleetResult{event: fleet.LeaseRenewFailed(effect)}
 	}
 }
 
--- a/group/leader_test.go
+++ b/group/leader_test.go
@@ -264,7 +264,8 @@
 	require.Equal(test, uint64(1), domain.leader.Placement().Fence())
 }
 
-// Guards against orders and grants after the lease has run out.
+// Guards against orders, commits and grants of incomplete groups after the
+// lease has run out, and against any grant after another node took over.
 func TestLeaderStopsWithoutLease(test *testing.T) {
 	domain := newTestDomain(test, 9, testFolder(2))
 	domain.until(20*time.Second, domain.granted(2))
@@ -274,10 +275,16 @@
 	orders, commits := len(domain.orders), domain.commits
 	domain.engines["vm-01"].dead = true
 	domain.pass(testLease)
-	require.Empty(test, domain.grants)
+	assignment, _ := domain.leader.Placement().Assignment("vm-01")
+	require.Len(test, domain.grants, 1)
+	require.NotEqual(test, assignment.Group, domain.grants[0].Grant.Group)
 	require.Len(test, domain.orders, orders)
 	require.Equal(test, commits, domain.commits)
 	require.False(test, domain.leader.Leading())
+	domain.send(LeaseLost{})
+	domain.grants = nil
+	domain.pass(testLease)
+	require.Empty(test, domain.grants)
 }
 
 // Guards against traffic that stops because the store, and not the node, is
