--- a/timer/timer_test.go
+++ b/timer/timer_test.go
@@ -46,6 +46,18 @@
 	})
 }
 
+// After a pause of the process the cadence starts anew: the ticks of the pause
+// are not made up for, which would be a burst of renewals and polls.
+func TestPauseIsNotMadeUpFor(t *testing.T) {
+	service := New(Config{})
+	subscription := service.Every("paused", time.Second, 0)
+	resumed := subscription.due.Add(time.Hour)
+	assert.Equal(t, time.Second, service.fire(resumed))
+	assert.Equal(t, resumed, <-subscription.C())
+	service.fire(resumed.Add(time.Millisecond))
+	assert.Empty(t, subscription.C())
+}
+
 func TestAfterTicksOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		service := run(t)
