Add the bench command: apply and control cost

One command measures the time from apply to in force at all nodes and the control cost of idle nodes over nodes, runners and workspaces, with a fit.

--- a/Makefile
+++ b/Makefile
@@ -17,4 +17,4 @@
 	bash scripts/lint.sh
 
 bench: build
-	$(GO) run ./bench
+	./bin/lacewingspoke-bench
--- /dev/null
+++ b/cmd/lacewingspoke-bench/deployment.go
@@ -0,0 +1,323 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"lacewingspoke.org/lacewingspoke/admin"
+	"lacewingspoke.org/lacewingspoke/standin/process"
+	"lacewingspoke.org/lacewingspoke/standin/store"
+)
+
+const (
+	benchKey = "bench-key"
+	anyPort  = "127.0.0.1:0"
+
+	// formBound is how long the groups of a new deployment may take to form.
+	// The first leader waits for a lease and the longest order delay.
+	formBound = 90 * time.Second
+
+	pollInterval = 50 * time.Millisecond
+
+	// seedNodes is the number of seeds of a node. The others are learned.
+	seedNodes = 5
+)
+
+// failureDomains are those of the users' first deployment.
+var failureDomains = []string{"constanta-port", "mamaia-north", "eforie-south"}
+
+// scale is the size of a deployment.
+type scale struct {
+	nodes      int
+	vms        int
+	groupSize  int
+	domains    int
+	workspaces int
+}
+
+// A deployment is a running system of real processes on loopback.
+type deployment struct {
+	size    scale
+	dir     string
+	bin     string
+	client  *http.Client
+	store   *process.Process
+	engines *process.Process
+	nodes   []*node
+	address string
+	vms     []store.VM
+}
+
+// A node is one entry node of a deployment.
+type node struct {
+	*process.Process
+	callers string
+	peers   string
+	admin   string
+}
+
+// deploy starts a store, engines and nodes, and applies a folder.
+func deploy(ctx context.Context, bin string, size scale) (*deployment, error) {
+	dir, err := os.MkdirTemp("", "lacewingspoke-bench")
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	started := &deployment{
+		size:   size,
+		dir:    dir,
+		bin:    bin,
+		client: &http.Client{Timeout: 5 * time.Second},
+	}
+	steps := []func(context.Context) error{
+		started.startStore,
+		started.startEngines,
+		started.startNodes,
+		func(ctx context.Context) error { return started.apply(ctx, "first", true) },
+		started.awaitGroups,
+	}
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			started.stop()
+			return nil, errors.Trace(err)
+		}
+	}
+	return started, nil
+}
+
+func (deployment *deployment) program(name string) string {
+	return filepath.Join(deployment.bin, name)
+}
+
+// listening returns the address that a stand-in printed for a label.
+func listening(ctx context.Context, started *process.Process, label string) (string, error) {
+	line, err := started.AwaitLine(ctx, "listening on ")
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	_, list, _ := strings.Cut(line, "listening on ")
+	for _, item := range strings.Fields(list) {
+		name, address, labelled := strings.Cut(item, "=")
+		if !labelled {
+			name, address = "", item
+		}
+		if name == label {
+			return address, nil
+		}
+	}
+	return "", errors.NotFoundf("address %q in %q", label, line)
+}
+
+func (deployment *deployment) startStore(ctx context.Context) error {
+	started, err := process.Start(deployment.dir, "store", deployment.program("lacewingspoke-standin"),
+		"store", "--listen", anyPort)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	deployment.store = started
+	deployment.address, err = listening(ctx, started, "")
+	return errors.Trace(err)
+}
+
+func vmName(index int) string { return fmt.Sprintf("vm-%03d", index) }
+
+func (deployment *deployment) startEngines(ctx context.Context) error {
+	arguments := []string{deployment.program("lacewingspoke-standin"), "engine",
+		"--checks-fencing", "--load-time", "50ms", "--token-interval", "1ms"}
+	for index := range deployment.size.vms {
+		arguments = append(arguments, "--vm", vmName(index)+"="+anyPort)
+	}
+	started, err := process.Start(deployment.dir, "engines", arguments...)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	deployment.engines = started
+	for index := range deployment.size.vms {
+		address, err := listening(ctx, started, vmName(index))
+		if err != nil {
+			return errors.Trace(err)
+		}
+		domain := index % deployment.size.domains
+		deployment.vms = append(deployment.vms, store.VM{
+			Name:          vmName(index),
+			Address:       address,
+			FabricDomain:  fmt.Sprintf("fabric-%d", domain),
+			FailureDomain: failureDomains[domain%len(failureDomains)],
+			Accelerators:  4,
+			State:         "live",
+		})
+	}
+	return deployment.post("http://"+deployment.address+"/v1/vms", vmsBody{VMs: deployment.vms})
+}
+
+type vmsBody struct {
+	VMs []store.VM `json:"vms"`
+}
+
+func (deployment *deployment) post(url string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	response, err := deployment.client.Post(url, "application/json", bytes.NewReader(data))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return errors.Errorf("%s: %s", url, response.Status)
+	}
+	return nil
+}
+
+func (deployment *deployment) startNodes(ctx context.Context) error {
+	for index := range deployment.size.nodes {
+		if err := deployment.startNode(ctx, index, deployment.address); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+// startNode starts a node that reads the store at an address.
+func (deployment *deployment) startNode(ctx context.Context, index int, storeAddress string) error {
+	added := &node{}
+	for _, address := range []*string{&added.callers, &added.peers, &added.admin} {
+		free, err := process.FreeAddress()
+		if err != nil {
+			return errors.Trace(err)
+		}
+		*address = free
+	}
+	name := fmt.Sprintf("node-%d", index)
+	path := filepath.Join(deployment.dir, name+".ini")
+	if err := os.WriteFile(path, []byte(deployment.settings(added, name, index, storeAddress)), 0o600); err != nil {
+		return errors.Trace(err)
+	}
+	started, err := process.Start(deployment.dir, name, deployment.program("lacewingspoke"), "node", "--settings", path)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	added.Process = started
+	deployment.nodes = append(deployment.nodes, added)
+	_, err = started.AwaitLine(ctx, `"msg":"started"`)
+	return errors.Trace(err)
+}
+
+func (deployment *deployment) settings(added *node, name string, index int, storeAddress string) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "[node]\nname = %s\nfailure-domain = %s\nstop-notice = 100ms\n", name, failureDomains[index%len(failureDomains)])
+	fmt.Fprintf(&text, "[listen]\ncallers = %s\npeers = %s\nadmin = %s\n", added.callers, added.peers, added.admin)
+	fmt.Fprintf(&text, "[store]\naddresses = %s\n", storeAddress)
+	var seeds []string
+	for _, other := range deployment.nodes[:min(seedNodes, len(deployment.nodes))] {
+		seeds = append(seeds, other.peers)
+	}
+	if len(seeds) > 0 {
+		fmt.Fprintf(&text, "[peers]\nseeds = %s\n", strings.Join(seeds, ", "))
+	}
+	return text.String()
+}
+
+func (deployment *deployment) groups() int { return deployment.size.vms / deployment.size.groupSize }
+
+// folder returns a configuration. Different versions have different content.
+func (deployment *deployment) folder(version string) string {
+	var text strings.Builder
+	weight := sha256.Sum256([]byte(version))
+	fmt.Fprintf(&text, "[policy]\ndowntime-weight = 3\nstranded-weight = 1.%d\n", weight[0])
+	text.WriteString("[target-class engine]\nchecks-fencing = yes\norder-delay = 500ms\n")
+	fmt.Fprintf(&text, "[group letters]\nmodel = letters\nversion = 1\nsize = %d\nreplicas = %d\nweight-bytes = 1MiB\ntarget-class = engine\n",
+		deployment.size.groupSize, deployment.groups())
+	for index := range deployment.size.workspaces {
+		digest := sha256.Sum256([]byte(workspaceKey(index)))
+		fmt.Fprintf(&text, "[workspace workspace-%d]\nkey-digests = sha256:%s\nmax-in-flight = 4096\n",
+			index, hex.EncodeToString(digest[:]))
+		fmt.Fprintf(&text, "[route drafts-%d]\nworkspace = workspace-%d\npath-prefix = /v1\nkind = draft\ngroup = letters\n", index, index)
+	}
+	return text.String()
+}
+
+// workspaceKey returns the caller key of a workspace.
+func workspaceKey(index int) string { return fmt.Sprintf("%s-%d", benchKey, index) }
+
+// apply brings a folder into force.
+func (deployment *deployment) apply(ctx context.Context, version string, wait bool) error {
+	folder := filepath.Join(deployment.dir, "folder")
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return errors.Trace(err)
+	}
+	if err := os.WriteFile(filepath.Join(folder, "10-all.ini"), []byte(deployment.folder(version)), 0o600); err != nil {
+		return errors.Trace(err)
+	}
+	arguments := []string{"apply", folder, "--reason", version, "--author", "bench",
+		"--store", deployment.address, "--node", deployment.nodes[0].admin}
+	if wait {
+		arguments = append(arguments, "--wait", "30s")
+	}
+	output, err := exec.CommandContext(ctx, deployment.program("lacewingspoke"), arguments...).CombinedOutput()
+	return errors.Annotatef(err, "apply: %s", output)
+}
+
+func (deployment *deployment) status(target *node) (admin.Status, error) {
+	var status admin.Status
+	response, err := deployment.client.Get("http://" + target.admin + "/v1/status")
+	if err != nil {
+		return status, errors.Trace(err)
+	}
+	defer response.Body.Close()
+	return status, errors.Trace(json.NewDecoder(response.Body).Decode(&status))
+}
+
+// awaitGroups waits until every node holds a grant for every group.
+func (deployment *deployment) awaitGroups(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, formBound)
+	defer cancel()
+	for _, target := range deployment.nodes {
+		for deployment.granted(target) < deployment.groups() {
+			if ctx.Err() != nil {
+				return errors.Annotatef(ctx.Err(), "%d of %d groups at a node", deployment.granted(target), deployment.groups())
+			}
+			time.Sleep(pollInterval)
+		}
+	}
+	return nil
+}
+
+func (deployment *deployment) granted(target *node) int {
+	status, err := deployment.status(target)
+	if err != nil {
+		return 0
+	}
+	count := 0
+	for _, group := range status.Groups {
+		if group.Granted {
+			count++
+		}
+	}
+	return count
+}
+
+// stop ends every process of the deployment.
+func (deployment *deployment) stop() {
+	for _, target := range deployment.nodes {
+		target.Kill()
+	}
+	for _, running := range []*process.Process{deployment.engines, deployment.store} {
+		if running != nil {
+			running.Kill()
+		}
+	}
+	os.RemoveAll(deployment.dir)
+}
--- /dev/null
+++ b/cmd/lacewingspoke-bench/fit.go
@@ -0,0 +1,36 @@
+package main
+
+import "math"
+
+// A fit is a line through measured points by least squares.
+type fit struct {
+	base  float64
+	slope float64
+
+	// deviation is the root mean square distance of the points to the line.
+	deviation float64
+}
+
+// fitLine fits a line. It needs at least two different positions.
+func fitLine(positions, values []float64) fit {
+	count := float64(len(positions))
+	var sumX, sumY, sumXX, sumXY float64
+	for index, position := range positions {
+		sumX += position
+		sumY += values[index]
+		sumXX += position * position
+		sumXY += position * values[index]
+	}
+	slope := (count*sumXY - sumX*sumY) / (count*sumXX - sumX*sumX)
+	line := fit{base: (sumY - slope*sumX) / count, slope: slope}
+	var squares float64
+	for index, position := range positions {
+		distance := values[index] - line.at(position)
+		squares += distance * distance
+	}
+	line.deviation = math.Sqrt(squares / count)
+	return line
+}
+
+// at returns the line's value at a position.
+func (line fit) at(position float64) float64 { return line.base + line.slope*position }
