Avoid targets that cannot be reached and remove claims with a lease

A service runner has no grant, so that every lookup could wait for an unreachable runner and use up the retry budget. The node now remembers failed targets for 1 s, doubling to 16 s, and tries them again with one request. An attempt that may be repeated is bounded by AttemptTimeout, as a silent runner used to hold a lookup until its deadline.

Finished claims had no end. They are attached to a lease of retention plus one hour that is never renewed; an unfinished claim has no lease.

Also refuses paths with dot or empty segments, which a service could resolve to a route that must not be repeated, writes whole answers in 64 KiB parts so that the write timeout holds for each, and reads streams through 4 KiB.

--- a/booking/booking.go
+++ b/booking/booking.go
@@ -105,7 +105,7 @@
 	// Unknown.
 	ExpiresMillis int64 `json:"expires-unix-ms"`
 
-	// RemoveMillis is when a finished or settled claim may be removed, 0 for
+	// RemoveMillis tells operators when a finished or settled claim may be removed, 0 for
 	// an unfinished one, which is never removed without an operator.
 	RemoveMillis int64 `json:"remove-unix-ms,omitempty"`
 
--- a/engine/generate.go
+++ b/engine/generate.go
@@ -18,11 +18,15 @@
 	// maxEventBytes bounds one event of a generated stream.
 	maxEventBytes = 64 << 10
 
+	// readBufferBytes is the memory of one stream; an ordinary event takes
+	// about 100 bytes.
+	readBufferBytes = 4 << 10
+
 	// maxRefusalBytes bounds the text that is read of a refusal.
 	maxRefusalBytes = 4 << 10
 
 	defaultDialTimeout     = time.Second
-	defaultFirstTimeout    = 10 * time.Second
+	defaultFirstTimeout    = 5 * time.Second
 	defaultProgressTimeout = 2 * time.Second
 )
 
@@ -35,7 +39,7 @@
 	DialTimeout time.Duration
 
 	// FirstTimeout bounds the wait for the first piece, which includes the
-	// engine's queue, default 10 s.
+	// engine's queue, default 5 s.
 	FirstTimeout time.Duration
 
 	// ProgressTimeout bounds the wait between two pieces, default 2 s. A
@@ -152,7 +156,7 @@
 	}
 	return &Stream{
 		body:     response.Body,
-		reader:   bufio.NewReaderSize(response.Body, maxEventBytes),
+		reader:   bufio.NewReaderSize(response.Body, readBufferBytes),
 		cancel:   cancel,
 		watchdog: watchdog,
 		progress: generator.config.ProgressTimeout,
@@ -213,7 +217,7 @@
 		stream.watchdog.Reset(stream.progress)
 	}
 	for {
-		line, err := stream.reader.ReadSlice('\n')
+		line, err := stream.line()
 		if err != nil {
 			return Piece{}, stream.broken(err)
 		}
@@ -231,6 +235,23 @@
 	}
 }
 
+// line returns the next line, of at most maxEventBytes.
+func (stream *Stream) line() ([]byte, error) {
+	line, err := stream.reader.ReadSlice('\n')
+	if err != bufio.ErrBufferFull {
+		return line, err
+	}
+	var long []byte
+	for err == bufio.ErrBufferFull {
+		long = append(long, line...)
+		if len(long) > maxEventBytes {
+			return nil, errors.Errorf("event is longer than %d bytes", maxEventBytes)
+		}
+		line, err = stream.reader.ReadSlice('\n')
+	}
+	return append(long, line...), err
+}
+
 // Ready reports whether a whole event has arrived that Next has not returned,
 // so that the owner can write several pieces at once.
 func (stream *Stream) Ready() bool {
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -21,8 +21,10 @@
 	waiters map[uint64]chan limit.Effect
 	lastID  uint64
 
-	// folder is the configuration that the queue was set from.
-	folder *folder.Folder
+	// folder is the configuration that the queue was set from and generation
+	// is its generation.
+	folder     *folder.Folder
+	generation uint64
 }
 
 func newAdmission(config Config) *admission {
@@ -114,19 +116,21 @@
 	}
 }
 
-func (admission *admission) adopt(table *route.Table, now time.Time) {
+func (admission *admission) adopt(table *route.Table) {
 	admission.mutex.Lock()
 	defer admission.mutex.Unlock()
 	admission.configure(table)
 }
 
-// configure takes the workspaces and the retry policy of a new folder.
+// configure takes the workspaces and the retry policy of a new folder. A
+// request may still hold an older table than the one adopted.
 func (admission *admission) configure(table *route.Table) {
 	config := table.Folder()
-	if config == nil || config == admission.folder {
+	if config == nil || config == admission.folder || table.Generation() < admission.generation {
 		return
 	}
 	admission.folder = config
+	admission.generation = table.Generation()
 	workspaces := make([]limit.Workspace, 0, len(config.Workspaces()))
 	keep := map[string]bool{}
 	for _, workspace := range config.Workspaces() {
--- a/entry/booking.go
+++ b/entry/booking.go
@@ -228,6 +228,7 @@
 func (claim *claimCalls) finish(answer booking.Answer, retention time.Duration) {
 	again := func(ctx context.Context) bool {
 		request := claim.ticket.FinishRequest(answer, claim.server.config.Now(), retention)
+		request.Lease = claim.server.leases.current(ctx, retention)
 		return claim.finishOnce(ctx, request)
 	}
 	if again(claim.server.ctx) {
@@ -238,7 +239,11 @@
 
 // finishOnce returns true when nothing is left to do.
 func (claim *claimCalls) finishOnce(ctx context.Context, request platform.PutRequest) bool {
-	step := claim.ticket.AfterFinish(claim.put(ctx, request))
+	put := claim.put(ctx, request)
+	if _, refused := put.(platform.Refused); refused {
+		claim.server.leases.drop(request.Lease)
+	}
+	step := claim.ticket.AfterFinish(put)
 	if _, read := step.(booking.Read); read {
 		entry, found, err := claim.get(ctx)
 		if err != nil {
--- a/entry/booking_test.go
+++ b/entry/booking_test.go
@@ -206,3 +206,43 @@
 	require.Contains(t, repeat.header.Get("Lacewingspoke-Body-Digest"), "sha-256=")
 	require.EqualValues(t, 1, target.runs.Load())
 }
+
+// Guards against finished claims that fill the store, against an unfinished
+// claim that is removed, and against an expired lease that keeps answers from
+// being stored.
+func TestClaimsAreRemovedWithLease(t *testing.T) {
+	built := newHarness(t, nil)
+	target := newFakeService(t)
+	built.addService(target.address())
+	key := func(name string) string { return booking.Key("zarnesti", name) }
+	require.Equal(t, http.StatusCreated, built.book("a").status)
+	require.Equal(t, http.StatusCreated, built.book("b").status)
+	require.Equal(t, "lease-1-25h0m0s", built.store.entries[key("a")].Lease)
+	require.Equal(t, "lease-1-25h0m0s", built.store.entries[key("b")].Lease)
+	built.store.replace = true
+	built.store.onPut = func(_ int, request platform.PutRequest) platform.PutOutcome {
+		if request.Lease != "" {
+			return platform.Refused{Err: errLost}
+		}
+		return built.store.apply(request)
+	}
+	require.Equal(t, http.StatusCreated, built.book("c").status)
+	eventually(t, func() bool { return built.server.InFlight() == 0 })
+	require.Equal(t, "true", built.book("c").header.Get("Lacewingspoke-Replay"))
+	target.answer = cut
+	require.Equal(t, http.StatusBadGateway, built.book("d").status)
+	require.Empty(t, built.store.entries[key("d")].Lease)
+}
+
+// Guards against lookups that all wait for a runner that has gone silent.
+func TestLookupLeavesSilentRunner(t *testing.T) {
+	built := newHarness(t, func(config *entry.Config) { config.AttemptTimeout = 100 * time.Millisecond })
+	silent, working := newFakeService(t), newFakeService(t)
+	silent.answer = func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() }
+	built.addService(silent.address())
+	built.addService(working.address())
+	for range 10 {
+		require.Equal(t, http.StatusCreated, built.do(http.MethodGet, "/planks/1", "", nil).status)
+	}
+	require.LessOrEqual(t, silent.runs.Load(), int64(1))
+}
--- a/entry/draft_test.go
+++ b/entry/draft_test.go
@@ -348,6 +348,9 @@
 	}{
 		{"POST", "/v1/completions", `{}`, "Authorization", "Bearer wrong", http.StatusUnauthorized},
 		{"POST", "/other", `{}`, "", "", http.StatusNotFound},
+		{"GET", "/planks/../bookings", "", "", "", http.StatusBadRequest},
+		{"GET", "/planks/%2e%2e/bookings", "", "", "", http.StatusBadRequest},
+		{"GET", "/planks//1", "", "", "", http.StatusBadRequest},
 		{"POST", "/v1/else", `{}`, "", "", http.StatusNotFound},
 		{"GET", "/v1/completions", "", "", "", http.StatusMethodNotAllowed},
 		{"POST", "/v1/completions", `{"prompt":"a","extra":1}`, "", "", http.StatusBadRequest},
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -78,6 +78,7 @@
 	defaultWriteTimeout    = 10 * time.Second
 	defaultBodyTimeout     = 10 * time.Second
 	defaultTargetWait      = 2 * time.Second
+	defaultAttemptTimeout  = 5 * time.Second
 	defaultStoreTimeout    = time.Second
 	defaultDeadline        = time.Minute
 	defaultMaxDeadline     = 10 * time.Minute
@@ -120,6 +121,10 @@
 	// delivered, default 2 s.
 	TargetWait time.Duration
 
+	// AttemptTimeout bounds one attempt at a service that may be repeated,
+	// default 5 s. An attempt that must not be repeated has until the deadline.
+	AttemptTimeout time.Duration
+
 	// StoreTimeout bounds one call of the store, default 1 s.
 	StoreTimeout time.Duration
 
@@ -151,6 +156,7 @@
 	setDuration(&config.WriteTimeout, defaultWriteTimeout)
 	setDuration(&config.BodyTimeout, defaultBodyTimeout)
 	setDuration(&config.TargetWait, defaultTargetWait)
+	setDuration(&config.AttemptTimeout, defaultAttemptTimeout)
 	setDuration(&config.StoreTimeout, defaultStoreTimeout)
 	setDuration(&config.MaxDeadline, defaultMaxDeadline)
 	if config.MaxBodyBytes <= 0 {
@@ -188,11 +194,13 @@
 	router    *mux.Router
 	metrics   *metrics
 	tracker   *route.Tracker
+	suspects  *route.Suspects
 	picker    *route.Picker
 	generator *engine.Generator
 	services  *service.Client
 	admission *admission
 	gate      *gate
+	leases    *claimLeases
 
 	stopping atomic.Bool
 	inFlight atomic.Int64
@@ -220,15 +228,18 @@
 		return nil, errors.Trace(err)
 	}
 	tracker := route.NewTracker()
+	suspects := route.NewSuspects()
 	ctx, cancel := context.WithCancel(context.Background())
 	server := &Server{
 		config:    config,
 		metrics:   registered,
 		tracker:   tracker,
+		suspects:  suspects,
 		generator: engine.NewGenerator(config.Generator),
 		services:  service.New(config.Service),
 		admission: newAdmission(config),
 		gate:      newGate(config.Publisher, config.Now),
+		leases:    newClaimLeases(config),
 		ctx:       ctx,
 		cancel:    cancel,
 		watched:   make(chan struct{}),
@@ -236,10 +247,12 @@
 			FailureDomain: config.FailureDomain,
 			Source:        rand.NewPCG(config.Seed, config.Seed),
 			Tracker:       tracker,
+			Suspects:      suspects,
 		}),
 	}
 	server.router = mux.NewRouter().SkipClean(true).UseEncodedPath()
 	server.router.PathPrefix("/").HandlerFunc(server.serve)
+	server.router.NotFoundHandler = http.HandlerFunc(server.serve)
 	go server.watch()
 	return server, nil
 }
@@ -267,7 +280,8 @@
 		}
 	}
 	server.tracker.Retain(keep)
-	server.admission.adopt(table, server.config.Now())
+	server.suspects.Retain(keep)
+	server.admission.adopt(table)
 }
 
 // ServeHTTP answers one request.
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -9,6 +8,8 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"path"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -36,6 +37,10 @@
 	priorityHigh
 )
 
+// writeChunkBytes is the part of a whole response that a caller has to take
+// within the write timeout.
+const writeChunkBytes = 64 << 10
+
 // An exchange is one request and its response.
 type exchange struct {
 	server  *Server
@@ -78,6 +83,10 @@
 		return
 	}
 	exchange.workspace = workspace
+	if !isCleanPath(exchange.request.URL.Path) {
+		exchange.refuse(http.StatusBadRequest, outcome.NotRun{Reason: "path with empty or dot segments"})
+		return
+	}
 	target, found := findRoute(table.Folder(), workspace.Name, exchange.request.URL.Path)
 	if !found {
 		exchange.refuse(http.StatusNotFound, outcome.NotRun{Reason: "no route for this path"})
@@ -91,6 +100,13 @@
 	exchange.admit(table)
 }
 
+// isCleanPath reports whether the path has no empty and no dot segments. A
+// service may resolve such a path to one of another route, so that a booking
+// would be treated as a request that may be repeated.
+func isCleanPath(requested string) bool {
+	return strings.TrimSuffix(requested, "/") == strings.TrimSuffix(path.Clean(requested), "/")
+}
+
 // findWorkspace compares the digest of a key with every known digest in
 // constant time.
 func findWorkspace(config *folder.Folder, authorization string) (folder.Workspace, bool) {
@@ -276,7 +292,7 @@
 }
 
 // respond sends a whole response.
-func (exchange *exchange) respond(status int, result outcome.Outcome, contentType string, body []byte) bool {
+func (exchange *exchange) respond(status int, result outcome.Outcome, contentType string, body []byte) {
 	header := exchange.writer.Header()
 	header.Set(outcome.Header, result.String())
 	if contentType != "" {
@@ -288,8 +304,12 @@
 	exchange.count(result)
 	exchange.extendWrite()
 	exchange.writer.WriteHeader(status)
-	_, err := io.Copy(exchange.writer, bytes.NewReader(body))
-	return err == nil
+	for chunk := range slices.Chunk(body, writeChunkBytes) {
+		exchange.extendWrite()
+		if _, err := exchange.writer.Write(chunk); err != nil {
+			return
+		}
+	}
 }
 
 // extendWrite bounds the next write to the caller.
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -130,6 +130,7 @@
 	entries  map[string]platform.Entry
 	revision uint64
 	puts     int
+	grants   int
 
 	// onPut runs after the write took effect, or in its place when replace is
 	// true, and its outcome is returned unless it is nil.
@@ -169,13 +170,20 @@
 	return result
 }
 
+func (store *fakeStore) Grant(_ context.Context, ttl time.Duration) (string, error) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.grants++
+	return fmt.Sprintf("lease-%d-%s", store.grants, ttl), nil
+}
+
 func (store *fakeStore) apply(request platform.PutRequest) platform.PutOutcome {
 	current := store.entries[request.Key].Revision
 	if !request.Expect.Any() && request.Expect.Revision() != current {
 		return platform.Conflict{Revision: current}
 	}
 	store.revision++
-	store.entries[request.Key] = platform.Entry{Key: request.Key, Value: request.Value, Revision: store.revision}
+	store.entries[request.Key] = platform.Entry{Key: request.Key, Value: request.Value, Revision: store.revision, Lease: request.Lease}
 	return platform.Written{Revision: store.revision}
 }
 
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -52,7 +52,8 @@
 		relay.attempts++
 		result, err := relay.attempt(ctx, target)
 		relay.result = outcome.Combine(relay.result, result)
-		if _, complete := result.(outcome.Complete); complete {
+		relay.judge(ctx, target, err)
+		if outcome.IsComplete(result) {
 			return result
 		}
 		if ctx.Err() != nil || errors.Is(err, errCaller) || errors.Is(err, errLongAnswer) {
@@ -66,6 +67,19 @@
 	return relay.result
 }
 
+// judge tells the suspects how an attempt went. A lost grant is known to all
+// through the table, a refusal comes from a table that was out of date, and a
+// caller that leaves says nothing about the group.
+func (relay *relay) judge(ctx context.Context, target route.GroupTarget, err error) {
+	var broken *engine.StreamError
+	switch {
+	case err == nil:
+		relay.server.suspects.Succeeded(target.Name)
+	case errors.As(err, &broken) && ctx.Err() == nil:
+		relay.server.suspects.Failed(target.Name, relay.server.config.Now())
+	}
+}
+
 // withTimeout marks an unknown outcome as out of time when the deadline has
 // passed.
 func (relay *relay) withTimeout(ctx context.Context) outcome.Outcome {
--- a/entry/service.go
+++ b/entry/service.go
@@ -52,7 +52,7 @@
 
 // answerService passes a service's answer on.
 func (exchange *exchange) answerService(result service.Result, decided outcome.Outcome) {
-	if _, complete := decided.(outcome.Complete); !complete {
+	if !outcome.IsComplete(decided) {
 		exchange.report(decided)
 		return
 	}
@@ -97,7 +97,7 @@
 		result := call.attempt(ctx, target)
 		decided := result.Attempt.Outcome()
 		call.result = outcome.Combine(call.result, decided)
-		if _, complete := decided.(outcome.Complete); complete {
+		if outcome.IsComplete(decided) {
 			return result, decided
 		}
 		call.excluded[target.Address] = true
@@ -119,7 +119,7 @@
 	for {
 		changed := call.server.config.Publisher.Changed()
 		table := call.server.config.Publisher.Current()
-		target, found := call.server.picker.PickService(table, call.exchange.route.Service, call.excluded)
+		target, found := call.server.picker.PickService(table, call.exchange.route.Service, call.excluded, call.server.config.Now())
 		if found || len(call.excluded) > 0 {
 			return target, found
 		}
@@ -132,9 +132,16 @@
 }
 
 func (call *serviceCall) attempt(ctx context.Context, target route.ServiceTarget) service.Result {
-	ended := call.server.tracker.Start(target.Address, call.server.config.Now())
+	started := call.server.config.Now()
+	ended := call.server.tracker.Start(target.Address, started)
 	defer func() { ended(call.server.config.Now()) }()
-	result := call.server.services.Do(ctx, service.Request{
+	attemptCtx := ctx
+	if call.nature != outcome.RunOnce {
+		var cancel context.CancelFunc
+		attemptCtx, cancel = context.WithTimeout(ctx, call.server.config.AttemptTimeout)
+		defer cancel()
+	}
+	result := call.server.services.Do(attemptCtx, service.Request{
 		Attempt: newAttemptID(),
 		Address: target.Address,
 		Method:  call.exchange.request.Method,
@@ -143,10 +150,24 @@
 		Body:    call.body,
 		Once:    call.nature == outcome.RunOnce,
 	})
-	call.server.metrics.attempts.WithLabelValues("service", result.Attempt.Outcome().String()).Inc()
+	decided := result.Attempt.Outcome()
+	call.server.metrics.attempts.WithLabelValues("service", decided.String()).Inc()
+	patient := ctx.Err() == nil || call.server.config.Now().Sub(started) >= call.server.config.AttemptTimeout
+	call.judge(target, decided, patient)
 	return result
 }
 
+// judge tells the suspects how the attempt went. The end of an impatient
+// caller's request says nothing about the runner.
+func (call *serviceCall) judge(target route.ServiceTarget, decided outcome.Outcome, patient bool) {
+	switch {
+	case outcome.IsComplete(decided):
+		call.server.suspects.Succeeded(target.Address)
+	case patient:
+		call.server.suspects.Failed(target.Address, call.server.config.Now())
+	}
+}
+
 func (call *serviceCall) header() http.Header {
 	header := http.Header{}
 	for _, name := range requestHeaders {
--- a/entry/sink.go
+++ b/entry/sink.go
@@ -96,7 +96,7 @@
 func (sink *wholeSink) started() bool { return false }
 
 func (sink *wholeSink) finish(result outcome.Outcome, assembler *outcome.Assembler) {
-	if _, complete := result.(outcome.Complete); !complete {
+	if !outcome.IsComplete(result) {
 		sink.exchange.report(result)
 		return
 	}
@@ -211,7 +211,7 @@
 }
 
 func (sink *streamSink) finish(result outcome.Outcome, assembler *outcome.Assembler) {
-	_, complete := result.(outcome.Complete)
+	complete := outcome.IsComplete(result)
 	if !complete && !sink.sent {
 		sink.exchange.report(result)
 		return
--- a/outcome/attempt.go
+++ b/outcome/attempt.go
@@ -85,7 +85,7 @@
 // attempt is unknown, a later attempt that was not run does not make the
 // request not run.
 func Combine(earlier, latest Outcome) Outcome {
-	if _, complete := latest.(Complete); complete {
+	if IsComplete(latest) {
 		return latest
 	}
 	if unknown, isUnknown := earlier.(Unknown); isUnknown {
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -69,3 +69,9 @@
 
 // String returns "unknown".
 func (Unknown) String() string { return "unknown" }
+
+// IsComplete reports whether result is Complete.
+func IsComplete(result Outcome) bool {
+	_, complete := result.(Complete)
+	return complete
+}
--- a/route/picker.go
+++ b/route/picker.go
@@ -31,6 +31,10 @@
 	// and ends them.
 	Tracker *Tracker
 
+	// Suspects holds the targets to avoid; the caller of the picker reports to
+	// it. Nil avoids none.
+	Suspects *Suspects
+
 	// HistorySize bounds the remembered prefixes, 0 for the default. A negative
 	// size turns prefix affinity off.
 	HistorySize int
@@ -51,6 +55,7 @@
 type Picker struct {
 	failureDomain string
 	tracker       *Tracker
+	suspects      *Suspects
 	history       *History
 	loadFactor    float64
 	distanceCost  int
@@ -64,6 +69,7 @@
 	picker := &Picker{
 		failureDomain: config.FailureDomain,
 		tracker:       config.Tracker,
+		suspects:      config.Suspects,
 		loadFactor:    config.LoadFactor,
 		distanceCost:  config.DistanceCost,
 		random:        rand.New(config.Source),
@@ -103,24 +109,54 @@
 			continue
 		}
 		load := picker.tracker.Load(target.Name, target.Load, target.Grant.ReportedAt)
-		candidates = append(candidates, picker.candidate(index, target.FailureDomain, load))
+		candidates = append(candidates, picker.candidate(index, target.Name, target.FailureDomain, load, now))
 	}
+	candidates = withoutSuspects(candidates)
 	if len(candidates) == 0 {
 		return GroupTarget{}, false
 	}
+	chosen := targets[picker.chooseGroup(targets, candidates, request).index]
+	picker.tryAgain(chosen.Name, now)
+	return chosen, true
+}
+
+// chooseGroup prefers the group of the prompt's longest known prefix.
+func (picker *Picker) chooseGroup(targets []GroupTarget, candidates []candidate, request GroupRequest) candidate {
 	if picker.history == nil {
-		return targets[picker.choose(candidates).index], true
+		return picker.choose(candidates)
 	}
 	keys := picker.history.keys(request.Spec, request.Prompt)
 	preferred := picker.history.lookup(keys)
 	for _, candidate := range candidates {
 		if targets[candidate.index].Name == preferred && picker.withinBound(candidate, candidates) {
-			return targets[candidate.index], true
+			return candidate
 		}
 	}
-	chosen := targets[picker.choose(candidates).index]
-	picker.history.record(keys, chosen.Name)
-	return chosen, true
+	chosen := picker.choose(candidates)
+	picker.history.record(keys, targets[chosen.index].Name)
+	return chosen
+}
+
+// withoutSuspects returns the candidates that are not suspects, or all of them
+// when there are no others.
+func withoutSuspects(candidates []candidate) []candidate {
+	trusted := make([]candidate, 0, len(candidates))
+	for _, candidate := range candidates {
+		if !candidate.suspect {
+			trusted = append(trusted, candidate)
+		}
+	}
+	if len(trusted) == 0 {
+		return candidates
+	}
+	return trusted
+}
+
+// tryAgain tells the suspects that a target gets a request.
+func (picker *Picker) tryAgain(target string, now time.Time) {
+	if picker.suspects != nil {
+		picker.suspects.chosen(target, now)
+	}
 }
 
 // Usable reports whether the group may receive a new request at now.
@@ -130,7 +166,7 @@
 
 // PickService returns an open runner of a service. It returns false when there
 // is none.
-func (picker *Picker) PickService(table *Table, service string, excluded map[string]bool) (ServiceTarget, bool) {
+func (picker *Picker) PickService(table *Table, service string, excluded map[string]bool, now time.Time) (ServiceTarget, bool) {
 	targets := table.Services(service)
 	candidates := make([]candidate, 0, len(targets))
 	for index, target := range targets {
@@ -138,12 +174,15 @@
 			continue
 		}
 		load := picker.tracker.Load(target.Address, target.Load, time.Time{})
-		candidates = append(candidates, picker.candidate(index, target.FailureDomain, load))
+		candidates = append(candidates, picker.candidate(index, target.Address, target.FailureDomain, load, now))
 	}
+	candidates = withoutSuspects(candidates)
 	if len(candidates) == 0 {
 		return ServiceTarget{}, false
 	}
-	return targets[picker.choose(candidates).index], true
+	chosen := targets[picker.choose(candidates).index]
+	picker.tryAgain(chosen.Address, now)
+	return chosen, true
 }
 
 // A candidate is a usable target with its load and its cost, which is the
@@ -153,15 +192,19 @@
 	load  int
 	cost  int
 	near  bool
+
+	// suspect is true for a target that is used only when there is no other.
+	suspect bool
 }
 
-func (picker *Picker) candidate(index int, failureDomain string, load int) candidate {
+func (picker *Picker) candidate(index int, target, failureDomain string, load int, now time.Time) candidate {
 	near := failureDomain == picker.failureDomain
 	cost := load
 	if !near {
 		cost += picker.distanceCost
 	}
-	return candidate{index: index, load: load, cost: cost, near: near}
+	suspect := picker.suspects != nil && picker.suspects.avoided(target, now)
+	return candidate{index: index, load: load, cost: cost, near: near, suspect: suspect}
 }
 
 func (picker *Picker) withinBound(preferred candidate, candidates []candidate) bool {
--- a/route/picker_test.go
+++ b/route/picker_test.go
@@ -111,10 +111,10 @@
 		{Service: "s", Address: "tried", FailureDomain: "near", Open: true},
 		{Service: "s", Address: "far", FailureDomain: "far", Open: true},
 	}})
-	runner, found := picker.PickService(services, "s", map[string]bool{"tried": true})
+	runner, found := picker.PickService(services, "s", map[string]bool{"tried": true}, now)
 	require.True(t, found)
 	require.Equal(t, "far", runner.Address)
-	_, found = picker.PickService(services, "s", map[string]bool{"tried": true, "far": true})
+	_, found = picker.PickService(services, "s", map[string]bool{"tried": true, "far": true}, now)
 	require.False(t, found)
 }
 
@@ -150,3 +150,36 @@
 	require.True(t, found)
 	require.NotEmpty(t, short.Name)
 }
+
+// Guards against a target that is tried by every request although it cannot be
+// reached, and against one that is avoided for ever or although it is the last.
+func TestSuspectsAvoided(t *testing.T) {
+	suspects := route.NewSuspects()
+	picker, _ := newPicker(func(config *route.PickerConfig) { config.Suspects = suspects })
+	pick := func(after time.Duration) string {
+		both := table(target("a", "near", 0), target("b", "near", 50))
+		chosen, _ := picker.PickGroup(both, route.GroupRequest{Spec: "copy"}, now.Add(after))
+		return chosen.Name
+	}
+	require.Equal(t, "a", pick(0))
+	suspects.Failed("a", now)
+	suspects.Failed("a", now.Add(500*time.Millisecond))
+	require.Equal(t, "b", pick(900*time.Millisecond))
+	suspects.Failed("b", now)
+	require.Equal(t, "a", pick(900*time.Millisecond), "both are suspects")
+	suspects.Succeeded("b")
+	again := table(target("a", "near", 0), target("b", "near", 50))
+	for index := range again.Groups("copy") {
+		again.Groups("copy")[index].Grant.ValidUntil = now.Add(time.Hour)
+	}
+	later := now.Add(1500 * time.Millisecond)
+	first, _ := picker.PickGroup(again, route.GroupRequest{Spec: "copy"}, later)
+	second, _ := picker.PickGroup(again, route.GroupRequest{Spec: "copy"}, later)
+	require.Equal(t, "a b", first.Name+" "+second.Name, "one request tries a suspect again")
+	suspects.Failed("a", later)
+	third, _ := picker.PickGroup(again, route.GroupRequest{Spec: "copy"}, later.Add(1900*time.Millisecond))
+	require.Equal(t, "b", third.Name, "the time doubles")
+	suspects.Succeeded("a")
+	fourth, _ := picker.PickGroup(again, route.GroupRequest{Spec: "copy"}, later)
+	require.Equal(t, "a", fourth.Name)
+}
