--- /dev/null
+++ b/bench/routing.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"lacewingspoke.org/lacewingspoke/group"
+	"lacewingspoke.org/lacewingspoke/limit"
+	"lacewingspoke.org/lacewingspoke/route"
+)
+
+const (
+	routingSeed = 20261204
+
+	// The simulated groups, prefixes and caches of prefixReuse.
+	reuseGroups    = 12
+	reusePrefixes  = 300
+	reuseCacheSize = 40
+	reuseRequests  = 20000
+	reuseRate      = 100 // requests per second
+	reuseService   = 500 * time.Millisecond
+
+	// The simulated runners and requests of domainRetries.
+	retryDomains  = 3
+	retryRunners  = 3 // in each domain
+	retryRequests = 6000
+	retryRate     = 100 // requests per second
+)
+
+var routingStart = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+// A prefixCache is an engine's cache of prompt prefixes in LRU order.
+type prefixCache struct{ order []int }
+
+// use reports whether the prefix was cached and caches it.
+func (cache *prefixCache) use(prefix int) bool {
+	hit := false
+	for index, cached := range cache.order {
+		if cached == prefix {
+			cache.order = append(cache.order[:index], cache.order[index+1:]...)
+			hit = true
+			break
+		}
+	}
+	cache.order = append(cache.order, prefix)
+	if len(cache.order) > reuseCacheSize {
+		cache.order = cache.order[1:]
+	}
+	return hit
+}
+
+// prefixReuse compares the share of requests that find their prefix cached,
+// with prefix affinity and with two choices alone.
+func prefixReuse() ([]measure, error) {
+	note := fmt.Sprintf("seed %d, %d groups, %d prefixes by Zipf 1.1, %d cached in each, %d requests", routingSeed, reuseGroups, reusePrefixes, reuseCacheSize, reuseRequests)
+	var rows []measure
+	for _, affinity := range []bool{true, false} {
+		name := "two choices alone"
+		if affinity {
+			name = "prefix affinity"
+		}
+		hits, highest := reuse(affinity)
+		rows = append(rows,
+			measure{"prefix reuse, " + name, fmt.Sprintf("%.1f %%", 100*float64(hits)/reuseRequests), note},
+			measure{"highest load over mean, " + name, fmt.Sprintf("%.2f", highest), note})
+	}
+	return rows, nil
+}
+
+// ending is a simulated request in progress.
+type ending struct {
+	at    time.Time
+	ended func(time.Time)
+}
+
+func reuse(affinity bool) (hits int, highest float64) {
+	random := rand.New(rand.NewPCG(routingSeed, 1))
+	zipf := rand.NewZipf(random, 1.1, 1, reusePrefixes-1)
+	tracker := route.NewTracker()
+	config := route.PickerConfig{FailureDomain: "d", Source: rand.NewPCG(routingSeed, 2), Tracker: tracker}
+	if !affinity {
+		config.HistorySize = -1
+	}
+	picker := route.NewPicker(config)
+	caches := map[string]*prefixCache{}
+	var targets []route.GroupTarget
+	for index := range reuseGroups {
+		name := fmt.Sprint("g-", index)
+		caches[name] = &prefixCache{}
+		targets = append(targets, route.GroupTarget{Name: name, Spec: "g", Epoch: 1, FailureDomain: "d", Open: true, Grant: group.Grant{
+			Group: name, Epoch: 1, ReportedAt: routingStart, ValidUntil: routingStart.Add(24 * time.Hour),
+		}})
+	}
+	table := route.NewTable(route.TableConfig{Groups: targets})
+	now := routingStart
+	var running []ending
+	for range reuseRequests {
+		now = now.Add(time.Duration(random.ExpFloat64() * float64(time.Second/reuseRate)))
+		kept := running[:0]
+		for _, request := range running {
+			if request.at.After(now) {
+				kept = append(kept, request)
+			} else {
+				request.ended(request.at)
+			}
+		}
+		running = kept
+		prefix := int(zipf.Uint64())
+		chosen, _ := picker.PickGroup(table, route.GroupRequest{Spec: "g", Prompt: strings.Repeat(fmt.Sprintf("%04d", prefix), 64)}, now)
+		if caches[chosen.Name].use(prefix) {
+			hits++
+		}
+		ended := tracker.Start(chosen.Name, now)
+		running = append(running, ending{at: now.Add(time.Duration(random.ExpFloat64() * float64(reuseService))), ended: ended})
+		mean := float64(len(running)) / reuseGroups
+		if len(running) >= reuseGroups*2 {
+			highest = max(highest, float64(tracker.InFlight(chosen.Name))/mean)
+		}
+	}
+	return hits, highest
+}
+
+// domainRetries counts retries per request while the node's own failure domain
+// is unavailable, with the memory of failed targets and without.
+func domainRetries() ([]measure, error) {
+	note := fmt.Sprintf("seed %d, %d domains with %d service runners, own domain unavailable, %d idempotent requests, budget 10 per 100", routingSeed, retryDomains, retryRunners, retryRequests)
+	var rows []measure
+	for _, remembers := range []bool{true, false} {
+		name := "failed targets not remembered"
+		if remembers {
+			name = "failed targets remembered"
+		}
+		retries, notRun := unavailable(remembers)
+		rows = append(rows,
+			measure{"retries per request, " + name, fmt.Sprintf("%.4f", float64(retries)/retryRequests), note},
+			measure{"requests not run, " + name, fmt.Sprintf("%.2f %%", 100*float64(notRun)/retryRequests), note})
+	}
+	return rows, nil
+}
+
+func unavailable(remembers bool) (retries, notRun int) {
+	suspects := route.NewSuspects()
+	config := route.PickerConfig{FailureDomain: "d-0", Source: rand.NewPCG(routingSeed, 3), Tracker: route.NewTracker()}
+	if remembers {
+		config.Suspects = suspects
+	}
+	picker := route.NewPicker(config)
+	budget := limit.NewRetryBudget(10)
+	var targets []route.ServiceTarget
+	for domain := range retryDomains {
+		for runner := range retryRunners {
+			targets = append(targets, route.ServiceTarget{
+				Service: "s", Address: fmt.Sprintf("d-%d/%d", domain, runner), FailureDomain: fmt.Sprint("d-", domain), Open: true,
+			})
+		}
+	}
+	table := route.NewTable(route.TableConfig{Services: targets})
+	for number := range retryRequests {
+		now := routingStart.Add(time.Duration(number) * time.Second / retryRate)
+		budget.Request("w")
+		excluded := map[string]bool{}
+		for {
+			chosen, found := picker.PickService(table, "s", excluded, now)
+			if found && chosen.FailureDomain != "d-0" {
+				suspects.Succeeded(chosen.Address)
+				break
+			}
+			suspects.Failed(chosen.Address, now)
+			excluded[chosen.Address] = true
+			if !found || !budget.Retry("w") {
+				notRun++
+				break
+			}
+			retries++
+		}
+	}
+	return retries, notRun
+}
