--- a/Makefile
+++ b/Makefile
@@ -17,4 +17,4 @@
 	bash scripts/lint.sh
 
 bench: build
-	./bin/lacewingspoke-bench
+	$(GO) run ./bench
