--- a/bench/deployment.go
+++ b/bench/deployment.go
@@ -22,8 +22,8 @@
 )
 
 const (
-	benchKey = "bench-key"
-	anyPort  = "127.0.0.1:0"
+	keyPrefix = "bench-key"
+	anyPort   = "127.0.0.1:0"
 
 	// formBound is how long the groups of a new deployment may take to form.
 	// The first leader waits for a lease and the longest order delay.
@@ -250,7 +250,7 @@
 }
 
 // workspaceKey returns the caller key of a workspace.
-func workspaceKey(index int) string { return fmt.Sprintf("%s-%d", benchKey, index) }
+func workspaceKey(index int) string { return fmt.Sprintf("%s-%d", keyPrefix, index) }
 
 // apply brings a folder into force.
 func (deployment *deployment) apply(ctx context.Context, version string, wait bool) error {
