--- /dev/null
+++ b/system/cluster.go
@@ -0,0 +1,420 @@
+// Package system runs the whole system as real processes on loopback: nodes,
+// the stand-ins for the platform, and callers. Its tests break processes and
+// compare what every caller was told with what the stand-ins recorded.
+//
+// # Usage
+//
+//	cluster := startCluster(t, 3)
+//	load := startLoad(cluster, 4)
+//	...
+//	cluster.check(load.stop())
+package system
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"lacewingspoke.org/lacewingspoke/admin"
+	"lacewingspoke.org/lacewingspoke/standin/caller"
+	"lacewingspoke.org/lacewingspoke/standin/fault"
+	"lacewingspoke.org/lacewingspoke/standin/store"
+)
+
+const (
+	callerKey    = "system-test-key"
+	groupSize    = 2
+	vmsPerDomain = 3
+	stopNotice   = 300 * time.Millisecond
+	httpTimeout  = 2 * time.Second
+)
+
+// domains are the failure domains; each is one fabric domain with one replica
+// and a spare VM.
+var domains = []string{"lj-a", "lj-b"}
+
+// programs are the paths of the built programs.
+type programs struct {
+	node    string
+	standin string
+}
+
+// node is one entry node.
+type node struct {
+	*process
+	name    string
+	callers string
+	peers   string
+	admin   string
+}
+
+// vm is one VM's engine.
+type vm struct {
+	*process
+	name    string
+	domain  string
+	address string
+	control string
+}
+
+// cluster is one running system.
+type cluster struct {
+	programs programs
+	dir      string
+	ctx      context.Context
+	client   *http.Client
+
+	storeProcess *process
+	store        string
+	storeControl string
+	engines      []*vm
+	services     []*process
+	addresses    []string
+	nodes        []*node
+	balancer     string
+	balancing    *process
+}
+
+// newCluster starts the stand-ins and the nodes. The caller calls stop also
+// when it fails.
+func newCluster(ctx context.Context, programs programs, dir string, nodes int) (*cluster, error) {
+	started := &cluster{
+		programs: programs,
+		dir:      dir,
+		ctx:      ctx,
+		client:   &http.Client{Timeout: httpTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+	steps := []func() error{
+		started.startStore,
+		started.startEngines,
+		started.startServices,
+		func() error { return started.startNodes(nodes) },
+		started.startBalancer,
+		started.apply,
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return started, errors.Trace(err)
+		}
+	}
+	return started, nil
+}
+
+// startStandin starts a stand-in and returns the addresses that it printed,
+// by label.
+func (cluster *cluster) startStandin(name string, arguments ...string) (*process, map[string]string, error) {
+	started, err := startProcess(cluster.dir, name, append([]string{cluster.programs.standin}, arguments...)...)
+	if err != nil {
+		return nil, nil, err
+	}
+	line, err := started.awaitLine(cluster.ctx, "listening on ")
+	if err != nil {
+		return started, nil, err
+	}
+	_, list, _ := strings.Cut(line, "listening on ")
+	addresses := map[string]string{}
+	for _, item := range strings.Fields(list) {
+		label, address, labelled := strings.Cut(item, "=")
+		if !labelled {
+			label, address = "", item
+		}
+		addresses[label] = address
+	}
+	return started, addresses, nil
+}
+
+const anyPort = "127.0.0.1:0"
+
+func (cluster *cluster) startStore() error {
+	started, addresses, err := cluster.startStandin("store", "store", "--listen", anyPort, "--control", anyPort)
+	cluster.storeProcess = started
+	cluster.store = addresses[""]
+	cluster.storeControl = addresses["control"]
+	return err
+}
+
+func (cluster *cluster) startEngines() error {
+	for _, domain := range domains {
+		for index := range vmsPerDomain {
+			added := &vm{name: fmt.Sprintf("%s-%d", domain, index), domain: domain}
+			cluster.engines = append(cluster.engines, added)
+			if err := cluster.startEngine(added, anyPort); err != nil {
+				return err
+			}
+		}
+	}
+	return cluster.publishVMs()
+}
+
+// startEngine starts or restarts a VM's engine.
+func (cluster *cluster) startEngine(target *vm, address string) error {
+	started, addresses, err := cluster.startStandin("engine-"+target.name, "engine",
+		"--vm", target.name+"="+address, "--control", anyPort, "--record", cluster.dir,
+		"--token-interval", "5ms", "--load-time", "50ms", "--checks-fencing")
+	target.process = started
+	target.address = addresses[target.name]
+	target.control = addresses["control"] + "/vm/" + target.name
+	return err
+}
+
+type vmsBody struct {
+	VMs []store.VM `json:"vms"`
+}
+
+func (cluster *cluster) publishVMs() error {
+	var body vmsBody
+	for _, target := range cluster.engines {
+		body.VMs = append(body.VMs, store.VM{
+			Name: target.name, Address: target.address, FabricDomain: "fabric-" + target.domain,
+			FailureDomain: target.domain, Accelerators: 4, State: "live",
+		})
+	}
+	return cluster.post("http://"+cluster.store+"/v1/vms", body)
+}
+
+func (cluster *cluster) startServices() error {
+	for index := range domains {
+		name := fmt.Sprintf("bookings-%d", index)
+		started, addresses, err := cluster.startStandin("service-"+name, "service", "--name", name,
+			"--listen", anyPort, "--record", filepath.Join(cluster.dir, "service-"+name+".jsonl"))
+		cluster.services = append(cluster.services, started)
+		cluster.addresses = append(cluster.addresses, addresses[""])
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (cluster *cluster) startNodes(count int) error {
+	for range count {
+		added, err := cluster.startNode()
+		if err != nil {
+			return err
+		}
+		if err := cluster.awaitStarted(added); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startNode starts one more node that knows the peer addresses of the others.
+func (cluster *cluster) startNode() (*node, error) {
+	added := &node{name: fmt.Sprintf("node-%d", len(cluster.nodes))}
+	for _, address := range []*string{&added.callers, &added.peers, &added.admin} {
+		free, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		*address = free
+	}
+	path := filepath.Join(cluster.dir, added.name+".ini")
+	if err := os.WriteFile(path, []byte(cluster.settings(added)), 0o600); err != nil {
+		return nil, errors.Trace(err)
+	}
+	started, err := startProcess(cluster.dir, added.name, cluster.programs.node, "node", "--settings", path)
+	if err != nil {
+		return nil, err
+	}
+	added.process = started
+	cluster.nodes = append(cluster.nodes, added)
+	return added, nil
+}
+
+func (cluster *cluster) awaitStarted(added *node) error {
+	_, err := added.awaitLine(cluster.ctx, `"msg":"started"`)
+	return err
+}
+
+func (cluster *cluster) settings(added *node) string {
+	domain := domains[len(cluster.nodes)%len(domains)]
+	text := fmt.Sprintf("[node]\nname = %s\nfailure-domain = %s\nstop-notice = %s\n", added.name, domain, stopNotice)
+	text += fmt.Sprintf("[listen]\ncallers = %s\npeers = %s\nadmin = %s\n", added.callers, added.peers, added.admin)
+	text += fmt.Sprintf("[store]\naddresses = %s\ntimeout = 1s\n", cluster.store)
+	var seeds []string
+	for _, other := range cluster.nodes {
+		seeds = append(seeds, other.peers)
+	}
+	if len(seeds) > 0 {
+		text += fmt.Sprintf("[peers]\nseeds = %s\n", strings.Join(seeds, ", "))
+	}
+	return text
+}
+
+func (cluster *cluster) startBalancer() error {
+	arguments := []string{"balancer", "--listen", anyPort, "--interval", "50ms"}
+	for _, target := range cluster.nodes {
+		arguments = append(arguments, "--node", target.callers+"="+target.admin)
+	}
+	started, addresses, err := cluster.startStandin("balancer", arguments...)
+	cluster.balancing = started
+	cluster.balancer = addresses[""]
+	return err
+}
+
+const folderText = `[policy]
+downtime-weight = 1
+stranded-weight = 4
+[target-class engine]
+checks-fencing = yes
+order-delay = 500ms
+[group letters]
+model = letters
+version = 1
+size = %d
+replicas = %d
+weight-bytes = 1MiB
+target-class = engine
+[service bookings]
+addresses = %s
+[workspace farul]
+key-digests = sha256:%s
+max-in-flight = 512
+deadline = 20s
+[route drafts]
+workspace = farul
+path-prefix = /v1
+kind = draft
+group = letters
+[route bookings]
+workspace = farul
+path-prefix = /bookings
+kind = service
+service = bookings
+idempotent = no
+[route planks]
+workspace = farul
+path-prefix = /planks
+kind = service
+service = bookings
+idempotent = yes
+`
+
+// apply brings a folder for the cluster into force.
+func (cluster *cluster) apply() error {
+	digest := sha256.Sum256([]byte(callerKey))
+	var runners []string
+	for index, address := range cluster.addresses {
+		runners = append(runners, address+" "+domains[index])
+	}
+	text := fmt.Sprintf(folderText, groupSize, len(domains), strings.Join(runners, ", "), hex.EncodeToString(digest[:]))
+	folder := filepath.Join(cluster.dir, "folder")
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return errors.Trace(err)
+	}
+	if err := os.WriteFile(filepath.Join(folder, "10-all.ini"), []byte(text), 0o600); err != nil {
+		return errors.Trace(err)
+	}
+	return cluster.operate("apply", folder, "--reason", "test", "--wait", "10s")
+}
+
+// operate runs an operator command.
+func (cluster *cluster) operate(command string, arguments ...string) error {
+	var admins []string
+	for _, target := range cluster.nodes {
+		admins = append(admins, target.admin)
+	}
+	arguments = append([]string{command, "--store", cluster.store, "--node", strings.Join(admins, ","), "--author", "test"}, arguments...)
+	output, err := exec.CommandContext(cluster.ctx, cluster.programs.node, arguments...).CombinedOutput()
+	return errors.Annotatef(err, "%s: %s", command, output)
+}
+
+// processes returns all processes, nodes first.
+func (cluster *cluster) processes() []*process {
+	var all []*process
+	for _, target := range cluster.nodes {
+		all = append(all, target.process)
+	}
+	all = append(all, cluster.balancing)
+	for _, target := range cluster.engines {
+		all = append(all, target.process)
+	}
+	all = append(all, cluster.services...)
+	return append(all, cluster.storeProcess)
+}
+
+// stop ends every process of the cluster.
+func (cluster *cluster) stop() {
+	for _, running := range cluster.processes() {
+		if running != nil {
+			running.kill()
+		}
+	}
+}
+
+func (cluster *cluster) post(url string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	response, err := cluster.client.Post(url, "application/json", bytes.NewReader(data))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		detail, _ := io.ReadAll(response.Body)
+		return errors.Errorf("%s: %s: %s", url, response.Status, detail)
+	}
+	return nil
+}
+
+// order starts a fault at a control address.
+func (cluster *cluster) order(control string, order fault.Order) error {
+	return cluster.post("http://"+control+"/control", order)
+}
+
+// status returns a node's view of the fleet.
+func (cluster *cluster) status(target *node) (admin.Status, error) {
+	var status admin.Status
+	response, err := cluster.client.Get("http://" + target.admin + "/v1/status")
+	if err != nil {
+		return status, errors.Trace(err)
+	}
+	defer response.Body.Close()
+	err = json.NewDecoder(response.Body).Decode(&status)
+	return status, errors.Trace(err)
+}
+
+// healthy reports whether the node's health check passes.
+func (cluster *cluster) healthy(target *node) bool {
+	response, err := cluster.client.Get("http://" + target.admin + "/healthz")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// granted returns the groups that the node has a grant for.
+func (cluster *cluster) granted(target *node) []admin.GroupStatus {
+	status, err := cluster.status(target)
+	if err != nil {
+		return nil
+	}
+	var groups []admin.GroupStatus
+	for _, group := range status.Groups {
+		if group.Granted {
+			groups = append(groups, group)
+		}
+	}
+	return groups
+}
+
+// callerOf returns a caller of one address.
+func (cluster *cluster) callerOf(address string) *caller.Client {
+	return caller.New(caller.Config{Address: address, Key: callerKey})
+}
--- /dev/null
+++ b/system/process.go
@@ -0,0 +1,167 @@
+package system
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// process is one running program. It is ended by its process handle only.
+type process struct {
+	name    string
+	command *exec.Cmd
+	logPath string
+
+	// ended is closed when the program has ended; failure is set before.
+	ended   chan struct{}
+	failure error
+
+	mu    sync.Mutex
+	lines []string
+	grown chan struct{}
+}
+
+// startProcess starts a program whose output goes to a log file in dir.
+func startProcess(dir, name string, arguments ...string) (*process, error) {
+	started := &process{
+		name:    name,
+		command: exec.Command(arguments[0], arguments[1:]...),
+		logPath: filepath.Join(dir, name+".log"),
+		ended:   make(chan struct{}),
+		grown:   make(chan struct{}),
+	}
+	log, err := os.Create(started.logPath)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	started.command.Stdout = writer
+	started.command.Stderr = writer
+	err = started.command.Start()
+	writer.Close()
+	if err != nil {
+		return nil, errors.Annotatef(err, "start %s", name)
+	}
+	go started.watch(reader, log)
+	return started, nil
+}
+
+// watch copies the output to the log until the program ends.
+func (process *process) watch(output io.ReadCloser, log io.WriteCloser) {
+	defer log.Close()
+	defer output.Close()
+	scanner := bufio.NewScanner(io.TeeReader(output, log))
+	scanner.Buffer(nil, 1<<20)
+	for scanner.Scan() {
+		process.mu.Lock()
+		process.lines = append(process.lines, scanner.Text())
+		close(process.grown)
+		process.grown = make(chan struct{})
+		process.mu.Unlock()
+	}
+	process.failure = process.command.Wait()
+	close(process.ended)
+}
+
+// awaitLine returns the first line of output that contains the text.
+func (process *process) awaitLine(ctx context.Context, text string) (string, error) {
+	next := 0
+	for {
+		process.mu.Lock()
+		fresh := process.lines[next:]
+		grown := process.grown
+		process.mu.Unlock()
+		for _, line := range fresh {
+			if strings.Contains(line, text) {
+				return line, nil
+			}
+		}
+		next += len(fresh)
+		select {
+		case <-grown:
+		case <-process.ended:
+			return "", errors.Errorf("%s ended before %q: %v", process.name, text, process.failure)
+		case <-ctx.Done():
+			return "", errors.Annotatef(ctx.Err(), "%s did not print %q", process.name, text)
+		}
+	}
+}
+
+// signal sends a signal to the program.
+func (process *process) signal(signal syscall.Signal) error {
+	return errors.Trace(process.command.Process.Signal(signal))
+}
+
+// kill ends the program at once and waits for its end.
+func (process *process) kill() {
+	// A program that has ended already is as wanted.
+	_ = process.command.Process.Kill()
+	<-process.ended
+}
+
+// tail returns the last lines of output.
+func (process *process) tail(count int) string {
+	process.mu.Lock()
+	defer process.mu.Unlock()
+	first := max(0, len(process.lines)-count)
+	return strings.Join(process.lines[first:], "\n")
+}
+
+// The range of ports for programs that cannot report a chosen port. It is below
+// the range that the kernel takes ports of outgoing connections from.
+const (
+	firstPort = 20000
+	portCount = 12000
+	portStep  = 97
+)
+
+var ports = struct {
+	sync.Mutex
+	next int
+}{next: os.Getpid() * portStep}
+
+// freeAddress returns a loopback address that nothing listens on.
+func freeAddress() (string, error) {
+	ports.Lock()
+	defer ports.Unlock()
+	for range portCount {
+		ports.next++
+		address := net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: firstPort + ports.next%portCount}
+		listener, err := net.ListenTCP("tcp", &address)
+		if err != nil {
+			continue
+		}
+		listener.Close()
+		return address.String(), nil
+	}
+	return "", errors.Errorf("no free port")
+}
+
+// poll calls holds until it returns true or ctx ends.
+func poll(ctx context.Context, holds func() bool) bool {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for !holds() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+	return true
+}
+
+const pollInterval = 20 * time.Millisecond
