--- a/cmd/lacewingspoke-standin/commands.go
+++ b/cmd/lacewingspoke-standin/commands.go
@@ -93,6 +93,7 @@
 type engineCommand struct {
 	VMs             []string      `long:"vm" required:"true" description:"NAME=IP:port of one VM; may be repeated"`
 	Control         string        `long:"control" description:"IP:port for /vm/NAME/control and /vm/NAME/record that no fault closes"`
+	Incarnation     string        `long:"incarnation" description:"Incarnation of a single VM (default: random)"`
 	Record          string        `long:"record" description:"Directory for the records NAME.jsonl, which are appended to"`
 	TokenInterval   time.Duration `long:"token-interval" default:"2ms" description:"Time between tokens"`
 	PrefillPerBlock time.Duration `long:"prefill-per-block" default:"500us" description:"Time before the first token per uncached block of 64 bytes"`
@@ -149,6 +150,7 @@
 		ChecksFencing:   command.ChecksFencing,
 	}
 	if len(command.VMs) == 1 {
+		config.Incarnation = command.Incarnation
 		config.Die = func() { os.Exit(diedExitCode) }
 	}
 	record, err := command.openRecord(name)
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -85,13 +85,13 @@
 for index in 0 1 2 3 4 5 6 7 8 9; do
   domain=${domains[index % 3]}
   vms+=("vm-$index=127.0.0.1:$((port + 100 + index))")
-  entries+=("{\"name\":\"vm-$index\",\"address\":\"127.0.0.1:$((port + 100 + index))\",\"incarnation\":\"\",\"fabric-domain\":\"fabric-$domain\",\"failure-domain\":\"$domain\",\"accelerators\":4,\"state\":\"live\"}")
+  entries+=("{\"name\":\"vm-$index\",\"address\":\"127.0.0.1:$((port + 100 + index))\",\"incarnation\":\"vm-$index-1\",\"fabric-domain\":\"fabric-$domain\",\"failure-domain\":\"$domain\",\"accelerators\":4,\"state\":\"live\"}")
 done
 (IFS=,; echo "{\"vms\":[${entries[*]}]}") >"$work/vms.json"
 
 start store "$standin" store --listen "$store" --vms "$work/vms.json"
 for vm in "${vms[@]}"; do
-  start "engine-${vm%%=*}" "$standin" engine --vm "$vm" --checks-fencing --record "$work"
+  start "engine-${vm%%=*}" "$standin" engine --vm "$vm" --incarnation "${vm%%=*}-1" --checks-fencing --record "$work"
 done
 for index in 0 1 2; do
   start "service-$index" "$standin" service --name "bookings-$index" \
--- a/system/cluster.go
+++ b/system/cluster.go
@@ -28,6 +28,7 @@
 	"github.com/juju/errors"
 
 	"lacewingspoke.org/lacewingspoke/admin"
+	"lacewingspoke.org/lacewingspoke/engine"
 	"lacewingspoke.org/lacewingspoke/standin/caller"
 	"lacewingspoke.org/lacewingspoke/standin/fault"
 	"lacewingspoke.org/lacewingspoke/standin/store"
@@ -173,11 +174,16 @@
 	VMs []store.VM `json:"vms"`
 }
 
+// publishVMs makes the platform's list say what the engines say.
 func (cluster *cluster) publishVMs() error {
 	var body vmsBody
 	for _, target := range cluster.engines {
+		var report engine.Report
+		if err := cluster.get("http://"+target.address+"/v1/report", &report); err != nil {
+			return err
+		}
 		body.VMs = append(body.VMs, store.VM{
-			Name: target.name, Address: target.address, FabricDomain: "fabric-" + target.domain,
+			Name: target.name, Address: target.address, Incarnation: report.Incarnation, FabricDomain: "fabric-" + target.domain,
 			FailureDomain: target.domain, Accelerators: 4, State: "live",
 		})
 	}
@@ -372,6 +378,15 @@
 	return nil
 }
 
+func (cluster *cluster) get(url string, body any) error {
+	response, err := cluster.client.Get(url)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer response.Body.Close()
+	return errors.Annotate(json.NewDecoder(response.Body).Decode(body), url)
+}
+
 // order starts a fault at a control address.
 func (cluster *cluster) order(control string, order fault.Order) error {
 	return cluster.post("http://"+control+"/control", order)
@@ -380,13 +395,8 @@
 // status returns a node's view of the fleet.
 func (cluster *cluster) status(target *node) (admin.Status, error) {
 	var status admin.Status
-	response, err := cluster.client.Get("http://" + target.admin + "/v1/status")
-	if err != nil {
-		return status, errors.Trace(err)
-	}
-	defer response.Body.Close()
-	err = json.NewDecoder(response.Body).Decode(&status)
-	return status, errors.Trace(err)
+	err := cluster.get("http://"+target.admin+"/v1/status", &status)
+	return status, err
 }
 
 // healthy reports whether the node's health check passes.
--- a/system/load.go
+++ b/system/load.go
@@ -11,7 +11,7 @@
 
 const (
 	loadTokens     = 40
-	callerPatience = 10 * time.Second
+	callerPatience = 5 * time.Second
 
 	// callerPause keeps refused callers from repeating in a tight loop.
 	callerPause = 10 * time.Millisecond
--- a/system/system_test.go
+++ b/system/system_test.go
@@ -90,7 +90,14 @@
 
 func (test test) await(what string, holds func() bool) {
 	test.t.Helper()
-	require.True(test.t, poll(test.ctx, holds), "timed out: %s", what)
+	if poll(test.ctx, holds) {
+		return
+	}
+	for _, target := range test.nodes {
+		status, err := test.status(target)
+		test.t.Logf("%s: %+v %v", target.name, status, err)
+	}
+	require.Fail(test.t, "timed out", what)
 }
 
 func (cluster *cluster) countHealthy() int {
