Test lost booking answers, a lost failure domain and late member kills

The end of an answer was only tested with enough of the stream left for the grant to expire before it. The last case kills a member 60 tokens before the end, so that only the held final marker keeps the answer from completing on the broken group. The demo now ends its nodes before the stand-ins.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -13,16 +13,24 @@
 mkdir -p "$work"
 pids=()
 
-stop() {
-  status=$?
-  trap - EXIT
-  # Nodes finish their requests first; the stand-ins go after them.
-  for ((index = ${#pids[@]} - 1; index >= 0; index--)); do
-    kill -TERM "${pids[index]}" 2>/dev/null || true
+node_pids=()
+
+end_processes() {
+  local pid
+  for pid in "$@"; do
+    kill -TERM "$pid" 2>/dev/null || true
   done
-  for pid in "${pids[@]}"; do
+  for pid in "$@"; do
     wait "$pid" 2>/dev/null || true
   done
+}
+
+stop() {
+  status=$?
+  trap - EXIT
+  # Nodes end first: they finish their requests and revoke their leases.
+  end_processes "${node_pids[@]}"
+  end_processes "${pids[@]}"
   if [ "$status" -ne 0 ]; then
     echo "demo failed with status $status" >&2
     tail -n 5 "$work"/*.log >&2 || true
@@ -125,6 +133,7 @@
 seeds = $(IFS=,; echo "${seeds[*]}")
 SETTINGS
   start "node-$index" bin/lacewingspoke node --settings "$work/node-$index.ini"
+  node_pids+=("${pids[-1]}")
 done
 start balancer "$standin" balancer --listen 127.0.0.1:$balancer "${balanced[@]}"
 
--- a/system/cluster.go
+++ b/system/cluster.go
@@ -38,7 +38,7 @@
 	callerKey    = "system-test-key"
 	groupSize    = 2
 	vmsPerDomain = 3
-	stopNotice   = 300 * time.Millisecond
+	stopNotice   = time.Second
 	httpTimeout  = 2 * time.Second
 )
 
--- a/system/system_test.go
+++ b/system/system_test.go
@@ -29,7 +29,12 @@
 
 	loadCallers  = 3
 	streamTokens = 400
-	tailLines    = 15
+
+	// beginning and nearEnd are received tokens at which a stream is
+	// disturbed. From nearEnd the engine is done well before a grant expires.
+	beginning = 5
+	nearEnd   = streamTokens - 60
+	tailLines = 15
 )
 
 var (
@@ -136,9 +141,9 @@
 	result  chan caller.Result
 }
 
-// stream starts a long draft and waits until its caller has received some of
-// it.
-func (test test) stream(address, prompt string) *stream {
+// stream starts a long draft and waits until its caller has received a number
+// of tokens.
+func (test test) stream(address, prompt string, received int) *stream {
 	started := &stream{prompt: prompt, running: make(chan struct{}), result: make(chan caller.Result, 1)}
 	var once sync.Once
 	client := test.callerOf(address)
@@ -146,7 +151,7 @@
 		result := client.Draft(test.ctx, caller.Draft{
 			Prompt: prompt, MaxTokens: streamTokens, Stream: true,
 			Progress: func(events int) {
-				if events >= 5 {
+				if events >= received {
 					once.Do(func() { close(started.running) })
 				}
 			},
@@ -204,6 +209,20 @@
 	return nil
 }
 
+// awaitLeaders waits until the nodes lead all fabric domains.
+func (test test) awaitLeaders(nodes []*node) {
+	test.t.Helper()
+	test.await("the nodes lead all fabric domains", func() bool {
+		led := 0
+		for _, target := range nodes {
+			if status, err := test.status(target); err == nil {
+				led += len(status.Leads)
+			}
+		}
+		return led == len(domains)
+	})
+}
+
 // Guards against callers who are told something untrue when their node dies,
 // and against a system that stops serving.
 func TestNodeIsKilled(t *testing.T) {
@@ -212,15 +231,7 @@
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
 	test.nodes[0].kill()
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
-	test.await("another node leads both fabric domains", func() bool {
-		led := 0
-		for _, target := range test.nodes[1:] {
-			if status, err := test.status(target); err == nil {
-				led += len(status.Leads)
-			}
-		}
-		return led == len(domains)
-	})
+	test.awaitLeaders(test.nodes[1:])
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
 	test.verify(load.stop())
 }
@@ -233,15 +244,7 @@
 	load := startLoad(test.cluster, test.balancer, "load", loadCallers)
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
 	require.NoError(t, frozen.signal(syscall.SIGSTOP))
-	test.await("the other nodes lead the fabric domains", func() bool {
-		led := 0
-		for _, target := range test.nodes[1:] {
-			if status, err := test.status(target); err == nil {
-				led += len(status.Leads)
-			}
-		}
-		return led == len(domains)
-	})
+	test.awaitLeaders(test.nodes[1:])
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
 	require.NoError(t, frozen.signal(syscall.SIGCONT))
 	test.await("the node is healthy again", func() bool { return test.healthy(frozen) })
@@ -253,31 +256,52 @@
 // Guards against an answer that ends on the output of a group that is missing
 // a member, whichever member it is, and against a group that is not repaired.
 func TestMemberIsKilledMidStream(t *testing.T) {
-	for rank := range groupSize {
-		t.Run(fmt.Sprintf("rank %d", rank), func(t *testing.T) {
+	tests := []struct {
+		name     string
+		rank     int
+		received int
+	}{
+		{"generating member", 0, beginning},
+		{"other member", 1, beginning},
+		{"other member near the end", 1, nearEnd},
+	}
+	for _, kill := range tests {
+		t.Run(kill.name, func(t *testing.T) {
 			test := start(t, 2)
-			stream := test.stream(test.balancer, "long prompt")
+			stream := test.stream(test.balancer, "long prompt", kill.received)
 			broken := test.group(test.runs(stream.prompt, engine.EventStart)[0].Group)
-			test.vm(broken.Members[rank]).kill()
+			test.vm(broken.Members[kill.rank]).kill()
 			result := test.whole(stream)
-			for _, run := range test.runs(stream.prompt, engine.EventEnd) {
-				if run.End == engine.EndDone {
-					assert.NotEqual(t, broken.Epoch, epochOf(run, broken.Name), "the broken group completed the answer")
-				}
-			}
-			test.await("the group is repaired with the spare", func() bool {
-				for _, group := range test.granted(test.nodes[0]) {
-					if group.Name == broken.Name && group.Epoch > broken.Epoch {
-						return true
-					}
-				}
-				return false
-			})
+			assert.True(t, test.completedElsewhere(stream.prompt, broken), "the broken group completed the answer")
+			test.awaitRepaired(broken)
 			test.verify([]caller.Result{result})
 		})
 	}
 }
 
+// completedElsewhere reports whether a group other than the broken one took
+// part in the answer up to its end.
+func (test test) completedElsewhere(prompt string, broken admin.GroupStatus) bool {
+	for _, run := range test.runs(prompt, engine.EventEnd) {
+		if run.End == engine.EndDone && epochOf(run, broken.Name) != broken.Epoch {
+			return true
+		}
+	}
+	return false
+}
+
+func (test test) awaitRepaired(broken admin.GroupStatus) {
+	test.t.Helper()
+	test.await("the group has a grant at a new epoch", func() bool {
+		for _, group := range test.granted(test.nodes[0]) {
+			if group.Name == broken.Name && group.Epoch > broken.Epoch {
+				return true
+			}
+		}
+		return false
+	})
+}
+
 // epochOf returns the epoch of a run on the group, 0 for another group.
 func epochOf(run engine.Line, group string) uint64 {
 	if run.Group != group {
@@ -329,7 +353,7 @@
 	load := startLoad(test.cluster, test.balancer, "load", loadCallers)
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
 	stopping := test.nodes[0]
-	stream := test.stream(stopping.callers, "long prompt")
+	stream := test.stream(stopping.callers, "long prompt", beginning)
 	require.NoError(t, stopping.signal(syscall.SIGTERM))
 	test.await("the health check fails", func() bool { return !test.healthy(stopping) })
 	result := test.whole(stream)
@@ -354,7 +378,7 @@
 // target that is leaving.
 func TestTargetIsDrained(t *testing.T) {
 	test := start(t, 2)
-	stream := test.stream(test.balancer, "long prompt")
+	stream := test.stream(test.balancer, "long prompt", beginning)
 	drained := test.group(test.runs(stream.prompt, engine.EventStart)[0].Group)
 	require.NoError(t, test.operate("drain", drained.Members[0], "--reason", "test"))
 	test.await("every node has closed the gate", func() bool {
@@ -371,14 +395,7 @@
 	result := test.whole(stream)
 	ends := test.runs(stream.prompt, engine.EventEnd)
 	require.Len(t, ends, 1, "the stream was moved")
-	test.await("the group serves without the drained VM", func() bool {
-		for _, group := range test.granted(test.nodes[0]) {
-			if group.Name == drained.Name && group.Epoch > drained.Epoch {
-				return true
-			}
-		}
-		return false
-	})
+	test.awaitRepaired(drained)
 	results := load.stop()
 	for _, told := range results {
 		assert.Equal(t, caller.ToldComplete, told.Told, "%+v", told)
@@ -397,7 +414,7 @@
 // Guards against callers who wait for a connection that went silent.
 func TestEngineConnectionsGoSilent(t *testing.T) {
 	test := start(t, 2)
-	stream := test.stream(test.balancer, "long prompt")
+	stream := test.stream(test.balancer, "long prompt", beginning)
 	silent := test.group(test.runs(stream.prompt, engine.EventStart)[0].Group)
 	require.NoError(t, test.order(test.vm(silent.Members[0]).control, fault.Order{Fault: fault.Silent}))
 	result := test.whole(stream)
@@ -405,3 +422,45 @@
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
 	test.verify(append(load.stop(), result))
 }
+
+// Guards against bookings that run twice because the answer of a service or of
+// the store was lost after the effect.
+func TestBookingAnswersAreLost(t *testing.T) {
+	const lost = 10
+	test := start(t, 2)
+	load := startLoad(test.cluster, test.balancer, "load", loadCallers)
+	test.awaitMore(load, caller.KindBooking)
+	for _, address := range test.addresses {
+		require.NoError(t, test.order(address, fault.Order{Fault: fault.DropAnswer, Count: lost}))
+	}
+	test.awaitMore(load, caller.KindBooking)
+	claims := fault.Order{Fault: fault.DropAnswer, Count: lost, Prefix: "booking/"}
+	require.NoError(t, test.order(test.storeControl, claims))
+	test.awaitMore(load, caller.KindBooking)
+	results := load.stop()
+	unknown := 0
+	for _, result := range results {
+		if result.Kind == caller.KindBooking && result.Told == caller.ToldUnknown {
+			unknown++
+		}
+	}
+	assert.NotZero(t, unknown, "no service answer was lost")
+	test.verify(results)
+}
+
+// Guards against a system that stops serving when all VMs of one failure
+// domain and a node there are lost at once.
+func TestFailureDomainIsLost(t *testing.T) {
+	test := start(t, 3)
+	load := startLoad(test.cluster, test.balancer, "load", loadCallers)
+	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
+	test.nodes[0].kill()
+	for _, target := range test.engines {
+		if target.domain == domains[0] {
+			target.kill()
+		}
+	}
+	test.services[0].kill()
+	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
+	test.verify(load.stop())
+}
