Hold streams at a token and test a drain while the VM list lags

The late member kill depended on the test being faster than the stream. The engine stand-in can now hold streams at a token, so that the kill falls between two known tokens.

--- a/standin/engine/engine.go
+++ b/standin/engine/engine.go
@@ -12,7 +12,9 @@
 //
 // Faults are ordered over POST /control, see package fault. Besides those of
 // the fault package, "slow" adds the order's amount to each token's interval,
-// "lag" sets the lag of load figures and "die" ends the engine.
+// "lag" sets the lag of load figures, "die" ends the engine and "hold" keeps
+// streams from passing the token with the index of the order's count until
+// "clear".
 package engine
 
 import (
@@ -39,6 +41,7 @@
 	FaultSlow fault.Kind = "slow"
 	FaultLag  fault.Kind = "lag"
 	FaultDie  fault.Kind = "die"
+	FaultHold fault.Kind = "hold"
 )
 
 // A Config configures an Engine. The zero value of each field means its
@@ -117,6 +120,7 @@
 	batch   *batch
 	cache   *cache
 	slow    slowdown
+	hold    hold
 }
 
 // New returns an idle Engine.
--- a/standin/engine/engine_test.go
+++ b/standin/engine/engine_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -251,3 +252,19 @@
 		})
 	}
 }
+
+// Guards against a held stream that passes its place or does not go on.
+func TestHold(t *testing.T) {
+	client := start(t, engine.Config{})
+	client.load(1, 1)
+	require.NoError(t, client.stand.Injector().Apply(fault.Order{Fault: engine.FaultHold, Count: 1}))
+	response := client.post("/v1/generate", wire.Generate{Attempt: "a", Group: "g", Epoch: 1, MaxTokens: 2})
+	lines := bufio.NewReader(response.Body)
+	first, err := lines.ReadString('\n')
+	require.NoError(t, err)
+	assert.Contains(t, first, engine.Token("", 0))
+	assert.Equal(t, 1, client.report().Running)
+	require.NoError(t, client.stand.Injector().Apply(fault.Order{Fault: fault.Clear}))
+	response.Body = io.NopCloser(lines)
+	assert.Len(t, pieces(response), 2)
+}
--- a/standin/engine/handler.go
+++ b/standin/engine/handler.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,49 @@
 // slowdown is added to the interval of each token.
 type slowdown struct{ amount atomic.Int64 }
 
+// hold keeps streams from passing a token, so that a test can act at a known
+// place of a stream.
+type hold struct {
+	mu     sync.Mutex
+	at     int
+	closed chan struct{}
+}
+
+func (hold *hold) set(at int) {
+	hold.clear()
+	hold.mu.Lock()
+	defer hold.mu.Unlock()
+	hold.at = at
+	hold.closed = make(chan struct{})
+}
+
+func (hold *hold) clear() {
+	hold.mu.Lock()
+	defer hold.mu.Unlock()
+	if hold.closed != nil {
+		close(hold.closed)
+		hold.closed = nil
+	}
+}
+
+// wait waits until the token with the index may be sent. It returns false
+// when ctx ended first.
+func (hold *hold) wait(ctx context.Context, index int) bool {
+	hold.mu.Lock()
+	closed := hold.closed
+	held := closed != nil && index >= hold.at
+	hold.mu.Unlock()
+	if !held {
+		return true
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-closed:
+		return true
+	}
+}
+
 type acceptedAnswer struct {
 	Accepted bool `json:"accepted"`
 }
@@ -176,6 +220,8 @@
 	switch order.Fault {
 	case FaultSlow:
 		engine.slow.amount.Store(int64(order.Amount))
+	case FaultHold:
+		engine.hold.set(order.Count)
 	case FaultLag:
 		engine.batch.setLag(time.Duration(order.Amount))
 	case FaultDie:
@@ -185,6 +231,7 @@
 		return engine.config.Injector.Apply(fault.Order{Fault: fault.Refuse})
 	case fault.Clear:
 		engine.slow.amount.Store(0)
+		engine.hold.clear()
 		engine.batch.setLag(engine.config.ReportLag)
 	default:
 		return errors.NotValidf("fault %q", order.Fault)
--- a/standin/engine/run.go
+++ b/standin/engine/run.go
@@ -74,7 +74,7 @@
 	run.next = run.generate.ResumeIndex
 	for run.next < run.generate.MaxTokens {
 		interval := run.engine.config.TokenInterval + time.Duration(run.engine.slow.amount.Load())
-		if !pause(ctx, interval) {
+		if !pause(ctx, interval) || !run.engine.hold.wait(ctx, run.next) {
 			return run.reason()
 		}
 		text := Token(run.generate.Prompt, run.next)
--- a/system/cluster.go
+++ b/system/cluster.go
@@ -156,7 +156,7 @@
 			}
 		}
 	}
-	return cluster.publishVMs()
+	return cluster.publishVMs("")
 }
 
 // startEngine starts or restarts a VM's engine.
@@ -174,8 +174,9 @@
 	VMs []store.VM `json:"vms"`
 }
 
-// publishVMs makes the platform's list say what the engines say.
-func (cluster *cluster) publishVMs() error {
+// publishVMs makes the platform's list say what the engines say, with a prefix
+// to each incarnation.
+func (cluster *cluster) publishVMs(prefix string) error {
 	var body vmsBody
 	for _, target := range cluster.engines {
 		var report engine.Report
@@ -183,7 +184,7 @@
 			return err
 		}
 		body.VMs = append(body.VMs, store.VM{
-			Name: target.name, Address: target.address, Incarnation: report.Incarnation, FabricDomain: "fabric-" + target.domain,
+			Name: target.name, Address: target.address, Incarnation: prefix + report.Incarnation, FabricDomain: "fabric-" + target.domain,
 			FailureDomain: target.domain, Accelerators: 4, State: "live",
 		})
 	}
--- a/system/system_test.go
+++ b/system/system_test.go
@@ -18,6 +18,7 @@
 	"lacewingspoke.org/lacewingspoke/standin/caller"
 	"lacewingspoke.org/lacewingspoke/standin/engine"
 	"lacewingspoke.org/lacewingspoke/standin/fault"
+	"lacewingspoke.org/lacewingspoke/standin/store"
 )
 
 const (
@@ -31,9 +32,9 @@
 	streamTokens = 400
 
 	// beginning and nearEnd are received tokens at which a stream is
-	// disturbed. From nearEnd the engine is done well before a grant expires.
+	// disturbed. From nearEnd the engine is done long before a grant expires.
 	beginning = 5
-	nearEnd   = streamTokens - 60
+	nearEnd   = streamTokens - 5
 	tailLines = 15
 )
 
@@ -190,12 +191,14 @@
 
 // group returns a node's view of one group.
 func (test test) group(name string) admin.GroupStatus {
-	for _, group := range test.granted(test.nodes[0]) {
+	status, err := test.status(test.nodes[0])
+	require.NoError(test.t, err)
+	for _, group := range status.Groups {
 		if group.Name == name {
 			return group
 		}
 	}
-	require.Fail(test.t, "group has no grant", name)
+	require.Fail(test.t, "group is unknown", name)
 	return admin.GroupStatus{}
 }
 
@@ -268,9 +271,18 @@
 	for _, kill := range tests {
 		t.Run(kill.name, func(t *testing.T) {
 			test := start(t, 2)
+			for _, target := range test.engines {
+				require.NoError(t, test.order(target.control, fault.Order{Fault: engine.FaultHold, Count: kill.received}))
+			}
 			stream := test.stream(test.balancer, "long prompt", kill.received)
 			broken := test.group(test.runs(stream.prompt, engine.EventStart)[0].Group)
-			test.vm(broken.Members[kill.rank]).kill()
+			killed := test.vm(broken.Members[kill.rank])
+			killed.kill()
+			for _, target := range test.engines {
+				if target != killed {
+					require.NoError(t, test.order(target.control, fault.Order{Fault: fault.Clear}))
+				}
+			}
 			result := test.whole(stream)
 			assert.True(t, test.completedElsewhere(stream.prompt, broken), "the broken group completed the answer")
 			test.awaitRepaired(broken)
@@ -411,6 +423,41 @@
 	test.verify(append(results, result))
 }
 
+// Guards against a drain that is lost because the platform's list still has an
+// earlier incarnation of the VM.
+func TestTargetIsDrainedWhileListLags(t *testing.T) {
+	test := start(t, 2)
+	require.NoError(t, test.publishVMs("earlier-"))
+	test.awaitListRead()
+	status, err := test.status(test.nodes[0])
+	require.NoError(t, err)
+	drained := status.Groups[0]
+	require.NoError(t, test.operate("drain", drained.Members[0], "--reason", "test"))
+	test.awaitRepaired(drained)
+	assert.NotContains(t, test.group(drained.Name).Members, drained.Members[0])
+}
+
+// awaitListRead waits until every node has read the VM list once more.
+func (test test) awaitListRead() {
+	test.t.Helper()
+	before := test.listReads()
+	// The nodes read at one interval, so that twice as many reads include one
+	// of each node that began after now.
+	enough := before + 2*len(test.nodes) + 1
+	test.await("every node has read the VM list", func() bool { return test.listReads() >= enough })
+}
+
+func (test test) listReads() int {
+	var counters struct{ Counters []store.Counter }
+	require.NoError(test.t, test.get("http://"+test.storeControl+"/counters", &counters))
+	for _, counter := range counters.Counters {
+		if counter.Kind == "vms" {
+			return counter.Calls
+		}
+	}
+	return 0
+}
+
 // Guards against callers who wait for a connection that went silent.
 func TestEngineConnectionsGoSilent(t *testing.T) {
 	test := start(t, 2)
