--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -158,14 +158,12 @@
 	assert.NotContains(t, sim.entries, NodeKey(stopped))
 }
 
-// A leader that was paused past its lease must give up the domain before it
-// returns any other effect, and an answer that waited during the pause must
-// not extend the lease.
-func TestPausedLeaderGivesUpFirst(t *testing.T) {
-	now := time.Now()
-	fleet := New(Config{Name: "a", Incarnation: "1", Random: newSimulation(1).random})
-	domain := Domain{Name: "d"}
-	fleet.Handle(now, DomainsKnown{Domains: []Domain{domain}})
+// leadingFleet returns a fleet that leads domain "d" with lease "l", whose key
+// is at revision 3.
+func leadingFleet(t *testing.T, seed uint64, now time.Time) *Fleet {
+	t.Helper()
+	fleet := New(Config{Name: "a", Incarnation: "1", Random: newSimulation(seed).random})
+	fleet.Handle(now, DomainsKnown{Domains: []Domain{{Name: "d"}}})
 	fleet.Handle(now, KeysListed{Prefix: NodePrefix, Revision: 1})
 	fleet.Handle(now, KeysListed{Prefix: DomainPrefix, Revision: 1})
 	fleet.Handle(now, LeaseGranted{Lease: "l", TTL: 9 * time.Second, Sent: now})
@@ -174,20 +172,110 @@
 	require.IsType(t, ClaimDomain{}, effects[len(effects)-1])
 	effects = fleet.Handle(now.Add(settleNear), ClaimDone{Domain: "d", Lease: "l", Outcome: platform.Written{Revision: 3}})
 	until := now.Add(9*time.Second - 90*time.Millisecond)
-	assert.Equal(t, []Effect{LeadershipHeld{Domain: "d", Until: until}}, effects)
+	require.Equal(t, []Effect{LeadershipHeld{Domain: "d", Until: until}}, effects)
+	return fleet
+}
+
+// ownKey is the leader's key of leadingFleet.
+func ownKey(fleet *Fleet) platform.Entry {
+	return platform.Entry{Key: LeaderKey("d"), Value: fleet.leaderValue(), Revision: 3, Lease: "l"}
+}
 
+// A leader that was paused past its lease must give up the domain before it
+// returns any other effect, and an answer that waited during the pause must
+// not extend the lease.
+func TestPausedLeaderGivesUpFirst(t *testing.T) {
+	now := time.Now()
+	fleet := leadingFleet(t, 1, now)
 	resumed := now.Add(10 * time.Second)
 	_, leads := fleet.Leads("d", resumed)
 	assert.False(t, leads)
-	effects = fleet.Handle(resumed, LeaseRenewed{Lease: "l", Sent: now.Add(500 * time.Millisecond)})
+	effects := fleet.Handle(resumed, LeaseRenewed{Lease: "l", Sent: now.Add(500 * time.Millisecond)})
 	assert.Equal(t, LeadershipLost{Domain: "d"}, effects[0])
-	assert.NotContains(t, fmt.Sprintf("%T", effects), "LeadershipHeld")
-
+	for _, effect := range effects {
+		_, held := effect.(LeadershipHeld)
+		assert.False(t, held)
+	}
 	effects = fleet.Handle(resumed, LeaseRenewed{Lease: "l", Sent: resumed})
 	require.NotEmpty(t, effects)
 	assert.IsType(t, LeadershipHeld{}, effects[0])
 }
 
+// After the lease is gone, late news of the key that was attached to it must
+// not make the node a leader under its next lease, and must not keep it from
+// reading and claiming the key again.
+func TestNewsOfAnOlderLease(t *testing.T) {
+	now := time.Now()
+	fleet := leadingFleet(t, 1, now)
+	key := ownKey(fleet)
+	assert.Contains(t, fleet.Handle(now, LeaseMissing{Lease: "l"}), LeadershipLost{Domain: "d"})
+	fleet.Handle(now, LeaseGranted{Lease: "m", TTL: 9 * time.Second, Sent: now})
+	fleet.Handle(now, NodeWritten{Lease: "m", Outcome: platform.Written{Revision: 9}})
+	fleet.Handle(now, KeysChanged{Revision: 3, Entries: []platform.Entry{key}})
+	_, leads := fleet.Leads("d", now)
+	assert.False(t, leads)
+
+	fleet.Handle(now, LeaderRead{Domain: "d"})
+	effects := fleet.Handle(now, ClaimDone{Domain: "d", Lease: "l", Outcome: platform.Written{Revision: 3}})
+	_, leads = fleet.Leads("d", now)
+	assert.False(t, leads)
+	assert.Contains(t, effects, ReadLeader{Domain: "d", Key: key.Key})
+}
+
+// News of the key from before its deletion must not bring it back.
+func TestNewsFromBeforeADeletion(t *testing.T) {
+	now := time.Now()
+	fleet := leadingFleet(t, 1, now)
+	effects := fleet.Handle(now, KeysChanged{Revision: 5, Deleted: []string{LeaderKey("d")}})
+	assert.Equal(t, LeadershipLost{Domain: "d"}, effects[0])
+	fleet.Handle(now, KeysChanged{Revision: 3, Entries: []platform.Entry{ownKey(fleet)}})
+	_, leads := fleet.Leads("d", now)
+	assert.False(t, leads)
+}
+
+// News of a deletion from before the claim must not end the leadership.
+func TestNewsFromBeforeTheClaim(t *testing.T) {
+	now := time.Now()
+	fleet := leadingFleet(t, 1, now)
+	fleet.Handle(now, KeysChanged{Revision: 2, Deleted: []string{LeaderKey("d")}})
+	fleet.Handle(now, KeysListed{Prefix: DomainPrefix, Revision: 2})
+	_, leads := fleet.Leads("d", now)
+	assert.True(t, leads)
+}
+
+// A claim that succeeds after the stop began is released at once, or the
+// domain would be without a leader until the node's end.
+func TestLateClaimIsReleased(t *testing.T) {
+	now := time.Now()
+	fleet := leadingFleet(t, 1, now)
+	released := ReleaseDomain{Domain: "d", Key: LeaderKey("d"), Revision: 3}
+	assert.Equal(t, []Effect{LeadershipLost{Domain: "d"}, released}, fleet.Handle(now, Stopping{}))
+	released.Revision = 4
+	assert.Contains(t, fleet.Handle(now, ClaimDone{
+		Domain: "d", Lease: "l", Outcome: platform.Written{Revision: 4},
+	}), released)
+	assert.Contains(t, fleet.Handle(now, Stopped{}), RevokeLease{Lease: "l"})
+	assert.Contains(t, fleet.Handle(now, LeaseGranted{Lease: "m", Sent: now}), RevokeLease{Lease: "m"})
+}
+
+// Nodes that lost their leases at once ask for new ones spread over a renewal
+// interval.
+func TestNewGrantsAreSpread(t *testing.T) {
+	now := time.Now()
+	early := 0
+	const nodes = 100
+	for seed := range uint64(nodes) {
+		fleet := leadingFleet(t, seed, now)
+		fleet.Handle(now, LeaseMissing{Lease: "l"})
+		for _, effect := range fleet.Handle(now.Add(fleet.interval()/2), Tick{}) {
+			if _, is := effect.(GrantLease); is {
+				early++
+			}
+		}
+	}
+	assert.InDelta(t, nodes/2, early, 15)
+}
+
 // A partition with the store on one side: the other side leads nothing after
 // its leases, and the nodes with the store lead every domain.
 func TestPartitionFromStore(t *testing.T) {
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -178,6 +178,37 @@
 	assert.False(t, one.Send("three", head))
 }
 
+// When both nodes dialled, both ends must keep the connection that the lesser
+// name dialled. Guards against ends that each close the one the other keeps.
+func TestDuplicateLinkTieBreak(t *testing.T) {
+	for _, test := range []struct {
+		mesh, raw string
+		dialled   bool
+	}{{"a", "b", true}, {"b", "a", false}} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer listener.Close()
+		mesh := startMesh(t, Config{Name: test.mesh, HeartbeatInterval: time.Second})
+		mesh.SetTargets([]Target{{Name: test.raw, Address: listener.Addr().String()}})
+		conn, err := listener.Accept()
+		require.NoError(t, err)
+		defer conn.Close()
+		dialled := &rawPeer{t: t, conn: conn, reader: bufio.NewReader(conn)}
+		dialled.send(rawHello(test.raw))
+		awaitUp(t, mesh, test.raw)
+		accepted := dialRaw(t, mesh, test.raw)
+		if test.dialled {
+			accepted.awaitClose()
+			dialled.awaitBeat()
+			continue
+		}
+		assert.Equal(t, ReasonReplaced, awaitDown(t, mesh, test.raw).Reason)
+		awaitUp(t, mesh, test.raw)
+		dialled.awaitClose()
+		accepted.awaitBeat()
+	}
+}
+
 // A seed has no name; the link is known by the name of its hello, and a node
 // that is its own seed makes no link.
 func TestSeed(t *testing.T) {
--- a/timer/timer_test.go
+++ b/timer/timer_test.go
@@ -51,7 +51,7 @@
 func TestPauseIsNotMadeUpFor(t *testing.T) {
 	service := New(Config{})
 	subscription := service.Every("paused", time.Second, 0)
-	resumed := subscription.due.Add(time.Hour)
+	resumed := subscription.due.Add(time.Hour + time.Second/2)
 	assert.Equal(t, time.Second, service.fire(resumed))
 	assert.Equal(t, resumed, <-subscription.C())
 	service.fire(resumed.Add(time.Millisecond))
