Ask other peers for grants that do not arrive

Cause: in a full mesh grants are not forwarded, so a node whose link to a domain's leader was cut served none of that domain's groups although other peers still heard the leader. A node that misses two report intervals now asks its peers in turn; ages grow with each hop. Ruled out: flooding in the full mesh, which repeats every frame at every node.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -128,6 +128,34 @@
 	}
 }
 
+// A node that does not hear the leader must get the grants from its other
+// peers.
+func TestGrantsArriveOverOtherPeer(test *testing.T) {
+	cluster := newCluster(test, 2)
+	for range 3 {
+		cluster.startNode(cluster.storeAddress())
+	}
+	cluster.apply(1)
+	for _, running := range cluster.nodes {
+		running.await(test, "grant", func(table *route.Table) bool {
+			_, found := granted(table)
+			return found
+		})
+	}
+	leader := cluster.leader()
+	for _, running := range cluster.nodes {
+		if running != leader {
+			running.filter.lost.Store(&leader.name)
+			cut := time.Now()
+			running.await(test, "grant from another peer", func(table *route.Table) bool {
+				target, found := granted(table)
+				return found && target.Grant.ReportedAt.After(cut.Add(testBound))
+			})
+			return
+		}
+	}
+}
+
 // A drain must close the group at every node, also while the store is down.
 func TestDrainSpreadsWithoutStore(test *testing.T) {
 	cluster := newCluster(test, 2)
--- a/control/grants.go
+++ b/control/grants.go
@@ -13,6 +13,7 @@
 func (state *state) publishGrants(now time.Time, led *leadership, effect group.PublishGrants) {
 	known := state.domain(led.domain)
 	known.fence = max(known.fence, effect.Fence)
+	known.received = peer.Grants{}
 	known.grants = map[string]group.GroupGrant{}
 	for _, granted := range effect.Grants {
 		known.grants[granted.Grant.Group] = granted
@@ -65,6 +66,7 @@
 	}
 	known.fence = frame.Fence
 	known.grantedAt = now
+	known.received = frame
 	known.grants = map[string]group.GroupGrant{}
 	for _, granted := range frame.Groups {
 		known.grants[granted.Group] = decodeGrant(granted, sentAfter)
@@ -90,18 +92,66 @@
 }
 
 // forwardGrants sends grants on to other peers in a fleet that is not fully
-// meshed. The ages are those at this node, so that each hop adds its delay.
+// meshed.
 func (state *state) forwardGrants(now time.Time, frame peer.Grants, except string) {
 	if len(state.fleet.Nodes()) <= fleet.FullMeshNodes {
 		return
 	}
-	known := state.domain(frame.Domain)
+	state.config.Mesh.BroadcastComposed(state.domain(frame.Domain).aged(now), except, now)
+}
+
+// aged returns the received grants with their ages at this node, so that each
+// hop adds its delay.
+func (known *domain) aged(now time.Time) peer.Grants {
 	grants := make([]group.GroupGrant, 0, len(known.grants))
-	for _, granted := range frame.Groups {
+	for _, granted := range known.received.Groups {
 		grants = append(grants, known.grants[granted.Group])
 	}
+	frame := known.received
 	frame.Groups = encodeGrants(now, grants)
-	state.config.Mesh.BroadcastComposed(frame, except, now)
+	return frame
+}
+
+const (
+	// missedGrants is the number of report intervals without grants after
+	// which a node asks its other peers for them.
+	missedGrants = 2
+
+	// askLater is the interval of the requests after askSoon without grants:
+	// the domain then most likely has no complete group.
+	askSoon  = 10 * time.Second
+	askLater = 2 * time.Second
+)
+
+// requestGrants asks a peer, each time another one, for grants that do not
+// arrive. The link to the origin may be cut while other peers still have it.
+func (state *state) requestGrants(now time.Time) {
+	linked := state.config.Mesh.Linked()
+	if state.configuration.folder == nil || len(linked) == 0 {
+		return
+	}
+	patience := missedGrants * state.configuration.folder.Policy().ReportInterval
+	for name, known := range state.domains {
+		if _, led := state.led[name]; led || known.placement == nil {
+			continue
+		}
+		missing := now.Sub(later(known.grantedAt, state.startedAt))
+		if missing < patience || missing > askSoon && now.Sub(known.askedAt) < askLater {
+			continue
+		}
+		known.askedAt = now
+		state.asked++
+		state.config.Mesh.Send(linked[state.asked%len(linked)], peer.GrantsRequest{Domain: name})
+	}
+}
+
+// answerGrants sends a peer the grants that another node published.
+func (state *state) answerGrants(now time.Time, from string, request peer.GrantsRequest) {
+	known, found := state.domains[request.Domain]
+	if !found || known.received.Origin == "" || known.received.Origin == from {
+		return
+	}
+	state.config.Mesh.SendComposed(from, known.aged(now), now)
 }
 
 // grantsItself reports whether this node publishes the grants of the frame's
--- a/control/harness_test.go
+++ b/control/harness_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,6 +34,7 @@
 	waitTick  = 10 * time.Millisecond
 
 	testLease = 1500 * time.Millisecond
+	testBound = time.Second
 )
 
 // engines is a fake of all engines of a fleet.
@@ -92,6 +94,49 @@
 func (traffic) Usage() []peer.WorkspaceUsage { return nil }
 func (traffic) SetUsage([]peer.Usage)        {}
 
+// A filter is a mesh that can lose the grants that one peer sends.
+type filter struct {
+	*peer.Mesh
+	events chan peer.Event
+	lost   atomic.Pointer[string]
+}
+
+func newFilter(ctx context.Context, mesh *peer.Mesh) *filter {
+	filter := &filter{Mesh: mesh, events: make(chan peer.Event)}
+	go filter.run(ctx)
+	return filter
+}
+
+func (filter *filter) Events() <-chan peer.Event { return filter.events }
+
+func (filter *filter) run(ctx context.Context) {
+	for {
+		select {
+		case event := <-filter.Mesh.Events():
+			if filter.loses(event) {
+				continue
+			}
+			select {
+			case filter.events <- event:
+			case <-ctx.Done():
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (filter *filter) loses(event peer.Event) bool {
+	received, isFrame := event.(peer.Received)
+	lost := filter.lost.Load()
+	if !isFrame || lost == nil || received.From != *lost {
+		return false
+	}
+	_, isGrants := received.Frame.(peer.Grants)
+	return isGrants
+}
+
 // A cluster is a store and nodes in one process.
 type cluster struct {
 	test    *testing.T
@@ -108,6 +153,7 @@
 	controller *control.Controller
 	publisher  *route.Publisher
 	mesh       *peer.Mesh
+	filter     *filter
 	cancel     context.CancelFunc
 }
 
@@ -189,7 +235,8 @@
 	client, err := platform.NewClient(platform.ClientConfig{Addresses: []string{storeAddress}, Timeout: time.Second})
 	require.NoError(test, err)
 	timers := timer.New(timer.Config{Random: rand.New(rand.NewPCG(uint64(index), 1))})
-	running := &node{name: name, mesh: mesh, publisher: route.NewPublisher()}
+	ctx, cancel := context.WithCancel(context.Background())
+	running := &node{name: name, mesh: mesh, filter: newFilter(ctx, mesh), publisher: route.NewPublisher(), cancel: cancel}
 	running.controller, err = control.New(control.Config{
 		Name:          name,
 		Incarnation:   "1",
@@ -199,7 +246,7 @@
 		Seeds:         cluster.seeds(),
 		LeaseMinimum:  testLease,
 		Platform:      client,
-		Mesh:          mesh,
+		Mesh:          running.filter,
 		Engines:       cluster.engines,
 		Services:      services{},
 		Traffic:       traffic{},
@@ -209,8 +256,6 @@
 		Logger:        zaptest.NewLogger(test),
 	})
 	require.NoError(test, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	running.cancel = cancel
 	go timers.Run(ctx)
 	go mesh.Run(ctx)
 	go running.controller.Run(ctx)
@@ -232,7 +277,7 @@
 			DowntimeWeight:   3,
 			StrandedWeight:   1,
 			ReportInterval:   100 * time.Millisecond,
-			GrantBound:       time.Second,
+			GrantBound:       testBound,
 			WeightRate:       1 << 40,
 			RetryPercent:     10,
 			BookingRetention: time.Hour,
--- a/control/loop.go
+++ b/control/loop.go
@@ -79,6 +79,7 @@
 	case <-ticks.fleet.C():
 		state.handleFleet(state.now(), fleet.Tick{})
 		state.requestMissing(state.now())
+		state.requestGrants(state.now())
 		state.observeDomains(state.now())
 	case <-ticks.leaders.C():
 		state.tickLeaders(state.now())
--- a/control/relay.go
+++ b/control/relay.go
@@ -69,6 +69,8 @@
 		if state.receiveGrants(now, frame, received.SentAfter) {
 			state.forwardGrants(now, frame, received.From)
 		}
+	case peer.GrantsRequest:
+		state.answerGrants(now, received.From, frame)
 	case peer.Usage:
 		state.receiveUsage(received.From, frame)
 	case peer.Leaving:
--- a/control/state.go
+++ b/control/state.go
@@ -34,6 +34,7 @@
 	leaving       map[string]departure
 	services      map[string]ServiceReport
 	usage         map[string]peer.Usage
+	asked         int
 	versions      *fleet.Versions
 	sent          uint64
 	stopWatch     context.CancelFunc
@@ -55,8 +56,14 @@
 	fence     uint64
 	grants    map[string]group.GroupGrant
 
-	// grantedAt is when grants of the domain arrived last.
+	// received is the frame that brought the grants. It has no origin when this
+	// node publishes them itself.
+	received peer.Grants
+
+	// grantedAt is when grants of the domain arrived last, and askedAt when a
+	// peer was asked for them.
 	grantedAt time.Time
+	askedAt   time.Time
 }
 
 func newState(controller *Controller) *state {
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -22,20 +22,22 @@
 	kindGrants
 	kindUsage
 	kindLeaving
+	kindGrantsRequest
 	kindEnd
 )
 
 // kindNames are the values of the metrics' label kind.
 var kindNames = [kindEnd]string{
-	kindHello:       "hello",
-	kindHeartbeat:   "heartbeat",
-	kindHead:        "head",
-	kindBodyRequest: "body-request",
-	kindBody:        "body",
-	kindPlacement:   "placement",
-	kindGrants:      "grants",
-	kindUsage:       "usage",
-	kindLeaving:     "leaving",
+	kindHello:         "hello",
+	kindHeartbeat:     "heartbeat",
+	kindHead:          "head",
+	kindBodyRequest:   "body-request",
+	kindBody:          "body",
+	kindPlacement:     "placement",
+	kindGrants:        "grants",
+	kindUsage:         "usage",
+	kindLeaving:       "leaving",
+	kindGrantsRequest: "grants-request",
 }
 
 const (
@@ -69,6 +71,8 @@
 		return kindUsage
 	case Leaving:
 		return kindLeaving
+	case GrantsRequest:
+		return kindGrantsRequest
 	default:
 		panic(errors.Errorf("peer: frame of type %T", frame))
 	}
@@ -92,6 +96,8 @@
 		return "grants/" + frame.Origin + "/" + frame.Domain
 	case Usage:
 		return "usage/" + frame.Origin
+	case GrantsRequest:
+		return "grants-request/" + frame.Domain
 	case Leaving:
 		return "leaving/" + frame.Target + "/" + frame.Incarnation
 	default:
@@ -211,6 +217,10 @@
 		var frame Leaving
 		err := decoder.Decode(&frame)
 		return frame, err
+	case kindGrantsRequest:
+		var frame GrantsRequest
+		err := decoder.Decode(&frame)
+		return frame, err
 	default:
 		return nil, errors.NotValidf("kind %d", number)
 	}
@@ -229,6 +239,8 @@
 		return checkNamed("usage", frame.Origin, frame.Incarnation)
 	case Leaving:
 		return checkNamed("leaving", frame.Target)
+	case GrantsRequest:
+		return checkNamed("grants request", frame.Domain)
 	default:
 		return nil
 	}
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -1,7 +1,7 @@
 package peer
 
 // A Frame is one message between two nodes. It is Hello, Heartbeat, Head,
-// BodyRequest, Body, Placement, Grants, Usage or Leaving.
+// BodyRequest, Body, Placement, Grants, GrantsRequest, Usage or Leaving.
 type Frame interface{ frame() }
 
 // Hello is the first frame of a link.
@@ -76,6 +76,9 @@
 	FreeCache   int
 }
 
+// GrantsRequest asks a peer for the grants of a fabric domain that it holds.
+type GrantsRequest struct{ Domain string }
+
 // Usage is the demand of each workspace at one node.
 type Usage struct {
 	Origin      string
@@ -99,12 +102,13 @@
 	Reason      string
 }
 
-func (Hello) frame()       {}
-func (Heartbeat) frame()   {}
-func (Head) frame()        {}
-func (BodyRequest) frame() {}
-func (Body) frame()        {}
-func (Placement) frame()   {}
-func (Grants) frame()      {}
-func (Usage) frame()       {}
-func (Leaving) frame()     {}
+func (Hello) frame()         {}
+func (Heartbeat) frame()     {}
+func (Head) frame()          {}
+func (BodyRequest) frame()   {}
+func (Body) frame()          {}
+func (Placement) frame()     {}
+func (Grants) frame()        {}
+func (GrantsRequest) frame() {}
+func (Usage) frame()         {}
+func (Leaving) frame()       {}
