Keep overload out of the engines' queues

With room at the node every draft was sent on, so that overload waited in the engines' queues, which know neither workspaces nor deadlines. A throttle for each pool of targets cuts this node's part when the reports show a long queue and grows back while they do not; admission then orders and refuses.

--- a/entry/admission.go
+++ b/entry/admission.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lacewingspoke.org/lacewingspoke/folder"
+	"lacewingspoke.org/lacewingspoke/group"
 	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/route"
 )
@@ -25,6 +26,10 @@
 	// is its generation.
 	folder     *folder.Folder
 	generation uint64
+
+	// throttles bound the requests of each pool of targets.
+	capacity  int
+	throttles map[string]*limit.Throttle
 }
 
 func newAdmission(config Config) *admission {
@@ -32,6 +37,9 @@
 		now:     config.Now,
 		retries: limit.NewRetryBudget(0),
 		waiters: map[uint64]chan limit.Effect{},
+
+		capacity:  config.Capacity,
+		throttles: map[string]*limit.Throttle{},
 		queue: limit.NewQueue(limit.Config{
 			Node:       config.Node,
 			Capacity:   config.Capacity,
@@ -120,6 +128,68 @@
 	admission.mutex.Lock()
 	defer admission.mutex.Unlock()
 	admission.configure(table)
+	now := admission.now()
+	loads := poolLoads(table, now)
+	keep := make(map[string]bool, len(loads))
+	for pool, load := range loads {
+		keep[pool] = true
+		if admission.throttles[pool] == nil {
+			admission.throttles[pool] = limit.NewThrottle(admission.capacity)
+		}
+		load.Own = admission.queue.PoolInFlight(pool)
+		bound := admission.throttles[pool].Observe(load, now)
+		admission.deliver(admission.queue.SetPool(pool, bound, now))
+	}
+	for pool := range admission.throttles {
+		if !keep[pool] {
+			delete(admission.throttles, pool)
+		}
+	}
+	admission.queue.RetainPools(keep)
+}
+
+// poolLoads sums the reports of the usable targets of each pool.
+func poolLoads(table *route.Table, now time.Time) map[string]limit.PoolLoad {
+	loads := map[string]limit.PoolLoad{}
+	for _, target := range table.Folder().Routes() {
+		pool := poolOf(target)
+		if _, known := loads[pool]; known {
+			continue
+		}
+		loads[pool] = poolLoad(table, target, now)
+	}
+	return loads
+}
+
+func poolLoad(table *route.Table, target folder.Route, now time.Time) limit.PoolLoad {
+	var load limit.PoolLoad
+	add := func(reported group.Load) {
+		load.Targets++
+		load.Running += reported.Running
+		load.Queued += reported.Queued
+	}
+	if target.Kind == folder.KindDraft {
+		for _, candidate := range table.Groups(target.Group) {
+			if candidate.Usable(now) {
+				add(candidate.Load)
+			}
+		}
+		return load
+	}
+	for _, candidate := range table.Services(target.Service) {
+		if candidate.Open {
+			add(candidate.Load)
+		}
+	}
+	return load
+}
+
+// poolOf names the targets of a route.
+func poolOf(target folder.Route) string {
+	if target.Kind == folder.KindDraft {
+		return "group/" + target.Group
+	}
+	return "service/" + target.Service
 }
 
 // configure takes the workspaces and the retry policy of a new folder. A
--- a/entry/draft_test.go
+++ b/entry/draft_test.go
@@ -378,3 +378,31 @@
 	close(hold)
 	<-replies
 }
+
+// Guards against requests that wait in the queue of overloaded engines, out of
+// reach of deadlines and weights.
+func TestOverloadedGroupThrottled(t *testing.T) {
+	fake := newFakeEngine(t)
+	release := make(chan struct{})
+	fake.emit = func(_ context.Context, request engine.Generate, send func(engine.Piece)) {
+		<-release
+		sendFrom(request, 0, request.MaxTokens, send)
+		sendDone(request, send)
+	}
+	built := newHarness(t, nil)
+	built.addGroup("copy-1", fake, longGrant)
+	first := built.start("a", 1)
+	second := built.start("b", 1)
+	eventually(t, func() bool { return len(fake.received()) == 2 })
+	built.changeGroup("copy-1", func(target *route.GroupTarget) { target.Load.Running, target.Load.Queued = 2, 30 })
+	eventually(t, func() bool {
+		got := built.do("POST", "/v1/completions", `{"prompt":"c"}`, map[string]string{"Lacewingspoke-Deadline": "20ms"})
+		return got.status == http.StatusServiceUnavailable && got.outcome() == "not-run"
+	})
+	close(release)
+	built.changeGroup("copy-1", func(target *route.GroupTarget) { target.Load.Running, target.Load.Queued = 0, 0 })
+	built.keepGranted("copy-1")
+	requireComplete(t, <-first, wholeText("a", 1))
+	requireComplete(t, <-second, wholeText("b", 1))
+	requireComplete(t, built.draft("d", 1, true), wholeText("d", 1))
+}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -200,6 +200,7 @@
 	ticket, refusal := exchange.server.admission.acquire(ctx, limit.Request{
 		Workspace: exchange.workspace.Name,
 		Class:     exchange.route.Name,
+		Pool:      poolOf(exchange.route),
 		Priority:  exchange.priority,
 		Deadline:  exchange.deadline,
 	}, table)
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -52,6 +52,10 @@
 	// that a request will take is estimated from its class.
 	Class string
 
+	// Pool names the targets that the request needs, empty for none. SetPool
+	// bounds the requests of a pool.
+	Pool string
+
 	// Priority orders requests within a workspace; higher is first.
 	Priority int
 	Deadline time.Time
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -42,6 +42,11 @@
 	inFlight   int
 	estimates  map[string]time.Duration
 	shares     shares
+
+	// pools holds the bound of each pool, and poolInFlight its requests in
+	// progress.
+	pools        map[string]int
+	poolInFlight map[string]int
 }
 
 type workspaceState struct {
@@ -65,6 +70,9 @@
 		workspaces: map[string]*workspaceState{},
 		running:    map[uint64]runningRequest{},
 		estimates:  map[string]time.Duration{},
+
+		pools:        map[string]int{},
+		poolInFlight: map[string]int{},
 	}
 }
 
@@ -107,6 +115,24 @@
 	return queue.dispatch(now, nil)
 }
 
+// SetPool bounds the requests of a pool that are in progress at this node.
+func (queue *Queue) SetPool(pool string, bound int, now time.Time) []Effect {
+	queue.pools[pool] = bound
+	return queue.dispatch(now, nil)
+}
+
+// RetainPools forgets the bounds of pools that keep does not contain.
+func (queue *Queue) RetainPools(keep map[string]bool) {
+	for pool := range queue.pools {
+		if !keep[pool] {
+			delete(queue.pools, pool)
+		}
+	}
+}
+
+// PoolInFlight returns the requests of a pool that are in progress.
+func (queue *Queue) PoolInFlight(pool string) int { return queue.poolInFlight[pool] }
+
 // Offer asks for admission of a request. Its effects may concern other
 // requests too. Without an effect for its ID the request waits.
 func (queue *Queue) Offer(request Request, now time.Time) []Effect {
@@ -118,7 +144,7 @@
 		return []Effect{Refuse{ID: request.ID, Cause: RefuseDeadline, RetryAfter: minRetryAfter}}
 	}
 	effects := queue.purge(now, nil)
-	if queue.hasRoom(state, 1) && len(state.waiting) == 0 {
+	if queue.hasRoom(state, 1) && queue.poolHasRoom(request.Pool) && !queue.waitsForPool(state, request.Pool) {
 		return append(effects, queue.start(state, request, now))
 	}
 	wait := queue.expectedWait(state, request)
@@ -145,6 +171,7 @@
 	}
 	delete(queue.running, id)
 	queue.inFlight--
+	queue.leavePool(running.request.Pool)
 	state := queue.workspaces[running.request.Workspace]
 	state.inFlight--
 	queue.learn(running.request.Class, now.Sub(running.started))
@@ -198,6 +225,24 @@
 	return state.inFlight < queue.share(state, offered)
 }
 
+func (queue *Queue) poolHasRoom(pool string) bool {
+	bound, bounded := queue.pools[pool]
+	return !bounded || queue.poolInFlight[pool] < bound
+}
+
+// waitsForPool reports whether the workspace has a waiting request of the
+// pool, which a new one must not overtake.
+func (queue *Queue) waitsForPool(state *workspaceState, pool string) bool {
+	return slices.ContainsFunc(state.waiting, func(waiting Request) bool { return waiting.Pool == pool })
+}
+
+func (queue *Queue) leavePool(pool string) {
+	queue.poolInFlight[pool]--
+	if queue.poolInFlight[pool] == 0 {
+		delete(queue.poolInFlight, pool)
+	}
+}
+
 func (queue *Queue) share(state *workspaceState, offered int) int {
 	if state.Limit == 0 {
 		return queue.config.Capacity
@@ -209,6 +254,7 @@
 func (queue *Queue) start(state *workspaceState, request Request, now time.Time) Effect {
 	queue.running[request.ID] = runningRequest{request: request, started: now}
 	queue.inFlight++
+	queue.poolInFlight[request.Pool]++
 	state.inFlight++
 	return Admit{ID: request.ID}
 }
@@ -220,11 +266,10 @@
 	}
 	effects = queue.purge(now, effects)
 	for queue.waiting > 0 {
-		state := queue.neediest()
+		state, index := queue.neediest()
 		if state == nil {
 			return effects
 		}
-		index := best(state.waiting)
 		request := state.waiting[index]
 		state.waiting = slices.Delete(state.waiting, index, index+1)
 		queue.waiting--
@@ -256,27 +301,37 @@
 }
 
 // neediest returns the workspace that has the fewest requests in progress for
-// its weight, among those with waiting requests and room.
-func (queue *Queue) neediest() *workspaceState {
+// its weight, among those that have room and a waiting request whose pool has
+// room, and the index of that request.
+func (queue *Queue) neediest() (*workspaceState, int) {
 	var chosen *workspaceState
+	var chosenIndex int
 	for _, name := range queue.names {
 		state := queue.workspaces[name]
 		if len(state.waiting) == 0 || !queue.hasRoom(state, 0) {
 			continue
 		}
-		if chosen == nil || state.inFlight*chosen.Weight < chosen.inFlight*state.Weight {
+		if chosen != nil && state.inFlight*chosen.Weight >= chosen.inFlight*state.Weight {
+			continue
+		}
+		if index := queue.best(state.waiting); index >= 0 {
 			chosen = state
+			chosenIndex = index
 		}
 	}
-	return chosen
+	return chosen, chosenIndex
 }
 
-// best returns the index of the request to serve first: the highest priority,
-// then the earliest deadline.
-func best(waiting []Request) int {
-	chosen := 0
+// best returns the index of the request to serve first, -1 for none: the
+// highest priority, then the earliest deadline, among those whose pool has
+// room.
+func (queue *Queue) best(waiting []Request) int {
+	chosen := -1
 	for index := range waiting {
-		if before(waiting[index], waiting[chosen]) {
+		if !queue.poolHasRoom(waiting[index].Pool) {
+			continue
+		}
+		if chosen < 0 || before(waiting[index], waiting[chosen]) {
 			chosen = index
 		}
 	}
@@ -327,7 +382,7 @@
 func (queue *Queue) expectedWait(state *workspaceState, request Request) time.Duration {
 	ahead := 1
 	for _, other := range state.waiting {
-		if other.ID != request.ID && before(other, request) {
+		if other.ID != request.ID && other.Pool == request.Pool && before(other, request) {
 			ahead++
 		}
 	}
@@ -337,7 +392,11 @@
 			weights += other.Weight
 		}
 	}
-	slots := max(1, queue.config.Capacity*state.Weight/weights)
+	capacity := queue.config.Capacity
+	if bound, bounded := queue.pools[request.Pool]; bounded {
+		capacity = min(capacity, bound)
+	}
+	slots := max(1, capacity*state.Weight/weights)
 	slots = max(1, min(slots, queue.share(state, 0)))
 	return queue.estimates[request.Class] * time.Duration(ahead) / time.Duration(slots)
 }
