--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -184,11 +184,12 @@
 	for _, test := range []struct {
 		mesh, raw string
 		dialled   bool
-	}{{"a", "b", true}, {"b", "a", false}} {
+		interval  time.Duration
+	}{{"a", "b", true, time.Minute}, {"b", "a", false, time.Second}} {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
 		defer listener.Close()
-		mesh := startMesh(t, Config{Name: test.mesh, HeartbeatInterval: time.Second})
+		mesh := startMesh(t, Config{Name: test.mesh, HeartbeatInterval: test.interval})
 		mesh.SetTargets([]Target{{Name: test.raw, Address: listener.Addr().String()}})
 		conn, err := listener.Accept()
 		require.NoError(t, err)
@@ -200,6 +201,7 @@
 		if test.dialled {
 			accepted.awaitClose()
 			dialled.awaitBeat()
+			assert.Empty(t, mesh.Events())
 			continue
 		}
 		assert.Equal(t, ReasonReplaced, awaitDown(t, mesh, test.raw).Reason)
