Drop peer frames of unknown kinds instead of closing the link

Cause: a node of a later release that sends a new kind lost its links to all earlier nodes, so a rolling replacement would have cut the fleet in two.

--- a/peer/codec.go
+++ b/peer/codec.go
@@ -13,7 +13,9 @@
 type kind uint8
 
 const (
-	kindHello kind = iota + 1
+	// kindUnknown stands for the kinds of a later release.
+	kindUnknown kind = iota
+	kindHello
 	kindHeartbeat
 	kindHead
 	kindBodyRequest
@@ -28,6 +30,7 @@
 
 // kindNames are the values of the metrics' label kind.
 var kindNames = [kindEnd]string{
+	kindUnknown:       "unknown",
 	kindHello:         "hello",
 	kindHeartbeat:     "heartbeat",
 	kindHead:          "head",
@@ -73,6 +76,8 @@
 		return kindLeaving
 	case GrantsRequest:
 		return kindGrantsRequest
+	case unrecognized:
+		return kindUnknown
 	default:
 		panic(errors.Errorf("peer: frame of type %T", frame))
 	}
@@ -222,10 +227,18 @@
 		err := decoder.Decode(&frame)
 		return frame, err
 	default:
-		return nil, errors.NotValidf("kind %d", number)
+		// While nodes are being replaced by a later release, its new kinds must
+		// not close the links to earlier ones.
+		return unrecognized{}, decoder.Skip()
 	}
 }
 
+// unrecognized is a well-formed frame of an unknown kind. It is counted and
+// dropped.
+type unrecognized struct{}
+
+func (unrecognized) frame() {}
+
 // check rejects frames that decode but cannot come from a correct node.
 func check(frame Frame) error {
 	switch frame := frame.(type) {
--- a/peer/link.go
+++ b/peer/link.go
@@ -183,8 +183,11 @@
 			}
 			generation = heartbeat.Generation
 		}
-		if _, is := frame.(Hello); is {
+		switch frame.(type) {
+		case Hello:
 			return errors.NotValidf("second hello")
+		case unrecognized:
+			continue
 		}
 		link.mesh.emit(ctx, Received{From: link.name(), Frame: frame, SentAfter: link.sentAfter()})
 	}
--- a/peer/metrics.go
+++ b/peer/metrics.go
@@ -52,7 +52,7 @@
 			Help: "Connections closed by reason, including those that failed before a link was up.",
 		}, []string{"reason"}),
 	}
-	for number := kindHello; number < kindEnd; number++ {
+	for number := kindUnknown; number < kindEnd; number++ {
 		metrics.sent.frames[number] = frames.WithLabelValues("sent", kindNames[number])
 		metrics.sent.bytes[number] = bytes.WithLabelValues("sent", kindNames[number])
 		metrics.received.frames[number] = frames.WithLabelValues("received", kindNames[number])
