Leave a moved VM to the fabric domain whose record holds it

Cause: when the platform's list moved a VM to another fabric domain, that domain's leader saw a VM without a seat and released it from the group that still served on it. A VM is now hidden from a domain while another domain's record holds it. Without the guard TestMovedVMIsNotTaken counts 2 VMs released from a serving group.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -156,6 +157,31 @@
 	}
 }
 
+// A VM that the platform's list moves to another fabric domain must not be
+// taken by that domain's leader while its group still serves.
+func TestMovedVMIsNotTaken(test *testing.T) {
+	cluster := newCluster(test, 2)
+	running := cluster.startNode(cluster.storeAddress())
+	cluster.apply(1)
+	running.await(test, "grant", func(table *route.Table) bool {
+		_, found := granted(table)
+		return found
+	})
+	for index := range cluster.vms {
+		cluster.vms[index].FabricDomain = "fabric-b"
+	}
+	cluster.store.SetVMs(cluster.vms)
+	require.Eventually(test, func() bool {
+		status, err := running.controller.Status(context.Background())
+		return err == nil && slices.Contains(status.Leads, "fabric-b")
+	}, waitBound, waitTick, "fabric-b is led")
+	// The new leader acts on the first reports after its wait for old orders,
+	// which is over within this number of reports.
+	enough := cluster.engines.reportsRead() + 100
+	require.Eventually(test, func() bool { return cluster.engines.reportsRead() > enough }, waitBound, waitTick)
+	require.Zero(test, cluster.engines.cutOff(), "VMs were released from a serving group")
+}
+
 // A drain must close the group at every node, also while the store is down.
 func TestDrainSpreadsWithoutStore(test *testing.T) {
 	cluster := newCluster(test, 2)
--- a/control/leaving.go
+++ b/control/leaving.go
@@ -117,17 +117,31 @@
 	return domains
 }
 
-// domainVMs returns the listed VMs of a fabric domain.
+// domainVMs returns the listed VMs of a fabric domain. A VM that the list has
+// moved here while another domain's record still holds it is left out until
+// that domain has freed it, so that it never has a seat in both.
 func (state *state) domainVMs(name string) []platform.VM {
 	var vms []platform.VM
 	for _, vm := range state.vms {
-		if vm.FabricDomain == name {
+		if vm.FabricDomain == name && !state.placedElsewhere(vm.Name, name) {
 			vms = append(vms, vm)
 		}
 	}
 	return vms
 }
 
+func (state *state) placedElsewhere(vm, domain string) bool {
+	for other, known := range state.domains {
+		if other == domain || known.placement == nil {
+			continue
+		}
+		if _, placed := known.placement.Assignment(vm); placed {
+			return true
+		}
+	}
+	return false
+}
+
 // pollVMs reads the platform's list on the nodes that watch the store or lead
 // a domain; the others learn of departures by relay.
 func (state *state) pollVMs() {
