Divide a workspace's limit by announced demand only

Shares now follow from what all nodes announced, and a node below its part grows only into what others gave up.

--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -77,33 +77,128 @@
 	require.Equal(t, want, order)
 }
 
-// Guards against nodes whose shares add up to more than a workspace's limit,
-// and against a share that leaves demand unserved while there is room.
+// Guards against nodes that together exceed a workspace's limit, also when all
+// of them grow between two announcements, and against demand that is left
+// unserved while there is room.
 func TestSharesAddUpToLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		maximum := rapid.IntRange(1, 50).Draw(t, "limit")
 		demand := rapid.SliceOfN(rapid.IntRange(0, 30), 1, 8).Draw(t, "demand")
-		total, wanted := 0, 0
-		for own := range demand {
-			queue := limit.NewQueue(limit.Config{Node: fmt.Sprint("n", own), Capacity: 1000, QueueLimit: 1000})
-			queue.SetWorkspaces([]limit.Workspace{{Name: "w", Weight: 1, Limit: maximum}})
-			var others []limit.NodeUsage
-			for node, count := range demand {
-				if node != own {
-					others = append(others, limit.NodeUsage{Node: fmt.Sprint("n", node), Workspaces: []limit.Usage{{Workspace: "w", Queued: count}}})
-				}
+		nodes := len(demand)
+		maximum := rapid.IntRange(nodes, 60).Draw(t, "limit")
+		queues := make([]*limit.Queue, nodes)
+		for node := range queues {
+			queues[node] = limit.NewQueue(limit.Config{Node: fmt.Sprint("n", node), Capacity: 1000, QueueLimit: 1000})
+			queues[node].SetWorkspaces([]limit.Workspace{{Name: "w", Weight: 1, Limit: maximum}})
+		}
+		lastID := uint64(0)
+		offer := func(node, count int) {
+			for range count {
+				lastID++
+				queues[node].Offer(request(lastID, "w", time.Hour), epoch)
+			}
+		}
+		inFlight := func() (total int) {
+			for _, queue := range queues {
+				total += queue.InFlight()
+			}
+			return total
+		}
+		wanted := 0
+		exchangeUsage(queues)
+		for node, count := range demand {
+			offer(node, count)
+			wanted += count
+		}
+		require.LessOrEqual(t, inFlight(), maximum)
+		exchangeUsage(queues)
+		require.Equal(t, min(maximum, wanted), inFlight())
+		for node := range queues {
+			offer(node, maximum)
+		}
+		rest := max(0, maximum-wanted)
+		excess := 0
+		if rest > 0 && rest < nodes {
+			excess = nodes - rest
+		}
+		require.LessOrEqual(t, inFlight(), maximum+excess)
+	})
+}
+
+// Guards against a division that exceeds the limit while demand moves from
+// node to node, and against demand that is never served.
+func TestSharesFollowDemand(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.IntRange(1, 5).Draw(t, "nodes")
+		maximum := rapid.IntRange(1, 12).Draw(t, "limit")
+		queues := make([]*limit.Queue, nodes)
+		running := make([][]uint64, nodes)
+		take := func(node int, effects []limit.Effect) {
+			running[node] = append(running[node], admitted(effects)...)
+		}
+		for node := range queues {
+			queues[node] = limit.NewQueue(limit.Config{Node: fmt.Sprint("n", node), Capacity: 1000, QueueLimit: 1000})
+			queues[node].SetWorkspaces([]limit.Workspace{{Name: "w", Weight: 1, Limit: maximum}})
+		}
+		inFlight := func() (total int) {
+			for node, queue := range queues {
+				require.Len(t, running[node], queue.InFlight())
+				total += queue.InFlight()
+			}
+			return total
+		}
+		exchange := func() {
+			for node, effects := range exchangeUsage(queues) {
+				take(node, effects)
 			}
-			queue.SetOthers(others, epoch)
-			for id := range demand[own] {
-				queue.Offer(request(uint64(id), "w", time.Hour), epoch)
+			require.Less(t, inFlight(), maximum+nodes)
+		}
+		finish := func(node int) {
+			if len(running[node]) > 0 {
+				id := running[node][0]
+				running[node] = running[node][1:]
+				take(node, queues[node].Finish(id, epoch))
 			}
-			total += queue.InFlight()
-			wanted += demand[own]
 		}
-		require.Equal(t, min(maximum, wanted), total)
+		exchange()
+		for id := range uint64(rapid.IntRange(1, 80).Draw(t, "steps")) {
+			node := rapid.IntRange(0, nodes-1).Draw(t, "node")
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				exchange()
+			case 1:
+				finish(node)
+			default:
+				take(node, queues[node].Offer(request(id, "w", time.Hour), epoch))
+			}
+			require.Less(t, inFlight(), maximum+nodes)
+		}
+		for round := 0; round < 200; round++ {
+			exchange()
+			for node := range queues {
+				finish(node)
+			}
+		}
+		for _, queue := range queues {
+			require.Zero(t, queue.InFlight()+queue.Waiting())
+		}
 	})
 }
 
+// exchangeUsage announces the demand of every queue to the others and returns
+// the effects for each.
+func exchangeUsage(queues []*limit.Queue) [][]limit.Effect {
+	announced := make([]limit.NodeUsage, len(queues))
+	for node, queue := range queues {
+		announced[node] = limit.NodeUsage{Node: fmt.Sprint("n", node), Workspaces: queue.Usage()}
+	}
+	effects := make([][]limit.Effect, len(queues))
+	for node, queue := range queues {
+		others := append(append([]limit.NodeUsage(nil), announced[:node]...), announced[node+1:]...)
+		effects[node] = queue.SetOthers(others, epoch)
+	}
+	return effects
+}
+
 // Guards against retries that multiply the load while targets fail.
 func TestRetryBudget(t *testing.T) {
 	budget := limit.NewRetryBudget(10)
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -41,7 +41,7 @@
 	waiting    int
 	inFlight   int
 	estimates  map[string]time.Duration
-	shares     shares
+	others     []NodeUsage
 
 	// pools holds the bound of each pool, and poolInFlight its requests in
 	// progress.
@@ -54,10 +54,18 @@
 	inFlight int
 	waiting  []Request
 
+	// announced is what Usage returned last. share is the share that follows
+	// from it and from the other nodes' usage, noShare when it is to be
+	// computed again.
+	announced demand
+	share     int
+
 	// removed is true when the configuration no longer contains it.
 	removed bool
 }
 
+const noShare = -1
+
 type runningRequest struct {
 	request Request
 	started time.Time
@@ -91,6 +99,7 @@
 		}
 		state.Workspace = workspace
 		state.removed = false
+		state.share = noShare
 	}
 	queue.forgetRemoved()
 }
@@ -111,7 +120,10 @@
 // announced no demand is listed without workspaces: it takes part in the
 // division of a limit.
 func (queue *Queue) SetOthers(others []NodeUsage, now time.Time) []Effect {
-	queue.shares = newShares(others)
+	queue.others = others
+	for _, state := range queue.workspaces {
+		state.share = noShare
+	}
 	return queue.dispatch(now, nil)
 }
 
@@ -144,7 +156,7 @@
 		return []Effect{Refuse{ID: request.ID, Cause: RefuseDeadline, RetryAfter: minRetryAfter}}
 	}
 	effects := queue.purge(now, nil)
-	if queue.hasRoom(state, 1) && queue.poolHasRoom(request.Pool) && !queue.waitsForPool(state, request.Pool) {
+	if queue.hasRoom(state) && queue.poolHasRoom(request.Pool) && !queue.waitsForPool(state, request.Pool) {
 		return append(effects, queue.start(state, request, now))
 	}
 	wait := queue.expectedWait(state, request)
@@ -196,12 +208,14 @@
 	}
 }
 
-// Usage returns this node's demand, in the order of names, without idle
-// workspaces.
+// Usage returns this node's demand to announce to the other nodes, in the
+// order of names, without idle workspaces.
 func (queue *Queue) Usage() []Usage {
 	var usage []Usage
 	for _, name := range queue.names {
 		state := queue.workspaces[name]
+		state.announced = demand{inFlight: state.inFlight, queued: len(state.waiting)}
+		state.share = noShare
 		if state.inFlight == 0 && len(state.waiting) == 0 {
 			continue
 		}
@@ -216,13 +230,12 @@
 // Waiting returns the number of requests that wait.
 func (queue *Queue) Waiting() int { return queue.waiting }
 
-// hasRoom reports whether one more request of the workspace may run. offered
-// is 1 when the request is not among the waiting ones.
-func (queue *Queue) hasRoom(state *workspaceState, offered int) bool {
+// hasRoom reports whether one more request of the workspace may run.
+func (queue *Queue) hasRoom(state *workspaceState) bool {
 	if queue.inFlight >= queue.config.Capacity {
 		return false
 	}
-	return state.inFlight < queue.share(state, offered)
+	return state.inFlight < queue.share(state)
 }
 
 func (queue *Queue) poolHasRoom(pool string) bool {
@@ -243,12 +256,16 @@
 	}
 }
 
-func (queue *Queue) share(state *workspaceState, offered int) int {
+// share returns this node's part of a workspace's limit.
+func (queue *Queue) share(state *workspaceState) int {
 	if state.Limit == 0 {
 		return queue.config.Capacity
 	}
-	demand := state.inFlight + len(state.waiting) + offered
-	return queue.shares.of(queue.config.Node, state.Name, state.Limit, demand)
+	if state.share == noShare {
+		state.announced.node = queue.config.Node
+		state.share = shareOf(state.Limit, state.announced, othersOf(queue.others, state.Name))
+	}
+	return state.share
 }
 
 func (queue *Queue) start(state *workspaceState, request Request, now time.Time) Effect {
@@ -308,7 +325,7 @@
 	var chosenIndex int
 	for _, name := range queue.names {
 		state := queue.workspaces[name]
-		if len(state.waiting) == 0 || !queue.hasRoom(state, 0) {
+		if len(state.waiting) == 0 || !queue.hasRoom(state) {
 			continue
 		}
 		if chosen != nil && state.inFlight*chosen.Weight >= chosen.inFlight*state.Weight {
@@ -397,7 +414,7 @@
 		capacity = min(capacity, bound)
 	}
 	slots := max(1, capacity*state.Weight/weights)
-	slots = max(1, min(slots, queue.share(state, 0)))
+	slots = max(1, min(slots, queue.share(state)))
 	return queue.estimates[request.Class] * time.Duration(ahead) / time.Duration(slots)
 }
 
--- a/limit/share.go
+++ b/limit/share.go
@@ -1,88 +1,111 @@
 package limit
 
-// shares holds the other nodes' demand for each workspace.
-type shares struct {
-	nodes  int
-	demand map[string][]nodeDemand
-}
+import (
+	"slices"
+	"strings"
+)
 
-type nodeDemand struct {
-	node   string
-	demand int
+// demand is what one node announced for one workspace.
+type demand struct {
+	node     string
+	inFlight int
+	queued   int
 }
 
-func newShares(others []NodeUsage) shares {
-	result := shares{nodes: len(others), demand: map[string][]nodeDemand{}}
-	for _, other := range others {
-		for _, usage := range other.Workspaces {
-			entry := nodeDemand{node: other.Node, demand: usage.InFlight + usage.Queued}
-			result.demand[usage.Workspace] = append(result.demand[usage.Workspace], entry)
-		}
-	}
-	return result
-}
+func (demand demand) total() int { return demand.inFlight + demand.queued }
 
-// of returns this node's share of a limit, given its own demand.
+// shareOf returns own's share of a workspace's limit. It uses only what the
+// nodes announced, so that all nodes compute the same division.
 //
 // When the limit covers all demand, the rest is divided equally among all
-// nodes, so that two nodes that grow at once do not both take it. Otherwise
-// the limit is filled evenly: no node gets more than it asks for, and nodes
-// that ask for more get the same amount, the remainder going by one to the
-// first of them in name order. If all nodes know the same demand, the shares
-// add up to at most the limit; a change of demand can exceed it until the
+// nodes, so that nodes that grow at once do not each take all of it. While
+// there is any rest, a node may grow by one: a first request does not wait for
+// an announcement although the limit is smaller than the number of nodes. This
+// can exceed the limit by less than the number of nodes, until the
 // announcements arrive.
-func (shares shares) of(node, workspace string, limit, own int) int {
-	others := shares.demand[workspace]
-	total := own
-	highest := own
-	for _, other := range others {
-		total += other.demand
-		highest = max(highest, other.demand)
+//
+// Otherwise the limit is divided evenly, and a node below its part grows only
+// into what the nodes above theirs have given up. Then the requests in
+// progress do not exceed the limit.
+func shareOf(limit int, own demand, others []demand) int {
+	all := append(slices.Clone(others), own)
+	slices.SortFunc(all, func(first, second demand) int { return strings.Compare(first.node, second.node) })
+	self := slices.IndexFunc(all, func(each demand) bool { return each.node == own.node })
+	wanted := make([]int, len(all))
+	total, inFlight := 0, 0
+	for index, each := range all {
+		wanted[index] = each.total()
+		total += each.total()
+		inFlight += each.inFlight
 	}
 	if total <= limit {
-		return own + (limit-total)/(shares.nodes+1)
+		rest := limit - total
+		return own.total() + max(rest/len(all), min(rest, 1))
 	}
-	level, filled := fillLevel(others, own, limit, highest)
-	if own <= level {
-		return own
+	parts := divide(limit, wanted)
+	if own.inFlight >= parts[self] {
+		return parts[self]
 	}
-	return level + remainder(others, node, level, limit-filled)
+	missing := make([]int, len(all))
+	for index, each := range all {
+		missing[index] = max(0, parts[index]-each.inFlight)
+	}
+	free := max(0, limit-inFlight)
+	return own.inFlight + divide(free, missing)[self]
 }
 
-// fillLevel returns the highest level at which all demands, cut at the level,
-// fit into the limit, and their sum.
-func fillLevel(others []nodeDemand, own, limit, highest int) (level, filled int) {
-	low, high := 0, highest
+// divide returns the amounts when an amount is divided evenly and nobody gets
+// more than it wants: all get at most the same level, and what remains goes by
+// one to the first that want more.
+func divide(amount int, wanted []int) []int {
+	level := highestLevel(amount, wanted)
+	rest := amount
+	for _, each := range wanted {
+		rest -= min(each, level)
+	}
+	parts := make([]int, len(wanted))
+	for index, each := range wanted {
+		parts[index] = min(each, level)
+		if each > level && rest > 0 {
+			parts[index]++
+			rest--
+		}
+	}
+	return parts
+}
+
+// highestLevel returns the highest level at which the wanted amounts, cut at
+// the level, fit into the amount.
+func highestLevel(amount int, wanted []int) int {
+	low, high := 0, slices.Max(wanted)
 	for low < high {
 		middle := (low + high + 1) / 2
-		if sumAt(others, own, middle) <= limit {
+		sum := 0
+		for _, each := range wanted {
+			sum += min(each, middle)
+		}
+		if sum <= amount {
 			low = middle
 		} else {
 			high = middle - 1
 		}
 	}
-	return low, sumAt(others, own, low)
+	return low
 }
 
-func sumAt(others []nodeDemand, own, level int) int {
-	sum := min(own, level)
+// othersOf returns the announced demand of the other nodes for a workspace. A
+// node without demand takes part.
+func othersOf(others []NodeUsage, workspace string) []demand {
+	result := make([]demand, 0, len(others))
 	for _, other := range others {
-		sum += min(other.demand, level)
-	}
-	return sum
-}
-
-// remainder returns 1 for the first rest nodes, in name order, that want more
-// than the level.
-func remainder(others []nodeDemand, node string, level, rest int) int {
-	earlier := 0
-	for _, other := range others {
-		if other.demand > level && other.node < node {
-			earlier++
+		announced := demand{node: other.Node}
+		for _, usage := range other.Workspaces {
+			if usage.Workspace == workspace {
+				announced.inFlight = usage.InFlight
+				announced.queued = usage.Queued
+			}
 		}
+		result = append(result, announced)
 	}
-	if earlier < rest {
-		return 1
-	}
-	return 0
+	return result
 }
