--- a/peer/codec.go
+++ b/peer/codec.go
@@ -13,7 +13,9 @@
 type kind uint8
 
 const (
-	kindHello kind = iota + 1
+	// kindUnknown stands for the kinds of a later release.
+	kindUnknown kind = iota
+	kindHello
 	kindHeartbeat
 	kindHead
 	kindBodyRequest
@@ -22,20 +24,23 @@
 	kindGrants
 	kindUsage
 	kindLeaving
+	kindGrantsRequest
 	kindEnd
 )
 
 // kindNames are the values of the metrics' label kind.
 var kindNames = [kindEnd]string{
-	kindHello:       "hello",
-	kindHeartbeat:   "heartbeat",
-	kindHead:        "head",
-	kindBodyRequest: "body-request",
-	kindBody:        "body",
-	kindPlacement:   "placement",
-	kindGrants:      "grants",
-	kindUsage:       "usage",
-	kindLeaving:     "leaving",
+	kindUnknown:       "unknown",
+	kindHello:         "hello",
+	kindHeartbeat:     "heartbeat",
+	kindHead:          "head",
+	kindBodyRequest:   "body-request",
+	kindBody:          "body",
+	kindPlacement:     "placement",
+	kindGrants:        "grants",
+	kindUsage:         "usage",
+	kindLeaving:       "leaving",
+	kindGrantsRequest: "grants-request",
 }
 
 const (
@@ -69,6 +74,10 @@
 		return kindUsage
 	case Leaving:
 		return kindLeaving
+	case GrantsRequest:
+		return kindGrantsRequest
+	case unrecognized:
+		return kindUnknown
 	default:
 		panic(errors.Errorf("peer: frame of type %T", frame))
 	}
@@ -92,6 +101,8 @@
 		return "grants/" + frame.Origin + "/" + frame.Domain
 	case Usage:
 		return "usage/" + frame.Origin
+	case GrantsRequest:
+		return "grants-request/" + frame.Domain
 	case Leaving:
 		return "leaving/" + frame.Target + "/" + frame.Incarnation
 	default:
@@ -211,11 +222,23 @@
 		var frame Leaving
 		err := decoder.Decode(&frame)
 		return frame, err
+	case kindGrantsRequest:
+		var frame GrantsRequest
+		err := decoder.Decode(&frame)
+		return frame, err
 	default:
-		return nil, errors.NotValidf("kind %d", number)
+		// While nodes are being replaced by a later release, its new kinds must
+		// not close the links to earlier ones.
+		return unrecognized{}, decoder.Skip()
 	}
 }
 
+// unrecognized is a well-formed frame of an unknown kind. It is counted and
+// dropped.
+type unrecognized struct{}
+
+func (unrecognized) frame() {}
+
 // check rejects frames that decode but cannot come from a correct node.
 func check(frame Frame) error {
 	switch frame := frame.(type) {
@@ -229,6 +252,8 @@
 		return checkNamed("usage", frame.Origin, frame.Incarnation)
 	case Leaving:
 		return checkNamed("leaving", frame.Target)
+	case GrantsRequest:
+		return checkNamed("grants request", frame.Domain)
 	default:
 		return nil
 	}
