--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -41,6 +41,9 @@
 
 	// calls counts the calls that reached the store, by second.
 	calls map[int]int
+
+	// lead, when set, is told of each LeadershipHeld and LeadershipLost.
+	lead func(name string, effect Effect)
 }
 
 type simLease struct {
@@ -294,8 +297,16 @@
 		sim.call(name, node, func() Event { sim.delete(effect.Key, effect.Revision); return nil }, nil)
 	case LeadershipHeld:
 		node.held[effect.Domain] = effect.Until
+		sim.tell(name, effect)
 	case LeadershipLost:
 		delete(node.held, effect.Domain)
+		sim.tell(name, effect)
+	}
+}
+
+func (sim *simulation) tell(name string, effect Effect) {
+	if sim.lead != nil {
+		sim.lead(name, effect)
 	}
 }
 
