--- a/engine/generate.go
+++ b/engine/generate.go
@@ -45,6 +45,9 @@
 	// ProgressTimeout bounds the wait between two pieces, default 2 s. A
 	// connection that is silent for longer counts as broken.
 	ProgressTimeout time.Duration
+
+	// Dial opens the connections, by default over TCP within DialTimeout.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // A Generator starts and cancels generated streams. It is safe for concurrent
@@ -63,14 +66,16 @@
 	config.DialTimeout = durationOr(config.DialTimeout, defaultDialTimeout)
 	config.FirstTimeout = durationOr(config.FirstTimeout, defaultFirstTimeout)
 	config.ProgressTimeout = durationOr(config.ProgressTimeout, defaultProgressTimeout)
-	dialer := &net.Dialer{Timeout: config.DialTimeout}
+	if config.Dial == nil {
+		config.Dial = (&net.Dialer{Timeout: config.DialTimeout}).DialContext
+	}
 	return &Generator{
 		config: config,
 		transport: &http.Transport{
 			DisableKeepAlives:  true,
 			DisableCompression: true,
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-				conn, err := dialer.DialContext(ctx, network, address)
+				conn, err := config.Dial(ctx, network, address)
 				if err != nil {
 					return nil, err
 				}
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -62,6 +62,12 @@
 
 func newFakeEngine(t *testing.T) *fakeEngine {
 	fake := &fakeEngine{}
+	fake.server = httptest.NewServer(fake.handler())
+	t.Cleanup(fake.server.Close)
+	return fake
+}
+
+func (fake *fakeEngine) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/generate", fake.generate)
 	mux.HandleFunc("POST /v1/cancel", func(_ http.ResponseWriter, request *http.Request) {
@@ -71,9 +77,7 @@
 		defer fake.mutex.Unlock()
 		fake.cancelled = append(fake.cancelled, cancel.Attempt)
 	})
-	fake.server = httptest.NewServer(mux)
-	t.Cleanup(fake.server.Close)
-	return fake
+	return mux
 }
 
 func (fake *fakeEngine) address() string { return fake.server.Listener.Addr().String() }
@@ -203,7 +207,8 @@
 	publisher *route.Publisher
 	store     *fakeStore
 	server    *entry.Server
-	front     *httptest.Server
+	url       string
+	client    *http.Client
 	registry  *prometheus.Registry
 	folder    *folder.Folder
 
@@ -213,12 +218,26 @@
 }
 
 func newHarness(t *testing.T, change func(*entry.Config)) *harness {
+	built := newServer(t, change)
+	front := httptest.NewServer(built.server)
+	built.url = front.URL
+	t.Cleanup(func() {
+		front.Close()
+		built.server.Close()
+		http.DefaultTransport.(*http.Transport).CloseIdleConnections()
+	})
+	return built
+}
+
+// newServer returns a node that no caller reaches yet and that is to be closed.
+func newServer(t *testing.T, change func(*entry.Config)) *harness {
 	sum := sha256.Sum256([]byte(callerKey))
 	built := &harness{
 		t:         t,
 		publisher: route.NewPublisher(),
 		store:     newFakeStore(),
 		registry:  prometheus.NewRegistry(),
+		client:    http.DefaultClient,
 		folder: folder.New(folder.Config{
 			Workspaces: []folder.Workspace{{
 				Name: "zarnesti", KeyDigests: []string{hex.EncodeToString(sum[:])}, Weight: 1, MaxInFlight: 100, Deadline: waitLimit,
@@ -245,22 +264,20 @@
 	server, err := entry.New(config)
 	require.NoError(t, err)
 	built.server = server
-	built.front = httptest.NewServer(server)
-	t.Cleanup(func() {
-		built.front.Close()
-		server.Close()
-		http.DefaultTransport.(*http.Transport).CloseIdleConnections()
-	})
 	built.publish()
 	return built
 }
 
 // addGroup adds a serving group with a grant that was reported just now.
 func (built *harness) addGroup(name string, fake *fakeEngine, valid time.Duration) {
+	built.addGroupAt(name, fake.address(), valid)
+}
+
+func (built *harness) addGroupAt(name, address string, valid time.Duration) {
 	now := time.Now()
 	built.change(func() {
 		built.groups = append(built.groups, route.GroupTarget{
-			Name: name, Spec: "copy", Epoch: 1, Address: fake.address(), FailureDomain: "mamaia-north", Open: true,
+			Name: name, Spec: "copy", Epoch: 1, Address: address, FailureDomain: "mamaia-north", Open: true,
 			Grant: group.Grant{Group: name, Epoch: 1, ReportedAt: now, ValidUntil: now.Add(valid)},
 		})
 	})
@@ -378,7 +395,7 @@
 }
 
 func (built *harness) request(ctx context.Context, method, path, body string, header map[string]string) *http.Request {
-	request, err := http.NewRequestWithContext(ctx, method, built.front.URL+path, strings.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, built.url+path, strings.NewReader(body))
 	require.NoError(built.t, err)
 	request.Header.Set("Authorization", "Bearer "+callerKey)
 	for name, value := range header {
@@ -388,7 +405,7 @@
 }
 
 func (built *harness) do(method, path, body string, header map[string]string) reply {
-	response, err := http.DefaultClient.Do(built.request(context.Background(), method, path, body, header))
+	response, err := built.client.Do(built.request(context.Background(), method, path, body, header))
 	if err != nil {
 		return reply{err: err}
 	}
--- a/service/service.go
+++ b/service/service.go
@@ -53,6 +53,9 @@
 
 	// MaxAnswerBytes bounds the body of an answer, default 4 MiB.
 	MaxAnswerBytes int64
+
+	// Dial opens the connections, by default over TCP within DialTimeout.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // A Client sends requests to plain services. It is safe for concurrent use.
@@ -70,6 +73,9 @@
 	if config.MaxAnswerBytes <= 0 {
 		config.MaxAnswerBytes = defaultMaxAnswerBytes
 	}
+	if config.Dial == nil {
+		config.Dial = (&net.Dialer{Timeout: config.DialTimeout}).DialContext
+	}
 	client := &Client{config: config}
 	client.once = client.transport()
 	client.once.DisableKeepAlives = true
@@ -78,13 +84,12 @@
 }
 
 func (client *Client) transport() *http.Transport {
-	dialer := &net.Dialer{Timeout: client.config.DialTimeout}
 	return &http.Transport{
 		DisableCompression:  true,
 		IdleConnTimeout:     idleTimeout,
 		MaxIdleConnsPerHost: maxIdlePerService,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
+			conn, err := client.config.Dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
