Keep departures by incarnation and drain the running one

Cause: drains, departures and their clearing went by the incarnation in the platform's list, which lags. Departures are now kept per incarnation, a drain takes the incarnation of the placement record, and a departure is forgotten only when the list has moved past it.

--- a/control/leadership.go
+++ b/control/leadership.go
@@ -65,8 +65,8 @@
 	if len(state.vms) > 0 {
 		state.handleGroup(now, led, group.VMsListed{VMs: state.domainVMs(name)})
 	}
-	for target, departure := range state.leaving {
-		state.handleGroup(now, led, group.LeavingKnown{VM: target, Incarnation: departure.incarnation})
+	for leaver := range state.leaving {
+		state.handleGroup(now, led, group.LeavingKnown{VM: leaver.target, Incarnation: leaver.incarnation})
 	}
 	return led
 }
@@ -301,7 +301,7 @@
 			size = &group.DomainSize{Name: vm.FabricDomain, FailureDomain: vm.FailureDomain}
 			sizes[vm.FabricDomain] = size
 		}
-		if _, leaving := state.leaving[vm.Name]; !leaving {
+		if !state.isLeaving(vm.Name, vm.Incarnation) {
 			size.VMs++
 		}
 	}
--- a/control/leaving.go
+++ b/control/leaving.go
@@ -16,12 +16,20 @@
 	"lacewingspoke.org/lacewingspoke/platform"
 )
 
-// A departure is a target that takes no new work. It holds for one
-// incarnation of the target and never turns back.
-type departure struct {
+// A leaver is one incarnation of a target. A service runner has none.
+type leaver struct {
+	target      string
 	incarnation string
-	author      string
-	reason      string
+}
+
+// A departure says that a leaver takes no new work. It never turns back.
+type departure struct {
+	author string
+	reason string
+
+	// listed is the incarnation that the platform's list had when the
+	// departure became known. The list lags, so it may be an earlier one.
+	listed string
 }
 
 // drainRecord is the audit entry of a drain in the store.
@@ -38,10 +46,10 @@
 
 const drainRetry = 2 * time.Second
 
-func (departure departure) frame(target string) peer.Leaving {
+func (departure departure) frame(leaver leaver) peer.Leaving {
 	return peer.Leaving{
-		Target:      target,
-		Incarnation: departure.incarnation,
+		Target:      leaver.target,
+		Incarnation: leaver.incarnation,
 		Author:      departure.author,
 		Reason:      departure.reason,
 	}
@@ -49,21 +57,19 @@
 
 // markLeaving takes in a departure and spreads it if it is new.
 func (state *state) markLeaving(now time.Time, frame peer.Leaving, from string) {
-	known, found := state.leaving[frame.Target]
-	if found && known.incarnation == frame.Incarnation {
+	leaver := leaver{target: frame.Target, incarnation: frame.Incarnation}
+	if _, found := state.leaving[leaver]; found {
 		return
 	}
-	if vm, listed := state.vms[frame.Target]; listed && frame.Incarnation != "" && vm.Incarnation != frame.Incarnation {
-		return
-	}
-	state.leaving[frame.Target] = departure{
-		incarnation: frame.Incarnation,
-		author:      frame.Author,
-		reason:      frame.Reason,
+	state.leaving[leaver] = departure{
+		author: frame.Author,
+		reason: frame.Reason,
+		listed: state.vms[frame.Target].Incarnation,
 	}
 	state.dirty = true
 	state.logger.Info("target is leaving",
 		zap.String("target", frame.Target),
+		zap.String("incarnation", frame.Incarnation),
 		zap.String("author", frame.Author),
 		zap.String("reason", frame.Reason))
 	state.config.Mesh.Broadcast(frame, from)
@@ -72,6 +78,12 @@
 	}
 }
 
+// isLeaving reports whether an incarnation of a target is leaving.
+func (state *state) isLeaving(target, incarnation string) bool {
+	_, found := state.leaving[leaver{target: target, incarnation: incarnation}]
+	return found
+}
+
 // handleVMs takes in the platform's list.
 func (state *state) handleVMs(now time.Time, vms []platform.VM) {
 	state.pollingVMs = false
@@ -95,11 +107,14 @@
 	state.tellElsewhere(now)
 }
 
-// clearReplaced forgets the departure of a VM's earlier incarnation.
+// clearReplaced forgets the departures of a VM's earlier incarnations. A list
+// that lags still shows the incarnation before the one that leaves.
 func (state *state) clearReplaced(vm platform.VM) {
-	known, found := state.leaving[vm.Name]
-	if found && known.incarnation != vm.Incarnation {
-		delete(state.leaving, vm.Name)
+	for leaver, departure := range state.leaving {
+		if leaver.target != vm.Name || leaver.incarnation == vm.Incarnation || departure.listed == vm.Incarnation {
+			continue
+		}
+		delete(state.leaving, leaver)
 		state.dirty = true
 	}
 }
@@ -195,11 +210,10 @@
 	return admin.DrainResult{Peers: len(state.config.Mesh.Linked())}, nil
 }
 
-// targetIncarnation finds a VM or a service runner.
+// targetIncarnation finds a VM or a service runner. A placement record holds
+// the incarnation that the VM itself reported, so it goes before the list,
+// which lags.
 func (state *state) targetIncarnation(target string) (string, bool) {
-	if vm, found := state.vms[target]; found {
-		return vm.Incarnation, true
-	}
 	for _, known := range state.domains {
 		if known.placement == nil {
 			continue
@@ -208,6 +222,9 @@
 			return assignment.Incarnation, true
 		}
 	}
+	if vm, found := state.vms[target]; found {
+		return vm.Incarnation, true
+	}
 	if state.configuration.folder == nil {
 		return "", false
 	}
@@ -221,6 +238,15 @@
 	return "", false
 }
 
+// key returns the store key of the record. The first drain of an incarnation
+// is the one that is recorded.
+func (record drainRecord) key() string {
+	if record.Incarnation == "" {
+		return drainPrefix + record.Target
+	}
+	return drainPrefix + record.Target + "/" + record.Incarnation
+}
+
 // recordDrain writes the audit entry and repeats until the store has it.
 func (state *state) recordDrain(record drainRecord) {
 	value, err := json.Marshal(record)
@@ -230,11 +256,11 @@
 	state.start(func(ctx context.Context) message {
 		for {
 			outcome := state.config.Platform.Put(ctx, platform.PutRequest{
-				Key:    drainPrefix + record.Target,
+				Key:    record.key(),
 				Value:  value,
-				Expect: platform.ExpectAny(),
+				Expect: platform.ExpectAbsent(),
 			})
-			if _, written := outcome.(platform.Written); written || !pause(ctx, drainRetry) {
+			if answered(outcome) || !pause(ctx, drainRetry) {
 				return drainRecorded{target: record.Target, outcome: outcome}
 			}
 		}
@@ -242,7 +268,7 @@
 }
 
 func (state *state) handleDrainRecorded(result drainRecorded) {
-	if _, written := result.outcome.(platform.Written); written {
+	if answered(result.outcome) {
 		state.logger.Info("drain recorded", zap.String("target", result.target))
 	}
 }
--- a/control/relay.go
+++ b/control/relay.go
@@ -44,8 +44,8 @@
 			state.config.Mesh.Send(hello.Name, known.frame(name))
 		}
 	}
-	for target, departure := range state.leaving {
-		state.config.Mesh.Send(hello.Name, departure.frame(target))
+	for leaver, departure := range state.leaving {
+		state.config.Mesh.Send(hello.Name, departure.frame(leaver))
 	}
 }
 
--- a/control/status.go
+++ b/control/status.go
@@ -77,8 +77,8 @@
 
 func (state *state) leavingTargets() []string {
 	targets := []string{}
-	for target := range state.leaving {
-		targets = append(targets, target)
+	for leaver := range state.leaving {
+		targets = append(targets, leaver.target)
 	}
 	sort.Strings(targets)
 	return targets
--- a/control/table.go
+++ b/control/table.go
@@ -48,7 +48,7 @@
 			target.Address = assignment.Address
 			target.FailureDomain = assignment.FailureDomain
 		}
-		if _, leaving := state.leaving[vm]; leaving {
+		if state.isLeaving(vm, assignment.Incarnation) {
 			target.Open = false
 		}
 	}
@@ -73,7 +73,7 @@
 
 func (state *state) serviceTarget(service folder.Service, address folder.ServiceAddress) route.ServiceTarget {
 	report := state.services[address.Address]
-	_, leaving := state.leaving[address.Address]
+	leaving := state.isLeaving(address.Address, "")
 	return route.ServiceTarget{
 		Service:       service.Name,
 		Address:       address.Address,
