Keep departures by incarnation and drain the running one

Cause: drains, departures and their clearing went by the incarnation in the platform's list, which lags. A drain of a VM that had just been replaced named the earlier incarnation, so the leader kept the running one in its group (TestTargetIsDrainedWhileListLags timed out after 80 s), and a lagging list could overwrite or clear a drain. Departures are now kept per incarnation, a drain takes the incarnation of the placement record, and a departure is forgotten only when the list has moved past it. TestLeavingIsSticky asks the same of isLeaving instead of the map's keys.

--- a/control/state_test.go
+++ b/control/state_test.go
@@ -132,12 +132,12 @@
 	now := time.Now()
 	vm := platform.VM{Name: "vm", Incarnation: "1", FabricDomain: "fd", State: platform.VMLeaving}
 	state.handleVMs(now, []platform.VM{vm})
-	require.Contains(test, state.leaving, "vm", "the list says so")
+	require.True(test, state.isLeaving("vm", "1"), "the list says so")
 	leaving := record.sent[len(record.sent)-1]
 	require.IsType(test, peer.Leaving{}, leaving)
 	vm.State = platform.VMLive
 	state.handleVMs(now, []platform.VM{vm})
-	require.Contains(test, state.leaving, "vm")
+	require.True(test, state.isLeaving("vm", "1"))
 
 	record.sent = nil
 	state.handleLinkUp(now, peer.Hello{Name: "two", Incarnation: "1"})
@@ -145,9 +145,30 @@
 
 	vm.Incarnation = "2"
 	state.handleVMs(now, []platform.VM{vm})
-	require.NotContains(test, state.leaving, "vm")
+	require.Empty(test, state.leaving)
 	state.handleFrame(now, peer.Received{From: "two", Frame: leaving})
-	require.NotContains(test, state.leaving, "vm", "late news of the earlier incarnation")
+	require.False(test, state.isLeaving("vm", "2"), "late news of the earlier incarnation")
+}
+
+// Guards against a drain of the running incarnation that a lagging list hides,
+// overwrites or clears.
+func TestDrainOutlastsLaggingList(test *testing.T) {
+	state, _ := newTestState(test)
+	now := time.Now()
+	placement := `{"epoch":1,"groups":{"g":{"name":"g","size":1,"epoch":1}},"vms":{"vm":{"group":"g","incarnation":"2"}}}`
+	state.setPlacement(now, "fd", 1, []byte(placement))
+	lagging := platform.VM{Name: "vm", Incarnation: "1", FabricDomain: "fd", State: platform.VMLive}
+	state.handleVMs(now, []platform.VM{lagging})
+	running, found := state.targetIncarnation("vm")
+	require.True(test, found)
+	require.Equal(test, "2", running)
+	state.markLeaving(now, peer.Leaving{Target: "vm", Incarnation: running, Reason: "test"}, "")
+	lagging.State = platform.VMLeaving
+	state.handleVMs(now, []platform.VM{lagging})
+	require.True(test, state.isLeaving("vm", "2"), "the list says that the earlier incarnation leaves")
+	caughtUp := platform.VM{Name: "vm", Incarnation: "2", FabricDomain: "fd", State: platform.VMLive}
+	state.handleVMs(now, []platform.VM{caughtUp})
+	require.True(test, state.isLeaving("vm", "2"), "the list has caught up")
 }
 
 // Guards against new work for a runner that an operator drains or that says
