--- a/group/demand.go
+++ b/group/demand.go
@@ -36,9 +36,10 @@
 // shares divides the wanted replicas over the fabric domains and returns the
 // share of one domain for each group, in the order of the groups.
 //
-// Every leader computes the same division from the listed sizes, not from
-// which VMs are up, so that two leaders never both form the same missing
-// replica and a dark domain's share does not move. Groups are served by value
+// Every leader computes the same division from the listed sizes, not from the
+// reports, which only one of them reads. So two leaders never both form the
+// same missing replica for long, and the share of a dark domain, whose VMs
+// stay listed, does not move. Groups are served by value
 // and then name. Each replica goes to the failure domain with the fewest
 // replicas of the group, and in it to the fabric domain with the most VMs left,
 // so that spares stay spread too. Replicas that fit nowhere are left out.
--- a/group/leader.go
+++ b/group/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"lacewingspoke.org/lacewingspoke/folder"
@@ -80,12 +81,19 @@
 	elsewhere Elsewhere
 	members   map[string]*member
 	names     []string
+
+	// readDue is not later than the next read of a report.
+	readDue   time.Time
 	suspect   bool
 	darkSince time.Time
 	darkUntil time.Time
 	settleAt  time.Time
 
 	planAt    time.Time
+	plannedAt time.Time
+
+	// dirty says that something that the policy looks at has changed.
+	dirty     bool
 	weightsAt time.Time
 	closedAt  map[string]time.Time
 	published publication
@@ -110,10 +118,34 @@
 // is the time at which the event is handled, not the time of the event.
 func (leader *Leader) Handle(now time.Time, event Event) []Effect {
 	leader.checkLease(now)
+	if read, found := event.(ReportRead); found && leader.unchanged(read) {
+		leader.noteReportRead(now, read)
+		return leader.readReports(now)
+	}
+	switch event.(type) {
+	case Tick, LeaseHeld, VMsListed, Elsewhere, ReportFailed:
+	default:
+		leader.dirty = true
+	}
 	effects := leader.note(now, event)
 	return append(effects, leader.step(now)...)
 }
 
+// unchanged reports whether a report changes nothing but its time and its load.
+// Nearly all reports are so; what they lead to waits for the next Tick.
+func (leader *Leader) unchanged(read ReportRead) bool {
+	vm, found := leader.members[read.Report.VM]
+	if !found || leader.phase == phaseIdle || !vm.live() || !vm.readBack() {
+		return false
+	}
+	report := read.Report
+	report.Running = vm.report.Running
+	report.Queued = vm.report.Queued
+	report.FreeCache = vm.report.FreeCache
+	report.AgeMillis = vm.report.AgeMillis
+	return report == vm.report
+}
+
 // Placement returns the committed record as the leader last saw it. The
 // caller does not change it.
 func (leader *Leader) Placement() *Placement { return leader.placement }
@@ -167,7 +199,9 @@
 
 func (leader *Leader) step(now time.Time) []Effect {
 	for _, vm := range leader.members {
-		vm.noteTime(now, leader.missingAfter())
+		if vm.noteTime(now, leader.missingAfter()) {
+			leader.dirty = true
+		}
 	}
 	switch leader.phase {
 	case phaseIdle:
@@ -240,15 +274,24 @@
 func (leader *Leader) noteReportRead(now time.Time, read ReportRead) {
 	if vm, found := leader.members[read.Report.VM]; found {
 		vm.noteReport(now, read)
+		leader.readDue = earlier(leader.readDue, vm.nextRead)
 	}
 }
 
 func (leader *Leader) noteReportFailed(failed ReportFailed) {
 	if vm, found := leader.members[failed.VM]; found {
 		vm.reading = false
+		leader.readDue = earlier(leader.readDue, vm.nextRead)
 	}
 }
 
+func earlier(one, other time.Time) time.Time {
+	if other.Before(one) {
+		return other
+	}
+	return one
+}
+
 func (leader *Leader) noteFolder(adopted FolderAdopted) {
 	leader.groups = adopted.Groups
 	leader.policy = adopted.Policy
@@ -268,6 +311,10 @@
 	if totalVMs(event.Domains)*largeShareDivisor < totalVMs(leader.elsewhere.Domains) {
 		event.Domains = leader.elsewhere.Domains
 	}
+	if slices.Equal(event.Domains, leader.elsewhere.Domains) && slices.Equal(event.Replicas, leader.elsewhere.Replicas) {
+		return
+	}
+	leader.dirty = true
 	leader.elsewhere = event
 }
 
--- a/group/lifecycle.go
+++ b/group/lifecycle.go
@@ -8,6 +8,10 @@
 	// reports before it judges the groups.
 	settleFactor = 2
 
+	// idleFactor times the report interval is the time between two looks at
+	// a domain in which nothing changes.
+	idleFactor = 8
+
 	// darkDivisor is the inverse of the share of live VMs below which the
 	// domain counts as dark.
 	darkDivisor = 4
@@ -24,10 +28,12 @@
 // changePlacement brings the record's states up to date, asks the policy for
 // decisions and commits both in one write.
 func (leader *Leader) changePlacement(now time.Time) []Effect {
-	if leader.commit.outstanding() || now.Before(leader.planAt) || now.Before(leader.retryAt) {
+	if leader.commit.outstanding() || now.Before(leader.retryAt) || !leader.planDue(now) {
 		return nil
 	}
 	leader.planAt = now.Add(leader.policy.ReportInterval)
+	leader.plannedAt = now
+	leader.dirty = false
 	leader.dropGone()
 	dark := leader.dark(now)
 	if now.Before(leader.settleAt) || leader.policy.ReportInterval == 0 {
@@ -38,14 +44,37 @@
 	if !dark {
 		changed = leader.advance(now, next)
 	}
-	for _, decision := range leader.config.Planner(leader.planInput(now, next, dark)) {
+	input := leader.planInput(now, next, dark)
+	for _, decision := range leader.config.Planner(input) {
 		leader.apply(next, decision)
 		changed = true
 	}
-	if !changed {
-		return nil
+	if changed {
+		return leader.write(next)
+	}
+	if !dark && input.serving() {
+		leader.planAt = now.Add(idleFactor * leader.policy.ReportInterval)
+	}
+	return nil
+}
+
+// planDue reports whether the policy is asked: at most once per report
+// interval after changes, and seldom while every group serves.
+func (leader *Leader) planDue(now time.Time) bool {
+	if leader.dirty {
+		return !now.Before(leader.plannedAt.Add(leader.policy.ReportInterval))
 	}
-	return leader.write(next)
+	return !now.Before(leader.planAt)
+}
+
+// serving reports whether every group serves.
+func (input PlanInput) serving() bool {
+	for _, status := range input.Groups {
+		if status.Group.State != StateReady || !status.Complete {
+			return false
+		}
+	}
+	return true
 }
 
 // dark reports whether most of the domain stopped reporting at once, or
--- a/group/member.go
+++ b/group/member.go
@@ -112,18 +112,21 @@
 	vm.latency += (latency - vm.latency) >> latencyShift
 }
 
-// noteTime marks the VM as missing when its last report is older than bound.
-func (vm *member) noteTime(now time.Time, bound time.Duration) {
+// noteTime marks the VM as missing when its last report is older than bound. It
+// reports whether it did.
+func (vm *member) noteTime(now time.Time, bound time.Duration) bool {
 	if !vm.missingSince.IsZero() {
-		return
+		return false
 	}
 	last := vm.since
 	if vm.reported {
 		last = vm.sent
 	}
-	if now.Sub(last) > bound {
-		vm.missingSince = last
+	if now.Sub(last) <= bound {
+		return false
 	}
+	vm.missingSince = last
+	return true
 }
 
 // missingAfter is how long a VM may stay without a report: the grant bound,
@@ -146,8 +149,9 @@
 		if present[name] {
 			continue
 		}
-		if !leader.suspect {
+		if vm.listed && !leader.suspect {
 			vm.listed = false
+			leader.dirty = true
 		}
 	}
 }
@@ -179,6 +183,9 @@
 	if listed.State == platform.VMLeaving {
 		vm.noteDeparture(listed.Incarnation)
 	}
+	if vm.vm != listed || !vm.listed || listed.State == platform.VMLeaving {
+		leader.dirty = true
+	}
 	vm.vm = listed
 	vm.listed = true
 }
@@ -187,6 +194,7 @@
 	vm := &member{vm: listed, since: now, nextRead: now}
 	leader.members[listed.Name] = vm
 	leader.names = nil
+	leader.readDue = now
 	return vm
 }
 
@@ -246,13 +254,15 @@
 
 // readReports asks for the reports that are due.
 func (leader *Leader) readReports(now time.Time) []Effect {
+	if leader.phase == phaseIdle || now.Before(leader.readDue) {
+		return nil
+	}
 	var effects []Effect
+	leader.readDue = now.Add(leader.policy.ReportInterval)
 	for _, name := range leader.memberNames() {
 		vm := leader.members[name]
-		if now.Before(vm.nextRead) {
-			continue
-		}
-		if vm.reading && now.Before(vm.nextRead.Add(leader.policy.GrantBound)) {
+		if due := vm.readDue(leader.policy.GrantBound); now.Before(due) {
+			leader.readDue = earlier(leader.readDue, due)
 			continue
 		}
 		vm.reading = true
@@ -266,5 +276,14 @@
 	return effects
 }
 
+// readDue returns when the VM's report is read next. A read without an answer
+// is repeated after the grant bound.
+func (vm *member) readDue(bound time.Duration) time.Time {
+	if vm.reading {
+		return vm.nextRead.Add(bound)
+	}
+	return vm.nextRead
+}
+
 // reportTimeoutDivisor leaves time for a second read within the grant bound.
 const reportTimeoutDivisor = 2
--- a/group/order.go
+++ b/group/order.go
@@ -34,10 +34,11 @@
 
 // A wantedOrder is what the committed record asks of one VM.
 type wantedOrder struct {
-	vm    *member
-	name  string
-	class folder.TargetClass
-	order engine.Order
+	vm     *member
+	name   string
+	action engine.Action
+	group  Group
+	seat   Assignment
 }
 
 // longestDelay returns the longest order delay over all target classes.
@@ -78,43 +79,50 @@
 	var effects []Effect
 	for _, name := range leader.memberNames() {
 		wanted, found := leader.wanted(now, name)
-		if !found || !leader.mayOrder(now, wanted) {
+		if !found {
 			continue
 		}
-		effects = append(effects, leader.send(now, wanted))
+		class := leader.orderClass(wanted)
+		if !leader.mayOrder(now, wanted.vm, class) {
+			continue
+		}
+		effects = append(effects, leader.send(now, wanted, class))
 	}
 	return effects
 }
 
+// orderClass returns the target class that an order is sent under.
+func (leader *Leader) orderClass(wanted wantedOrder) folder.TargetClass {
+	if wanted.action == engine.ActionRelease {
+		return leader.strictest()
+	}
+	return leader.class(wanted.group.Spec)
+}
+
 // wanted compares the committed record with a VM's report.
 func (leader *Leader) wanted(now time.Time, name string) (wantedOrder, bool) {
 	vm := leader.members[name]
 	if !vm.live() {
 		return wantedOrder{}, false
 	}
-	wanted := wantedOrder{vm: vm, name: name}
-	assignment, placed := leader.placement.Assignment(name)
+	wanted := wantedOrder{vm: vm, name: name, action: engine.ActionRelease}
+	seat, placed := leader.placement.Assignment(name)
 	if !placed {
-		wanted.class = leader.strictest()
-		wanted.order = releaseOrder(vm)
 		return wanted, !vm.idle() || leader.unclaimed(vm)
 	}
-	group := leader.placement.groups[assignment.Group]
-	wanted.class = leader.class(group.Spec)
-	if assignment.Incarnation != vm.report.Incarnation || vm.report.Group != "" && vm.report.Group != group.Name {
-		wanted.order = releaseOrder(vm)
+	group := leader.placement.groups[seat.Group]
+	other := vm.report.Group != "" && vm.report.Group != group.Name
+	if seat.Incarnation != vm.report.Incarnation || other || group.State == StateReleased {
 		return wanted, !vm.idle()
 	}
-	switch group.State {
-	case StateReleased:
-		wanted.order = releaseOrder(vm)
-		return wanted, !vm.idle()
-	case StateDraining:
-		wanted.order = leader.memberOrder(engine.ActionDrain, group, assignment)
+	wanted.group = group
+	wanted.seat = seat
+	if group.State == StateDraining {
+		wanted.action = engine.ActionDrain
 		return wanted, leader.gateClosed(now, group) && vm.report.State != engine.StateDraining
 	}
-	wanted.order = leader.memberOrder(engine.ActionLoad, group, assignment)
-	if vm.holds(group, assignment) {
+	wanted.action = engine.ActionLoad
+	if vm.holds(group, seat) {
 		return wanted, vm.report.State == engine.StateIdle || vm.report.State == engine.StateDraining
 	}
 	return wanted, !vm.needsWeights(group) || vm.weights.grantedFor(group)
@@ -135,26 +143,21 @@
 		vm.report.Rank == assignment.Rank
 }
 
-func releaseOrder(vm *member) engine.Order {
-	return engine.Order{
-		Action: engine.ActionRelease,
-		Group:  vm.report.Group,
-		Epoch:  vm.report.Epoch,
-		Rank:   vm.report.Rank,
+func (leader *Leader) order(wanted wantedOrder) engine.Order {
+	report := wanted.vm.report
+	if wanted.action == engine.ActionRelease {
+		return engine.Order{Action: wanted.action, Group: report.Group, Epoch: report.Epoch, Rank: report.Rank}
 	}
-}
-
-func (leader *Leader) memberOrder(action engine.Action, group Group, assignment Assignment) engine.Order {
 	order := engine.Order{
-		Action:  action,
-		Group:   group.Name,
-		Epoch:   group.Epoch,
-		Rank:    assignment.Rank,
-		Size:    group.Size,
-		Model:   group.Model,
-		Version: group.Version,
-	}
-	for _, vm := range leader.placement.Members(group.Name) {
+		Action:  wanted.action,
+		Group:   wanted.group.Name,
+		Epoch:   wanted.group.Epoch,
+		Rank:    wanted.seat.Rank,
+		Size:    wanted.group.Size,
+		Model:   wanted.group.Model,
+		Version: wanted.group.Version,
+	}
+	for _, vm := range leader.placement.Members(wanted.group.Name) {
 		order.Members = append(order.Members, leader.placement.vms[vm].Address)
 	}
 	return order
@@ -162,15 +165,14 @@
 
 // mayOrder holds an order back while an earlier order to the VM may still
 // arrive, while an earlier leader's may, or when the lease is too short.
-func (leader *Leader) mayOrder(now time.Time, wanted wantedOrder) bool {
-	last := wanted.vm.order
-	if !wanted.vm.readBack() || now.Before(last.retryAt) {
+func (leader *Leader) mayOrder(now time.Time, vm *member, class folder.TargetClass) bool {
+	if !vm.readBack() || now.Before(vm.order.retryAt) {
 		return false
 	}
-	if !wanted.class.ChecksFencing && now.Before(leader.quietUntil) {
+	if !class.ChecksFencing && now.Before(leader.quietUntil) {
 		return false
 	}
-	return now.Before(leader.orderDeadline(wanted.class))
+	return now.Before(leader.orderDeadline(class))
 }
 
 // orderDeadline returns the last time at which an order may be sent so that
@@ -182,14 +184,14 @@
 	return leader.until.Add(-class.OrderDelay)
 }
 
-func (leader *Leader) send(now time.Time, wanted wantedOrder) Effect {
+func (leader *Leader) send(now time.Time, wanted wantedOrder, class folder.TargetClass) Effect {
 	leader.orders++
-	deadline := leader.orderDeadline(wanted.class)
-	order := wanted.order
+	deadline := leader.orderDeadline(class)
+	order := leader.order(wanted)
 	order.ID = fmt.Sprintf("%s/%d/%d", leader.writer(), leader.fence, leader.orders)
 	order.Fence = leader.fence
 	order.ExpiresInMillis = leader.until.Sub(now).Milliseconds()
-	wanted.vm.order = pendingOrder{id: order.ID, delay: wanted.class.OrderDelay}
+	wanted.vm.order = pendingOrder{id: order.ID, delay: class.OrderDelay}
 	return SendOrder{VM: wanted.name, Address: wanted.vm.vm.Address, Order: order, Deadline: deadline}
 }
 
--- a/group/plan.go
+++ b/group/plan.go
@@ -302,10 +302,13 @@
 }
 
 // releaseSurplus ends one replica of a group that has too many: an incomplete
-// one at once, else the least loaded after draining.
+// one at once, else the least loaded after draining. An incomplete replica
+// above the domain's share is also given up when it has waited long enough:
+// the share of another domain, whose VMs are listed, has risen instead.
 func (planner *planner) releaseSurplus() {
 	for _, demand := range planner.input.Demands {
 		spec := demand.Group.Name
+		planner.moveAway(demand)
 		if !planner.surplus(spec) || planner.stopping(spec) {
 			continue
 		}
@@ -322,6 +325,41 @@
 	}
 }
 
+// moveAway gives up one incomplete replica above the domain's share that the
+// spares cannot complete.
+func (planner *planner) moveAway(demand Demand) {
+	if planner.placed(demand.Group.Name) <= demand.Share {
+		return
+	}
+	groups := planner.incomplete()
+	for index := len(groups) - 1; index >= 0; index-- {
+		group := groups[index]
+		if group.spec.Name != demand.Group.Name {
+			continue
+		}
+		if planner.lacking(group) <= len(planner.spares)+planner.incoming || !planner.worthMoving(group) {
+			continue
+		}
+		name := group.status.Group.Name
+		planner.decide(name, Dissolve{Group: name})
+		return
+	}
+}
+
+// worthMoving compares the weighted cost of waiting as long again with the
+// cost of loading a whole replica elsewhere.
+func (planner *planner) worthMoving(group incompleteGroup) bool {
+	if group.waited == patienceOver {
+		return true
+	}
+	size := float64(max(group.spec.Size, 1))
+	loads := planner.loadTime(group.spec).Seconds() * size
+	stranded := planner.input.StrandedWeight * planner.accelerators(group)
+	waiting := (planner.input.DowntimeWeight + stranded) * group.waited.Seconds()
+	moving := (planner.input.DowntimeWeight + stranded/2) * loads
+	return waiting > moving
+}
+
 func (planner *planner) stopping(spec string) bool {
 	for _, status := range planner.input.Groups {
 		if status.Group.Spec == spec && status.Group.State == StateDraining {
