Wait for the longest lease of the fleet before the first order

A new leader of engines that ignore fencing numbers waited for the shortest lease, 9 s, while leases of 730 nodes last 43.8 s. After a store that lost the leader's key, the leader before it could still send orders. The wait now follows the fleet's size; six nodes wait 9 s as before. Tests for the claims of other owners and for the claim of a spare are added.

--- a/booking/booking_test.go
+++ b/booking/booking_test.go
@@ -27,6 +27,7 @@
 func TestClaimStoredForm(t *testing.T) {
 	ticket := newTicket("a")
 	require.Equal(t, "booking/w/8254c329a92850f6d539dd376f4816ee2764517da5e0235514af433164480d7a", ticket.Key())
+	require.Equal(t, platform.ExpectAbsent(), ticket.CreateRequest().Expect)
 	require.Equal(t, `{"state":"claimed","attempt":"a","node":"","route":"","request-digest":"d",`+
 		`"created-unix-ms":1796356800000,"expires-unix-ms":1796356860000}`, string(ticket.CreateRequest().Value))
 	for _, data := range []string{``, `{}`, `{"state":"claimed"}`, `{"state":"finished","attempt":"a"}`, `{"state":"claimed","attempt":"a","x":1}`} {
@@ -83,6 +84,32 @@
 	require.ErrorIs(t, err, errors.NotValid)
 }
 
+// Guards against an owner that removes or completes the claim of another, for
+// example when an operator removed its own in between.
+func TestClaimOfAnotherIsLeftAlone(t *testing.T) {
+	own, other := newTicket("own"), newTicket("other")
+	own.AfterCreate(platform.Written{Revision: 3})
+	claimed := platform.Entry{Value: other.CreateRequest().Value, Revision: 4}
+	require.Equal(t, booking.Done{}, own.AfterRemoveRead(claimed, true))
+	require.Equal(t, booking.Lost{}, own.AfterFinishRead(claimed, true))
+	finished := other.FinishRequest(booking.NewAnswer(http.StatusCreated, nil, nil), start, time.Hour)
+	require.Equal(t, booking.Lost{}, own.AfterFinishRead(platform.Entry{Value: finished.Value, Revision: 5}, true))
+	ownFinished := own.FinishRequest(booking.NewAnswer(http.StatusCreated, nil, nil), start, time.Hour)
+	require.Equal(t, booking.Done{}, own.AfterRemoveRead(platform.Entry{Value: ownFinished.Value, Revision: 5}, true), "a finished claim stays")
+	require.True(t, own.MayRemove(start))
+	require.False(t, own.MayRemove(start.Add(time.Minute)), "others read an expired claim as Unknown")
+}
+
+// Guards against a key that answers a request with the answer to another.
+func TestKeyOfAnotherRequest(t *testing.T) {
+	own := newTicket("own")
+	different := booking.NewTicket(booking.TicketConfig{
+		Workspace: "w", IdempotencyKey: "k", Attempt: "different", RequestDigest: "e", Validity: time.Minute,
+	}, start)
+	stored := platform.Entry{Value: own.CreateRequest().Value, Revision: 7}
+	require.Equal(t, booking.Reply{Reply: booking.Mismatch{}}, different.AfterRead(stored, true, start))
+}
+
 // A node is one owner in the model of TestAtMostOnce.
 type node struct {
 	ticket *booking.Ticket
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -244,20 +244,12 @@
 	}
 }
 
-// longestLease returns the longest lease that another node can hold.
-func (state *state) longestLease() time.Duration {
-	if state.config.LeaseMinimum > 0 {
-		return state.config.LeaseMinimum
-	}
-	return fleet.DefaultLeaseMinimum
-}
-
 func (state *state) leaderConfig(domain string) group.LeaderConfig {
 	return group.LeaderConfig{
 		Domain:        domain,
 		Node:          state.config.Name,
 		Incarnation:   state.config.Incarnation,
-		LeaseDuration: state.longestLease(),
+		LeaseDuration: state.fleet.LongestLease(),
 	}
 }
 
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -115,6 +116,19 @@
 	require.IsType(test, platform.Written{}, state.putBefore(context.Background(), future, platform.PutRequest{Key: "k"}))
 }
 
+// Guards against a leader that waits for the shortest lease, 9 s, in a fleet
+// whose leases last longer: when the store has lost the leader's key, the leader
+// before it still sends orders until its lease ends.
+func TestNewLeaderWaitsForTheLongestLease(test *testing.T) {
+	state, _ := newTestState(test)
+	require.Equal(test, fleet.DefaultLeaseMinimum, state.leaderConfig("fd").LeaseDuration)
+	for index := range 729 {
+		name := fmt.Sprint("node-", index)
+		state.handleFleet(time.Now(), fleet.LinkOpened{Node: fleet.Node{Name: name, Incarnation: "1"}})
+	}
+	require.Equal(test, 3*730*time.Second/fleet.RenewalsPerSecond, state.leaderConfig("fd").LeaseDuration)
+}
+
 // Guards against a write that the core asks for under a condition and that is
 // sent without it.
 func TestWritesKeepTheirCondition(test *testing.T) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -275,6 +275,12 @@
 // zero without a lease.
 func (fleet *Fleet) LeaseUntil() time.Time { return fleet.lease.until }
 
+// LongestLease returns the longest lease that a node holds at the present size
+// of the fleet, as far as this node knows.
+func (fleet *Fleet) LongestLease() time.Duration {
+	return max(fleet.lease.ttl, renewalsPerLease*fleet.interval())
+}
+
 func (fleet *Fleet) emit(effect Effect) { fleet.effects = append(fleet.effects, effect) }
 
 const (
