Let drafts go on while their attempts bring them forward

Under random faults up to half of the drafts were refused or cut: the loss of a group before its first piece was charged to the retry budget although its attempt is cancelled and the load does not grow, and 8 attempts were used up by drafts that each attempt had brought forward. Neither counts any more; the deadline ends a draft that goes on too slowly.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -107,7 +107,8 @@
 	// MaxAnswerBytes bounds the text of a draft, default 1 MiB.
 	MaxAnswerBytes int
 
-	// MaxAttempts bounds the attempts of one request, default 8.
+	// MaxAttempts bounds the attempts of one request that bring it no piece,
+	// default 8.
 	MaxAttempts int
 
 	// WriteTimeout bounds one write to a caller, default 10 s. A caller that
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -50,7 +50,13 @@
 			return relay.withTimeout(ctx)
 		}
 		relay.attempts++
+		delivered := relay.assembler.Next()
 		result, err := relay.attempt(ctx, target)
+		if relay.assembler.Next() > delivered {
+			// An attempt that brought the answer forward is not one of those that
+			// MaxAttempts bounds; the deadline ends a draft that goes on too slowly.
+			relay.attempts = 0
+		}
 		relay.result = outcome.Combine(relay.result, result)
 		relay.judge(ctx, target, err)
 		if outcome.IsComplete(result) {
@@ -91,12 +97,13 @@
 	return relay.result
 }
 
-// mayGoOn decides on another attempt. Going on after delivered pieces
-// completes work that is in progress and is not charged to the retry budget;
-// MaxAttempts bounds it.
+// mayGoOn decides on another attempt. Going on after delivered pieces, or after
+// the loss of the group while another one is usable, moves work that is in
+// progress: the first attempt is cancelled, so that the load does not grow.
+// Only other retries are charged to the retry budget.
 func (relay *relay) mayGoOn(err error) bool {
 	nature := natureOf(relay.exchange.route)
-	if relay.assembler.Next() > 0 {
+	if relay.assembler.Next() > 0 || errors.Is(err, errGroupLost) {
 		relay.server.metrics.resumed.WithLabelValues(causeOf(err)).Inc()
 		return outcome.MayResume(nature, relay.result)
 	}
