Test the retry budget of drafts and lookups

Without the budget's decision no test of entry failed. 60 refused requests now may cause at most 76 attempts; with the decision ignored the test fails.

--- a/entry/draft_test.go
+++ b/entry/draft_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -416,3 +417,33 @@
 	}
 	require.Zero(t, built.counter("lacewingspoke_entry_retries_total"))
 }
+
+// Guards against retries that multiply the load on targets that fail.
+func TestRetryBudgetBoundsAttempts(t *testing.T) {
+	const requests = 60
+	built := newHarness(t, func(config *entry.Config) { config.TargetWait = 20 * time.Millisecond })
+	var refusals atomic.Int64
+	refuse := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		refusals.Add(1)
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	})
+	for _, name := range []string{"copy-1", "copy-2", "copy-3"} {
+		fake := newFakeEngine(t)
+		fake.server.Config.Handler = refuse
+		built.addGroup(name, fake, longGrant)
+		built.addService(fake.address())
+	}
+	for _, path := range []string{"/v1/completions", "/planks/1"} {
+		method := http.MethodGet
+		if path == "/v1/completions" {
+			method = http.MethodPost
+		}
+		refusals.Store(0)
+		for range requests {
+			require.Equal(t, "not-run", built.do(method, path, `{"prompt":"a"}`, nil).outcome())
+		}
+		// A burst of 10 and 10 for 100 requests.
+		require.LessOrEqual(t, refusals.Load(), int64(requests+10+requests/10))
+	}
+	require.Positive(t, built.counter("lacewingspoke_entry_retries_total"))
+}
