--- a/control/leadership.go
+++ b/control/leadership.go
@@ -65,8 +65,8 @@
 	if len(state.vms) > 0 {
 		state.handleGroup(now, led, group.VMsListed{VMs: state.domainVMs(name)})
 	}
-	for target, departure := range state.leaving {
-		state.handleGroup(now, led, group.LeavingKnown{VM: target, Incarnation: departure.incarnation})
+	for leaver := range state.leaving {
+		state.handleGroup(now, led, group.LeavingKnown{VM: leaver.target, Incarnation: leaver.incarnation})
 	}
 	return led
 }
@@ -244,20 +244,12 @@
 	}
 }
 
-// longestLease returns the longest lease that another node can hold.
-func (state *state) longestLease() time.Duration {
-	if state.config.LeaseMinimum > 0 {
-		return state.config.LeaseMinimum
-	}
-	return fleet.DefaultLeaseMinimum
-}
-
 func (state *state) leaderConfig(domain string) group.LeaderConfig {
 	return group.LeaderConfig{
 		Domain:        domain,
 		Node:          state.config.Name,
 		Incarnation:   state.config.Incarnation,
-		LeaseDuration: state.longestLease(),
+		LeaseDuration: state.fleet.LongestLease(),
 	}
 }
 
@@ -301,7 +293,7 @@
 			size = &group.DomainSize{Name: vm.FabricDomain, FailureDomain: vm.FailureDomain}
 			sizes[vm.FabricDomain] = size
 		}
-		if _, leaving := state.leaving[vm.Name]; !leaving {
+		if !state.isLeaving(vm.Name, vm.Incarnation) {
 			size.VMs++
 		}
 	}
