--- a/bench/main.go
+++ b/bench/main.go
@@ -38,6 +38,7 @@
 	{"relay", rowsOf(relayCost)},
 	{"prefix", rowsOf(prefixReuse)},
 	{"retries", rowsOf(domainRetries)},
+	{"admission", benchAdmission},
 	{"replay", benchReplay},
 	{"apply", benchApply},
 	{"control", benchControl},
