Test stragglers, the gate before a planned stop and orders during a write

No test failed when stragglers were never replaced, when a group was drained before its gate had closed on every node, or when orders were sent while a write of the record had no answer.

--- a/group/leader_test.go
+++ b/group/leader_test.go
@@ -17,6 +17,9 @@
 	report  engine.Report
 	readyAt time.Time
 	dead    bool
+
+	// lag is how late the engine answers a read of its report.
+	lag time.Duration
 }
 
 // A testDomain carries out a leader's effects on a virtual clock.
@@ -125,7 +128,7 @@
 	if runner.report.State == engine.StateLoading && !domain.now.Before(runner.readyAt) {
 		runner.report.State = engine.StateReady
 	}
-	return ReportRead{Sent: domain.now, Report: runner.report}
+	return ReportRead{Sent: domain.now.Add(-runner.lag), Report: runner.report}
 }
 
 func (domain *testDomain) order(effect SendOrder) Event {
@@ -463,6 +466,57 @@
 	require.False(test, leader.spare(domain.now, vm), "order without an answer")
 }
 
+// Guards against orders for a record that a write without an answer yet may
+// have replaced.
+func TestNoOrdersDuringWrite(test *testing.T) {
+	domain := newTestDomain(test, 9, testFolder(2))
+	domain.until(20*time.Second, domain.granted(2))
+	leader, vm := domain.leader, domain.leader.members["vm-01"]
+	vm.order = pendingOrder{}
+	vm.report.Group, vm.report.State = "", engine.StateIdle
+	leader.commit = pendingCommit{id: "open", record: leader.placement}
+	require.Empty(test, leader.sendOrders(domain.now))
+	leader.commit = pendingCommit{}
+	require.Len(test, leader.sendOrders(domain.now), 1)
+}
+
+// Guards against a planned stop that begins while a node may still send new
+// requests to the group.
+func TestPlannedStopWaitsForTheGate(test *testing.T) {
+	adopted := testFolder(2)
+	domain := newTestDomain(test, 9, adopted)
+	domain.until(20*time.Second, domain.granted(2))
+	before, _ := domain.leader.Placement().Group("large.fd.0")
+	domain.send(LeavingKnown{VM: "vm-01", Incarnation: "a"})
+	group := func() Group {
+		found, _ := domain.leader.Placement().Group("large.fd.0")
+		return found
+	}
+	domain.until(2*time.Second, func() bool { return group().State == StateDraining })
+	orders := len(domain.orders)
+	for end := domain.now.Add(adopted.Policy.SpreadTime - testStep); domain.now.Before(end); {
+		domain.step()
+		require.Len(test, domain.orders, orders)
+		require.Equal(test, StateDraining, group().State)
+		require.Equal(test, before.Epoch, group().Epoch)
+	}
+	domain.until(20*time.Second, func() bool { return group().Epoch > before.Epoch })
+}
+
+// Guards against a straggler that keeps its seat although a spare exists, and
+// against one that loses it when there is none.
+func TestStragglerIsReplaced(test *testing.T) {
+	for _, vms := range []int{8, 9} {
+		domain := newTestDomain(test, vms, testFolder(2))
+		domain.until(20*time.Second, domain.granted(2))
+		domain.engines["vm-01"].lag = 400 * time.Millisecond
+		domain.pass(time.Minute)
+		_, placed := domain.leader.Placement().Assignment("vm-01")
+		require.Equal(test, vms == 8, placed)
+		require.Len(test, domain.grants, 2)
+	}
+}
+
 // Guards against a policy whose decision gives a VM a second seat or a seat a
 // second VM.
 func TestDecisionsCannotTakeSeats(test *testing.T) {
