--- a/outcome/main_test.go
+++ b/outcome/main_test.go
@@ -7,14 +7,14 @@
 	"testing"
 )
 
-// propertySeed makes the property tests repeat the same values.
+// propertySeed makes property tests repeatable; -rapid.seed overrides it.
 const propertySeed = "20261204"
 
 func TestMain(m *testing.M) {
 	if err := flag.Set("rapid.seed", propertySeed); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+		panic(err)
 	}
+	flag.Parse()
 	fmt.Println("rapid seed", propertySeed)
 	os.Exit(m.Run())
 }
