Never drop a queued frame that carries no ages

Cause: Send took the time before it encoded the frame. When a heartbeat was received and echoed in between, the queue took the frame for outdated and dropped it, which a lost configuration head or leaving target would have shown only by chance. A relay benchmark with 48 nodes in one process lost 1 to 3 of some 75,000 frames. Change: only frames with ages carry a time; SendComposed returns false for one that is dropped.

--- a/peer/link.go
+++ b/peer/link.go
@@ -77,7 +77,9 @@
 //
 // Grants are sent behind a fresh echo: the receiver counts their ages from the
 // heartbeat echoed last, which would otherwise be up to an interval older.
-func (link *link) send(packet packet, composed time.Time) {
+//
+// It reports whether the frame was queued.
+func (link *link) send(packet packet, composed time.Time) bool {
 	if packet.kind == kindGrants && link.queue.mayEcho(composed) {
 		link.beat()
 	}
@@ -86,9 +88,12 @@
 		link.mesh.metrics.replaced.Inc()
 	case outdated:
 		link.mesh.metrics.outdated.Inc()
+		return false
 	case overflowed:
 		link.close(ReasonSlow)
+		return false
 	}
+	return true
 }
 
 func (link *link) write(ctx context.Context) error {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -231,12 +231,14 @@
 // it or the frame is over the size limit. A queued frame of the same kind and
 // subject is replaced.
 func (mesh *Mesh) Send(name string, frame Frame) bool {
-	return mesh.SendComposed(name, frame, mesh.timer.Now())
+	return mesh.SendComposed(name, frame, time.Time{})
 }
 
 // SendComposed is Send for a frame with ages that were computed at composed.
-// The frame is dropped when a heartbeat that was received after composed has
-// been echoed already, because SentAfter would then be later than composed.
+// The frame is dropped, with false, when a heartbeat that was received after
+// composed has been echoed already, because SentAfter would then be later than
+// composed. Frames without ages are never dropped; Send and Broadcast are for
+// those.
 func (mesh *Mesh) SendComposed(name string, frame Frame, composed time.Time) bool {
 	packet, fits := mesh.pack(frame)
 	mesh.mutex.Lock()
@@ -245,14 +247,13 @@
 	if !found || !fits {
 		return false
 	}
-	link.send(packet, composed)
-	return true
+	return link.send(packet, composed)
 }
 
 // Broadcast queues a frame for every linked peer except one, which may be
 // empty.
 func (mesh *Mesh) Broadcast(frame Frame, except string) {
-	mesh.BroadcastComposed(frame, except, mesh.timer.Now())
+	mesh.BroadcastComposed(frame, except, time.Time{})
 }
 
 // BroadcastComposed is Broadcast for a frame with ages that were computed at
--- a/peer/queue.go
+++ b/peer/queue.go
@@ -70,13 +70,21 @@
 	}
 }
 
-// put adds a packet that was composed at a time.
+// put adds a packet that was composed at a time. The zero time stands for a
+// packet without ages, which is composed by being put and never outdated.
 func (queue *queue) put(packet packet, composed time.Time) queueResult {
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
-	if older, found := queue.subjects[packet.subject]; found {
+	older, found := queue.subjects[packet.subject]
+	if found && composed.IsZero() {
+		composed = older.Value.(*waiting).composed
+	}
+	if found {
 		return queue.replace(older.Value.(*waiting), packet, composed)
 	}
+	if composed.IsZero() {
+		composed = queue.receivedAt
+	}
 	if composed.Before(queue.echoed) {
 		return outdated
 	}
--- a/peer/queue_test.go
+++ b/peer/queue_test.go
@@ -40,6 +40,20 @@
 	assert.Zero(t, queue.bytes)
 }
 
+// A frame without ages must not be dropped because a heartbeat arrived and was
+// echoed between the call of Send and the queue: a lost configuration head or
+// leaving target would go unnoticed.
+func TestFrameWithoutAgesIsNotOutdated(t *testing.T) {
+	now := time.Now()
+	queue := newQueue(10, 1<<20)
+	queue.receive(1, now)
+	queue.putHeartbeat(Heartbeat{})
+	assert.Equal(t, outdated, queue.put(testPacket(t, Head{Generation: 1}), now.Add(-time.Nanosecond)))
+	assert.Equal(t, queued, queue.put(testPacket(t, Head{Generation: 2}), time.Time{}))
+	assert.Equal(t, replaced, queue.put(testPacket(t, Head{Generation: 3}), time.Time{}))
+	assert.Equal(t, Head{Generation: 3}, frames(t, queue.take())[1])
+}
+
 // For any order of arrivals, heartbeats and frames, also with a process that
 // was paused between composing a frame and queueing it, no heartbeat in front
 // of a frame echoes a heartbeat that arrived after the frame was composed.
