--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -110,6 +110,9 @@
 	// candidates were chosen.
 	changed bool
 	targets []Target
+
+	// relay is computed when it is first asked for after a change.
+	relay *relay
 }
 
 // New returns a fleet that knows of no other node.
--- a/fleet/topology.go
+++ b/fleet/topology.go
@@ -26,6 +26,7 @@
 		return
 	}
 	fleet.changed = false
+	fleet.relay = nil
 	fleet.choosePeers()
 	fleet.chooseWatch()
 	fleet.chooseCandidates()
@@ -121,47 +122,58 @@
 // predecessor in the one before, which gives it a link into both and connects
 // the failure domains. A change of one node moves only the links next to it.
 func pickPeers(name string, members []*member) []*member {
-	if len(members) <= FullMeshNodes {
-		return slices.DeleteFunc(slices.Clone(members), func(member *member) bool {
-			return member.node.Name == name
-		})
-	}
-	self := members[slices.IndexFunc(members, func(member *member) bool { return member.node.Name == name })]
-	rings, order := ringsOf(members)
-	own := slices.Index(order, self.node.FailureDomain)
-	ring := rings[self.node.FailureDomain]
-	picked := []*member{
-		successor(ring, self.hash+1),
-		successor(ring, self.hash+ringThird),
-		successor(ring, self.hash+2*ringThird),
-	}
-	if len(order) > 1 {
-		after := rings[order[(own+1)%len(order)]]
-		before := rings[order[(own+len(order)-1)%len(order)]]
-		picked = append(picked, successor(after, self.hash), predecessor(before, self.hash))
-	}
-	slices.SortFunc(picked, func(left, right *member) int { return cmp.Compare(left.node.Name, right.node.Name) })
-	picked = slices.Compact(picked)
-	return slices.DeleteFunc(picked, func(member *member) bool { return member.node.Name == name })
+	place := slices.IndexFunc(members, func(member *member) bool { return member.node.Name == name })
+	return newRings(members).pick(members[place])
 }
 
 // ringThird is a third of the ring.
 const ringThird = ^uint64(0) / 3
 
-// ringsOf returns the members of each failure domain in ring order, and the
-// failure domains by name.
-func ringsOf(members []*member) (map[string][]*member, []string) {
-	rings := make(map[string][]*member)
-	var order []string
+// rings are the members of each failure domain in ring order.
+type rings struct {
+	members []*member
+	domains map[string][]*member
+
+	// order is the failure domains by name.
+	order []string
+}
+
+func newRings(members []*member) *rings {
+	rings := &rings{members: members, domains: make(map[string][]*member)}
 	for _, member := range members {
 		failureDomain := member.node.FailureDomain
-		if rings[failureDomain] == nil {
-			order = append(order, failureDomain)
+		if rings.domains[failureDomain] == nil {
+			rings.order = append(rings.order, failureDomain)
 		}
-		rings[failureDomain] = append(rings[failureDomain], member)
+		rings.domains[failureDomain] = append(rings.domains[failureDomain], member)
 	}
-	slices.Sort(order)
-	return rings, order
+	slices.Sort(rings.order)
+	return rings
+}
+
+func (rings *rings) pick(self *member) []*member {
+	picked := slices.Clone(rings.members)
+	if len(picked) > FullMeshNodes {
+		picked = rings.pickSome(self)
+	}
+	return slices.DeleteFunc(picked, func(member *member) bool { return member == self })
+}
+
+func (rings *rings) pickSome(self *member) []*member {
+	ring := rings.domains[self.node.FailureDomain]
+	picked := []*member{
+		successor(ring, self.hash+1),
+		successor(ring, self.hash+ringThird),
+		successor(ring, self.hash+2*ringThird),
+	}
+	if count := len(rings.order); count > 1 {
+		own := slices.Index(rings.order, self.node.FailureDomain)
+		after := rings.domains[rings.order[(own+1)%count]]
+		before := rings.domains[rings.order[(own+count-1)%count]]
+		picked = append(picked, successor(after, self.hash), predecessor(before, self.hash))
+	}
+	slices.SortFunc(picked, func(left, right *member) int { return cmp.Compare(left.node.Name, right.node.Name) })
+	return slices.Compact(picked)
 }
 
 // successor returns the first member at or after a point of the ring.
--- a/fleet/topology_test.go
+++ b/fleet/topology_test.go
@@ -12,7 +12,7 @@
 )
 
 // members returns nodes on the ring, spread unevenly over failure domains.
-func members(count, failureDomains int) []*member {
+func newMembers(count, failureDomains int) []*member {
 	var members []*member
 	for index := range count {
 		name := fmt.Sprint("node-", index)
@@ -72,7 +72,7 @@
 }
 
 func TestFullMesh(t *testing.T) {
-	members := members(FullMeshNodes, 3)
+	members := newMembers(FullMeshNodes, 3)
 	for _, links := range linksOf(members) {
 		assert.Len(t, links, FullMeshNodes-1)
 	}
@@ -86,7 +86,7 @@
 		if size == 730 {
 			failureDomains = 7
 		}
-		members := members(size, failureDomains)
+		members := newMembers(size, failureDomains)
 		links := linksOf(members)
 		nodes, hops := reached(members, links, nil)
 		assert.Equal(t, size, nodes)
@@ -116,7 +116,7 @@
 // A fifth of the nodes, or a whole failure domain, goes at once: nearly all, or
 // all, of the others stay connected before anyone chooses new peers.
 func TestSparseMeshSurvivesFailures(t *testing.T) {
-	members := members(730, 7)
+	members := newMembers(730, 7)
 	links := linksOf(members)
 	random := rand.New(rand.NewPCG(3, 4))
 	dead := make(map[*member]bool)
@@ -141,7 +141,7 @@
 
 // The loss of one node must not move links elsewhere.
 func TestSparseMeshIsStable(t *testing.T) {
-	members := members(730, 7)
+	members := newMembers(730, 7)
 	before := linksOf(members)
 	gone := members[100]
 	after := linksOf(slices.Delete(slices.Clone(members), 100, 101))
@@ -173,3 +173,50 @@
 	}
 	require.Equal(t, map[string]int{"fd-0": 2, "fd-1": 2, "fd-2": 2}, watchers)
 }
+
+// While the nodes agree on who is alive, a frame of any origin reaches every
+// node exactly once, over links that exist.
+func TestRelayReachesEveryNodeOnce(t *testing.T) {
+	for _, size := range []int{2, FullMeshNodes, FullMeshNodes + 1, 48, 730} {
+		members := newMembers(size, 5)
+		links := linksOf(members)
+		trees := newRelay(members)
+		for _, origin := range members[:min(size, 20)] {
+			root := trees.places[origin.node.Name]
+			parents := trees.parents(root)
+			most := make([]int, size)
+			for place, parent := range parents {
+				if place == root {
+					continue
+				}
+				require.True(t, links[members[parent]][members[place]])
+				most[parent]++
+				up, steps := place, 0
+				for ; up != root; up = parents[up] {
+					steps++
+					require.Less(t, steps, size)
+				}
+			}
+			if size <= FullMeshNodes {
+				assert.Equal(t, size-1, most[root])
+			}
+			sent := 0
+			for _, member := range members[:min(size, 60)] {
+				place := trees.places[member.node.Name]
+				children := trees.childrenOf(member.node.Name, origin.node.Name)
+				assert.Len(t, children, most[place])
+				sent += len(children)
+			}
+			if size <= 60 {
+				assert.Equal(t, size-1, sent)
+			}
+		}
+	}
+}
+
+// The frames of a node that this one does not know yet must not stop here.
+func TestRelayOfUnknownOrigin(t *testing.T) {
+	members := newMembers(48, 3)
+	children := newRelay(members).childrenOf(members[0].node.Name, "stranger")
+	assert.Len(t, children, len(linksOf(members)[members[0]]))
+}
