--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -107,6 +107,16 @@
 	}
 }
 
+// Name returns the name that the process was started with.
+func (process *Process) Name() string { return process.name }
+
+// Ended is closed when the program has ended.
+func (process *Process) Ended() <-chan struct{} { return process.ended }
+
+// Failure returns why the program ended, nil for exit code 0. It is known once
+// Ended is closed.
+func (process *Process) Failure() error { return process.failure }
+
 // ID returns the id of the process.
 func (process *Process) ID() int { return process.command.Process.Pid }
 
--- a/system/cluster.go
+++ b/system/cluster.go
@@ -31,6 +31,7 @@
 	"lacewingspoke.org/lacewingspoke/engine"
 	"lacewingspoke.org/lacewingspoke/standin/caller"
 	"lacewingspoke.org/lacewingspoke/standin/fault"
+	"lacewingspoke.org/lacewingspoke/standin/process"
 	"lacewingspoke.org/lacewingspoke/standin/store"
 )
 
@@ -54,7 +55,7 @@
 
 // node is one entry node.
 type node struct {
-	*process
+	*process.Process
 	name    string
 	callers string
 	peers   string
@@ -63,7 +64,7 @@
 
 // vm is one VM's engine.
 type vm struct {
-	*process
+	*process.Process
 	name    string
 	domain  string
 	address string
@@ -77,15 +78,15 @@
 	ctx      context.Context
 	client   *http.Client
 
-	storeProcess *process
+	storeProcess *process.Process
 	store        string
 	storeControl string
 	engines      []*vm
-	services     []*process
+	services     []*process.Process
 	addresses    []string
 	nodes        []*node
 	balancer     string
-	balancing    *process
+	balancing    *process.Process
 }
 
 // newCluster starts the stand-ins and the nodes. The caller calls stop also
@@ -115,12 +116,12 @@
 
 // startStandin starts a stand-in and returns the addresses that it printed,
 // by label.
-func (cluster *cluster) startStandin(name string, arguments ...string) (*process, map[string]string, error) {
-	started, err := startProcess(cluster.dir, name, append([]string{cluster.programs.standin}, arguments...)...)
+func (cluster *cluster) startStandin(name string, arguments ...string) (*process.Process, map[string]string, error) {
+	started, err := process.Start(cluster.dir, name, append([]string{cluster.programs.standin}, arguments...)...)
 	if err != nil {
 		return nil, nil, err
 	}
-	line, err := started.awaitLine(cluster.ctx, "listening on ")
+	line, err := started.AwaitLine(cluster.ctx, "listening on ")
 	if err != nil {
 		return started, nil, err
 	}
@@ -164,7 +165,7 @@
 	started, addresses, err := cluster.startStandin("engine-"+target.name, "engine",
 		"--vm", target.name+"="+address, "--control", anyPort, "--record", cluster.dir,
 		"--token-interval", "5ms", "--load-time", "50ms", "--checks-fencing")
-	target.process = started
+	target.Process = started
 	target.address = addresses[target.name]
 	target.control = addresses["control"] + "/vm/" + target.name
 	return err
@@ -222,7 +223,7 @@
 func (cluster *cluster) startNode() (*node, error) {
 	added := &node{name: fmt.Sprintf("node-%d", len(cluster.nodes))}
 	for _, address := range []*string{&added.callers, &added.peers, &added.admin} {
-		free, err := freeAddress()
+		free, err := process.FreeAddress()
 		if err != nil {
 			return nil, err
 		}
@@ -232,17 +233,17 @@
 	if err := os.WriteFile(path, []byte(cluster.settings(added)), 0o600); err != nil {
 		return nil, errors.Trace(err)
 	}
-	started, err := startProcess(cluster.dir, added.name, cluster.programs.node, "node", "--settings", path)
+	started, err := process.Start(cluster.dir, added.name, cluster.programs.node, "node", "--settings", path)
 	if err != nil {
 		return nil, err
 	}
-	added.process = started
+	added.Process = started
 	cluster.nodes = append(cluster.nodes, added)
 	return added, nil
 }
 
 func (cluster *cluster) awaitStarted(added *node) error {
-	_, err := added.awaitLine(cluster.ctx, `"msg":"started"`)
+	_, err := added.AwaitLine(cluster.ctx, `"msg":"started"`)
 	return err
 }
 
@@ -340,14 +341,14 @@
 }
 
 // processes returns all processes, nodes first.
-func (cluster *cluster) processes() []*process {
-	var all []*process
+func (cluster *cluster) processes() []*process.Process {
+	var all []*process.Process
 	for _, target := range cluster.nodes {
-		all = append(all, target.process)
+		all = append(all, target.Process)
 	}
 	all = append(all, cluster.balancing)
 	for _, target := range cluster.engines {
-		all = append(all, target.process)
+		all = append(all, target.Process)
 	}
 	all = append(all, cluster.services...)
 	return append(all, cluster.storeProcess)
@@ -357,7 +358,7 @@
 func (cluster *cluster) stop() {
 	for _, running := range cluster.processes() {
 		if running != nil {
-			running.kill()
+			running.Kill()
 		}
 	}
 }
--- a/system/system_test.go
+++ b/system/system_test.go
@@ -79,7 +79,7 @@
 		<-clusters
 		if t.Failed() {
 			for _, running := range started.nodes {
-				t.Logf("%s:\n%s", running.name, running.tail(tailLines))
+				t.Logf("%s:\n%s", running.Name(), running.Tail(tailLines))
 			}
 		}
 	})
@@ -232,7 +232,7 @@
 	test := start(t, 3)
 	load := startLoad(test.cluster, test.balancer, "load", loadCallers)
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
-	test.nodes[0].kill()
+	test.nodes[0].Kill()
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
 	test.awaitLeaders(test.nodes[1:])
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
@@ -246,10 +246,10 @@
 	frozen := test.nodes[0]
 	load := startLoad(test.cluster, test.balancer, "load", loadCallers)
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
-	require.NoError(t, frozen.signal(syscall.SIGSTOP))
+	require.NoError(t, frozen.Signal(syscall.SIGSTOP))
 	test.awaitLeaders(test.nodes[1:])
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
-	require.NoError(t, frozen.signal(syscall.SIGCONT))
+	require.NoError(t, frozen.Signal(syscall.SIGCONT))
 	test.await("the node is healthy again", func() bool { return test.healthy(frozen) })
 	direct := startLoad(test.cluster, frozen.callers, "direct", 1)
 	test.awaitMore(direct, caller.KindDraft, caller.KindBooking)
@@ -277,7 +277,7 @@
 			stream := test.stream(test.balancer, "long prompt", kill.received)
 			broken := test.group(test.runs(stream.prompt, engine.EventStart)[0].Group)
 			killed := test.vm(broken.Members[kill.rank])
-			killed.kill()
+			killed.Kill()
 			for _, target := range test.engines {
 				if target != killed {
 					require.NoError(t, test.order(target.control, fault.Order{Fault: fault.Clear}))
@@ -366,18 +366,18 @@
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
 	stopping := test.nodes[0]
 	stream := test.stream(stopping.callers, "long prompt", beginning)
-	require.NoError(t, stopping.signal(syscall.SIGTERM))
+	require.NoError(t, stopping.Signal(syscall.SIGTERM))
 	test.await("the health check fails", func() bool { return !test.healthy(stopping) })
 	result := test.whole(stream)
 	test.await("the node has ended", func() bool {
 		select {
-		case <-stopping.ended:
+		case <-stopping.Ended():
 			return true
 		default:
 			return false
 		}
 	})
-	assert.NoError(t, stopping.failure)
+	assert.NoError(t, stopping.Failure())
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
 	results := load.stop()
 	for _, told := range results {
@@ -501,13 +501,13 @@
 	test := start(t, 3)
 	load := startLoad(test.cluster, test.balancer, "load", loadCallers)
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
-	test.nodes[0].kill()
+	test.nodes[0].Kill()
 	for _, target := range test.engines {
 		if target.domain == domains[0] {
-			target.kill()
+			target.Kill()
 		}
 	}
-	test.services[0].kill()
+	test.services[0].Kill()
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
 	test.verify(load.stop())
 }
