Require twice the estimate until the deadline of a waiting request

Cause: requests that were admitted with little time left used capacity and missed their deadline. TestDeadlineRefusedEarly follows the factor with bounds one second on each side as before.

--- a/limit/queue.go
+++ b/limit/queue.go
@@ -12,9 +12,10 @@
 	estimateGain = 0.1
 
 	// safetyFactor is the part of the estimate that must remain until the
-	// deadline. Service times vary: with exactly the mean left, about every
-	// third request would miss its deadline after using its capacity.
-	safetyFactor = 1.5
+	// deadline. Service times vary: when they are exponential, every third
+	// request that has exactly the mean left misses its deadline after using
+	// capacity, and every seventh that has twice the mean left.
+	safetyFactor = 2
 
 	minRetryAfter = time.Second
 	maxRetryAfter = 30 * time.Second
