--- a/bench/routing.go
+++ b/bench/routing.go
@@ -51,33 +51,55 @@
 	return hit
 }
 
+// A reuseLoad draws the prefixes of the simulated requests.
+type reuseLoad struct {
+	name string
+	draw func(random *rand.Rand) func() int
+}
+
+// reuseLoads are a few prompts that most callers share, and conversations that
+// are equally likely to go on.
+var reuseLoads = []reuseLoad{
+	{"shared prompts by Zipf 1.1", func(random *rand.Rand) func() int {
+		zipf := rand.NewZipf(random, 1.1, 1, reusePrefixes-1)
+		return func() int { return int(zipf.Uint64()) }
+	}},
+	{"equally likely conversations", func(random *rand.Rand) func() int {
+		return func() int { return random.IntN(reusePrefixes) }
+	}},
+}
+
 // prefixReuse compares the share of requests that find their prefix cached,
 // with prefix affinity and with two choices alone.
 func prefixReuse() ([]measure, error) {
-	note := fmt.Sprintf("seed %d, %d groups, %d prefixes by Zipf 1.1, %d cached in each, %d requests", routingSeed, reuseGroups, reusePrefixes, reuseCacheSize, reuseRequests)
 	var rows []measure
-	for _, affinity := range []bool{true, false} {
-		name := "two choices alone"
-		if affinity {
-			name = "prefix affinity"
-		}
-		hits, highest := reuse(affinity)
-		rows = append(rows,
-			measure{"prefix reuse, " + name, fmt.Sprintf("%.1f %%", 100*float64(hits)/reuseRequests), note},
-			measure{"highest load over mean, " + name, fmt.Sprintf("%.2f", highest), note})
+	for _, load := range reuseLoads {
+		rows = append(rows, load.measure()...)
 	}
 	return rows, nil
 }
 
+func (load reuseLoad) measure() []measure {
+	note := fmt.Sprintf("2 times the baseline; seed %d, %d groups, %d prefixes, %d cached in each, %d requests",
+		routingSeed, reuseGroups, reusePrefixes, reuseCacheSize, reuseRequests)
+	affine, affineHighest := reuse(load, true)
+	baseline, baselineHighest := reuse(load, false)
+	return []measure{
+		{"prefix reuse, " + load.name, fmt.Sprintf("%.1f %% after %.1f %% with two choices alone, %.2f times",
+			100*float64(affine)/reuseRequests, 100*float64(baseline)/reuseRequests, float64(affine)/float64(baseline)), note},
+		{"highest load over mean, " + load.name, fmt.Sprintf("%.2f after %.2f", affineHighest, baselineHighest), note},
+	}
+}
+
 // ending is a simulated request in progress.
 type ending struct {
 	at    time.Time
 	ended func(time.Time)
 }
 
-func reuse(affinity bool) (hits int, highest float64) {
+func reuse(load reuseLoad, affinity bool) (hits int, highest float64) {
 	random := rand.New(rand.NewPCG(routingSeed, 1))
-	zipf := rand.NewZipf(random, 1.1, 1, reusePrefixes-1)
+	draw := load.draw(random)
 	tracker := route.NewTracker()
 	config := route.PickerConfig{FailureDomain: "d", Source: rand.NewPCG(routingSeed, 2), Tracker: tracker}
 	if !affinity {
@@ -107,7 +129,7 @@
 			}
 		}
 		running = kept
-		prefix := int(zipf.Uint64())
+		prefix := draw()
 		chosen, _ := picker.PickGroup(table, route.GroupRequest{Spec: "g", Prompt: strings.Repeat(fmt.Sprintf("%04d", prefix), 64)}, now)
 		if caches[chosen.Name].use(prefix) {
 			hits++
