Pass sampling parameters to engines and report invalid requests as such

Cause: usual client libraries set temperature or stop in every request and got 400; and a request that an engine rejects as invalid was tried at every group and answered 503.

--- a/engine/message.go
+++ b/engine/message.go
@@ -70,6 +70,20 @@
 	ResumeIndex int    `json:"resume-index"`
 	ResumeText  string `json:"resume-text"`
 	Priority    int    `json:"priority"`
+
+	// Sampling is nil when the caller set none of it.
+	Sampling *Sampling `json:"sampling,omitempty"`
+}
+
+// Sampling are the caller's choices of how tokens are drawn. What is not set
+// is left to the engine.
+type Sampling struct {
+	Temperature      *float64 `json:"temperature,omitempty"`
+	TopP             *float64 `json:"top-p,omitempty"`
+	PresencePenalty  *float64 `json:"presence-penalty,omitempty"`
+	FrequencyPenalty *float64 `json:"frequency-penalty,omitempty"`
+	Seed             *int64   `json:"seed,omitempty"`
+	Stop             []string `json:"stop,omitempty"`
 }
 
 // Piece is one event of a generated stream.
--- a/entry/draft.go
+++ b/entry/draft.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"lacewingspoke.org/lacewingspoke/engine"
 	"lacewingspoke.org/lacewingspoke/outcome"
 )
 
@@ -56,6 +57,7 @@
 	MaxTokens           int       `json:"max_tokens"`
 	MaxCompletionTokens int       `json:"max_completion_tokens"`
 	User                string    `json:"user"`
+	samplingBody
 }
 
 // A draft is a checked draft request.
@@ -65,6 +67,7 @@
 	prompt    string
 	stream    bool
 	maxTokens int
+	sampling  *engine.Sampling
 }
 
 func parseDraft(path string, body []byte) (draft, error) {
@@ -88,7 +91,11 @@
 	if decoded.MaxTokens < 0 || decoded.MaxCompletionTokens < 0 || maxTokens > limitMaxTokens {
 		return draft{}, errors.NotValidf("max_tokens outside 1 to %d", limitMaxTokens)
 	}
-	parsed := draft{form: form, model: decoded.Model, stream: decoded.Stream, maxTokens: maxTokens}
+	sampling, err := decoded.parse()
+	if err != nil {
+		return draft{}, errors.Trace(err)
+	}
+	parsed := draft{form: form, model: decoded.Model, stream: decoded.Stream, maxTokens: maxTokens, sampling: sampling}
 	if form == formChat {
 		if len(decoded.Messages) == 0 || decoded.Prompt != nil {
 			return draft{}, errors.NotValidf("chat without messages or with a prompt")
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -273,7 +273,11 @@
 func (exchange *exchange) report(result outcome.Outcome) {
 	switch result := result.(type) {
 	case outcome.NotRun:
-		exchange.refuse(http.StatusServiceUnavailable, result)
+		status := http.StatusServiceUnavailable
+		if result.Invalid {
+			status = http.StatusBadRequest
+		}
+		exchange.refuse(status, result)
 	case outcome.Unknown:
 		status := http.StatusBadGateway
 		if result.TimedOut {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/juju/errors"
@@ -174,6 +175,7 @@
 		ResumeIndex: relay.assembler.Next(),
 		ResumeText:  relay.assembler.Text(),
 		Priority:    relay.exchange.priority,
+		Sampling:    relay.draft.sampling,
 	})
 	if err != nil {
 		return relay.notStarted(attemptCtx, target, attempt, err)
@@ -203,7 +205,10 @@
 	var refused *engine.RefusedError
 	if errors.As(err, &refused) {
 		relay.countAttempt("refused")
-		return attempt.Apply(outcome.Refused{Reason: refused.Error()}).Outcome(), err
+		return attempt.Apply(outcome.Refused{
+			Reason:  refused.Error(),
+			Invalid: refused.Status == http.StatusBadRequest,
+		}).Outcome(), err
 	}
 	var broken *engine.StreamError
 	if errors.As(err, &broken) && broken.Sent {
--- a/outcome/attempt.go
+++ b/outcome/attempt.go
@@ -9,7 +9,12 @@
 
 // Refused says that the target itself answered that it did not run the
 // request.
-type Refused struct{ Reason string }
+type Refused struct {
+	Reason string
+
+	// Invalid is true when the target found the request itself at fault.
+	Invalid bool
+}
 
 // Answered says that the whole answer arrived.
 type Answered struct{}
@@ -31,6 +36,7 @@
 	id       string
 	sent     bool
 	refused  bool
+	invalid  bool
 	answered bool
 	timedOut bool
 	reason   string
@@ -52,6 +58,7 @@
 	case Refused:
 		if !attempt.answered {
 			attempt.refused = true
+			attempt.invalid = event.Invalid
 			attempt.reason = event.Reason
 		}
 	case Answered:
@@ -73,7 +80,7 @@
 	case attempt.answered:
 		return Complete{}
 	case attempt.refused:
-		return NotRun{Reason: attempt.reason}
+		return NotRun{Reason: attempt.reason, Invalid: attempt.invalid}
 	case attempt.sent:
 		return Unknown{Reason: attempt.reason, TimedOut: attempt.timedOut}
 	default:
@@ -115,9 +122,9 @@
 // MayRetry reports whether a request whose attempts led to result may be sent
 // to another target.
 func MayRetry(nature Nature, result Outcome) bool {
-	switch result.(type) {
+	switch result := result.(type) {
 	case NotRun:
-		return true
+		return !result.Invalid
 	case Unknown:
 		return nature != RunOnce
 	default:
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -47,6 +47,10 @@
 
 	// RetryAfter is how long the caller is asked to wait, 0 for no advice.
 	RetryAfter time.Duration
+
+	// Invalid is true when a target found the request itself at fault, so that
+	// no target would run it.
+	Invalid bool
 }
 
 // Unknown says that a target may have run the request, in whole or in part.
