Test the stop notice, spares of an empty list and silent idle connections

No test failed when a node closed its listener at once, when the spares of an empty list of VMs were given up, or when a call after a timeout used another kept connection.

--- a/group/leader_test.go
+++ b/group/leader_test.go
@@ -340,6 +340,18 @@
 	require.Equal(test, commits, domain.commits)
 }
 
+// Guards against spares that are given up because the list of VMs is empty.
+func TestLeaderRepairsWhileListIsEmpty(test *testing.T) {
+	domain := newTestDomain(test, 9, testFolder(2))
+	domain.until(20*time.Second, domain.granted(2))
+	domain.send(VMsListed{})
+	domain.engines["vm-01"].dead = true
+	domain.until(2*time.Second, domain.granted(1))
+	domain.until(20*time.Second, domain.granted(2))
+	_, placed := domain.leader.Placement().Assignment("vm-08")
+	require.True(test, placed)
+}
+
 // Guards against a planned stop that interrupts requests or that ends because
 // a lagging list calls the VM live again.
 func TestLeaderDrainsForLeavingMember(test *testing.T) {
--- a/httpsend/httpsend_test.go
+++ b/httpsend/httpsend_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -80,6 +81,83 @@
 	assert.Error(t, err)
 }
 
+// When one kept connection has gone silent, the others may have too: the next
+// call must not wait for one of them.
+func TestSilentConnectionClosesIdleOnes(t *testing.T) {
+	caller := testCaller(t)
+	silent := make(chan struct{})
+	var both sync.WaitGroup
+	both.Add(2)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+		if request.URL.Path != "/kept" {
+			return
+		}
+		// Neither call ends before the other has its own connection.
+		both.Done()
+		both.Wait()
+	}))
+	server.Listener = &silencedListener{Listener: server.Listener, kept: 2, silent: silent}
+	server.Start()
+	defer server.Close()
+	address := server.Listener.Addr().String()
+	call := func(path string, timeout time.Duration) error {
+		_, err := caller.Do(t.Context(), Request{Method: "GET", Path: path, Address: address, Timeout: timeout})
+		return err
+	}
+	ended := make(chan error, 2)
+	for range cap(ended) {
+		go func() { ended <- call("/kept", testPatience) }()
+	}
+	require.NoError(t, <-ended)
+	require.NoError(t, <-ended)
+	require.Eventually(t, func() bool {
+		idle := 0
+		for _, conn := range caller.conns.to(address) {
+			conn.mutex.Lock()
+			if conn.idle {
+				idle++
+			}
+			conn.mutex.Unlock()
+		}
+		return idle == cap(ended)
+	}, testPatience, time.Millisecond)
+	close(silent)
+	require.ErrorIs(t, call("/", 50*time.Millisecond), errors.Timeout)
+	require.NoError(t, call("/", testPatience/2))
+}
+
+// A silencedListener stops answering on the first connections when silent is
+// closed.
+type silencedListener struct {
+	net.Listener
+	kept   int
+	silent chan struct{}
+}
+
+func (listener *silencedListener) Accept() (net.Conn, error) {
+	conn, err := listener.Listener.Accept()
+	if err != nil || listener.kept == 0 {
+		return conn, err
+	}
+	listener.kept--
+	return &silencedConn{Conn: conn, silent: listener.silent}, nil
+}
+
+type silencedConn struct {
+	net.Conn
+	silent chan struct{}
+}
+
+// Write drops what is written once the connection is silent.
+func (conn *silencedConn) Write(data []byte) (int, error) {
+	select {
+	case <-conn.silent:
+		return len(data), nil
+	default:
+		return conn.Conn.Write(data)
+	}
+}
+
 // A connection that already serves the next call must not be stopped or closed
 // for the one before.
 func TestNextUseIsLeftAlone(t *testing.T) {
--- a/system/system_test.go
+++ b/system/system_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"math"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -358,6 +361,21 @@
 	}
 }
 
+// logged returns when a process logged a message, in seconds.
+func (test test) logged(running *process, message string) float64 {
+	var line struct {
+		Time    float64 `json:"ts"`
+		Message string  `json:"msg"`
+	}
+	for text := range strings.Lines(running.tail(math.MaxInt)) {
+		if json.Unmarshal([]byte(text), &line) == nil && line.Message == message {
+			return line.Time
+		}
+	}
+	require.Fail(test.t, "message is not in the log", message)
+	return 0
+}
+
 // Guards against planned stops of a node that cut off a request or refuse one
 // that could have been served.
 func TestNodeStops(t *testing.T) {
@@ -378,6 +396,8 @@
 		}
 	})
 	assert.NoError(t, stopping.failure)
+	notice := test.logged(stopping.process, "entry stopped accepting requests") - test.logged(stopping.process, "stopping")
+	assert.GreaterOrEqual(t, notice, stopNotice.Seconds()-time.Millisecond.Seconds(), "time in which the listener was open")
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
 	results := load.stop()
 	for _, told := range results {
