--- a/group/leader_test.go
+++ b/group/leader_test.go
@@ -267,6 +267,17 @@
 	require.Equal(test, uint64(1), domain.leader.Placement().Fence())
 }
 
+// Guards against a second takeover, under another fencing number, when only
+// the answer to the first was lost.
+func TestLeaderResolvesLostTakeover(test *testing.T) {
+	domain := newTestDomain(test, 9, testFolder(2))
+	domain.answer = func(done CommitDone) CommitDone {
+		return CommitDone{ID: done.ID, Outcome: platform.Unknown{}}
+	}
+	domain.until(20*time.Second, domain.granted(2))
+	require.Equal(test, uint64(1), domain.leader.Placement().Fence())
+}
+
 // Guards against orders, commits and grants of incomplete groups after the
 // lease has run out, and against any grant after another node took over.
 func TestLeaderStopsWithoutLease(test *testing.T) {
