Give up an incomplete replica only when another domain has room for it

Cause: an incomplete replica above its domain's share was dissolved even when no other domain could form it, which cost the load of all its VMs at their return. Demand.Total says how many replicas fit.

The random runs use longer order delays: without both the lease margin and the wait of a new leader no run failed before, TestInvariantsWithoutFencing fails now.

--- a/group/demand.go
+++ b/group/demand.go
@@ -13,6 +13,10 @@
 	// Share is the number of replicas that this fabric domain forms.
 	Share int
 
+	// Total is the sum of the shares of all fabric domains. It is less than
+	// the wanted replicas when they do not all fit.
+	Total int
+
 	// Placed is the number of replicas in all fabric domains.
 	Placed int
 
@@ -33,8 +37,14 @@
 	domains []DomainSize
 }
 
-// shares divides the wanted replicas over the fabric domains and returns the
-// share of one domain for each group, in the order of the groups.
+// A division is how the wanted replicas of each group are divided.
+type division struct {
+	own   map[string]int
+	total map[string]int
+}
+
+// divide divides the wanted replicas over the fabric domains and returns the
+// share of one domain and the total for each group.
 //
 // Every leader computes the same division from the listed sizes, not from the
 // reports, which only one of them reads. So two leaders never both form the
@@ -43,10 +53,10 @@
 // and then name. Each replica goes to the failure domain with the fewest
 // replicas of the group, and in it to the fabric domain with the most VMs left,
 // so that spares stay spread too. Replicas that fit nowhere are left out.
-func (input shareInput) shares(domain string) map[string]int {
+func (input shareInput) divide(domain string) division {
 	left := append([]DomainSize(nil), input.domains...)
 	sort.Slice(left, func(i, j int) bool { return left[i].Name < left[j].Name })
-	result := map[string]int{}
+	result := division{own: map[string]int{}, total: map[string]int{}}
 	for _, group := range byValue(input.groups) {
 		spread := map[string]int{}
 		for replica := 0; replica < group.Replicas; replica++ {
@@ -56,8 +66,9 @@
 			}
 			left[index].VMs -= group.Size
 			spread[left[index].FailureDomain]++
+			result.total[group.Name]++
 			if left[index].Name == domain {
-				result[group.Name]++
+				result.own[group.Name]++
 			}
 		}
 	}
@@ -146,10 +157,16 @@
 
 // demands combines the configuration with what all fabric domains hold.
 func (leader *Leader) demands(placement *Placement, groups []GroupStatus) []Demand {
-	shares := leader.shares()
+	shares := leader.division()
 	var demands []Demand
 	for _, spec := range byValue(leader.allSpecs(placement)) {
-		demand := Demand{Group: spec, Share: shares[spec.Name], Keep: leader.keep[spec.Name], Turn: true}
+		demand := Demand{
+			Group: spec,
+			Share: shares.own[spec.Name],
+			Total: shares.total[spec.Name],
+			Keep:  leader.keep[spec.Name],
+			Turn:  true,
+		}
 		for _, status := range groups {
 			if status.Group.Spec != spec.Name || status.Group.State == StateReleased {
 				continue
@@ -185,7 +202,7 @@
 	return specs
 }
 
-func (leader *Leader) shares() map[string]int {
+func (leader *Leader) division() division {
 	own := DomainSize{Name: leader.config.Domain}
 	for _, vm := range leader.members {
 		if !vm.listed {
@@ -197,5 +214,5 @@
 		}
 	}
 	input := shareInput{groups: leader.groups, domains: append([]DomainSize{own}, leader.elsewhere.Domains...)}
-	return input.shares(leader.config.Domain)
+	return input.divide(leader.config.Domain)
 }
--- a/group/invariant_test.go
+++ b/group/invariant_test.go
@@ -30,7 +30,7 @@
 
 const (
 	chaosLease = 3 * time.Second
-	chaosDelay = 400 * time.Millisecond
+	chaosDelay = 1800 * time.Millisecond
 	chaosLoad  = 400 * time.Millisecond
 	chaosVMs   = 8
 )
--- a/group/plan.go
+++ b/group/plan.go
@@ -326,9 +326,11 @@
 }
 
 // moveAway gives up one incomplete replica above the domain's share that the
-// spares cannot complete.
+// spares cannot complete, when the share of another domain has room for it.
 func (planner *planner) moveAway(demand Demand) {
-	if planner.placed(demand.Group.Name) <= demand.Share {
+	own := planner.placed(demand.Group.Name)
+	room := demand.Total - demand.Share - (demand.Placed - own)
+	if own <= demand.Share || room <= 0 {
 		return
 	}
 	groups := planner.incomplete()
