Bound the age of relayed grants by the echo's age

Cause: a frame's SentAfter was when the echoed heartbeat was sent, up to a heartbeat interval before the frame. Change: a heartbeat in front of grants says how long the echoed one had been there when the grants were composed; a receiver takes one percent off and refuses an age that ends in the future. With heartbeats a minute apart, grants sent 2 s after the last one had a bound 2 s too early and now have one within a second.

--- a/peer/beats.go
+++ b/peer/beats.go
@@ -16,11 +16,18 @@
 	last    uint64
 	pending []beat
 
-	// echo is the last echo and echoSent when its heartbeat was sent.
-	echo     uint64
-	echoSent time.Time
+	// echo is the last echo and base when its heartbeat was sent.
+	echo uint64
+	base time.Time
+
+	// bound is not later than when the next frame on the link was composed.
+	bound time.Time
 }
 
+// driftDivisor takes one percent off an echo's age, which was measured on the
+// peer's clock.
+const driftDivisor = 100
+
 type beat struct {
 	sequence uint64
 	sent     time.Time
@@ -36,16 +43,30 @@
 	return beats.last
 }
 
-// echoed takes in an echo of the peer. An echo of a heartbeat that was never
-// sent is an errors.NotValid error.
-func (beats *beats) echoed(echo uint64) error {
+// echoed takes in an echo of the peer and its age. An echo of a heartbeat that
+// was never sent, or with an age that ends in the future, is an errors.NotValid
+// error.
+func (beats *beats) echoed(echo uint64, age time.Duration, now time.Time) error {
 	if echo > beats.last {
 		return errors.NotValidf("echo of heartbeat %d", echo)
 	}
 	for len(beats.pending) > 0 && beats.pending[0].sequence <= echo {
 		beats.echo = beats.pending[0].sequence
-		beats.echoSent = beats.pending[0].sent
+		beats.base = beats.pending[0].sent
 		beats.pending = beats.pending[1:]
 	}
+	if beats.echo == 0 {
+		return nil
+	}
+	bound := beats.base
+	if echo == beats.echo {
+		bound = bound.Add(age - age/driftDivisor)
+	}
+	if age < 0 || bound.After(now) {
+		return errors.NotValidf("echo age of %s", age)
+	}
+	if bound.After(beats.bound) {
+		beats.bound = bound
+	}
 	return nil
 }
--- a/peer/event.go
+++ b/peer/event.go
@@ -25,9 +25,10 @@
 	Frame Frame
 
 	// SentAfter is on this node's monotonic clock and not later than when the
-	// frame was sent. It is when this node sent the heartbeat whose sequence
-	// the peer echoed last before the frame on the same link; it is zero when
-	// the peer echoed none.
+	// frame was sent, or composed for SendComposed. It is when this node sent
+	// the heartbeat that the peer echoed last before the frame on the same link,
+	// plus the age that the peer gave the echo, less a margin for the rate of
+	// the clocks. It is zero when the peer echoed none.
 	SentAfter time.Time
 }
 
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -22,6 +22,10 @@
 	// Echo is the highest sequence that the sender received on this link.
 	Echo       uint64
 	Generation uint64
+
+	// EchoAgeMicros is for how long the echoed heartbeat had been here when the
+	// frames behind this one were composed, or less.
+	EchoAgeMicros int64
 }
 
 // Head announces a configuration.
--- a/peer/link.go
+++ b/peer/link.go
@@ -76,12 +76,13 @@
 // new link begins with the complete state.
 //
 // Grants are sent behind a fresh echo: the receiver counts their ages from the
-// heartbeat echoed last, which would otherwise be up to an interval older.
+// heartbeat echoed last and the echo's age. Without them each hop would add up
+// to a heartbeat interval, and a relay of several hops more than a grant's bound.
 //
 // It reports whether the frame was queued.
 func (link *link) send(packet packet, composed time.Time) bool {
 	if packet.kind == kindGrants && link.queue.mayEcho(composed) {
-		link.beat()
+		link.beat(composed)
 	}
 	switch link.queue.put(packet, composed) {
 	case replaced:
@@ -99,13 +100,13 @@
 func (link *link) write(ctx context.Context) error {
 	heartbeats := link.mesh.timer.Every("heartbeat", link.mesh.config.HeartbeatInterval, 0)
 	defer heartbeats.Cancel()
-	link.beat()
+	link.beat(time.Time{})
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-heartbeats.C():
-			link.beat()
+			link.beat(time.Time{})
 		case <-link.queue.wake:
 		}
 		if err := link.flush(); err != nil {
@@ -115,14 +116,16 @@
 	}
 }
 
-func (link *link) beat() {
+// beat queues a heartbeat, in front of a packet that was composed at a time
+// unless it is zero.
+func (link *link) beat(composed time.Time) {
 	link.mutex.Lock()
 	sequence := link.beats.next(link.mesh.timer.Now())
 	link.mutex.Unlock()
 	link.queue.putHeartbeat(Heartbeat{
 		Sequence:   sequence,
 		Generation: link.mesh.generation.Load(),
-	})
+	}, composed)
 }
 
 func (link *link) flush() error {
@@ -199,16 +202,17 @@
 }
 
 func (link *link) receiveBeat(heartbeat Heartbeat) error {
-	link.queue.receive(heartbeat.Sequence, link.mesh.timer.Now())
+	now := link.mesh.timer.Now()
+	link.queue.receive(heartbeat.Sequence, now)
 	link.mutex.Lock()
 	defer link.mutex.Unlock()
-	return link.beats.echoed(heartbeat.Echo)
+	return link.beats.echoed(heartbeat.Echo, time.Duration(heartbeat.EchoAgeMicros)*time.Microsecond, now)
 }
 
 func (link *link) sentAfter() time.Time {
 	link.mutex.Lock()
 	defer link.mutex.Unlock()
-	return link.beats.echoSent
+	return link.beats.bound
 }
 
 // reasonOf returns why a link with this error is closed.
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/assert"
@@ -408,6 +409,72 @@
 	assert.False(t, later.After(time.Now()))
 }
 
+// The age of an echo moves SentAfter forward, by a little less than the age. An
+// age that is negative or ends in the future closes the link: it would make
+// grants look younger than they are.
+func TestEchoAge(t *testing.T) {
+	now := time.Now()
+	for _, test := range []struct {
+		age  time.Duration
+		want time.Duration
+	}{{0, 0}, {time.Second, 990 * time.Millisecond}, {-1, -1}, {11 * time.Second, -1}} {
+		var beats beats
+		first := beats.next(now)
+		err := beats.echoed(first, test.age, now.Add(10*time.Second))
+		if test.want < 0 {
+			assert.ErrorIs(t, err, errors.NotValid)
+			continue
+		}
+		require.NoError(t, err)
+		assert.Equal(t, now.Add(test.want), beats.bound)
+		require.NoError(t, beats.echoed(first, 0, now.Add(10*time.Second)))
+		assert.Equal(t, now.Add(test.want), beats.bound, "a bound that holds is kept")
+	}
+}
+
+// Grants that are sent long after the last heartbeat have a bound near the time
+// at which they were composed, and never after it. Otherwise a relay of several
+// hops adds a heartbeat interval of age at each.
+func TestGrantsHaveATightBound(t *testing.T) {
+	one := startMesh(t, Config{Name: "one", HeartbeatInterval: time.Minute})
+	two := startMesh(t, Config{Name: "two", HeartbeatInterval: time.Minute})
+	start := time.Now()
+	one.SetTargets([]Target{{Name: "two", Address: two.Address()}})
+	awaitUp(t, one, "two")
+	awaitUp(t, two, "one")
+	pace := time.NewTicker(10 * time.Millisecond)
+	defer pace.Stop()
+	for version := uint64(1); ; version++ {
+		composed := <-pace.C
+		grants := Grants{Origin: "one", Incarnation: "1", Version: version, Domain: "d", Groups: []GroupGrant{}}
+		if !one.SendComposed("two", grants, composed) {
+			continue
+		}
+		bound := awaitFrame(t, two, grants).SentAfter
+		require.False(t, bound.After(composed))
+		if composed.Sub(start) > 2*time.Second {
+			assert.Less(t, composed.Sub(bound), time.Second)
+			return
+		}
+	}
+}
+
+// Send must not take the time of a frame before the queue does: an echo in
+// between would make the frame outdated.
+func TestSendIsNeverOutdated(t *testing.T) {
+	mesh := startMesh(t, Config{Name: "one"})
+	dialRaw(t, mesh, "two")
+	awaitUp(t, mesh, "two")
+	queue := mesh.links["two"].queue
+	queue.mutex.Lock()
+	queue.echoed = time.Now().Add(time.Hour)
+	queue.mutex.Unlock()
+	assert.True(t, mesh.Send("two", Head{Generation: 1}))
+	mesh.Broadcast(Head{Generation: 2}, "")
+	assert.False(t, mesh.SendComposed("two", Leaving{Target: "t"}, time.Now()))
+	assert.EqualValues(t, 1, testutil.ToFloat64(mesh.metrics.outdated))
+}
+
 // Heartbeats carry the generation, which is passed on when it changes.
 func TestHeartbeatGeneration(t *testing.T) {
 	one := startMesh(t, Config{Name: "one"})
--- a/peer/queue.go
+++ b/peer/queue.go
@@ -27,11 +27,11 @@
 //
 // Packets leave in the order in which they were put, because a heartbeat's
 // echo vouches for every packet behind it: the receiver takes such a packet to
-// have been composed after the echoed heartbeat arrived here. Two rules follow.
-// A packet may take the place of an older one of its subject, but a heartbeat
-// only moves to the end, or its newer echo would vouch for packets composed
-// before. And a packet composed before the echoed heartbeat arrived is not put
-// behind the echo.
+// have been composed no earlier than the echo's age after the echoed heartbeat
+// arrived here. Two rules follow. A packet may take the place of an older one of
+// its subject, but a heartbeat only moves to the end, or its newer echo would
+// vouch for packets composed before. And a packet composed before the time that
+// the echo vouches for is not put behind it.
 type queue struct {
 	maxPackets int
 	maxBytes   int
@@ -43,8 +43,7 @@
 	bytes    int
 
 	// received is the highest heartbeat sequence of the peer and when it
-	// arrived; echoed is when the sequence of the last queued heartbeat's echo
-	// arrived.
+	// arrived; echoed is the latest time that an echo vouched for.
 	received   uint64
 	receivedAt time.Time
 	echoed     time.Time
@@ -83,7 +82,7 @@
 		return queue.replace(older.Value.(*waiting), packet, composed)
 	}
 	if composed.IsZero() {
-		composed = queue.receivedAt
+		composed = queue.echoed
 	}
 	if composed.Before(queue.echoed) {
 		return outdated
@@ -93,11 +92,16 @@
 }
 
 // putHeartbeat adds a heartbeat with the echo as of now. It replaces one that
-// is still queued.
-func (queue *queue) putHeartbeat(heartbeat Heartbeat) queueResult {
+// is still queued. With the time at which the next packet was composed, the echo
+// vouches for that time instead of the arrival of the echoed heartbeat, which
+// may be an interval earlier.
+func (queue *queue) putHeartbeat(heartbeat Heartbeat, composed time.Time) queueResult {
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
 	heartbeat.Echo = queue.received
+	if queue.received > 0 && composed.After(queue.receivedAt) {
+		heartbeat.EchoAgeMicros = composed.Sub(queue.receivedAt).Microseconds()
+	}
 	data, err := encode(heartbeat)
 	if err != nil {
 		return outdated
@@ -105,17 +109,20 @@
 	if older, found := queue.subjects[heartbeatSubject]; found {
 		queue.drop(older)
 	}
-	queue.echoed = queue.receivedAt
-	queue.add(packet{kind: kindHeartbeat, subject: heartbeatSubject, data: data}, queue.receivedAt)
+	vouched := queue.receivedAt.Add(time.Duration(heartbeat.EchoAgeMicros) * time.Microsecond)
+	if vouched.After(queue.echoed) {
+		queue.echoed = vouched
+	}
+	queue.add(packet{kind: kindHeartbeat, subject: heartbeatSubject, data: data}, queue.echoed)
 	return queue.result(queued)
 }
 
-// mayEcho reports whether a heartbeat has arrived that was not echoed yet and
-// that a packet composed at a time may be put behind.
+// mayEcho reports whether an echo can vouch for a packet composed at a time
+// better than those before.
 func (queue *queue) mayEcho(composed time.Time) bool {
 	queue.mutex.Lock()
 	defer queue.mutex.Unlock()
-	return queue.receivedAt.After(queue.echoed) && !composed.Before(queue.receivedAt)
+	return queue.received > 0 && composed.After(queue.echoed) && !composed.Before(queue.receivedAt)
 }
 
 // take removes every packet.
--- a/peer/queue_test.go
+++ b/peer/queue_test.go
@@ -47,16 +47,31 @@
 	now := time.Now()
 	queue := newQueue(10, 1<<20)
 	queue.receive(1, now)
-	queue.putHeartbeat(Heartbeat{})
-	assert.Equal(t, outdated, queue.put(testPacket(t, Head{Generation: 1}), now.Add(-time.Nanosecond)))
+	queue.putHeartbeat(Heartbeat{}, now.Add(time.Second))
+	assert.Equal(t, outdated, queue.put(testPacket(t, Head{Generation: 1}), now.Add(time.Second-1)))
 	assert.Equal(t, queued, queue.put(testPacket(t, Head{Generation: 2}), time.Time{}))
 	assert.Equal(t, replaced, queue.put(testPacket(t, Head{Generation: 3}), time.Time{}))
 	assert.Equal(t, Head{Generation: 3}, frames(t, queue.take())[1])
 }
 
+// A heartbeat that arrived after a frame was composed must not be echoed in
+// front of it, or the frame is dropped.
+func TestNoFreshEchoForEarlierFrame(t *testing.T) {
+	now := time.Now()
+	queue := newQueue(10, 1<<20)
+	assert.False(t, queue.mayEcho(now), "nothing to echo")
+	queue.receive(1, now)
+	queue.putHeartbeat(Heartbeat{}, time.Time{})
+	queue.receive(2, now.Add(time.Second))
+	composed := now.Add(time.Second / 2)
+	assert.False(t, queue.mayEcho(composed))
+	assert.Equal(t, queued, queue.put(testPacket(t, Head{Generation: 1}), composed))
+	assert.True(t, queue.mayEcho(now.Add(time.Second)))
+}
+
 // For any order of arrivals, heartbeats and frames, also with a process that
 // was paused between composing a frame and queueing it, no heartbeat in front
-// of a frame echoes a heartbeat that arrived after the frame was composed.
+// of a frame vouches for a time after the frame was composed.
 // Otherwise the receiver would take the ages in the frame for younger than
 // they are, and a grant for longer than it is valid.
 func TestQueueNeverEchoesAheadOfFrames(t *testing.T) {
@@ -66,16 +81,19 @@
 		arrivals := map[uint64]int{}
 		composedAt := map[uint64]int{}
 		sequence, generation := uint64(0), uint64(0)
-		echo := uint64(0)
+		vouched := 0
 		verify := func() {
 			for _, frame := range frames(t, queue.take()) {
 				switch frame := frame.(type) {
 				case Heartbeat:
-					echo = frame.Echo
+					if frame.Echo > 0 {
+						age := time.Duration(frame.EchoAgeMicros) * time.Microsecond
+						vouched = max(vouched, arrivals[frame.Echo]+int(age/time.Second))
+					}
 				case Placement:
-					if echo > 0 && arrivals[echo] > composedAt[frame.Revision] {
-						t.Fatalf("frame composed at %d behind echo %d that arrived at %d",
-							composedAt[frame.Revision], echo, arrivals[echo])
+					if vouched > composedAt[frame.Revision] {
+						t.Fatalf("frame composed at %d behind an echo that vouches for %d",
+							composedAt[frame.Revision], vouched)
 					}
 				}
 			}
@@ -88,8 +106,13 @@
 				arrivals[sequence] = step
 				queue.receive(sequence, now)
 			case 1:
-				queue.putHeartbeat(Heartbeat{})
-			case 2, 3:
+				queue.putHeartbeat(Heartbeat{}, time.Time{})
+			case 2:
+				composed := rapid.IntRange(max(0, step-5), step).Draw(t, "vouched")
+				if at := start.Add(time.Duration(composed) * time.Second); queue.mayEcho(at) {
+					queue.putHeartbeat(Heartbeat{}, at)
+				}
+			case 3:
 				generation++
 				composed := rapid.IntRange(max(0, step-5), step).Draw(t, "composed")
 				composedAt[generation] = composed
@@ -108,7 +131,7 @@
 func TestCodecRoundTrip(t *testing.T) {
 	for _, frame := range []Frame{
 		Hello{Name: "n", Incarnation: "i", FailureDomain: "f", Address: "127.0.0.1:1", Protocol: 1},
-		Heartbeat{Sequence: 1 << 40, Echo: 3, Generation: 9},
+		Heartbeat{Sequence: 1 << 40, Echo: 3, Generation: 9, EchoAgeMicros: 70},
 		Head{Generation: 1, Change: "c", Digest: "d"},
 		BodyRequest{Generation: 4},
 		Body{Head: Head{Generation: 1, Change: "c", Digest: "d"}, Data: []byte("body")},
