Send grants along the relay tree above the full mesh

Cause: above 12 nodes every node passed grants on to every peer. The new test has 16 nodes; it does not tell the tree from requests.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lacewingspoke.org/lacewingspoke/admin"
+	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/route"
 	"lacewingspoke.org/lacewingspoke/standin/fault"
 )
@@ -182,6 +183,23 @@
 	require.Zero(test, cluster.engines.cutOff(), "VMs were released from a serving group")
 }
 
+// Above the full mesh grants pass along the relay tree, or by request where it
+// has a gap, and must reach every node.
+func TestGrantsReachFleetAboveFullMesh(test *testing.T) {
+	cluster := newCluster(test, 2)
+	cluster.apply(1)
+	var nodes []*node
+	for range fleet.FullMeshNodes + 4 {
+		nodes = append(nodes, cluster.startNode(cluster.storeAddress()))
+	}
+	for _, running := range nodes {
+		running.await(test, "grant", func(table *route.Table) bool {
+			_, found := granted(table)
+			return found
+		})
+	}
+}
+
 // A drain must close the group at every node, also while the store is down.
 func TestDrainSpreadsWithoutStore(test *testing.T) {
 	cluster := newCluster(test, 2)
--- a/control/grants.go
+++ b/control/grants.go
@@ -27,7 +27,7 @@
 		Domain:      led.domain,
 		Groups:      encodeGrants(now, effect.Grants),
 	}
-	state.config.Mesh.BroadcastComposed(frame, "", now)
+	state.sendGrants(now, frame, "")
 }
 
 // encodeGrants turns times on this node's clock into ages at now. Ages are
@@ -97,7 +97,21 @@
 	if len(state.fleet.Nodes()) <= fleet.FullMeshNodes {
 		return
 	}
-	state.config.Mesh.BroadcastComposed(state.domain(frame.Domain).aged(now), except, now)
+	state.sendGrants(now, state.domain(frame.Domain).aged(now), except)
+}
+
+// sendGrants sends grants along the relay tree of their origin, except to the
+// peer that they came from. In a full mesh the origin sends them to every peer.
+func (state *state) sendGrants(now time.Time, frame peer.Grants, except string) {
+	if len(state.fleet.Nodes()) <= fleet.FullMeshNodes {
+		state.config.Mesh.BroadcastComposed(frame, except, now)
+		return
+	}
+	for _, name := range state.fleet.RelayTo(frame.Origin) {
+		if name != except {
+			state.config.Mesh.SendComposed(name, frame, now)
+		}
+	}
 }
 
 // aged returns the received grants with their ages at this node, so that each
