--- a/group/leader.go
+++ b/group/leader.go
@@ -79,8 +79,11 @@
 	keep    map[string]int
 
 	elsewhere Elsewhere
-	members   map[string]*member
-	names     []string
+
+	// shrunkAt is when the other domains lost a large share of their VMs.
+	shrunkAt time.Time
+	members  map[string]*member
+	names    []string
 
 	// readDue is not later than the next read of a report.
 	readDue   time.Time
@@ -193,7 +196,7 @@
 	case FolderAdopted:
 		leader.noteFolder(event)
 	case Elsewhere:
-		leader.noteElsewhere(event)
+		leader.noteElsewhere(now, event)
 	case LeavingKnown:
 		leader.noteLeaving(event)
 	case Tick:
@@ -334,10 +337,15 @@
 	}
 }
 
-// noteElsewhere keeps the known sizes when the list of domains loses a large
-// share of its VMs at once.
-func (leader *Leader) noteElsewhere(event Elsewhere) {
-	if totalVMs(event.Domains)*largeShareDivisor < totalVMs(leader.elsewhere.Domains) {
+// noteElsewhere keeps the known sizes for a while when the list of domains
+// loses a large share of its VMs at once.
+func (leader *Leader) noteElsewhere(now time.Time, event Elsewhere) {
+	if totalVMs(event.Domains)*largeShareDivisor >= totalVMs(leader.elsewhere.Domains) {
+		leader.shrunkAt = time.Time{}
+	} else if leader.shrunkAt.IsZero() {
+		leader.shrunkAt = now
+	}
+	if !leader.shrunkAt.IsZero() && now.Sub(leader.shrunkAt) < suspectHold {
 		event.Domains = leader.elsewhere.Domains
 	}
 	if slices.Equal(event.Domains, leader.elsewhere.Domains) && slices.Equal(event.Replicas, leader.elsewhere.Replicas) {
--- a/group/leader_test.go
+++ b/group/leader_test.go
@@ -592,3 +592,32 @@
 		require.Error(test, err, name)
 	}
 }
+
+// Guards against VMs that a list loses at once and that count for ever, and
+// against their loss while they may be dark.
+func TestSuspectVMsAreHeldForAWhile(test *testing.T) {
+	domain := newTestDomain(test, 9, testFolder(2))
+	domain.until(20*time.Second, domain.granted(2))
+	leader := domain.leader
+	sizes := []DomainSize{{Name: "other", FailureDomain: "fail-2", VMs: 8}}
+	leader.noteElsewhere(domain.now, Elsewhere{Domains: sizes})
+	listed := func(after time.Duration) (own, other int) {
+		leader.noteList(domain.now.Add(after), nil)
+		leader.noteElsewhere(domain.now.Add(after), Elsewhere{})
+		for _, vm := range leader.members {
+			vm.missingSince = domain.now
+			if vm.listed {
+				own++
+			}
+		}
+		return own, totalVMs(leader.elsewhere.Domains)
+	}
+	for _, held := range []time.Duration{0, suspectHold - time.Second} {
+		own, other := listed(held)
+		require.Equal(test, 9, own)
+		require.Equal(test, 8, other)
+	}
+	own, other := listed(suspectHold)
+	require.Zero(test, own)
+	require.Zero(test, other)
+}
--- a/group/member.go
+++ b/group/member.go
@@ -32,6 +32,9 @@
 	// listed is false when the VM is no longer in the platform's list.
 	listed bool
 
+	// absentSince is when the list was first read without the VM.
+	absentSince time.Time
+
 	// departed are the incarnations that are known to be leaving.
 	departed []string
 
@@ -147,15 +150,30 @@
 	leader.suspect = leader.losesLargeShare(present)
 	for name, vm := range leader.members {
 		if present[name] {
+			vm.absentSince = time.Time{}
 			continue
 		}
-		if vm.listed && !leader.suspect {
+		if vm.absentSince.IsZero() {
+			vm.absentSince = now
+		}
+		if vm.listed && (!leader.suspect || vm.gone(now)) {
 			vm.listed = false
 			leader.dirty = true
 		}
 	}
 }
 
+// gone reports whether a suspect VM has neither been listed nor reported for so
+// long that it is taken for removed.
+func (vm *member) gone(now time.Time) bool {
+	return !vm.live() && now.Sub(vm.absentSince) >= suspectHold
+}
+
+// suspectHold is how long the VMs that a list lost together with many others
+// count as listed without a report. It is the time that a dark domain is left
+// alone, because the list may lose a dark domain.
+const suspectHold = darkHold
+
 func (leader *Leader) losesLargeShare(present map[string]bool) bool {
 	known := 0
 	lost := 0
