Test reports under a new incarnation and spares that hold a group

Removing the incarnation from the test of a seat, or the idle state from that of a spare, failed no test; the second was covered only together with the order that releases a VM from another group. Each fails TestReportsThatDoNotCount now.

--- a/group/leader_test.go
+++ b/group/leader_test.go
@@ -644,3 +644,21 @@
 	require.Zero(test, own)
 	require.Zero(test, other)
 }
+
+// Guards against a grant for a VM that reports its old seat under a new
+// incarnation, and against a spare whose engine still holds a group.
+func TestReportsThatDoNotCount(test *testing.T) {
+	domain := newTestDomain(test, 9, testFolder(2))
+	domain.until(20*time.Second, domain.granted(2))
+	leader := domain.leader
+	group, _ := leader.Placement().Group("large.fd.0")
+	_, complete := leader.complete(group)
+	require.True(test, complete)
+	leader.members["vm-01"].report.Incarnation = "b"
+	_, complete = leader.complete(group)
+	require.False(test, complete)
+	spare := leader.members["vm-08"]
+	require.True(test, leader.spare(domain.now, spare))
+	spare.report.Group = "large.fd.1"
+	require.False(test, leader.spare(domain.now, spare))
+}
