--- a/control/state_test.go
+++ b/control/state_test.go
@@ -52,6 +52,10 @@
 	return platform.Written{Revision: 1}
 }
 
+func (record *recorder) Report(context.Context, string) (engine.Report, error) {
+	return engine.Report{VM: "other", Incarnation: "1", State: engine.StateReady}, nil
+}
+
 func (record *recorder) SendOrder(context.Context, string, engine.Order) engine.OrderOutcome {
 	record.orders++
 	return engine.OrderAccepted{}
@@ -139,6 +143,15 @@
 	require.Equal(test, platform.ExpectRevision(7), record.puts[1].Expect)
 }
 
+// Guards against a report of the VM that has taken over another's address.
+func TestReportOfAnotherVM(test *testing.T) {
+	state, _ := newTestState(test)
+	read := group.ReadReport{VM: "vm", Address: "127.0.0.1:1", Timeout: time.Minute}
+	require.Equal(test, group.ReportFailed{VM: "vm"}, state.readReport(context.Background(), read))
+	read.VM = "other"
+	require.IsType(test, group.ReportRead{}, state.readReport(context.Background(), read))
+}
+
 // Guards against a leaving VM that becomes usable again because the platform's
 // list lags, and against a new incarnation that stays closed.
 func TestLeavingIsSticky(test *testing.T) {
