--- a/system/system_test.go
+++ b/system/system_test.go
@@ -21,6 +21,7 @@
 	"lacewingspoke.org/lacewingspoke/standin/caller"
 	"lacewingspoke.org/lacewingspoke/standin/engine"
 	"lacewingspoke.org/lacewingspoke/standin/fault"
+	"lacewingspoke.org/lacewingspoke/standin/process"
 	"lacewingspoke.org/lacewingspoke/standin/store"
 )
 
@@ -82,7 +83,7 @@
 		<-clusters
 		if t.Failed() {
 			for _, running := range started.nodes {
-				t.Logf("%s:\n%s", running.name, running.tail(tailLines))
+				t.Logf("%s:\n%s", running.Name(), running.Tail(tailLines))
 			}
 		}
 	})
@@ -235,7 +236,7 @@
 	test := start(t, 3)
 	load := startLoad(test.cluster, test.balancer, "load", loadCallers)
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
-	test.nodes[0].kill()
+	test.nodes[0].Kill()
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
 	test.awaitLeaders(test.nodes[1:])
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
@@ -249,10 +250,10 @@
 	frozen := test.nodes[0]
 	load := startLoad(test.cluster, test.balancer, "load", loadCallers)
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
-	require.NoError(t, frozen.signal(syscall.SIGSTOP))
+	require.NoError(t, frozen.Signal(syscall.SIGSTOP))
 	test.awaitLeaders(test.nodes[1:])
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
-	require.NoError(t, frozen.signal(syscall.SIGCONT))
+	require.NoError(t, frozen.Signal(syscall.SIGCONT))
 	test.await("the node is healthy again", func() bool { return test.healthy(frozen) })
 	direct := startLoad(test.cluster, frozen.callers, "direct", 1)
 	test.awaitMore(direct, caller.KindDraft, caller.KindBooking)
@@ -280,7 +281,7 @@
 			stream := test.stream(test.balancer, "long prompt", kill.received)
 			broken := test.group(test.runs(stream.prompt, engine.EventStart)[0].Group)
 			killed := test.vm(broken.Members[kill.rank])
-			killed.kill()
+			killed.Kill()
 			for _, target := range test.engines {
 				if target != killed {
 					require.NoError(t, test.order(target.control, fault.Order{Fault: fault.Clear}))
@@ -362,12 +363,12 @@
 }
 
 // logged returns when a process logged a message, in seconds.
-func (test test) logged(running *process, message string) float64 {
+func (test test) logged(running *process.Process, message string) float64 {
 	var line struct {
 		Time    float64 `json:"ts"`
 		Message string  `json:"msg"`
 	}
-	for text := range strings.Lines(running.tail(math.MaxInt)) {
+	for text := range strings.Lines(running.Tail(math.MaxInt)) {
 		if json.Unmarshal([]byte(text), &line) == nil && line.Message == message {
 			return line.Time
 		}
@@ -384,19 +385,19 @@
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
 	stopping := test.nodes[0]
 	stream := test.stream(stopping.callers, "long prompt", beginning)
-	require.NoError(t, stopping.signal(syscall.SIGTERM))
+	require.NoError(t, stopping.Signal(syscall.SIGTERM))
 	test.await("the health check fails", func() bool { return !test.healthy(stopping) })
 	result := test.whole(stream)
 	test.await("the node has ended", func() bool {
 		select {
-		case <-stopping.ended:
+		case <-stopping.Ended():
 			return true
 		default:
 			return false
 		}
 	})
-	assert.NoError(t, stopping.failure)
-	notice := test.logged(stopping.process, "entry stopped accepting requests") - test.logged(stopping.process, "stopping")
+	assert.NoError(t, stopping.Failure())
+	notice := test.logged(stopping.Process, "entry stopped accepting requests") - test.logged(stopping.Process, "stopping")
 	assert.GreaterOrEqual(t, notice, stopNotice.Seconds()-time.Millisecond.Seconds(), "time in which the listener was open")
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
 	results := load.stop()
@@ -521,13 +522,13 @@
 	test := start(t, 3)
 	load := startLoad(test.cluster, test.balancer, "load", loadCallers)
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
-	test.nodes[0].kill()
+	test.nodes[0].Kill()
 	for _, target := range test.engines {
 		if target.domain == domains[0] {
-			target.kill()
+			target.Kill()
 		}
 	}
-	test.services[0].kill()
+	test.services[0].Kill()
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
 	test.verify(load.stop())
 }
