--- a/group/leader_test.go
+++ b/group/leader_test.go
@@ -39,6 +39,9 @@
 	// answer replaces the outcome of the next commit when it is not nil.
 	answer func(done CommitDone) CommitDone
 	hold   bool
+
+	// refuse makes the store refuse every commit.
+	refuse bool
 }
 
 const (
@@ -107,6 +110,9 @@
 
 func (domain *testDomain) commit(effect Commit) Event {
 	domain.commits++
+	if domain.refuse {
+		return CommitDone{ID: effect.ID, Outcome: platform.Refused{}}
+	}
 	done := CommitDone{ID: effect.ID, Outcome: platform.Conflict{Revision: domain.revision}}
 	if effect.Expect.Revision() == domain.revision {
 		domain.revision++
@@ -489,6 +495,24 @@
 	require.False(test, leader.spare(domain.now, vm), "order without an answer")
 }
 
+// Guards against seats and orders of a record that the store did not take.
+func TestRefusedWriteChangesNothing(test *testing.T) {
+	domain := newTestDomain(test, 9, testFolder(2))
+	domain.until(20*time.Second, domain.granted(2))
+	orders, commits := len(domain.orders), domain.commits
+	domain.refuse = true
+	domain.engines["vm-01"].dead = true
+	for end := domain.now.Add(10 * time.Second); domain.now.Before(end); {
+		domain.step()
+		_, placed := domain.leader.Placement().Assignment("vm-08")
+		require.False(test, placed, "the spare has a seat")
+		require.Len(test, domain.orders, orders)
+	}
+	require.Greater(test, domain.commits, commits)
+	domain.refuse = false
+	domain.until(20*time.Second, domain.granted(2))
+}
+
 // Guards against orders for a record that a write without an answer yet may
 // have replaced.
 func TestNoOrdersDuringWrite(test *testing.T) {
--- a/peer/queue_test.go
+++ b/peer/queue_test.go
@@ -69,6 +69,19 @@
 	assert.True(t, queue.mayEcho(now.Add(time.Second)))
 }
 
+// A packet composed before the one that waits must not take its place, which
+// is behind an echo that arrived in between.
+func TestQueueKeepsLaterPacket(t *testing.T) {
+	start := time.Now()
+	queue := newQueue(10, 1<<20)
+	queue.receive(1, start.Add(time.Second))
+	queue.putHeartbeat(Heartbeat{}, start.Add(time.Second))
+	later := testPacket(t, Placement{Domain: "a", Revision: 2})
+	require.Equal(t, queued, queue.put(later, start.Add(2*time.Second)))
+	require.Equal(t, outdated, queue.put(testPacket(t, Placement{Domain: "a", Revision: 1}), start))
+	require.Contains(t, queue.take(), later)
+}
+
 // For any order of arrivals, heartbeats and frames, also with a process that
 // was paused between composing a frame and queueing it, no heartbeat in front
 // of a frame vouches for a time after the frame was composed.
