--- a/control/control_test.go
+++ b/control/control_test.go
@@ -46,22 +46,10 @@
 // A group must be formed, granted at every node, lose its grants with a
 // member, and be repaired with a spare.
 func TestGroupLosesGrantWithMemberAndIsRepaired(test *testing.T) {
-	cluster := newCluster(test, 3)
-	nodes := []*node{
-		cluster.startNode(cluster.storeAddress()),
-		cluster.startNode(cluster.storeAddress()),
-		cluster.startNode(cluster.storeAddress()),
-	}
-	cluster.apply(1)
-	for _, running := range nodes {
-		running.await(test, "grant", func(table *route.Table) bool {
-			_, found := granted(table)
-			return found
-		})
-	}
-	before, _ := granted(nodes[0].publisher.Current())
+	cluster := newGrantedCluster(test, 3, 3)
+	before, _ := granted(cluster.nodes[0].publisher.Current())
 	cluster.engines.kill(before.Address)
-	for _, running := range nodes {
+	for _, running := range cluster.nodes {
 		running.await(test, "repaired group", func(table *route.Table) bool {
 			after, found := granted(table)
 			return found && after.Epoch > before.Epoch
@@ -71,23 +59,12 @@
 
 // Groups must go on serving through a store outage that outlasts every lease.
 func TestGrantsGoOnWithoutStore(test *testing.T) {
-	cluster := newCluster(test, 2)
-	nodes := []*node{
-		cluster.startNode(cluster.storeAddress()),
-		cluster.startNode(cluster.storeAddress()),
-	}
-	cluster.apply(1)
-	for _, running := range nodes {
-		running.await(test, "grant", func(table *route.Table) bool {
-			_, found := granted(table)
-			return found
-		})
-	}
+	cluster := newGrantedCluster(test, 2, 2)
 	require.NoError(test, cluster.store.Injector().Apply(fault.Order{Fault: "outage", Duration: fault.Duration(time.Hour)}))
 	end := time.Now().Add(4 * testLease)
 	lost := 0
 	require.Eventually(test, func() bool {
-		for _, running := range nodes {
+		for _, running := range cluster.nodes {
 			if _, found := granted(running.publisher.Current()); !found {
 				lost++
 			}
@@ -100,19 +77,7 @@
 // Groups must serve again when their leader dies during a store outage, in
 // which nobody can take its lease.
 func TestGrantsReturnWithoutStoreAndLeader(test *testing.T) {
-	cluster := newCluster(test, 2)
-	nodes := []*node{
-		cluster.startNode(cluster.storeAddress()),
-		cluster.startNode(cluster.storeAddress()),
-		cluster.startNode(cluster.storeAddress()),
-	}
-	cluster.apply(1)
-	for _, running := range nodes {
-		running.await(test, "grant", func(table *route.Table) bool {
-			_, found := granted(table)
-			return found
-		})
-	}
+	cluster := newGrantedCluster(test, 2, 3)
 	require.NoError(test, cluster.store.Injector().Apply(fault.Order{Fault: "outage", Duration: fault.Duration(time.Hour)}))
 	leader := cluster.leader()
 	cluster.stopNode(leader)
@@ -122,28 +87,13 @@
 			return !found
 		})
 	}
-	for _, running := range cluster.nodes {
-		running.await(test, "grant of an observer", func(table *route.Table) bool {
-			_, found := granted(table)
-			return found
-		})
-	}
+	cluster.awaitGrants("grant of an observer")
 }
 
 // A node that does not hear the leader must get the grants from its other
 // peers.
 func TestGrantsArriveOverOtherPeer(test *testing.T) {
-	cluster := newCluster(test, 2)
-	for range 3 {
-		cluster.startNode(cluster.storeAddress())
-	}
-	cluster.apply(1)
-	for _, running := range cluster.nodes {
-		running.await(test, "grant", func(table *route.Table) bool {
-			_, found := granted(table)
-			return found
-		})
-	}
+	cluster := newGrantedCluster(test, 2, 3)
 	leader := cluster.leader()
 	for _, running := range cluster.nodes {
 		if running != leader {
@@ -161,13 +111,8 @@
 // A VM that the platform's list moves to another fabric domain must not be
 // taken by that domain's leader while its group still serves.
 func TestMovedVMIsNotTaken(test *testing.T) {
-	cluster := newCluster(test, 2)
-	running := cluster.startNode(cluster.storeAddress())
-	cluster.apply(1)
-	running.await(test, "grant", func(table *route.Table) bool {
-		_, found := granted(table)
-		return found
-	})
+	cluster := newGrantedCluster(test, 2, 1)
+	running := cluster.nodes[0]
 	for index := range cluster.vms {
 		cluster.vms[index].FabricDomain = "fabric-b"
 	}
@@ -192,7 +137,7 @@
 	for range fleet.FullMeshNodes + 4 {
 		nodes = append(nodes, cluster.startNode(cluster.storeAddress()))
 	}
-	for _, running := range nodes {
+	for _, running := range cluster.nodes {
 		running.await(test, "grant", func(table *route.Table) bool {
 			_, found := granted(table)
 			return found
@@ -202,22 +147,11 @@
 
 // A drain must close the group at every node, also while the store is down.
 func TestDrainSpreadsWithoutStore(test *testing.T) {
-	cluster := newCluster(test, 2)
-	nodes := []*node{
-		cluster.startNode(cluster.storeAddress()),
-		cluster.startNode(cluster.storeAddress()),
-	}
-	cluster.apply(1)
-	for _, running := range nodes {
-		running.await(test, "grant", func(table *route.Table) bool {
-			_, found := granted(table)
-			return found
-		})
-	}
+	cluster := newGrantedCluster(test, 2, 2)
 	require.NoError(test, cluster.store.Injector().Apply(fault.Order{Fault: "outage", Duration: fault.Duration(time.Hour)}))
-	_, err := nodes[0].controller.Drain(context.Background(), admin.DrainRequest{Target: "vm-0", Author: "operator", Reason: "test"})
+	_, err := cluster.nodes[0].controller.Drain(context.Background(), admin.DrainRequest{Target: "vm-0", Author: "operator", Reason: "test"})
 	require.NoError(test, err)
-	for _, running := range nodes {
+	for _, running := range cluster.nodes {
 		running.await(test, "closed group", func(table *route.Table) bool {
 			for _, target := range table.Groups("dedication") {
 				if target.Open {
--- a/control/harness_test.go
+++ b/control/harness_test.go
@@ -204,6 +204,28 @@
 	return built
 }
 
+// newGrantedCluster starts nodes and waits until each has a grant for the
+// group of the test folder.
+func newGrantedCluster(test *testing.T, vms, nodes int) *cluster {
+	built := newCluster(test, vms)
+	for range nodes {
+		built.startNode(built.storeAddress())
+	}
+	built.apply(1)
+	built.awaitGrants("grant")
+	return built
+}
+
+// awaitGrants waits until every node has a grant.
+func (cluster *cluster) awaitGrants(what string) {
+	for _, running := range cluster.nodes {
+		running.await(cluster.test, what, func(table *route.Table) bool {
+			_, found := granted(table)
+			return found
+		})
+	}
+}
+
 func (cluster *cluster) stop() {
 	for _, running := range cluster.nodes {
 		running.cancel()
--- a/control/watch.go
+++ b/control/watch.go
@@ -124,13 +124,7 @@
 }
 
 func (state *state) handleListed(now time.Time, result listed) {
-	switch result.prefix {
-	case generation.HeadKey:
-		state.handleHeadEntries(now, result.entries)
-	case drainPrefix:
-		state.handleDrainEntries(now, result.entries)
-	default:
-		state.handlePlacementEntries(now, result.entries)
+	if state.handleEntries(now, result.prefix, result.entries) {
 		state.handleFleet(now, fleet.KeysListed{
 			Prefix:   result.prefix,
 			Revision: result.revision,
@@ -140,13 +134,7 @@
 }
 
 func (state *state) handleChanged(now time.Time, result changed) {
-	switch result.prefix {
-	case generation.HeadKey:
-		state.handleHeadEntries(now, result.entries)
-	case drainPrefix:
-		state.handleDrainEntries(now, result.entries)
-	default:
-		state.handlePlacementEntries(now, result.entries)
+	if state.handleEntries(now, result.prefix, result.entries) {
 		state.handleFleet(now, fleet.KeysChanged{
 			Revision: result.revision,
 			Entries:  result.entries,
@@ -155,6 +143,22 @@
 	}
 }
 
+// handleEntries takes in the entries of a watched prefix and reports whether
+// the membership core follows the prefix too.
+func (state *state) handleEntries(now time.Time, prefix string, entries []platform.Entry) bool {
+	switch prefix {
+	case generation.HeadKey:
+		state.handleHeadEntries(now, entries)
+		return false
+	case drainPrefix:
+		state.handleDrainEntries(now, entries)
+		return false
+	default:
+		state.handlePlacementEntries(now, entries)
+		return true
+	}
+}
+
 func (state *state) handlePlacementEntries(now time.Time, entries []platform.Entry) {
 	for _, entry := range entries {
 		name, found := strings.CutPrefix(entry.Key, fleet.DomainPrefix)
