--- a/control/control_test.go
+++ b/control/control_test.go
@@ -131,18 +131,7 @@
 // Above the full mesh grants pass along the relay tree, or by request where it
 // has a gap, and must reach every node.
 func TestGrantsReachFleetAboveFullMesh(test *testing.T) {
-	cluster := newCluster(test, 2)
-	cluster.apply(1)
-	var nodes []*node
-	for range fleet.FullMeshNodes + 4 {
-		nodes = append(nodes, cluster.startNode(cluster.storeAddress()))
-	}
-	for _, running := range cluster.nodes {
-		running.await(test, "grant", func(table *route.Table) bool {
-			_, found := granted(table)
-			return found
-		})
-	}
+	newGrantedCluster(test, 2, fleet.FullMeshNodes+4)
 }
 
 // A drain must close the group at every node, also while the store is down.
