--- a/operator/audit.go
+++ b/operator/audit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -161,7 +160,7 @@
 			operator.warn("%s: %v", stored.Key, err)
 			continue
 		}
-		operator.print("%s (incarnation %s) by %s at %s: %s", strings.TrimPrefix(stored.Key, drainPrefix),
+		operator.print("%s (incarnation %s) by %s at %s: %s", entry.Target,
 			dash(entry.Incarnation), entry.Author, formatTime(entry.Time), entry.Reason)
 	}
 	return nil
