--- a/entry/trace_test.go
+++ b/entry/trace_test.go
@@ -410,7 +410,7 @@
 		var callers sync.WaitGroup
 		for index, line := range lines {
 			callers.Go(func() {
-				time.Sleep(line.at)
+				<-time.After(line.at)
 				told[index] = line.text + " -> " + run.ask(line) + "\n"
 			})
 		}
