Drain groups with a leaving member in spite of the replicas to keep

Cause: a group with a leaving VM is closed to new requests at every node at once, but its drain waited until enough other replicas served. With as many replicas as are to be kept it waited for ever: closed, idle and never repaired with a spare. Such a group no longer counts as serving, and its drain begins at once.

--- a/bench/main.go
+++ b/bench/main.go
@@ -40,6 +40,7 @@
 	{"retries", rowsOf(domainRetries)},
 	{"admission", benchAdmission},
 	{"replay", benchReplay},
+	{"window", benchWindow},
 	{"apply", benchApply},
 	{"changes", benchChanges},
 	{"control", benchControl},
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -264,17 +264,17 @@
 		if other == name || known.placement == nil {
 			continue
 		}
-		result.Replicas = append(result.Replicas, group.Summarize(known.placement, specs, known.open(now))...)
+		result.Replicas = append(result.Replicas, group.Summarize(known.placement, specs, state.openGroups(now, known))...)
 	}
 	return result
 }
 
-// open returns the names of the groups with a current grant that admit
-// requests.
-func (known *domain) open(now time.Time) []string {
+// openGroups returns the names of a domain's groups that admit requests.
+func (state *state) openGroups(now time.Time, known *domain) []string {
 	var names []string
 	for _, placed := range known.placement.Groups() {
-		if placed.State == group.StateReady && known.grants[placed.Name].Grant.Holds(placed.Epoch, now) {
+		target := state.groupTarget(known, placed)
+		if target.Open && target.Grant.Holds(placed.Epoch, now) {
 			names = append(names, placed.Name)
 		}
 	}
--- a/group/plan.go
+++ b/group/plan.go
@@ -623,9 +623,16 @@
 }
 
 // mayStop reports whether a planned stop may begin: one replica of the group
-// at a time, and never below the replicas to keep.
+// at a time, and never below the replicas to keep. Groups that are closed
+// because of a leaving member do not serve.
 func (planner *planner) mayStop(demand Demand) bool {
-	if demand.Ready-1 < demand.Keep {
+	serving := demand.Ready
+	for _, status := range planner.input.Groups {
+		if status.Group.Spec == demand.Group.Name && status.Complete && status.Group.State == StateReady && planner.has(status, leaving) {
+			serving--
+		}
+	}
+	if serving-1 < demand.Keep {
 		return false
 	}
 	for _, status := range planner.input.Groups {
@@ -656,18 +663,22 @@
 	}
 }
 
-// stopLeaving drains a group with a leaving member.
+// stopLeaving drains a group with a leaving member. Every node has closed such
+// a group to new requests already, so that the replicas to keep do not hold it
+// back: waiting would only delay its repair.
 func (planner *planner) stopLeaving() {
 	for _, status := range planner.input.Groups {
-		if !planner.has(status, func(vm VMStatus) bool { return vm.Leaving }) {
+		if planner.touched[status.Group.Name] || status.Group.State != StateReady || !status.Complete {
 			continue
 		}
-		if planner.mayStop(planner.demand(status.Group.Spec)) {
+		if planner.has(status, leaving) {
 			planner.decide(status.Group.Name, Drain{Group: status.Group.Name, Reason: DrainLeaving})
 		}
 	}
 }
 
+func leaving(vm VMStatus) bool { return vm.Leaving }
+
 // stopOutdated drains a group at another model or version than the folder's.
 func (planner *planner) stopOutdated() {
 	for _, status := range planner.input.Groups {
