--- a/bench/apply.go
+++ b/bench/apply.go
@@ -19,15 +19,30 @@
 	forceTarget = "at most 1 s; at scale 5 s"
 )
 
+// applyNodes are the fleets that the time to be in force is measured on. Above
+// 12 nodes most nodes learn of a change by relay.
+var applyNodes = []int{6, 24, 48}
+
 // benchApply measures the time from the acceptance of a configuration until
-// it is in force at all nodes, with one node cut off from the store.
+// it is in force at all nodes, and with one node cut off from the store.
 func benchApply(ctx context.Context, out *report) error {
-	running, err := deploy(ctx, out.bin, today)
+	for _, nodes := range applyNodes {
+		size := today
+		size.nodes = nodes
+		if err := benchApplySize(ctx, out, size); err != nil {
+			return errors.Annotatef(err, "%d nodes", nodes)
+		}
+	}
+	return nil
+}
+
+func benchApplySize(ctx context.Context, out *report, size scale) error {
+	running, err := deploy(ctx, out.bin, size)
 	if err != nil {
 		return errors.Trace(err)
 	}
 	defer running.stop()
-	if err := benchForce(ctx, out, running, "6 nodes"); err != nil {
+	if err := benchForce(ctx, out, running, fmt.Sprintf("%d nodes", size.nodes)); err != nil {
 		return errors.Trace(err)
 	}
 	if err := running.startNode(ctx, len(running.nodes), unreachableStore); err != nil {
@@ -36,7 +51,7 @@
 	if err := awaitGeneration(running, 1+applyRounds, time.Now()); err != nil {
 		return errors.Trace(err)
 	}
-	return benchForce(ctx, out, running, "6 nodes and one without the store")
+	return benchForce(ctx, out, running, fmt.Sprintf("%d nodes and one without the store", size.nodes))
 }
 
 func benchForce(ctx context.Context, out *report, running *deployment, name string) error {
