Add the archive command

The command moves old bodies to files, records who did it and why, and then removes them, oldest first, so that the rest stays reachable from the head.

--- a/cmd/lacewingspoke/main.go
+++ b/cmd/lacewingspoke/main.go
@@ -36,6 +36,7 @@
 		addApplyCommand,
 		addStatusCommand,
 		addAuditCommand,
+		addArchiveCommand,
 		addDrainCommand,
 		addBookingCommand,
 	} {
--- a/operator/audit.go
+++ b/operator/audit.go
@@ -48,7 +48,8 @@
 }
 
 // history visits the accepted configurations, newest first, until visit
-// returns false. It returns an errors.NotFound error when a body is missing.
+// returns false. It ends at the generations that were archived, and returns an
+// errors.NotFound error when another body is missing.
 func (operator *Operator) history(ctx context.Context, visit func(body *generation.Body) bool) error {
 	head, err := operator.currentHead(ctx)
 	if err != nil {
@@ -59,6 +60,9 @@
 			return errors.NotFoundf("audit entry of generation %d, which only nodes held,", head.Generation)
 		}
 		body, err := operator.getBody(ctx, head.BodyKey())
+		if errors.Is(err, errors.NotFound) {
+			return operator.explainMissing(ctx, head)
+		}
 		if err != nil {
 			return errors.Annotatef(err, "audit entry of generation %d", head.Generation)
 		}
@@ -70,6 +74,21 @@
 	return nil
 }
 
+// explainMissing says that a body was archived. It returns an errors.NotFound
+// error when it was not.
+func (operator *Operator) explainMissing(ctx context.Context, head generation.Head) error {
+	record, err := operator.archived(ctx)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if head.Generation > record.Generation {
+		return errors.NotFoundf("audit entry of generation %d", head.Generation)
+	}
+	operator.warn("generations up to %d were archived by %s at %s: %s",
+		record.Generation, record.Author, formatTime(record.Time), record.Reason)
+	return nil
+}
+
 func (operator *Operator) currentHead(ctx context.Context) (generation.Head, error) {
 	switch event := operator.readHead(ctx).(type) {
 	case generation.HeadRead:
@@ -108,6 +127,9 @@
 	if err != nil {
 		return errors.Annotate(err, "differences")
 	}
+	if base == nil && found.Base().Generation > 0 {
+		return errors.NotFoundf("generation %d, without which the differences are not known,", found.Base().Generation)
+	}
 	operator.printDifference(base, found)
 	return nil
 }
