--- a/group/leader.go
+++ b/group/leader.go
@@ -87,7 +87,6 @@
 
 	// readDue is not later than the next read of a report.
 	readDue   time.Time
-	suspect   bool
 	darkSince time.Time
 	darkUntil time.Time
 	settleAt  time.Time
--- a/group/lifecycle.go
+++ b/group/lifecycle.go
@@ -224,7 +224,6 @@
 		FailureDomain: vm.vm.FailureDomain,
 		Accelerators:  vm.vm.Accelerators,
 		Live:          vm.live(),
-		Suspect:       leader.suspect,
 		Spare:         !placed && leader.spare(now, vm),
 		Incoming:      !placed && vm.live() && !vm.idle(),
 		MissingSince:  vm.missingSince,
--- a/group/member.go
+++ b/group/member.go
@@ -147,7 +147,7 @@
 		present[vm.Name] = true
 		leader.noteListed(now, vm)
 	}
-	leader.suspect = leader.losesLargeShare(present)
+	suspect := leader.losesLargeShare(present)
 	for name, vm := range leader.members {
 		if present[name] {
 			vm.absentSince = time.Time{}
@@ -156,7 +156,7 @@
 		if vm.absentSince.IsZero() {
 			vm.absentSince = now
 		}
-		if vm.listed && (!leader.suspect || vm.gone(now)) {
+		if vm.listed && (!suspect || vm.gone(now)) {
 			vm.listed = false
 			leader.dirty = true
 		}
