--- a/control/leadership.go
+++ b/control/leadership.go
@@ -65,8 +65,8 @@
 	if len(state.vms) > 0 {
 		state.handleGroup(now, led, group.VMsListed{VMs: state.domainVMs(name)})
 	}
-	for leaver := range state.leaving {
-		state.handleGroup(now, led, group.LeavingKnown{VM: leaver.target, Incarnation: leaver.incarnation})
+	for key := range state.leaving {
+		state.handleGroup(now, led, group.LeavingKnown{VM: key.target, Incarnation: key.incarnation})
 	}
 	return led
 }
@@ -90,7 +90,7 @@
 	}
 	led.severed = true
 	state.logger.Info("lost the lease of fabric domain", zap.String("domain", name))
-	state.handleGroup(now, led, group.StoreUnreachable{})
+	state.handleGroup(now, led, group.LeaseLapsed{})
 	if !led.leader.Severed() {
 		state.endTerm(now, led)
 	}
--- a/control/leaving.go
+++ b/control/leaving.go
@@ -16,13 +16,13 @@
 	"lacewingspoke.org/lacewingspoke/platform"
 )
 
-// A leaver is one incarnation of a target. A service runner has none.
-type leaver struct {
+// A departureKey names one incarnation of a target. A service runner has none.
+type departureKey struct {
 	target      string
 	incarnation string
 }
 
-// A departure says that a leaver takes no new work. It never turns back.
+// A departure says that an incarnation of a target takes no new work. It never turns back.
 type departure struct {
 	author string
 	reason string
@@ -46,10 +46,10 @@
 
 const drainRetry = 2 * time.Second
 
-func (departure departure) frame(leaver leaver) peer.Leaving {
+func (departure departure) frame(key departureKey) peer.Leaving {
 	return peer.Leaving{
-		Target:      leaver.target,
-		Incarnation: leaver.incarnation,
+		Target:      key.target,
+		Incarnation: key.incarnation,
 		Author:      departure.author,
 		Reason:      departure.reason,
 	}
@@ -57,11 +57,11 @@
 
 // markLeaving takes in a departure and spreads it if it is new.
 func (state *state) markLeaving(now time.Time, frame peer.Leaving, from string) {
-	leaver := leaver{target: frame.Target, incarnation: frame.Incarnation}
-	if _, found := state.leaving[leaver]; found {
+	key := departureKey{target: frame.Target, incarnation: frame.Incarnation}
+	if _, found := state.leaving[key]; found {
 		return
 	}
-	state.leaving[leaver] = departure{
+	state.leaving[key] = departure{
 		author: frame.Author,
 		reason: frame.Reason,
 		listed: state.vms[frame.Target].Incarnation,
@@ -80,7 +80,7 @@
 
 // isLeaving reports whether an incarnation of a target is leaving.
 func (state *state) isLeaving(target, incarnation string) bool {
-	_, found := state.leaving[leaver{target: target, incarnation: incarnation}]
+	_, found := state.leaving[departureKey{target: target, incarnation: incarnation}]
 	return found
 }
 
@@ -110,11 +110,11 @@
 // clearReplaced forgets the departures of a VM's earlier incarnations. A list
 // that lags still shows the incarnation before the one that leaves.
 func (state *state) clearReplaced(vm platform.VM) {
-	for leaver, departure := range state.leaving {
-		if leaver.target != vm.Name || leaver.incarnation == vm.Incarnation || departure.listed == vm.Incarnation {
+	for key, departure := range state.leaving {
+		if key.target != vm.Name || key.incarnation == vm.Incarnation || departure.listed == vm.Incarnation {
 			continue
 		}
-		delete(state.leaving, leaver)
+		delete(state.leaving, key)
 		state.dirty = true
 	}
 }
--- a/control/relay.go
+++ b/control/relay.go
@@ -44,8 +44,8 @@
 			state.config.Mesh.Send(hello.Name, known.frame(name))
 		}
 	}
-	for leaver, departure := range state.leaving {
-		state.config.Mesh.Send(hello.Name, departure.frame(leaver))
+	for key, departure := range state.leaving {
+		state.config.Mesh.Send(hello.Name, departure.frame(key))
 	}
 }
 
--- a/control/state.go
+++ b/control/state.go
@@ -31,7 +31,7 @@
 	led           map[string]*leadership
 	terms         uint64
 	vms           map[string]platform.VM
-	leaving       map[leaver]departure
+	leaving       map[departureKey]departure
 	services      map[string]ServiceReport
 	usage         map[string]peer.Usage
 	asked         int
@@ -78,7 +78,7 @@
 		domains:       map[string]*domain{},
 		led:           map[string]*leadership{},
 		vms:           map[string]platform.VM{},
-		leaving:       map[leaver]departure{},
+		leaving:       map[departureKey]departure{},
 		services:      map[string]ServiceReport{},
 		usage:         map[string]peer.Usage{},
 		versions:      fleet.NewVersions(),
--- a/control/status.go
+++ b/control/status.go
@@ -77,8 +77,8 @@
 
 func (state *state) leavingTargets() []string {
 	targets := []string{}
-	for leaver := range state.leaving {
-		targets = append(targets, leaver.target)
+	for key := range state.leaving {
+		targets = append(targets, key.target)
 	}
 	sort.Strings(targets)
 	return targets
--- a/fleet/outage_test.go
+++ b/fleet/outage_test.go
@@ -91,7 +91,7 @@
 		run.handle(effect.Domain, name, group.LeaseHeld{Until: effect.Until})
 	case LeadershipLost:
 		leader := run.leaders[effect.Domain][name]
-		run.handle(effect.Domain, name, group.StoreUnreachable{})
+		run.handle(effect.Domain, name, group.LeaseLapsed{})
 		if leader != nil && !leader.Severed() {
 			delete(run.leaders[effect.Domain], name)
 		}
--- a/group/effect.go
+++ b/group/effect.go
@@ -15,7 +15,7 @@
 // the leader's key was created and again at every renewal of the node's lease.
 type LeaseHeld struct{ Until time.Time }
 
-// LeaseLost says that this node does not lead the domain any more.
+// LeaseLost says that another node leads the domain. Grants end too.
 type LeaseLost struct{}
 
 // PlacementRead is the store's placement record. Record is nil and Revision 0
@@ -28,11 +28,12 @@
 // PlacementUnavailable says that a ReadPlacement got no answer.
 type PlacementUnavailable struct{}
 
-// StoreUnreachable says that the lease cannot be renewed because the store
-// does not answer. The leader then gives no order and changes no placement,
-// but it keeps reading reports and publishing grants: a grant rests on the
-// members' own reports and stays true without a lease.
-type StoreUnreachable struct{}
+// LeaseLapsed says that the lease is over and that no other node is known to
+// have taken the domain over, for example because the store does not answer.
+// The leader then gives no order and changes no placement, but it keeps
+// reading reports and publishing grants: a grant rests on the members' own
+// reports and stays true without a lease.
+type LeaseLapsed struct{}
 
 // CommitDone is the outcome of a Commit.
 type CommitDone struct {
@@ -134,7 +135,7 @@
 func (PlacementRead) event()        {}
 func (CommitDone) event()           {}
 func (PlacementUnavailable) event() {}
-func (StoreUnreachable) event()     {}
+func (LeaseLapsed) event()          {}
 func (Observe) event()              {}
 func (ReportRead) event()           {}
 func (ReportFailed) event()         {}
--- a/group/leader.go
+++ b/group/leader.go
@@ -165,7 +165,7 @@
 		leader.noteLease(now, event)
 	case LeaseLost:
 		leader.resign()
-	case StoreUnreachable:
+	case LeaseLapsed:
 		leader.sever()
 	case Observe:
 		leader.observe(now, event)
--- a/group/leader_test.go
+++ b/group/leader_test.go
@@ -313,7 +313,7 @@
 	domain := newTestDomain(test, 9, testFolder(2))
 	domain.until(20*time.Second, domain.granted(2))
 	domain.hold = true
-	domain.send(StoreUnreachable{})
+	domain.send(LeaseLapsed{})
 	domain.pass(2 * testLease)
 	require.Len(test, domain.grants, 2)
 	require.True(test, domain.grants[0].Grant.Holds(domain.grants[0].Grant.Epoch, domain.now))
