--- a/cmd/lacewingspoke/daemon.go
+++ b/cmd/lacewingspoke/daemon.go
@@ -145,7 +145,7 @@
 		return errors.Trace(err)
 	}
 	daemon.callers.SetKeepAlivesEnabled(false)
-	waitFor(ctx, daemon.settings.StopNotice())
+	daemon.waitFor(ctx, daemon.settings.StopNotice())
 	daemon.entry.Stop()
 	err := daemon.callers.Shutdown(ctx)
 	daemon.entry.Close()
@@ -160,11 +160,11 @@
 	return errors.Trace(err)
 }
 
-func waitFor(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
+func (daemon *daemon) waitFor(ctx context.Context, duration time.Duration) {
+	alarm := daemon.timers.After("stop notice", duration, 0)
+	defer alarm.Cancel()
 	select {
-	case <-timer.C:
+	case <-alarm.C():
 	case <-ctx.Done():
 	}
 }
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -12,6 +12,7 @@
 	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/group"
 	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/timer"
 )
 
 // A leadership is one term of this node as the leader of a fabric domain.
@@ -178,11 +179,11 @@
 }
 
 // pause waits and reports whether the context still holds.
-func pause(ctx context.Context, delay time.Duration) bool {
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
+func pause(ctx context.Context, timers *timer.Service, delay time.Duration) bool {
+	alarm := timers.After("pause", delay, 0)
+	defer alarm.Cancel()
 	select {
-	case <-timer.C:
+	case <-alarm.C():
 		return true
 	case <-ctx.Done():
 		return false
--- a/control/leaving.go
+++ b/control/leaving.go
@@ -41,7 +41,7 @@
 	Time        time.Time `json:"time"`
 }
 
-// platformAuthor is the author of a departure that the platform's list told.
+// platformAuthor is the author of a departure that the platform's list reports.
 const platformAuthor = "platform"
 
 const drainRetry = 2 * time.Second
@@ -260,7 +260,7 @@
 				Value:  value,
 				Expect: platform.ExpectAbsent(),
 			})
-			if answered(outcome) || !pause(ctx, drainRetry) {
+			if answered(outcome) || !pause(ctx, state.config.Timers, drainRetry) {
 				return drainRecorded{target: record.Target, outcome: outcome}
 			}
 		}
--- a/control/stop.go
+++ b/control/stop.go
@@ -44,7 +44,7 @@
 		if err != nil || !revoking {
 			return errors.Trace(err)
 		}
-		if !pause(ctx, settleInterval) {
+		if !pause(ctx, controller.config.Timers, settleInterval) {
 			return errors.Trace(ctx.Err())
 		}
 	}
--- a/control/table.go
+++ b/control/table.go
@@ -109,7 +109,7 @@
 }
 
 // handleService takes in a report. A runner that does not report keeps its
-// last report: only its own word or an operator says that it is leaving.
+// last report: only the runner itself or an operator says that it is leaving.
 func (state *state) handleService(result serviceRead) {
 	delete(state.polling, result.address)
 	if result.failed {
--- a/control/watch.go
+++ b/control/watch.go
@@ -11,6 +11,7 @@
 	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/generation"
 	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/timer"
 )
 
 // The store keys that the control thread watches beside those of the fleet.
@@ -47,6 +48,7 @@
 	for _, prefix := range []string{generation.HeadKey, fleet.NodePrefix, fleet.DomainPrefix, drainPrefix} {
 		watcher := &watcher{
 			store:   state.config.Platform,
+			timers:  state.config.Timers,
 			prefix:  prefix,
 			results: state.controller.results,
 			random:  rand.New(rand.NewPCG(state.config.Random.Uint64(), state.config.Random.Uint64())),
@@ -62,6 +64,7 @@
 // A watcher follows one prefix of the store.
 type watcher struct {
 	store   platform.Store
+	timers  *timer.Service
 	prefix  string
 	results chan<- message
 	random  *rand.Rand
@@ -115,12 +118,7 @@
 	delay := min(watchRetry<<min(watcher.failed, 8), watchRetryMax)
 	watcher.failed++
 	delay += time.Duration(watcher.random.Int64N(int64(watchRetryJitter)))
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	pause(ctx, watcher.timers, delay)
 }
 
 func (state *state) handleListed(now time.Time, result listed) {
--- a/outcome/attempt.go
+++ b/outcome/attempt.go
@@ -49,8 +49,8 @@
 func (attempt Attempt) ID() string { return attempt.id }
 
 // Apply returns the attempt after an event. A refusal after an answer, or an
-// answer after a refusal, does not change the attempt: the first word of the
-// target counts.
+// answer after a refusal, does not change the attempt: the target's
+// first statement counts.
 func (attempt Attempt) Apply(event Event) Attempt {
 	switch event := event.(type) {
 	case Sent:
--- a/service/service.go
+++ b/service/service.go
@@ -196,7 +196,7 @@
 	return Result{Attempt: attempt.Apply(outcome.Broken{Reason: err.Error(), TimedOut: timedOut})}
 }
 
-// judge reads the service's own word. 429 and 503 say that it did not take the
+// judge classifies the service's response. 429 and 503 say that it did not take the
 // request; 502 and 504 say that it does not know.
 func judge(response *http.Response) outcome.Event {
 	switch response.StatusCode {
