--- a/bench/deployment.go
+++ b/bench/deployment.go
@@ -1,11 +1,9 @@
 package main
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -18,6 +16,7 @@
 
 	"lacewingspoke.org/lacewingspoke/admin"
 	"lacewingspoke.org/lacewingspoke/standin/process"
+	"lacewingspoke.org/lacewingspoke/standin/remote"
 	"lacewingspoke.org/lacewingspoke/standin/store"
 )
 
@@ -166,19 +165,7 @@
 }
 
 func (deployment *deployment) post(url string, body any) error {
-	data, err := json.Marshal(body)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	response, err := deployment.client.Post(url, "application/json", bytes.NewReader(data))
-	if err != nil {
-		return errors.Trace(err)
-	}
-	defer response.Body.Close()
-	if response.StatusCode >= http.StatusMultipleChoices {
-		return errors.Errorf("%s: %s", url, response.Status)
-	}
-	return nil
+	return remote.Post(deployment.client, url, body)
 }
 
 func (deployment *deployment) startNodes(ctx context.Context) error {
@@ -272,12 +259,8 @@
 
 func (deployment *deployment) status(target *node) (admin.Status, error) {
 	var status admin.Status
-	response, err := deployment.client.Get("http://" + target.admin + "/v1/status")
-	if err != nil {
-		return status, errors.Trace(err)
-	}
-	defer response.Body.Close()
-	return status, errors.Trace(json.NewDecoder(response.Body).Decode(&status))
+	err := remote.Get(deployment.client, "http://"+target.admin+"/v1/status", &status)
+	return status, errors.Trace(err)
 }
 
 // awaitGroups waits until every node holds a grant for every group.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -12,17 +11,10 @@
 	"pgregory.net/rapid"
 
 	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/standin/seed"
 )
 
-// testSeed makes property tests repeatable; -rapid.seed overrides it.
-const testSeed = "20261204"
-
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", testSeed); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seed.Run(m)) }
 
 func testDomains(count int) []Domain {
 	var domains []Domain
--- a/folder/main_test.go
+++ b/folder/main_test.go
@@ -1,20 +1,10 @@
 package folder_test
 
 import (
-	"flag"
-	"fmt"
 	"os"
 	"testing"
-)
 
-// propertySeed makes the property tests repeat the same values.
-const propertySeed = "20261204"
+	"lacewingspoke.org/lacewingspoke/standin/seed"
+)
 
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", propertySeed); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	fmt.Println("rapid seed", propertySeed)
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seed.Run(m)) }
--- a/outcome/main_test.go
+++ b/outcome/main_test.go
@@ -1,20 +1,10 @@
 package outcome_test
 
 import (
-	"flag"
-	"fmt"
 	"os"
 	"testing"
-)
 
-// propertySeed makes property tests repeatable; -rapid.seed overrides it.
-const propertySeed = "20261204"
+	"lacewingspoke.org/lacewingspoke/standin/seed"
+)
 
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", propertySeed); err != nil {
-		panic(err)
-	}
-	flag.Parse()
-	fmt.Println("rapid seed", propertySeed)
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seed.Run(m)) }
--- a/peer/mesh_test.go
+++ b/peer/mesh_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"flag"
 	"net"
 	"testing"
 	"time"
@@ -14,6 +13,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
+
+	"lacewingspoke.org/lacewingspoke/standin/seed"
 )
 
 const (
@@ -21,13 +22,8 @@
 	testPatience  = 20 * time.Second
 )
 
-// testSeed makes property tests repeatable; -rapid.seed overrides it.
-const testSeed = "20261204"
-
 func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", testSeed); err != nil {
-		panic(err)
-	}
+	seed.Fix()
 	goleak.VerifyTestMain(m)
 }
 
--- /dev/null
+++ b/standin/seed/seed.go
@@ -0,0 +1,32 @@
+// Package seed fixes the seed of property tests, so that a run can be
+// repeated. The flag -rapid.seed overrides it.
+//
+// # Usage
+//
+//	func TestMain(m *testing.M) { os.Exit(seed.Run(m)) }
+package seed
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+)
+
+// Default is the seed of the property tests.
+const Default = "20261204"
+
+// Run runs the tests of a package with the default seed, prints the seed and
+// returns the exit code.
+func Run(tests *testing.M) int {
+	Fix()
+	flag.Parse()
+	fmt.Println("rapid seed", flag.Lookup("rapid.seed").Value)
+	return tests.Run()
+}
+
+// Fix sets the default seed. It panics in a program without property tests.
+func Fix() {
+	if err := flag.Set("rapid.seed", Default); err != nil {
+		panic(err)
+	}
+}
--- a/system/cluster.go
+++ b/system/cluster.go
@@ -11,13 +11,10 @@
 package system
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -32,6 +29,7 @@
 	"lacewingspoke.org/lacewingspoke/standin/caller"
 	"lacewingspoke.org/lacewingspoke/standin/fault"
 	"lacewingspoke.org/lacewingspoke/standin/process"
+	"lacewingspoke.org/lacewingspoke/standin/remote"
 	"lacewingspoke.org/lacewingspoke/standin/store"
 )
 
@@ -364,29 +362,11 @@
 }
 
 func (cluster *cluster) post(url string, body any) error {
-	data, err := json.Marshal(body)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	response, err := cluster.client.Post(url, "application/json", bytes.NewReader(data))
-	if err != nil {
-		return errors.Trace(err)
-	}
-	defer response.Body.Close()
-	if response.StatusCode >= http.StatusMultipleChoices {
-		detail, _ := io.ReadAll(response.Body)
-		return errors.Errorf("%s: %s: %s", url, response.Status, detail)
-	}
-	return nil
+	return remote.Post(cluster.client, url, body)
 }
 
-func (cluster *cluster) get(url string, body any) error {
-	response, err := cluster.client.Get(url)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	defer response.Body.Close()
-	return errors.Annotate(json.NewDecoder(response.Body).Decode(body), url)
+func (cluster *cluster) get(url string, target any) error {
+	return remote.Get(cluster.client, url, target)
 }
 
 // order starts a fault at a control address.
