--- a/bench/main.go
+++ b/bench/main.go
@@ -41,6 +41,7 @@
 	{"admission", benchAdmission},
 	{"replay", benchReplay},
 	{"window", benchWindow},
+	{"repair", benchRepair},
 	{"apply", benchApply},
 	{"changes", benchChanges},
 	{"control", benchControl},
--- a/bench/request.go
+++ b/bench/request.go
@@ -205,7 +205,7 @@
 		return nil, err
 	}
 	rows := []measure{}
-	for _, part := range []float64{0.5, 0.95} {
+	for _, part := range []float64{0.5, 0.95, 0.99} {
 		add := func(name string, after, before []time.Duration, note string) {
 			value := quantile(after, part) - quantile(before, part)
 			rows = append(rows, measure{fmt.Sprintf("%s, p%.0f", name, part*100), value.Round(time.Microsecond).String(), note})
