--- a/cmd/lacewingspoke/node.go
+++ b/cmd/lacewingspoke/node.go
@@ -13,6 +13,7 @@
 	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
 
+	"lacewingspoke.org/lacewingspoke/operator"
 	"lacewingspoke.org/lacewingspoke/settings"
 )
 
@@ -28,17 +29,15 @@
 	return errors.Trace(err)
 }
 
-// exitSettings is the exit code for settings that are not valid.
-const exitSettings = 2
-
-// Execute runs the daemon.
+// Execute runs the daemon. Settings with faults are rejected with all of them
+// printed.
 func (command *nodeCommand) Execute([]string) error {
 	loaded, problems := settings.Load(command.Settings)
 	if len(problems) > 0 {
 		for _, problem := range problems {
 			fmt.Fprintln(os.Stderr, problem)
 		}
-		os.Exit(exitSettings)
+		return exitStatus(operator.ExitRejected)
 	}
 	logger, err := zap.NewProduction()
 	if err != nil {
