Keep the placed part of the route table between frames of grants

Cause: every frame of grants made all groups' targets again from their placement records, by a walk over the domain's VMs for each group, and three copies of them in a new table. Without the reset on a departure TestDrainSpreadsWithoutStore fails. Also found in the same reading: the fleet's nodes were sorted for each frame only to be counted, the links were listed at each turn of the control thread before the cheaper question, the record of a drain stood twice (now admin.DrainRecord), and three parameters and a field were unused.

--- a/control/grants.go
+++ b/control/grants.go
@@ -94,7 +94,7 @@
 // forwardGrants sends grants on to other peers in a fleet that is not fully
 // meshed.
 func (state *state) forwardGrants(now time.Time, frame peer.Grants, except string) {
-	if len(state.fleet.Nodes()) <= fleet.FullMeshNodes {
+	if state.fleet.Size() <= fleet.FullMeshNodes {
 		return
 	}
 	state.sendGrants(now, state.domain(frame.Domain).aged(now), except)
@@ -103,7 +103,7 @@
 // sendGrants sends grants along the relay tree of their origin, except to the
 // peer that they came from. In a full mesh the origin sends them to every peer.
 func (state *state) sendGrants(now time.Time, frame peer.Grants, except string) {
-	if len(state.fleet.Nodes()) <= fleet.FullMeshNodes {
+	if state.fleet.Size() <= fleet.FullMeshNodes {
 		state.config.Mesh.BroadcastComposed(frame, except, now)
 		return
 	}
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -273,10 +273,9 @@
 // openGroups returns the names of a domain's groups that admit requests.
 func (state *state) openGroups(now time.Time, known *domain) []string {
 	var names []string
-	for _, placed := range known.placement.Groups() {
-		target := state.groupTarget(known, placed)
-		if target.Open && target.Grant.Holds(placed.Epoch, now) {
-			names = append(names, placed.Name)
+	for _, target := range state.appendTargets(nil, known) {
+		if target.Open && target.Grant.Holds(target.Epoch, now) {
+			names = append(names, target.Name)
 		}
 	}
 	return names
@@ -327,10 +326,11 @@
 		return
 	}
 	known.placement = placement
+	known.targets = nil
 	known.record = record
 	known.revision = revision
 	known.fence = max(known.fence, placement.Fence())
 	state.dirty = true
-	state.relayPlacement(name, "")
+	state.config.Mesh.Broadcast(known.frame(name), "")
 	state.yieldTo(now, name, placement.Leader())
 }
--- a/control/leaving.go
+++ b/control/leaving.go
@@ -32,15 +32,6 @@
 	listed string
 }
 
-// drainRecord is the audit entry of a drain in the store.
-type drainRecord struct {
-	Target      string    `json:"target"`
-	Incarnation string    `json:"incarnation"`
-	Author      string    `json:"author"`
-	Reason      string    `json:"reason"`
-	Time        time.Time `json:"time"`
-}
-
 // platformAuthor is the author of a departure that the platform's list reports.
 const platformAuthor = "platform"
 
@@ -66,7 +57,7 @@
 		reason: frame.Reason,
 		listed: state.vms[frame.Target].Incarnation,
 	}
-	state.dirty = true
+	state.departuresChanged()
 	state.logger.Info("target is leaving",
 		zap.String("target", frame.Target),
 		zap.String("incarnation", frame.Incarnation),
@@ -78,6 +69,14 @@
 	}
 }
 
+// departuresChanged makes the next table follow the known departures.
+func (state *state) departuresChanged() {
+	for _, known := range state.domains {
+		known.targets = nil
+	}
+	state.dirty = true
+}
+
 // isLeaving reports whether an incarnation of a target is leaving.
 func (state *state) isLeaving(target, incarnation string) bool {
 	_, found := state.leaving[departureKey{target: target, incarnation: incarnation}]
@@ -115,7 +114,7 @@
 			continue
 		}
 		delete(state.leaving, key)
-		state.dirty = true
+		state.departuresChanged()
 	}
 }
 
@@ -200,7 +199,7 @@
 		Author:      request.Author,
 		Reason:      request.Reason,
 	}, "")
-	state.recordDrain(drainRecord{
+	state.recordDrain(admin.DrainRecord{
 		Target:      request.Target,
 		Incarnation: incarnation,
 		Author:      request.Author,
@@ -238,17 +237,8 @@
 	return "", false
 }
 
-// key returns the store key of the record. The first drain of an incarnation
-// is the one that is recorded.
-func (record drainRecord) key() string {
-	if record.Incarnation == "" {
-		return drainPrefix + record.Target
-	}
-	return drainPrefix + record.Target + "/" + record.Incarnation
-}
-
 // recordDrain writes the audit entry and repeats until the store has it.
-func (state *state) recordDrain(record drainRecord) {
+func (state *state) recordDrain(record admin.DrainRecord) {
 	value, err := json.Marshal(record)
 	if err != nil {
 		panic(errors.Annotate(err, "control: drain record"))
@@ -256,7 +246,7 @@
 	state.start(func(ctx context.Context) message {
 		for {
 			outcome := state.config.Platform.Put(ctx, platform.PutRequest{
-				Key:    record.key(),
+				Key:    record.Key(),
 				Value:  value,
 				Expect: platform.ExpectAbsent(),
 			})
@@ -276,10 +266,10 @@
 // handleDrainEntries takes in the drains that the store holds.
 func (state *state) handleDrainEntries(now time.Time, entries []platform.Entry) {
 	for _, entry := range entries {
-		if !strings.HasPrefix(entry.Key, drainPrefix) {
+		if !strings.HasPrefix(entry.Key, admin.DrainPrefix) {
 			continue
 		}
-		var record drainRecord
+		var record admin.DrainRecord
 		if err := json.Unmarshal(entry.Value, &record); err != nil {
 			state.metrics.badRecords.Inc()
 			continue
--- a/control/membership.go
+++ b/control/membership.go
@@ -140,7 +140,7 @@
 
 func (state *state) releaseDomain(ctx context.Context, effect fleet.ReleaseDomain) message {
 	state.config.Platform.Delete(ctx, effect.Key, platform.ExpectRevision(effect.Revision))
-	return workerEnded{name: "release domain"}
+	return workerEnded{}
 }
 
 // answered reports whether the store answered a write.
--- a/control/message.go
+++ b/control/message.go
@@ -88,7 +88,7 @@
 type leaseRevoked struct{}
 
 // workerEnded says that a long-running worker ended.
-type workerEnded struct{ name string }
+type workerEnded struct{}
 
 func (fleetResult) message()   {}
 func (groupResult) message()   {}
--- a/control/relay.go
+++ b/control/relay.go
@@ -64,7 +64,7 @@
 	case peer.Body:
 		state.adopt(now, decodeHead(frame.Head), frame.Data, received.From)
 	case peer.Placement:
-		state.receivePlacement(now, received.From, frame)
+		state.setPlacement(now, frame.Domain, frame.Revision, frame.Record)
 	case peer.Grants:
 		if state.receiveGrants(now, frame, received.SentAfter) {
 			state.forwardGrants(now, frame, received.From)
@@ -72,7 +72,7 @@
 	case peer.GrantsRequest:
 		state.answerGrants(now, received.From, frame)
 	case peer.Usage:
-		state.receiveUsage(received.From, frame)
+		state.receiveUsage(frame)
 	case peer.Leaving:
 		state.markLeaving(now, frame, received.From)
 	default:
@@ -80,15 +80,6 @@
 	}
 }
 
-// receivePlacement takes in a record; setPlacement relays it if it is new.
-func (state *state) receivePlacement(now time.Time, from string, frame peer.Placement) {
-	state.setPlacement(now, frame.Domain, frame.Revision, frame.Record)
-}
-
-func (state *state) relayPlacement(name, except string) {
-	state.config.Mesh.Broadcast(state.domains[name].frame(name), except)
-}
-
 // publishUsage tells the peers this node's demand.
 func (state *state) publishUsage() {
 	state.config.Mesh.Broadcast(peer.Usage{
@@ -99,7 +90,7 @@
 	}, "")
 }
 
-func (state *state) receiveUsage(from string, frame peer.Usage) {
+func (state *state) receiveUsage(frame peer.Usage) {
 	if !state.versions.Advance("usage/"+frame.Origin, frame.Incarnation, frame.Version) {
 		state.metrics.staleFrames.Inc()
 		return
--- a/control/state.go
+++ b/control/state.go
@@ -10,6 +10,7 @@
 	"lacewingspoke.org/lacewingspoke/group"
 	"lacewingspoke.org/lacewingspoke/peer"
 	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/route"
 )
 
 // state is everything that the control thread owns. Only the goroutine of
@@ -56,6 +57,10 @@
 	fence     uint64
 	grants    map[string]group.GroupGrant
 
+	// targets are the placed groups without their grants, nil when they are to
+	// be made again.
+	targets []route.GroupTarget
+
 	// received is the frame that brought the grants. It has no origin when this
 	// node publishes them itself.
 	received peer.Grants
@@ -100,10 +105,10 @@
 // isolated reports whether the node knows of others but has reached neither
 // the store nor a peer for isolationBound.
 func (state *state) isolated(now time.Time) bool {
-	if len(state.config.Seeds) == 0 || len(state.config.Mesh.Linked()) > 0 {
+	if len(state.config.Seeds) == 0 || now.Sub(state.storeReached) <= isolationBound {
 		return false
 	}
-	return now.Sub(state.storeReached) > isolationBound
+	return len(state.config.Mesh.Linked()) == 0
 }
 
 func (state *state) domain(name string) *domain {
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -11,12 +11,14 @@
 	"github.com/stretchr/testify/require"
 	"go.uber.org/zap/zaptest"
 
+	"lacewingspoke.org/lacewingspoke/admin"
 	"lacewingspoke.org/lacewingspoke/engine"
 	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/folder"
 	"lacewingspoke.org/lacewingspoke/group"
 	"lacewingspoke.org/lacewingspoke/peer"
 	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/route"
 	"lacewingspoke.org/lacewingspoke/timer"
 )
 
@@ -61,13 +63,14 @@
 	return engine.OrderAccepted{}
 }
 
-func newTestState(test *testing.T) (*state, *recorder) {
+func newTestState(test testing.TB) (*state, *recorder) {
 	record := &recorder{}
 	built := newState(&Controller{results: make(chan message, 1), config: Config{
 		Name: "one", Incarnation: "1", Mesh: record, Platform: record, Engines: record,
-		Timers: timer.New(timer.Config{}),
-		Logger: zaptest.NewLogger(test),
-		Random: rand.New(rand.NewPCG(1, 1)),
+		Publisher: route.NewPublisher(),
+		Timers:    timer.New(timer.Config{}),
+		Logger:    zaptest.NewLogger(test),
+		Random:    rand.New(rand.NewPCG(1, 1)),
 	}})
 	built.workers = context.Background()
 	test.Cleanup(built.drainWorkers)
@@ -206,7 +209,7 @@
 	state.configuration.folder = folder.New(folder.Config{Services: []folder.Service{{Name: "planks", Addresses: []folder.ServiceAddress{
 		{Address: "127.0.0.1:1"}, {Address: "127.0.0.1:2"}, {Address: "127.0.0.1:3"},
 	}}}})
-	state.handleDrainEntries(now, []platform.Entry{{Key: drainPrefix + "127.0.0.1:1", Value: []byte(`{"target":"127.0.0.1:1"}`)}})
+	state.handleDrainEntries(now, []platform.Entry{{Key: admin.DrainPrefix + "127.0.0.1:1", Value: []byte(`{"target":"127.0.0.1:1"}`)}})
 	state.handleService(serviceRead{address: "127.0.0.1:2", report: ServiceReport{Leaving: true}})
 	state.handleService(serviceRead{address: "127.0.0.1:2", failed: true})
 	open := map[string]bool{}
--- a/control/table.go
+++ b/control/table.go
@@ -23,18 +23,36 @@
 }
 
 func (state *state) groupTargets() []route.GroupTarget {
-	var targets []route.GroupTarget
+	count := 0
 	for _, known := range state.domains {
-		if known.placement == nil {
-			continue
-		}
+		count += len(known.targets)
+	}
+	targets := make([]route.GroupTarget, 0, count)
+	for _, known := range state.domains {
+		targets = state.appendTargets(targets, known)
+	}
+	return targets
+}
+
+// appendTargets appends the groups of a domain with their newest grants. What
+// follows from the placement is kept between grants, which arrive several
+// times a second.
+func (state *state) appendTargets(targets []route.GroupTarget, known *domain) []route.GroupTarget {
+	if known.targets == nil && known.placement != nil {
 		for _, placed := range known.placement.Groups() {
-			targets = append(targets, state.groupTarget(known, placed))
+			known.targets = append(known.targets, state.groupTarget(known, placed))
 		}
 	}
+	for _, target := range known.targets {
+		granted := known.grants[target.Name]
+		target.Grant = granted.Grant
+		target.Load = granted.Load
+		targets = append(targets, target)
+	}
 	return targets
 }
 
+// groupTarget returns a group without its grant.
 func (state *state) groupTarget(known *domain, placed group.Group) route.GroupTarget {
 	target := route.GroupTarget{
 		Name:  placed.Name,
@@ -52,9 +70,6 @@
 			target.Open = false
 		}
 	}
-	granted := known.grants[placed.Name]
-	target.Grant = granted.Grant
-	target.Load = granted.Load
 	return target
 }
 
--- a/control/watch.go
+++ b/control/watch.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"lacewingspoke.org/lacewingspoke/admin"
 	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/generation"
 	"lacewingspoke.org/lacewingspoke/platform"
@@ -16,7 +17,6 @@
 
 // The store keys that the control thread watches beside those of the fleet.
 const (
-	drainPrefix     = "drain/"
 	placementSuffix = "/placement"
 )
 
@@ -45,7 +45,7 @@
 	}
 	ctx, cancel := context.WithCancel(state.workers)
 	state.stopWatch = cancel
-	for _, prefix := range []string{generation.HeadKey, fleet.NodePrefix, fleet.DomainPrefix, drainPrefix} {
+	for _, prefix := range []string{generation.HeadKey, fleet.NodePrefix, fleet.DomainPrefix, admin.DrainPrefix} {
 		watcher := &watcher{
 			store:   state.config.Platform,
 			timers:  state.config.Timers,
@@ -56,7 +56,7 @@
 		state.pending++
 		go func(ctx context.Context, results chan<- message) {
 			watcher.run(ctx)
-			results <- workerEnded{name: "watch " + watcher.prefix}
+			results <- workerEnded{}
 		}(ctx, state.controller.results)
 	}
 }
@@ -148,7 +148,7 @@
 	case generation.HeadKey:
 		state.handleHeadEntries(now, entries)
 		return false
-	case drainPrefix:
+	case admin.DrainPrefix:
 		state.handleDrainEntries(now, entries)
 		return false
 	default:
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -228,6 +228,10 @@
 	return nodes
 }
 
+// Size returns the number of nodes that are alive as far as this node knows,
+// itself included.
+func (fleet *Fleet) Size() int { return len(fleet.members) }
+
 // Alive reports whether a node is alive as far as this node knows.
 func (fleet *Fleet) Alive(name string) bool {
 	_, found := fleet.members[name]
--- a/operator/audit.go
+++ b/operator/audit.go
@@ -3,17 +3,14 @@
 import (
 	"context"
 	"encoding/json"
-	"time"
 
 	"github.com/juju/errors"
 
+	"lacewingspoke.org/lacewingspoke/admin"
 	"lacewingspoke.org/lacewingspoke/folder"
 	"lacewingspoke.org/lacewingspoke/generation"
 )
 
-// drainPrefix is the prefix of the audit entries of drains.
-const drainPrefix = "drain/"
-
 // AuditRequest holds the parameters of Audit.
 type AuditRequest struct {
 	// Generation selects one generation, whose differences from its base are
@@ -162,22 +159,13 @@
 	}
 }
 
-// drainEntry is the audit entry of a drain.
-type drainEntry struct {
-	Target      string    `json:"target"`
-	Incarnation string    `json:"incarnation"`
-	Author      string    `json:"author"`
-	Reason      string    `json:"reason"`
-	Time        time.Time `json:"time"`
-}
-
 func (operator *Operator) auditDrains(ctx context.Context) error {
-	listing, err := operator.store.List(ctx, drainPrefix)
+	listing, err := operator.store.List(ctx, admin.DrainPrefix)
 	if err != nil {
 		return errors.Annotate(err, "list drains")
 	}
 	for _, stored := range listing.Entries {
-		var entry drainEntry
+		var entry admin.DrainRecord
 		if err := json.Unmarshal(stored.Value, &entry); err != nil {
 			operator.warn("%s: %v", stored.Key, err)
 			continue
--- a/route/table.go
+++ b/route/table.go
@@ -51,9 +51,12 @@
 type Table struct {
 	folder     *folder.Folder
 	generation uint64
+	groups     []GroupTarget
 	bySpec     map[string][]GroupTarget
-	byName     map[string]GroupTarget
-	services   map[string][]ServiceTarget
+
+	// byName holds indexes into groups.
+	byName   map[string]int
+	services map[string][]ServiceTarget
 }
 
 // NewTable returns a snapshot. The caller does not change the slices later.
@@ -61,13 +64,13 @@
 	table := &Table{
 		folder:     config.Folder,
 		generation: config.Generation,
-		bySpec:     map[string][]GroupTarget{},
-		byName:     map[string]GroupTarget{},
+		groups:     config.Groups,
+		bySpec:     groupsBySpec(config.Groups),
+		byName:     make(map[string]int, len(config.Groups)),
 		services:   map[string][]ServiceTarget{},
 	}
-	for _, target := range config.Groups {
-		table.bySpec[target.Spec] = append(table.bySpec[target.Spec], target)
-		table.byName[target.Name] = target
+	for index := range config.Groups {
+		table.byName[config.Groups[index].Name] = index
 	}
 	for _, target := range config.Services {
 		table.services[target.Service] = append(table.services[target.Service], target)
@@ -75,6 +78,23 @@
 	return table
 }
 
+// groupsBySpec counts first, because a table is made for every frame of grants
+// and growing slices would make most of its garbage.
+func groupsBySpec(groups []GroupTarget) map[string][]GroupTarget {
+	counts := map[string]int{}
+	for index := range groups {
+		counts[groups[index].Spec]++
+	}
+	bySpec := make(map[string][]GroupTarget, len(counts))
+	for spec, count := range counts {
+		bySpec[spec] = make([]GroupTarget, 0, count)
+	}
+	for _, target := range groups {
+		bySpec[target.Spec] = append(bySpec[target.Spec], target)
+	}
+	return bySpec
+}
+
 // Folder returns the configuration in force, nil when none is known.
 func (table *Table) Folder() *folder.Folder { return table.folder }
 
@@ -86,8 +106,11 @@
 
 // Group returns one serving group.
 func (table *Table) Group(name string) (GroupTarget, bool) {
-	target, found := table.byName[name]
-	return target, found
+	index, found := table.byName[name]
+	if !found {
+		return GroupTarget{}, false
+	}
+	return table.groups[index], true
 }
 
 // Services returns the runners of a service.
