--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -210,6 +210,26 @@
 	return errors.Errorf("%s", bytes.TrimSpace(data))
 }
 
+// readAnswer notes what a response says and reads a JSON body of the wanted
+// status into target. It reports whether the answer is whole.
+func (result *Result) readAnswer(response *http.Response, wanted int, what string, target any) bool {
+	defer response.Body.Close()
+	result.Status = response.StatusCode
+	result.Told = response.Header.Get(outcome.Header)
+	result.Replay = response.Header.Get(headerReplay) != ""
+	data, err := readBody(response)
+	if err != nil || response.StatusCode != wanted {
+		result.note(result.unread(data, err))
+		return false
+	}
+	if err := json.Unmarshal(data, target); err != nil {
+		result.note(errors.Annotate(err, what))
+		return false
+	}
+	result.Ended = true
+	return true
+}
+
 func readBody(response *http.Response) ([]byte, error) {
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	return data, errors.Annotate(err, "answer broke off")
@@ -231,22 +251,10 @@
 		result.Error = err.Error()
 		return result
 	}
-	defer response.Body.Close()
-	result.Status = response.StatusCode
-	result.Told = response.Header.Get(outcome.Header)
-	result.Replay = response.Header.Get(headerReplay) != ""
-	data, err := readBody(response)
-	if err != nil || response.StatusCode != http.StatusCreated {
-		result.note(result.unread(data, err))
-		return result
-	}
 	var receipt receiptBody
-	if err := json.Unmarshal(data, &receipt); err != nil {
-		result.note(errors.Annotate(err, "receipt"))
-		return result
+	if result.readAnswer(response, http.StatusCreated, "receipt", &receipt) {
+		result.Receipts = []string{receipt.Receipt}
 	}
-	result.Ended = true
-	result.Receipts = []string{receipt.Receipt}
 	return result
 }
 
@@ -264,22 +272,11 @@
 		result.Error = err.Error()
 		return result
 	}
-	defer response.Body.Close()
-	result.Status = response.StatusCode
-	result.Told = response.Header.Get(outcome.Header)
-	data, err := readBody(response)
-	if err != nil || response.StatusCode != http.StatusOK {
-		result.note(result.unread(data, err))
-		return result
-	}
 	var found plankBody
-	if err := json.Unmarshal(data, &found); err != nil {
-		result.note(errors.Annotate(err, "plank"))
-		return result
+	if result.readAnswer(response, http.StatusOK, "plank", &found) {
+		result.Text = found.Plank
+		result.Receipts = found.Receipts
 	}
-	result.Ended = true
-	result.Text = found.Plank
-	result.Receipts = found.Receipts
 	return result
 }
 
