--- a/booking/booking.go
+++ b/booking/booking.go
@@ -56,7 +56,7 @@
 
 	"github.com/juju/errors"
 
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 const (
@@ -182,7 +182,7 @@
 
 // Decode reads the stored form. Its error is an errors.NotValid error.
 func Decode(data []byte) (Claim, error) {
-	if len(data) > platform.MaxValueBytes {
+	if len(data) > kvstore.MaxValueBytes {
 		return Claim{}, errors.NotValidf("claim of %d bytes", len(data))
 	}
 	decoder := json.NewDecoder(bytes.NewReader(data))
--- a/booking/booking_test.go
+++ b/booking/booking_test.go
@@ -11,7 +11,7 @@
 	"pgregory.net/rapid"
 
 	"lacewingspoke.org/lacewingspoke/booking"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 var start = time.Date(2026, 12, 4, 4, 0, 0, 0, time.UTC)
@@ -27,7 +27,7 @@
 func TestClaimStoredForm(t *testing.T) {
 	ticket := newTicket("a")
 	require.Equal(t, "booking/w/8254c329a92850f6d539dd376f4816ee2764517da5e0235514af433164480d7a", ticket.Key())
-	require.Equal(t, platform.ExpectAbsent(), ticket.CreateRequest().Expect)
+	require.Equal(t, kvstore.ExpectAbsent(), ticket.CreateRequest().Expect)
 	require.Equal(t, `{"state":"claimed","attempt":"a","node":"","route":"","request-digest":"d",`+
 		`"created-unix-ms":1796356800000,"expires-unix-ms":1796356860000}`, string(ticket.CreateRequest().Value))
 	for _, data := range []string{``, `{}`, `{"state":"claimed"}`, `{"state":"finished","attempt":"a"}`, `{"state":"claimed","attempt":"a","x":1}`} {
@@ -40,31 +40,31 @@
 // another's, or the other way round.
 func TestResolveCreate(t *testing.T) {
 	own, other := newTicket("own"), newTicket("other")
-	require.Equal(t, booking.Read{}, own.AfterCreate(platform.Unknown{}))
+	require.Equal(t, booking.Read{}, own.AfterCreate(kvstore.Unknown{}))
 	require.False(t, own.MaySend(start))
-	require.Equal(t, booking.CreateAgain{}, own.AfterRead(platform.Entry{}, false, start))
-	stored := platform.Entry{Value: own.CreateRequest().Value, Revision: 7}
+	require.Equal(t, booking.CreateAgain{}, own.AfterRead(kvstore.Entry{}, false, start))
+	stored := kvstore.Entry{Value: own.CreateRequest().Value, Revision: 7}
 	require.Equal(t, booking.Reply{Reply: booking.InProgress{}}, other.AfterRead(stored, true, start))
 	require.Equal(t, booking.Reply{Reply: booking.Unresolved{}}, other.AfterRead(stored, true, start.Add(time.Hour)))
 	require.False(t, other.MaySend(start))
 	require.Equal(t, booking.Send{}, own.AfterRead(stored, true, start))
 	require.True(t, own.MaySend(start))
 	require.False(t, own.MaySend(start.Add(time.Minute)), "expired")
-	require.IsType(t, booking.Reject{}, own.AfterRead(platform.Entry{Value: []byte("x")}, true, start))
+	require.IsType(t, booking.Reject{}, own.AfterRead(kvstore.Entry{Value: []byte("x")}, true, start))
 }
 
 // Guards against a repeat that does not get the first answer, and against an
 // operator's decision that the owner overwrites or that comes too early.
 func TestFinishAndSettle(t *testing.T) {
 	own, repeat := newTicket("own"), newTicket("repeat")
-	own.AfterCreate(platform.Written{Revision: 3})
+	own.AfterCreate(kvstore.Written{Revision: 3})
 	answer := booking.NewAnswer(http.StatusCreated, http.Header{"Content-Type": {"text/plain"}}, []byte("r"))
 	request := own.FinishRequest(answer, start, time.Hour)
-	require.Equal(t, platform.ExpectRevision(3), request.Expect)
-	require.Equal(t, booking.Read{}, own.AfterFinish(platform.Unknown{}))
-	claimed := platform.Entry{Value: own.CreateRequest().Value, Revision: 3}
+	require.Equal(t, kvstore.ExpectRevision(3), request.Expect)
+	require.Equal(t, booking.Read{}, own.AfterFinish(kvstore.Unknown{}))
+	claimed := kvstore.Entry{Value: own.CreateRequest().Value, Revision: 3}
 	require.Equal(t, booking.FinishAgain{}, own.AfterFinishRead(claimed, true))
-	finished := platform.Entry{Value: request.Value, Revision: 4}
+	finished := kvstore.Entry{Value: request.Value, Revision: 4}
 	require.Equal(t, booking.Reply{Reply: booking.Replay{Answer: answer}}, repeat.AfterRead(finished, true, start))
 
 	claim, err := booking.Decode(claimed.Value)
@@ -76,7 +76,7 @@
 	require.NoError(t, err)
 	require.False(t, settled.Removable(later))
 	require.True(t, settled.Removable(later.Add(2*time.Hour)))
-	entry := platform.Entry{Value: settled.Encode(), Revision: 5}
+	entry := kvstore.Entry{Value: settled.Encode(), Revision: 5}
 	require.Equal(t, booking.Lost{}, own.AfterFinishRead(entry, true))
 	require.IsType(t, booking.Settled{}, repeat.AfterRead(entry, true, start).(booking.Reply).Reply)
 	require.Equal(t, booking.Done{}, own.AfterFinishRead(finished, true))
@@ -88,14 +88,14 @@
 // example when an operator removed its own in between.
 func TestClaimOfAnotherIsLeftAlone(t *testing.T) {
 	own, other := newTicket("own"), newTicket("other")
-	own.AfterCreate(platform.Written{Revision: 3})
-	claimed := platform.Entry{Value: other.CreateRequest().Value, Revision: 4}
+	own.AfterCreate(kvstore.Written{Revision: 3})
+	claimed := kvstore.Entry{Value: other.CreateRequest().Value, Revision: 4}
 	require.Equal(t, booking.Done{}, own.AfterRemoveRead(claimed, true))
 	require.Equal(t, booking.Lost{}, own.AfterFinishRead(claimed, true))
 	finished := other.FinishRequest(booking.NewAnswer(http.StatusCreated, nil, nil), start, time.Hour)
-	require.Equal(t, booking.Lost{}, own.AfterFinishRead(platform.Entry{Value: finished.Value, Revision: 5}, true))
+	require.Equal(t, booking.Lost{}, own.AfterFinishRead(kvstore.Entry{Value: finished.Value, Revision: 5}, true))
 	ownFinished := own.FinishRequest(booking.NewAnswer(http.StatusCreated, nil, nil), start, time.Hour)
-	require.Equal(t, booking.Done{}, own.AfterRemoveRead(platform.Entry{Value: ownFinished.Value, Revision: 5}, true), "a finished claim stays")
+	require.Equal(t, booking.Done{}, own.AfterRemoveRead(kvstore.Entry{Value: ownFinished.Value, Revision: 5}, true), "a finished claim stays")
 	require.True(t, own.MayRemove(start))
 	require.False(t, own.MayRemove(start.Add(time.Minute)), "others read an expired claim as Unknown")
 }
@@ -106,7 +106,7 @@
 	different := booking.NewTicket(booking.TicketConfig{
 		Workspace: "w", IdempotencyKey: "k", Attempt: "different", RequestDigest: "e", Validity: time.Minute,
 	}, start)
-	stored := platform.Entry{Value: own.CreateRequest().Value, Revision: 7}
+	stored := kvstore.Entry{Value: own.CreateRequest().Value, Revision: 7}
 	require.Equal(t, booking.Reply{Reply: booking.Mismatch{}}, different.AfterRead(stored, true, start))
 }
 
@@ -124,19 +124,19 @@
 // answers, late effects, deletions of unsent claims and deaths.
 func TestAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var stored *platform.Entry
+		var stored *kvstore.Entry
 		revision := uint64(0)
 		nodes := make([]*node, 3)
 		for index := range nodes {
 			nodes[index] = &node{ticket: newTicket(fmt.Sprint(index)), step: booking.CreateAgain{}}
 		}
-		apply := func(request platform.PutRequest) platform.PutOutcome {
+		apply := func(request kvstore.PutRequest) kvstore.PutOutcome {
 			if stored != nil {
-				return platform.Conflict{Revision: stored.Revision}
+				return kvstore.Conflict{Revision: stored.Revision}
 			}
 			revision++
-			stored = &platform.Entry{Value: request.Value, Revision: revision}
-			return platform.Written{Revision: revision}
+			stored = &kvstore.Entry{Value: request.Value, Revision: revision}
+			return kvstore.Written{Revision: revision}
 		}
 		sends := 0
 		for range rapid.IntRange(1, 40).Draw(t, "moves") {
@@ -152,14 +152,14 @@
 					actor.step = actor.ticket.AfterCreate(apply(actor.ticket.CreateRequest()))
 				case 1:
 					apply(actor.ticket.CreateRequest())
-					actor.step = actor.ticket.AfterCreate(platform.Unknown{})
+					actor.step = actor.ticket.AfterCreate(kvstore.Unknown{})
 				default:
 					actor.late = true
-					actor.step = actor.ticket.AfterCreate(platform.Unknown{})
+					actor.step = actor.ticket.AfterCreate(kvstore.Unknown{})
 				}
 			case booking.Read:
 				if stored == nil {
-					actor.step = actor.ticket.AfterRead(platform.Entry{}, false, start)
+					actor.step = actor.ticket.AfterRead(kvstore.Entry{}, false, start)
 				} else {
 					actor.step = actor.ticket.AfterRead(*stored, true, start)
 				}
--- a/booking/example_test.go
+++ b/booking/example_test.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"lacewingspoke.org/lacewingspoke/booking"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 func Example() {
@@ -19,14 +19,14 @@
 	}
 	first := booking.NewTicket(config, now)
 	stored := first.CreateRequest()
-	step := first.AfterCreate(platform.Written{Revision: 1})
+	step := first.AfterCreate(kvstore.Written{Revision: 1})
 	fmt.Printf("%T, may send: %v\n", step, first.MaySend(now))
 
 	// A repeat through another node finds the claim.
 	config.Attempt = "attempt-2"
 	repeat := booking.NewTicket(config, now)
-	fmt.Printf("%T\n", repeat.AfterCreate(platform.Conflict{Revision: 1}))
-	reply := repeat.AfterRead(platform.Entry{Key: stored.Key, Value: stored.Value, Revision: 1}, true, now)
+	fmt.Printf("%T\n", repeat.AfterCreate(kvstore.Conflict{Revision: 1}))
+	reply := repeat.AfterRead(kvstore.Entry{Key: stored.Key, Value: stored.Value, Revision: 1}, true, now)
 	fmt.Printf("%T\n", reply.(booking.Reply).Reply)
 	// Output:
 	// booking.Send, may send: true
--- a/booking/ticket.go
+++ b/booking/ticket.go
@@ -5,7 +5,7 @@
 
 	"github.com/juju/errors"
 
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // A Step is what the owner of a Ticket does next. It is Send, Read,
@@ -140,23 +140,23 @@
 func (ticket *Ticket) Revision() uint64 { return ticket.revision }
 
 // CreateRequest returns the write that stores the claim.
-func (ticket *Ticket) CreateRequest() platform.PutRequest {
-	return platform.PutRequest{
+func (ticket *Ticket) CreateRequest() kvstore.PutRequest {
+	return kvstore.PutRequest{
 		Key:    ticket.key,
 		Value:  ticket.claim.Encode(),
-		Expect: platform.ExpectAbsent(),
+		Expect: kvstore.ExpectAbsent(),
 	}
 }
 
 // AfterCreate returns the step after the write of CreateRequest.
-func (ticket *Ticket) AfterCreate(put platform.PutOutcome) Step {
+func (ticket *Ticket) AfterCreate(put kvstore.PutOutcome) Step {
 	switch put := put.(type) {
-	case platform.Written:
+	case kvstore.Written:
 		ticket.own(put.Revision)
 		return Send{}
-	case platform.Refused:
+	case kvstore.Refused:
 		return Reject{Err: errors.Annotate(put.Err, "claim not stored")}
-	case platform.Unknown:
+	case kvstore.Unknown:
 		ticket.mayBeStored = true
 		return Read{}
 	default:
@@ -168,7 +168,7 @@
 
 // AfterRead returns the step after the claim was read to resolve a create.
 // found is false when the key does not exist.
-func (ticket *Ticket) AfterRead(entry platform.Entry, found bool, now time.Time) Step {
+func (ticket *Ticket) AfterRead(entry kvstore.Entry, found bool, now time.Time) Step {
 	if !found {
 		return CreateAgain{}
 	}
@@ -220,25 +220,25 @@
 }
 
 // FinishRequest returns the write that completes the claim with an answer.
-func (ticket *Ticket) FinishRequest(answer Answer, now time.Time, retention time.Duration) platform.PutRequest {
+func (ticket *Ticket) FinishRequest(answer Answer, now time.Time, retention time.Duration) kvstore.PutRequest {
 	finished := ticket.claim
 	finished.State = StateFinished
 	finished.Answer = &answer
 	finished.RemoveMillis = now.Add(retention).UnixMilli()
-	return platform.PutRequest{
+	return kvstore.PutRequest{
 		Key:    ticket.key,
 		Value:  finished.Encode(),
-		Expect: platform.ExpectRevision(ticket.revision),
+		Expect: kvstore.ExpectRevision(ticket.revision),
 	}
 }
 
 // AfterFinish returns the step after the write of FinishRequest.
-func (ticket *Ticket) AfterFinish(put platform.PutOutcome) Step {
+func (ticket *Ticket) AfterFinish(put kvstore.PutOutcome) Step {
 	switch put.(type) {
-	case platform.Written:
+	case kvstore.Written:
 		ticket.phase = phaseFinished
 		return Done{}
-	case platform.Refused:
+	case kvstore.Refused:
 		return FinishAgain{}
 	default:
 		return Read{}
@@ -247,7 +247,7 @@
 
 // AfterFinishRead returns the step after the claim was read to resolve a
 // completion.
-func (ticket *Ticket) AfterFinishRead(entry platform.Entry, found bool) Step {
+func (ticket *Ticket) AfterFinishRead(entry kvstore.Entry, found bool) Step {
 	if !found {
 		return Lost{}
 	}
@@ -277,7 +277,7 @@
 // AfterRemoveRead returns the step after the claim was read for its removal.
 // A create whose answer was lost has no known revision, so that every removal
 // starts with a read.
-func (ticket *Ticket) AfterRemoveRead(entry platform.Entry, found bool) Step {
+func (ticket *Ticket) AfterRemoveRead(entry kvstore.Entry, found bool) Step {
 	if !found {
 		return Done{}
 	}
--- a/cmd/lacewingspoke/connection.go
+++ b/cmd/lacewingspoke/connection.go
@@ -12,8 +12,8 @@
 	"github.com/jessevdk/go-flags"
 	"github.com/juju/errors"
 
+	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/operator"
-	"lacewingspoke.org/lacewingspoke/platform"
 	"lacewingspoke.org/lacewingspoke/timer"
 )
 
@@ -106,7 +106,7 @@
 		}
 		return config, func() {}, nil
 	}
-	client, err := platform.NewClient(platform.ClientConfig{Addresses: stores, Timeout: options.Timeout})
+	client, err := kvstore.NewClient(kvstore.ClientConfig{Addresses: stores, Timeout: options.Timeout})
 	if err != nil {
 		return config, nil, errors.Trace(err)
 	}
--- a/cmd/lacewingspoke/module.go
+++ b/cmd/lacewingspoke/module.go
@@ -16,9 +16,9 @@
 	"lacewingspoke.org/lacewingspoke/engine"
 	"lacewingspoke.org/lacewingspoke/entry"
 	"lacewingspoke.org/lacewingspoke/group"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/peer"
-	"lacewingspoke.org/lacewingspoke/platform"
 	"lacewingspoke.org/lacewingspoke/route"
 	"lacewingspoke.org/lacewingspoke/service"
 	"lacewingspoke.org/lacewingspoke/settings"
@@ -58,8 +58,8 @@
 	return timer.New(timer.Config{Logger: logger})
 }
 
-func newPlatform(loaded *settings.Settings, registry *prometheus.Registry) (*platform.Client, error) {
-	client, err := platform.NewClient(platform.ClientConfig{
+func newPlatform(loaded *settings.Settings, registry *prometheus.Registry) (*kvstore.Client, error) {
+	client, err := kvstore.NewClient(kvstore.ClientConfig{
 		Addresses:  loaded.StoreAddresses(),
 		Timeout:    loaded.StoreTimeout(),
 		Registerer: registry,
@@ -90,7 +90,7 @@
 
 	Settings  *settings.Settings
 	Publisher *route.Publisher
-	Platform  *platform.Client
+	Platform  *kvstore.Client
 	Logger    *zap.Logger
 	Registry  *prometheus.Registry
 }
@@ -117,7 +117,7 @@
 
 	Settings    *settings.Settings
 	Incarnation incarnation
-	Platform    *platform.Client
+	Platform    *kvstore.Client
 	Mesh        *peer.Mesh
 	Engines     *engine.ControlClient
 	Entry       *entry.Server
--- a/cmd/lacewingspoke/session_test.go
+++ b/cmd/lacewingspoke/session_test.go
@@ -22,7 +22,7 @@
 	"lacewingspoke.org/lacewingspoke/booking"
 	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/generation"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/standin/fault"
 	"lacewingspoke.org/lacewingspoke/standin/store"
 )
@@ -55,7 +55,7 @@
 // session is the surroundings of one script.
 type session struct {
 	stand  *store.Store
-	client *platform.Client
+	client *kvstore.Client
 	nodes  map[string]*nodeStandin
 
 	mutex sync.Mutex
@@ -73,7 +73,7 @@
 	server := httptest.NewServer(current)
 	env.Defer(server.Close)
 	address := server.Listener.Addr().String()
-	client, err := platform.NewClient(platform.ClientConfig{Addresses: []string{address}})
+	client, err := kvstore.NewClient(kvstore.ClientConfig{Addresses: []string{address}})
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -158,7 +158,7 @@
 	ticket := booking.NewTicket(booking.TicketConfig{
 		Workspace: arguments[0], IdempotencyKey: arguments[1], Attempt: "attempt-1", Validity: time.Second,
 	}, time.Now().Add(-age-time.Second))
-	_, written := sessionOf(ts).client.Put(context.Background(), ticket.CreateRequest()).(platform.Written)
+	_, written := sessionOf(ts).client.Put(context.Background(), ticket.CreateRequest()).(kvstore.Written)
 	if !written {
 		ts.Fatalf("claim not stored")
 	}
@@ -186,8 +186,8 @@
 		Name: node.name, Incarnation: "1", FailureDomain: "constanta-port", AdminAddress: server.Listener.Addr().String(),
 	})
 	ts.Check(err)
-	session.client.Put(context.Background(), platform.PutRequest{
-		Key: fleet.NodeKey(node.name), Value: record, Expect: platform.ExpectAny(),
+	session.client.Put(context.Background(), kvstore.PutRequest{
+		Key: fleet.NodeKey(node.name), Value: record, Expect: kvstore.ExpectAny(),
 	})
 }
 
--- a/control/configuration.go
+++ b/control/configuration.go
@@ -10,8 +10,8 @@
 	"lacewingspoke.org/lacewingspoke/folder"
 	"lacewingspoke.org/lacewingspoke/generation"
 	"lacewingspoke.org/lacewingspoke/group"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/peer"
-	"lacewingspoke.org/lacewingspoke/platform"
 )
 
 // bodyRetry is how long a requested body may take before it is requested
@@ -144,7 +144,7 @@
 	})
 }
 
-func (state *state) handleHeadEntries(now time.Time, entries []platform.Entry) {
+func (state *state) handleHeadEntries(now time.Time, entries []kvstore.Entry) {
 	for _, entry := range entries {
 		if entry.Key == generation.HeadKey {
 			state.offerStoredHead(now, time.Time{}, entry.Value)
--- a/control/control.go
+++ b/control/control.go
@@ -39,16 +39,16 @@
 	"lacewingspoke.org/lacewingspoke/engine"
 	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/group"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/peer"
-	"lacewingspoke.org/lacewingspoke/platform"
 	"lacewingspoke.org/lacewingspoke/route"
 	"lacewingspoke.org/lacewingspoke/timer"
 )
 
 // A Platform is what the control thread uses of the platform.
 type Platform interface {
-	platform.Store
-	platform.VMList
+	kvstore.Store
+	kvstore.VMList
 	AcquireWeights(ctx context.Context, bytes int64) (granted bool, retry time.Duration, err error)
 }
 
--- a/control/harness_test.go
+++ b/control/harness_test.go
@@ -20,8 +20,8 @@
 	"lacewingspoke.org/lacewingspoke/engine"
 	"lacewingspoke.org/lacewingspoke/folder"
 	"lacewingspoke.org/lacewingspoke/generation"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/peer"
-	"lacewingspoke.org/lacewingspoke/platform"
 	"lacewingspoke.org/lacewingspoke/route"
 	"lacewingspoke.org/lacewingspoke/standin/store"
 	"lacewingspoke.org/lacewingspoke/timer"
@@ -278,7 +278,7 @@
 	name := fmt.Sprintf("node-%d", index)
 	mesh, err := peer.New(peer.Config{Name: name, Incarnation: "1", FailureDomain: "zone-a", Listen: "127.0.0.1:0"})
 	require.NoError(test, err)
-	client, err := platform.NewClient(platform.ClientConfig{Addresses: []string{storeAddress}, Timeout: time.Second})
+	client, err := kvstore.NewClient(kvstore.ClientConfig{Addresses: []string{storeAddress}, Timeout: time.Second})
 	require.NoError(test, err)
 	timers := timer.New(timer.Config{Random: rand.New(rand.NewPCG(uint64(index), 1))})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -334,7 +334,7 @@
 
 // apply writes a configuration as the apply command does.
 func (cluster *cluster) apply(number uint64) {
-	client, err := platform.NewClient(platform.ClientConfig{Addresses: []string{cluster.storeAddress()}, Timeout: time.Second})
+	client, err := kvstore.NewClient(kvstore.ClientConfig{Addresses: []string{cluster.storeAddress()}, Timeout: time.Second})
 	require.NoError(cluster.test, err)
 	defer client.Close()
 	base := generation.Head{}
@@ -346,11 +346,11 @@
 	require.NoError(cluster.test, err)
 	head, err := body.Head().Encode()
 	require.NoError(cluster.test, err)
-	for _, request := range []platform.PutRequest{
-		{Key: body.Head().BodyKey(), Value: data, Expect: platform.ExpectAny()},
-		{Key: generation.HeadKey, Value: head, Expect: platform.ExpectAny()},
+	for _, request := range []kvstore.PutRequest{
+		{Key: body.Head().BodyKey(), Value: data, Expect: kvstore.ExpectAny()},
+		{Key: generation.HeadKey, Value: head, Expect: kvstore.ExpectAny()},
 	} {
-		require.IsType(cluster.test, platform.Written{}, client.Put(context.Background(), request))
+		require.IsType(cluster.test, kvstore.Written{}, client.Put(context.Background(), request))
 	}
 }
 
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -11,7 +11,7 @@
 	"lacewingspoke.org/lacewingspoke/engine"
 	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/group"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/timer"
 )
 
@@ -191,7 +191,7 @@
 }
 
 func (state *state) commit(ctx context.Context, domain string, effect group.Commit) group.Event {
-	outcome := state.config.Platform.Put(ctx, platform.PutRequest{
+	outcome := state.config.Platform.Put(ctx, kvstore.PutRequest{
 		Key:    placementKey(domain),
 		Value:  effect.Record,
 		Expect: effect.Expect,
--- a/control/leaving.go
+++ b/control/leaving.go
@@ -12,8 +12,8 @@
 	"lacewingspoke.org/lacewingspoke/admin"
 	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/group"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/peer"
-	"lacewingspoke.org/lacewingspoke/platform"
 )
 
 // A departureKey names one incarnation of a target. A service runner has none.
@@ -84,13 +84,13 @@
 }
 
 // handleVMs takes in the platform's list.
-func (state *state) handleVMs(now time.Time, vms []platform.VM) {
+func (state *state) handleVMs(now time.Time, vms []kvstore.VM) {
 	state.pollingVMs = false
-	state.vms = map[string]platform.VM{}
+	state.vms = map[string]kvstore.VM{}
 	for _, vm := range vms {
 		state.vms[vm.Name] = vm
 		state.clearReplaced(vm)
-		if vm.State == platform.VMLeaving {
+		if vm.State == kvstore.VMLeaving {
 			state.markLeaving(now, peer.Leaving{
 				Target:      vm.Name,
 				Incarnation: vm.Incarnation,
@@ -108,7 +108,7 @@
 
 // clearReplaced forgets the departures of a VM's earlier incarnations. A list
 // that lags still shows the incarnation before the one that leaves.
-func (state *state) clearReplaced(vm platform.VM) {
+func (state *state) clearReplaced(vm kvstore.VM) {
 	for key, departure := range state.leaving {
 		if key.target != vm.Name || key.incarnation == vm.Incarnation || departure.listed == vm.Incarnation {
 			continue
@@ -118,7 +118,7 @@
 	}
 }
 
-func fabricDomains(vms []platform.VM) []fleet.Domain {
+func fabricDomains(vms []kvstore.VM) []fleet.Domain {
 	var domains []fleet.Domain
 	known := map[string]bool{}
 	for _, vm := range vms {
@@ -134,8 +134,8 @@
 // domainVMs returns the listed VMs of a fabric domain. A VM that the list has
 // moved here while another domain's record still holds it is left out until
 // that domain has freed it, so that it never has a seat in both.
-func (state *state) domainVMs(name string) []platform.VM {
-	var vms []platform.VM
+func (state *state) domainVMs(name string) []kvstore.VM {
+	var vms []kvstore.VM
 	for _, vm := range state.vms {
 		if vm.FabricDomain == name && !state.placedElsewhere(vm.Name, name) {
 			vms = append(vms, vm)
@@ -245,10 +245,10 @@
 	}
 	state.start(func(ctx context.Context) message {
 		for {
-			outcome := state.config.Platform.Put(ctx, platform.PutRequest{
+			outcome := state.config.Platform.Put(ctx, kvstore.PutRequest{
 				Key:    record.Key(),
 				Value:  value,
-				Expect: platform.ExpectAbsent(),
+				Expect: kvstore.ExpectAbsent(),
 			})
 			if answered(outcome) || !pause(ctx, state.config.Timers, drainRetry) {
 				return drainRecorded{target: record.Target, outcome: outcome}
@@ -264,7 +264,7 @@
 }
 
 // handleDrainEntries takes in the drains that the store holds.
-func (state *state) handleDrainEntries(now time.Time, entries []platform.Entry) {
+func (state *state) handleDrainEntries(now time.Time, entries []kvstore.Entry) {
 	for _, entry := range entries {
 		if !strings.HasPrefix(entry.Key, admin.DrainPrefix) {
 			continue
--- a/control/membership.go
+++ b/control/membership.go
@@ -7,8 +7,8 @@
 	"github.com/juju/errors"
 
 	"lacewingspoke.org/lacewingspoke/fleet"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/peer"
-	"lacewingspoke.org/lacewingspoke/platform"
 )
 
 // handleFleet feeds an event to the membership core and carries out the
@@ -94,10 +94,10 @@
 }
 
 func (state *state) writeNode(ctx context.Context, effect fleet.WriteNode) message {
-	outcome := state.config.Platform.Put(ctx, platform.PutRequest{
+	outcome := state.config.Platform.Put(ctx, kvstore.PutRequest{
 		Key:    effect.Key,
 		Value:  effect.Value,
-		Expect: platform.ExpectAny(),
+		Expect: kvstore.ExpectAny(),
 		Lease:  effect.Lease,
 	})
 	return fleetResult{
@@ -107,10 +107,10 @@
 }
 
 func (state *state) claimDomain(ctx context.Context, effect fleet.ClaimDomain) message {
-	outcome := state.putBefore(ctx, effect.Deadline, platform.PutRequest{
+	outcome := state.putBefore(ctx, effect.Deadline, kvstore.PutRequest{
 		Key:    effect.Key,
 		Value:  effect.Value,
-		Expect: platform.ExpectAbsent(),
+		Expect: kvstore.ExpectAbsent(),
 		Lease:  effect.Lease,
 	})
 	return fleetResult{
@@ -120,9 +120,9 @@
 }
 
 // putBefore writes unless the deadline has passed on the monotonic clock.
-func (state *state) putBefore(ctx context.Context, deadline time.Time, request platform.PutRequest) platform.PutOutcome {
+func (state *state) putBefore(ctx context.Context, deadline time.Time, request kvstore.PutRequest) kvstore.PutOutcome {
 	if !state.now().Before(deadline) {
-		return platform.Refused{Err: errors.Timeoutf("write of %s", request.Key)}
+		return kvstore.Refused{Err: errors.Timeoutf("write of %s", request.Key)}
 	}
 	return state.config.Platform.Put(ctx, request)
 }
@@ -139,14 +139,14 @@
 }
 
 func (state *state) releaseDomain(ctx context.Context, effect fleet.ReleaseDomain) message {
-	state.config.Platform.Delete(ctx, effect.Key, platform.ExpectRevision(effect.Revision))
+	state.config.Platform.Delete(ctx, effect.Key, kvstore.ExpectRevision(effect.Revision))
 	return workerEnded{}
 }
 
 // answered reports whether the store answered a write.
-func answered(outcome platform.PutOutcome) bool {
+func answered(outcome kvstore.PutOutcome) bool {
 	switch outcome.(type) {
-	case platform.Written, platform.Conflict:
+	case kvstore.Written, kvstore.Conflict:
 		return true
 	default:
 		return false
--- a/control/message.go
+++ b/control/message.go
@@ -6,7 +6,7 @@
 	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/generation"
 	"lacewingspoke.org/lacewingspoke/group"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // A message is the result of a worker.
@@ -31,14 +31,14 @@
 type listed struct {
 	prefix   string
 	revision uint64
-	entries  []platform.Entry
+	entries  []kvstore.Entry
 }
 
 // changed is a change below a watched prefix.
 type changed struct {
 	prefix   string
 	revision uint64
-	entries  []platform.Entry
+	entries  []kvstore.Entry
 	deleted  []string
 }
 
@@ -68,7 +68,7 @@
 type vmsFailed struct{}
 
 // vmsRead is the platform's list of VMs.
-type vmsRead struct{ vms []platform.VM }
+type vmsRead struct{ vms []kvstore.VM }
 
 // serviceRead is the report of a service runner. Failed is set when it did
 // not report.
@@ -81,7 +81,7 @@
 // drainRecorded is the outcome of writing the audit entry of a drain.
 type drainRecorded struct {
 	target  string
-	outcome platform.PutOutcome
+	outcome kvstore.PutOutcome
 }
 
 // leaseRevoked says that the call that revokes the node's lease has ended.
--- a/control/state.go
+++ b/control/state.go
@@ -8,8 +8,8 @@
 
 	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/group"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/peer"
-	"lacewingspoke.org/lacewingspoke/platform"
 	"lacewingspoke.org/lacewingspoke/route"
 )
 
@@ -31,7 +31,7 @@
 	domains       map[string]*domain
 	led           map[string]*leadership
 	terms         uint64
-	vms           map[string]platform.VM
+	vms           map[string]kvstore.VM
 	leaving       map[departureKey]departure
 	services      map[string]ServiceReport
 	usage         map[string]peer.Usage
@@ -82,7 +82,7 @@
 		configuration: newConfiguration(),
 		domains:       map[string]*domain{},
 		led:           map[string]*leadership{},
-		vms:           map[string]platform.VM{},
+		vms:           map[string]kvstore.VM{},
 		leaving:       map[departureKey]departure{},
 		services:      map[string]ServiceReport{},
 		usage:         map[string]peer.Usage{},
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -16,8 +16,8 @@
 	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/folder"
 	"lacewingspoke.org/lacewingspoke/group"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/peer"
-	"lacewingspoke.org/lacewingspoke/platform"
 	"lacewingspoke.org/lacewingspoke/route"
 	"lacewingspoke.org/lacewingspoke/timer"
 )
@@ -30,7 +30,7 @@
 	Engines
 
 	sent   []peer.Frame
-	puts   []platform.PutRequest
+	puts   []kvstore.PutRequest
 	orders int
 }
 
@@ -45,13 +45,13 @@
 
 func (record *recorder) SetTargets([]peer.Target) {}
 
-func (record *recorder) List(context.Context, string) (platform.Listing, error) {
-	return platform.Listing{}, errors.New("store does not answer")
+func (record *recorder) List(context.Context, string) (kvstore.Listing, error) {
+	return kvstore.Listing{}, errors.New("store does not answer")
 }
 
-func (record *recorder) Put(_ context.Context, request platform.PutRequest) platform.PutOutcome {
+func (record *recorder) Put(_ context.Context, request kvstore.PutRequest) kvstore.PutOutcome {
 	record.puts = append(record.puts, request)
-	return platform.Written{Revision: 1}
+	return kvstore.Written{Revision: 1}
 }
 
 func (record *recorder) Report(context.Context, string) (engine.Report, error) {
@@ -116,11 +116,11 @@
 	past, future := state.now().Add(-time.Millisecond), state.now().Add(time.Hour)
 	order := group.SendOrder{VM: "vm", Order: engine.Order{ID: "o"}, Deadline: past}
 	require.Equal(test, group.OrderRefused{VM: "vm", Order: "o"}, state.sendOrder(context.Background(), order))
-	require.IsType(test, platform.Refused{}, state.putBefore(context.Background(), past, platform.PutRequest{Key: "k"}))
+	require.IsType(test, kvstore.Refused{}, state.putBefore(context.Background(), past, kvstore.PutRequest{Key: "k"}))
 	require.Zero(test, record.orders+len(record.puts))
 	order.Deadline = future
 	require.Equal(test, group.OrderAccepted{VM: "vm", Order: "o"}, state.sendOrder(context.Background(), order))
-	require.IsType(test, platform.Written{}, state.putBefore(context.Background(), future, platform.PutRequest{Key: "k"}))
+	require.IsType(test, kvstore.Written{}, state.putBefore(context.Background(), future, kvstore.PutRequest{Key: "k"}))
 }
 
 // Guards against a leader that waits for the shortest lease, 9 s, in a fleet
@@ -141,9 +141,9 @@
 func TestWritesKeepTheirCondition(test *testing.T) {
 	state, record := newTestState(test)
 	state.claimDomain(context.Background(), fleet.ClaimDomain{Domain: "fd", Key: "k", Deadline: state.now().Add(time.Hour)})
-	state.commit(context.Background(), "fd", group.Commit{Expect: platform.ExpectRevision(7)})
-	require.Equal(test, platform.ExpectAbsent(), record.puts[0].Expect)
-	require.Equal(test, platform.ExpectRevision(7), record.puts[1].Expect)
+	state.commit(context.Background(), "fd", group.Commit{Expect: kvstore.ExpectRevision(7)})
+	require.Equal(test, kvstore.ExpectAbsent(), record.puts[0].Expect)
+	require.Equal(test, kvstore.ExpectRevision(7), record.puts[1].Expect)
 }
 
 // Guards against a report of the VM that has taken over another's address.
@@ -160,13 +160,13 @@
 func TestLeavingIsSticky(test *testing.T) {
 	state, record := newTestState(test)
 	now := time.Now()
-	vm := platform.VM{Name: "vm", Incarnation: "1", FabricDomain: "fd", State: platform.VMLeaving}
-	state.handleVMs(now, []platform.VM{vm})
+	vm := kvstore.VM{Name: "vm", Incarnation: "1", FabricDomain: "fd", State: kvstore.VMLeaving}
+	state.handleVMs(now, []kvstore.VM{vm})
 	require.True(test, state.isLeaving("vm", "1"), "the list says so")
 	leaving := record.sent[len(record.sent)-1]
 	require.IsType(test, peer.Leaving{}, leaving)
-	vm.State = platform.VMLive
-	state.handleVMs(now, []platform.VM{vm})
+	vm.State = kvstore.VMLive
+	state.handleVMs(now, []kvstore.VM{vm})
 	require.True(test, state.isLeaving("vm", "1"))
 
 	record.sent = nil
@@ -174,7 +174,7 @@
 	require.Contains(test, record.sent, leaving, "a new peer is told")
 
 	vm.Incarnation = "2"
-	state.handleVMs(now, []platform.VM{vm})
+	state.handleVMs(now, []kvstore.VM{vm})
 	require.Empty(test, state.leaving)
 	state.handleFrame(now, peer.Received{From: "two", Frame: leaving})
 	require.False(test, state.isLeaving("vm", "2"), "late news of the earlier incarnation")
@@ -187,17 +187,17 @@
 	now := time.Now()
 	placement := `{"epoch":1,"groups":{"g":{"name":"g","size":1,"epoch":1}},"vms":{"vm":{"group":"g","incarnation":"2"}}}`
 	state.setPlacement(now, "fd", 1, []byte(placement))
-	lagging := platform.VM{Name: "vm", Incarnation: "1", FabricDomain: "fd", State: platform.VMLive}
-	state.handleVMs(now, []platform.VM{lagging})
+	lagging := kvstore.VM{Name: "vm", Incarnation: "1", FabricDomain: "fd", State: kvstore.VMLive}
+	state.handleVMs(now, []kvstore.VM{lagging})
 	running, found := state.targetIncarnation("vm")
 	require.True(test, found)
 	require.Equal(test, "2", running)
 	state.markLeaving(now, peer.Leaving{Target: "vm", Incarnation: running, Reason: "test"}, "")
-	lagging.State = platform.VMLeaving
-	state.handleVMs(now, []platform.VM{lagging})
+	lagging.State = kvstore.VMLeaving
+	state.handleVMs(now, []kvstore.VM{lagging})
 	require.True(test, state.isLeaving("vm", "2"), "the list says that the earlier incarnation leaves")
-	caughtUp := platform.VM{Name: "vm", Incarnation: "2", FabricDomain: "fd", State: platform.VMLive}
-	state.handleVMs(now, []platform.VM{caughtUp})
+	caughtUp := kvstore.VM{Name: "vm", Incarnation: "2", FabricDomain: "fd", State: kvstore.VMLive}
+	state.handleVMs(now, []kvstore.VM{caughtUp})
 	require.True(test, state.isLeaving("vm", "2"), "the list has caught up")
 }
 
@@ -209,7 +209,7 @@
 	state.configuration.folder = folder.New(folder.Config{Services: []folder.Service{{Name: "planks", Addresses: []folder.ServiceAddress{
 		{Address: "127.0.0.1:1"}, {Address: "127.0.0.1:2"}, {Address: "127.0.0.1:3"},
 	}}}})
-	state.handleDrainEntries(now, []platform.Entry{{Key: admin.DrainPrefix + "127.0.0.1:1", Value: []byte(`{"target":"127.0.0.1:1"}`)}})
+	state.handleDrainEntries(now, []kvstore.Entry{{Key: admin.DrainPrefix + "127.0.0.1:1", Value: []byte(`{"target":"127.0.0.1:1"}`)}})
 	state.handleService(serviceRead{address: "127.0.0.1:2", report: ServiceReport{Leaving: true}})
 	state.handleService(serviceRead{address: "127.0.0.1:2", failed: true})
 	open := map[string]bool{}
--- a/control/watch.go
+++ b/control/watch.go
@@ -11,7 +11,7 @@
 	"lacewingspoke.org/lacewingspoke/admin"
 	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/generation"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/timer"
 )
 
@@ -63,7 +63,7 @@
 
 // A watcher follows one prefix of the store.
 type watcher struct {
-	store   platform.Store
+	store   kvstore.Store
 	timers  *timer.Service
 	prefix  string
 	results chan<- message
@@ -143,7 +143,7 @@
 
 // handleEntries takes in the entries of a watched prefix and reports whether
 // the membership core follows the prefix too.
-func (state *state) handleEntries(now time.Time, prefix string, entries []platform.Entry) bool {
+func (state *state) handleEntries(now time.Time, prefix string, entries []kvstore.Entry) bool {
 	switch prefix {
 	case generation.HeadKey:
 		state.handleHeadEntries(now, entries)
@@ -157,7 +157,7 @@
 	}
 }
 
-func (state *state) handlePlacementEntries(now time.Time, entries []platform.Entry) {
+func (state *state) handlePlacementEntries(now time.Time, entries []kvstore.Entry) {
 	for _, entry := range entries {
 		name, found := strings.CutPrefix(entry.Key, fleet.DomainPrefix)
 		if !found {
--- a/entry/booking.go
+++ b/entry/booking.go
@@ -9,8 +9,8 @@
 	"github.com/juju/errors"
 
 	"lacewingspoke.org/lacewingspoke/booking"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/outcome"
-	"lacewingspoke.org/lacewingspoke/platform"
 )
 
 const (
@@ -194,18 +194,18 @@
 	return claim.ticket.AfterRead(entry, found, claim.server.config.Now())
 }
 
-func (claim *claimCalls) put(ctx context.Context, request platform.PutRequest) platform.PutOutcome {
+func (claim *claimCalls) put(ctx context.Context, request kvstore.PutRequest) kvstore.PutOutcome {
 	callCtx, cancel := context.WithTimeout(ctx, claim.server.config.StoreTimeout)
 	defer cancel()
 	return claim.server.config.Store.Put(callCtx, request)
 }
 
-func (claim *claimCalls) get(ctx context.Context) (platform.Entry, bool, error) {
+func (claim *claimCalls) get(ctx context.Context) (kvstore.Entry, bool, error) {
 	callCtx, cancel := context.WithTimeout(ctx, claim.server.config.StoreTimeout)
 	defer cancel()
 	entry, err := claim.server.config.Store.Get(callCtx, claim.ticket.Key())
 	if errors.Is(err, errors.NotFound) {
-		return platform.Entry{}, false, nil
+		return kvstore.Entry{}, false, nil
 	}
 	return entry, err == nil, err
 }
@@ -238,9 +238,9 @@
 }
 
 // finishOnce returns true when nothing is left to do.
-func (claim *claimCalls) finishOnce(ctx context.Context, request platform.PutRequest) bool {
+func (claim *claimCalls) finishOnce(ctx context.Context, request kvstore.PutRequest) bool {
 	put := claim.put(ctx, request)
-	if _, refused := put.(platform.Refused); refused {
+	if _, refused := put.(kvstore.Refused); refused {
 		claim.server.leases.drop(request.Lease)
 	}
 	step := claim.ticket.AfterFinish(put)
@@ -291,8 +291,8 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, claim.server.config.StoreTimeout)
 	defer cancel()
-	deleted := claim.server.config.Store.Delete(callCtx, claim.ticket.Key(), platform.ExpectRevision(remove.Revision))
-	if _, written := deleted.(platform.Written); written {
+	deleted := claim.server.config.Store.Delete(callCtx, claim.ticket.Key(), kvstore.ExpectRevision(remove.Revision))
+	if _, written := deleted.(kvstore.Written); written {
 		claim.count("removed")
 		return true
 	}
--- a/entry/booking_test.go
+++ b/entry/booking_test.go
@@ -15,7 +15,7 @@
 
 	"lacewingspoke.org/lacewingspoke/booking"
 	"lacewingspoke.org/lacewingspoke/entry"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 func (built *harness) book(key string) reply {
@@ -39,7 +39,7 @@
 		target := newFakeService(t)
 		built.addService(target.address())
 		built.store.replace = true
-		built.store.onPut = func(call int, request platform.PutRequest) platform.PutOutcome {
+		built.store.onPut = func(call int, request kvstore.PutRequest) kvstore.PutOutcome {
 			// Every first try of a write loses its answer.
 			if call%2 == 0 {
 				return built.store.apply(request)
@@ -47,7 +47,7 @@
 			if takesEffect {
 				built.store.apply(request)
 			}
-			return platform.Unknown{Err: errLost}
+			return kvstore.Unknown{Err: errLost}
 		}
 		first := built.book("k")
 		require.Equal(t, http.StatusCreated, first.status)
@@ -65,11 +65,11 @@
 	built := newHarness(t, func(config *entry.Config) { config.StoreTimeout = 10 * time.Millisecond })
 	target := newFakeService(t)
 	built.addService(target.address())
-	outcomes := []platform.PutOutcome{platform.Refused{Err: errLost}, platform.Unknown{Err: errLost}}
+	outcomes := []kvstore.PutOutcome{kvstore.Refused{Err: errLost}, kvstore.Unknown{Err: errLost}}
 	built.store.replace = true
 	built.store.getErr = errLost
 	for _, seen := range outcomes {
-		built.store.onPut = func(int, platform.PutRequest) platform.PutOutcome { return seen }
+		built.store.onPut = func(int, kvstore.PutRequest) kvstore.PutOutcome { return seen }
 		got := built.do(http.MethodPost, "/bookings", "", map[string]string{
 			"Idempotency-Key": "k", "Lacewingspoke-Deadline": "150ms",
 		})
@@ -92,7 +92,7 @@
 			Workspace: "zarnesti", IdempotencyKey: key, Node: "entry-2", Attempt: "attempt-of-entry-2",
 			RequestDigest: booking.RequestDigest(http.MethodPost, "/bookings", []byte(`{"plank":"a"}`)), Validity: validity,
 		}, time.Now())
-		require.IsType(t, platform.Written{}, built.store.apply(dead.CreateRequest()))
+		require.IsType(t, kvstore.Written{}, built.store.apply(dead.CreateRequest()))
 	}
 	claim("before expiry", time.Hour)
 	got := built.book("before expiry")
@@ -122,7 +122,7 @@
 	})
 	target := newFakeService(t)
 	built.addService(target.address())
-	built.store.onPut = func(int, platform.PutRequest) platform.PutOutcome {
+	built.store.onPut = func(int, kvstore.PutRequest) kvstore.PutOutcome {
 		paused.Store(int64(time.Hour))
 		return nil
 	}
@@ -220,9 +220,9 @@
 	require.Equal(t, "lease-1-25h0m0s", built.store.entries[key("a")].Lease)
 	require.Equal(t, "lease-1-25h0m0s", built.store.entries[key("b")].Lease)
 	built.store.replace = true
-	built.store.onPut = func(_ int, request platform.PutRequest) platform.PutOutcome {
+	built.store.onPut = func(_ int, request kvstore.PutRequest) kvstore.PutOutcome {
 		if request.Lease != "" {
-			return platform.Refused{Err: errLost}
+			return kvstore.Refused{Err: errLost}
 		}
 		return built.store.apply(request)
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -61,9 +61,9 @@
 
 	"lacewingspoke.org/lacewingspoke/engine"
 	"lacewingspoke.org/lacewingspoke/folder"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/outcome"
-	"lacewingspoke.org/lacewingspoke/platform"
 	"lacewingspoke.org/lacewingspoke/route"
 	"lacewingspoke.org/lacewingspoke/service"
 )
@@ -91,7 +91,7 @@
 	Publisher *route.Publisher
 
 	// Store holds claims. Without a store, keyed bookings are refused.
-	Store         platform.Store
+	Store         kvstore.Store
 	Node          string
 	FailureDomain string
 
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -23,7 +23,7 @@
 	"lacewingspoke.org/lacewingspoke/entry"
 	"lacewingspoke.org/lacewingspoke/folder"
 	"lacewingspoke.org/lacewingspoke/group"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/route"
 )
 
@@ -128,37 +128,37 @@
 
 // A fakeStore keeps keys in memory. Hooks change what a caller sees.
 type fakeStore struct {
-	platform.Store
+	kvstore.Store
 
 	mutex    sync.Mutex
-	entries  map[string]platform.Entry
+	entries  map[string]kvstore.Entry
 	revision uint64
 	puts     int
 	grants   int
 
 	// onPut runs after the write took effect, or in its place when replace is
 	// true, and its outcome is returned unless it is nil.
-	onPut   func(call int, request platform.PutRequest) platform.PutOutcome
+	onPut   func(call int, request kvstore.PutRequest) kvstore.PutOutcome
 	replace bool
 	getErr  error
 }
 
-func newFakeStore() *fakeStore { return &fakeStore{entries: map[string]platform.Entry{}} }
+func newFakeStore() *fakeStore { return &fakeStore{entries: map[string]kvstore.Entry{}} }
 
-func (store *fakeStore) Get(_ context.Context, key string) (platform.Entry, error) {
+func (store *fakeStore) Get(_ context.Context, key string) (kvstore.Entry, error) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	if store.getErr != nil {
-		return platform.Entry{}, store.getErr
+		return kvstore.Entry{}, store.getErr
 	}
 	found, exists := store.entries[key]
 	if !exists {
-		return platform.Entry{}, errors.NotFoundf("key %q", key)
+		return kvstore.Entry{}, errors.NotFoundf("key %q", key)
 	}
 	return found, nil
 }
 
-func (store *fakeStore) Put(_ context.Context, request platform.PutRequest) platform.PutOutcome {
+func (store *fakeStore) Put(_ context.Context, request kvstore.PutRequest) kvstore.PutOutcome {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	store.puts++
@@ -181,24 +181,24 @@
 	return fmt.Sprintf("lease-%d-%s", store.grants, ttl), nil
 }
 
-func (store *fakeStore) apply(request platform.PutRequest) platform.PutOutcome {
+func (store *fakeStore) apply(request kvstore.PutRequest) kvstore.PutOutcome {
 	current := store.entries[request.Key].Revision
 	if !request.Expect.Any() && request.Expect.Revision() != current {
-		return platform.Conflict{Revision: current}
+		return kvstore.Conflict{Revision: current}
 	}
 	store.revision++
-	store.entries[request.Key] = platform.Entry{Key: request.Key, Value: request.Value, Revision: store.revision, Lease: request.Lease}
-	return platform.Written{Revision: store.revision}
+	store.entries[request.Key] = kvstore.Entry{Key: request.Key, Value: request.Value, Revision: store.revision, Lease: request.Lease}
+	return kvstore.Written{Revision: store.revision}
 }
 
-func (store *fakeStore) Delete(_ context.Context, key string, expect platform.Expect) platform.PutOutcome {
+func (store *fakeStore) Delete(_ context.Context, key string, expect kvstore.Expect) kvstore.PutOutcome {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	if store.entries[key].Revision != expect.Revision() {
-		return platform.Conflict{Revision: store.entries[key].Revision}
+		return kvstore.Conflict{Revision: store.entries[key].Revision}
 	}
 	delete(store.entries, key)
-	return platform.Written{}
+	return kvstore.Written{}
 }
 
 // A harness is one node with its table.
--- a/entry/random_test.go
+++ b/entry/random_test.go
@@ -14,7 +14,7 @@
 
 	"lacewingspoke.org/lacewingspoke/engine"
 	"lacewingspoke.org/lacewingspoke/entry"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 const (
@@ -176,15 +176,15 @@
 		built.addService(target.address())
 	}
 	built.store.replace = true
-	built.store.onPut = func(_ int, request platform.PutRequest) platform.PutOutcome {
+	built.store.onPut = func(_ int, request kvstore.PutRequest) kvstore.PutOutcome {
 		switch dice.roll(6) {
 		case 0:
-			return platform.Unknown{Err: errLost}
+			return kvstore.Unknown{Err: errLost}
 		case 1:
 			built.store.apply(request)
-			return platform.Unknown{Err: errLost}
+			return kvstore.Unknown{Err: errLost}
 		case 2:
-			return platform.Refused{Err: errLost}
+			return kvstore.Refused{Err: errLost}
 		default:
 			return built.store.apply(request)
 		}
--- a/entry/trace_test.go
+++ b/entry/trace_test.go
@@ -20,7 +20,7 @@
 
 	"lacewingspoke.org/lacewingspoke/engine"
 	"lacewingspoke.org/lacewingspoke/entry"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // update rewrites the golden file with what the replay showed.
@@ -263,9 +263,9 @@
 
 // put is the fault of the store at a claim: "claim" loses the answers of all
 // first writes of a key after they took effect.
-func (run *replay) put(_ int, request platform.PutRequest) platform.PutOutcome {
+func (run *replay) put(_ int, request kvstore.PutRequest) kvstore.PutOutcome {
 	if strings.Contains(string(request.Value), `"route":"bookings"`) && run.faulty(request.Key) {
-		return platform.Unknown{Err: errLost}
+		return kvstore.Unknown{Err: errLost}
 	}
 	return nil
 }
@@ -327,7 +327,7 @@
 	run.store.onPut = run.put
 	if down {
 		run.store.getErr = errLost
-		run.store.onPut = func(int, platform.PutRequest) platform.PutOutcome { return platform.Unknown{Err: errLost} }
+		run.store.onPut = func(int, kvstore.PutRequest) kvstore.PutOutcome { return kvstore.Unknown{Err: errLost} }
 	}
 }
 
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // An Event is something that the node learned about the fleet.
@@ -18,7 +18,7 @@
 type KeysListed struct {
 	Prefix   string
 	Revision uint64
-	Entries  []platform.Entry
+	Entries  []kvstore.Entry
 }
 
 // ListFailed says that a ListNodes effect got no answer.
@@ -28,7 +28,7 @@
 // are ignored.
 type KeysChanged struct {
 	Revision uint64
-	Entries  []platform.Entry
+	Entries  []kvstore.Entry
 	Deleted  []string
 }
 
@@ -63,21 +63,21 @@
 // NodeWritten answers WriteNode.
 type NodeWritten struct {
 	Lease   string
-	Outcome platform.PutOutcome
+	Outcome kvstore.PutOutcome
 }
 
 // ClaimDone answers ClaimDomain.
 type ClaimDone struct {
 	Domain  string
 	Lease   string
-	Outcome platform.PutOutcome
+	Outcome kvstore.PutOutcome
 }
 
 // LeaderRead answers ReadLeader. Entry is the zero Entry when the key does not
 // exist. Err says that nothing was read.
 type LeaderRead struct {
 	Domain string
-	Entry  platform.Entry
+	Entry  kvstore.Entry
 	Err    error
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/standin/seed"
 )
 
@@ -159,18 +159,18 @@
 	fleet.Handle(now, KeysListed{Prefix: NodePrefix, Revision: 1})
 	fleet.Handle(now, KeysListed{Prefix: DomainPrefix, Revision: 1})
 	fleet.Handle(now, LeaseGranted{Lease: "l", TTL: 9 * time.Second, Sent: now})
-	fleet.Handle(now, NodeWritten{Lease: "l", Outcome: platform.Written{Revision: 2}})
+	fleet.Handle(now, NodeWritten{Lease: "l", Outcome: kvstore.Written{Revision: 2}})
 	effects := fleet.Handle(now.Add(settleNear), Tick{})
 	require.IsType(t, ClaimDomain{}, effects[len(effects)-1])
-	effects = fleet.Handle(now.Add(settleNear), ClaimDone{Domain: "d", Lease: "l", Outcome: platform.Written{Revision: 3}})
+	effects = fleet.Handle(now.Add(settleNear), ClaimDone{Domain: "d", Lease: "l", Outcome: kvstore.Written{Revision: 3}})
 	until := now.Add(9*time.Second - 90*time.Millisecond)
 	require.Equal(t, []Effect{LeadershipHeld{Domain: "d", Until: until}}, effects)
 	return fleet
 }
 
 // ownKey is the leader's key of leadingFleet.
-func ownKey(fleet *Fleet) platform.Entry {
-	return platform.Entry{Key: LeaderKey("d"), Value: fleet.leaderValue(), Revision: 3, Lease: "l"}
+func ownKey(fleet *Fleet) kvstore.Entry {
+	return kvstore.Entry{Key: LeaderKey("d"), Value: fleet.leaderValue(), Revision: 3, Lease: "l"}
 }
 
 // A leader that was paused past its lease must give up the domain before it
@@ -202,13 +202,13 @@
 	key := ownKey(fleet)
 	assert.Contains(t, fleet.Handle(now, LeaseMissing{Lease: "l"}), LeadershipLost{Domain: "d"})
 	fleet.Handle(now, LeaseGranted{Lease: "m", TTL: 9 * time.Second, Sent: now})
-	fleet.Handle(now, NodeWritten{Lease: "m", Outcome: platform.Written{Revision: 9}})
-	fleet.Handle(now, KeysChanged{Revision: 3, Entries: []platform.Entry{key}})
+	fleet.Handle(now, NodeWritten{Lease: "m", Outcome: kvstore.Written{Revision: 9}})
+	fleet.Handle(now, KeysChanged{Revision: 3, Entries: []kvstore.Entry{key}})
 	_, leads := fleet.Leads("d", now)
 	assert.False(t, leads)
 
 	fleet.Handle(now, LeaderRead{Domain: "d"})
-	effects := fleet.Handle(now, ClaimDone{Domain: "d", Lease: "l", Outcome: platform.Written{Revision: 3}})
+	effects := fleet.Handle(now, ClaimDone{Domain: "d", Lease: "l", Outcome: kvstore.Written{Revision: 3}})
 	_, leads = fleet.Leads("d", now)
 	assert.False(t, leads)
 	assert.Contains(t, effects, ReadLeader{Domain: "d", Key: key.Key})
@@ -220,7 +220,7 @@
 	fleet := leadingFleet(t, 1, now)
 	effects := fleet.Handle(now, KeysChanged{Revision: 5, Deleted: []string{LeaderKey("d")}})
 	assert.Equal(t, LeadershipLost{Domain: "d"}, effects[0])
-	fleet.Handle(now, KeysChanged{Revision: 3, Entries: []platform.Entry{ownKey(fleet)}})
+	fleet.Handle(now, KeysChanged{Revision: 3, Entries: []kvstore.Entry{ownKey(fleet)}})
 	_, leads := fleet.Leads("d", now)
 	assert.False(t, leads)
 }
@@ -244,7 +244,7 @@
 	assert.Equal(t, []Effect{LeadershipLost{Domain: "d"}, released}, fleet.Handle(now, Stopping{}))
 	released.Revision = 4
 	assert.Contains(t, fleet.Handle(now, ClaimDone{
-		Domain: "d", Lease: "l", Outcome: platform.Written{Revision: 4},
+		Domain: "d", Lease: "l", Outcome: kvstore.Written{Revision: 4},
 	}), released)
 	assert.Contains(t, fleet.Handle(now, Stopped{}), RevokeLease{Lease: "l"})
 	assert.Contains(t, fleet.Handle(now, LeaseGranted{Lease: "m", Sent: now}), RevokeLease{Lease: "m"})
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -8,7 +8,7 @@
 
 	"github.com/juju/errors"
 
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 const (
@@ -143,7 +143,7 @@
 // leaderSeen notes the key at its revision. One that is attached to this
 // node's lease was written by this node, perhaps by a claim whose answer was
 // lost.
-func (fleet *Fleet) leaderSeen(name string, entry platform.Entry) {
+func (fleet *Fleet) leaderSeen(name string, entry kvstore.Entry) {
 	state := fleet.domain(name)
 	if entry.Revision < state.revision || entry.Revision <= state.released {
 		return
@@ -179,13 +179,13 @@
 	state := fleet.domain(event.Domain)
 	state.claiming = false
 	switch outcome := event.Outcome.(type) {
-	case platform.Written:
+	case kvstore.Written:
 		fleet.claimed(now, event, outcome.Revision)
-	case platform.Conflict, platform.Unknown:
+	case kvstore.Conflict, kvstore.Unknown:
 		// The key may be this node's own, from a claim whose answer was lost.
 		state.state = leaderUnknown
 		state.readAt = now
-	case platform.Refused:
+	case kvstore.Refused:
 		state.failures++
 		state.tryAt = now.Add(fleet.backoff(state.failures))
 	}
@@ -200,7 +200,7 @@
 		state.readAt = now
 		return
 	}
-	fleet.leaderSeen(event.Domain, platform.Entry{
+	fleet.leaderSeen(event.Domain, kvstore.Entry{
 		Value:    fleet.leaderValue(),
 		Revision: revision,
 		Lease:    event.Lease,
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 const (
@@ -137,7 +137,7 @@
 		return
 	}
 	lease.writing = false
-	written, is := event.Outcome.(platform.Written)
+	written, is := event.Outcome.(kvstore.Written)
 	if !is {
 		// The record has no condition, so that writing it again is harmless
 		// when the first write took effect.
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -4,7 +4,7 @@
 	"strings"
 	"time"
 
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // member is a node that this node knows of.
@@ -82,7 +82,7 @@
 // before a key's revision. A result without a revision is taken as new.
 func older(key, result uint64) bool { return result == 0 || key <= result }
 
-func (fleet *Fleet) recordNode(now time.Time, name string, entry platform.Entry) {
+func (fleet *Fleet) recordNode(now time.Time, name string, entry kvstore.Entry) {
 	present, found := fleet.members[name]
 	if found && present.recorded && entry.Revision <= present.revision {
 		return
@@ -108,7 +108,7 @@
 
 // recordSelf notes this node's own record. One of another incarnation or lease
 // is overwritten: it is left from before a restart.
-func (fleet *Fleet) recordSelf(now time.Time, node Node, entry platform.Entry) {
+func (fleet *Fleet) recordSelf(now time.Time, node Node, entry kvstore.Entry) {
 	present := fleet.members[fleet.self.Name]
 	present.revision = entry.Revision
 	present.recorded = node == fleet.self
--- a/fleet/outage_test.go
+++ b/fleet/outage_test.go
@@ -12,7 +12,7 @@
 	"lacewingspoke.org/lacewingspoke/engine"
 	"lacewingspoke.org/lacewingspoke/folder"
 	"lacewingspoke.org/lacewingspoke/group"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 const (
@@ -27,7 +27,7 @@
 	t       *testing.T
 	sim     *simulation
 	adopted group.FolderAdopted
-	list    map[string][]platform.VM
+	list    map[string][]kvstore.VM
 	reports map[string]*engine.Report
 	dead    map[string]bool
 
@@ -41,7 +41,7 @@
 	run := &outage{
 		t:       t,
 		sim:     newSimulation(1),
-		list:    map[string][]platform.VM{},
+		list:    map[string][]kvstore.VM{},
 		reports: map[string]*engine.Report{},
 		dead:    map[string]bool{},
 		leaders: map[string]map[string]*group.Leader{},
@@ -62,9 +62,9 @@
 		for index := range outageSize + 1 {
 			name := fmt.Sprintf("%s-vm-%d", domain.Name, index)
 			run.reports[name] = &engine.Report{VM: name, Incarnation: "1", State: engine.StateIdle}
-			run.list[domain.Name] = append(run.list[domain.Name], platform.VM{
+			run.list[domain.Name] = append(run.list[domain.Name], kvstore.VM{
 				Name: name, Address: name, Incarnation: "1", FabricDomain: domain.Name,
-				FailureDomain: domain.FailureDomain, Accelerators: 4, State: platform.VMLive,
+				FailureDomain: domain.FailureDomain, Accelerators: 4, State: kvstore.VMLive,
 			})
 		}
 	}
@@ -125,7 +125,7 @@
 			return group.PlacementRead{Record: run.sim.entries[key].Value, Revision: run.sim.entries[key].Revision}
 		})
 	case group.Commit:
-		run.call(domain, name, leader, group.CommitDone{ID: effect.ID, Outcome: platform.Unknown{}}, func() group.Event {
+		run.call(domain, name, leader, group.CommitDone{ID: effect.ID, Outcome: kvstore.Unknown{}}, func() group.Event {
 			return group.CommitDone{ID: effect.ID, Outcome: run.swap(key, effect)}
 		})
 	case group.ReadReport:
@@ -161,13 +161,13 @@
 	})
 }
 
-func (run *outage) swap(key string, commit group.Commit) platform.PutOutcome {
+func (run *outage) swap(key string, commit group.Commit) kvstore.PutOutcome {
 	if commit.Expect.Any() || commit.Expect.Revision() != run.sim.entries[key].Revision {
-		return platform.Conflict{Revision: run.sim.entries[key].Revision}
+		return kvstore.Conflict{Revision: run.sim.entries[key].Revision}
 	}
 	run.sim.revision++
-	run.sim.entries[key] = platform.Entry{Key: key, Value: commit.Record, Revision: run.sim.revision}
-	return platform.Written{Revision: run.sim.revision}
+	run.sim.entries[key] = kvstore.Entry{Key: key, Value: commit.Record, Revision: run.sim.revision}
+	return kvstore.Written{Revision: run.sim.revision}
 }
 
 // order carries out an order that the stored record asks for; any other fails
@@ -237,7 +237,7 @@
 	run.advance(3*time.Minute, nothing)
 	domains := slices.Sorted(maps.Keys(run.leaders))
 	epochs := map[string]uint64{}
-	records := map[string]platform.Entry{}
+	records := map[string]kvstore.Entry{}
 	for _, domain := range domains {
 		epochs[domain] = run.granted(domain)
 		require.NotZero(t, epochs[domain], "%s has no group", domain)
@@ -284,7 +284,7 @@
 	}
 }
 
-func membersOf(t *testing.T, record platform.Entry, name string) []string {
+func membersOf(t *testing.T, record kvstore.Entry, name string) []string {
 	placement, err := group.DecodePlacement(record.Value)
 	require.NoError(t, err)
 	return placement.Members(name)
--- a/fleet/scale_bench_test.go
+++ b/fleet/scale_bench_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // benchLarge returns a fleet of the largest size planned for.
@@ -31,14 +31,14 @@
 	return fleet
 }
 
-func benchEntry(b *testing.B, index, incarnation int) platform.Entry {
+func benchEntry(b *testing.B, index, incarnation int) kvstore.Entry {
 	b.Helper()
 	name := fmt.Sprint("node-", index)
 	value, err := json.Marshal(Node{
 		Name: name, Incarnation: fmt.Sprint(incarnation), FailureDomain: fmt.Sprint("fd-", index%7), PeerAddress: name + ":1",
 	})
 	require.NoError(b, err)
-	return platform.Entry{Key: NodeKey(name), Value: value, Revision: uint64(incarnation)}
+	return kvstore.Entry{Key: NodeKey(name), Value: value, Revision: uint64(incarnation)}
 }
 
 // BenchmarkTick measures what passes four times a second at 730 nodes.
@@ -60,7 +60,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		incarnation++
-		fleet.Handle(now, KeysChanged{Revision: uint64(incarnation), Entries: []platform.Entry{benchEntry(b, 7, incarnation)}})
+		fleet.Handle(now, KeysChanged{Revision: uint64(incarnation), Entries: []kvstore.Entry{benchEntry(b, 7, incarnation)}})
 		now = now.Add(relayLifetime)
 		fleet.Handle(now, Tick{})
 		for index := range 181 {
--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -11,7 +11,7 @@
 	"strings"
 	"time"
 
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // simulation runs fleets against a store with leases, on one clock. Requests
@@ -31,7 +31,7 @@
 	down  bool
 	cut   map[string]bool
 
-	entries  map[string]platform.Entry
+	entries  map[string]kvstore.Entry
 	leases   map[string]simLease
 	revision uint64
 	issued   int
@@ -95,7 +95,7 @@
 		nodes:   map[string]*simNode{},
 		delay:   20 * time.Millisecond,
 		cut:     map[string]bool{},
-		entries: map[string]platform.Entry{},
+		entries: map[string]kvstore.Entry{},
 		leases:  map[string]simLease{},
 		calls:   map[int]int{},
 	}
@@ -283,12 +283,12 @@
 	case WriteNode:
 		sim.call(name, node, func() Event {
 			return NodeWritten{Lease: effect.Lease, Outcome: sim.put(effect.Key, effect.Value, effect.Lease, false)}
-		}, NodeWritten{Lease: effect.Lease, Outcome: platform.Unknown{}})
+		}, NodeWritten{Lease: effect.Lease, Outcome: kvstore.Unknown{}})
 	case ClaimDomain:
 		sim.call(name, node, func() Event {
 			outcome := sim.put(effect.Key, effect.Value, effect.Lease, true)
 			return ClaimDone{Domain: effect.Domain, Lease: effect.Lease, Outcome: outcome}
-		}, ClaimDone{Domain: effect.Domain, Lease: effect.Lease, Outcome: platform.Unknown{}})
+		}, ClaimDone{Domain: effect.Domain, Lease: effect.Lease, Outcome: kvstore.Unknown{}})
 	case ReadLeader:
 		sim.call(name, node, func() Event {
 			return LeaderRead{Domain: effect.Domain, Entry: sim.entries[effect.Key]}
@@ -331,22 +331,22 @@
 			listed.Entries = append(listed.Entries, entry)
 		}
 	}
-	slices.SortFunc(listed.Entries, func(left, right platform.Entry) int { return cmp.Compare(left.Key, right.Key) })
+	slices.SortFunc(listed.Entries, func(left, right kvstore.Entry) int { return cmp.Compare(left.Key, right.Key) })
 	return listed
 }
 
-func (sim *simulation) put(key string, value []byte, lease string, createOnly bool) platform.PutOutcome {
+func (sim *simulation) put(key string, value []byte, lease string, createOnly bool) kvstore.PutOutcome {
 	if _, found := sim.leases[lease]; !found {
-		return platform.Refused{Err: errors.New("lease")}
+		return kvstore.Refused{Err: errors.New("lease")}
 	}
 	if present, found := sim.entries[key]; found && createOnly {
-		return platform.Conflict{Revision: present.Revision}
+		return kvstore.Conflict{Revision: present.Revision}
 	}
 	sim.revision++
-	entry := platform.Entry{Key: key, Value: value, Revision: sim.revision, Lease: lease}
+	entry := kvstore.Entry{Key: key, Value: value, Revision: sim.revision, Lease: lease}
 	sim.entries[key] = entry
-	sim.changed(KeysChanged{Revision: sim.revision, Entries: []platform.Entry{entry}})
-	return platform.Written{Revision: sim.revision}
+	sim.changed(KeysChanged{Revision: sim.revision, Entries: []kvstore.Entry{entry}})
+	return kvstore.Written{Revision: sim.revision}
 }
 
 func (sim *simulation) delete(key string, revision uint64) {
--- a/folder/canonical.go
+++ b/folder/canonical.go
@@ -6,7 +6,7 @@
 
 	"github.com/juju/errors"
 
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // canonicalName is the file name in the provenance of a decoded folder.
@@ -75,14 +75,14 @@
 }
 
 // Decode reads a canonical form. It returns an errors.NotValid error for one
-// that is over platform.MaxValueBytes, or that has an unknown, missing or
+// that is over kvstore.MaxValueBytes, or that has an unknown, missing or
 // malformed key.
 //
 // The relations between keys were checked when the folder was accepted and
 // are not checked again: a node of a later release with a stricter rule must
 // be able to start with the configuration that is in force.
 func Decode(canonical []byte) (*Folder, error) {
-	if len(canonical) > platform.MaxValueBytes {
+	if len(canonical) > kvstore.MaxValueBytes {
 		return nil, errors.NotValidf("canonical folder of %d bytes", len(canonical))
 	}
 	merger := &merger{sections: map[sectionID]*mergedSection{}}
--- a/folder/folder_test.go
+++ b/folder/folder_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lacewingspoke.org/lacewingspoke/folder"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 func readDir(t *testing.T, directory string) []folder.File {
@@ -92,7 +92,7 @@
 func TestMergeSize(t *testing.T) {
 	files := append(example(t), folder.File{
 		Name: "99-large.ini",
-		Data: []byte(strings.Repeat("; padding\n", platform.MaxValueBytes/10-100)),
+		Data: []byte(strings.Repeat("; padding\n", kvstore.MaxValueBytes/10-100)),
 	})
 	merged, problems := folder.Merge(files)
 	assert.Nil(t, merged)
@@ -105,6 +105,6 @@
 func TestDecodeRejects(t *testing.T) {
 	_, err := folder.Decode([]byte("[group letters]\nsize = 2\n"))
 	assert.ErrorContains(t, err, "missing")
-	_, err = folder.Decode(make([]byte, platform.MaxValueBytes+1))
+	_, err = folder.Decode(make([]byte, kvstore.MaxValueBytes+1))
 	assert.ErrorContains(t, err, "not valid")
 }
--- a/folder/merge.go
+++ b/folder/merge.go
@@ -8,7 +8,7 @@
 	"github.com/juju/errors"
 
 	"lacewingspoke.org/lacewingspoke/inifile"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // erased is the value that erases an earlier key.
@@ -295,8 +295,8 @@
 			largest = file
 		}
 	}
-	if total > platform.MaxValueBytes {
-		text := fmt.Sprintf("stored form of %d bytes is over the store's %d", total, platform.MaxValueBytes)
+	if total > kvstore.MaxValueBytes {
+		text := fmt.Sprintf("stored form of %d bytes is over the store's %d", total, kvstore.MaxValueBytes)
 		merger.report(place{file: largest.Name, line: 1}, "file", text)
 	}
 }
--- a/generation/apply.go
+++ b/generation/apply.go
@@ -6,7 +6,7 @@
 	"github.com/juju/errors"
 
 	"lacewingspoke.org/lacewingspoke/folder"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // maxFailures is the number of store calls without an answer after which an
@@ -231,9 +231,9 @@
 	if err != nil {
 		return apply.fail(errors.Trace(err))
 	}
-	expect := platform.ExpectRevision(apply.expected)
+	expect := kvstore.ExpectRevision(apply.expected)
 	if apply.expected == 0 {
-		expect = platform.ExpectAbsent()
+		expect = kvstore.ExpectAbsent()
 	}
 	apply.phase = phaseSwapHead
 	return SwapHead{Value: value, Expect: expect, Delay: apply.delay()}
@@ -241,13 +241,13 @@
 
 func (apply *Apply) onPut(event PutDone) Step {
 	switch outcome := event.Outcome.(type) {
-	case platform.Written:
+	case kvstore.Written:
 		return apply.onWritten()
-	case platform.Conflict:
+	case kvstore.Conflict:
 		return apply.readBack()
-	case platform.Refused:
+	case kvstore.Refused:
 		return apply.retry(outcome.Err)
-	case platform.Unknown:
+	case kvstore.Unknown:
 		return apply.onUnknown(outcome.Err)
 	default:
 		return apply.fail(errors.NotSupportedf("put outcome %T", outcome))
--- a/generation/apply_test.go
+++ b/generation/apply_test.go
@@ -9,7 +9,7 @@
 
 	"lacewingspoke.org/lacewingspoke/folder"
 	"lacewingspoke.org/lacewingspoke/generation"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // fault is what happens to one store call.
@@ -52,46 +52,46 @@
 	store.revision += 2
 }
 
-func (store *fakeStore) swap(step generation.SwapHead) platform.PutOutcome {
+func (store *fakeStore) swap(step generation.SwapHead) kvstore.PutOutcome {
 	if !step.Expect.Any() && step.Expect.Revision() != store.revision {
-		return platform.Conflict{Revision: store.revision}
+		return kvstore.Conflict{Revision: store.revision}
 	}
 	head, err := generation.DecodeHead(step.Value)
 	if err != nil {
-		return platform.Refused{Err: err}
+		return kvstore.Refused{Err: err}
 	}
 	store.head = head
 	store.revision += 2
-	return platform.Written{Revision: store.revision}
+	return kvstore.Written{Revision: store.revision}
 }
 
-func (store *fakeStore) write(step generation.WriteBody) platform.PutOutcome {
+func (store *fakeStore) write(step generation.WriteBody) kvstore.PutOutcome {
 	if store.bodies[step.Key] != nil {
-		return platform.Conflict{Revision: 1}
+		return kvstore.Conflict{Revision: 1}
 	}
 	body, err := generation.DecodeBody(step.Value)
 	if err != nil {
-		return platform.Refused{Err: err}
+		return kvstore.Refused{Err: err}
 	}
 	store.bodies[step.Key] = body
-	return platform.Written{Revision: 1}
+	return kvstore.Written{Revision: 1}
 }
 
-func (store *fakeStore) put(fault fault, effect func() platform.PutOutcome) generation.Event {
+func (store *fakeStore) put(fault fault, effect func() kvstore.PutOutcome) generation.Event {
 	switch fault {
 	case faultRefused:
-		return generation.PutDone{Outcome: platform.Refused{Err: errTest}}
+		return generation.PutDone{Outcome: kvstore.Refused{Err: errTest}}
 	case faultLostAnswer:
 		effect()
-		return generation.PutDone{Outcome: platform.Unknown{Err: errTest}}
+		return generation.PutDone{Outcome: kvstore.Unknown{Err: errTest}}
 	case faultDelayed:
 		store.delayed = append(store.delayed, func() { effect() })
-		return generation.PutDone{Outcome: platform.Unknown{Err: errTest}}
+		return generation.PutDone{Outcome: kvstore.Unknown{Err: errTest}}
 	case faultLate:
 		store.late = append(store.late, func() { effect() })
-		return generation.PutDone{Outcome: platform.Unknown{Err: errTest}}
+		return generation.PutDone{Outcome: kvstore.Unknown{Err: errTest}}
 	case faultLostRequest:
-		return generation.PutDone{Outcome: platform.Unknown{Err: errTest}}
+		return generation.PutDone{Outcome: kvstore.Unknown{Err: errTest}}
 	default:
 		return generation.PutDone{Outcome: effect()}
 	}
@@ -116,9 +116,9 @@
 			return generation.BodyRead{Body: store.bodies[step.Key]}
 		}
 	case generation.WriteBody:
-		return store.put(fault, func() platform.PutOutcome { return store.write(step) })
+		return store.put(fault, func() kvstore.PutOutcome { return store.write(step) })
 	case generation.SwapHead:
-		return store.put(fault, func() platform.PutOutcome { return store.swap(step) })
+		return store.put(fault, func() kvstore.PutOutcome { return store.swap(step) })
 	}
 	store.repeated = store.repeated || fault > faultRefused
 	return generation.Failed{Err: errTest}
--- a/generation/body.go
+++ b/generation/body.go
@@ -10,7 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"lacewingspoke.org/lacewingspoke/folder"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // Bounds of the texts in a body. Together they fit into the space that
@@ -124,7 +124,7 @@
 func (body *Body) Files() []folder.File { return body.files }
 
 // Encode returns the stored form, which is compressed. It returns an
-// errors.QuotaLimitExceeded error when the body is over platform.MaxValueBytes
+// errors.QuotaLimitExceeded error when the body is over kvstore.MaxValueBytes
 // before it is compressed.
 func (body *Body) Encode() ([]byte, error) {
 	stored := storedBody{
@@ -152,7 +152,7 @@
 // digest. It returns an errors.NotValid error for a body that is malformed,
 // too large or inconsistent.
 func DecodeBody(data []byte) (*Body, error) {
-	if len(data) > platform.MaxValueBytes {
+	if len(data) > kvstore.MaxValueBytes {
 		return nil, errors.NotValidf("body of %d bytes", len(data))
 	}
 	decompressed, err := decompress(data)
--- a/generation/compress.go
+++ b/generation/compress.go
@@ -6,12 +6,12 @@
 	"github.com/juju/errors"
 	"github.com/klauspost/compress/zstd"
 
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // maxBodyBytes bounds a body before it is compressed and after it is
 // decompressed.
-const maxBodyBytes = platform.MaxValueBytes
+const maxBodyBytes = kvstore.MaxValueBytes
 
 // newEncoder returns the encoder of the process, whose tables take several
 // megabytes. Only commands that write bodies make one.
--- a/generation/generation_test.go
+++ b/generation/generation_test.go
@@ -9,7 +9,7 @@
 
 	"lacewingspoke.org/lacewingspoke/folder"
 	"lacewingspoke.org/lacewingspoke/generation"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 var testTime = time.Date(2026, 12, 4, 9, 30, 0, 0, time.UTC)
@@ -73,7 +73,7 @@
 		_, err = generation.DecodeBody(data[:index])
 		assert.Error(t, err, "cut at %d", index)
 	}
-	_, err = generation.DecodeBody(make([]byte, platform.MaxValueBytes+1))
+	_, err = generation.DecodeBody(make([]byte, kvstore.MaxValueBytes+1))
 	assert.Error(t, err)
 }
 
--- a/generation/step.go
+++ b/generation/step.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // A Step is what the caller of Apply does next. It is ReadHead, ReadBody,
@@ -29,7 +29,7 @@
 // SwapHead writes HeadKey under the condition. It is answered by PutDone.
 type SwapHead struct {
 	Value  []byte
-	Expect platform.Expect
+	Expect kvstore.Expect
 	Delay  time.Duration
 }
 
@@ -59,7 +59,7 @@
 type Failed struct{ Err error }
 
 // PutDone is the result of a write.
-type PutDone struct{ Outcome platform.PutOutcome }
+type PutDone struct{ Outcome kvstore.PutOutcome }
 
 func (HeadRead) event() {}
 func (BodyRead) event() {}
--- a/group/commit.go
+++ b/group/commit.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // A pendingCommit is the one write whose outcome is not known yet.
@@ -121,12 +121,12 @@
 		return nil
 	}
 	switch outcome := done.Outcome.(type) {
-	case platform.Written:
+	case kvstore.Written:
 		return leader.committed(now, outcome.Revision)
-	case platform.Refused:
+	case kvstore.Refused:
 		leader.commit = pendingCommit{}
 		leader.retryAt = now.Add(commitRetry)
-	case platform.Conflict, platform.Unknown:
+	case kvstore.Conflict, kvstore.Unknown:
 		leader.reread()
 	}
 	return nil
@@ -165,7 +165,7 @@
 		if _, found := leader.members[name]; found {
 			continue
 		}
-		leader.addMember(now, platform.VM{
+		leader.addMember(now, kvstore.VM{
 			Name:          name,
 			Address:       assignment.Address,
 			Incarnation:   assignment.Incarnation,
--- a/group/effect.go
+++ b/group/effect.go
@@ -5,7 +5,7 @@
 
 	"lacewingspoke.org/lacewingspoke/engine"
 	"lacewingspoke.org/lacewingspoke/folder"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // An Event is something that the leader of a fabric domain learned.
@@ -38,7 +38,7 @@
 // CommitDone is the outcome of a Commit.
 type CommitDone struct {
 	ID      string
-	Outcome platform.PutOutcome
+	Outcome kvstore.PutOutcome
 }
 
 // Observe makes a node that does not lead the domain publish grants for a
@@ -78,7 +78,7 @@
 }
 
 // VMsListed is the platform's list of the domain's VMs.
-type VMsListed struct{ VMs []platform.VM }
+type VMsListed struct{ VMs []kvstore.VM }
 
 // FolderAdopted carries a new configuration.
 type FolderAdopted struct {
@@ -160,7 +160,7 @@
 type Commit struct {
 	ID     string
 	Record []byte
-	Expect platform.Expect
+	Expect kvstore.Expect
 }
 
 // ReadReport asks for the report of one VM within the timeout.
--- a/group/example_test.go
+++ b/group/example_test.go
@@ -6,7 +6,7 @@
 
 	"lacewingspoke.org/lacewingspoke/folder"
 	"lacewingspoke.org/lacewingspoke/group"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 func ExampleLeader() {
@@ -24,7 +24,7 @@
 	commit := effects[0].(group.Commit)
 	fmt.Printf("%T %s\n", commit, commit.ID)
 
-	leader.Handle(now, group.CommitDone{ID: commit.ID, Outcome: platform.Written{Revision: 1}})
+	leader.Handle(now, group.CommitDone{ID: commit.ID, Outcome: kvstore.Written{Revision: 1}})
 	fmt.Println(leader.Leading(), leader.Placement().Fence())
 	// Output:
 	// group.ReadPlacement
--- a/group/invariant_test.go
+++ b/group/invariant_test.go
@@ -13,7 +13,7 @@
 
 	"lacewingspoke.org/lacewingspoke/engine"
 	"lacewingspoke.org/lacewingspoke/folder"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // TestMain fixes the seed and the length of the random runs unless the command
@@ -99,7 +99,7 @@
 	nodes    []*chaosNode
 	engines  map[string]*chaosEngine
 	flying   []*chaosOrder
-	list     []platform.VM
+	list     []kvstore.VM
 	record   []byte
 	fence    uint64
 	revision uint64
@@ -135,7 +135,7 @@
 	for index := range chaosVMs {
 		name := fmt.Sprintf("vm-%d", index)
 		world.engines[name] = &chaosEngine{report: engine.Report{VM: name, Incarnation: "0", State: engine.StateIdle}}
-		world.list = append(world.list, platform.VM{Name: name, Address: name, Incarnation: "0", FabricDomain: "fd", FailureDomain: "f", Accelerators: 1, State: platform.VMLive})
+		world.list = append(world.list, kvstore.VM{Name: name, Address: name, Incarnation: "0", FabricDomain: "fd", FailureDomain: "f", Accelerators: 1, State: kvstore.VMLive})
 	}
 	for index := range 2 {
 		node := &chaosNode{leader: NewLeader(LeaderConfig{Domain: "fd", Node: fmt.Sprintf("n%d", index), Incarnation: "i", LeaseDuration: chaosLease})}
@@ -215,7 +215,7 @@
 // commit applies the write at once or later or never, with or without an
 // answer.
 func (world *chaos) commit(t *rapid.T, node *chaosNode, commit Commit) {
-	done := CommitDone{ID: commit.ID, Outcome: platform.Unknown{}}
+	done := CommitDone{ID: commit.ID, Outcome: kvstore.Unknown{}}
 	switch rapid.IntRange(0, 11).Draw(t, "commit") {
 	case 0:
 		world.apply(t, commit)
@@ -223,11 +223,11 @@
 		world.late = append(world.late, commit)
 	case 2:
 	case 3:
-		done.Outcome = platform.Refused{}
+		done.Outcome = kvstore.Refused{}
 	default:
-		done.Outcome = platform.Conflict{Revision: world.revision}
+		done.Outcome = kvstore.Conflict{Revision: world.revision}
 		if world.apply(t, commit) {
-			done.Outcome = platform.Written{Revision: world.revision}
+			done.Outcome = kvstore.Written{Revision: world.revision}
 		}
 	}
 	node.inbox = append(node.inbox, done)
--- a/group/leader.go
+++ b/group/leader.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"lacewingspoke.org/lacewingspoke/folder"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // LeaderConfig names the leader of one fabric domain.
@@ -367,9 +367,9 @@
 	return leader.config.Node + "/" + leader.config.Incarnation
 }
 
-func (leader *Leader) expect() platform.Expect {
+func (leader *Leader) expect() kvstore.Expect {
 	if leader.revision == 0 {
-		return platform.ExpectAbsent()
+		return kvstore.ExpectAbsent()
 	}
-	return platform.ExpectRevision(leader.revision)
+	return kvstore.ExpectRevision(leader.revision)
 }
--- a/group/leader_test.go
+++ b/group/leader_test.go
@@ -9,7 +9,7 @@
 
 	"lacewingspoke.org/lacewingspoke/engine"
 	"lacewingspoke.org/lacewingspoke/folder"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // A testEngine takes every order at once and loads within loadTime.
@@ -30,7 +30,7 @@
 	record   []byte
 	revision uint64
 	engines  map[string]*testEngine
-	list     []platform.VM
+	list     []kvstore.VM
 	grants   []GroupGrant
 	orders   []SendOrder
 	commits  int
@@ -75,9 +75,9 @@
 	for index := range vms {
 		name := fmt.Sprintf("vm-%02d", index)
 		domain.engines[name] = &testEngine{report: engine.Report{VM: name, Incarnation: "a", State: engine.StateIdle}}
-		domain.list = append(domain.list, platform.VM{
+		domain.list = append(domain.list, kvstore.VM{
 			Name: name, Address: "127.0.0.1:" + name[3:], Incarnation: "a", FabricDomain: "fd",
-			FailureDomain: "fail-1", Accelerators: 4, State: platform.VMLive,
+			FailureDomain: "fail-1", Accelerators: 4, State: kvstore.VMLive,
 		})
 	}
 	domain.send(adopted)
@@ -111,13 +111,13 @@
 func (domain *testDomain) commit(effect Commit) Event {
 	domain.commits++
 	if domain.refuse {
-		return CommitDone{ID: effect.ID, Outcome: platform.Refused{}}
+		return CommitDone{ID: effect.ID, Outcome: kvstore.Refused{}}
 	}
-	done := CommitDone{ID: effect.ID, Outcome: platform.Conflict{Revision: domain.revision}}
+	done := CommitDone{ID: effect.ID, Outcome: kvstore.Conflict{Revision: domain.revision}}
 	if effect.Expect.Revision() == domain.revision {
 		domain.revision++
 		domain.record = effect.Record
-		done.Outcome = platform.Written{Revision: domain.revision}
+		done.Outcome = kvstore.Written{Revision: domain.revision}
 	}
 	if domain.answer != nil {
 		done = domain.answer(done)
@@ -263,7 +263,7 @@
 	domain.until(20*time.Second, domain.granted(2))
 	commits := domain.commits
 	lose := func(done CommitDone) CommitDone {
-		return CommitDone{ID: done.ID, Outcome: platform.Unknown{}}
+		return CommitDone{ID: done.ID, Outcome: kvstore.Unknown{}}
 	}
 	domain.answer = lose
 	domain.engines["vm-01"].dead = true
@@ -278,7 +278,7 @@
 func TestLeaderResolvesLostTakeover(test *testing.T) {
 	domain := newTestDomain(test, 9, testFolder(2))
 	domain.answer = func(done CommitDone) CommitDone {
-		return CommitDone{ID: done.ID, Outcome: platform.Unknown{}}
+		return CommitDone{ID: done.ID, Outcome: kvstore.Unknown{}}
 	}
 	domain.until(20*time.Second, domain.granted(2))
 	require.Equal(test, uint64(1), domain.leader.Placement().Fence())
--- a/group/member.go
+++ b/group/member.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"lacewingspoke.org/lacewingspoke/engine"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // Bounds of what the leader concludes from reports.
@@ -27,7 +27,7 @@
 
 // A member is what the leader knows of one VM.
 type member struct {
-	vm platform.VM
+	vm kvstore.VM
 
 	// listed is false when the VM is no longer in the platform's list.
 	listed bool
@@ -141,7 +141,7 @@
 // noteList takes the platform's list. A list that loses at least half of the
 // known VMs at once is not believed about the absent ones: they stay listed
 // as long as they report.
-func (leader *Leader) noteList(now time.Time, list []platform.VM) {
+func (leader *Leader) noteList(now time.Time, list []kvstore.VM) {
 	present := map[string]bool{}
 	for _, vm := range list {
 		present[vm.Name] = true
@@ -193,22 +193,22 @@
 // one time is taken for a fault of the list or of the whole domain.
 const largeShareDivisor = 2
 
-func (leader *Leader) noteListed(now time.Time, listed platform.VM) {
+func (leader *Leader) noteListed(now time.Time, listed kvstore.VM) {
 	vm, found := leader.members[listed.Name]
 	if !found {
 		vm = leader.addMember(now, listed)
 	}
-	if listed.State == platform.VMLeaving {
+	if listed.State == kvstore.VMLeaving {
 		vm.noteDeparture(listed.Incarnation)
 	}
-	if vm.vm != listed || !vm.listed || listed.State == platform.VMLeaving {
+	if vm.vm != listed || !vm.listed || listed.State == kvstore.VMLeaving {
 		leader.dirty = true
 	}
 	vm.vm = listed
 	vm.listed = true
 }
 
-func (leader *Leader) addMember(now time.Time, listed platform.VM) *member {
+func (leader *Leader) addMember(now time.Time, listed kvstore.VM) *member {
 	vm := &member{vm: listed, since: now, nextRead: now}
 	leader.members[listed.Name] = vm
 	leader.names = nil
--- a/group/placement.go
+++ b/group/placement.go
@@ -7,7 +7,7 @@
 
 	"github.com/juju/errors"
 
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // A Placement is the record of one fabric domain: every VM mapped to at most
@@ -80,7 +80,7 @@
 // DecodePlacement reads a stored record. It returns an errors.NotValid error
 // for a record that is malformed or that breaks an invariant.
 func DecodePlacement(record []byte) (*Placement, error) {
-	if len(record) > platform.MaxValueBytes {
+	if len(record) > kvstore.MaxValueBytes {
 		return nil, errors.NotValidf("placement record of %d bytes", len(record))
 	}
 	var stored placementRecord
--- a/platform/platform.go
+++ b/kvstore/kvstore.go
@@ -1,4 +1,4 @@
-// Package platform is the client for what the platform provides: its
+// Package kvstore is the client for what the platform provides: its
 // key-value store, its list of VMs and its weight store.
 //
 // The wire format lives only in this package. Other packages use the Store
@@ -11,7 +11,7 @@
 //
 // # Usage
 //
-//	client, err := platform.NewClient(platform.ClientConfig{
+//	client, err := kvstore.NewClient(kvstore.ClientConfig{
 //		Addresses: []string{"10.0.0.1:80", "10.0.0.2:80"},
 //		Timeout:   2 * time.Second,
 //	})
@@ -20,9 +20,9 @@
 //	}
 //	defer client.Close()
 //	switch outcome := client.Put(ctx, request).(type) {
-//	case platform.Written:
+//	case kvstore.Written:
 //		use(outcome.Revision)
-//	case platform.Unknown:
+//	case kvstore.Unknown:
 //		readBack(request.Key)
 //	}
-package platform
+package kvstore
--- a/platform/store.go
+++ b/kvstore/store.go
@@ -1,4 +1,4 @@
-package platform
+package kvstore
 
 import (
 	"context"
--- a/operator/apply.go
+++ b/operator/apply.go
@@ -10,7 +10,7 @@
 	"github.com/juju/errors"
 
 	"lacewingspoke.org/lacewingspoke/generation"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // pollInterval is the time between two surveys of a wait. Each survey reads
@@ -117,7 +117,7 @@
 			step = apply.Next(operator.readBody(ctx, current.Key))
 		case generation.WriteBody:
 			operator.pause(ctx, current.Delay)
-			step = apply.Next(operator.put(ctx, current.Key, current.Value, platform.ExpectAbsent()))
+			step = apply.Next(operator.put(ctx, current.Key, current.Value, kvstore.ExpectAbsent()))
 		case generation.SwapHead:
 			operator.pause(ctx, current.Delay)
 			step = apply.Next(operator.put(ctx, generation.HeadKey, current.Value, current.Expect))
@@ -175,8 +175,8 @@
 	return body, errors.Trace(err)
 }
 
-func (operator *Operator) put(ctx context.Context, key string, value []byte, expect platform.Expect) generation.Event {
-	outcome := operator.store.Put(ctx, platform.PutRequest{Key: key, Value: value, Expect: expect})
+func (operator *Operator) put(ctx context.Context, key string, value []byte, expect kvstore.Expect) generation.Event {
+	outcome := operator.store.Put(ctx, kvstore.PutRequest{Key: key, Value: value, Expect: expect})
 	return generation.PutDone{Outcome: outcome}
 }
 
--- a/operator/archive.go
+++ b/operator/archive.go
@@ -11,7 +11,7 @@
 	"github.com/juju/errors"
 
 	"lacewingspoke.org/lacewingspoke/generation"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // archivedKey is the store key that says up to which generation bodies were
@@ -95,11 +95,11 @@
 	// The oldest goes first: the rest stays reachable from the head.
 	for index := len(heads) - 1; index >= 0; index-- {
 		key := heads[index].BodyKey()
-		switch outcome := operator.store.Delete(ctx, key, platform.ExpectAny()).(type) {
-		case platform.Written:
-		case platform.Refused:
+		switch outcome := operator.store.Delete(ctx, key, kvstore.ExpectAny()).(type) {
+		case kvstore.Written:
+		case kvstore.Refused:
 			return errors.Annotate(outcome.Err, key)
-		case platform.Unknown:
+		case kvstore.Unknown:
 			return errors.Annotatef(outcome.Err, "%s may be removed or not; run the command again", key)
 		}
 	}
@@ -133,12 +133,12 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	switch outcome := operator.store.Put(ctx, platform.PutRequest{Key: archivedKey, Value: value, Expect: platform.ExpectAny()}).(type) {
-	case platform.Written:
+	switch outcome := operator.store.Put(ctx, kvstore.PutRequest{Key: archivedKey, Value: value, Expect: kvstore.ExpectAny()}).(type) {
+	case kvstore.Written:
 		return nil
-	case platform.Refused:
+	case kvstore.Refused:
 		return errors.Trace(outcome.Err)
-	case platform.Unknown:
+	case kvstore.Unknown:
 		return errors.Annotate(outcome.Err, "not known whether it was written; run the command again")
 	default:
 		return errors.NotSupportedf("outcome %T", outcome)
--- a/operator/archive_test.go
+++ b/operator/archive_test.go
@@ -13,13 +13,13 @@
 
 	"lacewingspoke.org/lacewingspoke/folder"
 	"lacewingspoke.org/lacewingspoke/generation"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/standin/store"
 	"lacewingspoke.org/lacewingspoke/timer"
 )
 
 // storeGenerations writes a chain of bodies and their head.
-func storeGenerations(t *testing.T, client *platform.Client, count uint64) {
+func storeGenerations(t *testing.T, client *kvstore.Client, count uint64) {
 	merged, problems := folder.Merge([]folder.File{{Name: "10-base.ini", Data: []byte("[policy]\nretry-percent = 10\n")}})
 	require.Empty(t, problems)
 	base := generation.Head{}
@@ -32,11 +32,11 @@
 		base = body.Head()
 		data, err := body.Encode()
 		require.NoError(t, err)
-		client.Put(context.Background(), platform.PutRequest{Key: base.BodyKey(), Value: data, Expect: platform.ExpectAbsent()})
+		client.Put(context.Background(), kvstore.PutRequest{Key: base.BodyKey(), Value: data, Expect: kvstore.ExpectAbsent()})
 	}
 	head, err := base.Encode()
 	require.NoError(t, err)
-	client.Put(context.Background(), platform.PutRequest{Key: generation.HeadKey, Value: head, Expect: platform.ExpectAbsent()})
+	client.Put(context.Background(), kvstore.PutRequest{Key: generation.HeadKey, Value: head, Expect: kvstore.ExpectAbsent()})
 }
 
 // Guards against audit entries that are removed without a file, against an
@@ -44,7 +44,7 @@
 func TestArchive(t *testing.T) {
 	server := httptest.NewServer(store.New(store.Config{}))
 	t.Cleanup(server.Close)
-	client, err := platform.NewClient(platform.ClientConfig{Addresses: []string{server.Listener.Addr().String()}, Timeout: time.Second})
+	client, err := kvstore.NewClient(kvstore.ClientConfig{Addresses: []string{server.Listener.Addr().String()}, Timeout: time.Second})
 	require.NoError(t, err)
 	t.Cleanup(client.Close)
 	storeGenerations(t, client, MinimumKept+3)
--- a/operator/booking.go
+++ b/operator/booking.go
@@ -7,7 +7,7 @@
 	"github.com/juju/errors"
 
 	"lacewingspoke.org/lacewingspoke/booking"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // maxSettleRounds bounds the reads and writes of one settlement.
@@ -96,7 +96,7 @@
 
 // settle decides about the claim as it was read. Done is false when another
 // round is needed.
-func (settler *settler) settle(ctx context.Context, entry platform.Entry) (code ExitCode, done bool) {
+func (settler *settler) settle(ctx context.Context, entry kvstore.Entry) (code ExitCode, done bool) {
 	claim, err := booking.Decode(entry.Value)
 	if err != nil {
 		settler.operator.warn("not settled: %v", err)
@@ -110,25 +110,25 @@
 		settler.operator.warn("not settled: %v", err)
 		return ExitRejected, true
 	}
-	outcome := settler.operator.store.Put(ctx, platform.PutRequest{
+	outcome := settler.operator.store.Put(ctx, kvstore.PutRequest{
 		Key:    settler.key,
 		Value:  settled.Encode(),
-		Expect: platform.ExpectRevision(entry.Revision),
+		Expect: kvstore.ExpectRevision(entry.Revision),
 	})
 	return settler.afterPut(outcome)
 }
 
-func (settler *settler) afterPut(outcome platform.PutOutcome) (code ExitCode, done bool) {
+func (settler *settler) afterPut(outcome kvstore.PutOutcome) (code ExitCode, done bool) {
 	switch outcome := outcome.(type) {
-	case platform.Written:
+	case kvstore.Written:
 		settler.operator.print("settled: %s", ranText(settler.decision.Ran))
 		return ExitDone, true
-	case platform.Unknown:
+	case kvstore.Unknown:
 		settler.uncertain = true
 		settler.lastErr = outcome.Err
-	case platform.Refused:
+	case kvstore.Refused:
 		settler.lastErr = outcome.Err
-	case platform.Conflict:
+	case kvstore.Conflict:
 		settler.lastErr = errors.Errorf("claim changed to revision %d", outcome.Revision)
 	}
 	return ExitFailed, false
--- a/operator/check.go
+++ b/operator/check.go
@@ -8,7 +8,7 @@
 
 	"lacewingspoke.org/lacewingspoke/folder"
 	"lacewingspoke.org/lacewingspoke/inifile"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // fileExtension selects the files of an operators' folder, so that an
@@ -88,8 +88,8 @@
 		return nil, errors.Trace(err)
 	}
 	*total += info.Size()
-	if *total > platform.MaxValueBytes {
-		return nil, errors.Errorf("brings the folder to %d bytes, over the store's %d", *total, platform.MaxValueBytes)
+	if *total > kvstore.MaxValueBytes {
+		return nil, errors.Errorf("brings the folder to %d bytes, over the store's %d", *total, kvstore.MaxValueBytes)
 	}
 	data, err := os.ReadFile(path)
 	return data, errors.Trace(err)
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -27,7 +27,7 @@
 	"time"
 
 	"lacewingspoke.org/lacewingspoke/httpsend"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/timer"
 )
 
@@ -57,7 +57,7 @@
 // Config holds what an Operator needs.
 type Config struct {
 	// Store is nil when no store is given.
-	Store platform.Store
+	Store kvstore.Store
 
 	// Nodes are admin addresses, IP:port, in addition to those in the store.
 	Nodes  []string
@@ -68,7 +68,7 @@
 
 // An Operator carries out commands.
 type Operator struct {
-	store  platform.Store
+	store  kvstore.Store
 	nodes  []string
 	timers *timer.Service
 	caller *httpsend.Caller
--- a/replay/world.go
+++ b/replay/world.go
@@ -7,12 +7,12 @@
 	"lacewingspoke.org/lacewingspoke/engine"
 	"lacewingspoke.org/lacewingspoke/folder"
 	"lacewingspoke.org/lacewingspoke/group"
-	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // A runner is the simulated engine of one VM.
 type runner struct {
-	vm      platform.VM
+	vm      kvstore.VM
 	report  engine.Report
 	readyAt time.Duration
 	starts  int
@@ -80,9 +80,9 @@
 	for index := range domain.VMs {
 		name := domain.vmName(index)
 		site.names = append(site.names, name)
-		site.runners[name] = &runner{vm: platform.VM{
+		site.runners[name] = &runner{vm: kvstore.VM{
 			Name: name, Address: name, FabricDomain: domain.Name, FailureDomain: domain.FailureDomain,
-			Accelerators: domain.Accelerators, State: platform.VMLive,
+			Accelerators: domain.Accelerators, State: kvstore.VMLive,
 		}}
 		site.runners[name].start()
 	}
@@ -172,14 +172,14 @@
 
 func (world *world) commit(site *site, commit group.Commit) group.Event {
 	if commit.Expect.Revision() != site.revision {
-		return group.CommitDone{ID: commit.ID, Outcome: platform.Conflict{Revision: site.revision}}
+		return group.CommitDone{ID: commit.ID, Outcome: kvstore.Conflict{Revision: site.revision}}
 	}
 	site.revision++
 	site.record = commit.Record
 	if world.elapsed > warmUp {
 		world.result.Commits++
 	}
-	return group.CommitDone{ID: commit.ID, Outcome: platform.Written{Revision: site.revision}}
+	return group.CommitDone{ID: commit.ID, Outcome: kvstore.Written{Revision: site.revision}}
 }
 
 func (world *world) read(runner *runner) group.Event {
@@ -252,7 +252,7 @@
 	if world.elapsed < world.listEmpty {
 		return group.VMsListed{}
 	}
-	var vms []platform.VM
+	var vms []kvstore.VM
 	for _, name := range site.names {
 		if runner := site.runners[name]; runner.listed(world.elapsed) {
 			vms = append(vms, runner.vm)
