--- a/admin/admin.go
+++ b/admin/admin.go
@@ -132,6 +132,14 @@
 	writeJSON(writer, http.StatusOK, healthBody{Healthy: true})
 }
 
+// ReadyHandler returns a handler that answers whether the node should receive
+// callers, for an address that others than operators can reach.
+func (server *Server) ReadyHandler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/ready", server.serveHealth).Methods(http.MethodGet)
+	return router
+}
+
 type healthBody struct {
 	Healthy bool `json:"healthy"`
 }
--- a/cmd/lacewingspoke/daemon.go
+++ b/cmd/lacewingspoke/daemon.go
@@ -13,8 +13,8 @@
 
 	"lacewingspoke.org/lacewingspoke/admin"
 	"lacewingspoke.org/lacewingspoke/control"
-	"lacewingspoke.org/lacewingspoke/entry"
 	"lacewingspoke.org/lacewingspoke/peer"
+	"lacewingspoke.org/lacewingspoke/platform"
 	"lacewingspoke.org/lacewingspoke/settings"
 	"lacewingspoke.org/lacewingspoke/timer"
 )
@@ -37,10 +37,16 @@
 	timers     *timer.Service
 	mesh       *peer.Mesh
 	controller *control.Controller
-	entry      *entry.Server
+	traffic    callerTraffic
 	callers    *http.Server
 	admin      *http.Server
 
+	// ready answers the health check alone; nil without an address for it.
+	ready *http.Server
+
+	// feed is nil where nothing is announced.
+	feed *platform.Feed
+
 	// cancel ends the timers, the mesh and the control thread.
 	cancel context.CancelFunc
 
@@ -57,7 +63,8 @@
 	Timers     *timer.Service
 	Mesh       *peer.Mesh
 	Controller *control.Controller
-	Entry      *entry.Server
+	Traffic    callerTraffic
+	Feed       *platform.Feed `optional:"true"`
 	Admin      *admin.Server
 	Lifecycle  fx.Lifecycle
 }
@@ -69,10 +76,14 @@
 		timers:     params.Timers,
 		mesh:       params.Mesh,
 		controller: params.Controller,
-		entry:      params.Entry,
-		callers:    newHTTPServer(params.Entry, params.Settings.MaxHeader()),
+		traffic:    params.Traffic,
+		feed:       params.Feed,
+		callers:    newHTTPServer(params.Traffic, params.Settings.MaxHeader()),
 		admin:      newHTTPServer(params.Admin.Handler(), params.Settings.MaxHeader()),
-		ends:       make(chan error, 2),
+		ends:       make(chan error, 3),
+	}
+	if params.Settings.ReadyAddress() != "" {
+		running.ready = newHTTPServer(params.Admin.ReadyHandler(), params.Settings.MaxHeader())
 	}
 	params.Lifecycle.Append(fx.Hook{OnStart: running.start, OnStop: running.stop})
 	return running
@@ -101,6 +112,19 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	daemon.cancel = cancel
+	if daemon.ready != nil {
+		ready, err := net.Listen("tcp", daemon.settings.ReadyAddress())
+		if err != nil {
+			callers.Close()
+			operators.Close()
+			cancel()
+			return errors.Annotate(err, "listen for the health check")
+		}
+		go serve(ctx, daemon.ready, ready, daemon.ends)
+	}
+	if daemon.feed != nil {
+		go daemon.feed.Run(ctx)
+	}
 	go daemon.timers.Run(ctx)
 	go daemon.mesh.Run(ctx)
 	go daemon.controller.Run(ctx)
@@ -146,9 +170,9 @@
 	}
 	daemon.callers.SetKeepAlivesEnabled(false)
 	daemon.waitFor(ctx, daemon.settings.StopNotice())
-	daemon.entry.Stop()
+	daemon.traffic.Stop()
 	err := daemon.callers.Shutdown(ctx)
-	daemon.entry.Close()
+	daemon.traffic.Close()
 	finishing, cancel := context.WithTimeout(context.Background(), finishTimeout)
 	defer cancel()
 	if finishErr := daemon.controller.FinishStop(finishing); finishErr != nil {
@@ -156,6 +180,12 @@
 	}
 	daemon.cancel()
 	<-daemon.controller.Done()
+	if daemon.feed != nil {
+		<-daemon.feed.Done()
+	}
+	if daemon.ready != nil {
+		daemon.ready.Close()
+	}
 	daemon.admin.Close()
 	return errors.Trace(err)
 }
--- a/cmd/lacewingspoke/module.go
+++ b/cmd/lacewingspoke/module.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 
 	"github.com/google/uuid"
 	"github.com/juju/errors"
@@ -29,17 +30,31 @@
 var nodeModule = fx.Provide(
 	newIncarnation,
 	newRegistry,
+	newMesh,
+	route.NewPublisher,
+	newAdmin,
+	newDaemon,
+)
+
+// nativeModule builds the parts of a node that speaks the product's own
+// protocols.
+var nativeModule = fx.Provide(
 	newTimers,
 	newPlatform,
-	newMesh,
 	newEngines,
-	route.NewPublisher,
 	newEntry,
 	newController,
-	newAdmin,
-	newDaemon,
+	newEntryTraffic,
 )
 
+// storeModule returns the parts that depend on the store's protocol.
+func storeModule(loaded *settings.Settings) fx.Option {
+	if loaded.StoreProtocol() == settings.ProtocolShared {
+		return sharedModule
+	}
+	return nativeModule
+}
+
 // incarnation tells two runs of a node apart.
 type incarnation string
 
@@ -168,6 +183,17 @@
 	}, nil
 }
 
+// callerTraffic is the part of a node that answers callers.
+type callerTraffic interface {
+	http.Handler
+
+	// Stop refuses requests that arrive from now on.
+	Stop()
+	Close()
+}
+
+func newEntryTraffic(server *entry.Server) callerTraffic { return server }
+
 // traffic passes workspace demand between the entry server and the peers.
 type traffic struct{ server *entry.Server }
 
@@ -184,6 +210,9 @@
 	return demand
 }
 
+// Begun reports true: only a node that follows a feed asks.
+func (traffic traffic) Begun() bool { return true }
+
 // SetUsage replaces the demand at the other nodes.
 func (traffic traffic) SetUsage(frames []peer.Usage) {
 	others := make([]limit.NodeUsage, 0, len(frames))
--- a/cmd/lacewingspoke/node.go
+++ b/cmd/lacewingspoke/node.go
@@ -13,13 +13,14 @@
 	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
 
+	"lacewingspoke.org/lacewingspoke/logline"
 	"lacewingspoke.org/lacewingspoke/operator"
 	"lacewingspoke.org/lacewingspoke/settings"
 )
 
 // nodeCommand runs the daemon.
 type nodeCommand struct {
-	Settings string `long:"settings" required:"yes" value-name:"FILE" description:"INI settings file of the node"`
+	Settings string `long:"settings" env:"LACEWINGSPOKE_NODE_FILE" required:"yes" value-name:"FILE" description:"INI settings file of the node"`
 }
 
 func addNodeCommand(parser *flags.Parser) error {
@@ -39,12 +40,11 @@
 		}
 		return exitStatus(operator.ExitRejected)
 	}
-	logger, err := zap.NewProduction()
-	if err != nil {
-		return errors.Trace(err)
-	}
-	defer func() { _ = logger.Sync() }()
-	return errors.Trace(runNode(loaded, logger.With(zap.String("node", loaded.Name()))))
+	sink := logline.New(logline.Config{Output: os.Stdout})
+	logger := sink.Logger().With(zap.String("node", loaded.Name()))
+	err := runNode(loaded, logger)
+	sink.Close()
+	return errors.Trace(err)
 }
 
 // runNode runs the daemon until a signal or the failure of one of its parts.
@@ -54,6 +54,7 @@
 		fx.Supply(loaded, logger),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		nodeModule,
+		storeModule(loaded),
 		fx.Populate(&running),
 	)
 	if err := app.Start(context.Background()); err != nil {
--- /dev/null
+++ b/cmd/lacewingspoke/shared.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"lacewingspoke.org/lacewingspoke/control"
+	"lacewingspoke.org/lacewingspoke/forward"
+	"lacewingspoke.org/lacewingspoke/limit"
+	"lacewingspoke.org/lacewingspoke/peer"
+	"lacewingspoke.org/lacewingspoke/platform"
+	"lacewingspoke.org/lacewingspoke/route"
+	"lacewingspoke.org/lacewingspoke/settings"
+	"lacewingspoke.org/lacewingspoke/timer"
+)
+
+// sharedModule builds the parts of a node on a platform whose store targets and
+// operators write to as well.
+var sharedModule = fx.Provide(
+	newBootClock,
+	newBootTimers,
+	newStoreClient,
+	newFeed,
+	newForward,
+	newForwardTraffic,
+	newFeedController,
+)
+
+const (
+	// freshPart is the part of the revocation bound for which a configuration
+	// counts as the newest. The rest covers a request that is on its way.
+	freshPart = 0.8
+
+	// returnGrace is above the two seconds within which entries are back after
+	// an outage of the store.
+	returnGrace = 2300 * time.Millisecond
+
+	// retrySafety leaves room for nodes whose number is known late.
+	retrySafety = 0.8
+
+	// loadSlack is the number of loads beside the rate in a window.
+	loadSlack = 2
+
+	// sharedLease is the shortest lease that bears two lost renewals of a second.
+	sharedLease = 3 * time.Second
+
+	// sharedClaimStep covers a write and its way through a watch, about 30 ms.
+	sharedClaimStep = 250 * time.Millisecond
+
+	// sharedSettleNear and sharedSettleFar cover the start of all nodes, which
+	// differ by 300 ms.
+	sharedSettleNear = 100 * time.Millisecond
+	sharedSettleFar  = 900 * time.Millisecond
+)
+
+func newBootClock() (*timer.BootClock, error) {
+	clock := timer.NewBootClock()
+	if clock == nil {
+		return nil, errors.NotSupportedf("boot clock")
+	}
+	return clock, nil
+}
+
+func newBootTimers(clock *timer.BootClock, logger *zap.Logger) *timer.Service {
+	return timer.New(timer.Config{Logger: logger, Clock: clock.Now})
+}
+
+func newStoreClient(loaded *settings.Settings, registry *prometheus.Registry) (*platform.Client, error) {
+	client, err := platform.NewClient(platform.ClientConfig{
+		Address:    loaded.StoreAddresses()[0],
+		Timeout:    loaded.StoreTimeout(),
+		Registerer: registry,
+	})
+	return client, errors.Trace(err)
+}
+
+func newFeed(client *platform.Client, clock *timer.BootClock, logger *zap.Logger) *platform.Feed {
+	return platform.NewFeed(platform.FeedConfig{Client: client, Clock: clock.Now, Logger: logger})
+}
+
+// forwardParams are what the forward server is built from.
+type forwardParams struct {
+	fx.In
+
+	Settings  *settings.Settings
+	Publisher *route.Publisher
+	Feed      *platform.Feed
+	Clock     *timer.BootClock
+	Logger    *zap.Logger
+	Registry  *prometheus.Registry
+}
+
+func newForward(params forwardParams) (*forward.Server, error) {
+	server, err := forward.New(forward.Config{
+		Publisher:     params.Publisher,
+		Codec:         platform.Codec{},
+		FailureDomain: params.Settings.FailureDomain(),
+		Now:           params.Clock.Now,
+		Confirmed:     params.Feed.Confirmed,
+		FreshFor:      time.Duration(freshPart * float64(params.Settings.Revocation())),
+		Retries: limit.AllowanceConfig{
+			Window: params.Settings.RetryWindow(),
+			Ratio:  params.Settings.RetryRatio(),
+			Slack:  params.Settings.RetrySlack(),
+			Safety: retrySafety,
+		},
+		Logger:     params.Logger,
+		Registerer: params.Registry,
+	})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	server.SetNodes(params.Settings.Nodes())
+	return server, nil
+}
+
+func newForwardTraffic(server *forward.Server) callerTraffic { return server }
+
+// feedParams are what the control thread of a node that follows a feed is built
+// from.
+type feedParams struct {
+	fx.In
+
+	Settings    *settings.Settings
+	Incarnation incarnation
+	Client      *platform.Client
+	Feed        *platform.Feed
+	Mesh        *peer.Mesh
+	Forward     *forward.Server
+	Publisher   *route.Publisher
+	Timers      *timer.Service
+	Logger      *zap.Logger
+	Registry    *prometheus.Registry
+}
+
+func newFeedController(params feedParams) (*control.Controller, error) {
+	controller, err := control.New(control.Config{
+		Name:          params.Settings.Name(),
+		Incarnation:   string(params.Incarnation),
+		FailureDomain: params.Settings.FailureDomain(),
+		PeerAddress:   params.Mesh.Address(),
+		AdminAddress:  params.Settings.AdminAddress(),
+		LeaseMinimum:  sharedLease,
+		ClaimStep:     sharedClaimStep,
+		SettleNear:    sharedSettleNear,
+		SettleFar:     sharedSettleFar,
+		Feed: control.FeedConfig{
+			Events:      params.Feed.Events(),
+			ReturnGrace: returnGrace,
+			StallTime:   params.Settings.Stall(),
+			LoadWindow:  params.Settings.LoadWindow(),
+			LoadSlack:   loadSlack,
+			Lead:        params.Settings.Bootstrap(),
+		},
+		Platform:   params.Client,
+		Mesh:       params.Mesh,
+		Engines:    platform.NewEngines(),
+		Services:   announcedServices{},
+		Traffic:    forwardTraffic{Server: params.Forward},
+		Publisher:  params.Publisher,
+		Timers:     params.Timers,
+		Logger:     params.Logger,
+		Registerer: params.Registry,
+		Random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	return controller, errors.Trace(err)
+}
+
+// announcedServices stands for the reports of service runners, which the feed
+// announces.
+type announcedServices struct{}
+
+// Report implements control.Services. It is not called.
+func (announcedServices) Report(context.Context, string) (control.ServiceReport, error) {
+	return control.ServiceReport{}, errors.NotSupportedf("report of a service runner")
+}
+
+// forwardTraffic is the forward server as the control thread sees it. Nothing
+// of the demand is passed between the nodes.
+type forwardTraffic struct{ *forward.Server }
+
+// Usage returns no demand.
+func (forwardTraffic) Usage() []peer.WorkspaceUsage { return nil }
+
+// SetUsage takes no demand.
+func (forwardTraffic) SetUsage([]peer.Usage) {}
--- a/control/control.go
+++ b/control/control.go
@@ -88,6 +88,9 @@
 
 	// SetUsage replaces the demand at the other nodes.
 	SetUsage(usage []peer.Usage)
+
+	// Begun reports whether a caller's request has arrived since the start.
+	Begun() bool
 }
 
 // Config holds what a Controller needs.
@@ -107,6 +110,16 @@
 	// package fleet.
 	LeaseMinimum time.Duration
 
+	// ClaimStep, SettleNear and SettleFar pace the claims of fabric domains; 0
+	// means the defaults of package fleet.
+	ClaimStep  time.Duration
+	SettleNear time.Duration
+	SettleFar  time.Duration
+
+	// Feed makes the node follow a platform that announces its targets' own
+	// reports and the configuration.
+	Feed FeedConfig
+
 	Platform  Platform
 	Mesh      Mesh
 	Engines   Engines
@@ -207,7 +220,7 @@
 		return errors.New("node has no configuration")
 	case last.isolated:
 		return errors.New("node reaches neither the store nor a peer")
-	case time.Since(last.at) > stallBound:
+	case controller.config.Timers.Now().Sub(last.at) > stallBound:
 		return errors.New("control thread is stalled")
 	}
 	return nil
@@ -223,6 +236,9 @@
 		AdminAddress:  config.AdminAddress,
 		Seeds:         config.Seeds,
 		LeaseMinimum:  config.LeaseMinimum,
+		ClaimStep:     config.ClaimStep,
+		SettleNear:    config.SettleNear,
+		SettleFar:     config.SettleFar,
 		Random:        config.Random,
 	}
 }
--- /dev/null
+++ b/control/feed.go
@@ -0,0 +1,329 @@
+package control
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"lacewingspoke.org/lacewingspoke/catalog"
+	"lacewingspoke.org/lacewingspoke/directory"
+	"lacewingspoke.org/lacewingspoke/engine"
+	"lacewingspoke.org/lacewingspoke/folder"
+	"lacewingspoke.org/lacewingspoke/group"
+	"lacewingspoke.org/lacewingspoke/kvstore"
+	"lacewingspoke.org/lacewingspoke/limit"
+	"lacewingspoke.org/lacewingspoke/route"
+)
+
+// A FeedEvent is what a platform announces that publishes its targets' own
+// reports and the configuration in its store. It is TargetsListed,
+// TargetsChanged, ConfigurationRead or FeedInterrupted.
+type FeedEvent interface{ feedEvent() }
+
+// TargetsListed is the complete list of targets.
+type TargetsListed struct{ Targets []directory.Target }
+
+// TargetsChanged is what changed since the last event.
+type TargetsChanged struct {
+	Put     []directory.Target
+	Removed []string
+}
+
+// ConfigurationRead is the platform's configuration.
+type ConfigurationRead struct{ Catalog *catalog.Catalog }
+
+// FeedInterrupted says that the platform does not answer.
+type FeedInterrupted struct{ Err error }
+
+func (TargetsListed) feedEvent()     {}
+func (TargetsChanged) feedEvent()    {}
+func (ConfigurationRead) feedEvent() {}
+func (FeedInterrupted) feedEvent()   {}
+
+// FeedConfig holds the bounds of a node that follows a Feed.
+type FeedConfig struct {
+	// Events are the platform's announcements. A node with a nil channel polls
+	// the list of VMs and the engines itself.
+	Events <-chan FeedEvent
+
+	// ReturnGrace is how long after an outage a target may be missing from the
+	// platform's list.
+	ReturnGrace time.Duration
+
+	// StallTime is how long engines keep a group open whose member is lost.
+	StallTime time.Duration
+
+	// LoadWindow and LoadSlack bound the loads from the weight store: at most
+	// the engine's rate times LoadWindow, plus LoadSlack, in any LoadWindow.
+	LoadWindow time.Duration
+	LoadSlack  int
+
+	// Lead says that loads are not bounded before callers' first request,
+	// because the whole system has just been started.
+	Lead bool
+}
+
+const (
+	// feedReportInterval is how often a leader looks at the reports, which are
+	// in memory.
+	feedReportInterval = 100 * time.Millisecond
+
+	// feedGrantBound is how long a leader believes the last report of a target
+	// that has left the list.
+	feedGrantBound = 200 * time.Millisecond
+
+	// feedSpreadTime is how long a change of the placement record takes to be
+	// known at every node through its watch.
+	feedSpreadTime = 300 * time.Millisecond
+
+	// feedDarkHold and feedDarkSettle are short: a target that the platform's
+	// list has dropped does not return under its incarnation.
+	feedDarkHold   = 2 * time.Second
+	feedDarkSettle = time.Second
+
+	// feedClass names the target class of the platform's engines.
+	feedClass = "platform"
+
+	// grantsUntilChanged is the validity of grants that follow from reports
+	// which this node sees itself; the next report ends them.
+	grantsUntilChanged = time.Hour
+)
+
+// feedState is what a node that follows a feed knows.
+type feedState struct {
+	directory *directory.Directory
+	reports   map[string]engine.Report
+	runners   []route.ServiceTarget
+	catalog   *catalog.Catalog
+	loads     *limit.Window
+	fitted    []folder.Group
+	orders    *orderCounts
+}
+
+func newFeedState(config FeedConfig) *feedState {
+	return &feedState{
+		directory: directory.New(directory.Config{ReturnGrace: config.ReturnGrace}),
+		reports:   map[string]engine.Report{},
+		orders:    newOrderCounts(config.Lead),
+		loads:     limit.NewWindow(limit.WindowConfig{Length: config.LoadWindow, Bound: config.LoadSlack}),
+	}
+}
+
+// feeding reports whether the node follows a feed.
+func (state *state) feeding() bool { return state.config.Feed.Events != nil }
+
+func (state *state) handleFeed(now time.Time, event FeedEvent) {
+	changed := false
+	switch event := event.(type) {
+	case TargetsListed:
+		state.storeReached = now
+		changed = state.feed.directory.Replace(now, event.Targets)
+	case TargetsChanged:
+		state.storeReached = now
+		changed = state.feed.directory.Apply(now, event.Put, event.Removed)
+	case ConfigurationRead:
+		state.storeReached = now
+		state.adoptCatalog(now, event.Catalog)
+	case FeedInterrupted:
+		state.feed.directory.Outage()
+		state.metrics.storeFailures.Inc()
+	default:
+		panic(errors.Errorf("control: feed event %T is not handled", event))
+	}
+	if changed {
+		state.takeTargets(now)
+	}
+}
+
+// expireTargets drops the targets that did not return after an outage.
+func (state *state) expireTargets(now time.Time) {
+	if state.feeding() && state.feed.directory.Expire(now) {
+		state.takeTargets(now)
+	}
+}
+
+// takeTargets brings the known targets into force: the VMs of engines, their
+// reports and the runners of plain services.
+func (state *state) takeTargets(now time.Time) {
+	var vms []kvstore.VM
+	reports := make(map[string]engine.Report, len(state.feed.reports))
+	state.feed.runners = state.feed.runners[:0:0]
+	for _, target := range state.feed.directory.Targets() {
+		if target.VM.FabricDomain == "" {
+			state.feed.runners = append(state.feed.runners, runnerOf(target))
+			continue
+		}
+		vms = append(vms, target.VM)
+		reports[target.VM.Name] = target.Report
+	}
+	previous := state.feed.reports
+	state.feed.reports = reports
+	state.feed.orders.retain(reports)
+	state.logTargets(previous, reports)
+	state.dirty = true
+	state.handleVMs(now, vms)
+	state.fitGroups(now)
+	for name, led := range state.led {
+		for _, vm := range vms {
+			if vm.FabricDomain == name && !previous[vm.Name].Same(reports[vm.Name]) {
+				state.handleGroup(now, led, group.ReportRead{Sent: now, Report: reports[vm.Name]})
+			}
+		}
+	}
+}
+
+func runnerOf(target directory.Target) route.ServiceTarget {
+	return route.ServiceTarget{
+		Service:       target.Service,
+		Name:          target.VM.Name,
+		Address:       target.VM.Address,
+		FailureDomain: target.VM.FailureDomain,
+		Slots:         target.Slots,
+		Open:          target.VM.State == kvstore.VMLive,
+	}
+}
+
+// logTargets writes a line for each target whose standing changed.
+func (state *state) logTargets(previous, current map[string]engine.Report) {
+	for name, report := range current {
+		if known, found := previous[name]; !found || !known.Same(report) {
+			state.logger.Info("target reported", zap.String("target", name), zap.String("incarnation", report.Incarnation),
+				zap.String("group", report.Group), zap.Uint64("epoch", report.Epoch), zap.Int("rank", report.Rank),
+				zap.String("state", string(report.State)), zap.Strings("staged", report.Staged))
+		}
+	}
+	for name, known := range previous {
+		if _, found := current[name]; !found {
+			state.logger.Info("target is gone", zap.String("target", name), zap.String("incarnation", known.Incarnation),
+				zap.String("group", known.Group), zap.Uint64("epoch", known.Epoch), zap.Int("rank", known.Rank))
+		}
+	}
+}
+
+// adoptCatalog brings a newer configuration into force.
+func (state *state) adoptCatalog(now time.Time, read *catalog.Catalog) {
+	if state.feed.catalog != nil && read.Version() <= state.feed.catalog.Version() {
+		return
+	}
+	state.feed.catalog = read
+	state.configuration.adoptedAt = now
+	state.dirty = true
+	state.metrics.generation.Set(float64(read.Version()))
+	state.logger.Info("configuration in force", zap.Uint64("generation", read.Version()), zap.String("source", "store"))
+	state.feed.loads.SetBound(state.loadBound())
+	state.feed.fitted = nil
+	state.fitGroups(now)
+}
+
+// loadBound returns the loads that may begin in a LoadWindow in all fabric
+// domains.
+func (state *state) loadBound() int {
+	bound := state.config.Feed.LoadSlack
+	for _, service := range state.feed.catalog.Services() {
+		if service.Engine != nil {
+			bound += int(service.Engine.LoadRate * state.config.Feed.LoadWindow.Seconds())
+		}
+	}
+	return bound
+}
+
+// fitGroups sets the wanted replicas from the models and the listed VMs.
+func (state *state) fitGroups(now time.Time) {
+	if state.feed.catalog == nil {
+		return
+	}
+	fitted := group.Fit(wishesOf(state.feed.catalog), state.domainSizes(""))
+	if sameGroups(fitted, state.feed.fitted) && state.configuration.folder != nil {
+		return
+	}
+	state.feed.fitted = fitted
+	state.configuration.folder = folder.New(folder.Config{
+		Groups: fitted,
+		TargetClasses: []folder.TargetClass{{
+			Name:           feedClass,
+			ChecksFencing:  true,
+			ChecksSequence: true,
+			OpenedByOrder:  true,
+			StallTime:      state.config.Feed.StallTime,
+		}},
+		Policy: folder.Policy{
+			DowntimeWeight: 1,
+			StrandedWeight: 1,
+			ReportInterval: feedReportInterval,
+			GrantBound:     feedGrantBound,
+			SpreadTime:     feedSpreadTime,
+		},
+	})
+	for _, spec := range fitted {
+		state.logger.Info("replicas wanted", zap.String("model", spec.Model), zap.Int("size", spec.Size), zap.Int("replicas", spec.Replicas))
+	}
+	state.dirty = true
+	for _, led := range state.led {
+		state.handleGroup(now, led, state.folderEvent())
+	}
+}
+
+func sameGroups(one, other []folder.Group) bool {
+	if len(one) != len(other) {
+		return false
+	}
+	for index := range one {
+		if one[index] != other[index] {
+			return false
+		}
+	}
+	return true
+}
+
+func wishesOf(current *catalog.Catalog) []group.Wish {
+	var wishes []group.Wish
+	for _, service := range current.Services() {
+		if service.Engine == nil {
+			continue
+		}
+		for _, model := range service.Engine.Models {
+			wishes = append(wishes, group.Wish{
+				Group: folder.Group{Name: model.Name, Model: model.Name, Size: model.Size, Value: 1, TargetClass: feedClass},
+				Share: model.Share,
+			})
+		}
+	}
+	return wishes
+}
+
+// localReport answers a leader's read from the announcements.
+func (state *state) localReport(now time.Time, read group.ReadReport) group.Event {
+	report, found := state.feed.reports[read.VM]
+	if !found {
+		return group.ReportFailed{VM: read.VM}
+	}
+	return group.ReportRead{Sent: now, Report: report}
+}
+
+// localWeights takes a load out of this node's part of the load rate. Loads are
+// divided by the led fabric domains, of which each leader knows the total.
+func (state *state) localWeights(now time.Time, vm string) group.Event {
+	if state.config.Feed.Lead && !state.config.Traffic.Begun() {
+		return group.WeightsAcquired{VM: vm}
+	}
+	bound := state.loadBound() * len(state.led) / max(1, len(state.domainSizes("")))
+	state.feed.loads.SetBound(bound)
+	if wait := state.feed.loads.Take(now); wait > 0 {
+		return group.WeightsRefused{VM: vm, Retry: wait}
+	}
+	return group.WeightsAcquired{VM: vm}
+}
+
+// publishStanding derives the grants of every domain from what this node sees.
+func (state *state) publishStanding(now time.Time) {
+	for _, known := range state.domains {
+		if known.placement == nil {
+			continue
+		}
+		known.grants = map[string]group.GroupGrant{}
+		for _, granted := range group.Standing(known.placement, state.feed.reports, now, now.Add(grantsUntilChanged)) {
+			known.grants[granted.Grant.Group] = granted
+		}
+	}
+}
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sort"
 	"time"
 
@@ -115,6 +116,7 @@
 }
 
 func (state *state) handleGroupResult(now time.Time, result groupResult) {
+	state.feed.orders.note(result.counted)
 	led, found := state.led[result.domain]
 	if !found || led.term != result.term {
 		return
@@ -138,19 +140,28 @@
 			return state.commit(ctx, domain, effect)
 		})
 	case group.ReadReport:
+		if state.feeding() {
+			state.handleGroup(now, led, state.localReport(now, effect))
+			return
+		}
 		state.startGroup(led, func(ctx context.Context, domain string) group.Event {
 			return state.readReport(ctx, effect)
 		})
 	case group.SendOrder:
 		state.metrics.orders.WithLabelValues(string(effect.Order.Action)).Inc()
-		state.startGroup(led, func(ctx context.Context, domain string) group.Event {
-			return state.sendOrder(ctx, effect)
-		})
+		state.startOrder(led, effect)
 	case group.AcquireWeights:
+		if state.feeding() {
+			state.handleGroup(now, led, state.localWeights(now, effect.VM))
+			return
+		}
 		state.startGroup(led, func(ctx context.Context, domain string) group.Event {
 			return state.acquireWeights(ctx, effect)
 		})
 	case group.PublishGrants:
+		if state.feeding() {
+			return
+		}
 		state.publishGrants(now, led, effect)
 	case group.PublishPlacement:
 		state.setPlacement(now, led.domain, effect.Revision, effect.Record)
@@ -212,7 +223,7 @@
 
 // sendOrder reads the monotonic clock right before it sends, because the
 // process may have been paused since the leader decided.
-func (state *state) sendOrder(ctx context.Context, effect group.SendOrder) group.Event {
+func (state *state) sendOrder(ctx context.Context, effect group.SendOrder, counted *orderCount) group.Event {
 	remaining := effect.Deadline.Sub(state.now())
 	if remaining <= 0 {
 		return group.OrderRefused{VM: effect.VM, Order: effect.Order.ID}
@@ -221,7 +232,12 @@
 	order.ExpiresInMillis = min(order.ExpiresInMillis, remaining.Milliseconds())
 	ctx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
-	switch outcome := state.config.Engines.SendOrder(ctx, effect.Address, order).(type) {
+	outcome := state.config.Engines.SendOrder(ctx, effect.Address, order)
+	state.logger.Info("order sent", zap.String("vm", effect.VM), zap.String("action", string(order.Action)),
+		zap.String("group", order.Group), zap.Uint64("epoch", order.Epoch), zap.Uint64("fence", order.Fence),
+		zap.Uint64("expected", order.Expected), zap.String("model", order.Model), zap.String("outcome", fmt.Sprintf("%T", outcome)))
+	counted.learn(outcome)
+	switch outcome := outcome.(type) {
 	case engine.OrderAccepted:
 		return group.OrderAccepted{VM: effect.VM, Order: order.ID}
 	case engine.OrderFenced:
@@ -233,6 +249,36 @@
 	}
 }
 
+// startOrder sends an order. To an engine that counts its orders it names the
+// count that the order rests on, which is asked for when it is not known.
+func (state *state) startOrder(led *leadership, effect group.SendOrder) {
+	counted := state.feed.orders.known(effect.VM, state.feed.reports[effect.VM].Incarnation)
+	feeding := state.feeding()
+	state.start(func(context.Context) message {
+		result := groupResult{domain: led.domain, term: led.term, counted: counted}
+		if feeding && !counted.known && !state.countOrders(led.ctx, effect.Address, &result.counted) {
+			result.event = group.OrderRefused{VM: effect.VM, Order: effect.Order.ID}
+			return result
+		}
+		effect.Order.Expected = result.counted.count
+		result.event = state.sendOrder(led.ctx, effect, &result.counted)
+		return result
+	})
+}
+
+// countOrders asks an engine how many orders it has begun.
+func (state *state) countOrders(ctx context.Context, address string, counted *orderCount) bool {
+	report, err := state.config.Engines.Report(ctx, address)
+	if err != nil || report.Incarnation != counted.incarnation {
+		state.logger.Info("orders of an engine could not be counted", zap.String("vm", counted.vm),
+			zap.String("expected-incarnation", counted.incarnation), zap.String("incarnation", report.Incarnation), zap.Error(err))
+		return false
+	}
+	counted.count = report.Sequence
+	counted.known = true
+	return true
+}
+
 func (state *state) acquireWeights(ctx context.Context, effect group.AcquireWeights) group.Event {
 	granted, retry, err := state.config.Platform.AcquireWeights(ctx, effect.Bytes)
 	switch {
@@ -246,12 +292,17 @@
 }
 
 func (state *state) leaderConfig(domain string) group.LeaderConfig {
-	return group.LeaderConfig{
+	config := group.LeaderConfig{
 		Domain:        domain,
 		Node:          state.config.Name,
 		Incarnation:   state.config.Incarnation,
 		LeaseDuration: state.fleet.LongestLease(),
 	}
+	if state.feeding() {
+		config.DarkHold = feedDarkHold
+		config.DarkSettle = feedDarkSettle
+	}
+	return config
 }
 
 // elsewhere returns what the other fabric domains hold.
--- a/control/leaving.go
+++ b/control/leaving.go
@@ -159,6 +159,9 @@
 // pollVMs reads the platform's list on the nodes that watch the store or lead
 // a domain; the others learn of departures by relay.
 func (state *state) pollVMs() {
+	if state.feeding() {
+		return
+	}
 	if state.pollingVMs || !(state.fleet.Watching() || len(state.led) > 0 || len(state.vms) == 0) {
 		return
 	}
--- a/control/loop.go
+++ b/control/loop.go
@@ -31,10 +31,19 @@
 	fleet, leaders, vms, head, usage, services *timer.Subscription
 }
 
-func subscribe(timers *timer.Service) subscriptions {
+// subscribe returns the ticks. What a node polls is announced to one that
+// follows a feed.
+func subscribe(timers *timer.Service, feeding bool) subscriptions {
+	ticks := subscriptions{
+		fleet:   timers.Every("fleet", fleetTick, 0),
+		leaders: timers.Every("leaders", leaderTick, 0),
+	}
+	if feeding {
+		return ticks
+	}
 	return subscriptions{
-		fleet:    timers.Every("fleet", fleetTick, 0),
-		leaders:  timers.Every("leaders", leaderTick, 0),
+		fleet:    ticks.fleet,
+		leaders:  ticks.leaders,
 		vms:      timers.Every("vms", vmPoll, vmPoll/4),
 		head:     timers.Every("head", headPoll, headPollJitter),
 		usage:    timers.Every("usage", usageInterval, usageInterval/4),
@@ -44,7 +53,9 @@
 
 func (ticks subscriptions) cancel() {
 	for _, subscription := range []*timer.Subscription{ticks.fleet, ticks.leaders, ticks.vms, ticks.head, ticks.usage, ticks.services} {
-		subscription.Cancel()
+		if subscription != nil {
+			subscription.Cancel()
+		}
 	}
 }
 
@@ -53,7 +64,7 @@
 func (controller *Controller) Run(ctx context.Context) {
 	workers, cancel := context.WithCancel(ctx)
 	controller.state.workers = workers
-	ticks := subscribe(controller.config.Timers)
+	ticks := subscribe(controller.config.Timers, controller.state.feeding())
 	controller.state.begin(controller.config.Timers.Now())
 	for ctx.Err() == nil {
 		controller.turn(ctx, ticks)
@@ -76,8 +87,14 @@
 		state.handlePeer(state.now(), event)
 	case request := <-controller.commands:
 		state.handleCommand(state.now(), request)
+	case event := <-controller.config.Feed.Events:
+		state.handleFeed(state.now(), event)
 	case <-ticks.fleet.C():
 		state.handleFleet(state.now(), fleet.Tick{})
+		state.expireTargets(state.now())
+		if state.feeding() {
+			break
+		}
 		state.requestMissing(state.now())
 		state.requestGrants(state.now())
 		state.observeDomains(state.now())
--- a/control/message.go
+++ b/control/message.go
@@ -25,6 +25,9 @@
 	domain string
 	term   uint64
 	event  group.Event
+
+	// counted is what an order taught about the engine's orders.
+	counted orderCount
 }
 
 // listed is the content of a watched prefix.
--- a/control/state.go
+++ b/control/state.go
@@ -35,6 +35,7 @@
 	leaving       map[departureKey]departure
 	services      map[string]ServiceReport
 	usage         map[string]peer.Usage
+	feed          *feedState
 	asked         int
 	versions      *fleet.Versions
 	sent          uint64
@@ -86,6 +87,7 @@
 		leaving:       map[departureKey]departure{},
 		services:      map[string]ServiceReport{},
 		usage:         map[string]peer.Usage{},
+		feed:          newFeedState(config.Feed),
 		versions:      fleet.NewVersions(),
 		polling:       map[string]bool{},
 	}
@@ -98,6 +100,9 @@
 	state.storeReached = now
 	state.startedAt = now
 	state.handleFleet(now, fleet.Tick{})
+	if state.feeding() {
+		return
+	}
 	state.pollHead()
 	state.pollVMs()
 }
@@ -105,6 +110,9 @@
 // isolated reports whether the node knows of others but has reached neither
 // the store nor a peer for isolationBound.
 func (state *state) isolated(now time.Time) bool {
+	if state.feeding() {
+		return state.storeSilent(now)
+	}
 	if len(state.config.Seeds) == 0 || now.Sub(state.storeReached) <= isolationBound {
 		return false
 	}
--- a/control/table.go
+++ b/control/table.go
@@ -14,9 +14,17 @@
 		return
 	}
 	state.dirty = false
+	generation := state.configuration.head().Generation
+	if state.feeding() {
+		state.publishStanding(state.now())
+		if state.feed.catalog != nil {
+			generation = state.feed.catalog.Version()
+		}
+	}
 	state.config.Publisher.Publish(route.NewTable(route.TableConfig{
 		Folder:     state.configuration.folder,
-		Generation: state.configuration.head().Generation,
+		Catalog:    state.feed.catalog,
+		Generation: generation,
 		Groups:     state.groupTargets(),
 		Services:   state.serviceTargets(),
 	}))
@@ -63,6 +71,7 @@
 	for rank, vm := range known.placement.Members(placed.Name) {
 		assignment, _ := known.placement.Assignment(vm)
 		if rank == 0 {
+			target.VM = vm
 			target.Address = assignment.Address
 			target.FailureDomain = assignment.FailureDomain
 		}
@@ -74,6 +83,9 @@
 }
 
 func (state *state) serviceTargets() []route.ServiceTarget {
+	if state.feeding() {
+		return state.feed.runners
+	}
 	if state.configuration.folder == nil {
 		return nil
 	}
--- a/control/watch.go
+++ b/control/watch.go
@@ -45,7 +45,11 @@
 	}
 	ctx, cancel := context.WithCancel(state.workers)
 	state.stopWatch = cancel
-	for _, prefix := range []string{generation.HeadKey, fleet.NodePrefix, fleet.DomainPrefix, admin.DrainPrefix} {
+	prefixes := []string{generation.HeadKey, fleet.NodePrefix, fleet.DomainPrefix, admin.DrainPrefix}
+	if state.feeding() {
+		prefixes = []string{fleet.NodePrefix, fleet.DomainPrefix}
+	}
+	for _, prefix := range prefixes {
 		watcher := &watcher{
 			store:   state.config.Platform,
 			timers:  state.config.Timers,
--- a/engine/control.go
+++ b/engine/control.go
@@ -48,7 +48,11 @@
 type OrderOutcome interface{ orderOutcome() }
 
 // OrderAccepted says that the engine took the order.
-type OrderAccepted struct{}
+type OrderAccepted struct {
+	// Begun says that an engine that counts its orders has begun this one; it
+	// is false when there was nothing to do.
+	Begun bool
+}
 
 // OrderFenced says that the engine refused the order because it knows a
 // higher fencing number.
--- a/engine/message.go
+++ b/engine/message.go
@@ -1,5 +1,7 @@
 package engine
 
+import "slices"
+
 // Report is what a VM's engine says of itself. Identity, epoch and state are
 // current; load figures are AgeMillis old.
 type Report struct {
@@ -16,6 +18,25 @@
 	Queued      int    `json:"queued"`
 	FreeCache   int    `json:"free-cache"`
 	AgeMillis   int64  `json:"age-ms"`
+
+	// Staged are the models whose weights are on the VM's host.
+	Staged []string `json:"staged,omitempty"`
+
+	// Sequence is the number of orders that the engine has begun since its
+	// start.
+	Sequence uint64 `json:"sequence,omitempty"`
+}
+
+// Same reports whether two reports say the same.
+func (report Report) Same(other Report) bool {
+	if !slices.Equal(report.Staged, other.Staged) {
+		return false
+	}
+	return report.VM == other.VM && report.Incarnation == other.Incarnation &&
+		report.Group == other.Group && report.Epoch == other.Epoch && report.Rank == other.Rank &&
+		report.State == other.State && report.Model == other.Model && report.Version == other.Version &&
+		report.Fence == other.Fence && report.Running == other.Running && report.Queued == other.Queued &&
+		report.FreeCache == other.FreeCache && report.AgeMillis == other.AgeMillis && report.Sequence == other.Sequence
 }
 
 // State is the state of the engine on one VM.
@@ -27,6 +48,14 @@
 	StateLoading  State = "loading"
 	StateReady    State = "ready"
 	StateDraining State = "draining"
+
+	// StateOpen is the state of a rank 0 that was opened by order and accepts
+	// requests. Its members stay in StateReady.
+	StateOpen State = "open"
+
+	// StateBroken is the state of a rank 0 that gave up its group because a
+	// member is missing.
+	StateBroken State = "broken"
 )
 
 // Action is what an order asks an engine to do.
@@ -38,12 +67,24 @@
 	ActionDrain   Action = "drain"
 	ActionRelease Action = "release"
 	ActionVersion Action = "version"
+
+	// ActionOpen makes rank 0 of a ready group accept requests.
+	ActionOpen Action = "open"
+
+	// ActionClose makes rank 0 stop at once and cuts its requests off.
+	ActionClose Action = "close"
+
+	// ActionStage loads a model's weights onto the host without a group.
+	ActionStage Action = "stage"
 )
 
 // Order tells the engine of one VM to change its role.
 type Order struct {
 	ID string `json:"id"`
 
+	// VM is the name of the VM that the order is for.
+	VM string `json:"vm,omitempty"`
+
 	// Fence is the fencing number of the leader that sent the order.
 	Fence           uint64   `json:"fence"`
 	ExpiresInMillis int64    `json:"expires-in-ms"`
@@ -55,6 +96,13 @@
 	Members         []string `json:"members"`
 	Model           string   `json:"model"`
 	Version         string   `json:"version"`
+
+	// MemberVMs are the names of the members' VMs by rank.
+	MemberVMs []string `json:"member-vms,omitempty"`
+
+	// Expected is the sequence of the report that the order rests on. Engines
+	// that check it refuse the order when they have begun another one since.
+	Expected uint64 `json:"expected,omitempty"`
 }
 
 // Generate asks rank 0 of a group for tokens.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -55,6 +55,17 @@
 	// LeaseMinimum is the shortest lease; 0 means DefaultLeaseMinimum.
 	LeaseMinimum time.Duration
 
+	// ClaimStep is how long a candidate for a domain waits for each one before
+	// it; 0 means DefaultClaimStep.
+	ClaimStep time.Duration
+
+	// SettleNear and SettleFar are how long a node that was just started leaves
+	// domains in its own failure domain and in others to nodes that may be
+	// starting at the same time; 0 means DefaultSettleNear and
+	// DefaultSettleFar.
+	SettleNear time.Duration
+	SettleFar  time.Duration
+
 	// Random spreads retries and polls. It is required.
 	Random *rand.Rand
 }
@@ -123,6 +134,15 @@
 	if config.LeaseMinimum == 0 {
 		config.LeaseMinimum = DefaultLeaseMinimum
 	}
+	if config.ClaimStep == 0 {
+		config.ClaimStep = DefaultClaimStep
+	}
+	if config.SettleNear == 0 {
+		config.SettleNear = DefaultSettleNear
+	}
+	if config.SettleFar == 0 {
+		config.SettleFar = DefaultSettleFar
+	}
 	self := Node{
 		Name:          config.Name,
 		Incarnation:   config.Incarnation,
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -160,9 +160,9 @@
 	fleet.Handle(now, KeysListed{Prefix: DomainPrefix, Revision: 1})
 	fleet.Handle(now, LeaseGranted{Lease: "l", TTL: 9 * time.Second, Sent: now})
 	fleet.Handle(now, NodeWritten{Lease: "l", Outcome: kvstore.Written{Revision: 2}})
-	effects := fleet.Handle(now.Add(settleNear), Tick{})
+	effects := fleet.Handle(now.Add(DefaultSettleNear), Tick{})
 	require.IsType(t, ClaimDomain{}, effects[len(effects)-1])
-	effects = fleet.Handle(now.Add(settleNear), ClaimDone{Domain: "d", Lease: "l", Outcome: kvstore.Written{Revision: 3}})
+	effects = fleet.Handle(now.Add(DefaultSettleNear), ClaimDone{Domain: "d", Lease: "l", Outcome: kvstore.Written{Revision: 3}})
 	until := now.Add(9*time.Second - 90*time.Millisecond)
 	require.Equal(t, []Effect{LeadershipHeld{Domain: "d", Until: until}}, effects)
 	return fleet
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -12,16 +12,15 @@
 )
 
 const (
-	// claimStep is how long a candidate waits for each one before it. It covers
-	// the watch's delay and the write of the one before.
-	claimStep = 2 * time.Second
+	// DefaultClaimStep covers the watch's delay and the write of the candidate
+	// before.
+	DefaultClaimStep = 2 * time.Second
 
-	// settleNear and settleFar are how long a node that was just started leaves
-	// domains in its own failure domain and in others to nodes that may be
-	// starting at the same time. Leaders are not moved later, because the
-	// domain's groups are without grants meanwhile.
-	settleNear = 2 * time.Second
-	settleFar  = 10 * time.Second
+	// DefaultSettleNear and DefaultSettleFar cover the start of all nodes of a
+	// site. Leaders are not moved later, because the domain's groups are without
+	// grants meanwhile.
+	DefaultSettleNear = 2 * time.Second
+	DefaultSettleFar  = 10 * time.Second
 
 	// pollingCandidates is how many candidates of a domain poll its leader's
 	// key without a watch. Watchers stand in when all of them are gone.
@@ -319,14 +318,14 @@
 	if domain.rank >= pollingCandidates && !fleet.watching || !fleet.settled(now, domain) {
 		return false
 	}
-	wait := time.Duration(min(fleet.claimRank(domain), pollingCandidates)) * claimStep
+	wait := time.Duration(min(fleet.claimRank(domain), pollingCandidates)) * fleet.config.ClaimStep
 	return !now.Before(domain.absentAt.Add(wait))
 }
 
 func (fleet *Fleet) settled(now time.Time, domain *domain) bool {
-	settle := settleFar
+	settle := fleet.config.SettleFar
 	if domain.failureDomain == fleet.self.FailureDomain {
-		settle = settleNear
+		settle = fleet.config.SettleNear
 	}
 	return !now.Before(fleet.writtenAt.Add(settle))
 }
--- a/folder/folder.go
+++ b/folder/folder.go
@@ -27,7 +27,8 @@
 //	[route]         idempotent yes for draft, no for service;
 //	                min-replicas 1 for draft, 0 for service
 //	[group]         value 1
-//	[target-class]  checks-fencing no, order-delay 5s
+//	[target-class]  checks-fencing no, order-delay 5s, opened-by-order no,
+//	                checks-sequence no, stall-time 5s
 //	[policy]        downtime-weight 1, stranded-weight 1,
 //	                report-interval 250ms, grant-bound 1s, weight-rate 1GiB
 //	                (per second), retry-percent 10, booking-retention 24h,
--- a/folder/model.go
+++ b/folder/model.go
@@ -112,6 +112,17 @@
 
 	// OrderDelay is the longest time an order can spend on its way.
 	OrderDelay time.Duration
+
+	// OpenedByOrder says that rank 0 of a group accepts requests only after an
+	// open order, and until a close order even when a member is lost.
+	OpenedByOrder bool
+
+	// ChecksSequence says that the target refuses an order that expects another
+	// number of begun orders than it has.
+	ChecksSequence bool
+
+	// StallTime is how long rank 0 keeps a group open whose member is lost.
+	StallTime time.Duration
 }
 
 // Policy holds the operators' weights and bounds.
--- a/folder/schema.go
+++ b/folder/schema.go
@@ -187,6 +187,24 @@
 		set:      func(item *item, value string) error { return setDuration(&item.class.OrderDelay, value) },
 		text:     func(item *item) string { return inifile.FormatDuration(item.class.OrderDelay) },
 	},
+	{
+		key:      "opened-by-order",
+		fallback: always("no"),
+		set:      func(item *item, value string) error { return setFlag(&item.class.OpenedByOrder, value) },
+		text:     func(item *item) string { return inifile.FormatFlag(item.class.OpenedByOrder) },
+	},
+	{
+		key:      "checks-sequence",
+		fallback: always("no"),
+		set:      func(item *item, value string) error { return setFlag(&item.class.ChecksSequence, value) },
+		text:     func(item *item) string { return inifile.FormatFlag(item.class.ChecksSequence) },
+	},
+	{
+		key:      "stall-time",
+		fallback: always("5s"),
+		set:      func(item *item, value string) error { return setDuration(&item.class.StallTime, value) },
+		text:     func(item *item) string { return inifile.FormatDuration(item.class.StallTime) },
+	},
 }
 
 var groupFields = []field{
--- /dev/null
+++ b/forward/forward.go
@@ -0,0 +1,272 @@
+// Package forward passes callers' HTTP requests to targets: whole requests to
+// the runners of plain services, streams to rank 0 of serving groups.
+//
+// Method, path and body go on unchanged, and so do status, body and seal of the
+// answer. What the headers say is read and written by a Codec, so that the
+// package knows no names on the wire. Decisions come from the core packages:
+// route picks targets, limit bounds retries, catalog names what may be
+// repeated.
+//
+// # Outcomes
+//
+// 429 and 503 are sent only for a request that has not run and will not run. A
+// request that may have run ends with 502 or 504, or a closed connection once a
+// stream has begun. A stream whose group is lost goes on at another group
+// after the last whole event, if its route allows it.
+//
+// # Usage
+//
+//	server, err := forward.New(forward.Config{
+//		Publisher:     publisher,
+//		Codec:         platform.Codec{},
+//		FailureDomain: "mamaia-north",
+//		Now:           clock.Now,
+//		Confirmed:     feed.Confirmed,
+//	})
+//	httpServer := &http.Server{Handler: server}
+//	…
+//	server.Stop()            // new requests are refused as not run
+//	httpServer.Shutdown(ctx) // waits for requests in progress
+//	server.Close()
+package forward
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"lacewingspoke.org/lacewingspoke/group"
+	"lacewingspoke.org/lacewingspoke/limit"
+	"lacewingspoke.org/lacewingspoke/route"
+)
+
+// A Demand is what a caller's headers say.
+type Demand struct {
+	// Attempt is the id that the caller gave to this attempt.
+	Attempt string
+	Key     string
+
+	// Deadline is how long the caller waits, 0 for not given.
+	Deadline time.Duration
+
+	// Model, PromptTokens, MaxAnswerTokens and ExpectedTokens describe a
+	// generation; counts are 0 when they are not given.
+	Model           string
+	PromptTokens    int
+	MaxAnswerTokens int
+	ExpectedTokens  int
+
+	// ResumeAfter is the last event that the caller has of an earlier attempt.
+	ResumeAfter string
+}
+
+// A Send is what a target is told beside the caller's own headers.
+type Send struct {
+	// Target is the name of the target that must answer.
+	Target    string
+	Workspace string
+
+	// Deadline is the time that is left.
+	Deadline time.Duration
+
+	// ResumeAfter is the last event that was delivered, empty for none.
+	ResumeAfter string
+
+	// Urgency orders requests at the target, 0 first; -1 leaves it to the
+	// target.
+	Urgency int
+}
+
+// An Answer is what a target's headers say.
+type Answer struct {
+	// Attempt is the id that the answer belongs to, empty when it names none.
+	Attempt string
+
+	// Refused says that the target has not run the request and will not.
+	Refused bool
+
+	// Sealed says that the answer carries the target's seal.
+	Sealed bool
+
+	// Foreign says that the body is not the target's own.
+	Foreign bool
+
+	// Faulty names the target that a refusal blames, empty for none.
+	Faulty string
+
+	// Load is nil when the answer does not tell it.
+	Load *Load
+}
+
+// A Load is what a target tells of its work.
+type Load struct {
+	group.Load
+
+	// Slots is the number of requests that the target runs at once.
+	Slots int
+}
+
+// A Codec reads and writes headers.
+type Codec interface {
+	// Demand reads a caller's headers. It returns an errors.NotValid error for
+	// a malformed request.
+	Demand(header http.Header) (Demand, error)
+
+	// Outgoing returns the headers for a target.
+	Outgoing(header http.Header, send Send) http.Header
+
+	// Answer reads a target's headers.
+	Answer(status int, header http.Header) Answer
+
+	// Incoming returns a target's headers for the caller.
+	Incoming(header http.Header) http.Header
+
+	// Refusal returns the headers of an answer that the node gives itself.
+	Refusal(attempt string, retryAfter time.Duration) http.Header
+}
+
+// Config holds what a Server needs.
+type Config struct {
+	Publisher     *route.Publisher
+	Codec         Codec
+	FailureDomain string
+
+	// Now is the clock that freshness is judged by.
+	Now func() time.Time
+
+	// Confirmed returns when the configuration was last known to be the newest.
+	Confirmed func() time.Time
+
+	// FreshFor is how old that may be for a request with a key. It is below the
+	// time within which a key that was taken away must not pass.
+	FreshFor time.Duration
+
+	// Retries bounds the attempts beyond the first of each request.
+	Retries limit.AllowanceConfig
+
+	// Seed makes target choices reproducible, 0 for a random seed.
+	Seed       uint64
+	Logger     *zap.Logger
+	Registerer prometheus.Registerer
+}
+
+// A Server is the handler of callers' requests.
+type Server struct {
+	config   Config
+	metrics  *metrics
+	client   *client
+	tracker  *route.Tracker
+	suspects *route.Suspects
+	picker   *route.Picker
+
+	mutex   sync.Mutex
+	random  *rand.Rand
+	retries *limit.Allowance
+
+	stopping atomic.Bool
+	begun    atomic.Bool
+	inFlight atomic.Int64
+}
+
+// New returns a server. The owner calls Close. It returns an errors.NotValid
+// error for a config without a required part.
+func New(config Config) (*Server, error) {
+	switch {
+	case config.Publisher == nil, config.Codec == nil:
+		return nil, errors.NotValidf("forward server without publisher or codec")
+	case config.Now == nil, config.Confirmed == nil:
+		return nil, errors.NotValidf("forward server without clock or freshness")
+	}
+	if config.Seed == 0 {
+		config.Seed = rand.Uint64()
+	}
+	if config.Logger == nil {
+		config.Logger = zap.NewNop()
+	}
+	if config.Registerer == nil {
+		config.Registerer = prometheus.NewRegistry()
+	}
+	registered, err := newMetrics(config.Registerer)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	tracker := route.NewTracker()
+	suspects := route.NewSuspects()
+	return &Server{
+		config:   config,
+		metrics:  registered,
+		client:   newClient(registered),
+		tracker:  tracker,
+		suspects: suspects,
+		random:   rand.New(rand.NewPCG(config.Seed, config.Seed+1)),
+		retries:  limit.NewAllowance(config.Retries),
+		picker: route.NewPicker(route.PickerConfig{
+			FailureDomain: config.FailureDomain,
+			Source:        rand.NewPCG(config.Seed, config.Seed),
+			Tracker:       tracker,
+			Suspects:      suspects,
+			HistorySize:   -1,
+		}),
+	}, nil
+}
+
+// ServeHTTP answers one request.
+func (server *Server) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	server.inFlight.Add(1)
+	defer server.inFlight.Add(-1)
+	server.begun.Store(true)
+	exchange := newExchange(server, writer, request)
+	if server.stopping.Load() {
+		writer.Header().Set("Connection", "close")
+		exchange.refuse("node is stopping", retrySoon)
+		return
+	}
+	exchange.serve()
+}
+
+// Begun reports whether a request has arrived.
+func (server *Server) Begun() bool { return server.begun.Load() }
+
+// Stop refuses requests that arrive from now on as not run.
+func (server *Server) Stop() { server.stopping.Store(true) }
+
+// Close closes the idle connections to targets.
+func (server *Server) Close() { server.client.close() }
+
+// SetNodes sets the number of live nodes, which share the retries.
+func (server *Server) SetNodes(nodes int) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.retries.SetNodes(nodes)
+}
+
+func (server *Server) countRequest(service string) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.retries.Request(service, server.config.Now())
+}
+
+// mayRetry takes one of the retries that are left.
+func (server *Server) mayRetry(service string) bool {
+	server.mutex.Lock()
+	allowed := server.retries.Retry(service, server.config.Now())
+	server.mutex.Unlock()
+	decision := "allowed"
+	if !allowed {
+		decision = "over-budget"
+	}
+	server.metrics.retries.WithLabelValues(decision).Inc()
+	return allowed
+}
+
+func (server *Server) draw() float64 {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return server.random.Float64()
+}
--- /dev/null
+++ b/forward/stream.go
@@ -0,0 +1,251 @@
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"lacewingspoke.org/lacewingspoke/route"
+)
+
+const (
+	// firstPatience is how many objectives the first event of a stream may take
+	// before another group is tried.
+	firstPatience = 4
+
+	// leastPatience bounds the patience from below: an engine that reads a long
+	// prompt is silent for some hundred milliseconds.
+	leastPatience = 1200 * time.Millisecond
+
+	// groupRetry is the wait before a request comes back that found no place in
+	// any group.
+	groupRetry = 250 * time.Millisecond
+
+	// groupWait is how long a stream that has begun waits for a group to go on
+	// at; callers abandon a stream after two seconds of silence.
+	groupWait = 1500 * time.Millisecond
+)
+
+// A delivery is the state of a stream towards its caller.
+type delivery struct {
+	exchange *exchange
+
+	// begun says that the head of the answer was sent.
+	begun bool
+
+	// last is the id of the last event that was delivered.
+	last string
+}
+
+// serveStream passes a request to a serving group and its events back.
+func (exchange *exchange) serveStream(ctx context.Context) {
+	delivery := &delivery{exchange: exchange, last: exchange.demand.ResumeAfter}
+	excluded := map[string]bool{}
+	reason := "no group has a place"
+	for {
+		target, found := exchange.pickGroup(ctx, delivery, excluded)
+		if !found || !exchange.mayStillRun() || ctx.Err() != nil {
+			delivery.giveUp(reason)
+			return
+		}
+		if len(exchange.attempts) > 0 && !exchange.server.mayRetry(exchange.service.Name) {
+			delivery.giveUp(reason + "; no retry is left")
+			return
+		}
+		switch verdict := exchange.tryGroup(ctx, target, delivery).(type) {
+		case answered:
+			return
+		case notRun:
+			reason = verdict.reason
+		case unknown:
+			reason = verdict.reason
+			exchange.unknown = true
+			if !exchange.route.Repeatable() {
+				delivery.giveUp(reason)
+				return
+			}
+		}
+		excluded[target.Name] = true
+		if len(exchange.attempts) >= exchange.route.MaxAttempts {
+			delivery.giveUp(reason)
+			return
+		}
+	}
+}
+
+// pickGroup returns a group with a free place. A stream that has begun waits
+// for one.
+func (exchange *exchange) pickGroup(ctx context.Context, delivery *delivery, excluded map[string]bool) (route.GroupTarget, bool) {
+	server := exchange.server
+	until := server.config.Now().Add(groupWait)
+	for {
+		changed := server.config.Publisher.Changed()
+		now := server.config.Now()
+		table := server.config.Publisher.Current()
+		target, found := server.picker.PickGroup(table, route.GroupRequest{Spec: exchange.demand.Model, Excluded: excluded}, now)
+		if found && (delivery.begun || server.tracker.Load(target.Name, target.Load, target.Grant.ReportedAt) < exchange.service.Engine.Slots) {
+			return target, true
+		}
+		if !delivery.begun || !now.Before(until) {
+			return route.GroupTarget{}, false
+		}
+		waiting, cancel := context.WithTimeout(ctx, until.Sub(now))
+		select {
+		case <-changed:
+		case <-waiting.Done():
+		}
+		cancel()
+		if ctx.Err() != nil {
+			return route.GroupTarget{}, false
+		}
+	}
+}
+
+// tryGroup makes one attempt.
+func (exchange *exchange) tryGroup(ctx context.Context, target route.GroupTarget, delivery *delivery) verdict {
+	server := exchange.server
+	ended := server.tracker.Start(target.Name, server.config.Now())
+	defer func() { ended(server.config.Now()) }()
+	patience := min(max(firstPatience*exchange.route.Objective, leastPatience), exchange.left())
+	response, err := server.client.do(ctx, exchange.call(target.VM, target.Address, delivery.last), patience)
+	if err != nil {
+		return exchange.brokenGroup(target, err)
+	}
+	exchange.attempts = append(exchange.attempts, target.Name)
+	answer := server.config.Codec.Answer(response.answer.StatusCode, response.answer.Header)
+	exchange.observe(target.Name, answer)
+	switch {
+	case answer.Refused:
+		response.discard()
+		server.suspects.Failed(target.Name, server.config.Now())
+		return notRun{reason: "group " + target.Name + " refused: " + response.answer.Status}
+	case !exchange.trusted(response.answer, answer):
+		response.discard()
+		return unknown{reason: "group " + target.Name + " sent an answer that is not its own"}
+	case response.answer.StatusCode != http.StatusOK:
+		return exchange.passFailure(target, response, delivery)
+	}
+	if err := delivery.pass(response, patience); err != nil {
+		response.discard()
+		if errors.Is(err, errCaller) {
+			exchange.log("caller-left", 0, "caller does not read")
+			panic(http.ErrAbortHandler)
+		}
+		return exchange.brokenGroup(target, &callError{cause: err, sent: true})
+	}
+	response.finish()
+	server.suspects.Succeeded(target.Name)
+	exchange.log("complete", http.StatusOK, "")
+	return answered{}
+}
+
+// brokenGroup classifies an attempt that brought no whole stream.
+func (exchange *exchange) brokenGroup(target route.GroupTarget, err error) verdict {
+	count := len(exchange.attempts)
+	result := exchange.broken(target.Name, err)
+	if count > 0 && len(exchange.attempts) > count && exchange.attempts[count-1] == target.Name {
+		exchange.attempts = exchange.attempts[:count]
+	}
+	return result
+}
+
+// passFailure passes a group's own failure on, unless another group may do
+// better.
+func (exchange *exchange) passFailure(target route.GroupTarget, response *response, delivery *delivery) verdict {
+	body, err := response.readAll(maxAnswerBytes)
+	if err != nil || delivery.begun || exchange.worthRepeating(response.answer.StatusCode) {
+		response.discard()
+		return unknown{reason: "group " + target.Name + " answered " + response.answer.Status}
+	}
+	response.finish()
+	exchange.copyHeader(response.answer)
+	exchange.respond(response.answer.StatusCode, body)
+	exchange.log("failed", response.answer.StatusCode, "group "+target.Name+" failed")
+	return answered{}
+}
+
+// errCaller says that the caller takes no bytes.
+var errCaller = errors.New("caller does not read")
+
+// pass delivers the events of one attempt. It returns nil at the end of a whole
+// stream and errCaller when the caller does not read.
+func (delivery *delivery) pass(response *response, patience time.Duration) error {
+	events := newEventReader(response.answer.Body)
+	for {
+		if err := response.wait(patience); err != nil {
+			return errors.Trace(response.cause(err))
+		}
+		received, err := events.next()
+		if err == io.EOF {
+			return delivery.finish()
+		}
+		if err != nil {
+			return errors.Annotate(response.cause(err), "stream")
+		}
+		if err := delivery.write(response.answer, received, !events.waiting()); err != nil {
+			return err
+		}
+		patience = leastPatience
+	}
+}
+
+// write sends one event on, at once unless more have arrived.
+func (delivery *delivery) write(answer *http.Response, received event, flush bool) error {
+	exchange := delivery.exchange
+	delivery.begin(answer)
+	exchange.extendWrite()
+	if _, err := exchange.writer.Write(received.bytes); err != nil {
+		return errCaller
+	}
+	if received.id != "" {
+		delivery.last = received.id
+	}
+	if !flush {
+		return nil
+	}
+	return delivery.flush()
+}
+
+func (delivery *delivery) flush() error {
+	if err := delivery.exchange.control.Flush(); err != nil {
+		return errCaller
+	}
+	return nil
+}
+
+// begin sends the head of the first attempt's answer.
+func (delivery *delivery) begin(answer *http.Response) {
+	if delivery.begun {
+		return
+	}
+	delivery.begun = true
+	exchange := delivery.exchange
+	exchange.copyHeader(answer)
+	exchange.writer.WriteHeader(answer.StatusCode)
+	exchange.firstAt = exchange.server.config.Now().Sub(exchange.started)
+	exchange.server.metrics.first.Observe(exchange.firstAt.Seconds())
+}
+
+// finish ends a whole stream.
+func (delivery *delivery) finish() error {
+	if delivery.begun {
+		return delivery.flush()
+	}
+	return errors.New("stream without an event")
+}
+
+// giveUp ends a request that no group completed. A stream that has begun is cut
+// off, so that it does not look complete.
+func (delivery *delivery) giveUp(reason string) {
+	if !delivery.begun {
+		delivery.exchange.giveUp(reason, groupRetry)
+		return
+	}
+	delivery.exchange.log("cut", http.StatusOK, reason)
+	delivery.exchange.server.config.Logger.Info("stream cut", zap.String("id", delivery.exchange.demand.Attempt), zap.String("last-event", delivery.last))
+	panic(http.ErrAbortHandler)
+}
--- a/group/leader.go
+++ b/group/leader.go
@@ -19,6 +19,15 @@
 	// after this node began to lead.
 	LeaseDuration time.Duration
 
+	// DarkHold is how long a domain is left alone whose VMs stopped reporting
+	// at once, and how long VMs that the list lost at once count as listed;
+	// default 30 min. VMs that the platform itself declares gone allow less.
+	DarkHold time.Duration
+
+	// DarkSettle is the wait after such a domain's return, so that VMs which
+	// return later than others are not replaced; default 20 s.
+	DarkSettle time.Duration
+
 	// Planner decides on changes of the placement; Plan when nil.
 	Planner func(PlanInput) []Decision
 }
@@ -99,6 +108,11 @@
 	weightsAt time.Time
 	closedAt  map[string]time.Time
 	published publication
+
+	// heads is when rank 0 of each composition was last seen open, and begunAt
+	// when this leader began to look.
+	heads   map[composition]time.Time
+	begunAt time.Time
 }
 
 // NewLeader returns a leader that waits for its lease and its configuration.
@@ -106,6 +120,12 @@
 	if config.Planner == nil {
 		config.Planner = Plan
 	}
+	if config.DarkHold == 0 {
+		config.DarkHold = defaultDarkHold
+	}
+	if config.DarkSettle == 0 {
+		config.DarkSettle = defaultDarkSettle
+	}
 	return &Leader{
 		config:    config,
 		placement: NewPlacement(config.Domain),
@@ -113,6 +133,7 @@
 		keep:      map[string]int{},
 		members:   map[string]*member{},
 		closedAt:  map[string]time.Time{},
+		heads:     map[composition]time.Time{},
 	}
 }
 
@@ -145,7 +166,8 @@
 	report.Queued = vm.report.Queued
 	report.FreeCache = vm.report.FreeCache
 	report.AgeMillis = vm.report.AgeMillis
-	return report == vm.report
+	report.Sequence = vm.report.Sequence
+	return report.Same(vm.report)
 }
 
 // Placement returns the committed record as the leader last saw it. The
@@ -305,6 +327,7 @@
 func (leader *Leader) noteReportRead(now time.Time, read ReportRead) {
 	if vm, found := leader.members[read.Report.VM]; found {
 		vm.noteReport(now, read)
+		leader.noteHead(now, read.Report)
 		leader.readDue = earlier(leader.readDue, vm.nextRead)
 	}
 }
@@ -344,7 +367,7 @@
 	} else if leader.shrunkAt.IsZero() {
 		leader.shrunkAt = now
 	}
-	if !leader.shrunkAt.IsZero() && now.Sub(leader.shrunkAt) < suspectHold {
+	if !leader.shrunkAt.IsZero() && now.Sub(leader.shrunkAt) < leader.config.DarkHold {
 		event.Domains = leader.elsewhere.Domains
 	}
 	if slices.Equal(event.Domains, leader.elsewhere.Domains) && slices.Equal(event.Replicas, leader.elsewhere.Replicas) {
--- a/group/leader_test.go
+++ b/group/leader_test.go
@@ -659,12 +659,12 @@
 		}
 		return own, totalVMs(leader.elsewhere.Domains)
 	}
-	for _, held := range []time.Duration{0, suspectHold - time.Second} {
+	for _, held := range []time.Duration{0, defaultDarkHold - time.Second} {
 		own, other := listed(held)
 		require.Equal(test, 9, own)
 		require.Equal(test, 8, other)
 	}
-	own, other := listed(suspectHold)
+	own, other := listed(defaultDarkHold)
 	require.Zero(test, own)
 	require.Zero(test, other)
 }
--- a/group/lifecycle.go
+++ b/group/lifecycle.go
@@ -16,13 +16,13 @@
 	// domain counts as dark.
 	darkDivisor = 4
 
-	// darkHold is how long a dark domain is left alone. After it the VMs that
-	// still report may be used.
-	darkHold = 30 * time.Minute
+	// defaultDarkHold is the time in which a power or network fault of a whole
+	// domain is usually repaired.
+	defaultDarkHold = 30 * time.Minute
 
-	// darkSettle is the wait after the domain's return, so that VMs which
-	// return later than others are not replaced.
-	darkSettle = 20 * time.Second
+	// defaultDarkSettle covers the difference between the start times of the
+	// VMs of one domain.
+	defaultDarkSettle = 20 * time.Second
 )
 
 // changePlacement brings the record's states up to date, asks the policy for
@@ -94,14 +94,14 @@
 	if known < darkDivisor || live*darkDivisor >= known {
 		if !leader.darkSince.IsZero() {
 			leader.darkSince = time.Time{}
-			leader.darkUntil = now.Add(darkSettle)
+			leader.darkUntil = now.Add(leader.config.DarkSettle)
 		}
 		return now.Before(leader.darkUntil)
 	}
 	if leader.darkSince.IsZero() {
 		leader.darkSince = now
 	}
-	return now.Sub(leader.darkSince) < darkHold
+	return now.Sub(leader.darkSince) < leader.config.DarkHold
 }
 
 // advance sets the states that follow from the reports. It reports whether
@@ -181,6 +181,9 @@
 	if group.State != StateDraining || !leader.gateClosed(now, group) {
 		return false
 	}
+	if leader.class(group.Spec).OpenedByOrder {
+		return leader.closed(now, composition{group: group.Name, epoch: group.Epoch})
+	}
 	quiet := leader.closedAt[group.Name].Add(leader.policy.SpreadTime)
 	for _, name := range leader.placement.Members(group.Name) {
 		vm, found := leader.members[name]
@@ -224,6 +227,8 @@
 		FailureDomain: vm.vm.FailureDomain,
 		Accelerators:  vm.vm.Accelerators,
 		Live:          vm.live(),
+		Gone:          !vm.listed,
+		Staged:        vm.report.Staged,
 		Spare:         !placed && leader.spare(now, vm),
 		Incoming:      !placed && vm.live() && !vm.idle(),
 		MissingSince:  vm.missingSince,
@@ -241,6 +246,9 @@
 	if !vm.readBack() {
 		return false
 	}
+	if leader.strictest().ChecksSequence {
+		return true
+	}
 	if leader.strictest().ChecksFencing {
 		return !leader.unclaimed(vm)
 	}
--- a/group/member.go
+++ b/group/member.go
@@ -55,6 +55,9 @@
 
 	order   pendingOrder
 	weights weightClaim
+
+	// stagedAt is when the engine was last told to stage weights.
+	stagedAt time.Time
 }
 
 // incarnation returns the newest known incarnation.
@@ -156,7 +159,7 @@
 		if vm.absentSince.IsZero() {
 			vm.absentSince = now
 		}
-		if vm.listed && (!suspect || vm.gone(now)) {
+		if vm.listed && (!suspect || vm.gone(now, leader.config.DarkHold)) {
 			vm.listed = false
 			leader.dirty = true
 		}
@@ -165,15 +168,10 @@
 
 // gone reports whether a suspect VM has neither been listed nor reported for so
 // long that it is taken for removed.
-func (vm *member) gone(now time.Time) bool {
-	return !vm.live() && now.Sub(vm.absentSince) >= suspectHold
+func (vm *member) gone(now time.Time, hold time.Duration) bool {
+	return !vm.live() && now.Sub(vm.absentSince) >= hold
 }
 
-// suspectHold is how long the VMs that a list lost together with many others
-// count as listed without a report. It is the time that a dark domain is left
-// alone, because the list may lose a dark domain.
-const suspectHold = darkHold
-
 func (leader *Leader) losesLargeShare(present map[string]bool) bool {
 	known := 0
 	lost := 0
--- a/group/order.go
+++ b/group/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -12,6 +13,10 @@
 // orderRetry is the pause after a refused order.
 const orderRetry = 500 * time.Millisecond
 
+// announceTime covers the write of an engine's announcement and its way to the
+// leader through a watch.
+const announceTime = 150 * time.Millisecond
+
 // A pendingOrder is the last order to a VM. The next one waits until a report
 // that was asked for after it could have arrived.
 type pendingOrder struct {
@@ -52,11 +57,16 @@
 
 // strictest returns a class that stands for a VM of unknown class.
 func (leader *Leader) strictest() folder.TargetClass {
-	checks := len(leader.classes) > 0
+	strictest := folder.TargetClass{OrderDelay: leader.longestDelay()}
+	strictest.ChecksFencing = len(leader.classes) > 0
+	strictest.ChecksSequence = len(leader.classes) > 0
 	for _, class := range leader.classes {
-		checks = checks && class.ChecksFencing
+		strictest.ChecksFencing = strictest.ChecksFencing && class.ChecksFencing
+		strictest.ChecksSequence = strictest.ChecksSequence && class.ChecksSequence
+		strictest.OpenedByOrder = strictest.OpenedByOrder || class.OpenedByOrder
+		strictest.StallTime = max(strictest.StallTime, class.StallTime)
 	}
-	return folder.TargetClass{ChecksFencing: checks, OrderDelay: leader.longestDelay()}
+	return strictest
 }
 
 func (leader *Leader) class(spec string) folder.TargetClass {
@@ -93,7 +103,7 @@
 
 // orderClass returns the target class that an order is sent under.
 func (leader *Leader) orderClass(wanted wantedOrder) folder.TargetClass {
-	if wanted.action == engine.ActionRelease {
+	if wanted.group.Spec == "" {
 		return leader.strictest()
 	}
 	return leader.class(wanted.group.Spec)
@@ -106,25 +116,40 @@
 		return wantedOrder{}, false
 	}
 	wanted := wantedOrder{vm: vm, name: name, action: engine.ActionRelease}
+	if leader.mustClose(vm, name) {
+		wanted.action = engine.ActionClose
+		return wanted, true
+	}
 	seat, placed := leader.placement.Assignment(name)
 	if !placed {
-		return wanted, !vm.idle() || leader.unclaimed(vm)
+		if leader.mayStage(now, vm) {
+			return leader.stageOrder(vm, name), true
+		}
+		return wanted, (!vm.idle() || leader.unclaimed(vm)) && leader.mayLeave(now, vm)
 	}
 	group := leader.placement.groups[seat.Group]
-	other := vm.report.Group != "" && vm.report.Group != group.Name
+	byOrder := leader.class(group.Spec).OpenedByOrder
+	other := vm.report.Group != "" && vm.report.Group != group.Name && !byOrder
 	if seat.Incarnation != vm.report.Incarnation || other || group.State == StateReleased {
-		return wanted, !vm.idle()
+		return wanted, !vm.idle() && leader.mayLeave(now, vm)
 	}
 	wanted.group = group
 	wanted.seat = seat
 	if group.State == StateDraining {
 		wanted.action = engine.ActionDrain
-		return wanted, leader.gateClosed(now, group) && vm.report.State != engine.StateDraining
+		return wanted, leader.gateClosed(now, group) && leader.mustDrain(vm, group)
 	}
 	wanted.action = engine.ActionLoad
 	if vm.holds(group, seat) {
+		if byOrder {
+			wanted.action = engine.ActionOpen
+			return wanted, leader.mayOpen(vm, group, seat)
+		}
 		return wanted, vm.report.State == engine.StateIdle || vm.report.State == engine.StateDraining
 	}
+	if !leader.mayLeave(now, vm) {
+		return wanted, false
+	}
 	return wanted, !vm.needsWeights(group) || vm.weights.grantedFor(group)
 }
 
@@ -132,7 +157,8 @@
 // order of an earlier leader. A release order raises its fencing number before
 // the VM is assigned.
 func (leader *Leader) unclaimed(vm *member) bool {
-	return leader.strictest().ChecksFencing && vm.report.Fence < leader.fence
+	class := leader.strictest()
+	return class.ChecksFencing && !class.ChecksSequence && vm.report.Fence < leader.fence
 }
 
 // holds reports whether the engine names the seat in its last report.
@@ -145,8 +171,11 @@
 
 func (leader *Leader) order(wanted wantedOrder) engine.Order {
 	report := wanted.vm.report
-	if wanted.action == engine.ActionRelease {
+	switch wanted.action {
+	case engine.ActionRelease, engine.ActionClose:
 		return engine.Order{Action: wanted.action, Group: report.Group, Epoch: report.Epoch, Rank: report.Rank}
+	case engine.ActionStage:
+		return engine.Order{Action: wanted.action, Model: wanted.group.Model, Version: wanted.group.Version}
 	}
 	order := engine.Order{
 		Action:  wanted.action,
@@ -159,6 +188,7 @@
 	}
 	for _, vm := range leader.placement.Members(wanted.group.Name) {
 		order.Members = append(order.Members, leader.placement.vms[vm].Address)
+		order.MemberVMs = append(order.MemberVMs, vm)
 	}
 	return order
 }
@@ -169,7 +199,7 @@
 	if !vm.readBack() || now.Before(vm.order.retryAt) {
 		return false
 	}
-	if !class.ChecksFencing && now.Before(leader.quietUntil) {
+	if !class.ChecksFencing && !class.ChecksSequence && now.Before(leader.quietUntil) {
 		return false
 	}
 	return now.Before(leader.orderDeadline(class))
@@ -178,7 +208,7 @@
 // orderDeadline returns the last time at which an order may be sent so that
 // it arrives within the lease. A class that checks fencing needs no margin.
 func (leader *Leader) orderDeadline(class folder.TargetClass) time.Time {
-	if class.ChecksFencing {
+	if class.ChecksFencing || class.ChecksSequence {
 		return leader.until
 	}
 	return leader.until.Add(-class.OrderDelay)
@@ -190,8 +220,14 @@
 	order := leader.order(wanted)
 	order.ID = fmt.Sprintf("%s/%d/%d", leader.writer(), leader.fence, leader.orders)
 	order.Fence = leader.fence
+	order.VM = wanted.name
 	order.ExpiresInMillis = leader.until.Sub(now).Milliseconds()
-	wanted.vm.order = pendingOrder{id: order.ID, delay: class.OrderDelay}
+	delay := class.OrderDelay
+	if class.ChecksSequence {
+		// A late copy of the order is refused once another one has begun.
+		delay = orderRetry
+	}
+	wanted.vm.order = pendingOrder{id: order.ID, delay: delay}
 	return SendOrder{VM: wanted.name, Address: wanted.vm.vm.Address, Order: order, Deadline: deadline}
 }
 
@@ -203,11 +239,18 @@
 	return &member.order
 }
 
+// noteOrder waits for a report that shows what the order did. Reports that the
+// engine itself announces arrive some time after its answer.
 func (leader *Leader) noteOrder(vm string, order string, settledAt time.Time) {
-	if pending := leader.pending(vm, order); pending != nil {
-		pending.settled = true
-		pending.settledAt = settledAt
+	pending := leader.pending(vm, order)
+	if pending == nil {
+		return
+	}
+	if leader.strictest().ChecksSequence {
+		settledAt = settledAt.Add(announceTime)
 	}
+	pending.settled = true
+	pending.settledAt = settledAt
 }
 
 // noteOrderRefused reads the record again when the engine has seen a higher
@@ -246,6 +289,9 @@
 
 // needsWeights reports whether the engine has to fetch the group's weights.
 func (vm *member) needsWeights(group Group) bool {
+	if slices.Contains(vm.report.Staged, group.Model) {
+		return false
+	}
 	return vm.report.Model != group.Model || vm.report.Version != group.Version
 }
 
@@ -297,6 +343,7 @@
 		}
 		needs = append(needs, leader.groupNeeds(group)...)
 	}
+	needs = append(needs, leader.stagingNeeds()...)
 	sort.SliceStable(needs, func(i, j int) bool {
 		if needs[i].spec.Value != needs[j].spec.Value {
 			return needs[i].spec.Value > needs[j].spec.Value
--- a/group/plan.go
+++ b/group/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"lacewingspoke.org/lacewingspoke/folder"
@@ -42,6 +43,12 @@
 	// Live says that the VM reports.
 	Live bool
 
+	// Gone says that the platform has taken the VM off its list.
+	Gone bool
+
+	// Staged are the models whose weights are on the VM's host.
+	Staged []string
+
 	// Spare says that the VM holds no group and may be assigned.
 	Spare bool
 
@@ -172,12 +179,32 @@
 	return count
 }
 
-func (planner *planner) take() string {
-	name := planner.spares[0]
-	planner.spares = planner.spares[1:]
+func (planner *planner) take(model string) string {
+	name := planner.spareVMs(model)[0]
+	planner.spend(name)
 	return name
 }
 
+// spareVMs returns the spares in the order in which a group of the model uses
+// them: first those whose host has the weights, then those whose host has
+// none, whose use displaces nothing.
+func (planner *planner) spareVMs(model string) []string {
+	sorted := slices.Clone(planner.spares)
+	rank := func(name string) int {
+		staged := planner.vms[name].Staged
+		switch {
+		case slices.Contains(staged, model):
+			return 0
+		case len(staged) == 0:
+			return 1
+		default:
+			return 2
+		}
+	}
+	slices.SortStableFunc(sorted, func(one, other string) int { return rank(one) - rank(other) })
+	return sorted
+}
+
 // form makes the missing replicas of the domain's share out of spares, the
 // most valuable first. Spares that an incomplete group waits for are left.
 func (planner *planner) form() {
@@ -189,8 +216,10 @@
 			if size < 1 || len(planner.spares)-reserved < size {
 				break
 			}
-			vms := planner.spares[:size:size]
-			planner.spares = planner.spares[size:]
+			vms := planner.spareVMs(demand.Group.Model)[:size:size]
+			for _, vm := range vms {
+				planner.spend(vm)
+			}
 			name := planner.freeName(demand.Group.Name)
 			planner.decide(name, Form{Spec: demand.Group.Name, Name: name, VMs: vms})
 		}
--- a/group/publish.go
+++ b/group/publish.go
@@ -80,7 +80,7 @@
 		if !found || !vm.live() || !vm.holds(group, leader.placement.vms[name]) {
 			return time.Time{}, false
 		}
-		if !vm.serves(group) {
+		if !vm.serves(group) || rank == 0 && !leader.admits(vm, group) {
 			return time.Time{}, false
 		}
 		if rank == 0 || vm.sent.Before(oldest) {
@@ -95,7 +95,7 @@
 	if vm.needsWeights(group) {
 		return false
 	}
-	if vm.report.State == engine.StateReady {
+	if vm.report.State == engine.StateReady || vm.report.State == engine.StateOpen {
 		return true
 	}
 	return group.State == StateDraining && vm.report.State == engine.StateDraining
--- a/group/repair.go
+++ b/group/repair.go
@@ -37,7 +37,7 @@
 	longest := time.Duration(0)
 	for _, rank := range ranks {
 		vm, found := planner.vms[status.Members[rank]]
-		if !found || vm.Live {
+		if !found || vm.Live || vm.Gone {
 			return patienceOver
 		}
 		if vm.MissingSince.IsZero() {
@@ -122,15 +122,16 @@
 // is usable, else a spare.
 func (planner *planner) seats(group incompleteGroup) ([]Repair, bool) {
 	var seats []Repair
+	spares := planner.spareVMs(group.status.Group.Model)
 	next := 0
 	for _, rank := range group.ranks {
 		member := group.status.Members[rank]
 		seat := Repair{Group: group.status.Group.Name, Rank: rank, VM: member, Replaced: member, Reason: RepairRestarted}
 		if planner.seatFault(group.status, rank) == RepairMissing || planner.vms[member].Leaving {
-			if next == len(planner.spares) {
+			if next == len(spares) {
 				return nil, false
 			}
-			seat.VM = planner.spares[next]
+			seat.VM = spares[next]
 			seat.Reason = RepairMissing
 			next++
 		}
--- a/group/stop.go
+++ b/group/stop.go
@@ -29,7 +29,7 @@
 			continue
 		}
 		if len(planner.spares) > 0 {
-			planner.decide(name, Repair{Group: name, Rank: rank, VM: planner.take(), Replaced: member, Reason: reason})
+			planner.decide(name, Repair{Group: name, Rank: rank, VM: planner.take(status.Group.Model), Replaced: member, Reason: reason})
 			continue
 		}
 		if reason == RepairLeaving {
@@ -191,7 +191,7 @@
 		if !planner.mayStop(planner.demand(status.Group.Spec)) {
 			continue
 		}
-		planner.take()
+		planner.take(status.Group.Model)
 		planner.decide(status.Group.Name, Drain{Group: status.Group.Name, Reason: DrainStraggler})
 	}
 }
--- a/httpsend/httpsend.go
+++ b/httpsend/httpsend.go
@@ -62,6 +62,9 @@
 	// ContentType is optional.
 	ContentType string
 
+	// Header holds further headers; it may be nil.
+	Header http.Header
+
 	// IfNoneMatch is the entity tag of a known reply; empty for none.
 	IfNoneMatch string
 
@@ -168,6 +171,9 @@
 	}
 	// Without GetBody the transport cannot send a body a second time.
 	outgoing.GetBody = nil
+	for name, values := range request.Header {
+		outgoing.Header[name] = values
+	}
 	if request.ContentType != "" {
 		outgoing.Header.Set("Content-Type", request.ContentType)
 	}
--- a/route/table.go
+++ b/route/table.go
@@ -4,6 +4,7 @@
 	"sync"
 	"sync/atomic"
 
+	"lacewingspoke.org/lacewingspoke/catalog"
 	"lacewingspoke.org/lacewingspoke/folder"
 	"lacewingspoke.org/lacewingspoke/group"
 )
@@ -16,6 +17,9 @@
 	Spec  string
 	Epoch uint64
 
+	// VM is the name of rank 0's VM.
+	VM string
+
 	// Address is IP:port of rank 0.
 	Address       string
 	FailureDomain string
@@ -29,10 +33,17 @@
 
 // A ServiceTarget is one runner of a service.
 type ServiceTarget struct {
-	Service       string
+	Service string
+
+	// Name identifies the runner; empty when only its address does.
+	Name          string
 	Address       string
 	FailureDomain string
 
+	// Slots is the number of requests that the runner takes at once, 0 when it
+	// is not known.
+	Slots int
+
 	// Open is false when the runner is leaving.
 	Open bool
 	Load group.Load
@@ -45,11 +56,15 @@
 	Generation uint64
 	Groups     []GroupTarget
 	Services   []ServiceTarget
+
+	// Catalog is nil where requests are routed by the folder.
+	Catalog *catalog.Catalog
 }
 
 // A Table is an immutable snapshot of what traffic needs.
 type Table struct {
 	folder     *folder.Folder
+	catalog    *catalog.Catalog
 	generation uint64
 	groups     []GroupTarget
 	bySpec     map[string][]GroupTarget
@@ -63,6 +78,7 @@
 func NewTable(config TableConfig) *Table {
 	table := &Table{
 		folder:     config.Folder,
+		catalog:    config.Catalog,
 		generation: config.Generation,
 		groups:     config.Groups,
 		bySpec:     groupsBySpec(config.Groups),
@@ -98,6 +114,10 @@
 // Folder returns the configuration in force, nil when none is known.
 func (table *Table) Folder() *folder.Folder { return table.folder }
 
+// Catalog returns the routes of callers' HTTP requests, nil when none are
+// known.
+func (table *Table) Catalog() *catalog.Catalog { return table.catalog }
+
 // Generation returns the generation in force, 0 when none is known.
 func (table *Table) Generation() uint64 { return table.generation }
 
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -22,6 +22,10 @@
 }
 
 type targetCounts struct {
+	// observed is the load that an answer of the target told at observedAt.
+	observed   group.Load
+	observedAt time.Time
+
 	// started holds the start time of each request in progress by its number.
 	started  map[uint64]time.Time
 	finished []finishedRequest
@@ -52,6 +56,17 @@
 	return func(ended time.Time) { tracker.finish(target, number, ended) }
 }
 
+// Observe takes in a load that an answer of the target told. It counts until a
+// newer one, or a newer report, is known.
+func (tracker *Tracker) Observe(target string, load group.Load, now time.Time) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	if counts := tracker.targets[target]; counts != nil {
+		counts.observed = load
+		counts.observedAt = now
+	}
+}
+
 func (tracker *Tracker) finish(target string, number uint64, ended time.Time) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
@@ -84,6 +99,10 @@
 		return reported
 	}
 	own := len(counts.started)
+	if counts.observedAt.After(reportedAt) {
+		reportedAt = counts.observedAt
+		reported = counts.observed.Running + counts.observed.Queued
+	}
 	if reportedAt.IsZero() {
 		return max(reported, own)
 	}
--- a/settings/field.go
+++ b/settings/field.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -16,6 +17,7 @@
 	sectionStore  = "store"
 	sectionPeers  = "peers"
 	sectionLimits = "limits"
+	sectionBounds = "bounds"
 )
 
 // fieldID identifies a key.
@@ -106,6 +108,59 @@
 		fallback: "1024",
 		set:      func(settings *Settings, value string) error { return setCount(&settings.maxQueue, value, 0) },
 	},
+	{
+		id:       fieldID{sectionNode, "bootstrap"},
+		fallback: "no",
+		set:      func(settings *Settings, value string) error { return setFlag(&settings.bootstrap, value) },
+	},
+	{
+		id:  fieldID{sectionListen, "ready"},
+		set: func(settings *Settings, value string) error { return setListener(&settings.readyAddress, value) },
+	},
+	{
+		id:       fieldID{sectionStore, "protocol"},
+		fallback: ProtocolNative,
+		set:      func(settings *Settings, value string) error { return setProtocol(&settings.storeProtocol, value) },
+	},
+	{
+		id:       fieldID{sectionBounds, "revocation"},
+		fallback: "5s",
+		set:      func(settings *Settings, value string) error { return setDuration(&settings.revocation, value, time.Second) },
+	},
+	{
+		id:       fieldID{sectionBounds, "stall"},
+		fallback: "5s",
+		set:      func(settings *Settings, value string) error { return setDuration(&settings.stall, value, 0) },
+	},
+	{
+		id:       fieldID{sectionBounds, "retry-ratio"},
+		fallback: "0.2",
+		set:      func(settings *Settings, value string) error { return setRatio(&settings.retryRatio, value) },
+	},
+	{
+		id:       fieldID{sectionBounds, "retry-slack"},
+		fallback: "130",
+		set:      func(settings *Settings, value string) error { return setCount(&settings.retrySlack, value, 0) },
+	},
+	{
+		id:       fieldID{sectionBounds, "retry-window"},
+		fallback: "10s",
+		set: func(settings *Settings, value string) error {
+			return setDuration(&settings.retryWindow, value, time.Second)
+		},
+	},
+	{
+		id:       fieldID{sectionBounds, "load-window"},
+		fallback: "5s",
+		set: func(settings *Settings, value string) error {
+			return setDuration(&settings.loadWindow, value, time.Second)
+		},
+	},
+	{
+		id:       fieldID{sectionBounds, "nodes"},
+		fallback: "6",
+		set:      func(settings *Settings, value string) error { return setCount(&settings.nodes, value, 1) },
+	},
 }
 
 func findField(id fieldID) (field, bool) {
@@ -137,6 +192,7 @@
 		{"callers", settings.callersAddress},
 		{"peers", settings.peersAddress},
 		{"admin", settings.adminAddress},
+		{"ready", settings.readyAddress},
 	}
 }
 
@@ -182,6 +238,32 @@
 	return nil
 }
 
+func setFlag(flag *bool, value string) error {
+	parsed, err := inifile.ParseFlag(value)
+	*flag = parsed
+	return errors.Trace(err)
+}
+
+func setProtocol(protocol *string, value string) error {
+	if value != ProtocolNative && value != ProtocolShared {
+		return errors.NotValidf("protocol %q (want %s or %s)", value, ProtocolNative, ProtocolShared)
+	}
+	*protocol = value
+	return nil
+}
+
+func setRatio(ratio *float64, value string) error {
+	parsed, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(parsed >= 0 && parsed <= maxRatio) {
+		return errors.NotValidf("ratio %q (want 0 to %d)", value, maxRatio)
+	}
+	*ratio = parsed
+	return nil
+}
+
+// maxRatio only catches slips of the keyboard.
+const maxRatio = 100
+
 func setBytes(count *int64, value string) error {
 	parsed, err := inifile.ParseBytes(value)
 	if err == nil && parsed == 0 {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,15 +7,18 @@
 //	name           = constanta-port-1    # required, unique in the fleet
 //	failure-domain = constanta-port      # required
 //	stop-notice    = 3s                  # listener stays open after SIGTERM
+//	bootstrap      = no                  # the whole system starts for the first time
 //
 //	[listen]
 //	callers = 127.0.0.1:8080             # required
 //	peers   = 127.0.0.1:8081             # required
 //	admin   = 127.0.0.1:8082             # required
+//	ready   = 127.0.0.1:8083             # health check alone, may be absent
 //
 //	[store]
 //	addresses = 127.0.0.1:7000           # required, comma-separated
 //	timeout   = 2s                       # one store call
+//	protocol  = native                   # or shared: the platform's own store
 //
 //	[peers]
 //	seeds = 127.0.0.1:8181               # comma-separated, may be absent
@@ -27,8 +30,17 @@
 //	max-in-flight = 4096                 # requests in progress at this node
 //	max-queue     = 1024                 # requests that wait at this node
 //
+//	[bounds]                             # of a platform with a shared store
+//	revocation   = 5s                    # a key taken away passes no longer
+//	stall        = 5s                    # a group stays open that lost a member
+//	retry-ratio  = 0.2                   # retries for each request, all nodes
+//	retry-slack  = 130                   # retries beside them, all nodes
+//	retry-window = 10s                   # span in which retries are bounded
+//	load-window  = 5s                    # span in which loads are bounded
+//	nodes        = 6                     # nodes that share the retries at least
+//
 // The values shown for keys that are not required are the defaults, except
-// for seeds. Addresses are IP:port. Unknown sections and keys are faults.
+// for seeds and ready. Addresses are IP:port. Unknown sections and keys are faults.
 //
 // # Usage
 //
@@ -76,8 +88,59 @@
 	maxAnswer      int64
 	maxInFlight    int
 	maxQueue       int
+	bootstrap      bool
+	readyAddress   string
+	storeProtocol  string
+	revocation     time.Duration
+	stall          time.Duration
+	retryRatio     float64
+	retrySlack     int
+	retryWindow    time.Duration
+	loadWindow     time.Duration
+	nodes          int
 }
 
+// The protocols of the store.
+const (
+	// ProtocolNative is that of the stand-ins.
+	ProtocolNative = "native"
+
+	// ProtocolShared is that of the platform, whose store targets and operators
+	// write to as well.
+	ProtocolShared = "shared"
+)
+
+// Bootstrap reports whether the whole system starts for the first time.
+func (settings *Settings) Bootstrap() bool { return settings.bootstrap }
+
+// ReadyAddress returns the IP:port of the health check, empty for none.
+func (settings *Settings) ReadyAddress() string { return settings.readyAddress }
+
+// StoreProtocol returns ProtocolNative or ProtocolShared.
+func (settings *Settings) StoreProtocol() string { return settings.storeProtocol }
+
+// Revocation returns the time after which a key that was taken away must not
+// pass.
+func (settings *Settings) Revocation() time.Duration { return settings.revocation }
+
+// Stall returns how long engines keep a group open whose member is lost.
+func (settings *Settings) Stall() time.Duration { return settings.stall }
+
+// RetryRatio returns the retries for each request over all nodes.
+func (settings *Settings) RetryRatio() float64 { return settings.retryRatio }
+
+// RetrySlack returns the retries beside RetryRatio over all nodes.
+func (settings *Settings) RetrySlack() int { return settings.retrySlack }
+
+// RetryWindow returns the span in which retries are bounded.
+func (settings *Settings) RetryWindow() time.Duration { return settings.retryWindow }
+
+// LoadWindow returns the span in which loads of weights are bounded.
+func (settings *Settings) LoadWindow() time.Duration { return settings.loadWindow }
+
+// Nodes returns the number of nodes that share the retries at least.
+func (settings *Settings) Nodes() int { return settings.nodes }
+
 // Name returns the node's name, which is unique in the fleet.
 func (settings *Settings) Name() string { return settings.name }
 
--- a/timer/subscription.go
+++ b/timer/subscription.go
@@ -22,7 +22,12 @@
 
 // C returns the channel of ticks. It holds at most one tick and is never
 // closed.
-func (subscription *Subscription) C() <-chan time.Time { return subscription.ticks }
+func (subscription *Subscription) C() <-chan time.Time {
+	if subscription == nil {
+		return nil
+	}
+	return subscription.ticks
+}
 
 // Cancel ends the subscription. It may be called more than once; a tick that
 // is already in the channel stays there.
--- a/timer/timer.go
+++ b/timer/timer.go
@@ -38,6 +38,9 @@
 
 	// Random spreads the ticks. It is optional; tests pass a fixed seed.
 	Random *rand.Rand
+
+	// Clock replaces the runtime's clock; nil means time.Now.
+	Clock func() time.Time
 }
 
 // A Service tells subscribers that time has passed. Its methods may be called
@@ -46,6 +49,7 @@
 	logger *zap.Logger
 	done   chan error
 	wake   chan struct{}
+	clock  func() time.Time
 
 	mutex    sync.Mutex
 	random   *rand.Rand
@@ -59,6 +63,10 @@
 		random: config.Random,
 		done:   make(chan error, 1),
 		wake:   make(chan struct{}, 1),
+		clock:  config.Clock,
+	}
+	if service.clock == nil {
+		service.clock = time.Now
 	}
 	if service.logger == nil {
 		service.logger = zap.NewNop()
@@ -69,8 +77,8 @@
 	return service
 }
 
-// Now returns the time with its monotonic reading.
-func (service *Service) Now() time.Time { return time.Now() }
+// Now returns the time of the service's clock.
+func (service *Service) Now() time.Time { return service.clock() }
 
 // Every returns a subscription that ticks after each interval plus a random
 // part of jitter. The interval must be positive.
