Fill fabric domains by share and settle open orders

Cause: replicas were derived from the whole fleet's list, so the loss of one VM lowered the wanted number and dissolved the group that a spare could have repaired; open orders were repeated while the group opened, and the count of begun orders drifted. Ruled out: limits of the weight store (all 12 groups were open 4.4 s before traffic). Conclusion: each leader fills its own domain; groups stay while the VMs can complete them.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -136,6 +136,9 @@
 	// second; more than ParallelLoads at once slow each other down.
 	LoadRate      float64
 	ParallelLoads int
+
+	// OpenTime is how long a group takes to open.
+	OpenTime time.Duration
 }
 
 // A Model is what a serving group of one model needs.
--- a/control/feed.go
+++ b/control/feed.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"math"
 	"time"
 
 	"github.com/juju/errors"
@@ -97,7 +98,6 @@
 	runners   []route.ServiceTarget
 	catalog   *catalog.Catalog
 	loads     *limit.Window
-	fitted    []folder.Group
 	orders    *orderCounts
 }
 
@@ -163,7 +163,6 @@
 	state.logTargets(previous, reports)
 	state.dirty = true
 	state.handleVMs(now, vms)
-	state.fitGroups(now)
 	for name, led := range state.led {
 		for _, vm := range vms {
 			if vm.FabricDomain == name && !previous[vm.Name].Same(reports[vm.Name]) {
@@ -212,8 +211,7 @@
 	state.metrics.generation.Set(float64(read.Version()))
 	state.logger.Info("configuration in force", zap.Uint64("generation", read.Version()), zap.String("source", "store"))
 	state.feed.loads.SetBound(state.loadBound())
-	state.feed.fitted = nil
-	state.fitGroups(now)
+	state.setGroups(now)
 }
 
 // loadBound returns the loads that may begin in a LoadWindow in all fabric
@@ -228,25 +226,36 @@
 	return bound
 }
 
-// fitGroups sets the wanted replicas from the models and the listed VMs.
-func (state *state) fitGroups(now time.Time) {
-	if state.feed.catalog == nil {
-		return
+// setGroups makes the groups of the configuration's models known to the
+// leaders.
+func (state *state) setGroups(now time.Time) {
+	class := folder.TargetClass{
+		Name:           feedClass,
+		ChecksFencing:  true,
+		ChecksSequence: true,
+		OpenedByOrder:  true,
+		StallTime:      state.config.Feed.StallTime,
 	}
-	fitted := group.Fit(wishesOf(state.feed.catalog), state.domainSizes(""))
-	if sameGroups(fitted, state.feed.fitted) && state.configuration.folder != nil {
-		return
+	var groups []folder.Group
+	for _, service := range state.feed.catalog.Services() {
+		if service.Engine == nil {
+			continue
+		}
+		class.OpenTime = max(class.OpenTime, service.Engine.OpenTime)
+		for _, model := range service.Engine.Models {
+			groups = append(groups, folder.Group{
+				Name:        model.Name,
+				Model:       model.Name,
+				Size:        model.Size,
+				Share:       int(math.Round(model.Share * thousandths)),
+				Value:       1,
+				TargetClass: feedClass,
+			})
+		}
 	}
-	state.feed.fitted = fitted
 	state.configuration.folder = folder.New(folder.Config{
-		Groups: fitted,
-		TargetClasses: []folder.TargetClass{{
-			Name:           feedClass,
-			ChecksFencing:  true,
-			ChecksSequence: true,
-			OpenedByOrder:  true,
-			StallTime:      state.config.Feed.StallTime,
-		}},
+		Groups:        groups,
+		TargetClasses: []folder.TargetClass{class},
 		Policy: folder.Policy{
 			DowntimeWeight: 1,
 			StrandedWeight: 1,
@@ -255,42 +264,13 @@
 			SpreadTime:     feedSpreadTime,
 		},
 	})
-	for _, spec := range fitted {
-		state.logger.Info("replicas wanted", zap.String("model", spec.Model), zap.Int("size", spec.Size), zap.Int("replicas", spec.Replicas))
-	}
-	state.dirty = true
 	for _, led := range state.led {
 		state.handleGroup(now, led, state.folderEvent())
 	}
 }
 
-func sameGroups(one, other []folder.Group) bool {
-	if len(one) != len(other) {
-		return false
-	}
-	for index := range one {
-		if one[index] != other[index] {
-			return false
-		}
-	}
-	return true
-}
-
-func wishesOf(current *catalog.Catalog) []group.Wish {
-	var wishes []group.Wish
-	for _, service := range current.Services() {
-		if service.Engine == nil {
-			continue
-		}
-		for _, model := range service.Engine.Models {
-			wishes = append(wishes, group.Wish{
-				Group: folder.Group{Name: model.Name, Model: model.Name, Size: model.Size, Value: 1, TargetClass: feedClass},
-				Share: model.Share,
-			})
-		}
-	}
-	return wishes
-}
+// thousandths turns a part into the unit of folder.Group's share.
+const thousandths = 1000
 
 // localReport answers a leader's read from the announcements.
 func (state *state) localReport(now time.Time, read group.ReadReport) group.Event {
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -235,7 +235,7 @@
 	outcome := state.config.Engines.SendOrder(ctx, effect.Address, order)
 	state.logger.Info("order sent", zap.String("vm", effect.VM), zap.String("action", string(order.Action)),
 		zap.String("group", order.Group), zap.Uint64("epoch", order.Epoch), zap.Uint64("fence", order.Fence),
-		zap.Uint64("expected", order.Expected), zap.String("model", order.Model), zap.String("outcome", fmt.Sprintf("%T", outcome)))
+		zap.Uint64("expected", order.Expected), zap.String("model", order.Model), zap.String("outcome", fmt.Sprintf("%T%+v", outcome, outcome)))
 	counted.learn(outcome)
 	switch outcome := outcome.(type) {
 	case engine.OrderAccepted:
@@ -274,6 +274,7 @@
 			zap.String("expected-incarnation", counted.incarnation), zap.String("incarnation", report.Incarnation), zap.Error(err))
 		return false
 	}
+	state.logger.Info("orders counted", zap.String("vm", counted.vm), zap.Uint64("count", report.Sequence), zap.Uint64("assumed", counted.count))
 	counted.count = report.Sequence
 	counted.known = true
 	return true
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -115,11 +115,11 @@
 	state, record := newTestState(test)
 	past, future := state.now().Add(-time.Millisecond), state.now().Add(time.Hour)
 	order := group.SendOrder{VM: "vm", Order: engine.Order{ID: "o"}, Deadline: past}
-	require.Equal(test, group.OrderRefused{VM: "vm", Order: "o"}, state.sendOrder(context.Background(), order))
+	require.Equal(test, group.OrderRefused{VM: "vm", Order: "o"}, state.sendOrder(context.Background(), order, &orderCount{}))
 	require.IsType(test, kvstore.Refused{}, state.putBefore(context.Background(), past, kvstore.PutRequest{Key: "k"}))
 	require.Zero(test, record.orders+len(record.puts))
 	order.Deadline = future
-	require.Equal(test, group.OrderAccepted{VM: "vm", Order: "o"}, state.sendOrder(context.Background(), order))
+	require.Equal(test, group.OrderAccepted{VM: "vm", Order: "o"}, state.sendOrder(context.Background(), order, &orderCount{}))
 	require.IsType(test, kvstore.Written{}, state.putBefore(context.Background(), future, kvstore.PutRequest{Key: "k"}))
 }
 
--- a/folder/model.go
+++ b/folder/model.go
@@ -78,6 +78,11 @@
 	// Replicas is the wanted number of replicas.
 	Replicas int
 
+	// Share is the part of each fabric domain that the replicas take, in
+	// thousandths. With a share, as many replicas are formed as the VMs hold and
+	// Replicas is not used.
+	Share int
+
 	// Value orders groups when weights are loaded; higher loads first.
 	Value int
 
@@ -123,6 +128,9 @@
 
 	// StallTime is how long rank 0 keeps a group open whose member is lost.
 	StallTime time.Duration
+
+	// OpenTime is how long an open order takes.
+	OpenTime time.Duration
 }
 
 // Policy holds the operators' weights and bounds.
--- a/folder/schema.go
+++ b/folder/schema.go
@@ -32,6 +32,7 @@
 	maxGroupValue  = 1_000_000
 	maxPolicyCost  = 1e9
 	percentMaximum = 100
+	thousandths    = 1000
 	maxTextBytes   = 200
 	digestBytes    = 32
 )
@@ -205,6 +206,12 @@
 		set:      func(item *item, value string) error { return setDuration(&item.class.StallTime, value) },
 		text:     func(item *item) string { return inifile.FormatDuration(item.class.StallTime) },
 	},
+	{
+		key:      "open-time",
+		fallback: always("300ms"),
+		set:      func(item *item, value string) error { return setDuration(&item.class.OpenTime, value) },
+		text:     func(item *item) string { return inifile.FormatDuration(item.class.OpenTime) },
+	},
 }
 
 var groupFields = []field{
@@ -232,6 +239,12 @@
 		set:      func(item *item, value string) error { return setCount(&item.group.Replicas, value, 0, maxReplicas) },
 		text:     func(item *item) string { return strconv.Itoa(item.group.Replicas) },
 	},
+	{
+		key:      "share",
+		fallback: always("0"),
+		set:      func(item *item, value string) error { return setCount(&item.group.Share, value, 0, thousandths) },
+		text:     func(item *item) string { return strconv.Itoa(item.group.Share) },
+	},
 	{
 		key:      "value",
 		fallback: always("1"),
--- a/group/demand.go
+++ b/group/demand.go
@@ -188,6 +188,9 @@
 		}
 		demands = append(demands, demand)
 	}
+	if leader.filling() {
+		leader.fillDemands(demands, groups)
+	}
 	return demands
 }
 
--- a/group/open.go
+++ b/group/open.go
@@ -219,7 +219,7 @@
 func (leader *Leader) scarcest(spares, placed map[string]int) folder.Group {
 	best := leader.groups[0]
 	for _, spec := range leader.groups[1:] {
-		if spares[spec.Model]*(placed[best.Model]+1) < spares[best.Model]*(placed[spec.Model]+1) {
+		if (spares[spec.Model]+1)*placed[best.Model] < (spares[best.Model]+1)*placed[spec.Model] {
 			best = spec
 		}
 	}
--- a/group/order.go
+++ b/group/order.go
@@ -21,6 +21,7 @@
 // that was asked for after it could have arrived.
 type pendingOrder struct {
 	id      string
+	action  engine.Action
 	settled bool
 
 	// settledAt is the time from which a report shows what the order did.
@@ -65,6 +66,7 @@
 		strictest.ChecksSequence = strictest.ChecksSequence && class.ChecksSequence
 		strictest.OpenedByOrder = strictest.OpenedByOrder || class.OpenedByOrder
 		strictest.StallTime = max(strictest.StallTime, class.StallTime)
+		strictest.OpenTime = max(strictest.OpenTime, class.OpenTime)
 	}
 	return strictest
 }
@@ -227,7 +229,7 @@
 		// A late copy of the order is refused once another one has begun.
 		delay = orderRetry
 	}
-	wanted.vm.order = pendingOrder{id: order.ID, delay: delay}
+	wanted.vm.order = pendingOrder{id: order.ID, action: wanted.action, delay: delay}
 	return SendOrder{VM: wanted.name, Address: wanted.vm.vm.Address, Order: order, Deadline: deadline}
 }
 
@@ -249,6 +251,9 @@
 	if leader.strictest().ChecksSequence {
 		settledAt = settledAt.Add(announceTime)
 	}
+	if pending.action == engine.ActionOpen {
+		settledAt = settledAt.Add(leader.strictest().OpenTime)
+	}
 	pending.settled = true
 	pending.settledAt = settledAt
 }
--- a/group/standing.go
+++ b/group/standing.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"lacewingspoke.org/lacewingspoke/engine"
-	"lacewingspoke.org/lacewingspoke/folder"
 )
 
 // Standing returns the grants that follow from a placement record and from the
@@ -43,61 +42,3 @@
 	}
 	return group.Size > 0
 }
-
-// A Wish is a group with its part of the VMs.
-type Wish struct {
-	Group folder.Group
-	Share float64
-}
-
-const (
-	// spareDivisor keeps a fifth of each fabric domain as spares: a group that
-	// loses a member serves again within a second or two when a spare is at
-	// hand, and after a load from the weight store when none is.
-	spareDivisor = 5
-)
-
-// Fit returns the wished groups with as many replicas as the fabric domains
-// hold beside their spares. Replicas are divided in proportion to share and
-// size. A domain that is too small for spares is filled.
-func Fit(wishes []Wish, domains []DomainSize) []folder.Group {
-	counts := make([]int, len(wishes))
-	for _, domain := range domains {
-		room := domain.VMs - (domain.VMs+spareDivisor-1)/spareDivisor
-		if index := scarcestWish(wishes, counts, room); index < 0 {
-			room = domain.VMs
-		}
-		for {
-			index := scarcestWish(wishes, counts, room)
-			if index < 0 {
-				break
-			}
-			counts[index]++
-			room -= wishes[index].Group.Size
-		}
-	}
-	groups := make([]folder.Group, len(wishes))
-	for index, wish := range wishes {
-		groups[index] = wish.Group
-		groups[index].Replicas = counts[index]
-	}
-	return groups
-}
-
-// scarcestWish returns the index of the wish that fits and is farthest below
-// its proportion, -1 for none.
-func scarcestWish(wishes []Wish, counts []int, room int) int {
-	best := -1
-	lowest := 0.0
-	for index, wish := range wishes {
-		if wish.Group.Size < 1 || wish.Group.Size > room || wish.Share <= 0 {
-			continue
-		}
-		filled := float64(counts[index]*wish.Group.Size) / wish.Share
-		if best < 0 || filled < lowest {
-			best = index
-			lowest = filled
-		}
-	}
-	return best
-}
--- a/settings/field.go
+++ b/settings/field.go
@@ -125,7 +125,9 @@
 	{
 		id:       fieldID{sectionBounds, "revocation"},
 		fallback: "5s",
-		set:      func(settings *Settings, value string) error { return setDuration(&settings.revocation, value, time.Second) },
+		set: func(settings *Settings, value string) error {
+			return setDuration(&settings.revocation, value, time.Second)
+		},
 	},
 	{
 		id:       fieldID{sectionBounds, "stall"},
