--- a/control/feed.go
+++ b/control/feed.go
@@ -83,6 +83,10 @@
 	feedDarkHold   = 2 * time.Second
 	feedDarkSettle = time.Second
 
+	// feedFormSettle is above the time between two targets that register while
+	// a fabric domain starts.
+	feedFormSettle = 700 * time.Millisecond
+
 	// feedClass names the target class of the platform's engines.
 	feedClass = "platform"
 
--- a/control/harness_test.go
+++ b/control/harness_test.go
@@ -117,6 +117,7 @@
 
 func (traffic) Usage() []peer.WorkspaceUsage { return nil }
 func (traffic) SetUsage([]peer.Usage)        {}
+func (traffic) Begun() bool                  { return true }
 
 // A filter is a mesh that can lose the grants that one peer sends.
 type filter struct {
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -302,6 +302,7 @@
 	if state.feeding() {
 		config.DarkHold = feedDarkHold
 		config.DarkSettle = feedDarkSettle
+		config.FormSettle = feedFormSettle
 	}
 	return config
 }
--- a/group/fill.go
+++ b/group/fill.go
@@ -20,6 +20,9 @@
 
 	// elsewhere counts the replicas in the other fabric domains.
 	elsewhere map[string]int
+
+	// growing says that VMs are still being added to the domain.
+	growing bool
 }
 
 type filledGroup struct {
@@ -31,7 +34,9 @@
 // fill returns the number of replicas of each group in the domain. Groups that
 // exist stay as long as the VMs can complete them; of those that they cannot,
 // the one that lacks the most members goes first. VMs beside the spares form
-// more replicas of the group that is farthest below its share in all domains.
+// more replicas of the group that is farthest below its share in the domain,
+// and among equals in all domains. A domain that is still growing forms none,
+// because the first VMs would decide by the size of the groups that fit them.
 func (input fillInput) fill() map[string]int {
 	counts := map[string]int{}
 	used := 0
@@ -49,6 +54,9 @@
 		used -= left[index].size
 		left = append(left[:index], left[index+1:]...)
 	}
+	if input.growing {
+		return counts
+	}
 	room := input.vms - input.vms/spareDivisor - used
 	for {
 		spec, found := input.scarcest(counts, room)
@@ -79,21 +87,32 @@
 func (input fillInput) scarcest(counts map[string]int, room int) (folder.Group, bool) {
 	var best folder.Group
 	found := false
-	lowest := 0.0
 	for _, spec := range input.specs {
 		if spec.Size < 1 || spec.Size > room || spec.Share < 1 {
 			continue
 		}
-		filled := float64((counts[spec.Name]+input.elsewhere[spec.Name])*spec.Size) / float64(spec.Share)
-		if !found || filled < lowest {
+		if !found || input.scarcer(spec, best, counts) {
 			best = spec
-			lowest = filled
 			found = true
 		}
 	}
 	return best, found
 }
 
+func (input fillInput) scarcer(one, other folder.Group, counts map[string]int) bool {
+	own := filled(one, counts)
+	others := filled(other, counts)
+	if own != others {
+		return own < others
+	}
+	return filled(one, input.elsewhere) < filled(other, input.elsewhere)
+}
+
+// filled returns the VMs of a group's replicas for each part of its share.
+func filled(spec folder.Group, counts map[string]int) float64 {
+	return float64(counts[spec.Name]*spec.Size) / float64(spec.Share)
+}
+
 // filling reports whether the groups are wanted in proportion.
 func (leader *Leader) filling() bool {
 	for _, spec := range leader.groups {
@@ -106,7 +125,11 @@
 
 // fillDemands sets the demands of a domain that is filled.
 func (leader *Leader) fillDemands(demands []Demand, groups []GroupStatus) {
-	input := fillInput{specs: leader.groups, elsewhere: map[string]int{}}
+	input := fillInput{
+		specs:     leader.groups,
+		elsewhere: map[string]int{},
+		growing:   leader.plannedAt.Sub(leader.grownAt) < leader.config.FormSettle,
+	}
 	for _, vm := range leader.members {
 		if vm.listed && vm.live() && !vm.leaving() {
 			input.vms++
--- a/group/leader.go
+++ b/group/leader.go
@@ -28,6 +28,10 @@
 	// return later than others are not replaced; default 20 s.
 	DarkSettle time.Duration
 
+	// FormSettle is how long no VM may have been added to a domain that forms
+	// groups by share.
+	FormSettle time.Duration
+
 	// Planner decides on changes of the placement; Plan when nil.
 	Planner func(PlanInput) []Decision
 }
@@ -113,6 +117,9 @@
 	// when this leader began to look.
 	heads   map[composition]time.Time
 	begunAt time.Time
+
+	// grownAt is when a VM was last added.
+	grownAt time.Time
 }
 
 // NewLeader returns a leader that waits for its lease and its configuration.
--- a/group/member.go
+++ b/group/member.go
@@ -209,6 +209,7 @@
 func (leader *Leader) addMember(now time.Time, listed kvstore.VM) *member {
 	vm := &member{vm: listed, since: now, nextRead: now}
 	leader.members[listed.Name] = vm
+	leader.grownAt = now
 	leader.names = nil
 	leader.readDue = now
 	return vm
