--- a/group/open.go
+++ b/group/open.go
@@ -184,6 +184,9 @@
 	if !leader.strictest().OpenedByOrder || len(leader.groups) == 0 {
 		return nil
 	}
+	if leader.plannedAt.Sub(leader.grownAt) < leader.config.FormSettle {
+		return nil
+	}
 	spares := map[string]int{}
 	placed := map[string]int{}
 	for name, vm := range leader.members {
