Count spares that are being staged; move the streams of a stalled group

Cause: the first grant of a load was answered before the second need was computed, so every spare was staged with the same model and the other model's groups were repaired by cold loads of 12 s (seen in the targets' reports: 12 spares 'semi', none 'goye').

--- a/cmd/lacewingspoke/shared.go
+++ b/cmd/lacewingspoke/shared.go
@@ -92,6 +92,7 @@
 	Publisher *route.Publisher
 	Feed      *platform.Feed
 	Clock     *timer.BootClock
+	Timers    *timer.Service
 	Logger    *zap.Logger
 	Registry  *prometheus.Registry
 }
@@ -102,6 +103,7 @@
 		Codec:         platform.Codec{},
 		FailureDomain: params.Settings.FailureDomain(),
 		Now:           params.Clock.Now,
+		Timers:        params.Timers,
 		Confirmed:     params.Feed.Confirmed,
 		FreshFor:      time.Duration(freshPart * float64(params.Settings.Revocation())),
 		Retries: limit.AllowanceConfig{
--- a/forward/client.go
+++ b/forward/client.go
@@ -208,8 +208,12 @@
 	return buffer.Bytes()
 }
 
+// connectionKey names the connections to one target at one address, which may
+// be another target's later.
+func connectionKey(address, target string) string { return address + " " + target }
+
 func (client *client) connect(ctx context.Context, outgoing call) (*conn, error) {
-	key := outgoing.address + " " + outgoing.target
+	key := connectionKey(outgoing.address, outgoing.target)
 	if !outgoing.fresh {
 		if kept := client.take(key); kept != nil {
 			return kept, nil
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -31,6 +31,7 @@
 package forward
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -44,6 +45,7 @@
 	"lacewingspoke.org/lacewingspoke/group"
 	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/route"
+	"lacewingspoke.org/lacewingspoke/timer"
 )
 
 // A Demand is what a caller's headers say.
@@ -150,6 +152,9 @@
 	// Retries bounds the attempts beyond the first of each request.
 	Retries limit.AllowanceConfig
 
+	// Timers wake the watch of standing streams.
+	Timers *timer.Service
+
 	// Seed makes target choices reproducible, 0 for a random seed.
 	Seed       uint64
 	Logger     *zap.Logger
@@ -164,6 +169,9 @@
 	tracker  *route.Tracker
 	suspects *route.Suspects
 	picker   *route.Picker
+	pulse    *route.Pulse
+	cancel   context.CancelFunc
+	watched  chan error
 
 	mutex   sync.Mutex
 	random  *rand.Rand
@@ -180,8 +188,8 @@
 	switch {
 	case config.Publisher == nil, config.Codec == nil:
 		return nil, errors.NotValidf("forward server without publisher or codec")
-	case config.Now == nil, config.Confirmed == nil:
-		return nil, errors.NotValidf("forward server without clock or freshness")
+	case config.Now == nil, config.Confirmed == nil, config.Timers == nil:
+		return nil, errors.NotValidf("forward server without clock, freshness or timers")
 	}
 	if config.Seed == 0 {
 		config.Seed = rand.Uint64()
@@ -198,7 +206,8 @@
 	}
 	tracker := route.NewTracker()
 	suspects := route.NewSuspects()
-	return &Server{
+	ctx, cancel := context.WithCancel(context.Background())
+	server := &Server{
 		config:   config,
 		metrics:  registered,
 		client:   newClient(registered),
@@ -213,7 +222,65 @@
 			Suspects:      suspects,
 			HistorySize:   -1,
 		}),
-	}, nil
+		pulse:   route.NewPulse(route.PulseConfig{WriteGap: writeGap, ReadGap: readGap}),
+		cancel:  cancel,
+		watched: make(chan error, 1),
+	}
+	go server.watch(ctx)
+	return server, nil
+}
+
+const (
+	// watchInterval is how often standing streams are looked for.
+	watchInterval = 50 * time.Millisecond
+
+	// writeGap is above the longest pass of an engine that keeps its objectives,
+	// readGap above the time to the first event at an engine whose queue is
+	// short.
+	writeGap = 350 * time.Millisecond
+	readGap  = 900 * time.Millisecond
+)
+
+// watch ends the attempts at targets whose streams stand still, and keeps what
+// is remembered of targets to those in the route table.
+func (server *Server) watch(ctx context.Context) {
+	ticks := server.config.Timers.Every("streams", watchInterval, 0)
+	defer ticks.Cancel()
+	var adopted *route.Table
+	for {
+		select {
+		case <-ctx.Done():
+			server.watched <- nil
+			return
+		case <-ticks.C():
+		}
+		now := server.config.Now()
+		for _, name := range server.pulse.Still(now) {
+			server.suspects.Failed(name, now)
+			server.config.Logger.Info("streams stand still", zap.String("group", name))
+		}
+		if table := server.config.Publisher.Current(); table != adopted {
+			adopted = table
+			server.adopt(table)
+		}
+	}
+}
+
+// adopt forgets the targets that a new table does not hold.
+func (server *Server) adopt(table *route.Table) {
+	names := map[string]bool{}
+	connections := map[string]bool{}
+	for _, target := range table.AllGroups() {
+		names[target.Name] = true
+		connections[connectionKey(target.Address, target.VM)] = true
+	}
+	for _, target := range table.AllServices() {
+		names[target.Name] = true
+		connections[connectionKey(target.Address, target.Name)] = true
+	}
+	server.tracker.Retain(names)
+	server.suspects.Retain(names)
+	server.client.retain(connections)
 }
 
 // ServeHTTP answers one request.
@@ -236,8 +303,12 @@
 // Stop refuses requests that arrive from now on as not run.
 func (server *Server) Stop() { server.stopping.Store(true) }
 
-// Close closes the idle connections to targets.
-func (server *Server) Close() { server.client.close() }
+// Close ends the server's goroutine and closes the idle connections to targets.
+func (server *Server) Close() {
+	server.cancel()
+	<-server.watched
+	server.client.close()
+}
 
 // SetNodes sets the number of live nodes, which share the retries.
 func (server *Server) SetNodes(nodes int) {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -110,6 +110,10 @@
 	server := exchange.server
 	ended := server.tracker.Start(target.Name, server.config.Now())
 	defer func() { ended(server.config.Now()) }()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stroke := server.pulse.Begin(target.Name, server.config.Now(), func() { cancel(errStill) })
+	defer stroke.End()
 	patience := min(max(firstPatience*exchange.route.Objective, leastPatience), exchange.left())
 	response, err := server.client.do(ctx, exchange.call(target.VM, target.Address, delivery.last), patience)
 	if err != nil {
@@ -129,7 +133,7 @@
 	case response.answer.StatusCode != http.StatusOK:
 		return exchange.passFailure(target, response, delivery)
 	}
-	if err := delivery.pass(response, patience); err != nil {
+	if err := delivery.pass(response, stroke, patience); err != nil {
 		response.discard()
 		if errors.Is(err, errCaller) {
 			exchange.log("caller-left", 0, "caller does not read")
@@ -168,12 +172,15 @@
 	return answered{}
 }
 
+// errStill says that all streams of the group stand still.
+var errStill = errors.New("streams of the group stand still")
+
 // errCaller says that the caller takes no bytes.
 var errCaller = errors.New("caller does not read")
 
 // pass delivers the events of one attempt. It returns nil at the end of a whole
 // stream and errCaller when the caller does not read.
-func (delivery *delivery) pass(response *response, patience time.Duration) error {
+func (delivery *delivery) pass(response *response, stroke *route.Stroke, patience time.Duration) error {
 	events := newEventReader(response.answer.Body)
 	for {
 		if err := response.wait(patience); err != nil {
@@ -186,6 +193,7 @@
 		if err != nil {
 			return errors.Annotate(response.cause(err), "stream")
 		}
+		stroke.Event(delivery.exchange.server.config.Now())
 		if err := delivery.write(response.answer, received, !events.waiting()); err != nil {
 			return err
 		}
--- a/group/member.go
+++ b/group/member.go
@@ -56,7 +56,8 @@
 	order   pendingOrder
 	weights weightClaim
 
-	// stagedAt is when the engine was last told to stage weights.
+	// staging is the model that the engine was told to stage at stagedAt.
+	staging  string
 	stagedAt time.Time
 }
 
--- a/group/open.go
+++ b/group/open.go
@@ -168,6 +168,7 @@
 
 func (leader *Leader) stageOrder(vm *member, name string) wantedOrder {
 	spec := leader.stagingModel(vm.weights.group)
+	vm.staging = spec.Model
 	vm.stagedAt = leader.plannedAt
 	vm.weights = weightClaim{}
 	return wantedOrder{
@@ -197,6 +198,9 @@
 		for _, model := range vm.report.Staged {
 			spares[model]++
 		}
+		if vm.staging != "" && len(vm.report.Staged) == 0 {
+			spares[vm.staging]++
+		}
 		if spec := leader.stagingModel(vm.weights.group); spec.Model != "" {
 			spares[spec.Model]++
 		}
--- a/route/table.go
+++ b/route/table.go
@@ -72,6 +72,7 @@
 	// byName holds indexes into groups.
 	byName   map[string]int
 	services map[string][]ServiceTarget
+	runners  []ServiceTarget
 }
 
 // NewTable returns a snapshot. The caller does not change the slices later.
@@ -81,6 +82,7 @@
 		catalog:    config.Catalog,
 		generation: config.Generation,
 		groups:     config.Groups,
+		runners:    config.Services,
 		bySpec:     groupsBySpec(config.Groups),
 		byName:     make(map[string]int, len(config.Groups)),
 		services:   map[string][]ServiceTarget{},
@@ -124,6 +126,12 @@
 // Groups returns the serving groups of a folder's group.
 func (table *Table) Groups(spec string) []GroupTarget { return table.bySpec[spec] }
 
+// AllGroups returns the serving groups of all models.
+func (table *Table) AllGroups() []GroupTarget { return table.groups }
+
+// AllServices returns the runners of all services.
+func (table *Table) AllServices() []ServiceTarget { return table.runners }
+
 // Group returns one serving group.
 func (table *Table) Group(name string) (GroupTarget, bool) {
 	index, found := table.byName[name]
