Ask the members of standing groups and leave an unreachable rank 0

Cause: a lost member was noticed 3.1 to 3.6 s after the loss, when its entry lapsed, and members of a lost rank 0 waited 6 s more. Conclusion: the streams of a group are the fastest detector; the leader asks the members only when they stand still.

--- a/cmd/lacewingspoke/module.go
+++ b/cmd/lacewingspoke/module.go
@@ -213,6 +213,9 @@
 // Begun reports true: only a node that follows a feed asks.
 func (traffic traffic) Begun() bool { return true }
 
+// Suspected returns no group: grants end when a member is lost.
+func (traffic traffic) Suspected() []string { return nil }
+
 // SetUsage replaces the demand at the other nodes.
 func (traffic traffic) SetUsage(frames []peer.Usage) {
 	others := make([]limit.NodeUsage, 0, len(frames))
--- a/cmd/lacewingspoke/shared.go
+++ b/cmd/lacewingspoke/shared.go
@@ -155,7 +155,6 @@
 		Feed: control.FeedConfig{
 			Events:      params.Feed.Events(),
 			ReturnGrace: returnGrace,
-			StallTime:   params.Settings.Stall(),
 			LoadWindow:  params.Settings.LoadWindow(),
 			LoadSlack:   loadSlack,
 			Lead:        params.Settings.Bootstrap(),
--- a/control/control.go
+++ b/control/control.go
@@ -91,6 +91,10 @@
 
 	// Begun reports whether a caller's request has arrived since the start.
 	Begun() bool
+
+	// Suspected returns the groups whose streams stood still since the last
+	// call.
+	Suspected() []string
 }
 
 // Config holds what a Controller needs.
--- a/control/feed.go
+++ b/control/feed.go
@@ -52,9 +52,6 @@
 	// platform's list.
 	ReturnGrace time.Duration
 
-	// StallTime is how long engines keep a group open whose member is lost.
-	StallTime time.Duration
-
 	// LoadWindow and LoadSlack bound the loads from the weight store: at most
 	// the engine's rate times LoadWindow, plus LoadSlack, in any LoadWindow.
 	LoadWindow time.Duration
@@ -103,6 +100,13 @@
 	catalog   *catalog.Catalog
 	loads     *limit.Window
 	orders    *orderCounts
+
+	// silent holds the targets that did not answer this node, each with the beat
+	// of its last announcement. Another beat shows that it lives.
+	silent map[string]uint64
+
+	// probed is when the members of a group were last asked.
+	probed map[string]time.Time
 }
 
 func newFeedState(config FeedConfig) *feedState {
@@ -110,6 +114,8 @@
 		directory: directory.New(directory.Config{ReturnGrace: config.ReturnGrace}),
 		reports:   map[string]engine.Report{},
 		orders:    newOrderCounts(config.Lead),
+		silent:    map[string]uint64{},
+		probed:    map[string]time.Time{},
 		loads:     limit.NewWindow(limit.WindowConfig{Length: config.LoadWindow, Bound: config.LoadSlack}),
 	}
 }
@@ -135,7 +141,7 @@
 	default:
 		panic(errors.Errorf("control: feed event %T is not handled", event))
 	}
-	if changed {
+	if changed || state.feed.anySpeaksAgain() {
 		state.takeTargets(now)
 	}
 }
@@ -154,6 +160,9 @@
 	reports := make(map[string]engine.Report, len(state.feed.reports))
 	state.feed.runners = state.feed.runners[:0:0]
 	for _, target := range state.feed.directory.Targets() {
+		if !state.feed.speaks(target) {
+			continue
+		}
 		if target.VM.FabricDomain == "" {
 			state.feed.runners = append(state.feed.runners, runnerOf(target))
 			continue
@@ -238,7 +247,6 @@
 		ChecksFencing:  true,
 		ChecksSequence: true,
 		OpenedByOrder:  true,
-		StallTime:      state.config.Feed.StallTime,
 	}
 	var groups []folder.Group
 	for _, service := range state.feed.catalog.Services() {
--- a/control/harness_test.go
+++ b/control/harness_test.go
@@ -118,6 +118,7 @@
 func (traffic) Usage() []peer.WorkspaceUsage { return nil }
 func (traffic) SetUsage([]peer.Usage)        {}
 func (traffic) Begun() bool                  { return true }
+func (traffic) Suspected() []string          { return nil }
 
 // A filter is a mesh that can lose the grants that one peer sends.
 type filter struct {
--- a/control/loop.go
+++ b/control/loop.go
@@ -189,6 +189,8 @@
 		state.handleService(result)
 	case drainRecorded:
 		state.handleDrainRecorded(result)
+	case probed:
+		state.handleProbed(now, result)
 	case leaseRevoked:
 		state.revoking--
 	case workerEnded:
@@ -224,6 +226,9 @@
 }
 
 func (state *state) tickLeaders(now time.Time) {
+	if state.feeding() {
+		state.probeSuspects(now)
+	}
 	for _, led := range state.led {
 		state.handleGroup(now, led, group.Tick{})
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -35,9 +35,12 @@
 
 	// Report is what the engine says of its group; empty for a plain service.
 	Report engine.Report
+
+	// Beat counts the target's announcements.
+	Beat uint64
 }
 
-// Same reports whether two announcements say the same.
+// Same reports whether two announcements say the same, but for their beat.
 func (target Target) Same(other Target) bool {
 	return target.VM == other.VM && target.Service == other.Service &&
 		target.Slots == other.Slots && target.Report.Same(other.Report)
@@ -80,6 +83,12 @@
 	return targets
 }
 
+// Beat returns the count of a target's announcements.
+func (directory *Directory) Beat(name string) (uint64, bool) {
+	target, found := directory.targets[name]
+	return target.Beat, found
+}
+
 // Outage says that the platform does not answer.
 func (directory *Directory) Outage() { directory.down = true }
 
--- a/folder/example_test.go
+++ b/folder/example_test.go
@@ -35,7 +35,6 @@
 	// 90-change.ini:3: [target-class plain] order-delay = 500ms
 	// default: [target-class plain] opened-by-order = no
 	// default: [target-class plain] checks-sequence = no
-	// default: [target-class plain] stall-time = 5s
 	// default: [target-class plain] open-time = 300ms
 	// 10-base.ini:2: grant-bound: duration "1 second" (want for example 250ms, 3s or 24h) not valid
 }
--- a/folder/folder.go
+++ b/folder/folder.go
@@ -28,7 +28,7 @@
 //	                min-replicas 1 for draft, 0 for service
 //	[group]         value 1, share 0
 //	[target-class]  checks-fencing no, order-delay 5s, opened-by-order no,
-//	                checks-sequence no, stall-time 5s, open-time 300ms
+//	                checks-sequence no, open-time 300ms
 //	[policy]        downtime-weight 1, stranded-weight 1,
 //	                report-interval 250ms, grant-bound 1s, weight-rate 1GiB
 //	                (per second), retry-percent 10, booking-retention 24h,
--- a/folder/model.go
+++ b/folder/model.go
@@ -126,9 +126,6 @@
 	// number of begun orders than it has.
 	ChecksSequence bool
 
-	// StallTime is how long rank 0 keeps a group open whose member is lost.
-	StallTime time.Duration
-
 	// OpenTime is how long an open order takes.
 	OpenTime time.Duration
 }
--- a/folder/schema.go
+++ b/folder/schema.go
@@ -200,12 +200,6 @@
 		set:      func(item *item, value string) error { return setFlag(&item.class.ChecksSequence, value) },
 		text:     func(item *item) string { return inifile.FormatFlag(item.class.ChecksSequence) },
 	},
-	{
-		key:      "stall-time",
-		fallback: always("5s"),
-		set:      func(item *item, value string) error { return setDuration(&item.class.StallTime, value) },
-		text:     func(item *item) string { return inifile.FormatDuration(item.class.StallTime) },
-	},
 	{
 		key:      "open-time",
 		fallback: always("300ms"),
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -177,6 +177,10 @@
 	random  *rand.Rand
 	retries *limit.Allowance
 
+	// standing are the groups whose streams stood still since they were asked
+	// for.
+	standing map[string]bool
+
 	stopping atomic.Bool
 	begun    atomic.Bool
 	inFlight atomic.Int64
@@ -208,6 +212,7 @@
 	suspects := route.NewSuspects()
 	ctx, cancel := context.WithCancel(context.Background())
 	server := &Server{
+		standing: map[string]bool{},
 		config:   config,
 		metrics:  registered,
 		client:   newClient(registered),
@@ -257,7 +262,7 @@
 		now := server.config.Now()
 		for _, name := range server.pulse.Still(now) {
 			server.suspects.Failed(name, now)
-			server.config.Logger.Info("streams stand still", zap.String("group", name))
+			server.suspect(name)
 		}
 		if table := server.config.Publisher.Current(); table != adopted {
 			adopted = table
@@ -266,6 +271,28 @@
 	}
 }
 
+// suspect remembers a group whose streams stand still for the control thread.
+func (server *Server) suspect(name string) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	if !server.standing[name] {
+		server.standing[name] = true
+		server.config.Logger.Info("streams stand still", zap.String("group", name))
+	}
+}
+
+// Suspected returns the groups whose streams stood still since the last call.
+func (server *Server) Suspected() []string {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	var names []string
+	for name := range server.standing {
+		names = append(names, name)
+	}
+	clear(server.standing)
+	return names
+}
+
 // adopt forgets the targets that a new table does not hold.
 func (server *Server) adopt(table *route.Table) {
 	names := map[string]bool{}
--- a/group/commit.go
+++ b/group/commit.go
@@ -147,7 +147,6 @@
 // beginTerm starts the wait for orders of earlier leaders to run out.
 func (leader *Leader) beginTerm(now time.Time) {
 	leader.fence = leader.placement.fence
-	leader.begunAt = now
 	leader.quietUntil = now
 	if !leader.strictest().ChecksSequence {
 		leader.quietUntil = now.Add(leader.config.LeaseDuration + leader.longestDelay())
--- a/group/leader.go
+++ b/group/leader.go
@@ -113,11 +113,6 @@
 	closedAt  map[string]time.Time
 	published publication
 
-	// heads is when rank 0 of each composition was last seen open, and begunAt
-	// when this leader began to look.
-	heads   map[composition]time.Time
-	begunAt time.Time
-
 	// grownAt is when a VM was last added.
 	grownAt time.Time
 }
@@ -140,7 +135,6 @@
 		keep:      map[string]int{},
 		members:   map[string]*member{},
 		closedAt:  map[string]time.Time{},
-		heads:     map[composition]time.Time{},
 	}
 }
 
@@ -334,7 +328,6 @@
 func (leader *Leader) noteReportRead(now time.Time, read ReportRead) {
 	if vm, found := leader.members[read.Report.VM]; found {
 		vm.noteReport(now, read)
-		leader.noteHead(now, read.Report)
 		leader.readDue = earlier(leader.readDue, vm.nextRead)
 	}
 }
--- a/group/lifecycle.go
+++ b/group/lifecycle.go
@@ -182,7 +182,7 @@
 		return false
 	}
 	if leader.class(group.Spec).OpenedByOrder {
-		return leader.closed(now, composition{group: group.Name, epoch: group.Epoch})
+		return !leader.running(composition{group: group.Name, epoch: group.Epoch})
 	}
 	quiet := leader.closedAt[group.Name].Add(leader.policy.SpreadTime)
 	for _, name := range leader.placement.Members(group.Name) {
--- a/group/open.go
+++ b/group/open.go
@@ -7,10 +7,6 @@
 	"lacewingspoke.org/lacewingspoke/folder"
 )
 
-// stallMargin is added to the stall time of a group whose rank 0 is not
-// reachable: its clock and the last look at it differ by less.
-const stallMargin = time.Second
-
 // stageRetry is the time after which weights that did not arrive on a host
 // are staged again. It is above the load time of any model in use.
 const stageRetry = time.Minute
@@ -33,57 +29,40 @@
 	return state == engine.StateOpen || state == engine.StateDraining
 }
 
-// noteHead records that rank 0 of a composition was seen open.
-func (leader *Leader) noteHead(now time.Time, report engine.Report) {
-	if report.Group == "" || report.Rank != 0 || !admitting(report.State) {
-		return
-	}
-	leader.heads[compositionOf(report)] = now
-	for key, seen := range leader.heads {
-		if now.Sub(seen) > 2*(leader.strictest().StallTime+stallMargin) {
-			delete(leader.heads, key)
-		}
-	}
-}
-
-// closed reports whether rank 0 of a composition certainly accepts nothing
-// any more: it said so, it was started again, or it has been out of reach for
-// the time after which it gives the group up by itself.
-func (leader *Leader) closed(now time.Time, key composition) bool {
+// headOf returns the live VM that reports to be rank 0 of a composition, nil
+// when there is none.
+func (leader *Leader) headOf(key composition) *member {
 	for _, vm := range leader.members {
 		if vm.live() && vm.report.Rank == 0 && compositionOf(vm.report) == key {
-			return !admitting(vm.report.State)
+			return vm
 		}
 	}
-	if leader.restarted(key) {
-		return true
-	}
-	seen := leader.begunAt
-	if at, found := leader.heads[key]; found && at.After(seen) {
-		seen = at
-	}
-	return now.Sub(seen) >= leader.strictest().StallTime+stallMargin
+	return nil
 }
 
-// restarted reports whether the recorded rank 0 of a composition reports under
-// another incarnation.
-func (leader *Leader) restarted(key composition) bool {
-	group, found := leader.placement.groups[key.group]
-	if !found || group.Epoch != key.epoch {
-		return false
-	}
-	name := leader.placement.Members(key.group)[0]
-	vm, found := leader.members[name]
-	return found && vm.live() && vm.report.Incarnation != leader.placement.vms[name].Incarnation
+// running reports whether rank 0 of a composition is known to accept requests
+// or to run some.
+func (leader *Leader) running(key composition) bool {
+	head := leader.headOf(key)
+	return head != nil && admitting(head.report.State)
+}
+
+// closed reports whether rank 0 of a composition itself says that it accepts
+// nothing. One that cannot be reached may still be open.
+func (leader *Leader) closed(key composition) bool {
+	head := leader.headOf(key)
+	return head != nil && !admitting(head.report.State)
 }
 
-// mayLeave reports whether a VM may leave its present composition: rank 0
-// notices nothing of it, so it must be closed first.
-func (leader *Leader) mayLeave(now time.Time, vm *member) bool {
+// mayLeave reports whether a VM may leave its composition: rank 0 notices
+// nothing of it, so one that can be reached is closed first. A rank 0 that
+// cannot be reached stands still when its members leave, and gives the group
+// up; they join another one only after that, out of a group no more.
+func (leader *Leader) mayLeave(vm *member) bool {
 	if vm.report.Group == "" || !leader.strictest().OpenedByOrder {
 		return true
 	}
-	return leader.closed(now, compositionOf(vm.report))
+	return !leader.running(compositionOf(vm.report))
 }
 
 // mustClose reports whether an open rank 0 serves a composition that is not
--- a/group/order.go
+++ b/group/order.go
@@ -65,7 +65,6 @@
 		strictest.ChecksFencing = strictest.ChecksFencing && class.ChecksFencing
 		strictest.ChecksSequence = strictest.ChecksSequence && class.ChecksSequence
 		strictest.OpenedByOrder = strictest.OpenedByOrder || class.OpenedByOrder
-		strictest.StallTime = max(strictest.StallTime, class.StallTime)
 		strictest.OpenTime = max(strictest.OpenTime, class.OpenTime)
 	}
 	return strictest
@@ -127,13 +126,13 @@
 		if leader.mayStage(now, vm) {
 			return leader.stageOrder(vm, name), true
 		}
-		return wanted, (!vm.idle() || leader.unclaimed(vm)) && leader.mayLeave(now, vm)
+		return wanted, (!vm.idle() || leader.unclaimed(vm)) && leader.mayLeave(vm)
 	}
 	group := leader.placement.groups[seat.Group]
 	byOrder := leader.class(group.Spec).OpenedByOrder
 	other := vm.report.Group != "" && vm.report.Group != group.Name && !byOrder
 	if seat.Incarnation != vm.report.Incarnation || other || group.State == StateReleased {
-		return wanted, !vm.idle() && leader.mayLeave(now, vm)
+		return wanted, !vm.idle() && leader.mayLeave(vm)
 	}
 	wanted.group = group
 	wanted.seat = seat
@@ -149,8 +148,9 @@
 		}
 		return wanted, vm.report.State == engine.StateIdle || vm.report.State == engine.StateDraining
 	}
-	if !leader.mayLeave(now, vm) {
-		return wanted, false
+	if vm.report.Group != "" && byOrder && !leader.closed(compositionOf(vm.report)) {
+		wanted = wantedOrder{vm: vm, name: name, action: engine.ActionRelease}
+		return wanted, leader.mayLeave(vm)
 	}
 	return wanted, !vm.needsWeights(group) || vm.weights.grantedFor(group)
 }
--- a/settings/field.go
+++ b/settings/field.go
@@ -129,11 +129,6 @@
 			return setDuration(&settings.revocation, value, time.Second)
 		},
 	},
-	{
-		id:       fieldID{sectionBounds, "stall"},
-		fallback: "5s",
-		set:      func(settings *Settings, value string) error { return setDuration(&settings.stall, value, 0) },
-	},
 	{
 		id:       fieldID{sectionBounds, "retry-ratio"},
 		fallback: "0.2",
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -32,7 +32,6 @@
 //
 //	[bounds]                             # of a platform with a shared store
 //	revocation   = 5s                    # a key taken away passes no longer
-//	stall        = 5s                    # a group stays open that lost a member
 //	retry-ratio  = 0.2                   # retries for each request, all nodes
 //	retry-slack  = 130                   # retries beside them, all nodes
 //	retry-window = 10s                   # span in which retries are bounded
@@ -92,7 +91,6 @@
 	readyAddress   string
 	storeProtocol  string
 	revocation     time.Duration
-	stall          time.Duration
 	retryRatio     float64
 	retrySlack     int
 	retryWindow    time.Duration
@@ -123,9 +121,6 @@
 // pass.
 func (settings *Settings) Revocation() time.Duration { return settings.revocation }
 
-// Stall returns how long engines keep a group open whose member is lost.
-func (settings *Settings) Stall() time.Duration { return settings.stall }
-
 // RetryRatio returns the retries for each request over all nodes.
 func (settings *Settings) RetryRatio() float64 { return settings.retryRatio }
 
