--- a/group/leader_test.go
+++ b/group/leader_test.go
@@ -20,6 +20,12 @@
 
 	// lag is how late the engine answers a read of its report.
 	lag time.Duration
+
+	// byOrder makes rank 0 serve only after an open order.
+	byOrder bool
+
+	// slow is how much longer a load takes.
+	slow time.Duration
 }
 
 // A testDomain carries out a leader's effects on a virtual clock.
@@ -146,7 +152,11 @@
 		return OrderRefused{VM: effect.VM, Order: effect.Order.ID, Fence: runner.report.Fence}
 	}
 	domain.orders = append(domain.orders, effect)
-	runner.take(domain.now, effect.Order)
+	if runner.byOrder {
+		runner.takeByOrder(domain.now, effect.Order)
+	} else {
+		runner.take(domain.now, effect.Order)
+	}
 	return OrderAccepted{VM: effect.VM, Order: effect.Order.ID}
 }
 
--- a/group/open.go
+++ b/group/open.go
@@ -164,7 +164,7 @@
 	if !leader.strictest().OpenedByOrder || len(leader.groups) == 0 {
 		return nil
 	}
-	if leader.plannedAt.Sub(leader.grownAt) < leader.config.FormSettle {
+	if leader.plannedAt.Sub(leader.grownAt) < leader.config.FormSettle || leader.plannedAt.Before(leader.settleAt) {
 		return nil
 	}
 	spares := map[string]int{}
--- /dev/null
+++ b/group/open_test.go
@@ -0,0 +1,241 @@
+package group
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"lacewingspoke.org/lacewingspoke/engine"
+	"lacewingspoke.org/lacewingspoke/folder"
+	"lacewingspoke.org/lacewingspoke/kvstore"
+)
+
+// orderedFolder wants groups that are opened by order and fill the domain.
+func orderedFolder() FolderAdopted {
+	adopted := testFolder(0)
+	adopted.Groups = []folder.Group{
+		{Name: "large", Model: "large", Size: 4, Share: 570, Value: 1, TargetClass: "runner"},
+		{Name: "small", Model: "small", Size: 3, Share: 430, Value: 1, TargetClass: "runner"},
+	}
+	adopted.Classes = []folder.TargetClass{{
+		Name: "runner", ChecksFencing: true, ChecksSequence: true, OpenedByOrder: true, OpenTime: 300 * time.Millisecond,
+	}}
+	adopted.Policy.ReportInterval = 100 * time.Millisecond
+	adopted.Policy.GrantBound = 200 * time.Millisecond
+	return adopted
+}
+
+func newOrderedDomain(test *testing.T, vms int) *testDomain {
+	domain := newTestDomain(test, vms, orderedFolder())
+	for _, runner := range domain.engines {
+		runner.byOrder = true
+	}
+	domain.send(LeaseHeld{Until: domain.now.Add(time.Hour)})
+	return domain
+}
+
+// takeByOrder runs an order of an engine that opens and closes by order.
+func (runner *testEngine) takeByOrder(now time.Time, order engine.Order) {
+	report := &runner.report
+	switch order.Action {
+	case engine.ActionOpen:
+		report.State = engine.StateOpen
+	case engine.ActionClose, engine.ActionDrain:
+		report.State = engine.StateReady
+	case engine.ActionStage:
+		report.Staged = []string{order.Model}
+	case engine.ActionLoad:
+		warm := slices.Contains(report.Staged, order.Model)
+		report.Group, report.Epoch, report.Rank = order.Group, order.Epoch, order.Rank
+		report.Model, report.Staged, report.State = order.Model, []string{order.Model}, engine.StateReady
+		if !warm {
+			report.State = engine.StateLoading
+			runner.readyAt = now.Add(testLoad + runner.slow)
+		}
+	case engine.ActionRelease:
+		*report = engine.Report{VM: report.VM, Incarnation: report.Incarnation, State: engine.StateIdle, Staged: report.Staged}
+	}
+}
+
+func (domain *testDomain) actions(vm string) []engine.Action {
+	var actions []engine.Action
+	for _, order := range domain.orders {
+		if order.VM == vm {
+			actions = append(actions, order.Order.Action)
+		}
+	}
+	return actions
+}
+
+// head returns the VM that is open for a model.
+func (domain *testDomain) head(model string) string {
+	for name, runner := range domain.engines {
+		if !runner.dead && runner.report.State == engine.StateOpen && runner.report.Model == model {
+			return name
+		}
+	}
+	return ""
+}
+
+func (domain *testDomain) serving() func() bool {
+	return func() bool { return domain.head("large") != "" && domain.head("small") != "" }
+}
+
+// reopened reports whether a group was opened and every model is served.
+func (domain *testDomain) reopened() bool {
+	opened := slices.ContainsFunc(domain.orders, func(order SendOrder) bool { return order.Order.Action == engine.ActionOpen })
+	return opened && domain.serving()()
+}
+
+// unlist removes a VM from the platform's list, as after a lapsed entry.
+func (domain *testDomain) unlist(name string) {
+	domain.engines[name].dead = true
+	domain.list = slices.DeleteFunc(slices.Clone(domain.list), func(vm kvstore.VM) bool { return vm.Name == name })
+	domain.send(VMsListed{VMs: domain.list})
+}
+
+// Guards against a group that is opened while a member has not been ready at
+// its epoch: it would begin requests that it cannot run.
+func TestGroupIsOpenedAfterAllMembersAreReady(test *testing.T) {
+	domain := newOrderedDomain(test, 9)
+	domain.engines["vm-03"].slow = 5 * time.Second
+	domain.until(20*time.Second, func() bool {
+		for _, order := range domain.orders {
+			if order.Order.Action != engine.ActionOpen {
+				continue
+			}
+			for _, vm := range domain.leader.Placement().Members(order.Order.Group) {
+				report := domain.engines[vm].report
+				require.Equal(test, order.Order.Epoch, report.Epoch, "opened before %s joined", vm)
+				require.Contains(test, []engine.State{engine.StateReady, engine.StateOpen}, report.State, "opened before %s was ready", vm)
+			}
+		}
+		return domain.serving()()
+	})
+}
+
+// Guards against members that join another composition while their rank 0
+// accepts requests for the old one.
+func TestOpenHeadIsClosedBeforeMembersJoinAgain(test *testing.T) {
+	domain := newOrderedDomain(test, 9)
+	domain.until(20*time.Second, domain.serving())
+	head := domain.head("large")
+	members := domain.leader.Placement().Members(domain.engines[head].report.Group)
+	domain.orders = nil
+	domain.unlist(members[3])
+	domain.until(20*time.Second, domain.reopened)
+	require.Equal(test, engine.ActionClose, domain.actions(head)[0])
+	closed := slices.IndexFunc(domain.orders, func(order SendOrder) bool { return order.Order.Action == engine.ActionClose })
+	for index, order := range domain.orders {
+		if slices.Contains(members[1:3], order.VM) && order.Order.Action == engine.ActionLoad {
+			require.Greater(test, index, closed, "member %s joined before its rank 0 was closed", order.VM)
+		}
+	}
+}
+
+// Guards against members that join another composition under a rank 0 that is
+// out of reach and may still be open: they leave first, and it stands still.
+func TestMembersLeaveAnUnreachableHead(test *testing.T) {
+	domain := newOrderedDomain(test, 9)
+	domain.until(20*time.Second, domain.serving())
+	head := domain.head("large")
+	members := slices.Clone(domain.leader.Placement().Members(domain.engines[head].report.Group))
+	domain.orders = nil
+	domain.unlist(head)
+	domain.until(20*time.Second, domain.reopened)
+	for _, vm := range members[1:] {
+		require.Equal(test, []engine.Action{engine.ActionRelease, engine.ActionLoad}, domain.actions(vm)[:2], vm)
+	}
+}
+
+// Guards against spares that are all staged with one model: the groups of the
+// other would wait for a load from the weight store after each loss.
+func TestSparesAreStagedForEveryModel(test *testing.T) {
+	domain := newOrderedDomain(test, 9)
+	domain.until(20*time.Second, domain.serving())
+	domain.pass(5 * time.Second)
+	staged := map[string]int{}
+	for name, runner := range domain.engines {
+		if _, placed := domain.leader.Placement().Assignment(name); !placed {
+			for _, model := range runner.report.Staged {
+				staged[model]++
+			}
+		}
+	}
+	require.Equal(test, map[string]int{"large": 1, "small": 1}, staged)
+}
+
+// Guards against the loss of one VM that lowers the wanted replicas, so that
+// the group is dissolved which a spare could have repaired.
+func TestFillKeepsGroupsThatSparesCanComplete(test *testing.T) {
+	specs := orderedFolder().Groups
+	both := []filledGroup{{spec: "large", size: 4, live: 3}, {spec: "small", size: 3, live: 3}}
+	for name, fixture := range map[string]struct {
+		vms    int
+		groups []filledGroup
+		want   map[string]int
+	}{
+		"whole domain":            {vms: 9, want: map[string]int{"large": 1, "small": 1}},
+		"one VM lost":             {vms: 8, groups: both, want: map[string]int{"large": 1, "small": 1}},
+		"no spare left":           {vms: 7, groups: both, want: map[string]int{"large": 1, "small": 1}},
+		"one group cannot be":     {vms: 6, groups: both, want: map[string]int{"large": 0, "small": 2}},
+		"complete groups stay":    {vms: 3, groups: both, want: map[string]int{"large": 0, "small": 1}},
+		"large domain, 3 spares":  {vms: 27, want: map[string]int{"large": 3, "small": 4}},
+		"too small for any group": {vms: 2, want: map[string]int{}},
+	} {
+		test.Run(name, func(test *testing.T) {
+			counts := fillInput{specs: specs, vms: fixture.vms, groups: fixture.groups}.fill()
+			require.Equal(test, fixture.want, counts)
+		})
+	}
+}
+
+// Guards against groups that are chosen by the size that fits the first VMs of
+// a domain that is just starting.
+func TestFillWaitsWhileTheDomainGrows(test *testing.T) {
+	counts := fillInput{specs: orderedFolder().Groups, vms: 3, growing: true}.fill()
+	require.Empty(test, counts)
+}
+
+// Guards against grants of a group whose rank 0 is not open, whose member is
+// lost or was started again, or that has another epoch.
+func TestStandingFollowsTheReports(test *testing.T) {
+	domain := newOrderedDomain(test, 9)
+	domain.until(20*time.Second, domain.serving())
+	placement := domain.leader.Placement()
+	reports := func() map[string]engine.Report {
+		all := map[string]engine.Report{}
+		for name, runner := range domain.engines {
+			all[name] = runner.report
+		}
+		return all
+	}
+	standing := func(reports map[string]engine.Report) int {
+		return len(Standing(placement, reports, domain.now, domain.now.Add(time.Hour)))
+	}
+	require.Equal(test, 2, standing(reports()))
+	head := domain.head("large")
+	member := placement.Members(domain.engines[head].report.Group)[1]
+	for name, change := range map[string]func(map[string]engine.Report){
+		"rank 0 is closed": func(all map[string]engine.Report) {
+			report := all[head]
+			report.State = engine.StateReady
+			all[head] = report
+		},
+		"member is lost": func(all map[string]engine.Report) { delete(all, member) },
+		"member was started again": func(all map[string]engine.Report) {
+			report := all[member]
+			report.Incarnation = "b"
+			all[member] = report
+		},
+		"member joined elsewhere": func(all map[string]engine.Report) { report := all[member]; report.Epoch++; all[member] = report },
+	} {
+		test.Run(name, func(test *testing.T) {
+			all := reports()
+			change(all)
+			require.Equal(test, 1, standing(all))
+		})
+	}
+}
--- /dev/null
+++ b/limit/allowance_test.go
@@ -0,0 +1,60 @@
+package limit
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Replays the loss of a fabric domain: 150 requests a second over 6 nodes with
+// unequal parts, and for three seconds every third request asks to be retried
+// twice. Guards against nodes that together exceed the retries of the fleet in
+// any window.
+func TestAllowanceHoldsOverAllNodes(test *testing.T) {
+	const nodes, slack, ratio = 6, 130, 0.2
+	window := 10 * time.Second
+	random := rand.New(rand.NewPCG(7, 7))
+	allowances := make([]*Allowance, nodes)
+	for index := range allowances {
+		allowances[index] = NewAllowance(AllowanceConfig{Window: window, Ratio: ratio, Slack: slack, Safety: 0.8})
+		allowances[index].SetNodes(nodes)
+	}
+	var requests, retries []time.Time
+	start := time.Unix(1000, 0)
+	for now := start; now.Before(start.Add(30 * time.Second)); now = now.Add(time.Second / 150) {
+		allowance := allowances[min(random.IntN(nodes), random.IntN(nodes))]
+		allowance.Request("pool", now)
+		requests = append(requests, now)
+		lost := now.Sub(start) > 12*time.Second && now.Sub(start) < 15*time.Second
+		for range 2 {
+			if lost && random.IntN(3) == 0 && allowance.Retry("pool", now) {
+				retries = append(retries, now)
+			}
+		}
+	}
+	require.Greater(test, len(retries), 100, "nearly all retries were denied")
+	for _, end := range retries {
+		inWindow := func(times []time.Time) int {
+			count := 0
+			for _, at := range times {
+				if at.After(end.Add(-window)) && !at.After(end) {
+					count++
+				}
+			}
+			return count
+		}
+		require.LessOrEqual(test, float64(inWindow(retries)), ratio*float64(inWindow(requests))+slack)
+	}
+}
+
+// Guards against services that use up each other's retries.
+func TestAllowanceKeepsServicesApart(test *testing.T) {
+	allowance := NewAllowance(AllowanceConfig{Window: time.Second, Slack: 1, Safety: 1})
+	now := time.Unix(1000, 0)
+	require.True(test, allowance.Retry("one", now))
+	require.False(test, allowance.Retry("one", now))
+	require.True(test, allowance.Retry("two", now))
+	require.True(test, allowance.Retry("one", now.Add(1100*time.Millisecond)))
+}
--- /dev/null
+++ b/limit/window_test.go
@@ -0,0 +1,45 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Replays the loads after a fabric domain returns and every VM asks at once.
+// Guards against more loads in any span than the weight store allows.
+func TestWindowBoundsEverySpan(test *testing.T) {
+	const bound = 20
+	window := NewWindow(WindowConfig{Length: 5 * time.Second, Bound: bound})
+	start := time.Unix(1000, 0)
+	var begun []time.Time
+	for now := start; now.Before(start.Add(30 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		quiet := now.Sub(start) < 4*time.Second
+		if !quiet && window.Take(now) == 0 {
+			begun = append(begun, now)
+		}
+	}
+	require.Greater(test, len(begun), 4*bound, "the window lets too little through")
+	for first := range begun {
+		count := 0
+		for _, at := range begun[first:] {
+			if at.Sub(begun[first]) < 5*time.Second {
+				count++
+			}
+		}
+		require.LessOrEqual(test, count, bound)
+	}
+}
+
+// Guards against a caller that is told to wait no time at all, or longer than
+// until a place comes free.
+func TestWindowSaysHowLongToWait(test *testing.T) {
+	window := NewWindow(WindowConfig{Length: time.Second, Bound: 1})
+	now := time.Unix(1000, 0)
+	require.Zero(test, window.Take(now))
+	require.Equal(test, 600*time.Millisecond, window.Take(now.Add(400*time.Millisecond)))
+	require.Zero(test, window.Take(now.Add(time.Second)))
+	window.SetBound(0)
+	require.Positive(test, window.Take(now.Add(10*time.Second)))
+}
