Exclude runners by their name

Cause: the picker excluded, suspected and counted runners by address, while forward names them, so a repeated lookup met the same runner again. Found by TestLookupIsRepeatedAfterAFailure and TestRefusedRequestMovesToAnotherRunner, which fail without it.

--- /dev/null
+++ b/forward/forward_test.go
@@ -0,0 +1,277 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	waitBound = 20 * time.Second
+	waitTick  = 5 * time.Millisecond
+)
+
+// Guards against method, path, query, body or headers that are changed on the
+// way, and against a key that reaches a target.
+func TestRequestAndAnswerPassUnchanged(test *testing.T) {
+	runner := newTarget(test, "r1", answers(201, "Seal: s\r\nX-Own: 1\r\n", "receipt"))
+	node := newNode(test, tableFixture{once: []*target{runner}})
+	got := node.ask(test, http.MethodPost, "/once/a%2Fb?q=%20x", "plank 7")
+	require.NoError(test, got.err)
+	require.Equal(test, 201, got.status)
+	require.Equal(test, "receipt", got.body)
+	require.Equal(test, "s", got.header.Get("Seal"))
+	require.Equal(test, "1", got.header.Get("X-Own"))
+	seen := runner.seen[0]
+	require.Equal(test, "/once/a%2Fb?q=%20x", seen.RequestURI)
+	require.Equal(test, "host.example", seen.Host)
+	require.Equal(test, "plank 7", runner.body[0])
+	require.Equal(test, "one", seen.Header.Get("Workspace"))
+	require.Equal(test, "r1", seen.Header.Get("Wanted"))
+	require.Empty(test, seen.Header.Get("Secret"))
+}
+
+// Guards against a booking that runs twice, and against a promise that it has
+// not run when that is not known.
+func TestBrokenBookingIsUnknownAndNotRepeated(test *testing.T) {
+	broken := func(net.Conn, *http.Request) bool { return false }
+	first, second := newTarget(test, "r1", broken), newTarget(test, "r2", broken)
+	node := newNode(test, tableFixture{once: []*target{first, second}})
+	got := node.ask(test, http.MethodPost, "/once/1", "plank 7")
+	require.Equal(test, http.StatusBadGateway, got.status)
+	require.Empty(test, got.header.Get("Retry-After"))
+	require.Equal(test, 1, first.count()+second.count())
+}
+
+// Guards against a booking on a kept connection, which may have died.
+func TestBookingsUseFreshConnections(test *testing.T) {
+	runner := newTarget(test, "r1", answers(200, "Seal: s\r\n", "ok"))
+	node := newNode(test, tableFixture{once: []*target{runner}, idempotent: []*target{runner}})
+	for range 3 {
+		require.Equal(test, 200, node.ask(test, http.MethodPost, "/once/1", "x").status)
+	}
+	require.Equal(test, 3, runner.connections)
+	for range 3 {
+		require.Equal(test, 200, node.ask(test, http.MethodGet, "/idempotent/1", "").status)
+	}
+	require.LessOrEqual(test, runner.connections, 4+1, "kept connections are not used")
+}
+
+// Guards against a refusal that ends a request which another runner can serve.
+func TestRefusedRequestMovesToAnotherRunner(test *testing.T) {
+	full := newTarget(test, "r1", answers(503, "Refused: 1\r\n", ""))
+	free := newTarget(test, "r2", answers(200, "Seal: s\r\n", "ok"))
+	node := newNode(test, tableFixture{once: []*target{full, free}})
+	for range 8 {
+		require.Equal(test, 200, node.ask(test, http.MethodPost, "/once/1", "x").status)
+	}
+	require.Positive(test, full.count(), "no request met the full runner")
+}
+
+// Guards against an untrue "not run", and against a refusal without the time at
+// which to come back.
+func TestRequestThatNoRunnerTookIsRefused(test *testing.T) {
+	full := newTarget(test, "r1", answers(503, "Refused: 1\r\n", ""))
+	node := newNode(test, tableFixture{once: []*target{full}})
+	got := node.ask(test, http.MethodPost, "/once/1", "x")
+	require.Equal(test, http.StatusServiceUnavailable, got.status)
+	require.NotEmpty(test, got.header.Get("Retry-After"))
+	nobody := newNode(test, tableFixture{})
+	require.Equal(test, http.StatusServiceUnavailable, nobody.ask(test, http.MethodPost, "/once/1", "x").status)
+	failing := newTarget(test, "r2", answers(503, "Seal: s\r\n", "own failure"))
+	got = newNode(test, tableFixture{once: []*target{failing}}).ask(test, http.MethodPost, "/once/1", "x")
+	require.Equal(test, "own failure", got.body, "a failure of the runner's own is not passed on")
+}
+
+// Guards against a lookup that fails although another runner answers it.
+func TestLookupIsRepeatedAfterAFailure(test *testing.T) {
+	failing := newTarget(test, "r1", answers(500, "Seal: s\r\n", "failed"))
+	sound := newTarget(test, "r2", answers(200, "Seal: s\r\n", "ok"))
+	node := newNode(test, tableFixture{idempotent: []*target{failing, sound}})
+	for range 8 {
+		require.Equal(test, "ok", node.ask(test, http.MethodGet, "/idempotent/1", "").body)
+	}
+	require.Positive(test, failing.count(), "no request met the failing runner")
+	alone := newNode(test, tableFixture{idempotent: []*target{failing}})
+	require.NotEqual(test, 200, alone.ask(test, http.MethodGet, "/idempotent/1", "").status)
+}
+
+// Guards against an answer that belongs to another request, is not the
+// target's own or is not whole.
+func TestAnswersThatAreNotTheTargetsOwnAreNotPassedOn(test *testing.T) {
+	for name, script := range map[string]func(net.Conn, *http.Request) bool{
+		"another request's": func(conn net.Conn, request *http.Request) bool {
+			request.Header.Set("Id", "a0")
+			return answer(conn, request, 200, "Seal: s\r\n", "stray")
+		},
+		"without a seal": answers(200, "", "stray"),
+		"encoded":        answers(200, "Seal: s\r\nForeign: 1\r\n", "stray"),
+		"truncated": func(conn net.Conn, request *http.Request) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: a1\r\nSeal: s\r\nContent-Length: 50\r\n\r\nstray")
+			return false
+		},
+		"no HTTP": func(conn net.Conn, request *http.Request) bool {
+			fmt.Fprint(conn, "stray\r\n\r\n")
+			return false
+		},
+	} {
+		test.Run(name, func(test *testing.T) {
+			node := newNode(test, tableFixture{once: []*target{newTarget(test, "r1", script)}})
+			got := node.ask(test, http.MethodPost, "/once/1", "x")
+			require.Equal(test, http.StatusBadGateway, got.status)
+			require.NotContains(test, got.body, "stray")
+		})
+	}
+}
+
+// Guards against a second answer on a kept connection that is taken for the
+// next request's.
+func TestConnectionWithASecondAnswerIsNotUsedAgain(test *testing.T) {
+	runner := newTarget(test, "r1", func(conn net.Conn, request *http.Request) bool {
+		answer(conn, request, 200, "Seal: s\r\n", "own")
+		return answer(conn, request, 200, "Seal: s\r\n", "second")
+	})
+	node := newNode(test, tableFixture{idempotent: []*target{runner}})
+	for range 5 {
+		got := node.ask(test, http.MethodGet, "/idempotent/1", "")
+		require.NotEqual(test, "second", got.body)
+	}
+}
+
+// Guards against a stream that is broken off, repeated or not whole.
+func TestStreamGoesOnAfterTheLastWholeEvent(test *testing.T) {
+	for name, end := range map[string]string{
+		"reset between events":  "",
+		"cut inside an event":   "5\r\nid: 4\r\n",
+		"ended inside an event": "5\r\nid: 4\r\n0\r\n\r\n",
+	} {
+		test.Run(name, func(test *testing.T) {
+			broken := newTarget(test, "g1", streams(3, end))
+			sound := newTarget(test, "g2", streams(6, "0\r\n\r\n"))
+			node := newNode(test, tableFixture{groups: []*target{broken, sound}})
+			for range 6 {
+				got := node.ask(test, http.MethodPost, "/stream/1", "prompt")
+				require.NoError(test, got.err)
+				require.Equal(test, events(6), got.body)
+			}
+			require.Positive(test, broken.count(), "no stream met the broken group")
+		})
+	}
+}
+
+// Guards against a stream that ends early and looks complete.
+func TestStreamThatCannotGoOnIsCutOff(test *testing.T) {
+	broken := newTarget(test, "g1", streams(3, ""))
+	node := newNode(test, tableFixture{groups: []*target{broken}})
+	got := node.ask(test, http.MethodPost, "/stream/1", "prompt")
+	require.Error(test, got.err)
+	require.Equal(test, events(3), got.body)
+}
+
+// Replays a group that accepts requests and answers nothing. Guards against
+// callers that wait until it gives up.
+func TestStreamLeavesAGroupThatStandsStill(test *testing.T) {
+	silent := newTarget(test, "g1", func(conn net.Conn, request *http.Request) bool {
+		buffer := make([]byte, 1)
+		_, _ = conn.Read(buffer)
+		return false
+	})
+	sound := newTarget(test, "g2", streams(4, "0\r\n\r\n"))
+	node := newNode(test, tableFixture{groups: []*target{silent, sound}})
+	for range 4 {
+		got := node.ask(test, http.MethodPost, "/stream/1", "prompt")
+		require.NoError(test, got.err)
+		require.Equal(test, events(4), got.body)
+	}
+	require.Positive(test, silent.count(), "no stream met the silent group")
+	require.Contains(test, node.forward.Suspected(), "g1")
+}
+
+// Guards against work that goes on for a caller who has left.
+func TestCallersDepartureEndsTheAttempt(test *testing.T) {
+	ended := make(chan struct{})
+	runner := newTarget(test, "r1", func(conn net.Conn, request *http.Request) bool {
+		buffer := make([]byte, 1)
+		_, _ = conn.Read(buffer)
+		close(ended)
+		return false
+	})
+	node := newNode(test, tableFixture{once: []*target{runner}})
+	ctx, cancel := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, node.server.URL+"/once/1", strings.NewReader("x"))
+	require.NoError(test, err)
+	request.Host = "host.example"
+	request.Header = http.Header{"Id": {"a1"}, "Secret": {"key"}}
+	result := make(chan reply, 1)
+	go func() { result <- node.send(request) }()
+	require.Eventually(test, func() bool { return runner.count() == 1 }, waitBound, waitTick)
+	cancel()
+	<-result
+	select {
+	case <-ended:
+	case <-time.After(waitBound):
+		test.Fatal("the target still has the request")
+	}
+}
+
+// Guards against requests that are handled under no configuration, without a
+// key, or above the bounds.
+func TestRequestsThatTheConfigurationDoesNotAllow(test *testing.T) {
+	runner := newTarget(test, "r1", answers(200, "Seal: s\r\n", "ok"))
+	node := newNode(test, tableFixture{once: []*target{runner}})
+	for name, fixture := range map[string]struct {
+		path, key, bad, body string
+		status               int
+	}{
+		"no route":       {path: "/other/1", key: "key", status: http.StatusNotFound},
+		"unknown key":    {path: "/once/1", key: "other", status: http.StatusUnauthorized},
+		"no key":         {path: "/once/1", status: http.StatusUnauthorized},
+		"large body":     {path: "/once/1", key: "key", body: strings.Repeat("x", 65), status: http.StatusRequestEntityTooLarge},
+		"malformed":      {path: "/once/1", key: "key", bad: "1", status: http.StatusBadRequest},
+		"largest body":   {path: "/once/1", key: "key", body: strings.Repeat("x", 64), status: http.StatusOK},
+		"other's prefix": {path: "/onceness/1", key: "key", status: http.StatusNotFound},
+	} {
+		test.Run(name, func(test *testing.T) {
+			request, err := http.NewRequest(http.MethodPost, node.server.URL+fixture.path, strings.NewReader(fixture.body))
+			require.NoError(test, err)
+			request.Host = "host.example"
+			request.Header = http.Header{"Id": {"a1"}, "Secret": {fixture.key}, "Bad": {fixture.bad}}
+			require.Equal(test, fixture.status, node.send(request).status)
+		})
+	}
+	require.Equal(test, 1, runner.count())
+}
+
+// Guards against a key, or a missing route, that is judged by a configuration
+// which may have been replaced.
+func TestStaleConfigurationPromisesNothing(test *testing.T) {
+	runner := newTarget(test, "r1", answers(200, "Seal: s\r\n", "ok"))
+	node := newNode(test, tableFixture{once: []*target{runner}})
+	node.mutex.Lock()
+	node.confirmed = time.Now().Add(-2 * time.Minute)
+	node.mutex.Unlock()
+	for _, path := range []string{"/once/1", "/other/1"} {
+		got := node.ask(test, http.MethodPost, path, "x")
+		require.Equal(test, http.StatusServiceUnavailable, got.status, path)
+		require.NotEmpty(test, got.header.Get("Retry-After"))
+	}
+	require.Zero(test, runner.count())
+}
+
+// Guards against a node that stops and takes on work.
+func TestStoppingNodeRefusesNewRequests(test *testing.T) {
+	runner := newTarget(test, "r1", answers(200, "Seal: s\r\n", "ok"))
+	node := newNode(test, tableFixture{once: []*target{runner}})
+	require.False(test, node.forward.Begun())
+	require.Equal(test, 200, node.ask(test, http.MethodPost, "/once/1", "x").status)
+	require.True(test, node.forward.Begun())
+	node.forward.Stop()
+	require.Equal(test, http.StatusServiceUnavailable, node.ask(test, http.MethodPost, "/once/1", "x").status)
+	require.Equal(test, 1, runner.count())
+}
--- /dev/null
+++ b/forward/harness_test.go
@@ -0,0 +1,267 @@
+package forward_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"lacewingspoke.org/lacewingspoke/catalog"
+	"lacewingspoke.org/lacewingspoke/forward"
+	"lacewingspoke.org/lacewingspoke/group"
+	"lacewingspoke.org/lacewingspoke/limit"
+	"lacewingspoke.org/lacewingspoke/route"
+	"lacewingspoke.org/lacewingspoke/timer"
+)
+
+// A testCodec reads and writes a few headers of its own.
+type testCodec struct{}
+
+func (testCodec) Demand(header http.Header) (forward.Demand, error) {
+	if header.Get("Bad") != "" {
+		return forward.Demand{}, errors.NotValidf("request")
+	}
+	return forward.Demand{Attempt: header.Get("Id"), Key: header.Get("Secret"), Model: "m", Deadline: 2 * time.Second}, nil
+}
+
+func (testCodec) Outgoing(header http.Header, send forward.Send) http.Header {
+	outgoing := header.Clone()
+	for _, name := range []string{"Secret", "Connection", "Content-Length"} {
+		outgoing.Del(name)
+	}
+	outgoing.Set("Workspace", send.Workspace)
+	outgoing.Set("Wanted", send.Target)
+	outgoing.Set("After", send.ResumeAfter)
+	return outgoing
+}
+
+func (testCodec) Answer(status int, header http.Header) forward.Answer {
+	return forward.Answer{
+		Attempt: header.Get("Id"), Refused: header.Get("Refused") != "", Sealed: header.Get("Seal") != "", Foreign: header.Get("Foreign") != "",
+	}
+}
+
+func (testCodec) Incoming(header http.Header) http.Header {
+	incoming := header.Clone()
+	for _, name := range []string{"Connection", "Content-Length", "Transfer-Encoding"} {
+		incoming.Del(name)
+	}
+	return incoming
+}
+
+func (testCodec) Refusal(attempt string, retryAfter time.Duration) http.Header {
+	header := http.Header{"Id": {attempt}}
+	if retryAfter > 0 {
+		header.Set("Retry-After", fmt.Sprint(retryAfter.Seconds()))
+	}
+	return header
+}
+
+// A target runs a script for each connection and records what it was sent.
+type target struct {
+	name     string
+	listener net.Listener
+
+	mutex sync.Mutex
+	seen  []*http.Request
+	body  []string
+
+	// connections counts what was accepted.
+	connections int
+}
+
+// newTarget starts a target that hands each request with its connection to a
+// script, which returns whether the connection is kept.
+func newTarget(test *testing.T, name string, script func(conn net.Conn, request *http.Request) bool) *target {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(test, err)
+	started := &target{name: name, listener: listener}
+	test.Cleanup(func() { listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			started.mutex.Lock()
+			started.connections++
+			started.mutex.Unlock()
+			go started.serve(conn, script)
+		}
+	}()
+	return started
+}
+
+func (target *target) serve(conn net.Conn, script func(conn net.Conn, request *http.Request) bool) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(request.Body)
+		target.mutex.Lock()
+		target.seen = append(target.seen, request)
+		target.body = append(target.body, string(body))
+		target.mutex.Unlock()
+		if !script(conn, request) {
+			return
+		}
+	}
+}
+
+func (target *target) address() string { return target.listener.Addr().String() }
+
+func (target *target) count() int {
+	target.mutex.Lock()
+	defer target.mutex.Unlock()
+	return len(target.seen)
+}
+
+// answer writes a whole answer with the request's id.
+func answer(conn net.Conn, request *http.Request, status int, header, body string) bool {
+	fmt.Fprintf(conn, "HTTP/1.1 %d Status\r\nId: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, request.Header.Get("Id"), header, len(body), body)
+	return true
+}
+
+func answers(status int, header, body string) func(net.Conn, *http.Request) bool {
+	return func(conn net.Conn, request *http.Request) bool { return answer(conn, request, status, header, body) }
+}
+
+// streams writes events from the one after the request's last to the given one,
+// and then what the end says.
+func streams(last int, end string) func(net.Conn, *http.Request) bool {
+	return func(conn net.Conn, request *http.Request) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Id"))
+		first := 0
+		fmt.Sscan(request.Header.Get("After"), &first)
+		for index := first + 1; index <= last; index++ {
+			chunk := event(index)
+			fmt.Fprintf(conn, "%x\r\n%s\r\n", len(chunk), chunk)
+		}
+		fmt.Fprint(conn, end)
+		return end == "0\r\n\r\n"
+	}
+}
+
+func event(index int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", index, index) }
+
+func events(last int) string {
+	var text strings.Builder
+	for index := 1; index <= last; index++ {
+		text.WriteString(event(index))
+	}
+	return text.String()
+}
+
+// A node is a forward server with the targets in its table.
+type node struct {
+	server    *httptest.Server
+	forward   *forward.Server
+	publisher *route.Publisher
+	confirmed time.Time
+	mutex     sync.Mutex
+}
+
+type tableFixture struct {
+	once, idempotent []*target
+	groups           []*target
+	attempts         int
+}
+
+func newNode(test *testing.T, fixture tableFixture) *node {
+	started := &node{publisher: route.NewPublisher(), confirmed: time.Now()}
+	timers := timer.New(timer.Config{})
+	ctx, cancel := context.WithCancel(context.Background())
+	go timers.Run(ctx)
+	server, err := forward.New(forward.Config{
+		Publisher: started.publisher, Codec: testCodec{}, FailureDomain: "zone", Now: time.Now, Timers: timers, Seed: 1,
+		Confirmed: func() time.Time {
+			started.mutex.Lock()
+			defer started.mutex.Unlock()
+			return started.confirmed
+		},
+		FreshFor: time.Minute, Retries: limit.AllowanceConfig{Window: time.Second, Slack: 100, Safety: 1},
+	})
+	require.NoError(test, err)
+	started.forward = server
+	started.publish(test, fixture)
+	started.server = httptest.NewServer(server)
+	test.Cleanup(func() {
+		started.server.CloseClientConnections()
+		started.server.Close()
+		server.Close()
+		cancel()
+		<-timers.Done()
+	})
+	return started
+}
+
+func (node *node) publish(test *testing.T, fixture tableFixture) {
+	attempts := max(fixture.attempts, 2)
+	routeTo := func(name string, kind catalog.Kind) catalog.Route {
+		return catalog.Route{
+			Name: name, Host: "host.example", Prefix: "/" + name + "/", Kind: kind, Timeout: 5 * time.Second, Objective: 100 * time.Millisecond,
+			MaxAttempts: attempts, Resumable: true, Splits: []catalog.Split{{Service: name, Weight: 1}},
+		}
+	}
+	current, err := catalog.New(catalog.Config{
+		Version:    1,
+		Services:   []catalog.Service{{Name: "once"}, {Name: "idempotent"}, {Name: "stream", Engine: &catalog.Engine{Slots: 4}}},
+		Routes:     []catalog.Route{routeTo("once", catalog.KindOnce), routeTo("idempotent", catalog.KindIdempotent), routeTo("stream", catalog.KindStream)},
+		Workspaces: []catalog.Tenancy{{Workspace: catalog.Workspace{Name: "one", Priority: -1}, Keys: []string{"key"}}},
+		Limits:     catalog.Limits{MaxBodyBytes: 64},
+	})
+	require.NoError(test, err)
+	config := route.TableConfig{Catalog: current, Generation: 1}
+	add := func(service string, targets []*target) {
+		for _, target := range targets {
+			config.Services = append(config.Services, route.ServiceTarget{Service: service, Name: target.name, Address: target.address(), FailureDomain: "zone", Slots: 4, Open: true})
+		}
+	}
+	add("once", fixture.once)
+	add("idempotent", fixture.idempotent)
+	for _, target := range fixture.groups {
+		config.Groups = append(config.Groups, route.GroupTarget{
+			Name: target.name, Spec: "m", Epoch: 1, VM: target.name, Address: target.address(), FailureDomain: "zone", Open: true,
+			Grant: group.Grant{Group: target.name, Epoch: 1, ReportedAt: time.Now(), ValidUntil: time.Now().Add(time.Hour)},
+		})
+	}
+	node.publisher.Publish(route.NewTable(config))
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (node *node) ask(test *testing.T, method, path, body string) reply {
+	request, err := http.NewRequest(method, node.server.URL+path, strings.NewReader(body))
+	require.NoError(test, err)
+	request.Host = "host.example"
+	request.Header = http.Header{"Id": {"a1"}, "Secret": {"key"}}
+	return node.send(request)
+}
+
+func (node *node) send(request *http.Request) reply {
+	response, err := node.server.Client().Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(data), err: err}
+}
--- a/route/picker.go
+++ b/route/picker.go
@@ -170,18 +170,18 @@
 	targets := table.Services(service)
 	candidates := make([]candidate, 0, len(targets))
 	for index, target := range targets {
-		if !target.Open || excluded[target.Address] {
+		if !target.Open || excluded[target.ID()] {
 			continue
 		}
-		load := picker.tracker.Load(target.Address, target.Load, time.Time{})
-		candidates = append(candidates, picker.candidate(index, target.Address, target.FailureDomain, load, now))
+		load := picker.tracker.Load(target.ID(), target.Load, time.Time{})
+		candidates = append(candidates, picker.candidate(index, target.ID(), target.FailureDomain, load, now))
 	}
 	candidates = withoutSuspects(candidates)
 	if len(candidates) == 0 {
 		return ServiceTarget{}, false
 	}
 	chosen := targets[picker.choose(candidates).index]
-	picker.tryAgain(chosen.Address, now)
+	picker.tryAgain(chosen.ID(), now)
 	return chosen, true
 }
 
--- a/route/table.go
+++ b/route/table.go
@@ -49,6 +49,15 @@
 	Load group.Load
 }
 
+// ID returns what exclusions, suspicions and counts know the runner by: its
+// name, or its address when it has none.
+func (target ServiceTarget) ID() string {
+	if target.Name != "" {
+		return target.Name
+	}
+	return target.Address
+}
+
 // TableConfig holds the content of a Table.
 type TableConfig struct {
 	// Folder is nil when no configuration is known.
