--- a/cmd/lacewingspoke/daemon.go
+++ b/cmd/lacewingspoke/daemon.go
@@ -148,16 +148,47 @@
 	ends <- err
 }
 
+// settingsInterval is how often the settings file is looked at: it may change
+// without a signal.
+const settingsInterval = 5 * time.Second
+
 // wait returns at a signal, or with the cause when a part ended by itself.
-func (daemon *daemon) wait(signals <-chan os.Signal) error {
-	select {
-	case <-signals:
-		return nil
-	case err := <-daemon.ends:
-		return errors.Annotate(err, "HTTP server ended")
-	case err := <-daemon.mesh.Done():
-		return errors.Annotate(err, "peer links ended")
+// Settings that change meanwhile are read again.
+func (daemon *daemon) wait(signals, reloads <-chan os.Signal, path string) error {
+	looks := daemon.timers.Every("settings", settingsInterval, 0)
+	defer looks.Cancel()
+	for {
+		select {
+		case <-signals:
+			return nil
+		case err := <-daemon.ends:
+			return errors.Annotate(err, "HTTP server ended")
+		case err := <-daemon.mesh.Done():
+			return errors.Annotate(err, "peer links ended")
+		case <-reloads:
+			daemon.reload(path, true)
+		case <-looks.C():
+			daemon.reload(path, false)
+		}
+	}
+}
+
+// reload reads the settings again and takes what can change while the node
+// runs. Settings with faults change nothing. asked says that a signal came,
+// which is logged even when nothing changed.
+func (daemon *daemon) reload(path string, asked bool) {
+	changed, problems := settings.Load(path)
+	if len(problems) > 0 {
+		daemon.logger.Error("settings rejected", zap.String("file", path), zap.Stringers("problems", problems))
+		return
+	}
+	keys := daemon.settings.Differences(changed)
+	if len(keys) == 0 && !asked {
+		return
 	}
+	daemon.logger.Info("settings read again", zap.Strings("changed", keys), zap.Bool("signal", asked))
+	daemon.settings = changed
+	daemon.traffic.Reload(changed)
 }
 
 // stop ends the node without cutting off a request in progress: the health
--- a/cmd/lacewingspoke/module.go
+++ b/cmd/lacewingspoke/module.go
@@ -190,9 +190,18 @@
 	// Stop refuses requests that arrive from now on.
 	Stop()
 	Close()
+
+	// Reload takes the settings that can change while the node runs.
+	Reload(changed *settings.Settings)
 }
 
-func newEntryTraffic(server *entry.Server) callerTraffic { return server }
+func newEntryTraffic(server *entry.Server) callerTraffic { return entryCallers{Server: server} }
+
+// entryCallers is the entry server as the daemon sees it.
+type entryCallers struct{ *entry.Server }
+
+// Reload takes nothing: what callers may do comes from the folder.
+func (entryCallers) Reload(*settings.Settings) {}
 
 // traffic passes workspace demand between the entry server and the peers.
 type traffic struct{ server *entry.Server }
@@ -213,6 +222,9 @@
 // Begun reports true: only a node that follows a feed asks.
 func (traffic traffic) Begun() bool { return true }
 
+// SetNodes does nothing: the peers announce themselves with their demand.
+func (traffic traffic) SetNodes(int) {}
+
 // Suspected returns no group: grants end when a member is lost.
 func (traffic traffic) Suspected() []string { return nil }
 
--- a/cmd/lacewingspoke/node.go
+++ b/cmd/lacewingspoke/node.go
@@ -42,13 +42,13 @@
 	}
 	sink := logline.New(logline.Config{Output: os.Stdout})
 	logger := sink.Logger().With(zap.String("node", loaded.Name()))
-	err := runNode(loaded, logger)
+	err := runNode(command.Settings, loaded, logger)
 	sink.Close()
 	return errors.Trace(err)
 }
 
 // runNode runs the daemon until a signal or the failure of one of its parts.
-func runNode(loaded *settings.Settings, logger *zap.Logger) error {
+func runNode(path string, loaded *settings.Settings, logger *zap.Logger) error {
 	var running *daemon
 	app := fx.New(
 		fx.Supply(loaded, logger),
@@ -62,7 +62,9 @@
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	cause := running.wait(signals)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	cause := running.wait(signals, reloads, path)
 	stopping, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go cancelOnSignal(stopping, signals, cancel)
--- a/cmd/lacewingspoke/shared.go
+++ b/cmd/lacewingspoke/shared.go
@@ -106,23 +106,32 @@
 		Timers:        params.Timers,
 		Confirmed:     params.Feed.Confirmed,
 		FreshFor:      time.Duration(freshPart * float64(params.Settings.Revocation())),
-		Retries: limit.AllowanceConfig{
-			Window: params.Settings.RetryWindow(),
-			Ratio:  params.Settings.RetryRatio(),
-			Slack:  params.Settings.RetrySlack(),
-			Safety: retrySafety,
-		},
-		Logger:     params.Logger,
-		Registerer: params.Registry,
+		Retries:       retriesOf(params.Settings),
+		LeastNodes:    params.Settings.Nodes(),
+		Logger:        params.Logger,
+		Registerer:    params.Registry,
 	})
-	if err != nil {
-		return nil, errors.Trace(err)
+	return server, errors.Trace(err)
+}
+
+func retriesOf(loaded *settings.Settings) limit.AllowanceConfig {
+	return limit.AllowanceConfig{
+		Window: loaded.RetryWindow(),
+		Ratio:  loaded.RetryRatio(),
+		Slack:  loaded.RetrySlack(),
+		Safety: retrySafety,
 	}
-	server.SetNodes(params.Settings.Nodes())
-	return server, nil
 }
 
-func newForwardTraffic(server *forward.Server) callerTraffic { return server }
+func newForwardTraffic(server *forward.Server) callerTraffic { return forwardCallers{Server: server} }
+
+// forwardCallers is the forward server as the daemon sees it.
+type forwardCallers struct{ *forward.Server }
+
+// Reload takes the bounds that can change while the node runs.
+func (callers forwardCallers) Reload(changed *settings.Settings) {
+	callers.SetRetries(retriesOf(changed))
+}
 
 // feedParams are what the control thread of a node that follows a feed is built
 // from.
--- a/control/control.go
+++ b/control/control.go
@@ -95,6 +95,9 @@
 	// Suspected returns the groups whose streams stood still since the last
 	// call.
 	Suspected() []string
+
+	// SetNodes sets the number of live nodes.
+	SetNodes(nodes int)
 }
 
 // Config holds what a Controller needs.
--- a/control/harness_test.go
+++ b/control/harness_test.go
@@ -119,6 +119,7 @@
 func (traffic) SetUsage([]peer.Usage)        {}
 func (traffic) Begun() bool                  { return true }
 func (traffic) Suspected() []string          { return nil }
+func (traffic) SetNodes(int)                 {}
 
 // A filter is a mesh that can lose the grants that one peer sends.
 type filter struct {
--- a/control/loop.go
+++ b/control/loop.go
@@ -92,6 +92,7 @@
 	case <-ticks.fleet.C():
 		state.handleFleet(state.now(), fleet.Tick{})
 		state.expireTargets(state.now())
+		state.config.Traffic.SetNodes(state.fleet.Size())
 		if state.feeding() {
 			break
 		}
--- a/folder/schema.go
+++ b/folder/schema.go
@@ -203,7 +203,7 @@
 	{
 		key:      "open-time",
 		fallback: always("300ms"),
-		set:      func(item *item, value string) error { return setDuration(&item.class.OpenTime, value) },
+		set:      func(item *item, value string) error { return setDelay(&item.class.OpenTime, value) },
 		text:     func(item *item) string { return inifile.FormatDuration(item.class.OpenTime) },
 	},
 }
@@ -405,6 +405,13 @@
 	return nil
 }
 
+// setDelay sets a duration that may be zero.
+func setDelay(duration *time.Duration, value string) error {
+	parsed, err := inifile.ParseDuration(value)
+	*duration = parsed
+	return errors.Trace(err)
+}
+
 func setDuration(duration *time.Duration, value string) error {
 	parsed, err := inifile.ParseDuration(value)
 	if err != nil {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -152,6 +152,10 @@
 	// Retries bounds the attempts beyond the first of each request.
 	Retries limit.AllowanceConfig
 
+	// LeastNodes is the number of nodes that share the retries at least, for
+	// the time in which a node does not know the others.
+	LeastNodes int
+
 	// Timers wake the watch of standing streams.
 	Timers *timer.Service
 
@@ -341,7 +345,14 @@
 func (server *Server) SetNodes(nodes int) {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	server.retries.SetNodes(nodes)
+	server.retries.SetNodes(max(nodes, server.config.LeastNodes), server.config.Now())
+}
+
+// SetRetries changes the bounds of the retries.
+func (server *Server) SetRetries(config limit.AllowanceConfig) {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.retries.SetConfig(config)
 }
 
 func (server *Server) countRequest(service string) {
--- a/limit/allowance.go
+++ b/limit/allowance.go
@@ -25,8 +25,14 @@
 //
 // It is not safe for concurrent use.
 type Allowance struct {
-	config   AllowanceConfig
+	config AllowanceConfig
+
+	// nodes is the number that the slack is divided by. A lower number counts
+	// from lowerAt on: until then the retries of the nodes that went are still in
+	// the window.
 	nodes    int
+	lower    int
+	lowerAt  time.Time
 	services map[string]*allowanceCounts
 }
 
@@ -40,8 +46,25 @@
 	return &Allowance{config: config, nodes: 1, services: map[string]*allowanceCounts{}}
 }
 
-// SetNodes sets the number of live nodes, at least 1.
-func (allowance *Allowance) SetNodes(nodes int) { allowance.nodes = max(1, nodes) }
+// SetNodes sets the number of live nodes, at least 1. Fewer nodes count after a
+// window.
+func (allowance *Allowance) SetNodes(nodes int, now time.Time) {
+	nodes = max(1, nodes)
+	switch {
+	case nodes >= allowance.nodes:
+		allowance.nodes = nodes
+		allowance.lower = 0
+	case nodes != allowance.lower:
+		allowance.lower = nodes
+		allowance.lowerAt = now.Add(allowance.config.Window)
+	case !now.Before(allowance.lowerAt):
+		allowance.nodes = nodes
+		allowance.lower = 0
+	}
+}
+
+// SetConfig changes the bounds.
+func (allowance *Allowance) SetConfig(config AllowanceConfig) { allowance.config = config }
 
 // Request counts a request for a service.
 func (allowance *Allowance) Request(service string, now time.Time) {
--- a/limit/allowance_test.go
+++ b/limit/allowance_test.go
@@ -19,7 +19,7 @@
 	allowances := make([]*Allowance, nodes)
 	for index := range allowances {
 		allowances[index] = NewAllowance(AllowanceConfig{Window: window, Ratio: ratio, Slack: slack, Safety: 0.8})
-		allowances[index].SetNodes(nodes)
+		allowances[index].SetNodes(nodes, time.Unix(1000, 0))
 	}
 	var requests, retries []time.Time
 	start := time.Unix(1000, 0)
@@ -58,3 +58,26 @@
 	require.True(test, allowance.Retry("two", now))
 	require.True(test, allowance.Retry("one", now.Add(1100*time.Millisecond)))
 }
+
+// Replays the end of half of the nodes. Guards against survivors that take
+// their part of the slack while its retries are still in the window.
+func TestAllowanceOfLostNodesReturnsAfterAWindow(test *testing.T) {
+	allowance := NewAllowance(AllowanceConfig{Window: 10 * time.Second, Slack: 60, Safety: 1})
+	start := time.Unix(1000, 0)
+	allowance.SetNodes(6, start)
+	taken := func(now time.Time) int {
+		count := 0
+		for allowance.Retry("pool", now) {
+			count++
+		}
+		return count
+	}
+	for now := start; now.Before(start.Add(9 * time.Second)); now = now.Add(time.Second) {
+		allowance.SetNodes(3, now)
+	}
+	require.Equal(test, 10, taken(start.Add(9*time.Second)))
+	allowance.SetNodes(3, start.Add(10*time.Second))
+	require.Equal(test, 10, taken(start.Add(10*time.Second)))
+	allowance.SetNodes(6, start.Add(11*time.Second))
+	require.Zero(test, taken(start.Add(11*time.Second)))
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -96,6 +96,20 @@
 	retryWindow    time.Duration
 	loadWindow     time.Duration
 	nodes          int
+
+	// values holds the text of every key, with defaults.
+	values map[fieldID]string
+}
+
+// Differences returns the keys, as section.key, whose values differ in other.
+func (settings *Settings) Differences(other *Settings) []string {
+	var keys []string
+	for _, field := range fields {
+		if settings.values[field.id] != other.values[field.id] {
+			keys = append(keys, field.id.section+"."+field.id.key)
+		}
+	}
+	return keys
 }
 
 // The protocols of the store.
@@ -204,7 +218,7 @@
 // problems. The settings are nil when there are problems.
 func Parse(name string, data []byte) (*Settings, []Problem) {
 	document, problems := inifile.Parse(name, data)
-	parser := &parser{name: name, settings: &Settings{}, problems: problems, lines: map[fieldID]int{}}
+	parser := &parser{name: name, settings: &Settings{values: map[fieldID]string{}}, problems: problems, lines: map[fieldID]int{}}
 	for _, section := range document.Sections() {
 		parser.addSection(section)
 	}
@@ -248,6 +262,7 @@
 		return
 	}
 	parser.lines[id] = entry.Line()
+	parser.settings.values[id] = entry.Value()
 	if err := field.set(parser.settings, entry.Value()); err != nil {
 		parser.report(entry.Line(), entry.Key(), errors.Cause(err).Error())
 	}
--- a/system/system_test.go
+++ b/system/system_test.go
@@ -532,3 +532,22 @@
 	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
 	test.verify(load.stop())
 }
+
+// Guards against a node that a SIGHUP ends, and against settings with faults
+// that replace sound ones.
+func TestNodeReadsItsSettingsAgain(t *testing.T) {
+	test := start(t, 1)
+	node := test.nodes[0]
+	load := startLoad(test.cluster, test.balancer, "load", loadCallers)
+	test.awaitMore(load, caller.KindDraft)
+	require.NoError(t, node.Signal(syscall.SIGHUP))
+	_, err := node.AwaitLine(test.ctx, `"settings read again"`)
+	require.NoError(t, err)
+	file := filepath.Join(test.dir, node.name+".ini")
+	require.NoError(t, os.WriteFile(file, []byte("[node]\nname = \n"), 0o600))
+	require.NoError(t, node.Signal(syscall.SIGHUP))
+	_, err = node.AwaitLine(test.ctx, `"settings rejected"`)
+	require.NoError(t, err)
+	test.awaitMore(load, caller.KindDraft, caller.KindBooking)
+	test.verify(load.stop())
+}
