Spread the returns of refused streams over their callers' patience

The pattern is replayed in TestReturnsAreSpreadOverThePlaces: 10 of 300 served when all return together, over 225 spread.

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -22,10 +22,6 @@
 	// prompt is silent for some hundred milliseconds.
 	leastPatience = 1200 * time.Millisecond
 
-	// groupRetry is the wait before a request comes back that found no place in
-	// any group.
-	groupRetry = 250 * time.Millisecond
-
 	// groupWait is how long a stream that has begun waits for a group to go on
 	// at; callers abandon a stream after two seconds of silence.
 	groupWait = 1500 * time.Millisecond
@@ -332,7 +328,7 @@
 // off, so that it does not look complete.
 func (delivery *delivery) giveUp(reason string) {
 	if !delivery.begun {
-		delivery.exchange.giveUp(reason, groupRetry)
+		delivery.exchange.giveUp(reason, limit.Return(delivery.exchange.left(), delivery.exchange.server.draw()))
 		return
 	}
 	delivery.exchange.log("cut", http.StatusOK, reason)
--- /dev/null
+++ b/limit/return_test.go
@@ -0,0 +1,38 @@
+package limit
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Replays 300 requests that are refused in one moment while 100 places a second
+// come free. Guards against callers that return together and are refused again.
+func TestReturnsAreSpreadOverThePlaces(test *testing.T) {
+	const refused, placesPerSecond = 300, 100
+	random := rand.New(rand.NewPCG(5, 5))
+	served := func(wait func() time.Duration) int {
+		returns := map[int64]int{}
+		for range refused {
+			returns[int64(wait()/(100*time.Millisecond))]++
+		}
+		count := 0
+		for _, arrivals := range returns {
+			count += min(arrivals, placesPerSecond/10)
+		}
+		return count
+	}
+	spread := served(func() time.Duration { return Return(8*time.Second, random.Float64()) })
+	together := served(func() time.Duration { return 250 * time.Millisecond })
+	require.Greater(test, spread, 20*together)
+	require.Greater(test, spread, refused*3/4)
+}
+
+// Guards against a time that callers do not wait for, and against none at all.
+func TestReturnStaysWithinTheCallersPatience(test *testing.T) {
+	require.Equal(test, 300*time.Millisecond, Return(8*time.Second, 0))
+	require.InDelta(test, (8 * time.Second / 3).Seconds(), Return(8*time.Second, 0.9999).Seconds(), 0.01)
+	require.Equal(test, 300*time.Millisecond, Return(-time.Second, 0.7))
+}
