--- a/cmd/lacewingspoke/shared.go
+++ b/cmd/lacewingspoke/shared.go
@@ -163,6 +163,7 @@
 		SettleFar:     sharedSettleFar,
 		Feed: control.FeedConfig{
 			Events:      params.Feed.Events(),
+			SetPause:    params.Feed.SetPause,
 			ReturnGrace: returnGrace,
 			LoadWindow:  params.Settings.LoadWindow(),
 			LoadSlack:   loadSlack,
--- a/control/feed.go
+++ b/control/feed.go
@@ -49,6 +49,9 @@
 	// the list of VMs and the engines itself.
 	Events <-chan FeedEvent
 
+	// SetPause is told how long the feed may gather changes; nil when it cannot.
+	SetPause func(pause time.Duration)
+
 	// ReturnGrace is how long after an outage a target may be missing from the
 	// platform's list.
 	ReturnGrace time.Duration
@@ -81,6 +84,10 @@
 	feedDarkHold   = 2 * time.Second
 	feedDarkSettle = time.Second
 
+	// pausePerNode keeps the calls for changes of all nodes together below a
+	// hundred a second. Nodes that lead a fabric domain do not wait for it.
+	pausePerNode = 15 * time.Millisecond
+
 	// feedFormSettle is above the time between two targets that register while
 	// a fabric domain starts.
 	feedFormSettle = 700 * time.Millisecond
@@ -246,6 +253,19 @@
 	return bound, parallel
 }
 
+// setFeedPause lets a node that only follows gather changes for longer in a
+// larger fleet.
+func (state *state) setFeedPause() {
+	if state.config.Feed.SetPause == nil {
+		return
+	}
+	pause := time.Duration(state.fleet.Size()) * pausePerNode
+	if len(state.led) > 0 {
+		pause = 0
+	}
+	state.config.Feed.SetPause(pause)
+}
+
 // setGroups makes the groups of the configuration's models known to the
 // leaders.
 func (state *state) setGroups(now time.Time) {
--- a/control/watch.go
+++ b/control/watch.go
@@ -55,6 +55,7 @@
 			timers:  state.config.Timers,
 			prefix:  prefix,
 			results: state.controller.results,
+			pause:   state.watchPause(),
 			random:  rand.New(rand.NewPCG(state.config.Random.Uint64(), state.config.Random.Uint64())),
 		}
 		state.pending++
@@ -73,6 +74,9 @@
 	results chan<- message
 	random  *rand.Rand
 	failed  int
+
+	// pause gathers changes between two calls, 0 for none.
+	pause time.Duration
 }
 
 // run lists the prefix and then watches it, again from the start after a
@@ -108,7 +112,21 @@
 			entries:  changes.Entries,
 			deleted:  changes.Deleted,
 		})
+		if watcher.pause > 0 {
+			pause(ctx, watcher.timers, watcher.pause)
+		}
+	}
+}
+
+// feedWatchPause gathers the placement records that several leaders write after
+// one loss.
+const feedWatchPause = 60 * time.Millisecond
+
+func (state *state) watchPause() time.Duration {
+	if state.feeding() {
+		return feedWatchPause
 	}
+	return 0
 }
 
 func (watcher *watcher) send(ctx context.Context, result message) {
