--- a/control/feed.go
+++ b/control/feed.go
@@ -124,7 +124,7 @@
 	return &feedState{
 		directory: directory.New(directory.Config{ReturnGrace: config.ReturnGrace}),
 		reports:   map[string]engine.Report{},
-		orders:    newOrderCounts(config.Lead),
+		orders:    newOrderCounts(),
 		silent:    map[string]uint64{},
 		probed:    map[string]time.Time{},
 		loads: limit.NewLoads(limit.LoadsConfig{
@@ -320,11 +320,17 @@
 	return group.ReportRead{Sent: now, Report: report}
 }
 
+// starting reports whether the whole system is being started for the first
+// time and callers have sent nothing yet.
+func (state *state) starting() bool {
+	return state.config.Feed.Lead && !state.config.Traffic.Begun()
+}
+
 // localWeights takes a load out of this node's part of the load rate, which is
 // divided by the fabric domains, and out of the places of the weight store,
 // which all leaders see taken in the reports.
 func (state *state) localWeights(now time.Time, led *leadership, vm string) group.Event {
-	if state.config.Feed.Lead && !state.config.Traffic.Begun() {
+	if state.starting() {
 		return group.WeightsAcquired{VM: vm}
 	}
 	bound, parallel := state.loadBounds()
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -252,7 +252,7 @@
 // startOrder sends an order. To an engine that counts its orders it names the
 // count that the order rests on, which is asked for when it is not known.
 func (state *state) startOrder(led *leadership, effect group.SendOrder) {
-	counted := state.feed.orders.known(effect.VM, state.feed.reports[effect.VM].Incarnation)
+	counted := state.feed.orders.known(effect.VM, state.feed.reports[effect.VM].Incarnation, state.starting())
 	feeding := state.feeding()
 	state.start(func(context.Context) message {
 		result := groupResult{domain: led.domain, term: led.term, counted: counted}
--- a/control/membership.go
+++ b/control/membership.go
@@ -41,7 +41,10 @@
 	case fleet.ReleaseDomain:
 		state.start(func(ctx context.Context) message { return state.releaseDomain(ctx, effect) })
 	case fleet.SetPeers:
-		state.setPeers(effect.Targets)
+		// Every node that follows a feed reads all that links would carry.
+		if !state.feeding() {
+			state.setPeers(effect.Targets)
+		}
 	case fleet.LeadershipHeld:
 		state.holdLeadership(now, effect)
 	case fleet.LeadershipLost:
--- a/control/orders.go
+++ b/control/orders.go
@@ -26,23 +26,17 @@
 // orderCounts keeps the counts of the engines that this node gave orders to. A
 // count may become wrong when another node orders too; the engine then refuses
 // the next order.
-type orderCounts struct {
-	counts map[string]orderCount
+type orderCounts struct{ counts map[string]orderCount }
 
-	// fresh says that engines have begun no order yet when they are first seen,
-	// because the whole system has just been started.
-	fresh bool
-}
-
-func newOrderCounts(fresh bool) *orderCounts {
-	return &orderCounts{counts: map[string]orderCount{}, fresh: fresh}
-}
+func newOrderCounts() *orderCounts { return &orderCounts{counts: map[string]orderCount{}} }
 
-// known returns the count of an incarnation, which may not be known.
-func (counts *orderCounts) known(vm, incarnation string) orderCount {
+// known returns the count of an incarnation, which may not be known. fresh says
+// that an engine without a count has begun no order yet, because the whole
+// system is just being started.
+func (counts *orderCounts) known(vm, incarnation string, fresh bool) orderCount {
 	counted, found := counts.counts[vm]
 	if !found || counted.incarnation != incarnation {
-		return orderCount{vm: vm, incarnation: incarnation, known: counts.fresh && !found}
+		return orderCount{vm: vm, incarnation: incarnation, known: fresh && !found}
 	}
 	return counted
 }
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -56,6 +56,10 @@
 	// unknown says that the request may have run.
 	unknown bool
 	firstAt time.Duration
+
+	// age is how long ago the configuration was known to be the newest when the
+	// request arrived.
+	age time.Duration
 }
 
 func newExchange(server *Server, writer http.ResponseWriter, request *http.Request) *exchange {
@@ -106,8 +110,8 @@
 
 // accept finds route, service and workspace, or answers.
 func (exchange *exchange) accept(current *catalog.Catalog) bool {
-	age := exchange.started.Sub(exchange.server.config.Confirmed())
-	fresh := age < exchange.server.config.FreshFor
+	exchange.age = exchange.started.Sub(exchange.server.config.Confirmed())
+	fresh := exchange.age < exchange.server.config.FreshFor
 	matched, found := current.Match(hostOf(exchange.request.Host), pathOf(exchange.request.RequestURI))
 	if !found {
 		if !fresh {
@@ -299,7 +303,7 @@
 		zap.Duration("elapsed", elapsed),
 		zap.Duration("first", exchange.firstAt),
 		zap.Uint64("generation", version),
-		zap.Duration("confirmed-ago", exchange.started.Sub(exchange.server.config.Confirmed())))
+		zap.Duration("confirmed-ago", exchange.age))
 }
 
 // copyHeader passes a target's headers to the caller.
