--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -275,3 +275,18 @@
 	require.Equal(test, http.StatusServiceUnavailable, node.ask(test, http.MethodPost, "/once/1", "x").status)
 	require.Equal(test, 1, runner.count())
 }
+
+// Guards against an attempt that counts twice, so that a lookup whose answer
+// was truncated is not repeated.
+func TestLookupIsRepeatedAfterATruncatedAnswer(test *testing.T) {
+	truncated := newTarget(test, "r1", func(conn net.Conn, request *http.Request) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: a1\r\nSeal: s\r\nContent-Length: 50\r\n\r\npart")
+		return false
+	})
+	sound := newTarget(test, "r2", answers(200, "Seal: s\r\n", "ok"))
+	node := newNode(test, tableFixture{idempotent: []*target{truncated, sound}})
+	for range 8 {
+		require.Equal(test, "ok", node.ask(test, http.MethodGet, "/idempotent/1", "").body)
+	}
+	require.Positive(test, truncated.count(), "no request met the broken runner")
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -69,9 +70,12 @@
 func (exchange *exchange) serveStream(ctx context.Context) {
 	delivery := &delivery{exchange: exchange, last: exchange.demand.ResumeAfter}
 	excluded := map[string]bool{}
-	reason := "no group has a place"
+	reason := ""
 	for {
 		target, found := exchange.pickGroup(ctx, delivery, excluded)
+		if !found && reason == "" {
+			reason = exchange.whyNoGroup()
+		}
 		if !found || !exchange.mayStillRun() || ctx.Err() != nil {
 			delivery.giveUp(reason)
 			return
@@ -162,6 +166,30 @@
 	return best, found
 }
 
+// whyNoGroup says what the groups of the model offered.
+func (exchange *exchange) whyNoGroup() string {
+	server := exchange.server
+	now := server.config.Now()
+	usable, avoided, full := 0, 0, 0
+	earliest := time.Duration(0)
+	for _, target := range server.config.Publisher.Current().Groups(exchange.demand.Model) {
+		first := server.forecast.First(target.Name, exchange.pace(), now)
+		switch {
+		case !target.Usable(now):
+			continue
+		case server.suspects.Avoided(target.Name, now):
+			avoided++
+		case server.tracker.Load(target.Name, target.Load, target.Grant.ReportedAt) >= exchange.service.Engine.Slots:
+			full++
+		case earliest == 0 || first < earliest:
+			earliest = first
+		}
+		usable++
+	}
+	return fmt.Sprintf("no group has a place: %d serve, %d of them avoided, %d full, earliest first event in %v for an objective of %v",
+		usable, avoided, full, earliest.Round(time.Millisecond), server.objective(exchange.demand.Model, exchange.route.Objective))
+}
+
 // pace returns what the engine does for the request's model.
 func (exchange *exchange) pace() limit.Pace {
 	engine := exchange.service.Engine
@@ -195,9 +223,9 @@
 	patience := min(max(firstPatience*exchange.route.Objective, leastPatience), exchange.left())
 	response, err := server.client.do(ctx, exchange.call(target.VM, target.Address, delivery.last), patience)
 	if err != nil {
-		return exchange.brokenGroup(target, err)
+		return exchange.broken(target.Name, err)
 	}
-	exchange.attempts = append(exchange.attempts, target.Name)
+	exchange.note(target.Name)
 	answer := server.config.Codec.Answer(response.answer.StatusCode, response.answer.Header)
 	exchange.observe(target.Name, answer)
 	switch {
@@ -217,7 +245,7 @@
 			exchange.log("caller-left", 0, "caller does not read")
 			panic(http.ErrAbortHandler)
 		}
-		return exchange.brokenGroup(target, &callError{cause: err, sent: true})
+		return exchange.broken(target.Name, &callError{cause: err, sent: true})
 	}
 	response.finish()
 	server.suspects.Succeeded(target.Name)
@@ -225,16 +253,6 @@
 	return answered{}
 }
 
-// brokenGroup classifies an attempt that brought no whole stream.
-func (exchange *exchange) brokenGroup(target route.GroupTarget, err error) verdict {
-	count := len(exchange.attempts)
-	result := exchange.broken(target.Name, err)
-	if count > 0 && len(exchange.attempts) > count && exchange.attempts[count-1] == target.Name {
-		exchange.attempts = exchange.attempts[:count]
-	}
-	return result
-}
-
 // passFailure passes a group's own failure on, unless another group may do
 // better.
 func (exchange *exchange) passFailure(target route.GroupTarget, response *response, delivery *delivery) verdict {
--- a/forward/whole.go
+++ b/forward/whole.go
@@ -94,7 +94,7 @@
 	if err != nil {
 		return exchange.broken(target.Name, err)
 	}
-	exchange.attempts = append(exchange.attempts, target.Name)
+	exchange.note(target.Name)
 	answer := server.config.Codec.Answer(response.answer.StatusCode, response.answer.Header)
 	exchange.observe(target.Name, answer)
 	if answer.Refused {
@@ -143,6 +143,15 @@
 	}
 }
 
+// note counts an attempt that the target may have seen. The next attempt goes to
+// another target, so the same name again is the same attempt.
+func (exchange *exchange) note(target string) {
+	if last := len(exchange.attempts) - 1; last >= 0 && exchange.attempts[last] == target {
+		return
+	}
+	exchange.attempts = append(exchange.attempts, target)
+}
+
 // broken classifies an attempt without a whole answer.
 func (exchange *exchange) broken(target string, err error) verdict {
 	if exchange.request.Context().Err() == nil {
@@ -153,6 +162,6 @@
 	if !maySent(err) {
 		return notRun{reason: "target " + target + " was not reached"}
 	}
-	exchange.attempts = append(exchange.attempts, target)
+	exchange.note(target)
 	return unknown{reason: "target " + target + " gave no whole answer"}
 }
