--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -129,8 +129,9 @@
 	// Stride is the number of steps in a pass that writes.
 	Stride int
 
-	// UsualPrompt is the mean number of prompt tokens of a request.
+	// UsualPrompt and UsualAnswer are the mean numbers of tokens of a request.
 	UsualPrompt int
+	UsualAnswer int
 
 	// Models are the models that groups can hold.
 	Models []Model
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -138,14 +138,16 @@
 	}
 }
 
-// timely reports whether a group has a free place and brings the first event
-// within the objective.
+// timely reports whether a group brings the first event within the objective.
 func (exchange *exchange) timely(target route.GroupTarget, now time.Time) bool {
+	return exchange.first(target, now) <= exchange.server.objective(exchange.demand.Model, exchange.route.Objective)
+}
+
+// first predicts the time to the first event at a group.
+func (exchange *exchange) first(target route.GroupTarget, now time.Time) time.Duration {
 	server := exchange.server
-	if server.tracker.Load(target.Name, target.Load, target.Grant.ReportedAt) >= exchange.service.Engine.Slots {
-		return false
-	}
-	return server.forecast.First(target.Name, exchange.pace(), now) <= server.objective(exchange.demand.Model, exchange.route.Objective)
+	load := server.tracker.Load(target.Name, target.Load, target.Grant.ReportedAt)
+	return server.forecast.First(target.Name, exchange.pace(), load, now)
 }
 
 // timeliest returns the group with the earliest first event of those that are
@@ -158,7 +160,7 @@
 		if excluded[target.Name] || !target.Usable(now) || exchange.server.suspects.Avoided(target.Name, now) || !exchange.timely(target, now) {
 			continue
 		}
-		first := exchange.server.forecast.First(target.Name, exchange.pace(), now)
+		first := exchange.first(target, now)
 		if !found || first < earliest {
 			best, earliest, found = target, first, true
 		}
@@ -170,24 +172,22 @@
 func (exchange *exchange) whyNoGroup() string {
 	server := exchange.server
 	now := server.config.Now()
-	usable, avoided, full := 0, 0, 0
+	usable, avoided := 0, 0
 	earliest := time.Duration(0)
 	for _, target := range server.config.Publisher.Current().Groups(exchange.demand.Model) {
-		first := server.forecast.First(target.Name, exchange.pace(), now)
+		first := exchange.first(target, now)
 		switch {
 		case !target.Usable(now):
 			continue
 		case server.suspects.Avoided(target.Name, now):
 			avoided++
-		case server.tracker.Load(target.Name, target.Load, target.Grant.ReportedAt) >= exchange.service.Engine.Slots:
-			full++
 		case earliest == 0 || first < earliest:
 			earliest = first
 		}
 		usable++
 	}
-	return fmt.Sprintf("no group has a place: %d serve, %d of them avoided, %d full, earliest first event in %v for an objective of %v",
-		usable, avoided, full, earliest.Round(time.Millisecond), server.objective(exchange.demand.Model, exchange.route.Objective))
+	return fmt.Sprintf("no group has a place: %d serve, %d of them avoided, earliest first event in %v for an objective of %v",
+		usable, avoided, earliest.Round(time.Millisecond), server.objective(exchange.demand.Model, exchange.route.Objective))
 }
 
 // pace returns what the engine does for the request's model.
@@ -200,6 +200,8 @@
 	pace := limit.Pace{
 		Pass:        time.Duration(factor * float64(engine.Step) * float64(max(1, engine.Stride))),
 		UsualPrompt: engine.UsualPrompt,
+		Slots:       engine.Slots,
+		Events:      engine.UsualAnswer / max(1, engine.Stride),
 		Others:      exchange.server.others(),
 	}
 	if engine.ReadRate > 0 {
--- a/limit/forecast.go
+++ b/limit/forecast.go
@@ -20,6 +20,11 @@
 	// Read is the time in which a prompt token is read.
 	Read time.Duration
 
+	// Slots is the number of requests that run at once, and Events the usual
+	// number of events of an answer, each of which takes a pass.
+	Slots  int
+	Events int
+
 	// Others is the part of the load that comes from other nodes, whose unread
 	// prompts are not known and lengthen the next pass as they did the last ones.
 	Others float64
@@ -111,8 +116,9 @@
 	}
 }
 
-// First returns the time to the first event of a request that is sent now.
-func (forecast *Forecast) First(target string, pace Pace, now time.Time) time.Duration {
+// First returns the time to the first event of a request that is sent now to a
+// target with a load of requests.
+func (forecast *Forecast) First(target string, pace Pace, load int, now time.Time) time.Duration {
 	forecast.mutex.Lock()
 	defer forecast.mutex.Unlock()
 	gap := pace.Pass
@@ -124,7 +130,16 @@
 		}
 	}
 	others := time.Duration(pace.Others * float64(gap-pace.Pass))
-	return time.Duration(presentPass*float64(gap)) + pace.Pass + others + time.Duration(unread)*pace.Read
+	return time.Duration(presentPass*float64(gap)) + pace.Pass + others + time.Duration(unread)*pace.Read + pace.turn(load, gap)
+}
+
+// turn returns the time until a slot is free: with all slots in use, one comes
+// free each time that a slot's part of an answer is written.
+func (pace Pace) turn(load int, gap time.Duration) time.Duration {
+	if pace.Slots == 0 || load < pace.Slots {
+		return 0
+	}
+	return time.Duration(load-pace.Slots+1) * time.Duration(pace.Events) * gap / time.Duration(pace.Slots)
 }
 
 // Retain forgets the targets that keep does not contain.
