--- a/control/membership.go
+++ b/control/membership.go
@@ -24,7 +24,8 @@
 	case fleet.ListNodes:
 		state.start(state.listNodes)
 	case fleet.SetWatching:
-		state.setWatching(effect.Watching)
+		// Nodes that follow a feed have no links to learn of changes by.
+		state.setWatching(effect.Watching || state.feeding())
 	case fleet.GrantLease:
 		state.start(func(ctx context.Context) message { return state.grantLease(ctx, effect) })
 	case fleet.RenewLease:
--- a/control/state.go
+++ b/control/state.go
@@ -101,6 +101,7 @@
 	state.startedAt = now
 	state.handleFleet(now, fleet.Tick{})
 	if state.feeding() {
+		state.setWatching(true)
 		return
 	}
 	state.pollHead()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -69,40 +69,17 @@
 // serveStream passes a request to a serving group and its events back.
 func (exchange *exchange) serveStream(ctx context.Context) {
 	delivery := &delivery{exchange: exchange, last: exchange.demand.ResumeAfter}
-	excluded := map[string]bool{}
-	reason := ""
-	for {
-		target, found := exchange.pickGroup(ctx, delivery, excluded)
-		if !found && reason == "" {
-			reason = exchange.whyNoGroup()
-		}
-		if !found || !exchange.mayStillRun() || ctx.Err() != nil {
-			delivery.giveUp(reason)
-			return
-		}
-		if len(exchange.attempts) > 0 && !exchange.server.mayRetry(exchange.service.Name) {
-			delivery.giveUp(reason + "; no retry is left")
-			return
-		}
-		switch verdict := exchange.tryGroup(ctx, target, delivery).(type) {
-		case answered:
-			return
-		case notRun:
-			reason = verdict.reason
-		case unknown:
-			reason = verdict.reason
-			exchange.unknown = true
-			if !exchange.route.Repeatable() {
-				delivery.giveUp(reason)
-				return
-			}
-		}
-		excluded[target.Name] = true
-		if len(exchange.attempts) >= exchange.route.MaxAttempts {
-			delivery.giveUp(reason)
-			return
-		}
-	}
+	exchange.run(ctx, course{
+		next: func(excluded map[string]bool) (candidate, bool) {
+			target, found := exchange.pickGroup(ctx, delivery, excluded)
+			return candidate{
+				name: target.Name,
+				try:  func() verdict { return exchange.tryGroup(ctx, target, delivery) },
+			}, found
+		},
+		none:   exchange.whyNoGroup,
+		giveUp: delivery.giveUp,
+	})
 }
 
 // pickGroup returns a group with a free place. A stream that has begun waits
--- a/forward/whole.go
+++ b/forward/whole.go
@@ -20,55 +20,19 @@
 	runnerRetry = 60 * time.Millisecond
 )
 
-// A verdict is what one attempt came to. It is answered, notRun or unknown.
-type verdict interface{ verdict() }
-
-// answered says that the caller has its answer.
-type answered struct{}
-
-// notRun says that the target has not run the request.
-type notRun struct{ reason string }
-
-// unknown says that the target may have run the request.
-type unknown struct{ reason string }
-
-func (answered) verdict() {}
-func (notRun) verdict()   {}
-func (unknown) verdict()  {}
-
 // serveWhole passes a request to a plain service.
 func (exchange *exchange) serveWhole(ctx context.Context) {
-	excluded := map[string]bool{}
-	reason := "no runner has a place"
-	for {
-		target, found := exchange.pickRunner(excluded)
-		if !found || !exchange.mayStillRun() || ctx.Err() != nil {
-			exchange.giveUp(reason, runnerRetry)
-			return
-		}
-		if len(exchange.attempts) > 0 && !exchange.server.mayRetry(exchange.service.Name) {
-			exchange.giveUp(reason+"; no retry is left", runnerRetry)
-			return
-		}
-		switch verdict := exchange.tryRunner(ctx, target).(type) {
-		case answered:
-			return
-		case notRun:
-			reason = verdict.reason
-		case unknown:
-			reason = verdict.reason
-			exchange.unknown = true
-			if !exchange.route.Repeatable() {
-				exchange.failUnknown(reason)
-				return
-			}
-		}
-		excluded[target.Name] = true
-		if len(exchange.attempts) >= exchange.route.MaxAttempts {
-			exchange.giveUp(reason, runnerRetry)
-			return
-		}
-	}
+	exchange.run(ctx, course{
+		next: func(excluded map[string]bool) (candidate, bool) {
+			target, found := exchange.pickRunner(excluded)
+			return candidate{
+				name: target.Name,
+				try:  func() verdict { return exchange.tryRunner(ctx, target) },
+			}, found
+		},
+		none:   func() string { return "no runner has a place" },
+		giveUp: func(reason string) { exchange.giveUp(reason, runnerRetry) },
+	})
 }
 
 // pickRunner returns a runner with room. Runners that are over their slots and
