Take only targets of configured services into force

Members that do not answer count as lost only while the store was reached within a second, so that a node that is cut off accuses nobody.

--- a/control/feed.go
+++ b/control/feed.go
@@ -174,7 +174,7 @@
 	reports := make(map[string]engine.Report, len(state.feed.reports))
 	state.feed.runners = state.feed.runners[:0:0]
 	for _, target := range state.feed.directory.Targets() {
-		if !state.feed.speaks(target) {
+		if !state.feed.serves(target) || !state.feed.speaks(target) {
 			continue
 		}
 		if target.VM.FabricDomain == "" {
@@ -199,6 +199,17 @@
 	}
 }
 
+// serves reports whether a target belongs to a service of the configuration,
+// and to an engine's fabric domain only if the service has engines. Entries of
+// other writers name no target to use.
+func (feed *feedState) serves(target directory.Target) bool {
+	if feed.catalog == nil {
+		return false
+	}
+	service, found := feed.catalog.Service(target.Service)
+	return found && (service.Engine != nil) == (target.VM.FabricDomain != "")
+}
+
 func runnerOf(target directory.Target) route.ServiceTarget {
 	return route.ServiceTarget{
 		Service:       target.Service,
@@ -238,6 +249,7 @@
 	state.metrics.generation.Set(float64(read.Version()))
 	state.logger.Info("configuration in force", zap.Uint64("generation", read.Version()), zap.String("source", "store"))
 	state.setGroups(now)
+	state.takeTargets(now)
 }
 
 // loadBounds returns the loads that may begin in a LoadWindow, and those that
--- a/control/probe.go
+++ b/control/probe.go
@@ -20,9 +20,9 @@
 	// time.
 	probeInterval = time.Second
 
-	// probeHold is how long the store may be silent while members that do not
-	// answer are believed to be at fault: the node itself may be cut off.
-	probeHold = 500 * time.Millisecond
+	// probeHold is how long ago the store may have been reached for members that
+	// do not answer to count as lost: the node itself may be cut off.
+	probeHold = time.Second
 )
 
 // probed is the result of asking the members of a group.
@@ -100,7 +100,7 @@
 // handleProbed takes the members that did not answer for lost until they
 // announce themselves again.
 func (state *state) handleProbed(now time.Time, result probed) {
-	if len(result.silent) == 0 || now.Sub(state.storeReached) > probeHold+storeSilentBound {
+	if len(result.silent) == 0 || now.Sub(state.storeReached) > probeHold {
 		return
 	}
 	for _, vm := range result.silent {
