--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -24,6 +24,9 @@
 	// writeTimeout bounds one write to a caller that does not read.
 	writeTimeout = 5 * time.Second
 
+	// defaultWait bounds a request where neither caller nor route names a time.
+	defaultWait = 30 * time.Second
+
 	// defaultBodyBytes bounds a request's body where the configuration names no
 	// bound.
 	defaultBodyBytes = 1 << 20
@@ -92,6 +95,9 @@
 	if demand.Deadline > 0 && (wait == 0 || demand.Deadline < wait) {
 		wait = demand.Deadline
 	}
+	if wait <= 0 {
+		wait = defaultWait
+	}
 	exchange.deadline = exchange.started.Add(wait)
 	ctx, cancel := context.WithTimeout(exchange.request.Context(), exchange.left())
 	defer cancel()
