--- a/group/group.go
+++ b/group/group.go
@@ -53,6 +53,14 @@
 // a grant is given only when every member reported the epoch, its rank, the
 // recorded incarnation and that it is loaded.
 //
+// # Groups that are opened by order
+//
+// A target class may say that rank 0 accepts requests only between an open and a
+// close order, whatever becomes of the members. Then the leader opens a group
+// after every member reported ready at the epoch, closes it when a member is
+// lost, and lets members join again only when rank 0 says that it is closed. The
+// members of a rank 0 that cannot be reached leave first.
+//
 // # Policy
 //
 // Plan is a pure function from the placement, the state of the VMs and the
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -14,6 +14,18 @@
 //
 // A RetryBudget bounds retries relative to requests.
 //
+// # Load at its worst
+//
+// Where targets tell little and all nodes share them, the decisions are split
+// by the load that they answer, each with a test that replays it:
+//
+//   - Forecast predicts the first event of a stream, so that a load above the
+//     capacity that is left keeps what is served on time.
+//   - Return spreads the callers that were refused in one moment.
+//   - Allowance bounds the retries of all nodes after the loss of many targets.
+//   - Loads and Window bound the loads from the weight store after losses that
+//     go on.
+//
 // The package does no input or output, starts no goroutine and reads no
 // clock. A Queue is not safe for concurrent use.
 //
@@ -29,6 +41,12 @@
 //	}
 //	// A request with no effect waits.
 //	effects := queue.Finish(request.ID, now)
+//
+//	forecast := limit.NewForecast(limit.ForecastConfig{Memory: time.Second})
+//	forecast.Gap("group-1", gap, now) // between two events of a stream
+//	if forecast.First("group-1", pace, load, now) > objective {
+//		retryAfter := limit.Return(left, draw)
+//	}
 package limit
 
 import "time"
--- a/route/route.go
+++ b/route/route.go
@@ -10,7 +10,8 @@
 // requests that the report cannot contain yet; it prefers the group that
 // probably has the prompt's prefix cached unless that group is over its load
 // bound, and the nearer failure domain unless that costs more. Suspects keeps
-// targets that failed out of the choice for a while.
+// targets that failed out of the choice for a while. A Pulse notices groups whose
+// streams stand still together, as those of an engine that has lost a member do.
 //
 // # Usage
 //
