--- a/control/feed.go
+++ b/control/feed.go
@@ -172,7 +172,7 @@
 func (state *state) takeTargets(now time.Time) {
 	var vms []kvstore.VM
 	reports := make(map[string]engine.Report, len(state.feed.reports))
-	state.feed.runners = state.feed.runners[:0:0]
+	state.feed.runners = nil
 	for _, target := range state.feed.directory.Targets() {
 		if !state.feed.serves(target) || !state.feed.speaks(target) {
 			continue
@@ -245,7 +245,6 @@
 	}
 	state.feed.catalog = read
 	state.configuration.adoptedAt = now
-	state.dirty = true
 	state.metrics.generation.Set(float64(read.Version()))
 	state.logger.Info("configuration in force", zap.Uint64("generation", read.Version()), zap.String("source", "store"))
 	state.setGroups(now)
--- a/control/probe.go
+++ b/control/probe.go
@@ -27,8 +27,7 @@
 
 // probed is the result of asking the members of a group.
 type probed struct {
-	group   string
-	members int
+	group string
 
 	// silent are the members that did not answer.
 	silent []string
@@ -74,7 +73,7 @@
 				answers <- vm
 			}(ctx, answers)
 		}
-		result := probed{group: name, members: len(addresses)}
+		result := probed{group: name}
 		for range addresses {
 			if vm := <-answers; vm != "" {
 				result.silent = append(result.silent, vm)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -131,14 +131,14 @@
 // timely.
 func (exchange *exchange) timeliest(table *route.Table, excluded map[string]bool, now time.Time) (route.GroupTarget, bool) {
 	var best route.GroupTarget
-	earliest := time.Duration(0)
+	earliest := exchange.server.objective(exchange.demand.Model, exchange.route.Objective)
 	found := false
 	for _, target := range table.Groups(exchange.demand.Model) {
-		if excluded[target.Name] || !target.Usable(now) || exchange.server.suspects.Avoided(target.Name, now) || !exchange.timely(target, now) {
+		if excluded[target.Name] || !target.Usable(now) || exchange.server.suspects.Avoided(target.Name, now) {
 			continue
 		}
 		first := exchange.first(target, now)
-		if !found || first < earliest {
+		if first < earliest || !found && first == earliest {
 			best, earliest, found = target, first, true
 		}
 	}
