Log pause, prediction and load of each stream

A request's line told the time to the first event only, so that it could not be seen whether a stream was late by its first event or by a pause, nor whether the forecast that admitted it was wrong.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -60,6 +60,14 @@
 	unknown bool
 	firstAt time.Duration
 
+	// predicted is the forecast of the time to the first event at the group that
+	// was chosen, and load the requests that it was taken to have.
+	predicted time.Duration
+	load      int
+
+	// pause is the longest time between two events that the caller saw.
+	pause time.Duration
+
 	// age is how long ago the configuration was known to be the newest when the
 	// request arrived.
 	age time.Duration
@@ -308,6 +316,9 @@
 		zap.Strings("targets", exchange.attempts),
 		zap.Duration("elapsed", elapsed),
 		zap.Duration("first", exchange.firstAt),
+		zap.Duration("pause", exchange.pause),
+		zap.Duration("predicted", exchange.predicted),
+		zap.Int("load", exchange.load),
 		zap.Uint64("generation", version),
 		zap.Duration("confirmed-ago", exchange.age))
 }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -42,6 +42,9 @@
 	// event came.
 	read   func()
 	lastAt time.Time
+
+	// deliveredAt is when the caller last got an event.
+	deliveredAt time.Time
 }
 
 // markRead says that the prompt of the attempt was read, or is not wanted.
@@ -57,6 +60,10 @@
 func (delivery *delivery) noteEvent(target string, stroke *route.Stroke) {
 	server := delivery.exchange.server
 	now := server.config.Now()
+	if !delivery.deliveredAt.IsZero() {
+		delivery.exchange.pause = max(delivery.exchange.pause, now.Sub(delivery.deliveredAt))
+	}
+	delivery.deliveredAt = now
 	stroke.Event(now)
 	if delivery.lastAt.IsZero() {
 		delivery.markRead()
@@ -190,6 +197,8 @@
 // tryGroup makes one attempt.
 func (exchange *exchange) tryGroup(ctx context.Context, target route.GroupTarget, delivery *delivery) verdict {
 	server := exchange.server
+	exchange.load = server.tracker.Load(target.Name, target.Load, target.Grant.ReportedAt)
+	exchange.predicted = exchange.first(target, server.config.Now())
 	ended := server.tracker.Start(target.Name, server.config.Now())
 	defer func() { ended(server.config.Now()) }()
 	ctx, cancel := context.WithCancelCause(ctx)
