Serve after a loss without loads from the weight store

Ruled out: a lack of VMs (38 of 49 held weights); slow opening (2.3 s after a warm join).

Change: VMs without weights take no seat, they stage first. Before callers' first request, members of serving groups also stage another model: they join a group of either without a load. An incomplete group that no spare completes takes members of an incomplete one, borrows one from a complete group of another model that a spare completes, takes over a group of a model that stays better served, or changes over to the other model. Loads in progress count per leader, with those onto hosts, which the reports do not show.

Members lose the second model when their group is recomposed; what binds next is the load at the groups that are left.

--- a/control/feed.go
+++ b/control/feed.go
@@ -337,29 +337,35 @@
 	return state.config.Feed.Lead && !state.config.Traffic.Begun()
 }
 
-// localWeights takes a load out of this node's part of the load rate, which is
-// divided by the fabric domains, and out of the places of the weight store,
-// which all leaders see taken in the reports.
-func (state *state) localWeights(now time.Time, led *leadership, vm string) group.Event {
+// localWeights takes a load out of this node's part of the load rate and of the
+// places of the weight store, which the led fabric domains divide.
+func (state *state) localWeights(now time.Time, wanted group.AcquireWeights) group.Event {
 	if state.starting() {
-		return group.WeightsAcquired{VM: vm}
+		return group.WeightsAcquired{VM: wanted.VM}
 	}
 	bound, parallel := state.loadBounds()
-	state.feed.loads.SetBounds(bound*len(state.led)/max(1, len(state.domainSizes(""))), parallel)
-	_, placed := led.leader.Placement().Assignment(vm)
-	if wait := state.feed.loads.Take(now, vm, !placed, state.loading()); wait > 0 {
-		return group.WeightsRefused{VM: vm, Retry: wait}
+	led, domains := len(state.led), max(1, len(state.domainSizes("")))
+	state.feed.loads.SetBounds(bound*led/domains, max(1, parallel*led/domains))
+	if wait := state.feed.loads.Take(now, wanted.VM, wanted.Ahead, state.loading(now)); wait > 0 {
+		return group.WeightsRefused{VM: wanted.VM, Retry: wait}
 	}
-	return group.WeightsAcquired{VM: vm}
+	return group.WeightsAcquired{VM: wanted.VM}
 }
 
-// loading returns the targets that report a load from the weight store.
-func (state *state) loading() map[string]bool {
+// loading returns the VMs of the led fabric domains that load weights, into a
+// group or onto their host.
+func (state *state) loading(now time.Time) map[string]bool {
 	loading := map[string]bool{}
-	for vm, report := range state.feed.reports {
-		if report.State == engine.StateLoading && !slices.Contains(report.Staged, report.Model) {
+	for domain, led := range state.led {
+		for _, vm := range led.leader.Staging(now) {
 			loading[vm] = true
 		}
+		for _, vm := range state.domainVMs(domain) {
+			report := state.feed.reports[vm.Name]
+			if report.State == engine.StateLoading && !slices.Contains(report.Staged, report.Model) {
+				loading[vm.Name] = true
+			}
+		}
 	}
 	return loading
 }
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -152,7 +152,7 @@
 		state.startOrder(led, effect)
 	case group.AcquireWeights:
 		if state.feeding() {
-			state.handleGroup(now, led, state.localWeights(now, led, effect.VM))
+			state.handleGroup(now, led, state.localWeights(now, effect))
 			return
 		}
 		state.startGroup(led, func(ctx context.Context, domain string) group.Event {
--- a/group/decision.go
+++ b/group/decision.go
@@ -31,6 +31,9 @@
 	RepairRestarted
 	RepairStraggler
 	RepairLeaving
+
+	// RepairLent frees a member for a group of another model.
+	RepairLent
 )
 
 // Dissolve frees the members of an incomplete group, so that they complete
--- a/group/effect.go
+++ b/group/effect.go
@@ -183,6 +183,9 @@
 type AcquireWeights struct {
 	VM    string
 	Bytes int64
+
+	// Ahead says that nothing waits for the load.
+	Ahead bool
 }
 
 // PublishGrants replaces the grants of the domain. A group that is not listed
--- a/group/leader.go
+++ b/group/leader.go
@@ -110,6 +110,9 @@
 	// dirty says that something that the policy looks at has changed.
 	dirty     bool
 	weightsAt time.Time
+
+	// crossAt is when weights for members that serve are next asked for.
+	crossAt   time.Time
 	closedAt  map[string]time.Time
 	published publication
 
@@ -211,8 +214,12 @@
 	case WeightsAcquired:
 		leader.noteWeights(event.VM, true)
 	case WeightsRefused:
+		if leader.crossing(event.VM) {
+			leader.crossAt = now.Add(event.Retry)
+		} else {
+			leader.weightsAt = now.Add(event.Retry)
+		}
 		leader.noteWeights(event.VM, false)
-		leader.weightsAt = now.Add(event.Retry)
 	case VMsListed:
 		leader.noteList(now, event.VMs)
 	case FolderAdopted:
--- a/group/leader_test.go
+++ b/group/leader_test.go
@@ -26,6 +26,9 @@
 
 	// slow is how much longer a load takes.
 	slow time.Duration
+
+	// served is the model of the last group since the start.
+	served string
 }
 
 // A testDomain carries out a leader's effects on a virtual clock.
--- a/group/lifecycle.go
+++ b/group/lifecycle.go
@@ -205,6 +205,8 @@
 		StrandedWeight: leader.policy.StrandedWeight,
 		WeightRate:     leader.policy.WeightRate,
 		Dark:           dark,
+		Filling:        leader.filling(),
+		Growing:        leader.growing(),
 	}
 	median := leader.medianLatency()
 	for _, name := range leader.memberNames() {
@@ -228,7 +230,7 @@
 		Accelerators:  vm.vm.Accelerators,
 		Live:          vm.live(),
 		Gone:          !vm.listed,
-		Staged:        vm.report.Staged,
+		Warm:          leader.warm(vm),
 		Spare:         !placed && leader.spare(now, vm),
 		Incoming:      !placed && vm.live() && !vm.idle(),
 		MissingSince:  vm.missingSince,
--- a/group/member.go
+++ b/group/member.go
@@ -59,6 +59,10 @@
 	// staging is the model that the engine was told to stage at stagedAt.
 	staging  string
 	stagedAt time.Time
+
+	// served is the model of the last group in which this incarnation was
+	// ready. Its weights stay in the accelerators after the engine has left.
+	served string
 }
 
 // incarnation returns the newest known incarnation.
@@ -103,6 +107,15 @@
 	if vm.reported && vm.report.Incarnation != read.Report.Incarnation {
 		vm.weights = weightClaim{}
 		vm.samples = 0
+		vm.served = ""
+		vm.staging = ""
+		vm.stagedAt = time.Time{}
+	}
+	if read.Report.Group != "" && read.Report.State != engine.StateLoading && read.Report.Model != "" {
+		vm.served = read.Report.Model
+	}
+	if slices.Contains(read.Report.Staged, vm.staging) {
+		vm.staging = ""
 	}
 	vm.report = read.Report
 	vm.reported = true
--- a/group/open.go
+++ b/group/open.go
@@ -107,7 +107,7 @@
 		return false
 	}
 	for _, name := range leader.placement.Members(group.Name) {
-		if !leader.members[name].serves(group) {
+		if !leader.serves(leader.members[name], group) {
 			return false
 		}
 	}
@@ -123,16 +123,47 @@
 	return vm.report.State == engine.StateOpen || group.State == StateDraining && vm.report.State == engine.StateDraining
 }
 
-// mayStage reports whether a spare may load weights ahead of its use.
+// mayStage reports whether a VM may load weights ahead of their use.
 func (leader *Leader) mayStage(now time.Time, vm *member) bool {
-	if !leader.stageable(vm) || now.Sub(vm.stagedAt) < stageRetry && !vm.stagedAt.IsZero() {
+	if vm.isStaging(now) || !vm.weights.granted {
 		return false
 	}
-	return vm.weights.granted && leader.stagingModel(vm.weights.group).Model != ""
+	spec := leader.stagingModel(vm.weights.group)
+	return spec.Model != "" && (leader.stageable(vm) || leader.mayCross(vm, spec))
+}
+
+// isStaging reports whether the engine was told to stage a model that has not
+// arrived.
+func (vm *member) isStaging(now time.Time) bool {
+	return vm.staging != "" && now.Sub(vm.stagedAt) < stageRetry
+}
+
+// Staging returns the VMs that were told to stage weights which have not
+// arrived yet.
+func (leader *Leader) Staging(now time.Time) []string {
+	var names []string
+	for _, name := range leader.memberNames() {
+		if vm := leader.members[name]; vm.live() && vm.isStaging(now) {
+			names = append(names, name)
+		}
+	}
+	return names
 }
 
+// stageable reports whether a VM is a spare without any weights.
 func (leader *Leader) stageable(vm *member) bool {
-	return vm.idle() && vm.listed && !vm.leaving() && len(vm.report.Staged) == 0 && leader.strictest().OpenedByOrder
+	return vm.idle() && vm.listed && !vm.leaving() && len(leader.warm(vm)) == 0 && leader.strictest().OpenedByOrder
+}
+
+// mayCross reports whether a member of a group that serves may stage the
+// weights of another model beside those that it runs. It then joins a group of
+// either model without a load: no loss of a member strands the others.
+func (leader *Leader) mayCross(vm *member, spec folder.Group) bool {
+	if !vm.live() || vm.leaving() || !vm.readBack() || vm.served == "" || spec.Model == vm.served {
+		return false
+	}
+	serving := vm.report.State == engine.StateReady || vm.report.State == engine.StateOpen
+	return serving && len(leader.warm(vm)) < 2 && leader.strictest().OpenedByOrder
 }
 
 // stagingModel returns the group whose weights a staging claim is for.
@@ -164,17 +195,22 @@
 	if !leader.strictest().OpenedByOrder || len(leader.groups) == 0 {
 		return nil
 	}
-	if leader.plannedAt.Sub(leader.grownAt) < leader.config.FormSettle || leader.plannedAt.Before(leader.settleAt) {
+	if leader.growing() || leader.plannedAt.Before(leader.settleAt) {
 		return nil
 	}
 	spares := map[string]int{}
 	placed := map[string]int{}
 	for name, vm := range leader.members {
 		if seat, found := leader.placement.Assignment(name); found {
-			placed[leader.placement.groups[seat.Group].Model]++
+			model := leader.placement.groups[seat.Group].Model
+			placed[model]++
+			if !vm.live() {
+				// A seat without a VM wants a spare of its own.
+				spares[model]--
+			}
 			continue
 		}
-		for _, model := range vm.report.Staged {
+		for _, model := range leader.warm(vm) {
 			spares[model]++
 		}
 		if vm.staging != "" && len(vm.report.Staged) == 0 {
@@ -190,12 +226,55 @@
 		if _, found := leader.placement.Assignment(name); found || !leader.stageable(vm) {
 			continue
 		}
-		if vm.weights.group != "" || !vm.stagedAt.IsZero() && leader.plannedAt.Sub(vm.stagedAt) < stageRetry {
+		if vm.weights.group != "" || vm.isStaging(leader.plannedAt) {
 			continue
 		}
 		spec := leader.scarcest(spares, placed)
 		spares[spec.Model]++
-		needs = append(needs, weightNeed{vm: name, group: Group{Name: stagingSpec + "/" + spec.Name, Model: spec.Model}})
+		needs = append(needs, stagingNeed(name, spec))
+	}
+	if len(needs) > 0 {
+		return needs
+	}
+	return leader.crossingNeeds()
+}
+
+// crossing reports whether a VM's claim is for weights beside those of the group
+// that it serves in.
+func (leader *Leader) crossing(name string) bool {
+	vm, found := leader.members[name]
+	_, placed := leader.placement.Assignment(name)
+	return found && placed && leader.stagingModel(vm.weights.group).Model != ""
+}
+
+func stagingNeed(vm string, spec folder.Group) weightNeed {
+	return weightNeed{vm: vm, group: Group{Name: stagingSpec + "/" + spec.Name, Model: spec.Model}}
+}
+
+// crossingNeeds asks for the weights of another model for the members of groups
+// that serve, after all spares have theirs.
+func (leader *Leader) crossingNeeds() []weightNeed {
+	if leader.plannedAt.Before(leader.crossAt) {
+		return nil
+	}
+	var needs []weightNeed
+	for _, name := range leader.memberNames() {
+		vm := leader.members[name]
+		seat, placed := leader.placement.Assignment(name)
+		if !placed || vm.weights.group != "" && leader.stagingModel(vm.weights.group).Model != "" || vm.isStaging(leader.plannedAt) {
+			continue
+		}
+		if group := leader.placement.groups[seat.Group]; group.State != StateReady || !vm.holds(group, seat) {
+			continue
+		}
+		for _, spec := range leader.groups {
+			if leader.mayCross(vm, spec) {
+				need := stagingNeed(name, spec)
+				need.crossing = true
+				needs = append(needs, need)
+				break
+			}
+		}
 	}
 	return needs
 }
@@ -205,7 +284,7 @@
 func (leader *Leader) scarcest(spares, placed map[string]int) folder.Group {
 	best := leader.groups[0]
 	for _, spec := range leader.groups[1:] {
-		if (spares[spec.Model]+1)*placed[best.Model] < (spares[best.Model]+1)*placed[spec.Model] {
+		if (spares[spec.Model]+1)*max(placed[best.Model], 1) < (spares[best.Model]+1)*max(placed[spec.Model], 1) {
 			best = spec
 		}
 	}
--- a/group/order.go
+++ b/group/order.go
@@ -142,6 +142,9 @@
 	}
 	wanted.action = engine.ActionLoad
 	if vm.holds(group, seat) {
+		if byOrder && leader.mayStage(now, vm) {
+			return leader.stageOrder(vm, name), true
+		}
 		if byOrder {
 			wanted.action = engine.ActionOpen
 			return wanted, leader.mayOpen(vm, group, seat)
@@ -152,7 +155,7 @@
 		wanted = wantedOrder{vm: vm, name: name, action: engine.ActionRelease}
 		return wanted, leader.mayLeave(vm)
 	}
-	return wanted, !vm.needsWeights(group) || vm.weights.grantedFor(group)
+	return wanted, !leader.needsWeights(vm, group) || vm.weights.grantedFor(group)
 }
 
 // unclaimed reports whether an engine that checks fencing would still take an
@@ -292,9 +295,19 @@
 	return claim.granted && claim.group == group.Name && claim.epoch == group.Epoch
 }
 
+// warm returns the models that a VM joins a group of without a load. An engine
+// that is opened by order keeps the weights of its last group after leaving it.
+func (leader *Leader) warm(vm *member) []string {
+	warm := slices.Clone(vm.report.Staged)
+	if leader.strictest().OpenedByOrder && vm.served != "" && !slices.Contains(warm, vm.served) {
+		warm = append(warm, vm.served)
+	}
+	return warm
+}
+
 // needsWeights reports whether the engine has to fetch the group's weights.
-func (vm *member) needsWeights(group Group) bool {
-	if slices.Contains(vm.report.Staged, group.Model) {
+func (leader *Leader) needsWeights(vm *member, group Group) bool {
+	if slices.Contains(leader.warm(vm), group.Model) {
 		return false
 	}
 	return vm.report.Model != group.Model || vm.report.Version != group.Version
@@ -310,6 +323,9 @@
 	group   Group
 	spec    folder.Group
 	missing int
+
+	// crossing marks weights beside those of the group that the VM serves in.
+	crossing bool
 }
 
 // acquireWeights asks for the loads of the most valuable groups first, and
@@ -335,7 +351,7 @@
 		}
 		asked++
 		vm.weights = weightClaim{group: need.group.Name, epoch: need.group.Epoch}
-		effects = append(effects, AcquireWeights{VM: need.vm, Bytes: need.spec.WeightBytes})
+		effects = append(effects, AcquireWeights{VM: need.vm, Bytes: need.spec.WeightBytes, Ahead: need.crossing})
 	}
 	return effects
 }
@@ -363,7 +379,7 @@
 	var needs []weightNeed
 	for _, name := range leader.placement.Members(group.Name) {
 		vm, found := leader.members[name]
-		if !found || !vm.live() || !vm.needsWeights(group) || vm.weights.grantedFor(group) {
+		if !found || !vm.live() || !leader.needsWeights(vm, group) || vm.weights.grantedFor(group) {
 			continue
 		}
 		if vm.report.Incarnation != leader.placement.vms[name].Incarnation {
--- a/group/plan.go
+++ b/group/plan.go
@@ -30,6 +30,11 @@
 
 	// Dark says that most of the domain stopped reporting at once.
 	Dark bool
+
+	// Filling says that groups are wanted in proportion to their shares, and
+	// Growing that VMs are still being added to the domain.
+	Filling bool
+	Growing bool
 }
 
 // A VMStatus is what the policy knows of a VM.
@@ -46,8 +51,9 @@
 	// Gone says that the platform has taken the VM off its list.
 	Gone bool
 
-	// Staged are the models whose weights are on the VM's host.
-	Staged []string
+	// Warm are the models that the VM joins a group of without a load from the
+	// weight store.
+	Warm []string
 
 	// Spare says that the VM holds no group and may be assigned.
 	Spare bool
@@ -104,6 +110,9 @@
 // exceeds the weighted cost of loading again. Spares form missing replicas up
 // to the domain's share; what is left stays as spares. Planned stops take one
 // replica of a group at a time and leave the replicas to keep.
+//
+// Where groups are wanted in proportion, VMs without the weights take no seat:
+// they stage a model first, and what the others can serve at once is formed.
 func Plan(input PlanInput) []Decision {
 	if input.Dark {
 		return nil
@@ -112,8 +121,13 @@
 	planner.finishDrained()
 	planner.releaseSurplus()
 	planner.repair()
-	planner.dissolve()
-	planner.form()
+	if input.Filling {
+		planner.convert()
+		planner.fill()
+	} else {
+		planner.dissolve()
+		planner.form()
+	}
 	planner.replaceStragglers()
 	planner.stopLeaving()
 	planner.stopOutdated()
@@ -127,6 +141,9 @@
 	incoming  int
 	decisions []Decision
 
+	// cold says that no VM of the domain holds any weights.
+	cold bool
+
 	// touched are the groups that a decision changes.
 	touched map[string]bool
 	names   map[string]bool
@@ -138,9 +155,11 @@
 		vms:     map[string]VMStatus{},
 		touched: map[string]bool{},
 		names:   map[string]bool{},
+		cold:    true,
 	}
 	for _, vm := range input.VMs {
 		planner.vms[vm.Name] = vm
+		planner.cold = planner.cold && len(vm.Warm) == 0
 		if vm.Spare && !vm.Leaving && !vm.Straggler {
 			planner.spares = append(planner.spares, vm.Name)
 		}
@@ -186,19 +205,21 @@
 }
 
 // spareVMs returns the spares in the order in which a group of the model uses
-// them: first those whose host has the weights, then those whose host has
-// none, whose use displaces nothing.
+// them: first those that are warm for it alone, then those that are warm for
+// others too, then those that are warm for none, whose use displaces nothing.
 func (planner *planner) spareVMs(model string) []string {
 	sorted := slices.Clone(planner.spares)
 	rank := func(name string) int {
-		staged := planner.vms[name].Staged
+		warm := planner.vms[name].Warm
 		switch {
-		case slices.Contains(staged, model):
+		case slices.Equal(warm, []string{model}):
 			return 0
-		case len(staged) == 0:
+		case slices.Contains(warm, model):
 			return 1
-		default:
+		case len(warm) == 0:
 			return 2
+		default:
+			return 3
 		}
 	}
 	slices.SortStableFunc(sorted, func(one, other string) int { return rank(one) - rank(other) })
--- a/group/publish.go
+++ b/group/publish.go
@@ -80,7 +80,7 @@
 		if !found || !vm.live() || !vm.holds(group, leader.placement.vms[name]) {
 			return time.Time{}, false
 		}
-		if !vm.serves(group) || rank == 0 && !leader.admits(vm, group) {
+		if !leader.serves(vm, group) || rank == 0 && !leader.admits(vm, group) {
 			return time.Time{}, false
 		}
 		if rank == 0 || vm.sent.Before(oldest) {
@@ -91,8 +91,8 @@
 }
 
 // serves reports whether the engine is loaded for the group.
-func (vm *member) serves(group Group) bool {
-	if vm.needsWeights(group) {
+func (leader *Leader) serves(vm *member, group Group) bool {
+	if leader.needsWeights(vm, group) {
 		return false
 	}
 	if vm.report.State == engine.StateReady || vm.report.State == engine.StateOpen {
--- a/group/repair.go
+++ b/group/repair.go
@@ -122,12 +122,12 @@
 // is usable, else a spare.
 func (planner *planner) seats(group incompleteGroup) ([]Repair, bool) {
 	var seats []Repair
-	spares := planner.spareVMs(group.status.Group.Model)
+	spares := planner.candidates(group.status.Group.Model)
 	next := 0
 	for _, rank := range group.ranks {
 		member := group.status.Members[rank]
 		seat := Repair{Group: group.status.Group.Name, Rank: rank, VM: member, Replaced: member, Reason: RepairRestarted}
-		if planner.seatFault(group.status, rank) == RepairMissing || planner.vms[member].Leaving {
+		if planner.lacks(group, rank) || planner.vms[member].Leaving {
 			if next == len(spares) {
 				return nil, false
 			}
@@ -174,13 +174,21 @@
 func (planner *planner) lacking(group incompleteGroup) int {
 	count := 0
 	for _, rank := range group.ranks {
-		if planner.seatFault(group.status, rank) == RepairMissing {
+		if planner.lacks(group, rank) {
 			count++
 		}
 	}
 	return count
 }
 
+// lacks reports whether a rank needs a spare.
+func (planner *planner) lacks(group incompleteGroup, rank int) bool {
+	if planner.seatFault(group.status, rank) == RepairMissing {
+		return true
+	}
+	return !planner.joins(group.status.Members[rank], group.status.Group.Model)
+}
+
 // usable counts the members that another group could take over.
 func (planner *planner) usable(group incompleteGroup) int {
 	count := 0
