Keep the load that answers tell between grants

Cause: where targets announce themselves, a grant is renewed with every announcement and tells no load, but its time was taken for that of a report of 0 requests.

Ruled out: late load headers (they tell 26 running and up to 13 waiting).

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -130,7 +130,7 @@
 // first predicts the time to the first event at a group.
 func (exchange *exchange) first(target route.GroupTarget, now time.Time) time.Duration {
 	server := exchange.server
-	load := server.tracker.Load(target.Name, target.Load, target.Grant.ReportedAt)
+	load := server.tracker.Load(target.Name, target.Load, target.LoadAt())
 	return server.forecast.First(target.Name, exchange.pace(), load, now)
 }
 
@@ -197,7 +197,7 @@
 // tryGroup makes one attempt.
 func (exchange *exchange) tryGroup(ctx context.Context, target route.GroupTarget, delivery *delivery) verdict {
 	server := exchange.server
-	exchange.load = server.tracker.Load(target.Name, target.Load, target.Grant.ReportedAt)
+	exchange.load = server.tracker.Load(target.Name, target.Load, target.LoadAt())
 	exchange.predicted = exchange.first(target, server.config.Now())
 	ended := server.tracker.Start(target.Name, server.config.Now())
 	defer func() { ended(server.config.Now()) }()
--- a/route/picker.go
+++ b/route/picker.go
@@ -108,7 +108,7 @@
 		if request.Excluded[target.Name] || !target.Usable(now) {
 			continue
 		}
-		load := picker.tracker.Load(target.Name, target.Load, target.Grant.ReportedAt)
+		load := picker.tracker.Load(target.Name, target.Load, target.LoadAt())
 		candidates = append(candidates, picker.candidate(index, target.Name, target.FailureDomain, load, now))
 	}
 	candidates = withoutSuspects(candidates)
--- a/route/picker_test.go
+++ b/route/picker_test.go
@@ -183,3 +183,26 @@
 	fourth, _ := picker.PickGroup(again, route.GroupRequest{Spec: "copy"}, later)
 	require.Equal(t, "a", fourth.Name)
 }
+
+// Replays grants that are renewed with every announcement of a member and tell no
+// load. Guards against a load that is forgotten with each of them: each node then
+// sends on to an engine whose slots are full of the requests of others.
+func TestLoadOfAnswersOutlivesGrants(test *testing.T) {
+	picker, tracker := newPicker(nil)
+	for _, name := range []string{"full", "free"} {
+		ended := tracker.Start(name, now)
+		defer ended(now.Add(time.Hour))
+	}
+	tracker.Observe("full", group.Load{Running: 26, Queued: 4}, now.Add(100*time.Millisecond))
+	full, free := target("full", "d1", 0), target("free", "d1", 0)
+	full.LoadUntold, free.LoadUntold = true, true
+	for step := range 20 {
+		at := now.Add(time.Duration(step+2) * 100 * time.Millisecond)
+		full.Grant.ReportedAt, free.Grant.ReportedAt = at, at
+		full.Grant.ValidUntil, free.Grant.ValidUntil = at.Add(time.Second), at.Add(time.Second)
+		picked, found := picker.PickGroup(table(full, free), route.GroupRequest{Spec: "copy"}, at)
+		require.True(test, found)
+		require.Equal(test, "free", picked.Name)
+		require.Equal(test, 30, tracker.Load("full", full.Load, full.LoadAt()))
+	}
+}
--- a/route/table.go
+++ b/route/table.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"lacewingspoke.org/lacewingspoke/catalog"
 	"lacewingspoke.org/lacewingspoke/folder"
@@ -29,6 +30,18 @@
 	Open  bool
 	Grant group.Grant
 	Load  group.Load
+
+	// LoadUntold says that the reports behind the grant tell no load: it is known
+	// from the target's answers only.
+	LoadUntold bool
+}
+
+// LoadAt returns when the load was reported, zero when no report tells it.
+func (target GroupTarget) LoadAt() time.Time {
+	if target.LoadUntold {
+		return time.Time{}
+	}
+	return target.Grant.ReportedAt
 }
 
 // A ServiceTarget is one runner of a service.
