Read the store through two nodes of each failure domain in large fleets

The rate grew with the nodes.

Change: package mirror. Two nodes of each failure domain, those that hold the watches in the native fleet, and the leaders of fabric domains ask the store; the others ask one of these two over the admin address, the other one when it fails, and the store at last. An answer says how old it is relative to the arrival of the question, so a configuration counts as the newest as of the call to the store whatever delayed the answers.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -22,6 +22,8 @@
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"lacewingspoke.org/lacewingspoke/mirror"
 )
 
 // A status request with QueryGroups set to GroupsNo is answered without the
@@ -103,6 +105,10 @@
 type Config struct {
 	Node     Node
 	Gatherer prometheus.Gatherer
+
+	// Mirror answers other nodes that read the store through this one; nil for
+	// none.
+	Mirror http.Handler
 }
 
 // A Server is the admin interface of one node.
@@ -118,6 +124,9 @@
 	server.router.HandleFunc("/healthz", server.serveHealth).Methods(http.MethodGet)
 	server.router.HandleFunc("/v1/status", server.serveStatus).Methods(http.MethodGet)
 	server.router.HandleFunc("/v1/drain", server.serveDrain).Methods(http.MethodPost)
+	if config.Mirror != nil {
+		server.router.Handle(mirror.Path, config.Mirror).Methods(http.MethodGet)
+	}
 	return server
 }
 
--- a/cmd/lacewingspoke/module.go
+++ b/cmd/lacewingspoke/module.go
@@ -19,6 +19,7 @@
 	"lacewingspoke.org/lacewingspoke/group"
 	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/limit"
+	"lacewingspoke.org/lacewingspoke/mirror"
 	"lacewingspoke.org/lacewingspoke/peer"
 	"lacewingspoke.org/lacewingspoke/route"
 	"lacewingspoke.org/lacewingspoke/service"
@@ -164,8 +165,21 @@
 	return controller, errors.Trace(err)
 }
 
-func newAdmin(controller *control.Controller, registry *prometheus.Registry) *admin.Server {
-	return admin.New(admin.Config{Node: controller, Gatherer: registry})
+// adminParams are what the admin interface is built from.
+type adminParams struct {
+	fx.In
+
+	Controller *control.Controller
+	Registry   *prometheus.Registry
+	Mirror     *mirror.Mirror `optional:"true"`
+}
+
+func newAdmin(params adminParams) *admin.Server {
+	config := admin.Config{Node: params.Controller, Gatherer: params.Registry}
+	if params.Mirror != nil {
+		config.Mirror = params.Mirror.Handler()
+	}
+	return admin.New(config)
 }
 
 // serviceReports reads reports of service runners for the control thread.
--- a/cmd/lacewingspoke/shared.go
+++ b/cmd/lacewingspoke/shared.go
@@ -12,7 +12,9 @@
 
 	"lacewingspoke.org/lacewingspoke/control"
 	"lacewingspoke.org/lacewingspoke/forward"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/limit"
+	"lacewingspoke.org/lacewingspoke/mirror"
 	"lacewingspoke.org/lacewingspoke/peer"
 	"lacewingspoke.org/lacewingspoke/platform"
 	"lacewingspoke.org/lacewingspoke/route"
@@ -26,6 +28,7 @@
 	newBootClock,
 	newBootTimers,
 	newStoreClient,
+	newMirror,
 	newFeed,
 	newForward,
 	newForwardTraffic,
@@ -80,8 +83,30 @@
 	return client, errors.Trace(err)
 }
 
-func newFeed(client *platform.Client, clock *timer.BootClock, logger *zap.Logger) *platform.Feed {
-	return platform.NewFeed(platform.FeedConfig{Client: client, Clock: clock.Now, Logger: logger})
+func newMirror(client *platform.Client, clock *timer.BootClock, logger *zap.Logger, registry *prometheus.Registry) (*mirror.Mirror, error) {
+	mirrored, err := mirror.New(mirror.Config{Store: client, Now: clock.Now, Logger: logger, Registerer: registry})
+	return mirrored, errors.Trace(err)
+}
+
+func newFeed(mirrored *mirror.Mirror, clock *timer.BootClock, logger *zap.Logger) *platform.Feed {
+	return platform.NewFeed(platform.FeedConfig{Client: mirrored, Clock: clock.Now, Logger: logger})
+}
+
+// mirroredPlatform reads keys through the mirror and makes all other calls
+// itself.
+type mirroredPlatform struct {
+	*platform.Client
+	mirrored *mirror.Mirror
+}
+
+// List implements kvstore.Store.
+func (client mirroredPlatform) List(ctx context.Context, prefix string) (kvstore.Listing, error) {
+	return client.mirrored.List(ctx, prefix)
+}
+
+// Watch implements kvstore.Store.
+func (client mirroredPlatform) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (kvstore.Changes, error) {
+	return client.mirrored.Watch(ctx, prefix, after, wait)
 }
 
 // forwardParams are what the forward server is built from.
@@ -141,6 +166,7 @@
 	Settings    *settings.Settings
 	Incarnation incarnation
 	Client      *platform.Client
+	Mirror      *mirror.Mirror
 	Feed        *platform.Feed
 	Mesh        *peer.Mesh
 	Forward     *forward.Server
@@ -164,12 +190,13 @@
 		Feed: control.FeedConfig{
 			Events:      params.Feed.Events(),
 			SetPause:    params.Feed.SetPause,
+			SetSources:  params.Mirror.SetSources,
 			ReturnGrace: returnGrace,
 			LoadWindow:  params.Settings.LoadWindow(),
 			LoadSlack:   loadSlack,
 			Lead:        params.Settings.Bootstrap(),
 		},
-		Platform:   params.Client,
+		Platform:   mirroredPlatform{Client: params.Client, mirrored: params.Mirror},
 		Mesh:       params.Mesh,
 		Engines:    platform.NewEngines(),
 		Services:   announcedServices{},
--- a/control/control.go
+++ b/control/control.go
@@ -244,6 +244,7 @@
 		Seeds:         config.Seeds,
 		LeaseMinimum:  config.LeaseMinimum,
 		ClaimStep:     config.ClaimStep,
+		Mirrored:      config.Feed.SetSources != nil,
 		SettleNear:    config.SettleNear,
 		SettleFar:     config.SettleFar,
 		Random:        config.Random,
--- a/control/feed.go
+++ b/control/feed.go
@@ -52,6 +52,10 @@
 	// SetPause is told how long the feed may gather changes; nil when it cannot.
 	SetPause func(pause time.Duration)
 
+	// SetSources is told through which nodes to read the store; nil when it is
+	// always read directly.
+	SetSources func(addresses []string)
+
 	// ReturnGrace is how long after an outage a target may be missing from the
 	// platform's list.
 	ReturnGrace time.Duration
@@ -84,9 +88,16 @@
 	feedDarkHold   = 2 * time.Second
 	feedDarkSettle = time.Second
 
-	// pausePerNode keeps the calls for changes of all nodes together below a
-	// hundred a second. Nodes that lead a fabric domain do not wait for it.
-	pausePerNode = 15 * time.Millisecond
+	// pausePerNode keeps the calls for changes of a small fleet together below a
+	// hundred a second. Above mostFeedPause only some nodes read the store, and
+	// what a node knows stays within a part of the time for which targets that
+	// leave still serve.
+	pausePerNode  = 15 * time.Millisecond
+	mostFeedPause = 300 * time.Millisecond
+
+	// leaderPauseDivisor shortens the pause of nodes that lead a fabric domain:
+	// their repairs wait for it. The feed's own least pause bounds it.
+	leaderPauseDivisor = 2
 
 	// feedFormSettle is above the time between two targets that register while
 	// a fabric domain starts.
@@ -264,15 +275,22 @@
 	return bound, parallel
 }
 
+// setSources reads the store through other nodes where the fleet is large.
+func (state *state) setSources(now time.Time) {
+	if state.config.Feed.SetSources != nil {
+		state.config.Feed.SetSources(state.fleet.Sources(now))
+	}
+}
+
 // setFeedPause lets a node that only follows gather changes for longer in a
 // larger fleet.
 func (state *state) setFeedPause() {
 	if state.config.Feed.SetPause == nil {
 		return
 	}
-	pause := time.Duration(state.fleet.Size()) * pausePerNode
+	pause := min(time.Duration(state.fleet.Size())*pausePerNode, mostFeedPause)
 	if len(state.led) > 0 {
-		pause = 0
+		pause /= leaderPauseDivisor
 	}
 	state.config.Feed.SetPause(pause)
 }
--- a/control/loop.go
+++ b/control/loop.go
@@ -94,6 +94,7 @@
 		state.expireTargets(state.now())
 		state.config.Traffic.SetNodes(state.fleet.Size())
 		if state.feeding() {
+			state.setSources(state.now())
 			state.setFeedPause()
 			break
 		}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -66,6 +66,10 @@
 	SettleNear time.Duration
 	SettleFar  time.Duration
 
+	// Mirrored says that nodes which do not hold the store's watches read them
+	// through those that do. Every node then counts as watching.
+	Mirrored bool
+
 	// Random spreads retries and polls. It is required.
 	Random *rand.Rand
 }
--- a/fleet/topology.go
+++ b/fleet/topology.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"slices"
 	"sort"
+	"time"
 )
 
 const (
@@ -72,7 +73,7 @@
 }
 
 func (fleet *Fleet) chooseWatch() {
-	watching := fleet.listed && fleet.isWatcher()
+	watching := fleet.listed && (fleet.config.Mirrored || fleet.isWatcher())
 	if watching == fleet.watching {
 		return
 	}
@@ -81,17 +82,48 @@
 }
 
 func (fleet *Fleet) isWatcher() bool {
+	return len(fleet.watchersBefore()) < WatchersPerFailureDomain
+}
+
+// watchersBefore returns the members of the own failure domain that come before
+// this node in the choice of watchers, the first one first.
+func (fleet *Fleet) watchersBefore() []*member {
 	own := score(fleet.members[fleet.self.Name].hash, watchSubject)
-	before := 0
+	var before []*member
 	for _, member := range fleet.members {
 		if member.self || !member.recorded || member.node.FailureDomain != fleet.self.FailureDomain {
 			continue
 		}
 		if score(member.hash, watchSubject) > own {
-			before++
+			before = append(before, member)
 		}
 	}
-	return before < WatchersPerFailureDomain
+	slices.SortFunc(before, func(left, right *member) int {
+		return cmp.Compare(score(right.hash, watchSubject), score(left.hash, watchSubject))
+	})
+	return before
+}
+
+// Sources returns the admin addresses of the nodes that this node reads the
+// store through, the preferred one first; none when it reads the store itself:
+// in a small fleet, as a watcher, and as long as it leads a fabric domain.
+func (fleet *Fleet) Sources(now time.Time) []string {
+	if !fleet.listed || len(fleet.members) <= FullMeshNodes || len(fleet.Led(now)) > 0 {
+		return nil
+	}
+	before := fleet.watchersBefore()
+	if len(before) < WatchersPerFailureDomain {
+		return nil
+	}
+	var addresses []string
+	for _, member := range before[:WatchersPerFailureDomain] {
+		addresses = append(addresses, member.node.AdminAddress)
+	}
+	// Half of the nodes prefer each of them.
+	if fleet.members[fleet.self.Name].hash%WatchersPerFailureDomain != 0 {
+		slices.Reverse(addresses)
+	}
+	return addresses
 }
 
 // sortedMembers returns the members with a peer address by their place on the
--- a/fleet/topology_test.go
+++ b/fleet/topology_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -10,6 +11,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // members returns nodes on the ring, spread unevenly over failure domains.
@@ -236,3 +239,41 @@
 	children := newRelay(members).childrenOf(members[0].node.Name, "stranger")
 	assert.Len(t, children, len(linksOf(members)[members[0]]))
 }
+
+// Guards against calls to the store that grow with the number of nodes, and
+// against nodes that read through others which read through others.
+func TestSourcesAreTheWatchersOfTheFailureDomain(t *testing.T) {
+	const nodes = 30
+	listing := KeysListed{Prefix: NodePrefix, Revision: 1}
+	for index := range nodes {
+		node := Node{
+			Name: fmt.Sprint("node-", index), Incarnation: "1", FailureDomain: fmt.Sprint("fd-", index%3), AdminAddress: fmt.Sprint("admin-", index),
+		}
+		value, err := json.Marshal(node)
+		require.NoError(t, err)
+		listing.Entries = append(listing.Entries, kvstore.Entry{Key: NodeKey(node.Name), Value: value, Revision: 1})
+	}
+	direct := map[string]string{}
+	sources := map[string][]string{}
+	for index := range nodes {
+		name, domain := fmt.Sprint("node-", index), fmt.Sprint("fd-", index%3)
+		fleet := New(Config{Name: name, Incarnation: "1", FailureDomain: domain, Mirrored: true, Random: rand.New(rand.NewPCG(1, 1))})
+		require.Empty(t, fleet.Sources(time.Unix(1, 0)), "nothing was listed")
+		fleet.Handle(time.Unix(1, 0), listing)
+		require.True(t, fleet.Watching())
+		read := fleet.Sources(time.Unix(1, 0))
+		if len(read) == 0 {
+			direct[fmt.Sprint("admin-", index)] = domain
+		}
+		sources[domain] = append(sources[domain], read...)
+	}
+	require.Len(t, direct, 3*WatchersPerFailureDomain)
+	for domain, addresses := range sources {
+		for _, address := range addresses {
+			require.Equal(t, domain, direct[address], "source in another failure domain, or one that has sources itself")
+		}
+	}
+	small := New(Config{Name: "node-0", Incarnation: "1", FailureDomain: "fd-0", Mirrored: true, Random: rand.New(rand.NewPCG(1, 1))})
+	small.Handle(time.Unix(1, 0), KeysListed{Prefix: NodePrefix, Revision: 1, Entries: listing.Entries[:FullMeshNodes]})
+	require.Empty(t, small.Sources(time.Unix(1, 0)))
+}
--- a/kvstore/store.go
+++ b/kvstore/store.go
@@ -22,6 +22,10 @@
 type Listing struct {
 	Revision uint64
 	Entries  []Entry
+
+	// Age is how long before the call the listing was the store's, 0 when the
+	// store itself answered.
+	Age time.Duration
 }
 
 // Changes is the result of Watch.
@@ -30,6 +34,10 @@
 	Revision uint64
 	Entries  []Entry
 	Deleted  []string
+
+	// Age is how long before the call the changes were the newest, 0 when the
+	// store itself answered. It is negative when they were so later.
+	Age time.Duration
 }
 
 // Expect is the condition of a write.
--- /dev/null
+++ b/mirror/mirror_test.go
@@ -0,0 +1,374 @@
+package mirror
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"lacewingspoke.org/lacewingspoke/kvstore"
+	"lacewingspoke.org/lacewingspoke/standin/seed"
+)
+
+func TestMain(m *testing.M) { os.Exit(seed.Run(m)) }
+
+// A testStore is the store with its whole history.
+type testStore struct {
+	mutex    sync.Mutex
+	entries  map[string]kvstore.Entry
+	history  []change
+	revision uint64
+	down     bool
+	calls    int
+}
+
+func newTestStore() *testStore { return &testStore{entries: map[string]kvstore.Entry{}, revision: 10} }
+
+func (store *testStore) put(key, value string) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.revision++
+	entry := kvstore.Entry{Key: key, Value: []byte(value), Revision: store.revision}
+	store.entries[key] = entry
+	store.history = append(store.history, change{key: key, revision: store.revision, entry: entry})
+}
+
+func (store *testStore) remove(key string) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.revision++
+	delete(store.entries, key)
+	store.history = append(store.history, change{key: key, revision: store.revision})
+}
+
+func (store *testStore) setDown(down bool) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.down = down
+}
+
+func (store *testStore) called() int {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	return store.calls
+}
+
+func (store *testStore) List(_ context.Context, prefix string) (kvstore.Listing, error) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.calls++
+	if store.down {
+		return kvstore.Listing{}, errors.New("store is down")
+	}
+	listing := kvstore.Listing{Revision: store.revision}
+	for key, entry := range store.entries {
+		if strings.HasPrefix(key, prefix) {
+			listing.Entries = append(listing.Entries, entry)
+		}
+	}
+	return listing, nil
+}
+
+// Watch answers at once.
+func (store *testStore) Watch(_ context.Context, prefix string, after uint64, _ time.Duration) (kvstore.Changes, error) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.calls++
+	if store.down {
+		return kvstore.Changes{}, errors.New("store is down")
+	}
+	changes := kvstore.Changes{Revision: store.revision}
+	latest := map[string]change{}
+	for _, changed := range store.history {
+		if changed.revision > after && strings.HasPrefix(changed.key, prefix) {
+			latest[changed.key] = changed
+		}
+	}
+	for key, changed := range latest {
+		if changed.entry.Key == "" {
+			changes.Deleted = append(changes.Deleted, key)
+		} else {
+			changes.Entries = append(changes.Entries, changed.entry)
+		}
+	}
+	return changes, nil
+}
+
+// A testClock is moved by hand.
+type testClock struct {
+	mutex sync.Mutex
+	now   time.Time
+}
+
+func newTestClock() *testClock { return &testClock{now: time.Unix(1000, 0)} }
+
+func (clock *testClock) Now() time.Time {
+	clock.mutex.Lock()
+	defer clock.mutex.Unlock()
+	return clock.now
+}
+
+func (clock *testClock) advance(step time.Duration) {
+	clock.mutex.Lock()
+	defer clock.mutex.Unlock()
+	clock.now = clock.now.Add(step)
+}
+
+func newTestMirror(test *testing.T, store Reader, clock *testClock) *Mirror {
+	mirrored, err := New(Config{Store: store, Now: clock.Now})
+	require.NoError(test, err)
+	test.Cleanup(mirrored.Close)
+	return mirrored
+}
+
+// serve makes a node answer others and returns its address.
+func serve(test *testing.T, handler http.Handler) string {
+	server := httptest.NewServer(handler)
+	test.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// follow applies changes to a copy of the keys.
+func follow(known map[string]string, changes kvstore.Changes) {
+	for _, key := range changes.Deleted {
+		delete(known, key)
+	}
+	for _, entry := range changes.Entries {
+		known[entry.Key] = string(entry.Value)
+	}
+}
+
+// A node that follows a journal sees every key as the store has it, whatever the
+// order of changes, listings and reads and however far it lags behind. Guards
+// against changes that are lost between two answers of the store.
+func TestJournalLosesNothing(test *testing.T) {
+	rapid.Check(test, func(test *rapid.T) {
+		store := newTestStore()
+		journal := NewJournal()
+		now := time.Unix(1000, 0)
+		known := map[string]string{}
+		var seen, read uint64
+		listed := false
+		list := func() {
+			listing, _ := store.List(context.Background(), "")
+			journal.Replace(listing, now)
+			read = listing.Revision
+		}
+		catchUp := func() {
+			changes, current := journal.After(seen)
+			if !current || !listed {
+				listing := journal.Listing()
+				known = map[string]string{}
+				follow(known, kvstore.Changes{Entries: listing.Entries})
+				seen, listed = listing.Revision, true
+				return
+			}
+			follow(known, changes)
+			seen = max(seen, changes.Revision)
+		}
+		list()
+		for step := range rapid.IntRange(1, 60).Draw(test, "steps") {
+			now = now.Add(time.Millisecond)
+			key := fmt.Sprint("k", rapid.IntRange(0, 4).Draw(test, "key"))
+			switch rapid.IntRange(0, 4).Draw(test, "action") {
+			case 0, 1:
+				store.put(key, fmt.Sprint(step))
+			case 2:
+				store.remove(key)
+			case 3:
+				changes, _ := store.Watch(context.Background(), "", read, 0)
+				journal.Apply(read, changes, now)
+				read = changes.Revision
+			case 4:
+				if rapid.Bool().Draw(test, "list") {
+					list()
+				}
+				catchUp()
+			}
+		}
+		list()
+		catchUp()
+		want := map[string]string{}
+		for key, entry := range store.entries {
+			want[key] = string(entry.Value)
+		}
+		require.True(test, maps.Equal(want, known), "want %v, got %v", want, known)
+	})
+}
+
+// Guards against memory that grows with the history, and against a node that is
+// told that nothing changed when its history is gone.
+func TestJournalForgetsOldChanges(test *testing.T) {
+	store := newTestStore()
+	journal := NewJournal()
+	_, known := journal.After(0)
+	require.False(test, known, "nothing was read")
+	listing, _ := store.List(context.Background(), "")
+	journal.Replace(listing, time.Unix(1, 0))
+	for index := range maxChanges + 10 {
+		store.put(fmt.Sprint("k", index%7), "v")
+	}
+	for read := listing.Revision; read < store.revision; read++ {
+		changes := kvstore.Changes{Revision: read + 1, Entries: []kvstore.Entry{store.history[read-listing.Revision].entry}}
+		journal.Apply(read, changes, time.Unix(2, 0))
+	}
+	require.Len(test, journal.changes, maxChanges)
+	_, known = journal.After(listing.Revision)
+	require.False(test, known)
+	changes, known := journal.After(store.revision - 3)
+	require.True(test, known)
+	require.Len(test, changes.Entries, 3)
+}
+
+// Guards against calls to the store that grow with the number of nodes.
+func TestFollowersDoNotCallTheStore(test *testing.T) {
+	store, clock := newTestStore(), newTestClock()
+	store.put("servers/a", "1")
+	source := newTestMirror(test, store, clock)
+	listing, err := source.List(test.Context(), "servers/")
+	require.NoError(test, err)
+	address := serve(test, source.Handler())
+	calls := store.called()
+	for range 20 {
+		follower := newTestMirror(test, store, clock)
+		follower.SetSources([]string{address})
+		read, err := follower.List(test.Context(), "servers/")
+		require.NoError(test, err)
+		require.Equal(test, listing.Entries, read.Entries)
+		changes, err := follower.Watch(test.Context(), "servers/", read.Revision, 0)
+		require.NoError(test, err)
+		require.Empty(test, changes.Entries)
+	}
+	require.Equal(test, calls, store.called())
+}
+
+// Guards against a change that reaches a waiting follower only with its next
+// question.
+func TestChangeEndsTheWait(test *testing.T) {
+	store, clock := newTestStore(), newTestClock()
+	source := newTestMirror(test, store, clock)
+	listing, err := source.List(test.Context(), "servers/")
+	require.NoError(test, err)
+	follower := newTestMirror(test, store, clock)
+	follower.SetSources([]string{serve(test, source.Handler())})
+	got := make(chan kvstore.Changes, 1)
+	go func() {
+		changes, _ := follower.Watch(test.Context(), "servers/", listing.Revision, time.Hour)
+		got <- changes
+	}()
+	store.put("servers/a", "1")
+	_, err = source.Watch(test.Context(), "servers/", listing.Revision, 0)
+	require.NoError(test, err)
+	require.Len(test, (<-got).Entries, 1)
+}
+
+// Guards against a configuration that is taken for the newest although the node
+// that read it heard of the store long before: a key that was taken away
+// meanwhile would still pass.
+func TestAgeCountsFromTheSourcesOwnCall(test *testing.T) {
+	store, clock := newTestStore(), newTestClock()
+	source := newTestMirror(test, store, clock)
+	_, err := source.List(test.Context(), "op/config")
+	require.NoError(test, err)
+	asked := clock.Now()
+	clock.advance(1500 * time.Millisecond)
+	follower := newTestMirror(test, store, clock)
+	follower.SetSources([]string{serve(test, source.Handler())})
+	sent := clock.Now()
+	listing, err := follower.List(test.Context(), "op/config")
+	require.NoError(test, err)
+	require.Equal(test, asked, sent.Add(-listing.Age))
+	changes, err := follower.Watch(test.Context(), "op/config", listing.Revision, 0)
+	require.NoError(test, err)
+	require.Equal(test, asked, sent.Add(-changes.Age))
+}
+
+// Guards against nodes that go on with the news of one that has lost the store,
+// that has stopped answering, or that is gone.
+func TestFollowerLeavesASourceThatFails(test *testing.T) {
+	silent := http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() })
+	for name, fixture := range map[string]func(test *testing.T, source *Mirror, clock *testClock) string{
+		"lost the store": func(test *testing.T, source *Mirror, clock *testClock) string {
+			clock.advance(staleBound + time.Millisecond)
+			return serve(test, source.Handler())
+		},
+		"reads through others itself": func(test *testing.T, source *Mirror, _ *testClock) string {
+			source.SetSources([]string{"127.0.0.1:1"})
+			return serve(test, source.Handler())
+		},
+		"silent": func(test *testing.T, _ *Mirror, _ *testClock) string { return serve(test, silent) },
+		"gone": func(test *testing.T, source *Mirror, _ *testClock) string {
+			server := httptest.NewServer(source.Handler())
+			server.Close()
+			return server.Listener.Addr().String()
+		},
+	} {
+		test.Run(name, func(test *testing.T) {
+			store, clock := newTestStore(), newTestClock()
+			source := newTestMirror(test, store, clock)
+			listing, err := source.List(test.Context(), "servers/")
+			require.NoError(test, err)
+			failed := fixture(test, source, clock)
+			store.put("servers/a", "new")
+			other := newTestMirror(test, store, clock)
+			_, err = other.List(test.Context(), "servers/")
+			require.NoError(test, err)
+			follower := newTestMirror(test, store, clock)
+			follower.SetSources([]string{failed, serve(test, other.Handler())})
+			calls := store.called()
+			changes, err := follower.Watch(test.Context(), "servers/", listing.Revision, 0)
+			if errors.Is(err, errors.NotValid) {
+				// The other source does not know what came before its listing.
+				read, listErr := follower.List(test.Context(), "servers/")
+				err, changes.Entries = listErr, read.Entries
+			}
+			require.NoError(test, err)
+			require.Len(test, changes.Entries, 1)
+			require.Equal(test, calls, store.called(), "the other source was not asked")
+		})
+	}
+}
+
+// Guards against a node that is cut off with its sources, and does not say so.
+func TestFollowerAsksTheStoreAtLast(test *testing.T) {
+	store, clock := newTestStore(), newTestClock()
+	follower := newTestMirror(test, store, clock)
+	follower.SetSources([]string{"127.0.0.1:1", "127.0.0.1:2"})
+	_, err := follower.List(test.Context(), "node/")
+	require.NoError(test, err)
+	require.Equal(test, 1, store.called())
+	store.setDown(true)
+	_, err = follower.Watch(test.Context(), "node/", 1, 0)
+	require.Error(test, err)
+}
+
+// Guards against questions that are answered with all keys, or that hold an
+// answer for ever.
+func TestBadQuestions(test *testing.T) {
+	source := newTestMirror(test, newTestStore(), newTestClock())
+	address := serve(test, source.Handler())
+	for query, want := range map[string]int{
+		"":                                         http.StatusBadRequest,
+		"prefix=servers/&after=x":                  http.StatusBadRequest,
+		"prefix=servers/&after=1":                  http.StatusBadRequest,
+		"prefix=servers/&after=1&wait-ms=x":        http.StatusBadRequest,
+		"prefix=servers/&after=1&wait-ms=1":        http.StatusServiceUnavailable,
+		"prefix=nothing/that/is/followed":          http.StatusServiceUnavailable,
+		"prefix=servers/&after=-1&wait-ms=1000000": http.StatusBadRequest,
+	} {
+		response, err := http.Get("http://" + address + Path + "?" + query)
+		require.NoError(test, err)
+		response.Body.Close()
+		require.Equal(test, want, response.StatusCode, query)
+	}
+}
