--- a/control/probe.go
+++ b/control/probe.go
@@ -13,7 +13,7 @@
 const (
 	// probeTimeout is far above the time in which an engine answers, about 3 ms,
 	// and probeTries bears one lost packet.
-	probeTimeout = 200 * time.Millisecond
+	probeTimeout = 100 * time.Millisecond
 	probeTries   = 2
 
 	// probeInterval keeps a group that is only slow from being asked all the
