Let a node list what it has not read itself before others read it there

Ruled out: a silent connection (its own configuration was up to date), a lost answer (the gap lasted 25 s).

Change: such a node lists the prefix once before it watches it, and a source answers for a prefix only while that prefix itself is read, not any.

The log line of a source that fails names the prefix's error, that of one which answers old news cannot: the bound on the prefix is the guard.

--- a/mirror/journal.go
+++ b/mirror/journal.go
@@ -23,6 +23,9 @@
 
 	// confirmedAt is when the call was sent whose answer the state follows from.
 	confirmedAt time.Time
+
+	// wait is how long the present call for changes may wait at the store.
+	wait time.Duration
 }
 
 // A change is one key as of a revision. An entry without a key was deleted.
@@ -65,7 +68,7 @@
 // Apply takes the changes after a revision. Changes that do not join up with the
 // known state are dropped.
 func (journal *Journal) Apply(after uint64, changes kvstore.Changes, sent time.Time) {
-	if !journal.known() || after > journal.revision {
+	if !journal.Joins(after) {
 		return
 	}
 	for _, key := range changes.Deleted {
@@ -82,6 +85,17 @@
 	journal.confirm(sent)
 }
 
+// Joins reports whether changes after a revision join up with the known state.
+func (journal *Journal) Joins(after uint64) bool {
+	return journal.known() && after <= journal.revision
+}
+
+// Current reports whether the state was the store's not longer than a bound ago,
+// beside the time for which a call for changes waits.
+func (journal *Journal) Current(now time.Time, bound time.Duration) bool {
+	return journal.known() && now.Sub(journal.confirmedAt) <= journal.wait+bound
+}
+
 func (journal *Journal) note(changed change) {
 	if changed.entry.Key == "" {
 		delete(journal.entries, changed.key)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -184,6 +184,9 @@
 		left := until.Sub(mirror.config.Now())
 		address, found := mirror.source()
 		if !found {
+			if err := mirror.catchUp(ctx, prefix, after); err != nil {
+				return kvstore.Changes{}, errors.Trace(err)
+			}
 			return mirror.watchStore(ctx, prefix, after, max(left, 0))
 		}
 		asked := question{prefix: prefix, after: after, wait: max(0, min(left, sourceWait))}
@@ -205,6 +208,20 @@
 	}
 }
 
+// catchUp lists a prefix whose changes this node has read elsewhere, so that what
+// it remembers of them has no gap before the changes after the revision.
+func (mirror *Mirror) catchUp(ctx context.Context, prefix string, after uint64) error {
+	mirror.mutex.Lock()
+	journal := mirror.journals[prefix]
+	joins := len(mirror.sources) > 0 || journal != nil && journal.Joins(after)
+	mirror.mutex.Unlock()
+	if joins {
+		return nil
+	}
+	_, err := mirror.listStore(ctx, prefix)
+	return errors.Trace(err)
+}
+
 // listStore asks the store and remembers the answer.
 func (mirror *Mirror) listStore(ctx context.Context, prefix string) (kvstore.Listing, error) {
 	sent := mirror.config.Now()
@@ -219,6 +236,7 @@
 
 // watchStore asks the store and remembers the answer.
 func (mirror *Mirror) watchStore(ctx context.Context, prefix string, after uint64, wait time.Duration) (kvstore.Changes, error) {
+	mirror.expect(prefix, wait)
 	sent := mirror.config.Now()
 	changes, err := mirror.config.Store.Watch(ctx, prefix, after, wait)
 	mirror.count(err)
@@ -229,6 +247,16 @@
 	return changes, nil
 }
 
+// expect notes how long the next call for changes may wait: the state counts as
+// current for that time.
+func (mirror *Mirror) expect(prefix string, wait time.Duration) {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	if journal := mirror.journals[prefix]; journal != nil {
+		journal.wait = wait
+	}
+}
+
 func (mirror *Mirror) count(err error) {
 	outcome := "answered"
 	if err != nil {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -339,6 +339,65 @@
 	}
 }
 
+// Replays a node that read the store through others until one of these was lost.
+// Guards against a source that remembers the keys as they were when it last read
+// the store itself: its followers kept an old configuration for 25 s (CONFIG and
+// DRAIN on a day of bradescu-punti-grown).
+func TestNodeThatBecomesASourceKnowsTheWholeState(test *testing.T) {
+	store, clock := newTestStore(), newTestClock()
+	store.put("servers/gone", "1")
+	first, second := newTestMirror(test, store, clock), newTestMirror(test, store, clock)
+	_, err := second.List(test.Context(), "servers/")
+	require.NoError(test, err)
+	_, err = first.List(test.Context(), "servers/")
+	require.NoError(test, err)
+	second.SetSources([]string{serve(test, first.Handler())})
+	store.put("servers/a", "1")
+	store.remove("servers/gone")
+	_, err = first.List(test.Context(), "servers/")
+	require.NoError(test, err)
+	listing, err := second.List(test.Context(), "servers/")
+	require.NoError(test, err)
+	second.SetSources(nil)
+	store.put("servers/b", "1")
+	_, err = second.Watch(test.Context(), "servers/", listing.Revision, 0)
+	require.NoError(test, err)
+	follower := newTestMirror(test, store, clock)
+	follower.SetSources([]string{serve(test, second.Handler())})
+	calls := store.called()
+	read, err := follower.List(test.Context(), "servers/")
+	require.NoError(test, err)
+	require.Equal(test, calls, store.called(), "the source was not asked")
+	var keys []string
+	for _, entry := range read.Entries {
+		keys = append(keys, entry.Key)
+	}
+	require.ElementsMatch(test, []string{"servers/a", "servers/b"}, keys)
+}
+
+// Guards against a source whose watch of one prefix has stopped while it reads
+// others.
+func TestSourceTellsNothingOfAPrefixThatItLost(test *testing.T) {
+	store, clock := newTestStore(), newTestClock()
+	source := newTestMirror(test, store, clock)
+	for _, prefix := range []string{"op/config", "servers/"} {
+		_, err := source.List(test.Context(), prefix)
+		require.NoError(test, err)
+	}
+	clock.advance(staleBound + time.Millisecond)
+	_, err := source.List(test.Context(), "servers/")
+	require.NoError(test, err)
+	follower := newTestMirror(test, store, clock)
+	follower.SetSources([]string{serve(test, source.Handler())})
+	calls := store.called()
+	_, err = follower.List(test.Context(), "servers/")
+	require.NoError(test, err)
+	require.Equal(test, calls, store.called())
+	_, err = follower.List(test.Context(), "op/config")
+	require.NoError(test, err)
+	require.Equal(test, calls+1, store.called())
+}
+
 // Guards against a node that is cut off with its sources, and does not say so.
 func TestFollowerAsksTheStoreAtLast(test *testing.T) {
 	store, clock := newTestStore(), newTestClock()
--- a/mirror/serve.go
+++ b/mirror/serve.go
@@ -157,8 +157,9 @@
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
 	journal := mirror.journals[asked.prefix]
-	following := len(mirror.sources) == 0 && journal != nil
-	if !following || mirror.config.Now().Sub(mirror.reachedAt) > staleBound {
+	now := mirror.config.Now()
+	following := len(mirror.sources) == 0 && journal != nil && journal.Current(now, staleBound)
+	if !following || now.Sub(mirror.reachedAt) > staleBound {
 		return reply{}, http.StatusServiceUnavailable, mirror.changed
 	}
 	age := arrived.Sub(journal.confirmedAt).Microseconds()
