--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -44,7 +44,12 @@
 	answerTime = 400 * time.Millisecond
 
 	// sourceRest is how long a source that failed is left alone.
-	sourceRest = 2 * time.Second
+	sourceRest = 500 * time.Millisecond
+
+	// storeRest is how long a node that has sources leaves the store alone after
+	// it failed too. All nodes ask it at once when it is down, and each call is
+	// priced. It is half of the time for which a configuration counts as proved.
+	storeRest = 2 * time.Second
 
 	// staleBound is how long ago a source may have reached the store. The targets
 	// and the configuration are read several times in that time.
@@ -88,6 +93,9 @@
 	// changed is closed and replaced when a journal changes.
 	changed chan struct{}
 
+	// storeAt is when a node with sources may ask the store again.
+	storeAt time.Time
+
 	// reachedAt is when the last call to the store that was answered was sent.
 	reachedAt time.Time
 }
@@ -224,6 +232,9 @@
 
 // listStore asks the store and remembers the answer.
 func (mirror *Mirror) listStore(ctx context.Context, prefix string) (kvstore.Listing, error) {
+	if err := mirror.mayCall(); err != nil {
+		return kvstore.Listing{}, errors.Trace(err)
+	}
 	sent := mirror.config.Now()
 	listing, err := mirror.config.Store.List(ctx, prefix)
 	mirror.count(err)
@@ -236,6 +247,9 @@
 
 // watchStore asks the store and remembers the answer.
 func (mirror *Mirror) watchStore(ctx context.Context, prefix string, after uint64, wait time.Duration) (kvstore.Changes, error) {
+	if err := mirror.mayCall(); err != nil {
+		return kvstore.Changes{}, errors.Trace(err)
+	}
 	mirror.expect(prefix, wait)
 	sent := mirror.config.Now()
 	changes, err := mirror.config.Store.Watch(ctx, prefix, after, wait)
@@ -257,12 +271,29 @@
 	}
 }
 
+// count takes in the outcome of a call to the store.
 func (mirror *Mirror) count(err error) {
-	outcome := "answered"
-	if err != nil {
-		outcome = "failed"
+	if err == nil || errors.Is(err, errors.NotValid) {
+		mirror.reads.WithLabelValues("store", "answered").Inc()
+		return
+	}
+	mirror.reads.WithLabelValues("store", "failed").Inc()
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	if len(mirror.sources) > 0 {
+		mirror.storeAt = mirror.config.Now().Add(storeRest)
+	}
+}
+
+// mayCall returns an error when the store failed a moment ago, and this node is
+// one of many that would ask it.
+func (mirror *Mirror) mayCall() error {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	if len(mirror.sources) > 0 && mirror.config.Now().Before(mirror.storeAt) {
+		return errors.Timeoutf("sources and store")
 	}
-	mirror.reads.WithLabelValues("store", outcome).Inc()
+	return nil
 }
 
 func (mirror *Mirror) record(sent time.Time, prefix string, note func(journal *Journal)) {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -339,6 +339,32 @@
 	}
 }
 
+// Replays an outage of the store in a large fleet, in which no source is of use.
+// Guards against all nodes asking the store for all the time that it is down.
+func TestFollowersLeaveAStoreAloneThatIsDown(test *testing.T) {
+	store, clock := newTestStore(), newTestClock()
+	store.setDown(true)
+	follower := newTestMirror(test, store, clock)
+	follower.SetSources([]string{"127.0.0.1:1", "127.0.0.1:2"})
+	for range 40 {
+		_, err := follower.Watch(test.Context(), "servers/", 1, 0)
+		require.Error(test, err)
+		clock.advance(100 * time.Millisecond)
+	}
+	require.Equal(test, 2, store.called(), "calls in four seconds")
+	store.setDown(false)
+	clock.advance(storeRest)
+	_, err := follower.Watch(test.Context(), "servers/", 1, 0)
+	require.NoError(test, err)
+	direct := newTestMirror(test, store, clock)
+	store.setDown(true)
+	for range 5 {
+		_, err := direct.List(test.Context(), "servers/")
+		require.Error(test, err)
+	}
+	require.Equal(test, 8, store.called(), "a node that others read through goes on asking")
+}
+
 // Replays a node that read the store through others until one of these was lost.
 // Guards against a source that remembers the keys as they were when it last read
 // the store itself: its followers kept an old configuration for 25 s (CONFIG and
