--- a/fleet/topology.go
+++ b/fleet/topology.go
@@ -82,50 +82,69 @@
 }
 
 func (fleet *Fleet) isWatcher() bool {
-	return len(fleet.watchersBefore()) < WatchersPerFailureDomain
-}
-
-// watchersBefore returns the members of the own failure domain that come before
-// this node in the choice of watchers, the first one first.
-func (fleet *Fleet) watchersBefore() []*member {
 	own := score(fleet.members[fleet.self.Name].hash, watchSubject)
-	var before []*member
+	before := 0
 	for _, member := range fleet.members {
 		if member.self || !member.recorded || member.node.FailureDomain != fleet.self.FailureDomain {
 			continue
 		}
 		if score(member.hash, watchSubject) > own {
-			before = append(before, member)
+			before++
 		}
 	}
-	slices.SortFunc(before, func(left, right *member) int {
-		return cmp.Compare(score(right.hash, watchSubject), score(left.hash, watchSubject))
-	})
-	return before
+	return before < WatchersPerFailureDomain
 }
 
 // Sources returns the admin addresses of the nodes that this node reads the
 // store through, the preferred one first; none when it reads the store itself:
-// in a small fleet, as a watcher, and as long as it leads a fabric domain.
+// in a small fleet, as one of these nodes, and as long as it leads a fabric
+// domain.
 func (fleet *Fleet) Sources(now time.Time) []string {
 	if !fleet.listed || len(fleet.members) <= FullMeshNodes || len(fleet.Led(now)) > 0 {
 		return nil
 	}
-	before := fleet.watchersBefore()
-	if len(before) < WatchersPerFailureDomain {
-		return nil
-	}
 	var addresses []string
-	for _, member := range before[:WatchersPerFailureDomain] {
+	for _, member := range fleet.readers() {
+		if member.self {
+			return nil
+		}
 		addresses = append(addresses, member.node.AdminAddress)
 	}
-	// Half of the nodes prefer each of them.
-	if fleet.members[fleet.self.Name].hash%WatchersPerFailureDomain != 0 {
+	// The nodes prefer one or the other alike.
+	if fleet.members[fleet.self.Name].hash%2 != 0 {
 		slices.Reverse(addresses)
 	}
 	return addresses
 }
 
+// readers returns the nodes of the own failure domain that read the store: those
+// that lead one of its fabric domains, which read it anyway, and as many of the
+// first in the choice of watchers as are missing.
+func (fleet *Fleet) readers() []*member {
+	var members []*member
+	for _, member := range fleet.members {
+		if member.node.FailureDomain == fleet.self.FailureDomain && (member.self || member.recorded) {
+			members = append(members, member)
+		}
+	}
+	leads := map[string]bool{}
+	for _, domain := range fleet.ordered {
+		if domain.failureDomain == fleet.self.FailureDomain && domain.state == leaderPresent {
+			leads[domain.leader.Node] = true
+		}
+	}
+	slices.SortFunc(members, func(left, right *member) int {
+		if leads[left.node.Name] != leads[right.node.Name] {
+			if leads[left.node.Name] {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(score(right.hash, watchSubject), score(left.hash, watchSubject))
+	})
+	return members[:min(len(members), WatchersPerFailureDomain)]
+}
+
 // sortedMembers returns the members with a peer address by their place on the
 // ring.
 func (fleet *Fleet) sortedMembers() []*member {
--- a/fleet/topology_test.go
+++ b/fleet/topology_test.go
@@ -273,6 +273,22 @@
 			require.Equal(t, domain, direct[address], "source in another failure domain, or one that has sources itself")
 		}
 	}
+	leader, err := json.Marshal(Leader{Node: "node-27", Incarnation: "1"})
+	require.NoError(t, err)
+	led := KeysListed{Prefix: DomainPrefix, Revision: 2, Entries: []kvstore.Entry{{Key: LeaderKey("fabric-0"), Value: leader, Revision: 2, Lease: "1"}}}
+	for index := range nodes {
+		fleet := New(Config{
+			Name: fmt.Sprint("node-", index), Incarnation: "1", FailureDomain: fmt.Sprint("fd-", index%3), Mirrored: true, Random: rand.New(rand.NewPCG(1, 1)),
+		})
+		fleet.Handle(time.Unix(1, 0), DomainsKnown{Domains: testDomains(3)})
+		fleet.Handle(time.Unix(1, 0), listing)
+		fleet.Handle(time.Unix(1, 0), led)
+		read := fleet.Sources(time.Unix(1, 0))
+		if index%3 == 0 && len(read) > 0 {
+			require.Contains(t, read, "admin-27", "the leader reads the store anyway")
+			require.Len(t, read, WatchersPerFailureDomain)
+		}
+	}
 	small := New(Config{Name: "node-0", Incarnation: "1", FailureDomain: "fd-0", Mirrored: true, Random: rand.New(rand.NewPCG(1, 1))})
 	small.Handle(time.Unix(1, 0), KeysListed{Prefix: NodePrefix, Revision: 1, Entries: listing.Entries[:FullMeshNodes]})
 	require.Empty(t, small.Sources(time.Unix(1, 0)))
