Pass the loads that targets tell on to the nodes of a failure domain

Change: the questions to sources and their replies carry the loads that answers told in the last second. They cost no call and stay in the failure domain.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -125,7 +125,7 @@
 	server.router.HandleFunc("/v1/status", server.serveStatus).Methods(http.MethodGet)
 	server.router.HandleFunc("/v1/drain", server.serveDrain).Methods(http.MethodPost)
 	if config.Mirror != nil {
-		server.router.Handle(mirror.Path, config.Mirror).Methods(http.MethodGet)
+		server.router.Handle(mirror.Path, config.Mirror).Methods(http.MethodPost)
 	}
 	return server
 }
--- a/cmd/lacewingspoke/shared.go
+++ b/cmd/lacewingspoke/shared.go
@@ -116,6 +116,7 @@
 	Settings  *settings.Settings
 	Publisher *route.Publisher
 	Feed      *platform.Feed
+	Mirror    *mirror.Mirror
 	Clock     *timer.BootClock
 	Timers    *timer.Service
 	Logger    *zap.Logger
@@ -131,12 +132,17 @@
 		Timers:        params.Timers,
 		Confirmed:     params.Feed.Confirmed,
 		FreshFor:      time.Duration(freshPart * float64(params.Settings.Revocation())),
+		Told:          params.Mirror.Note,
 		Retries:       retriesOf(params.Settings),
 		LeastNodes:    params.Settings.Nodes(),
 		Logger:        params.Logger,
 		Registerer:    params.Registry,
 	})
-	return server, errors.Trace(err)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	params.Mirror.SetNoted(func(note mirror.Note) { server.Learn(note.Key, note.Value, note.At) })
+	return server, nil
 }
 
 func retriesOf(loaded *settings.Settings) limit.AllowanceConfig {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -149,6 +149,10 @@
 	// time within which a key that was taken away must not pass.
 	FreshFor time.Duration
 
+	// Told is called with the load that a target told in an answer, in requests;
+	// nil for nobody to tell.
+	Told func(target string, load int)
+
 	// Retries bounds the attempts beyond the first of each request.
 	Retries limit.AllowanceConfig
 
--- a/forward/whole.go
+++ b/forward/whole.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"lacewingspoke.org/lacewingspoke/group"
 	"lacewingspoke.org/lacewingspoke/route"
 )
 
@@ -102,11 +103,21 @@
 }
 
 func (exchange *exchange) observe(target string, answer Answer) {
-	if answer.Load != nil {
-		exchange.server.tracker.Observe(target, answer.Load.Load, exchange.server.config.Now())
+	if answer.Load == nil {
+		return
+	}
+	server := exchange.server
+	server.tracker.Observe(target, answer.Load.Load, server.config.Now())
+	if server.config.Told != nil {
+		server.config.Told(target, answer.Load.Running+answer.Load.Queued)
 	}
 }
 
+// Learn takes the load of a target that another node was told at a time.
+func (server *Server) Learn(target string, load int, at time.Time) {
+	server.tracker.Observe(target, group.Load{Running: load}, at)
+}
+
 // note counts an attempt that the target may have seen. The next attempt goes to
 // another target, so the same name again is the same attempt.
 func (exchange *exchange) note(target string) {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -90,6 +90,11 @@
 	resting  map[string]time.Time
 	journals map[string]*Journal
 
+	// notes are the newest figures of all nodes by key; noted takes those that
+	// come from others.
+	notes map[string]Note
+	noted func(note Note)
+
 	// changed is closed and replaced when a journal changes.
 	changed chan struct{}
 
@@ -115,6 +120,7 @@
 		caller:   httpsend.New(httpsend.Config{IdlePerAddress: idleConnections, DialTimeout: answerTime}),
 		resting:  map[string]time.Time{},
 		journals: map[string]*Journal{},
+		notes:    map[string]Note{},
 		changed:  make(chan struct{}),
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lacewingspoke_mirror_reads_total",
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -1,8 +1,10 @@
 package mirror
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"maps"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +16,7 @@
 
 	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 
 	"lacewingspoke.org/lacewingspoke/kvstore"
@@ -296,7 +299,11 @@
 // Guards against nodes that go on with the news of one that has lost the store,
 // that has stopped answering, or that is gone.
 func TestFollowerLeavesASourceThatFails(test *testing.T) {
-	silent := http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) { <-request.Context().Done() })
+	silent := http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+		// The end of the connection is noticed only after the body was read.
+		_, _ = io.Copy(io.Discard, request.Body)
+		<-request.Context().Done()
+	})
 	for name, fixture := range map[string]func(test *testing.T, source *Mirror, clock *testClock) string{
 		"lost the store": func(test *testing.T, source *Mirror, clock *testClock) string {
 			clock.advance(staleBound + time.Millisecond)
@@ -442,6 +449,8 @@
 func TestBadQuestions(test *testing.T) {
 	source := newTestMirror(test, newTestStore(), newTestClock())
 	address := serve(test, source.Handler())
+	empty, err := msgpack.Marshal(notesMessage{})
+	require.NoError(test, err)
 	for query, want := range map[string]int{
 		"":                                         http.StatusBadRequest,
 		"prefix=servers/&after=x":                  http.StatusBadRequest,
@@ -451,9 +460,45 @@
 		"prefix=nothing/that/is/followed":          http.StatusServiceUnavailable,
 		"prefix=servers/&after=-1&wait-ms=1000000": http.StatusBadRequest,
 	} {
-		response, err := http.Get("http://" + address + Path + "?" + query)
+		response, err := http.Post("http://"+address+Path+"?"+query, contentType, bytes.NewReader(empty))
 		require.NoError(test, err)
 		response.Body.Close()
 		require.Equal(test, want, response.StatusCode, query)
 	}
 }
+
+// Replays a large fleet, in which a node gets an answer of a group once in some
+// seconds. Guards against loads that only the node knows which was told them.
+func TestNotesReachTheFollowersOfASource(test *testing.T) {
+	store, clock := newTestStore(), newTestClock()
+	source := newTestMirror(test, store, clock)
+	listing, err := source.List(test.Context(), "servers/")
+	require.NoError(test, err)
+	address := serve(test, source.Handler())
+	told, other := newTestMirror(test, store, clock), newTestMirror(test, store, clock)
+	var got []Note
+	other.SetNoted(func(note Note) { got = append(got, note) })
+	ask := func(follower *Mirror) {
+		follower.SetSources([]string{address})
+		_, err := follower.Watch(test.Context(), "servers/", listing.Revision, 0)
+		require.NoError(test, err)
+	}
+	told.Note("group", 31)
+	seen := clock.Now()
+	clock.advance(200 * time.Millisecond)
+	ask(told)
+	clock.advance(200 * time.Millisecond)
+	ask(other)
+	require.Equal(test, []Note{{Key: "group", Value: 31, At: seen}}, got)
+	told.Note("group", 12)
+	ask(told)
+	ask(other)
+	ask(other)
+	require.Len(test, got, 2, "the same note came twice")
+	require.Equal(test, 12, got[1].Value)
+	clock.advance(noteAge + time.Millisecond)
+	late := newTestMirror(test, store, clock)
+	late.SetNoted(func(note Note) { test.Errorf("note of %v ago", clock.Now().Sub(note.At)) })
+	ask(late)
+	require.Empty(test, source.notes, "old notes stay in memory")
+}
--- a/mirror/serve.go
+++ b/mirror/serve.go
@@ -25,6 +25,11 @@
 	queryWait   = "wait-ms"
 )
 
+// maxNotesBytes bounds the notes of a question: those of a thousand targets.
+const maxNotesBytes = 64 << 10
+
+const contentType = "application/msgpack"
+
 // maxReplyBytes bounds a reply: the entries of some thousand targets.
 const maxReplyBytes = 16 << 20
 
@@ -45,6 +50,13 @@
 	// AgeMicros is how long before the arrival of the question the state was the
 	// store's; it is negative when it was so while the question waited.
 	AgeMicros int64 `msgpack:"age-us"`
+
+	Notes []noteMessage `msgpack:"notes"`
+}
+
+// notesMessage is the body of a question.
+type notesMessage struct {
+	Notes []noteMessage `msgpack:"notes"`
 }
 
 func (reply reply) age() time.Duration { return time.Duration(reply.AgeMicros) * time.Microsecond }
@@ -57,11 +69,18 @@
 		query.Set(queryAfter, strconv.FormatUint(asked.after, 10))
 		query.Set(queryWait, strconv.FormatInt(asked.wait.Milliseconds(), 10))
 	}
+	body, err := msgpack.Marshal(notesMessage{Notes: mirror.fresh()})
+	if err != nil {
+		return reply{}, errors.Trace(err)
+	}
+	sent := mirror.config.Now()
 	answer, err := mirror.caller.Do(ctx, httpsend.Request{
-		Method:        http.MethodGet,
+		Method:        http.MethodPost,
 		Address:       address,
 		Path:          Path,
 		Query:         query,
+		Body:          body,
+		ContentType:   contentType,
 		Timeout:       asked.wait + answerTime,
 		MaxReplyBytes: maxReplyBytes,
 	})
@@ -79,6 +98,7 @@
 	if err := msgpack.Unmarshal(answer.Body, &read); err != nil {
 		return reply{}, errors.Annotate(err, "reply of a source")
 	}
+	mirror.take(read.Notes, sent)
 	return read, nil
 }
 
@@ -92,19 +112,28 @@
 			http.Error(writer, err.Error(), http.StatusBadRequest)
 			return
 		}
+		arrived := mirror.config.Now()
+		var noted notesMessage
+		body := http.MaxBytesReader(writer, request.Body, maxNotesBytes)
+		if err := msgpack.NewDecoder(body).Decode(&noted); err != nil {
+			http.Error(writer, err.Error(), http.StatusBadRequest)
+			return
+		}
+		mirror.take(noted.Notes, arrived)
 		answer, status := mirror.answer(request.Context(), asked)
 		if status != http.StatusOK {
 			http.Error(writer, http.StatusText(status), status)
 			return
 		}
-		body, err := msgpack.Marshal(answer)
+		answer.Notes = mirror.fresh()
+		encoded, err := msgpack.Marshal(answer)
 		if err != nil {
 			mirror.config.Logger.Error("reply to a node cannot be encoded", zap.Error(err))
 			http.Error(writer, "reply", http.StatusInternalServerError)
 			return
 		}
 		// A node that does not take its answer asks again.
-		_, _ = writer.Write(body)
+		_, _ = writer.Write(encoded)
 	})
 }
 
--- a/route/picker_test.go
+++ b/route/picker_test.go
@@ -206,3 +206,12 @@
 		require.Equal(test, 30, tracker.Load("full", full.Load, full.LoadAt()))
 	}
 }
+
+// Guards against a load that another node was told earlier and that replaces a
+// newer one.
+func TestOlderLoadDoesNotReplaceANewerOne(test *testing.T) {
+	tracker := route.NewTracker()
+	tracker.Observe("g", group.Load{Running: 20}, now.Add(time.Second))
+	tracker.Observe("g", group.Load{Running: 3}, now)
+	require.Equal(test, 20, tracker.Load("g", group.Load{}, time.Time{}))
+}
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -61,7 +61,12 @@
 func (tracker *Tracker) Observe(target string, load group.Load, now time.Time) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	if counts := tracker.targets[target]; counts != nil {
+	counts := tracker.targets[target]
+	if counts == nil {
+		counts = &targetCounts{started: map[uint64]time.Time{}}
+		tracker.targets[target] = counts
+	}
+	if now.After(counts.observedAt) {
 		counts.observed = load
 		counts.observedAt = now
 	}
