--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -431,6 +431,24 @@
 	require.Equal(test, calls+1, store.called())
 }
 
+// Guards against a source that is cut off from the store in a long wait for
+// changes of the placements, and answers with old ones for all that time.
+func TestSourceThatIsCutOffTellsNothing(test *testing.T) {
+	store, clock := newTestStore(), newTestClock()
+	source := newTestMirror(test, store, clock)
+	listing, err := source.List(test.Context(), "domain/")
+	require.NoError(test, err)
+	_, err = source.Watch(test.Context(), "domain/", listing.Revision, 20*time.Second)
+	require.NoError(test, err)
+	clock.advance(staleBound + time.Millisecond)
+	follower := newTestMirror(test, store, clock)
+	follower.SetSources([]string{serve(test, source.Handler())})
+	calls := store.called()
+	_, err = follower.List(test.Context(), "domain/")
+	require.NoError(test, err)
+	require.Equal(test, calls+1, store.called())
+}
+
 // Guards against a node that is cut off with its sources, and does not say so.
 func TestFollowerAsksTheStoreAtLast(test *testing.T) {
 	store, clock := newTestStore(), newTestClock()
