--- a/group/open.go
+++ b/group/open.go
@@ -11,6 +11,10 @@
 // are staged again. It is above the load time of any model in use.
 const stageRetry = time.Minute
 
+// warmModels is the number of models that a VM can be warm for: that of its last
+// group, and one on its host.
+const warmModels = 2
+
 // stagingSpec is the name of the claims for weights that spares stage.
 const stagingSpec = "staging"
 
@@ -163,7 +167,7 @@
 		return false
 	}
 	serving := vm.report.State == engine.StateReady || vm.report.State == engine.StateOpen
-	return serving && len(leader.warm(vm)) < 2 && leader.strictest().OpenedByOrder
+	return serving && len(leader.warm(vm)) < warmModels && leader.strictest().OpenedByOrder
 }
 
 // stagingModel returns the group whose weights a staging claim is for.
--- a/group/regroup.go
+++ b/group/regroup.go
@@ -27,8 +27,8 @@
 // convert frees the members of one incomplete group that no spare completes:
 // for another incomplete group that they complete, or for a group of another
 // model that they serve without a load. It answers the steady loss of single
-// members, after which the weight store is the bottleneck and whole members
-// wait in incomplete groups.
+// members: the weight store replaces fewer than are lost, and the other members
+// of their groups would wait for it.
 func (planner *planner) convert() {
 	if planner.incoming > 0 {
 		return
@@ -158,7 +158,8 @@
 		if other.Group.Name == own.Group.Name || other.Group.Size < 1 || other.Group.Share < 1 {
 			continue
 		}
-		if served(other) > abundanceBound*max(served(own), served(withReplica(own))) {
+		// A model that is not served at all counts as served by one replica.
+		if part(other.Group, other.Ready) > abundanceBound*part(own.Group, max(own.Ready, 1)) {
 			continue
 		}
 		if planner.survivors(group, other.Group.Model)+len(planner.candidates(other.Group.Model)) >= other.Group.Size {
@@ -168,18 +169,6 @@
 	return false
 }
 
-// served returns the VMs that serve a group's replicas in all domains for each
-// part of its share.
-func served(demand Demand) float64 {
-	return float64(demand.Ready*demand.Group.Size) / float64(max(demand.Group.Share, 1))
-}
-
-// withReplica returns a demand of which at least one replica serves.
-func withReplica(demand Demand) Demand {
-	demand.Ready = max(demand.Ready, 1)
-	return demand
-}
-
 // fill forms groups out of the spares that join without a load, first of the
 // model that is farthest below its share, and keeps a part of the domain as
 // spares.
