--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -165,12 +165,25 @@
 // rest leaves a source alone that failed.
 func (mirror *Mirror) rest(address string, err error) {
 	mirror.reads.WithLabelValues("source", "failed").Inc()
-	mirror.config.Logger.Info("source of the store's keys failed", zap.String("source", address), zap.Error(err))
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
+	if _, failing := mirror.resting[address]; !failing {
+		mirror.config.Logger.Warn("source of the store's keys lost", zap.String("source", address), zap.Error(err))
+	}
 	mirror.resting[address] = mirror.config.Now().Add(sourceRest)
 }
 
+// answered notes an answer of a source.
+func (mirror *Mirror) answered(address string) {
+	mirror.reads.WithLabelValues("source", "answered").Inc()
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	if _, failing := mirror.resting[address]; failing {
+		mirror.config.Logger.Info("source of the store's keys reached again", zap.String("source", address))
+		delete(mirror.resting, address)
+	}
+}
+
 // List implements Reader.
 func (mirror *Mirror) List(ctx context.Context, prefix string) (kvstore.Listing, error) {
 	for {
@@ -180,7 +193,7 @@
 		}
 		read, err := mirror.ask(ctx, address, question{prefix: prefix, list: true})
 		if err == nil {
-			mirror.reads.WithLabelValues("source", "answered").Inc()
+			mirror.answered(address)
 			return kvstore.Listing{Revision: read.Revision, Entries: read.Entries, Age: read.age()}, nil
 		}
 		if ctx.Err() != nil {
@@ -208,7 +221,7 @@
 		read, err := mirror.ask(ctx, address, asked)
 		switch {
 		case err == nil && (len(read.Entries) > 0 || len(read.Deleted) > 0 || left <= sourceWait):
-			mirror.reads.WithLabelValues("source", "answered").Inc()
+			mirror.answered(address)
 			changes := kvstore.Changes{Revision: max(after, read.Revision), Entries: read.Entries, Deleted: read.Deleted}
 			changes.Age = read.age() - sent.Sub(began)
 			return changes, nil
