Separate the late second answer from the one that comes with the first

Its target wrote the second answer in a write of its own, under load it arrived after the next request was sent on the kept connection, and the test gave all requests the id a1, so it was taken for that request's own answer. Callers give each attempt an id of its own, by which such an answer is known.

The test now writes both answers at once, which is what its guards (bytes left after an answer) are for: without them it fails as before. The late answer has a test of its own with ids as callers send them: it fails without the comparison of ids.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -138,8 +140,11 @@
 // next request's.
 func TestConnectionWithASecondAnswerIsNotUsedAgain(test *testing.T) {
 	runner := newTarget(test, "r1", func(conn net.Conn, request *http.Request) bool {
-		answer(conn, request, 200, "Seal: s\r\n", "own")
-		return answer(conn, request, 200, "Seal: s\r\n", "second")
+		// One write: a second answer that arrives after the next request was sent
+		// can only be known by its id.
+		_, err := io.WriteString(conn, answerText(request.Header.Get("Id"), 200, "Seal: s\r\n", "own")+
+			answerText(request.Header.Get("Id"), 200, "Seal: s\r\n", "second"))
+		return err == nil
 	})
 	node := newNode(test, tableFixture{idempotent: []*target{runner}})
 	for range 5 {
@@ -148,6 +153,35 @@
 	}
 }
 
+// Replays a second answer that arrives where that of the next request is due.
+// Guards against a caller who gets the answer to another request.
+func TestAnswerOfAnEarlierRequestIsNotPassedOn(test *testing.T) {
+	earlier := map[net.Conn]string{}
+	var mutex sync.Mutex
+	late := 0
+	runner := newTarget(test, "r1", func(conn net.Conn, request *http.Request) bool {
+		mutex.Lock()
+		defer mutex.Unlock()
+		if id, found := earlier[conn]; found {
+			late++
+			_, _ = io.WriteString(conn, answerText(id, 200, "Seal: s\r\n", "late"))
+		}
+		earlier[conn] = request.Header.Get("Id")
+		return answer(conn, request, 200, "Seal: s\r\n", "own")
+	})
+	node := newNode(test, tableFixture{idempotent: []*target{runner}})
+	for index := range 6 {
+		request, err := http.NewRequest(http.MethodGet, node.server.URL+"/idempotent/1", nil)
+		require.NoError(test, err)
+		request.Host = "host.example"
+		request.Header = http.Header{"Id": {fmt.Sprint("a", index)}, "Secret": {"key"}}
+		require.NotEqual(test, "late", node.send(request).body)
+	}
+	mutex.Lock()
+	defer mutex.Unlock()
+	require.Positive(test, late, "no late answer was sent")
+}
+
 // Guards against a stream that is broken off, repeated or not whole.
 func TestStreamGoesOnAfterTheLastWholeEvent(test *testing.T) {
 	for name, end := range map[string]string{
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -131,10 +131,14 @@
 
 // answer writes a whole answer with the request's id.
 func answer(conn net.Conn, request *http.Request, status int, header, body string) bool {
-	fmt.Fprintf(conn, "HTTP/1.1 %d Status\r\nId: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, request.Header.Get("Id"), header, len(body), body)
+	_, _ = io.WriteString(conn, answerText(request.Header.Get("Id"), status, header, body))
 	return true
 }
 
+func answerText(id string, status int, header, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d Status\r\nId: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, id, header, len(body), body)
+}
+
 func answers(status int, header, body string) func(net.Conn, *http.Request) bool {
 	return func(conn net.Conn, request *http.Request) bool { return answer(conn, request, status, header, body) }
 }
