--- a/limit/loads.go
+++ b/limit/loads.go
@@ -7,8 +7,8 @@
 	// Window bounds the loads that begin in any span.
 	Window WindowConfig
 
-	// Parallel is the number of loads beyond which each takes proportionally
-	// longer, over all nodes.
+	// Parallel is this node's part of the loads beyond which each takes
+	// proportionally longer.
 	Parallel int
 
 	// Announce is how long a load that was granted may take to show in the
@@ -22,16 +22,17 @@
 // answers the steady loss of members after which each broken group asks for a
 // load.
 //
-// Loads for spares take half of the places at most, so that a group that lacks
-// a member does not wait for one. It is not safe for concurrent use.
+// Loads that nothing waits for take half of the places at most, so that a group
+// that lacks a member does not wait for one. It is not safe for concurrent use.
 type Loads struct {
 	config  LoadsConfig
 	window  *Window
 	granted map[string]time.Time
 }
 
-// spareDivisor is the inverse of the part of the places that spares may take.
-const spareDivisor = 2
+// aheadDivisor is the inverse of the part of the places that loads take which
+// nothing waits for.
+const aheadDivisor = 2
 
 // NewLoads returns loads of which none has begun.
 func NewLoads(config LoadsConfig) *Loads {
@@ -44,9 +45,10 @@
 	loads.config.Parallel = parallel
 }
 
-// Take asks for a load on a target. loading are the targets that report a load.
+// Take asks for a load on a target; ahead says that nothing waits for it. loading
+// are the targets that load now.
 // It returns how long to wait, 0 when the load may begin.
-func (loads *Loads) Take(now time.Time, target string, spare bool, loading map[string]bool) time.Duration {
+func (loads *Loads) Take(now time.Time, target string, ahead bool, loading map[string]bool) time.Duration {
 	running := len(loading)
 	for name, at := range loads.granted {
 		if now.Sub(at) >= loads.config.Announce {
@@ -58,8 +60,8 @@
 		}
 	}
 	places := loads.config.Parallel
-	if spare {
-		places /= spareDivisor
+	if ahead {
+		places /= aheadDivisor
 	}
 	if places > 0 && running >= places || loads.config.Parallel > 0 && places == 0 {
 		return loads.config.Announce
