Scan attempts against a table no older than theirs

Cause: grantGate.run read the table before the scan took the lock of the attempts. An attempt that registered in between with a group of a newer table was cancelled as group-lost by a scan of the older one, and its draft waited for the next table. Change: scan reads the table while it holds the lock.

--- a/entry/gate.go
+++ b/entry/gate.go
@@ -90,7 +90,7 @@
 			applied = table
 			apply(table)
 		}
-		timer := time.NewTimer(gate.scan(table))
+		timer := time.NewTimer(gate.scan())
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -114,9 +114,13 @@
 // scan cancels the attempts at groups that lost their grant and returns the
 // time until the next grant expires. An expired grant needs no timer, because
 // only a new table can renew it or make another group usable.
-func (gate *grantGate) scan(table *route.Table) time.Duration {
+//
+// The table is read while the attempts are locked, so that it is never older
+// than the table from which a registered attempt took its group.
+func (gate *grantGate) scan() time.Duration {
 	gate.mutex.Lock()
 	defer gate.mutex.Unlock()
+	table := gate.publisher.Current()
 	now := gate.now()
 	next := maxScanInterval
 	for attempt := range gate.attempts {
