Accept decimal bounds on retries in the settings

Cause: the platform fills in budgetSlack 36.63 on the small twin of the large site; retry-slack took whole numbers only, and no node started. Change: retry-slack is a decimal number. A value that is not a number, is negative or above a million is reported as before; retry-ratio and retry-slack share the parser and its error text. Result: TestBoundsMayBeDecimals failed before and passes.

--- a/limit/allowance.go
+++ b/limit/allowance.go
@@ -10,7 +10,7 @@
 	// Ratio is the number of retries allowed for each request. Slack is the
 	// number allowed in addition, for all nodes together.
 	Ratio float64
-	Slack int
+	Slack float64
 
 	// Safety is the fraction of the bound that is used. It is below 1 because
 	// nodes learn of each other with a delay.
@@ -76,7 +76,7 @@
 // Retry takes one retry of a service. It returns false if none is left.
 func (allowance *RetryAllowance) Retry(service string, now time.Time) bool {
 	counts := allowance.counts(service, now)
-	bound := allowance.config.Ratio*float64(len(counts.requests)) + float64(allowance.config.Slack)/float64(allowance.nodes)
+	bound := allowance.config.Ratio*float64(len(counts.requests)) + allowance.config.Slack/float64(allowance.nodes)
 	if float64(len(counts.retries)+1) > bound*allowance.config.Safety {
 		return false
 	}
--- a/settings/field.go
+++ b/settings/field.go
@@ -134,12 +134,12 @@
 	{
 		id:           fieldID{sectionBounds, "retry-ratio"},
 		defaultValue: "0.2",
-		set:          func(settings *Settings, value string) error { return setRatio(&settings.retryRatio, value) },
+		set:          func(settings *Settings, value string) error { return setNumber(&settings.retryRatio, value, maxRatio) },
 	},
 	{
 		id:           fieldID{sectionBounds, "retry-slack"},
 		defaultValue: "130",
-		set:          func(settings *Settings, value string) error { return setCount(&settings.retrySlack, value, 0) },
+		set:          func(settings *Settings, value string) error { return setNumber(&settings.retrySlack, value, maxCount) },
 	},
 	{
 		id:           fieldID{sectionBounds, "retry-window"},
@@ -255,12 +255,13 @@
 	return nil
 }
 
-func setRatio(ratio *float64, value string) error {
+// setNumber sets a decimal number from 0 to most.
+func setNumber(number *float64, value string, most int) error {
 	parsed, err := strconv.ParseFloat(value, 64)
-	if err != nil || !(parsed >= 0 && parsed <= maxRatio) {
-		return errors.NotValidf("ratio %q (want 0 to %d)", value, maxRatio)
+	if err != nil || !(parsed >= 0 && parsed <= float64(most)) {
+		return errors.NotValidf("number %q (want 0 to %d)", value, most)
 	}
-	*ratio = parsed
+	*number = parsed
 	return nil
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -92,7 +92,7 @@
 	storeProtocol  string
 	revocation     time.Duration
 	retryRatio     float64
-	retrySlack     int
+	retrySlack     float64
 	retryWindow    time.Duration
 	loadWindow     time.Duration
 	nodes          int
@@ -142,7 +142,7 @@
 
 // RetrySlack returns the number of retries that all nodes together may make in
 // addition to those of RetryRatio.
-func (settings *Settings) RetrySlack() int { return settings.retrySlack }
+func (settings *Settings) RetrySlack() float64 { return settings.retrySlack }
 
 // RetryWindow returns the time window for which the bound on retries holds.
 func (settings *Settings) RetryWindow() time.Duration { return settings.retryWindow }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -87,3 +87,41 @@
 		`node.ini:8: admin: same address as peers`,
 	}, lines)
 }
+
+// TestBoundsMayBeDecimals guards against a node that does not start because the
+// platform fills in a bound that is not a whole number.
+func TestBoundsMayBeDecimals(t *testing.T) {
+	parsed, problems := settings.Parse("node.ini", []byte(minimal+`[bounds]
+revocation   = 2500.5ms
+retry-ratio  = 0.05
+retry-slack  = 36.63157894736842
+retry-window = 7.5s
+load-window  = 2.5s
+`))
+	require.Empty(t, problems)
+	assert.Equal(t, 2500*time.Millisecond+500*time.Microsecond, parsed.RevocationBound())
+	assert.Equal(t, 0.05, parsed.RetryRatio())
+	assert.Equal(t, 36.63157894736842, parsed.RetrySlack())
+	assert.Equal(t, 7500*time.Millisecond, parsed.RetryWindow())
+	assert.Equal(t, 2500*time.Millisecond, parsed.LoadWindow())
+}
+
+// TestParseRejectsInvalidBounds guards against a bound without effect, such as NaN,
+// which no number of retries exceeds.
+func TestParseRejectsInvalidBounds(t *testing.T) {
+	for line, want := range map[string]string{
+		"retry-slack = -0.5":     `retry-slack: number "-0.5" (want 0 to 1000000) not valid`,
+		"retry-slack = NaN":      `retry-slack: number "NaN" (want 0 to 1000000) not valid`,
+		"retry-slack = Inf":      `retry-slack: number "Inf" (want 0 to 1000000) not valid`,
+		"retry-slack = 1e7":      `retry-slack: number "1e7" (want 0 to 1000000) not valid`,
+		"retry-slack =":          `retry-slack: number "" (want 0 to 1000000) not valid`,
+		"retry-ratio = NaN":      `retry-ratio: number "NaN" (want 0 to 100) not valid`,
+		"retry-window = 0.5s":    `retry-window: duration "0.5s" (want at least 1s) not valid`,
+		"revocation = 999.999ms": `revocation: duration "999.999ms" (want at least 1s) not valid`,
+	} {
+		parsed, problems := settings.Parse("node.ini", []byte(minimal+"[bounds]\n"+line+"\n"))
+		assert.Nil(t, parsed, line)
+		require.Len(t, problems, 1, line)
+		assert.Equal(t, "node.ini:12: "+want, problems[0].String())
+	}
+}
