--- a/cmd/lacewingspoke/sharedmodule.go
+++ b/cmd/lacewingspoke/sharedmodule.go
@@ -57,6 +57,10 @@
 	// at an interval of one second.
 	sharedLeaseMinimum = 3 * time.Second
 
+	// sharedRenewalsPerSecond keeps leases at sharedLeaseMinimum in fleets of up to
+	// 300 nodes. The store counts a renewal as a tenth of a read.
+	sharedRenewalsPerSecond = 300
+
 	// sharedClaimStep covers a write and its delivery through a watch, which
 	// take about 30 ms.
 	sharedClaimStep = 250 * time.Millisecond
@@ -89,7 +93,7 @@
 }
 
 func newMirror(client *platform.StoreClient, clock *timer.BootClock, logger *zap.Logger, registry *prometheus.Registry) (*mirror.Mirror, error) {
-	mirrored, err := mirror.New(mirror.Config{Store: client, Now: clock.Now, Logger: logger, Registerer: registry})
+	mirrored, err := mirror.New(mirror.Config{Store: client, Now: clock.Now, Content: platform.EntryContent, Logger: logger, Registerer: registry})
 	return mirrored, errors.Trace(err)
 }
 
@@ -206,7 +210,9 @@
 			ReturnGrace: returnGrace,
 			LoadWindow:  params.Settings.LoadWindow(),
 			LoadSlack:   loadSlack,
-			Bootstrap:   params.Settings.Bootstrap(),
+
+			RenewalsPerSecond: sharedRenewalsPerSecond,
+			Bootstrap:         params.Settings.Bootstrap(),
 		},
 		Platform:   mirroredPlatform{StoreClient: params.Client, mirrored: params.Mirror},
 		Mesh:       params.Mesh,
--- a/control/control.go
+++ b/control/control.go
@@ -256,8 +256,10 @@
 		LeaseMinimum:  config.LeaseMinimum,
 		ClaimStep:     config.ClaimStep,
 		Mirrored:      config.Feed.SetSources != nil,
-		SettleNear:    config.SettleNear,
-		SettleFar:     config.SettleFar,
-		Random:        config.Random,
+
+		RenewalsPerSecond: config.Feed.RenewalsPerSecond,
+		SettleNear:        config.SettleNear,
+		SettleFar:         config.SettleFar,
+		Random:            config.Random,
 	}
 }
--- a/control/feed.go
+++ b/control/feed.go
@@ -67,6 +67,9 @@
 	LoadWindow time.Duration
 	LoadSlack  int
 
+	// RenewalsPerSecond bounds the lease renewals of all nodes, see fleet.Config.
+	RenewalsPerSecond int
+
 	// Bootstrap removes the bound on loads until the first request of a caller.
 	// It is set on nodes that start while the whole system is started for the
 	// first time.
@@ -93,12 +96,13 @@
 	feedReturnSettle    = time.Second
 
 	// pausePerNode keeps the calls for changes of all nodes of a small fleet
-	// together below 100 per second. In a fleet whose pause would be above
-	// maxFeedPause only some nodes read the store. maxFeedPause also keeps the
-	// age of a node's data within a part of the time for which a draining target
-	// still serves requests.
+	// together below 100 per second.
 	pausePerNode = 15 * time.Millisecond
-	maxFeedPause = 300 * time.Millisecond
+
+	// readerPause is the pause of the node that reads the store for a large fleet.
+	// Its calls are few enough that their price does not matter, and every other
+	// node's data is older by this time.
+	readerPause = 150 * time.Millisecond
 
 	// leaderPauseDivisor shortens the pause of nodes that lead a fabric domain,
 	// because it delays their repairs. The feed does not go below its own
@@ -126,16 +130,26 @@
 type feedState struct {
 	directory *directory.Directory
 	reports   map[string]engine.Report
-	runners   []route.ServiceTarget
-	catalog   *catalog.Catalog
-	loads     *limit.LoadLimiter
-	orders    *orderCounts
+
+	// fabricDomains maps the targets with a report, and those that had one before
+	// the last change, to their fabric domains.
+	fabricDomains map[string]string
+
+	runners []route.ServiceTarget
+	catalog *catalog.Catalog
+	loads   *limit.LoadLimiter
+	orders  *orderCounts
 
 	// unresponsive holds the targets that did not respond to a probe, each with
 	// the heartbeat of its last announcement. A target with a later heartbeat
 	// has recovered.
 	unresponsive map[string]uint64
 
+	// rechecking is true while the unresponsive targets are probed again, and
+	// recheckedAt is when that last began.
+	rechecking  bool
+	recheckedAt time.Time
+
 	// probedAt is when the members of each group were last probed.
 	probedAt map[string]time.Time
 }
@@ -193,6 +207,8 @@
 func (state *state) applyTargets(now time.Time) {
 	var vms []kvstore.VM
 	reports := make(map[string]engine.Report, len(state.feed.reports))
+	previousDomains := state.feed.fabricDomains
+	state.feed.fabricDomains = make(map[string]string, len(reports))
 	state.feed.runners = nil
 	for _, target := range state.feed.directory.Targets() {
 		if !state.feed.configured(target) || !state.feed.responsive(target) {
@@ -204,9 +220,15 @@
 		}
 		vms = append(vms, target.VM)
 		reports[target.VM.Name] = target.Report
+		state.feed.fabricDomains[target.VM.Name] = target.VM.FabricDomain
 	}
 	previous := state.feed.reports
 	state.feed.reports = reports
+	for name := range previous {
+		if _, found := reports[name]; !found {
+			state.feed.fabricDomains[name] = previousDomains[name]
+		}
+	}
 	state.feed.orders.retain(reports)
 	state.logTargets(previous, reports)
 	state.dirty = true
@@ -243,23 +265,34 @@
 	}
 }
 
-// logTargets logs each target whose report changed and each removed target.
+// logTargets logs the targets whose report changed and the removed targets of the
+// fabric domains that this node leads, because the leader decides by them. It
+// counts those of the others: a fleet would otherwise write each change once for
+// each of its nodes.
 func (state *state) logTargets(previous, current map[string]engine.Report) {
 	for name, report := range current {
-		if known, found := previous[name]; !found || !known.Same(report) {
-			state.logger.Info("target reported", zap.String("target", name), zap.String("incarnation", report.Incarnation),
-				zap.String("group", report.Group), zap.Uint64("epoch", report.Epoch), zap.Int("rank", report.Rank),
-				zap.String("state", string(report.State)), zap.Strings("staged", report.Staged))
+		if known, found := previous[name]; found && known.Same(report) {
+			continue
 		}
+		state.logTarget("target reported", report)
 	}
 	for name, known := range previous {
 		if _, found := current[name]; !found {
-			state.logger.Info("target removed", zap.String("target", name), zap.String("incarnation", known.Incarnation),
-				zap.String("group", known.Group), zap.Uint64("epoch", known.Epoch), zap.Int("rank", known.Rank))
+			state.logTarget("target removed", known)
 		}
 	}
 }
 
+func (state *state) logTarget(message string, report engine.Report) {
+	state.metrics.targetChanges.Inc()
+	if _, leads := state.leaderships[state.feed.fabricDomains[report.VM]]; !leads {
+		return
+	}
+	state.logger.Info(message, zap.String("target", report.VM), zap.String("incarnation", report.Incarnation),
+		zap.String("group", report.Group), zap.Uint64("epoch", report.Epoch), zap.Int("rank", report.Rank),
+		zap.String("state", string(report.State)), zap.Strings("staged", report.Staged))
+}
+
 // adoptCatalog puts a configuration into force if it is newer than the current
 // one.
 func (state *state) adoptCatalog(now time.Time, offered *catalog.Catalog) {
@@ -296,13 +329,24 @@
 	}
 }
 
-// setFeedPause sets the time between two calls of the feed for changes, which
-// grows with the fleet and is shorter for nodes that lead a fabric domain.
-func (state *state) setFeedPause() {
+// setFeedPause sets the time between two calls of the feed for changes. In a small
+// fleet it grows with the number of nodes, which all read the store, and is shorter
+// for nodes that lead a fabric domain. In a large fleet one node reads the store,
+// and the others, whose sources respond only to changes, need no pause of their
+// own.
+func (state *state) setFeedPause(now time.Time) {
 	if state.config.Feed.SetPause == nil {
 		return
 	}
-	pause := min(time.Duration(state.fleet.Size())*pausePerNode, maxFeedPause)
+	if state.fleet.Mirroring(now) {
+		pause := time.Duration(0)
+		if len(state.fleet.Sources(now)) == 0 {
+			pause = readerPause
+		}
+		state.config.Feed.SetPause(pause)
+		return
+	}
+	pause := time.Duration(state.fleet.Size()) * pausePerNode
 	if len(state.leaderships) > 0 {
 		pause /= leaderPauseDivisor
 	}
--- a/control/loop.go
+++ b/control/loop.go
@@ -98,7 +98,8 @@
 		state.config.Traffic.SetNodes(state.fleet.Size())
 		if state.feeding() {
 			state.setSources(state.now())
-			state.setFeedPause()
+			state.setFeedPause(state.now())
+			state.recheckUnresponsive(state.now())
 			break
 		}
 		state.requestMissingBodies(state.now())
@@ -198,6 +199,8 @@
 		state.handleDrainRecorded(result)
 	case probeResult:
 		state.handleProbeResult(now, result)
+	case recheckResult:
+		state.handleRecheckResult(now, result)
 	case leaseRevoked:
 		state.pendingRevocations--
 	case workerEnded:
--- a/control/membership.go
+++ b/control/membership.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"go.uber.org/zap"
 
 	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/kvstore"
@@ -89,6 +90,7 @@
 	case errors.Is(err, errors.NotFound):
 		return fleetResult{event: fleet.LeaseMissing(effect), reached: true}
 	default:
+		state.logger.Warn("renewal of the node's lease failed", zap.String("lease", effect.Lease), zap.Error(err))
 		return fleetResult{event: fleet.LeaseRenewFailed(effect)}
 	}
 }
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -15,6 +15,7 @@
 	unknownFrames   prometheus.Counter
 	badRecords      prometheus.Counter
 	conflicts       prometheus.Counter
+	targetChanges   prometheus.Counter
 }
 
 const metricsPrefix = "lacewingspoke_control_"
@@ -30,6 +31,7 @@
 		staleFrames:     counter("stale_frames_total", "Frames with an old version or fencing number."),
 		unknownFrames:   counter("unknown_frames_total", "Frames of a kind that is not handled."),
 		badRecords:      counter("bad_records_total", "Store records that are not valid."),
+		targetChanges:   counter("target_changes_total", "Changed and removed reports of targets."),
 		conflicts:       counter("generation_conflicts_total", "Offers of another configuration with the generation in force."),
 	}
 	collected.orders = prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -39,7 +41,7 @@
 	if registerer != nil {
 		registerer.MustRegister(collected.generation, collected.storeBehind, collected.ledDomains,
 			collected.commits, collected.orders, collected.storeFailures, collected.serviceFailures,
-			collected.staleFrames, collected.unknownFrames, collected.badRecords, collected.conflicts)
+			collected.staleFrames, collected.unknownFrames, collected.badRecords, collected.conflicts, collected.targetChanges)
 	}
 	return collected
 }
--- a/control/probe.go
+++ b/control/probe.go
@@ -35,6 +35,14 @@
 
 func (probeResult) message() {}
 
+// recheckResult is the result of probing the unresponsive targets again.
+type recheckResult struct{ responsive []probedTarget }
+
+func (recheckResult) message() {}
+
+// A probedTarget is one incarnation of a target with its address.
+type probedTarget struct{ vm, incarnation, address string }
+
 // probeStalledGroups probes the members of groups with stalled streams, if this
 // node leads their fabric domain. This detects a lost member long before its
 // announcement expires.
@@ -57,48 +65,107 @@
 // probe starts a worker that requests a report from every listed member of a
 // group.
 func (state *state) probe(name string, placement *group.Placement) {
-	addresses := map[string]string{}
+	var targets []probedTarget
 	for _, vm := range placement.Members(name) {
 		if _, listed := state.feed.reports[vm]; !listed {
 			continue
 		}
 		assignment, _ := placement.Assignment(vm)
-		addresses[vm] = assignment.Address
+		targets = append(targets, probedTarget{vm: vm, address: assignment.Address})
 	}
 	state.startWorker(func(ctx context.Context) message {
-		results := make(chan string, len(addresses))
-		for vm, address := range addresses {
-			go func(ctx context.Context, results chan<- string) {
-				if state.responds(ctx, address) {
-					vm = ""
-				}
-				results <- vm
-			}(ctx, results)
-		}
 		result := probeResult{group: name}
-		for range addresses {
-			if vm := <-results; vm != "" {
-				result.unresponsive = append(result.unresponsive, vm)
+		for _, probed := range state.probeAll(ctx, targets) {
+			if !probed.responded {
+				result.unresponsive = append(result.unresponsive, probed.vm)
 			}
 		}
 		return result
 	})
 }
 
+// A probeAnswer is the result of probing one target.
+type probeAnswer struct {
+	probedTarget
+	responded bool
+}
+
+// probeAll requests a report from each target at the same time.
+func (state *state) probeAll(ctx context.Context, targets []probedTarget) []probeAnswer {
+	results := make(chan probeAnswer, len(targets))
+	for _, target := range targets {
+		go func(ctx context.Context, results chan<- probeAnswer) {
+			results <- probeAnswer{probedTarget: target, responded: state.responds(ctx, target)}
+		}(ctx, results)
+	}
+	answers := make([]probeAnswer, 0, len(targets))
+	for range targets {
+		answers = append(answers, <-results)
+	}
+	return answers
+}
+
 // responds reports whether an engine responds to one of probeAttempts requests
-// for its report.
-func (state *state) responds(ctx context.Context, address string) bool {
+// for its report and is still the same incarnation.
+func (state *state) responds(ctx context.Context, target probedTarget) bool {
 	for range probeAttempts {
 		attempt, cancel := context.WithTimeout(ctx, probeTimeout)
-		_, err := state.config.Engines.Report(attempt, address)
+		report, err := state.config.Engines.Report(attempt, target.address)
 		cancel()
 		if err == nil {
-			return true
+			return target.incarnation == "" || report.Incarnation == "" || report.Incarnation == target.incarnation
 		}
 	}
 	return false
 }
 
+// recheckUnresponsive probes the unresponsive targets of the fabric domains that
+// this node leads once per probeInterval. Heartbeats that change nothing do not
+// reach nodes that read the store through others, so the announcements alone do
+// not show that a paused target has resumed.
+func (state *state) recheckUnresponsive(now time.Time) {
+	if len(state.feed.unresponsive) == 0 || state.feed.rechecking || now.Sub(state.feed.recheckedAt) < probeInterval {
+		return
+	}
+	var targets []probedTarget
+	for _, target := range state.feed.directory.Targets() {
+		if _, unresponsive := state.feed.unresponsive[target.VM.Name]; !unresponsive {
+			continue
+		}
+		if _, leads := state.leaderships[target.VM.FabricDomain]; !leads {
+			delete(state.feed.unresponsive, target.VM.Name)
+			continue
+		}
+		targets = append(targets, probedTarget{vm: target.VM.Name, incarnation: target.VM.Incarnation, address: target.VM.Address})
+	}
+	if len(targets) == 0 {
+		return
+	}
+	state.feed.rechecking = true
+	state.feed.recheckedAt = now
+	state.startWorker(func(ctx context.Context) message {
+		var result recheckResult
+		for _, probed := range state.probeAll(ctx, targets) {
+			if probed.responded {
+				result.responsive = append(result.responsive, probed.probedTarget)
+			}
+		}
+		return result
+	})
+}
+
+// handleRecheckResult treats the targets that responded as live again.
+func (state *state) handleRecheckResult(now time.Time, result recheckResult) {
+	state.feed.rechecking = false
+	for _, target := range result.responsive {
+		delete(state.feed.unresponsive, target.vm)
+		state.logger.Info("target responds to probes again", zap.String("target", target.vm), zap.String("incarnation", target.incarnation))
+	}
+	if len(result.responsive) > 0 {
+		state.applyTargets(now)
+	}
+}
+
 // handleProbeResult treats the members that did not respond as lost until their
 // next announcement.
 func (state *state) handleProbeResult(now time.Time, result probeResult) {
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -134,7 +134,7 @@
 		name := fmt.Sprint("node-", index)
 		state.handleFleet(time.Now(), fleet.LinkOpened{Node: fleet.Node{Name: name, Incarnation: "1"}})
 	}
-	require.Equal(test, 3*730*time.Second/fleet.RenewalsPerSecond, state.leaderConfig("fd").LeaseDuration)
+	require.Equal(test, 3*730*time.Second/fleet.DefaultRenewalsPerSecond, state.leaderConfig("fd").LeaseDuration)
 }
 
 // Guards against claims and commits that are sent without the condition that
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -77,6 +77,11 @@
 	// counts as watching.
 	Mirrored bool
 
+	// RenewalsPerSecond bounds the lease renewals per second of all nodes together;
+	// 0 means DefaultRenewalsPerSecond. A lower rate makes leases longer, and a
+	// leader that cannot reach the store is replaced later.
+	RenewalsPerSecond int
+
 	// Random randomizes the times of retries and polls. It is required.
 	Random *rand.Rand
 }
@@ -141,6 +146,9 @@
 	relay          *relayTrees
 	relayStale     bool
 	relayRefreshAt time.Time
+
+	// largeUntil is the time until which the fleet counts as large.
+	largeUntil time.Time
 }
 
 // New returns a fleet with this node as its only member.
@@ -148,6 +156,9 @@
 	if config.LeaseMinimum == 0 {
 		config.LeaseMinimum = DefaultLeaseMinimum
 	}
+	if config.RenewalsPerSecond == 0 {
+		config.RenewalsPerSecond = DefaultRenewalsPerSecond
+	}
 	if config.ClaimStep == 0 {
 		config.ClaimStep = DefaultClaimStep
 	}
@@ -189,6 +200,9 @@
 	fleet.reportLeaseExpiry(now)
 	fleet.apply(now, event)
 	fleet.reportLeaseExpiry(now)
+	if len(fleet.members) > FullMeshNodes {
+		fleet.largeUntil = now.Add(largeFleetHold)
+	}
 	if !fleet.stopped {
 		fleet.applyMemberChanges()
 		fleet.requestNodeList(now)
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -7,9 +7,8 @@
 )
 
 const (
-	// RenewalsPerSecond is the number of store writes per second that the lease
-	// renewals of all nodes together may use.
-	RenewalsPerSecond = 50
+	// DefaultRenewalsPerSecond suits a store of which each renewal is a write.
+	DefaultRenewalsPerSecond = 50
 
 	// renewalsPerLease is the TTL of a lease in renewal intervals. With three, a
 	// lease survives two consecutive failed renewals.
@@ -60,7 +59,7 @@
 // renewInterval returns the time between renewals at the current size of the
 // fleet.
 func (fleet *Fleet) renewInterval() time.Duration {
-	spread := time.Duration(len(fleet.members)) * time.Second / RenewalsPerSecond
+	spread := time.Duration(len(fleet.members)) * time.Second / time.Duration(fleet.config.RenewalsPerSecond)
 	return max(fleet.config.LeaseMinimum/renewalsPerLease, spread)
 }
 
@@ -187,7 +186,7 @@
 
 // leaseTooShort reports whether the lease must be replaced because the fleet has
 // doubled since the lease was granted. With its short TTL, the renewals of all
-// nodes would exceed RenewalsPerSecond. A leader keeps its lease, because the
+// nodes would exceed Config.RenewalsPerSecond. A leader keeps its lease, because the
 // keys of its domains are attached to it.
 func (fleet *Fleet) leaseTooShort() bool {
 	if fleet.lease.id == "" || fleet.stopping || !fleet.lease.recordWritten || fleet.lease.failures > 0 {
--- a/fleet/topology.go
+++ b/fleet/topology.go
@@ -96,55 +96,94 @@
 	return before < WatchersPerFailureDomain
 }
 
+// largeFleetHold is how long a fleet counts as large after it last had more than
+// FullMeshNodes members. Nodes that cannot reach the store lose their records;
+// without the hold, the remaining nodes would all start to read the store, and the
+// lost nodes would have no sources.
+const largeFleetHold = time.Minute
+
+// Mirroring reports whether nodes read the store through other nodes.
+func (fleet *Fleet) Mirroring(now time.Time) bool { return now.Before(fleet.largeUntil) }
+
 // Sources returns the admin addresses of the nodes through which this node reads
 // the store, the preferred one first. It returns none if this node reads the
-// store itself: in a fleet of at most FullMeshNodes, while it leads a fabric
-// domain, and if other nodes read through it.
+// store itself: in a fleet of at most FullMeshNodes, and if it is the first of
+// the store's readers. A fleet that had more members within largeFleetHold still
+// counts as large.
+//
+// Two readers serve the leaders and the relays of all failure domains, and the
+// second reader reads through the first one. The relays serve the other nodes of
+// their failure domain. The number of store calls is therefore the same for a
+// fleet of any size.
 func (fleet *Fleet) Sources(now time.Time) []string {
-	if !fleet.nodesListed || len(fleet.members) <= FullMeshNodes || len(fleet.Led(now)) > 0 {
+	if !fleet.nodesListed || !fleet.Mirroring(now) {
 		return nil
 	}
+	self := fleet.members[fleet.self.Name]
+	readers := fleet.storeReaders()
+	if index := slices.Index(readers, self); index >= 0 {
+		return adminAddresses(readers[:index])
+	}
+	relays := fleet.relays(readers)
+	if len(relays) == 0 || slices.Contains(relays, self) || len(fleet.Led(now)) > 0 {
+		return adminAddresses(readers)
+	}
+	// Half of the nodes prefer each relay, which balances the load.
+	if self.hash%2 != 0 {
+		slices.Reverse(relays)
+	}
+	return adminAddresses(relays)
+}
+
+func adminAddresses(members []*member) []string {
 	var addresses []string
-	for _, member := range fleet.storeReaders() {
-		if member.self {
-			return nil
-		}
+	for _, member := range members {
 		addresses = append(addresses, member.node.AdminAddress)
 	}
-	// Half of the nodes prefer each source, which balances the load.
-	if fleet.members[fleet.self.Name].hash%2 != 0 {
-		slices.Reverse(addresses)
-	}
 	return addresses
 }
 
-// storeReaders returns the WatchersPerFailureDomain nodes of this node's failure
-// domain that others read the store through. Leaders of the failure domain's
-// fabric domains come first, because they read the store in any case. The rest
-// are the nodes with the highest score for watchSubject.
+// storeReaders returns the member with the highest score for watchSubject, and the
+// one with the next highest score in another failure domain, if there is one.
 func (fleet *Fleet) storeReaders() []*member {
-	var members []*member
-	for _, member := range fleet.members {
-		if member.node.FailureDomain == fleet.self.FailureDomain && (member.self || member.recorded) {
-			members = append(members, member)
-		}
+	ranked := fleet.rankReaders(func(*member) bool { return true })
+	if len(ranked) == 0 {
+		return nil
 	}
-	leads := map[string]bool{}
-	for _, domain := range fleet.sortedDomains {
-		if domain.failureDomain == fleet.self.FailureDomain && domain.keyState == leaderKeyPresent {
-			leads[domain.leader.Node] = true
-		}
+	first := ranked[0]
+	other := slices.IndexFunc(ranked, func(member *member) bool {
+		return member.node.FailureDomain != first.node.FailureDomain
+	})
+	switch {
+	case other > 0:
+		return []*member{first, ranked[other]}
+	default:
+		return ranked[:min(len(ranked), 2)]
 	}
-	slices.SortFunc(members, func(left, right *member) int {
-		if leads[left.node.Name] != leads[right.node.Name] {
-			if leads[left.node.Name] {
-				return -1
-			}
-			return 1
+}
+
+// relays returns the WatchersPerFailureDomain members of this node's failure
+// domain with the highest scores that are not readers.
+func (fleet *Fleet) relays(readers []*member) []*member {
+	ranked := fleet.rankReaders(func(member *member) bool {
+		return member.node.FailureDomain == fleet.self.FailureDomain && !slices.Contains(readers, member)
+	})
+	return ranked[:min(len(ranked), WatchersPerFailureDomain)]
+}
+
+// rankReaders returns the members with a record for which include is true, the one
+// with the highest score for watchSubject first.
+func (fleet *Fleet) rankReaders(include func(*member) bool) []*member {
+	var ranked []*member
+	for _, member := range fleet.members {
+		if (member.self || member.recorded) && include(member) {
+			ranked = append(ranked, member)
 		}
-		return cmp.Compare(score(right.hash, watchSubject), score(left.hash, watchSubject))
+	}
+	slices.SortFunc(ranked, func(left, right *member) int {
+		return cmp.Or(cmp.Compare(score(right.hash, watchSubject), score(left.hash, watchSubject)), cmp.Compare(left.node.Name, right.node.Name))
 	})
-	return members[:min(len(members), WatchersPerFailureDomain)]
+	return ranked
 }
 
 // sortedMembers returns this node and the members with a peer address, in ring
--- a/fleet/topology_test.go
+++ b/fleet/topology_test.go
@@ -245,56 +245,71 @@
 	assert.Len(t, children, len(linksOf(members)[members[0]]))
 }
 
-// Guards against store calls that grow with the number of nodes, and against
-// sources that themselves read the store through other nodes.
-func TestSourcesAreTheWatchersOfTheFailureDomain(t *testing.T) {
-	const nodes = 30
+// Guards against store calls that grow with the number of nodes, failure domains
+// or leaders, against nodes that read from each other, and against traffic between
+// failure domains that grows with the number of nodes.
+func TestOneNodeReadsTheStoreForAll(t *testing.T) {
+	const nodes, domains = 60, 5
 	listing := KeysListed{Prefix: NodePrefix, Revision: 1}
+	domainOf := map[string]string{}
 	for index := range nodes {
 		node := Node{
-			Name: fmt.Sprint("node-", index), Incarnation: "1", FailureDomain: fmt.Sprint("fd-", index%3), AdminAddress: fmt.Sprint("admin-", index),
+			Name: fmt.Sprint("node-", index), Incarnation: "1", FailureDomain: fmt.Sprint("fd-", index%domains), AdminAddress: fmt.Sprint("admin-", index),
 		}
 		value, err := json.Marshal(node)
 		require.NoError(t, err)
+		domainOf[node.AdminAddress] = node.FailureDomain
 		listing.Entries = append(listing.Entries, kvstore.Entry{Key: NodeKey(node.Name), Value: value, Revision: 1})
 	}
-	direct := map[string]string{}
+	newFleet := func(index int) *Fleet {
+		return New(Config{
+			Name: fmt.Sprint("node-", index), Incarnation: "1", FailureDomain: fmt.Sprint("fd-", index%domains),
+			AdminAddress: fmt.Sprint("admin-", index), Mirrored: true, Random: rand.New(rand.NewPCG(1, 1)),
+		})
+	}
 	sources := map[string][]string{}
+	served := map[string]int{}
 	for index := range nodes {
-		name, domain := fmt.Sprint("node-", index), fmt.Sprint("fd-", index%3)
-		fleet := New(Config{Name: name, Incarnation: "1", FailureDomain: domain, Mirrored: true, Random: rand.New(rand.NewPCG(1, 1))})
+		fleet := newFleet(index)
 		require.Empty(t, fleet.Sources(time.Unix(1, 0)), "a node has sources before the first listing")
 		fleet.Handle(time.Unix(1, 0), listing)
 		require.True(t, fleet.Watching())
 		read := fleet.Sources(time.Unix(1, 0))
-		if len(read) == 0 {
-			direct[fmt.Sprint("admin-", index)] = domain
+		sources[fmt.Sprint("admin-", index)] = read
+		for _, source := range read {
+			served[source]++
 		}
-		sources[domain] = append(sources[domain], read...)
 	}
-	require.Len(t, direct, 3*WatchersPerFailureDomain)
-	for domain, addresses := range sources {
-		for _, address := range addresses {
-			require.Equal(t, domain, direct[address], "the source is in another failure domain or has sources itself")
+	var first []string
+	across := 0
+	for node, read := range sources {
+		if len(read) == 0 {
+			first = append(first, node)
+		}
+		if len(read) > 0 && domainOf[read[0]] != domainOf[node] {
+			across++
+		}
+		hops := 0
+		for at := node; len(sources[at]) > 0; at = sources[at][len(sources[at])-1] {
+			hops++
+			require.LessOrEqual(t, hops, 3, "node %s reads in a circle or through too many nodes", node)
 		}
 	}
+	require.Len(t, first, 1, "nodes that read the store")
+	require.LessOrEqual(t, across, 1+domains*WatchersPerFailureDomain, "nodes that read from another failure domain")
+	require.LessOrEqual(t, len(served), 2+domains*WatchersPerFailureDomain, "nodes that serve others")
+
 	leader, err := json.Marshal(Leader{Node: "node-27", Incarnation: "1"})
 	require.NoError(t, err)
 	led := KeysListed{Prefix: DomainPrefix, Revision: 2, Entries: []kvstore.Entry{{Key: LeaderKey("fabric-0"), Value: leader, Revision: 2, Lease: "1"}}}
 	for index := range nodes {
-		fleet := New(Config{
-			Name: fmt.Sprint("node-", index), Incarnation: "1", FailureDomain: fmt.Sprint("fd-", index%3), Mirrored: true, Random: rand.New(rand.NewPCG(1, 1)),
-		})
+		fleet := newFleet(index)
 		fleet.Handle(time.Unix(1, 0), DomainsListed{Domains: testDomains(3)})
 		fleet.Handle(time.Unix(1, 0), listing)
 		fleet.Handle(time.Unix(1, 0), led)
-		read := fleet.Sources(time.Unix(1, 0))
-		if index%3 == 0 && len(read) > 0 {
-			require.Contains(t, read, "admin-27", "the leader reads the store and must be a source")
-			require.Len(t, read, WatchersPerFailureDomain)
-		}
+		require.Equal(t, sources[fmt.Sprint("admin-", index)], fleet.Sources(time.Unix(1, 0)), "a leader elsewhere changes who reads the store")
 	}
-	small := New(Config{Name: "node-0", Incarnation: "1", FailureDomain: "fd-0", Mirrored: true, Random: rand.New(rand.NewPCG(1, 1))})
+	small := newFleet(0)
 	small.Handle(time.Unix(1, 0), KeysListed{Prefix: NodePrefix, Revision: 1, Entries: listing.Entries[:FullMeshNodes]})
 	require.Empty(t, small.Sources(time.Unix(1, 0)))
 }
--- a/mirror/journal.go
+++ b/mirror/journal.go
@@ -7,9 +7,8 @@
 	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
-// maxChanges is the largest number of changes that a journal keeps, enough for
-// about 20 s of announcements from 220 targets. A node that is further behind
-// must list the prefix again.
+// maxChanges is the largest number of changes that a journal keeps. A node that is
+// further behind must list the prefix again.
 const maxChanges = 4096
 
 // A Journal holds the keys of one prefix and their latest changes. It is not safe
@@ -18,6 +17,11 @@
 	entries  map[string]kvstore.Entry
 	revision uint64
 
+	// content returns the content of an entry, see Config.Content. contents holds
+	// it for each entry. Both are nil if every write counts as a change.
+	content  func(entry kvstore.Entry) uint64
+	contents map[string]uint64
+
 	// changes holds all changes after the revision changesAfter, in order.
 	changes      []change
 	changesAfter uint64
@@ -26,7 +30,11 @@
 	// part of the state. It is zero before the first listing.
 	confirmedAt time.Time
 
-	// watchWait is how long the current watch may wait at the store.
+	// refreshedAt is when the latest request was sent, to the store or to a
+	// source, whose result is part of the state.
+	refreshedAt time.Time
+
+	// watchWait is how long the current watch may wait for a response.
 	watchWait time.Duration
 }
 
@@ -42,6 +50,17 @@
 // changes.
 func NewJournal() *Journal { return &Journal{entries: map[string]kvstore.Entry{}} }
 
+// newContentJournal returns a journal that records a write as a change only if it
+// changes the content of the entry.
+func newContentJournal(content func(entry kvstore.Entry) uint64) *Journal {
+	journal := NewJournal()
+	if content != nil {
+		journal.content = content
+		journal.contents = map[string]uint64{}
+	}
+	return journal
+}
+
 // Replace replaces the state with a complete listing from a call sent at the
 // given time. Keys that differ from the previous state are recorded as changed at
 // the listing's revision. An outdated listing is ignored.
@@ -95,17 +114,29 @@
 	return journal.loaded() && after <= journal.revision
 }
 
-// Current reports whether the state was confirmed by the store within the bound,
-// plus the time for which the current watch may wait.
+// Refresh records that a request sent at the given time brought the state up to
+// date.
+func (journal *Journal) Refresh(sent time.Time) {
+	if sent.After(journal.refreshedAt) {
+		journal.refreshedAt = sent
+	}
+}
+
+// Current reports whether the state was refreshed within the bound, plus the time
+// for which the current watch may wait.
 func (journal *Journal) Current(now time.Time, bound time.Duration) bool {
-	return journal.loaded() && now.Sub(journal.confirmedAt) <= journal.watchWait+bound
+	return journal.loaded() && now.Sub(journal.refreshedAt) <= journal.watchWait+bound
 }
 
 func (journal *Journal) applyChange(changed change) {
 	if changed.entry.Key == "" {
 		delete(journal.entries, changed.key)
+		delete(journal.contents, changed.key)
 	} else {
 		journal.entries[changed.key] = changed.entry
+		if !journal.updateContent(changed.entry) {
+			return
+		}
 	}
 	journal.changes = append(journal.changes, changed)
 	if len(journal.changes) > maxChanges {
@@ -117,7 +148,19 @@
 	}
 }
 
+// updateContent records the content of an entry and reports whether it changed.
+func (journal *Journal) updateContent(entry kvstore.Entry) bool {
+	if journal.content == nil {
+		return true
+	}
+	content := journal.content(entry)
+	previous, found := journal.contents[entry.Key]
+	journal.contents[entry.Key] = content
+	return !found || previous != content
+}
+
 func (journal *Journal) confirm(sent time.Time) {
+	journal.Refresh(sent)
 	if sent.After(journal.confirmedAt) {
 		journal.confirmedAt = sent
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -2,16 +2,22 @@
 // other nodes, their sources.
 //
 // A Mirror performs List and Watch for a node. Without sources it calls the
-// store and records the results in a Journal for each prefix, from which it
-// serves other nodes. With sources it requests the keys from the first of them
-// over HTTP, and falls back to the next source and finally to the store. The
-// number of store calls therefore grows with the number of failure domains and
-// not with the number of nodes.
+// store. With sources it requests the keys from one of them over HTTP, and falls
+// back to the next source and finally to the store. In both cases it records the
+// results in a Journal for each prefix, from which it serves other nodes, so that
+// reads can pass through several nodes. The number of store calls therefore
+// depends neither on the number of nodes nor on that of failure domains.
 //
 // Each result has an Age: the longest time by which it may be out of date. A
-// configuration that was read through a source was the newest one at the time at
-// which the source sent its own call to the store, no matter how long the
-// responses were delayed.
+// configuration that was read through sources was the newest one at the time at
+// which the last of them sent its own call to the store, no matter how many nodes
+// it passed through and how long the responses were delayed. A node that has lost
+// its way to the store stops serving. Two nodes that read from each other see the
+// time since either reached the store grow, and stop as well.
+//
+// A write that does not change the content of an entry, such as a heartbeat, is
+// not passed on. Followers learn from the age of the results that an entry without
+// changes still exists.
 //
 // The requests to sources and the replies also carry Notes, load figures that
 // nodes share.
@@ -42,15 +48,29 @@
 const (
 	// maxSourceWait is the longest time for which a source may hold one request
 	// while it waits for changes. A stopped or unreachable source is detected
-	// within maxSourceWait plus responseTimeout.
-	maxSourceWait = time.Second
+	// within maxSourceWait plus responseTimeout. A result that passes through two
+	// nodes may be older by twice this time, which with the second between two
+	// calls to the store stays below the age at which keys are refused.
+	maxSourceWait = 600 * time.Millisecond
 
 	// responseTimeout is far longer than a response takes within a failure
 	// domain, about 2 ms, and leaves time to retransmit a lost packet.
 	responseTimeout = 400 * time.Millisecond
 
-	// sourceBackoff is how long a source is not used after it failed.
-	sourceBackoff = 500 * time.Millisecond
+	// minSourceBackoff is how long a source is not used after it failed. The time
+	// doubles with each further failure up to maxSourceBackoff: a machine without
+	// power stays in the list of nodes until its lease ends, and each attempt to
+	// read from it delays all changes by a timeout.
+	minSourceBackoff = 500 * time.Millisecond
+	maxSourceBackoff = 16 * time.Second
+
+	// preferenceTime is how long a node keeps reading from the source that
+	// answered it after the preferred one had failed.
+	preferenceTime = 10 * time.Second
+
+	// fallbackInterval is the shortest time between two watches of one prefix at
+	// the store by a node with sources. Many nodes fall back at the same time.
+	fallbackInterval = 300 * time.Millisecond
 
 	// storeBackoff is how long a node with sources does not call the store after
 	// such a call failed. When the store is down, all nodes fall back to it at
@@ -58,10 +78,10 @@
 	// configuration counts as confirmed.
 	storeBackoff = 2 * time.Second
 
-	// maxStoreAge is the longest time since a source last reached the store at
-	// which it still serves reads. Sources read the targets and the
-	// configuration several times within it.
-	maxStoreAge = 2500 * time.Millisecond
+	// maxStoreAge is the longest time since the store was last reached, by this
+	// node or by the nodes that it reads through, at which it still serves reads.
+	// The watch of the configuration returns at least once a second.
+	maxStoreAge = 1600 * time.Millisecond
 
 	// idleConnections allows one waiting request for each prefix.
 	idleConnections = 4
@@ -81,6 +101,11 @@
 	// while the machine is suspended.
 	Now func() time.Time
 
+	// Content returns a hash of the parts of an entry whose changes other nodes
+	// need. Writes that do not change it are not passed on. If it is nil, every
+	// write is.
+	Content func(entry kvstore.Entry) uint64
+
 	// Logger and Registerer are optional.
 	Logger     *zap.Logger
 	Registerer prometheus.Registerer
@@ -93,10 +118,15 @@
 	client *httpsend.Client
 	reads  *prometheus.CounterVec
 
-	mutex         sync.Mutex
-	sources       []string
-	sourceRetryAt map[string]time.Time
-	journals      map[string]*Journal
+	mutex    sync.Mutex
+	sources  []string
+	failures map[string]sourceFailure
+	journals map[string]*Journal
+
+	// preferred is the source that answered last, which is read from until
+	// preferredUntil.
+	preferred      string
+	preferredUntil time.Time
 
 	// notes holds the newest note of each key. onNote, if set, is called with the
 	// notes of other nodes.
@@ -110,8 +140,23 @@
 	// store again.
 	storeRetryAt time.Time
 
-	// storeReachedAt is when the latest successful call to the store was sent.
+	// storeReachedAt is when the latest successful call to the store was sent, by
+	// this node or by a node that it reads through.
 	storeReachedAt time.Time
+
+	// storeFailed is true if the last call to the store failed. A node without
+	// sources then stops serving, so that its followers read through another one
+	// before its data is out of date.
+	storeFailed bool
+
+	// watchedAt is when this node last sent a watch of a prefix to the store.
+	watchedAt map[string]time.Time
+}
+
+// A sourceFailure records that the latest requests to a source failed.
+type sourceFailure struct {
+	retryAt time.Time
+	backoff time.Duration
 }
 
 var _ Reader = (*Mirror)(nil)
@@ -127,9 +172,10 @@
 	mirror := &Mirror{
 		config:          config,
 		client:          httpsend.New(httpsend.Config{IdlePerAddress: idleConnections, DialTimeout: responseTimeout}),
-		sourceRetryAt:   map[string]time.Time{},
+		failures:        map[string]sourceFailure{},
 		journals:        map[string]*Journal{},
 		notes:           map[string]Note{},
+		watchedAt:       map[string]time.Time{},
 		journalsChanged: make(chan struct{}),
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lacewingspoke_mirror_reads_total",
@@ -155,42 +201,67 @@
 	}
 	mirror.config.Logger.Info("sources of store reads changed", zap.Strings("sources", addresses))
 	mirror.sources = slices.Clone(addresses)
-	clear(mirror.sourceRetryAt)
+	for address := range mirror.failures {
+		if !slices.Contains(addresses, address) {
+			delete(mirror.failures, address)
+		}
+	}
 }
 
-// availableSource returns the first source that has not failed within
-// sourceBackoff. It returns false if there is none.
+// availableSource returns the source to read from: the one that answered last, or
+// the first one that is not excluded after a failure. It returns false if there is
+// none.
 func (mirror *Mirror) availableSource() (string, bool) {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
 	now := mirror.config.Now()
+	if now.Before(mirror.preferredUntil) && slices.Contains(mirror.sources, mirror.preferred) {
+		return mirror.preferred, true
+	}
 	for _, address := range mirror.sources {
-		if !now.Before(mirror.sourceRetryAt[address]) {
+		if !now.Before(mirror.failures[address].retryAt) {
 			return address, true
 		}
 	}
 	return "", false
 }
 
-// recordSourceFailure excludes a source for sourceBackoff after a failed request.
+// recordSourceFailure excludes a source after a failed request. Requests that
+// were sent before the source was excluded do not prolong the time.
 func (mirror *Mirror) recordSourceFailure(address string, err error) {
 	mirror.reads.WithLabelValues("source", "failed").Inc()
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
-	if _, failing := mirror.sourceRetryAt[address]; !failing {
+	now := mirror.config.Now()
+	failure, failing := mirror.failures[address]
+	if failing && now.Before(failure.retryAt) {
+		return
+	}
+	if !failing {
 		mirror.config.Logger.Warn("read through source failed", zap.String("source", address), zap.Error(err))
 	}
-	mirror.sourceRetryAt[address] = mirror.config.Now().Add(sourceBackoff)
+	failure.backoff = min(max(2*failure.backoff, minSourceBackoff), maxSourceBackoff)
+	failure.retryAt = now.Add(failure.backoff)
+	mirror.failures[address] = failure
+	if mirror.preferred == address {
+		mirror.preferredUntil = time.Time{}
+	}
 }
 
-// recordSourceResponse records a response from a source.
+// recordSourceResponse records a response from a source. While another source is
+// excluded, this one stays preferred for preferenceTime.
 func (mirror *Mirror) recordSourceResponse(address string) {
 	mirror.reads.WithLabelValues("source", "answered").Inc()
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
-	if _, failing := mirror.sourceRetryAt[address]; failing {
+	if _, failing := mirror.failures[address]; failing {
 		mirror.config.Logger.Info("read through source succeeded again", zap.String("source", address))
-		delete(mirror.sourceRetryAt, address)
+		delete(mirror.failures, address)
+	}
+	now := mirror.config.Now()
+	if len(mirror.failures) > 0 && (mirror.preferred != address || !now.Before(mirror.preferredUntil)) {
+		mirror.preferred = address
+		mirror.preferredUntil = now.Add(preferenceTime)
 	}
 }
 
@@ -201,10 +272,13 @@
 		if !found {
 			return mirror.listStore(ctx, prefix)
 		}
+		sent := mirror.config.Now()
 		read, err := mirror.readSource(ctx, address, readRequest{prefix: prefix, list: true})
 		if err == nil {
 			mirror.recordSourceResponse(address)
-			return kvstore.Listing{Revision: read.Revision, Entries: read.Entries, Age: read.age()}, nil
+			listing := kvstore.Listing{Revision: read.Revision, Entries: read.Entries, Age: read.age()}
+			mirror.applySourceReply(prefix, sent, read, func(journal *Journal, confirmed time.Time) { journal.Replace(listing, confirmed) })
+			return listing, nil
 		}
 		if ctx.Err() != nil {
 			return kvstore.Listing{}, errors.Trace(err)
@@ -221,38 +295,67 @@
 		left := until.Sub(mirror.config.Now())
 		address, found := mirror.availableSource()
 		if !found {
-			if err := mirror.catchUp(ctx, prefix, after); err != nil {
-				return kvstore.Changes{}, errors.Trace(err)
-			}
-			return mirror.watchStore(ctx, prefix, after, max(left, 0))
+			return mirror.watchFallback(ctx, prefix, after, left)
 		}
 		request := readRequest{prefix: prefix, after: after, wait: max(0, min(left, maxSourceWait))}
+		mirror.setWatchWait(prefix, request.wait)
 		sent := mirror.config.Now()
 		read, err := mirror.readSource(ctx, address, request)
-		switch {
-		case err == nil && (len(read.Entries) > 0 || len(read.Deleted) > 0 || left <= maxSourceWait):
-			mirror.recordSourceResponse(address)
-			changes := kvstore.Changes{Revision: max(after, read.Revision), Entries: read.Entries, Deleted: read.Deleted}
-			changes.Age = read.age() - sent.Sub(began)
-			return changes, nil
-		case err == nil:
-			after = max(after, read.Revision)
-		case ctx.Err() != nil, errors.Is(err, errors.NotValid):
-			return kvstore.Changes{}, errors.Trace(err)
-		default:
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, errors.NotValid) {
+				return kvstore.Changes{}, errors.Trace(err)
+			}
 			mirror.recordSourceFailure(address, err)
+			continue
 		}
+		mirror.recordSourceResponse(address)
+		changes := kvstore.Changes{Revision: max(after, read.Revision), Entries: read.Entries, Deleted: read.Deleted}
+		changes.Age = read.age() - sent.Sub(began)
+		mirror.applySourceReply(prefix, sent, read, func(journal *Journal, confirmed time.Time) { journal.Apply(after, changes, confirmed) })
+		if len(read.Entries) > 0 || len(read.Deleted) > 0 || left <= maxSourceWait {
+			return changes, nil
+		}
+		after = changes.Revision
 	}
 }
 
-// catchUp lists a prefix if this node's journal ends before the revision, because
-// the node read the changes up to it through sources. Without the listing the
-// journal would have a gap before the next changes from the store. A node with
-// sources does not list, because it serves no reads.
+// watchFallback reads changes from the store on a node that has no source or cannot
+// reach any.
+func (mirror *Mirror) watchFallback(ctx context.Context, prefix string, after uint64, wait time.Duration) (kvstore.Changes, error) {
+	if err := mirror.checkStoreBackoff(); err != nil {
+		return kvstore.Changes{}, errors.Trace(err)
+	}
+	if err := mirror.catchUp(ctx, prefix, after); err != nil {
+		return kvstore.Changes{}, errors.Trace(err)
+	}
+	if err := mirror.awaitFallback(ctx, prefix); err != nil {
+		return kvstore.Changes{}, errors.Trace(err)
+	}
+	return mirror.watchStore(ctx, prefix, after, max(wait, 0))
+}
+
+// applySourceReply records the reply to a request that was sent to a source at the
+// given time. apply receives the time of the call to the store that confirmed the
+// reply.
+func (mirror *Mirror) applySourceReply(prefix string, sent time.Time, read reply, apply func(journal *Journal, confirmed time.Time)) {
+	mirror.updateJournal(sent.Add(-read.storeAge()), prefix, func(journal *Journal) {
+		apply(journal, sent.Add(-read.age()))
+		if journal.revision >= read.Revision {
+			journal.Refresh(sent)
+		}
+	})
+}
+
+// catchUp lists a prefix if this node's journal ends before the revision. Without
+// the listing the journal would have a gap before the next changes from the store.
+// A node with sources that has not listed the prefix yet has nothing to continue.
 func (mirror *Mirror) catchUp(ctx context.Context, prefix string, after uint64) error {
 	mirror.mutex.Lock()
 	journal := mirror.journals[prefix]
-	contiguous := len(mirror.sources) > 0 || journal != nil && journal.CanApply(after)
+	contiguous := len(mirror.sources) > 0
+	if journal != nil {
+		contiguous = journal.CanApply(after)
+	}
 	mirror.mutex.Unlock()
 	if contiguous {
 		return nil
@@ -261,6 +364,30 @@
 	return errors.Trace(err)
 }
 
+// awaitFallback delays a watch of the store by a node with sources until
+// fallbackInterval after its previous one.
+func (mirror *Mirror) awaitFallback(ctx context.Context, prefix string) error {
+	mirror.mutex.Lock()
+	now := mirror.config.Now()
+	delay := time.Duration(0)
+	if len(mirror.sources) > 0 {
+		delay = mirror.watchedAt[prefix].Add(fallbackInterval).Sub(now)
+	}
+	mirror.watchedAt[prefix] = now.Add(max(delay, 0))
+	mirror.mutex.Unlock()
+	if delay <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	}
+}
+
 // listStore lists a prefix in the store and records the result in its journal.
 func (mirror *Mirror) listStore(ctx context.Context, prefix string) (kvstore.Listing, error) {
 	if err := mirror.checkStoreBackoff(); err != nil {
@@ -308,9 +435,11 @@
 func (mirror *Mirror) recordStoreCall(err error) {
 	if err == nil || errors.Is(err, errors.NotValid) {
 		mirror.reads.WithLabelValues("store", "answered").Inc()
+		mirror.setStoreFailed(false)
 		return
 	}
 	mirror.reads.WithLabelValues("store", "failed").Inc()
+	mirror.setStoreFailed(true)
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
 	if len(mirror.sources) > 0 {
@@ -318,6 +447,12 @@
 	}
 }
 
+func (mirror *Mirror) setStoreFailed(failed bool) {
+	mirror.mutex.Lock()
+	defer mirror.mutex.Unlock()
+	mirror.storeFailed = failed
+}
+
 // checkStoreBackoff returns an error if this node has sources and its last call
 // to the store failed within storeBackoff. Many other nodes would call the store
 // at the same time.
@@ -330,15 +465,17 @@
 	return nil
 }
 
-func (mirror *Mirror) updateJournal(sent time.Time, prefix string, update func(journal *Journal)) {
+// updateJournal updates the journal of a prefix with a result that shows that the
+// store was reached at the given time.
+func (mirror *Mirror) updateJournal(reached time.Time, prefix string, update func(journal *Journal)) {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
-	if sent.After(mirror.storeReachedAt) {
-		mirror.storeReachedAt = sent
+	if reached.After(mirror.storeReachedAt) {
+		mirror.storeReachedAt = reached
 	}
 	journal := mirror.journals[prefix]
 	if journal == nil {
-		journal = NewJournal()
+		journal = newContentJournal(mirror.config.Content)
 		mirror.journals[prefix] = journal
 	}
 	update(journal)
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -310,10 +310,19 @@
 			clock.advance(maxStoreAge + time.Millisecond)
 			return serve(test, source.Handler())
 		},
-		"reads through others itself": func(test *testing.T, source *Mirror, _ *testClock) string {
+		"lost its own source": func(test *testing.T, source *Mirror, clock *testClock) string {
 			source.SetSources([]string{"127.0.0.1:1"})
+			clock.advance(maxStoreAge + time.Millisecond)
 			return serve(test, source.Handler())
 		},
+		"reads through the follower of a lost store": func(test *testing.T, source *Mirror, clock *testClock) string {
+			relay := newTestMirror(test, newTestStore(), clock)
+			relay.SetSources([]string{serve(test, source.Handler())})
+			_, err := relay.List(test.Context(), "servers/")
+			require.NoError(test, err)
+			clock.advance(maxStoreAge + time.Millisecond)
+			return serve(test, relay.Handler())
+		},
 		"does not respond": func(test *testing.T, _ *Mirror, _ *testClock) string { return serve(test, silent) },
 		"stopped": func(test *testing.T, source *Mirror, _ *testClock) string {
 			server := httptest.NewServer(source.Handler())
@@ -522,3 +531,113 @@
 	poll(late)
 	require.Empty(test, source.notes, "expired notes are still in memory")
 }
+
+// Heartbeats of the targets reach the nodes that read the store only. Guards
+// against replies and decoding at every node that grow with the number of targets.
+func TestWritesWithoutChangeAreNotPassedOn(test *testing.T) {
+	store, clock := newTestStore(), newTestClock()
+	content := func(entry kvstore.Entry) uint64 { return uint64(entry.Value[0]) }
+	source, err := New(Config{Store: store, Now: clock.Now, Content: content})
+	require.NoError(test, err)
+	test.Cleanup(source.Close)
+	store.put("servers/a", "1 beat 1")
+	listing, err := source.List(test.Context(), "servers/")
+	require.NoError(test, err)
+	follower := newTestMirror(test, store, clock)
+	follower.SetSources([]string{serve(test, source.Handler())})
+	read := func(revision uint64) kvstore.Changes {
+		_, err := source.Watch(test.Context(), "servers/", listing.Revision, 0)
+		require.NoError(test, err)
+		changes, err := follower.Watch(test.Context(), "servers/", revision, 0)
+		require.NoError(test, err)
+		return changes
+	}
+	store.put("servers/a", "1 beat 2")
+	changes := read(listing.Revision)
+	require.Empty(test, changes.Entries)
+	require.Greater(test, changes.Revision, listing.Revision)
+	store.put("servers/a", "2 beat 3")
+	changes = read(changes.Revision)
+	require.Len(test, changes.Entries, 1)
+	store.remove("servers/a")
+	changes = read(changes.Revision)
+	require.Len(test, changes.Deleted, 1)
+	store.put("servers/a", "2 beat 1")
+	changes = read(changes.Revision)
+	require.Len(test, changes.Entries, 1, "an entry that was removed and returned is not a heartbeat")
+}
+
+// A configuration passes through a reader and a relay. Guards against an age that
+// counts from a relay's request: a removed key would stay valid longer with each
+// node that the configuration passes through.
+func TestAgeCountsThroughRelays(test *testing.T) {
+	store, clock := newTestStore(), newTestClock()
+	reader, relay, leaf := newTestMirror(test, store, clock), newTestMirror(test, store, clock), newTestMirror(test, store, clock)
+	relay.SetSources([]string{serve(test, reader.Handler())})
+	leaf.SetSources([]string{serve(test, relay.Handler())})
+	_, err := reader.List(test.Context(), "op/config")
+	require.NoError(test, err)
+	confirmed := clock.Now()
+	clock.advance(500 * time.Millisecond)
+	calls := store.callCount()
+	listing, err := relay.List(test.Context(), "op/config")
+	require.NoError(test, err)
+	clock.advance(500 * time.Millisecond)
+	sent := clock.Now()
+	listing, err = leaf.List(test.Context(), "op/config")
+	require.NoError(test, err)
+	require.Equal(test, confirmed, sent.Add(-listing.Age))
+	changes, err := leaf.Watch(test.Context(), "op/config", listing.Revision, 0)
+	require.NoError(test, err)
+	require.Equal(test, confirmed, sent.Add(-changes.Age))
+	require.Equal(test, calls, store.callCount())
+}
+
+// Two nodes with different views of the fleet read from each other. Guards against
+// two nodes that confirm each other's old configuration for ever.
+func TestNodesThatReadFromEachOtherReturnToTheStore(test *testing.T) {
+	store, clock := newTestStore(), newTestClock()
+	one, other := newTestMirror(test, store, clock), newTestMirror(test, store, clock)
+	listing, err := one.List(test.Context(), "op/config")
+	require.NoError(test, err)
+	_, err = other.List(test.Context(), "op/config")
+	require.NoError(test, err)
+	one.SetSources([]string{serve(test, other.Handler())})
+	other.SetSources([]string{serve(test, one.Handler())})
+	store.put("op/config", "new")
+	for range 10 {
+		for _, mirrored := range []*Mirror{one, other} {
+			changes, err := mirrored.Watch(test.Context(), "op/config", listing.Revision, 0)
+			require.NoError(test, err)
+			if len(changes.Entries) > 0 {
+				return
+			}
+		}
+		clock.advance(maxStoreAge / 4)
+	}
+	test.Fatal("neither node read the new configuration")
+}
+
+// A source without power stays in the list of nodes until its lease ends. Guards
+// against reads that return to it after every timeout.
+func TestFailedSourceIsRetriedRarely(test *testing.T) {
+	store, clock := newTestStore(), newTestClock()
+	source := newTestMirror(test, store, clock)
+	listing, err := source.List(test.Context(), "servers/")
+	require.NoError(test, err)
+	attempts := 0
+	failing := http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		attempts++
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	})
+	follower := newTestMirror(test, store, clock)
+	follower.SetSources([]string{serve(test, failing), serve(test, source.Handler())})
+	for range 180 {
+		_, err := source.Watch(test.Context(), "servers/", listing.Revision, 0)
+		require.NoError(test, err)
+		_, err = follower.Watch(test.Context(), "servers/", listing.Revision, 0)
+		require.NoError(test, err)
+		clock.advance(100 * time.Millisecond)
+	}
+	require.LessOrEqual(test, attempts, 2, "attempts in 18 seconds")
+}
--- a/mirror/serve.go
+++ b/mirror/serve.go
@@ -53,6 +53,10 @@
 	// request waited for changes.
 	AgeMicros int64 `msgpack:"age-us"`
 
+	// StoreAgeMicros is the time from the latest call that reached the store to
+	// the arrival of the read request.
+	StoreAgeMicros int64 `msgpack:"store-age-us"`
+
 	Notes []noteMessage `msgpack:"notes"`
 }
 
@@ -63,6 +67,10 @@
 
 func (reply reply) age() time.Duration { return time.Duration(reply.AgeMicros) * time.Microsecond }
 
+func (reply reply) storeAge() time.Duration {
+	return time.Duration(reply.StoreAgeMicros) * time.Microsecond
+}
+
 // readSource sends a read request to a source once. It returns an errors.NotValid
 // error if the source no longer has all changes after the requested revision.
 func (mirror *Mirror) readSource(ctx context.Context, address string, request readRequest) (reply, error) {
@@ -106,8 +114,8 @@
 
 // Handler serves the reads of other nodes from this node's journals. Status 410
 // means that the journal no longer has all of the requested changes. Status 503
-// means that this node does not read the prefix from the store itself or has not
-// reached the store within maxStoreAge.
+// means that this node does not read the prefix, or that the store was not reached
+// within maxStoreAge.
 func (mirror *Mirror) Handler() http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
 		query, err := parseReadRequest(request.URL.Query())
@@ -193,18 +201,24 @@
 	defer mirror.mutex.Unlock()
 	journal := mirror.journals[request.prefix]
 	now := mirror.config.Now()
-	serving := len(mirror.sources) == 0 && journal != nil && journal.Current(now, maxStoreAge)
+	connected := len(mirror.sources) > 0 || !mirror.storeFailed
+	serving := connected && journal != nil && journal.Current(now, maxStoreAge)
 	if !serving || now.Sub(mirror.storeReachedAt) > maxStoreAge {
 		return reply{}, http.StatusServiceUnavailable, mirror.journalsChanged
 	}
-	age := arrived.Sub(journal.confirmedAt).Microseconds()
+	answer := reply{
+		AgeMicros:      arrived.Sub(journal.confirmedAt).Microseconds(),
+		StoreAgeMicros: arrived.Sub(mirror.storeReachedAt).Microseconds(),
+	}
 	if request.list {
 		listing := journal.Listing()
-		return reply{Revision: listing.Revision, Entries: listing.Entries, AgeMicros: age}, http.StatusOK, mirror.journalsChanged
+		answer.Revision, answer.Entries = listing.Revision, listing.Entries
+		return answer, http.StatusOK, mirror.journalsChanged
 	}
 	changes, known := journal.After(request.after)
 	if !known {
 		return reply{}, http.StatusGone, mirror.journalsChanged
 	}
-	return reply{Revision: changes.Revision, Entries: changes.Entries, Deleted: changes.Deleted, AgeMicros: age}, http.StatusOK, mirror.journalsChanged
+	answer.Revision, answer.Entries, answer.Deleted = changes.Revision, changes.Entries, changes.Deleted
+	return answer, http.StatusOK, mirror.journalsChanged
 }
