Let a starting fleet find its readers before it reads the store

Cause: a node that starts reads the targets, placements and configuration before it knows the other nodes; with 53 nodes that was 1,000 calls in two seconds, and each read the leader key of every fabric domain. A fabric domain that appears after the listing of leader keys has no leader. The time counts from the response. Sources are chosen when the members change.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -52,6 +52,10 @@
 	PeerAddress  string
 	AdminAddress string
 
+	// ProcessorShare is the share of a core that the node may use, 0 if it is not
+	// known.
+	ProcessorShare float64
+
 	// Seeds are peer addresses to dial in addition to those of known nodes. A
 	// fleet of more than FullMeshNodes dials them only while no link is up.
 	Seeds []string
@@ -128,6 +132,9 @@
 	nextListAt   time.Time
 	listFailures int
 
+	// leadersListed is set after the first listing of the leader keys.
+	leadersListed bool
+
 	// recordWrittenAt is when this node's record was first written.
 	recordWrittenAt time.Time
 
@@ -147,6 +154,11 @@
 	relayStale     bool
 	relayRefreshAt time.Time
 
+	// readers are the nodes that read the store for a large fleet, and relays those
+	// that pass the results on in this node's failure domain.
+	readers []*member
+	relays  []*member
+
 	// largeUntil is the time until which the fleet counts as large.
 	largeUntil time.Time
 }
@@ -174,6 +186,8 @@
 		FailureDomain: config.FailureDomain,
 		PeerAddress:   config.PeerAddress,
 		AdminAddress:  config.AdminAddress,
+
+		ProcessorShare: config.ProcessorShare,
 	}
 	value, err := json.Marshal(self)
 	if err != nil {
@@ -278,6 +292,9 @@
 	return nodes
 }
 
+// Listed reports whether the nodes have been listed.
+func (fleet *Fleet) Listed() bool { return fleet.nodesListed }
+
 // Size returns the number of nodes that this node considers alive, itself
 // included.
 func (fleet *Fleet) Size() int { return len(fleet.members) }
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -82,7 +82,14 @@
 
 func (fleet *Fleet) applyDomains(now time.Time, listed []Domain) {
 	for _, entry := range listed {
+		_, known := fleet.domains[entry.Name]
 		domain := fleet.domain(entry.Name)
+		if !known && fleet.watching && fleet.leadersListed {
+			// The listing and the changes since would have shown the key. A claim is
+			// conditional, so that it fails if the key has just been written.
+			domain.keyState = leaderKeyAbsent
+			domain.absentSince = now
+		}
 		if !domain.hasVMs || domain.failureDomain != entry.FailureDomain {
 			fleet.membersChanged = true
 		}
@@ -378,8 +385,8 @@
 }
 
 // rankCandidates computes this node's rank for each domain. The candidates are
-// the nodes with a record in the store; those in the domain's failure domain
-// rank first.
+// the nodes with a record in the store; those in the domain's failure domain rank
+// first, and among them those with the largest processor share.
 func (fleet *Fleet) rankCandidates() {
 	for _, domain := range fleet.sortedDomains {
 		domain.rank = 0
@@ -399,5 +406,8 @@
 	if near != ownNear {
 		return near
 	}
+	if member.node.ProcessorShare != fleet.self.ProcessorShare {
+		return member.node.ProcessorShare > fleet.self.ProcessorShare
+	}
 	return score(member.hash, domain.hash) > score(fleet.members[fleet.self.Name].hash, domain.hash)
 }
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -33,6 +33,7 @@
 	case strings.HasPrefix(NodePrefix, event.Prefix):
 		fleet.applyNodeListing(now, event)
 	case strings.HasPrefix(DomainPrefix, event.Prefix):
+		fleet.leadersListed = true
 		fleet.applyLeaderListing(now, event)
 	}
 }
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -44,6 +44,10 @@
 	// PeerAddress and AdminAddress are IP:port.
 	PeerAddress  string `json:"peer-address"`
 	AdminAddress string `json:"admin-address"`
+
+	// ProcessorShare is the share of a core that the node may use. Nodes with a
+	// larger share are the first to lead and to read the store for others.
+	ProcessorShare float64 `json:"processor-share,omitempty"`
 }
 
 // ParseNode decodes a node's record. It returns an errors.NotValid error if the
--- a/fleet/topology.go
+++ b/fleet/topology.go
@@ -32,6 +32,8 @@
 	fleet.choosePeers()
 	fleet.chooseWatch()
 	fleet.rankCandidates()
+	fleet.readers = fleet.chooseReaders()
+	fleet.relays = fleet.chooseRelays()
 }
 
 func (fleet *Fleet) choosePeers() {
@@ -120,19 +122,18 @@
 		return nil
 	}
 	self := fleet.members[fleet.self.Name]
-	readers := fleet.storeReaders()
-	if index := slices.Index(readers, self); index >= 0 {
-		return adminAddresses(readers[:index])
+	if index := slices.Index(fleet.readers, self); index >= 0 {
+		return adminAddresses(fleet.readers[:index])
 	}
-	relays := fleet.relays(readers)
-	if len(relays) == 0 || slices.Contains(relays, self) || len(fleet.Led(now)) > 0 {
-		return adminAddresses(readers)
+	if len(fleet.relays) == 0 || slices.Contains(fleet.relays, self) || len(fleet.Led(now)) > 0 {
+		return adminAddresses(fleet.readers)
 	}
+	addresses := adminAddresses(fleet.relays)
 	// Half of the nodes prefer each relay, which balances the load.
 	if self.hash%2 != 0 {
-		slices.Reverse(relays)
+		slices.Reverse(addresses)
 	}
-	return adminAddresses(relays)
+	return addresses
 }
 
 func adminAddresses(members []*member) []string {
@@ -143,9 +144,9 @@
 	return addresses
 }
 
-// storeReaders returns the member with the highest score for watchSubject, and the
+// chooseReaders returns the member with the highest score for watchSubject, and the
 // one with the next highest score in another failure domain, if there is one.
-func (fleet *Fleet) storeReaders() []*member {
+func (fleet *Fleet) chooseReaders() []*member {
 	ranked := fleet.rankReaders(func(*member) bool { return true })
 	if len(ranked) == 0 {
 		return nil
@@ -162,17 +163,18 @@
 	}
 }
 
-// relays returns the WatchersPerFailureDomain members of this node's failure
+// chooseRelays returns the WatchersPerFailureDomain members of this node's failure
 // domain with the highest scores that are not readers.
-func (fleet *Fleet) relays(readers []*member) []*member {
+func (fleet *Fleet) chooseRelays() []*member {
 	ranked := fleet.rankReaders(func(member *member) bool {
-		return member.node.FailureDomain == fleet.self.FailureDomain && !slices.Contains(readers, member)
+		return member.node.FailureDomain == fleet.self.FailureDomain && !slices.Contains(fleet.readers, member)
 	})
 	return ranked[:min(len(ranked), WatchersPerFailureDomain)]
 }
 
-// rankReaders returns the members with a record for which include is true, the one
-// with the highest score for watchSubject first.
+// rankReaders returns the members with a record for which include is true: those
+// with the largest processor share first, and among them the one with the highest
+// score for watchSubject.
 func (fleet *Fleet) rankReaders(include func(*member) bool) []*member {
 	var ranked []*member
 	for _, member := range fleet.members {
@@ -181,7 +183,7 @@
 		}
 	}
 	slices.SortFunc(ranked, func(left, right *member) int {
-		return cmp.Or(cmp.Compare(score(right.hash, watchSubject), score(left.hash, watchSubject)), cmp.Compare(left.node.Name, right.node.Name))
+		return cmp.Or(cmp.Compare(right.node.ProcessorShare, left.node.ProcessorShare), cmp.Compare(score(right.hash, watchSubject), score(left.hash, watchSubject)), cmp.Compare(left.node.Name, right.node.Name))
 	})
 	return ranked
 }
--- a/fleet/topology_test.go
+++ b/fleet/topology_test.go
@@ -309,6 +309,22 @@
 		fleet.Handle(time.Unix(1, 0), led)
 		require.Equal(t, sources[fmt.Sprint("admin-", index)], fleet.Sources(time.Unix(1, 0)), "a leader elsewhere changes who reads the store")
 	}
+	// Larger machines read for the others and lead, whatever their names.
+	for _, index := range []int{7, 13} {
+		node := Node{Name: fmt.Sprint("node-", index), Incarnation: "1", FailureDomain: fmt.Sprint("fd-", index%domains), AdminAddress: fmt.Sprint("admin-", index), ProcessorShare: 0.8}
+		value, err := json.Marshal(node)
+		require.NoError(t, err)
+		listing.Entries[index].Value = value
+	}
+	fleet := newFleet(20)
+	fleet.Handle(time.Unix(1, 0), listing)
+	fleet.Handle(time.Unix(1, 0), led)
+	var readers []string
+	for _, reader := range fleet.readers {
+		readers = append(readers, reader.node.Name)
+	}
+	require.ElementsMatch(t, []string{"node-7", "node-13"}, readers)
+
 	small := newFleet(0)
 	small.Handle(time.Unix(1, 0), KeysListed{Prefix: NodePrefix, Revision: 1, Entries: listing.Entries[:FullMeshNodes]})
 	require.Empty(t, small.Sources(time.Unix(1, 0)))
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -64,6 +64,13 @@
 	minSourceBackoff = 500 * time.Millisecond
 	maxSourceBackoff = 16 * time.Second
 
+	// startTime is how long a node that has just learned its sources waits for them
+	// before it reads the store itself, and startRetry is the time between two
+	// requests. After a power failure the sources start at the same time as their
+	// followers.
+	startTime  = 1500 * time.Millisecond
+	startRetry = 60 * time.Millisecond
+
 	// preferenceTime is how long a node keeps reading from the source that
 	// answered it after the preferred one had failed.
 	preferenceTime = 10 * time.Second
@@ -81,7 +88,7 @@
 	// maxStoreAge is the longest time since the store was last reached, by this
 	// node or by the nodes that it reads through, at which it still serves reads.
 	// The watch of the configuration returns at least once a second.
-	maxStoreAge = 1600 * time.Millisecond
+	maxStoreAge = 2500 * time.Millisecond
 
 	// idleConnections allows one waiting request for each prefix.
 	idleConnections = 4
@@ -106,6 +113,12 @@
 	// write is.
 	Content func(entry kvstore.Entry) uint64
 
+	// HoldTime is how long reads wait for the first call of SetSources, so that the
+	// nodes of a large fleet that start together do not all read the store. Reads of
+	// the prefix Discovery, by which nodes find each other, do not wait.
+	HoldTime  time.Duration
+	Discovery string
+
 	// Logger and Registerer are optional.
 	Logger     *zap.Logger
 	Registerer prometheus.Registerer
@@ -133,6 +146,12 @@
 	notes  map[string]Note
 	onNote func(note Note)
 
+	// decided is closed by the first call of SetSources. heldUntil is when reads no
+	// longer wait for it, and startUntil when they no longer wait for the sources.
+	decided    chan struct{}
+	heldUntil  time.Time
+	startUntil time.Time
+
 	// journalsChanged is closed and replaced when a journal changes.
 	journalsChanged chan struct{}
 
@@ -140,8 +159,8 @@
 	// store again.
 	storeRetryAt time.Time
 
-	// storeReachedAt is when the latest successful call to the store was sent, by
-	// this node or by a node that it reads through.
+	// storeReachedAt is when the latest response of the store arrived, at this node
+	// or at a node that it reads through.
 	storeReachedAt time.Time
 
 	// storeFailed is true if the last call to the store failed. A node without
@@ -176,6 +195,8 @@
 		journals:        map[string]*Journal{},
 		notes:           map[string]Note{},
 		watchedAt:       map[string]time.Time{},
+		decided:         make(chan struct{}),
+		heldUntil:       config.Now().Add(config.HoldTime),
 		journalsChanged: make(chan struct{}),
 		reads: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "lacewingspoke_mirror_reads_total",
@@ -196,6 +217,14 @@
 func (mirror *Mirror) SetSources(addresses []string) {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
+	select {
+	case <-mirror.decided:
+	default:
+		close(mirror.decided)
+		if mirror.config.HoldTime > 0 && len(addresses) > 0 {
+			mirror.startUntil = mirror.config.Now().Add(startTime)
+		}
+	}
 	if slices.Equal(mirror.sources, addresses) {
 		return
 	}
@@ -226,6 +255,39 @@
 	return "", false
 }
 
+// awaitSources waits until the sources are known and, if none can be reached right
+// after the start, until they are to be tried again. It returns false if the caller
+// must read the store.
+func (mirror *Mirror) awaitSources(ctx context.Context, prefix string) (string, bool) {
+	if prefix != mirror.config.Discovery {
+		mirror.wait(ctx, mirror.decided, mirror.heldUntil.Sub(mirror.config.Now()))
+	}
+	for {
+		address, found := mirror.availableSource()
+		mirror.mutex.Lock()
+		starting := len(mirror.sources) > 0 && mirror.config.Now().Before(mirror.startUntil)
+		mirror.mutex.Unlock()
+		if found || !starting || ctx.Err() != nil {
+			return address, found
+		}
+		mirror.wait(ctx, nil, startRetry)
+	}
+}
+
+// wait blocks until a channel is closed, a time has passed or the context ends.
+func (mirror *Mirror) wait(ctx context.Context, closed <-chan struct{}, limit time.Duration) {
+	if limit <= 0 {
+		return
+	}
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-closed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // recordSourceFailure excludes a source after a failed request. Requests that
 // were sent before the source was excluded do not prolong the time.
 func (mirror *Mirror) recordSourceFailure(address string, err error) {
@@ -241,6 +303,9 @@
 		mirror.config.Logger.Warn("read through source failed", zap.String("source", address), zap.Error(err))
 	}
 	failure.backoff = min(max(2*failure.backoff, minSourceBackoff), maxSourceBackoff)
+	if now.Before(mirror.startUntil) {
+		failure.backoff = startRetry
+	}
 	failure.retryAt = now.Add(failure.backoff)
 	mirror.failures[address] = failure
 	if mirror.preferred == address {
@@ -258,6 +323,7 @@
 		mirror.config.Logger.Info("read through source succeeded again", zap.String("source", address))
 		delete(mirror.failures, address)
 	}
+	mirror.startUntil = time.Time{}
 	now := mirror.config.Now()
 	if len(mirror.failures) > 0 && (mirror.preferred != address || !now.Before(mirror.preferredUntil)) {
 		mirror.preferred = address
@@ -268,7 +334,7 @@
 // List implements Reader.
 func (mirror *Mirror) List(ctx context.Context, prefix string) (kvstore.Listing, error) {
 	for {
-		address, found := mirror.availableSource()
+		address, found := mirror.awaitSources(ctx, prefix)
 		if !found {
 			return mirror.listStore(ctx, prefix)
 		}
@@ -293,7 +359,7 @@
 	until := began.Add(wait)
 	for {
 		left := until.Sub(mirror.config.Now())
-		address, found := mirror.availableSource()
+		address, found := mirror.awaitSources(ctx, prefix)
 		if !found {
 			return mirror.watchFallback(ctx, prefix, after, left)
 		}
@@ -338,7 +404,7 @@
 // given time. apply receives the time of the call to the store that confirmed the
 // reply.
 func (mirror *Mirror) applySourceReply(prefix string, sent time.Time, read reply, apply func(journal *Journal, confirmed time.Time)) {
-	mirror.updateJournal(sent.Add(-read.storeAge()), prefix, func(journal *Journal) {
+	mirror.updateJournal(mirror.config.Now().Add(-read.storeAge()), prefix, func(journal *Journal) {
 		apply(journal, sent.Add(-read.age()))
 		if journal.revision >= read.Revision {
 			journal.Refresh(sent)
@@ -375,17 +441,8 @@
 	}
 	mirror.watchedAt[prefix] = now.Add(max(delay, 0))
 	mirror.mutex.Unlock()
-	if delay <= 0 {
-		return nil
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return errors.Trace(ctx.Err())
-	}
+	mirror.wait(ctx, nil, delay)
+	return errors.Trace(ctx.Err())
 }
 
 // listStore lists a prefix in the store and records the result in its journal.
@@ -399,7 +456,7 @@
 	if err != nil {
 		return listing, errors.Trace(err)
 	}
-	mirror.updateJournal(sent, prefix, func(journal *Journal) { journal.Replace(listing, sent) })
+	mirror.updateJournal(mirror.config.Now(), prefix, func(journal *Journal) { journal.Replace(listing, sent) })
 	return listing, nil
 }
 
@@ -416,7 +473,7 @@
 	if err != nil {
 		return changes, errors.Trace(err)
 	}
-	mirror.updateJournal(sent, prefix, func(journal *Journal) { journal.Apply(after, changes, sent) })
+	mirror.updateJournal(mirror.config.Now(), prefix, func(journal *Journal) { journal.Apply(after, changes, sent) })
 	return changes, nil
 }
 
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -641,3 +641,33 @@
 	}
 	require.LessOrEqual(test, attempts, 2, "attempts in 18 seconds")
 }
+
+// All nodes of a large fleet start at once, and the sources are not ready yet.
+// Guards against every node reading the store then.
+func TestStartingNodesWaitForTheirSources(test *testing.T) {
+	store := newTestStore()
+	store.put("servers/a", "1")
+	newNode := func() *Mirror {
+		mirrored, err := New(Config{Store: store, Now: time.Now, HoldTime: 10 * time.Second, Discovery: "node/"})
+		require.NoError(test, err)
+		test.Cleanup(mirrored.Close)
+		return mirrored
+	}
+	source, follower := newNode(), newNode()
+	address := serve(test, source.Handler())
+	_, err := follower.List(test.Context(), "node/")
+	require.NoError(test, err, "nodes must find each other before they know their sources")
+	calls := store.callCount()
+	read := make(chan kvstore.Listing, 1)
+	go func() {
+		listing, _ := follower.List(test.Context(), "servers/")
+		read <- listing
+	}()
+	follower.SetSources([]string{address})
+	require.Equal(test, calls, store.callCount())
+	source.SetSources(nil)
+	_, err = source.List(test.Context(), "servers/")
+	require.NoError(test, err)
+	require.Len(test, (<-read).Entries, 1)
+	require.Equal(test, calls+1, store.callCount(), "the follower read the store")
+}
--- a/mirror/serve.go
+++ b/mirror/serve.go
@@ -53,8 +53,7 @@
 	// request waited for changes.
 	AgeMicros int64 `msgpack:"age-us"`
 
-	// StoreAgeMicros is the time from the latest call that reached the store to
-	// the arrival of the read request.
+	// StoreAgeMicros is the time since the latest response of the store arrived.
 	StoreAgeMicros int64 `msgpack:"store-age-us"`
 
 	Notes []noteMessage `msgpack:"notes"`
@@ -208,7 +207,7 @@
 	}
 	answer := reply{
 		AgeMicros:      arrived.Sub(journal.confirmedAt).Microseconds(),
-		StoreAgeMicros: arrived.Sub(mirror.storeReachedAt).Microseconds(),
+		StoreAgeMicros: now.Sub(mirror.storeReachedAt).Microseconds(),
 	}
 	if request.list {
 		listing := journal.Listing()
