Read through one node in fleets of four, and stop sharing loads

Cause: the loads that answers tell travelled with the reads to all nodes and replaced each node's own estimate. Change: notes are removed; a node estimates the load of a group from its own requests and the answers to them. Nodes read through others from four nodes on; up to 12 nodes there are two readers and no relays.

--- a/cmd/lacewingspoke/sharedmodule.go
+++ b/cmd/lacewingspoke/sharedmodule.go
@@ -143,7 +143,6 @@
 	Settings  *settings.Settings
 	Publisher *route.Publisher
 	Feed      *platform.Feed
-	Mirror    *mirror.Mirror
 	Clock     *timer.BootClock
 	Timers    *timer.Service
 	Logger    *zap.Logger
@@ -159,7 +158,6 @@
 		Timers:          params.Timers,
 		Confirmed:       params.Feed.Confirmed,
 		MaxConfirmedAge: time.Duration(freshnessRatio * float64(params.Settings.RevocationBound())),
-		LoadReported:    params.Mirror.AddNote,
 		Retries:         retryAllowance(params.Settings),
 		MinNodes:        params.Settings.MinNodes(),
 		Logger:          params.Logger,
@@ -168,7 +166,6 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	params.Mirror.SetNoteHandler(func(note mirror.Note) { server.ObserveLoad(note.Key, note.Value, note.At) })
 	return server, nil
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -154,13 +154,13 @@
 	relayStale     bool
 	relayRefreshAt time.Time
 
-	// readers are the nodes that read the store for a large fleet, and relays those
+	// readers are the nodes that read the store for the others, and relays those
 	// that pass the results on in this node's failure domain.
 	readers []*member
 	relays  []*member
 
-	// largeUntil is the time until which the fleet counts as large.
-	largeUntil time.Time
+	// mirroringUntil is the time until which nodes read the store through others.
+	mirroringUntil time.Time
 }
 
 // New returns a fleet with this node as its only member.
@@ -214,8 +214,8 @@
 	fleet.reportLeaseExpiry(now)
 	fleet.apply(now, event)
 	fleet.reportLeaseExpiry(now)
-	if len(fleet.members) > FullMeshNodes {
-		fleet.largeUntil = now.Add(largeFleetHold)
+	if len(fleet.members) >= MirrorNodes {
+		fleet.mirroringUntil = now.Add(mirrorHold)
 	}
 	if !fleet.stopped {
 		fleet.applyMemberChanges()
--- a/fleet/topology.go
+++ b/fleet/topology.go
@@ -12,6 +12,11 @@
 	// to every other node.
 	FullMeshNodes = 12
 
+	// MirrorNodes is the size of the smallest fleet in which nodes read the store
+	// through other nodes. In a smaller one the loss of two nodes is likely to be
+	// that of both readers.
+	MirrorNodes = 4
+
 	// WatchersPerFailureDomain is the number of nodes in each failure domain
 	// that watch the store.
 	WatchersPerFailureDomain = 2
@@ -98,20 +103,19 @@
 	return before < WatchersPerFailureDomain
 }
 
-// largeFleetHold is how long a fleet counts as large after it last had more than
-// FullMeshNodes members. Nodes that cannot reach the store lose their records;
+// mirrorHold is how long nodes read through others after the fleet last had
+// MirrorNodes members. Nodes that cannot reach the store lose their records;
 // without the hold, the remaining nodes would all start to read the store, and the
 // lost nodes would have no sources.
-const largeFleetHold = time.Minute
+const mirrorHold = time.Minute
 
 // Mirroring reports whether nodes read the store through other nodes.
-func (fleet *Fleet) Mirroring(now time.Time) bool { return now.Before(fleet.largeUntil) }
+func (fleet *Fleet) Mirroring(now time.Time) bool { return now.Before(fleet.mirroringUntil) }
 
 // Sources returns the admin addresses of the nodes through which this node reads
 // the store, the preferred one first. It returns none if this node reads the
-// store itself: in a fleet of at most FullMeshNodes, and if it is the first of
-// the store's readers. A fleet that had more members within largeFleetHold still
-// counts as large.
+// store itself: in a fleet that had fewer than MirrorNodes members for
+// mirrorHold, and if it is the first of the store's readers.
 //
 // Two readers serve the leaders and the relays of all failure domains, and the
 // second reader reads through the first one. The relays serve the other nodes of
@@ -164,8 +168,12 @@
 }
 
 // chooseRelays returns the WatchersPerFailureDomain members of this node's failure
-// domain with the highest scores that are not readers.
+// domain with the highest scores that are not readers. In a fleet of at most
+// FullMeshNodes there are none, and all nodes read through the readers.
 func (fleet *Fleet) chooseRelays() []*member {
+	if len(fleet.members) <= FullMeshNodes {
+		return nil
+	}
 	ranked := fleet.rankReaders(func(member *member) bool {
 		return member.node.FailureDomain == fleet.self.FailureDomain && !slices.Contains(fleet.readers, member)
 	})
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -160,10 +160,6 @@
 	// run. It is below the time within which a revoked key must stop working.
 	MaxConfirmedAge time.Duration
 
-	// LoadReported is called with the load that a target reported in a
-	// response, in requests. It may be nil.
-	LoadReported func(target string, load int)
-
 	// Retries bounds the attempts beyond the first of each request.
 	Retries limit.RetryAllowanceConfig
 
--- a/forward/runner.go
+++ b/forward/runner.go
@@ -7,7 +7,6 @@
 
 	"go.uber.org/zap"
 
-	"lacewingspoke.org/lacewingspoke/group"
 	"lacewingspoke.org/lacewingspoke/route"
 )
 
@@ -110,15 +109,6 @@
 	}
 	server := exchange.server
 	server.tracker.Observe(target, answer.Load.Load, server.config.Now())
-	if server.config.LoadReported != nil {
-		server.config.LoadReported(target, answer.Load.Running+answer.Load.Queued)
-	}
-}
-
-// ObserveLoad records the load of a target that another node observed at the
-// given time.
-func (server *Server) ObserveLoad(target string, load int, at time.Time) {
-	server.tracker.Observe(target, group.Load{Running: load}, at)
 }
 
 // recordAttempt records an attempt whose request the target may have received.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -19,9 +19,6 @@
 // not passed on. Followers learn from the age of the results that an entry without
 // changes still exists.
 //
-// The requests to sources and the replies also carry Notes, load figures that
-// nodes share.
-//
 // # Usage
 //
 //	mirrored := mirror.New(mirror.Config{Store: client, Now: clock.Now, Logger: logger})
@@ -141,11 +138,6 @@
 	preferred      string
 	preferredUntil time.Time
 
-	// notes holds the newest note of each key. onNote, if set, is called with the
-	// notes of other nodes.
-	notes  map[string]Note
-	onNote func(note Note)
-
 	// decided is closed by the first call of SetSources. heldUntil is when reads no
 	// longer wait for it, and startUntil when they no longer wait for the sources.
 	decided    chan struct{}
@@ -193,7 +185,6 @@
 		client:          httpsend.New(httpsend.Config{IdlePerAddress: idleConnections, DialTimeout: responseTimeout}),
 		failures:        map[string]sourceFailure{},
 		journals:        map[string]*Journal{},
-		notes:           map[string]Note{},
 		watchedAt:       map[string]time.Time{},
 		decided:         make(chan struct{}),
 		heldUntil:       config.Now().Add(config.HoldTime),
--- a/mirror/serve.go
+++ b/mirror/serve.go
@@ -25,12 +25,6 @@
 	queryWait   = "wait-ms"
 )
 
-// maxNotesBytes limits the body of a read request: the notes of about a thousand
-// targets.
-const maxNotesBytes = 64 << 10
-
-const contentType = "application/msgpack"
-
 // maxReplyBytes limits a reply: the entries of some thousand targets.
 const maxReplyBytes = 16 << 20
 
@@ -55,14 +49,10 @@
 
 	// StoreAgeMicros is the time since the latest response of the store arrived.
 	StoreAgeMicros int64 `msgpack:"store-age-us"`
-
-	Notes []noteMessage `msgpack:"notes"`
 }
 
 // notesMessage is the body of a read request.
-type notesMessage struct {
-	Notes []noteMessage `msgpack:"notes"`
-}
+type notesMessage struct{}
 
 func (reply reply) age() time.Duration { return time.Duration(reply.AgeMicros) * time.Microsecond }
 
@@ -78,18 +68,11 @@
 		query.Set(queryAfter, strconv.FormatUint(request.after, 10))
 		query.Set(queryWait, strconv.FormatInt(request.wait.Milliseconds(), 10))
 	}
-	body, err := msgpack.Marshal(notesMessage{Notes: mirror.recentNotes()})
-	if err != nil {
-		return reply{}, errors.Trace(err)
-	}
-	sent := mirror.config.Now()
 	answer, err := mirror.client.Do(ctx, httpsend.Request{
-		Method:        http.MethodPost,
+		Method:        http.MethodGet,
 		Address:       address,
 		Path:          Path,
 		Query:         query,
-		Body:          body,
-		ContentType:   contentType,
 		Timeout:       request.wait + responseTimeout,
 		MaxReplyBytes: maxReplyBytes,
 	})
@@ -107,7 +90,6 @@
 	if err := msgpack.Unmarshal(answer.Body, &decoded); err != nil {
 		return reply{}, errors.Annotate(err, "decode response of source")
 	}
-	mirror.receiveNotes(decoded.Notes, sent)
 	return decoded, nil
 }
 
@@ -122,20 +104,11 @@
 			http.Error(writer, err.Error(), http.StatusBadRequest)
 			return
 		}
-		arrived := mirror.config.Now()
-		var notes notesMessage
-		body := http.MaxBytesReader(writer, request.Body, maxNotesBytes)
-		if err := msgpack.NewDecoder(body).Decode(&notes); err != nil {
-			http.Error(writer, err.Error(), http.StatusBadRequest)
-			return
-		}
-		mirror.receiveNotes(notes.Notes, arrived)
 		answer, status := mirror.waitForReply(request.Context(), query)
 		if status != http.StatusOK {
 			http.Error(writer, http.StatusText(status), status)
 			return
 		}
-		answer.Notes = mirror.recentNotes()
 		encoded, err := msgpack.Marshal(answer)
 		if err != nil {
 			mirror.config.Logger.Error("encoding the reply to another node failed", zap.Error(err))
