Cut off answers without end

Replies of the store, engines and sources had net/http's bound of 10 MB for a header. Change: a connection to a target reads within a budget for the part that is expected: 64 KiB for the head, three bytes for each byte of a body or event. httpsend bounds headers by 64 KiB.

--- a/forward/client.go
+++ b/forward/client.go
@@ -40,8 +40,20 @@
 
 	// readBufferBytes is the buffer size of one connection's reader.
 	readBufferBytes = 4 << 10
+
+	// maxHeadBytes bounds the status line and header of a response, and the trailer
+	// after its body. A target in trouble may send bytes without end.
+	maxHeadBytes = 64 << 10
+
+	// maxChunkOverhead is the number of bytes that may arrive for each byte of a
+	// chunked body.
+	maxChunkOverhead = 3
 )
 
+// errAnswerTooLong is returned for a response, or a part of it, that is longer than
+// its bound.
+var errAnswerTooLong = errors.New("target sent more bytes than a response may have")
+
 // A client sends HTTP/1.1 requests over pooled connections. Unlike
 // http.Transport it never resends a request, because the request may have run.
 type client struct {
@@ -115,6 +127,28 @@
 	// idleTimeout is how long the connection may be idle and still be reused.
 	idleTimeout time.Duration
 	idleSince   time.Time
+
+	// readBudget is the number of bytes that may still be read for the part of the
+	// response that is expected.
+	readBudget int64
+}
+
+// Read reads from the connection within the budget.
+func (connection *conn) Read(buffer []byte) (int, error) {
+	if connection.readBudget <= 0 {
+		return 0, errAnswerTooLong
+	}
+	if int64(len(buffer)) > connection.readBudget {
+		buffer = buffer[:connection.readBudget]
+	}
+	count, err := connection.Conn.Read(buffer)
+	connection.readBudget -= int64(count)
+	return count, err
+}
+
+// expectBody allows a body, or a part of one, of up to the given length.
+func (response *response) expectBody(length int64) {
+	response.conn.readBudget = maxChunkOverhead*length + maxHeadBytes
 }
 
 // A response is the response to a call. Its owner must call release or discard.
@@ -143,6 +177,7 @@
 		response.discard()
 		return nil, &callError{cause: errors.Annotate(err, "send request"), sent: written > 0}
 	}
+	connection.readBudget = maxHeadBytes
 	answer, err := http.ReadResponse(connection.reader, &http.Request{Method: outgoing.method})
 	if err != nil {
 		response.discard()
@@ -235,7 +270,9 @@
 		return nil, errors.Annotate(err, "connect to target")
 	}
 	client.metrics.dials.WithLabelValues("ok").Inc()
-	return &conn{Conn: opened, key: key, reader: bufio.NewReaderSize(opened, readBufferBytes)}, nil
+	connection := &conn{Conn: opened, key: key}
+	connection.reader = bufio.NewReaderSize(connection, readBufferBytes)
+	return connection, nil
 }
 
 // takeIdle removes and returns the most recently used idle connection that can
@@ -312,6 +349,7 @@
 // readAll reads the body to its end. It returns an errors.QuotaLimitExceeded
 // error for a body of more than limit bytes.
 func (response *response) readAll(limit int64) ([]byte, error) {
+	response.expectBody(limit)
 	body, err := io.ReadAll(io.LimitReader(response.http.Body, limit+1))
 	if err != nil {
 		return nil, errors.Annotate(response.cause(err), "read response body")
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -334,3 +334,50 @@
 	}
 	require.Positive(test, truncated.count(), "no request was sent to the broken runner")
 }
+
+// maxUnreadBytes is the most that a target may write of an answer without end
+// before its connection is closed. Most of it stays in the sockets' buffers.
+const maxUnreadBytes = 16 << 20
+
+// A runner in trouble writes bytes that are no answer until its connection is
+// closed. Guards against a node that keeps them in memory, or reads them until the
+// deadline of the request.
+func TestAnswerWithoutEndIsCutOff(test *testing.T) {
+	filler := strings.Repeat("x", 1<<10)
+	head := "HTTP/1.1 200 OK\r\nId: a1\r\nSeal: s\r\n"
+	chunked := head + "Transfer-Encoding: chunked\r\n\r\n"
+	for name, answer := range map[string]struct{ begin, repeat string }{
+		"status line":     {"HTTP/1.1 200 ", filler},
+		"header line":     {head + "Long: ", filler},
+		"header lines":    {head, "Long: " + filler + "\r\n"},
+		"interim answers": {"", "HTTP/1.1 103 Early Hints\r\nLong: " + filler + "\r\n\r\n"},
+		"chunk extension": {chunked + "1;", filler},
+		"trailer":         {chunked + "0\r\n", "Long: " + filler + "\r\n"},
+		"event":           {chunked, "400\r\n" + filler + "\r\n"},
+		"event lines":     {chunked, "401\r\n" + filler + "\n\r\n"},
+	} {
+		for _, service := range []string{"once", "stream"} {
+			if service == "once" && strings.HasPrefix(name, "event") {
+				continue
+			}
+			test.Run(name+" of "+service, func(test *testing.T) {
+				written := make(chan int, 1)
+				endless := newTarget(test, "t1", func(conn net.Conn, _ *http.Request) bool {
+					total, err := io.WriteString(conn, answer.begin)
+					block := strings.Repeat(answer.repeat, 16)
+					for err == nil && total < 4*maxUnreadBytes {
+						var count int
+						count, err = io.WriteString(conn, block)
+						total += count
+					}
+					written <- total
+					return false
+				})
+				node := newNode(test, tableFixture{once: []*target{endless}, groups: []*target{endless}})
+				got := node.request(test, http.MethodPost, "/"+service+"/1", "x")
+				require.NotEqual(test, http.StatusOK, got.status)
+				require.Less(test, <-written, maxUnreadBytes)
+			})
+		}
+	}
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -268,6 +268,7 @@
 		if err := response.setTimeout(timeout); err != nil {
 			return errors.Trace(response.cause(err))
 		}
+		response.expectBody(maxEventBytes)
 		received, err := events.next()
 		if err == io.EOF {
 			return delivery.finish()
--- a/httpsend/httpsend.go
+++ b/httpsend/httpsend.go
@@ -91,6 +91,10 @@
 	conns     *connSet
 }
 
+// maxHeadBytes bounds the header of a response. The default of net/http, 10 MB for
+// each connection, is too much for a VM with 184 MB.
+const maxHeadBytes = 64 << 10
+
 // New returns a Client with the configuration.
 func New(config Config) *Client {
 	if config.IdlePerAddress == 0 {
@@ -106,7 +110,10 @@
 			}
 			return conns.add(address, conn), nil
 		},
-		DisableCompression:  true,
+		DisableCompression: true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
+
 		MaxIdleConnsPerHost: config.IdlePerAddress,
 		IdleConnTimeout:     idleTimeout,
 	}}
