Serve the reads of followers by the method that they use

Cause: reads carry no body any more and are GET requests; the admin server accepted POST only, and every node went back to the store. No test passed a mirror's request through the admin server. Change: the path is served for GET. Result: TestFollowersReadThroughTheAdminServer failed before and passes.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -129,7 +129,7 @@
 	server.router.HandleFunc("/v1/status", server.serveStatus).Methods(http.MethodGet)
 	server.router.HandleFunc("/v1/drain", server.serveDrain).Methods(http.MethodPost)
 	if config.Mirror != nil {
-		server.router.Handle(mirror.Path, config.Mirror).Methods(http.MethodPost)
+		server.router.Handle(mirror.Path, config.Mirror).Methods(http.MethodGet)
 	}
 	return server
 }
--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -7,12 +7,15 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/stretchr/testify/require"
 
 	"lacewingspoke.org/lacewingspoke/admin"
+	"lacewingspoke.org/lacewingspoke/kvstore"
+	"lacewingspoke.org/lacewingspoke/mirror"
 )
 
 // fakeNode is an unhealthy node with the single target vm-1.
@@ -75,3 +78,36 @@
 		require.EqualValues(t, 7, status.Generation)
 	}
 }
+
+// listingStore is a store that lists one entry, or fails.
+type listingStore struct{ failing bool }
+
+func (store listingStore) List(context.Context, string) (kvstore.Listing, error) {
+	if store.failing {
+		return kvstore.Listing{}, errors.New("store is down")
+	}
+	return kvstore.Listing{Revision: 1, Entries: []kvstore.Entry{{Key: "servers/a", Revision: 1}}}, nil
+}
+
+func (store listingStore) Watch(context.Context, string, uint64, time.Duration) (kvstore.Changes, error) {
+	return kvstore.Changes{}, errors.New("store is down")
+}
+
+// Guards against an admin server that rejects the requests of followers: they all
+// read the store themselves then, and nothing else fails.
+func TestFollowersReadThroughTheAdminServer(t *testing.T) {
+	source, err := mirror.New(mirror.Config{Store: listingStore{}, Now: time.Now})
+	require.NoError(t, err)
+	defer source.Close()
+	_, err = source.List(t.Context(), "servers/")
+	require.NoError(t, err)
+	server := httptest.NewServer(admin.New(admin.Config{Node: fakeNode{}, Gatherer: prometheus.NewRegistry(), Mirror: source.Handler()}).Handler())
+	defer server.Close()
+	follower, err := mirror.New(mirror.Config{Store: listingStore{failing: true}, Now: time.Now})
+	require.NoError(t, err)
+	defer follower.Close()
+	follower.SetSources([]string{server.Listener.Addr().String()})
+	listing, err := follower.List(t.Context(), "servers/")
+	require.NoError(t, err)
+	require.Len(t, listing.Entries, 1)
+}
