Complete slow streams that cannot move

Cause: the streams of a group were cut after 350 ms without an event, also where the request may not be sent to a further group; a slow group then served nobody. An event was held back while the first bytes of the next one had arrived, so that a group that sends single bytes delayed it without limit. Change: a last attempt waits as long as callers do (2 s, 4 objectives or 8 pauses); an event is flushed unless the whole next one is there. Progress is an event.

--- a/forward/event.go
+++ b/forward/event.go
@@ -54,6 +54,9 @@
 	}
 }
 
-// buffered reports whether the reader has buffered bytes after the last event
-// that next returned.
-func (events *eventReader) buffered() bool { return events.reader.Buffered() > 0 }
+// buffered reports whether the whole next event has arrived after the last one that
+// next returned. A part of it does not count, because the rest may come late.
+func (events *eventReader) buffered() bool {
+	arrived, err := events.reader.Peek(events.reader.Buffered())
+	return err == nil && bytes.Contains(arrived, []byte("\n\n"))
+}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -381,3 +381,56 @@
 		}
 	}
 }
+
+// A group works at a fraction of its speed, and the request may not be sent to a
+// third one. Guards against a slow but sound stream that is cut off.
+func TestSlowStreamIsNotCutWhenItCannotMove(test *testing.T) {
+	broken := newTarget(test, "g1", streams(3, ""))
+	pause := 700 * time.Millisecond
+	slow := newTarget(test, "g2", func(conn net.Conn, request *http.Request) bool {
+		write := streams(4, "")
+		write(conn, request)
+		for index := 5; index <= 6; index++ {
+			time.Sleep(pause)
+			chunk := event(index)
+			fmt.Fprintf(conn, "%x\r\n%s\r\n", len(chunk), chunk)
+		}
+		fmt.Fprint(conn, "0\r\n\r\n")
+		return true
+	})
+	node := newNode(test, tableFixture{groups: []*target{broken, slow}})
+	for range 4 {
+		before := broken.count()
+		got := node.request(test, http.MethodPost, "/stream/1", "prompt")
+		if broken.count() == before {
+			continue
+		}
+		require.NoError(test, got.err)
+		require.Equal(test, events(6), got.body)
+		return
+	}
+	test.Fatal("no request was sent to the broken group")
+}
+
+// Guards against a stream that never ends because its target sends a byte now and
+// then: progress is an event.
+func TestStreamThatSendsSingleBytesIsAborted(test *testing.T) {
+	ended := make(chan struct{})
+	dripping := newTarget(test, "g1", func(conn net.Conn, request *http.Request) bool {
+		defer close(ended)
+		streams(2, "")(conn, request)
+		for {
+			if _, err := io.WriteString(conn, "1\r\nx\r\n"); err != nil {
+				return false
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+	node := newNode(test, tableFixture{groups: []*target{dripping}, attempts: 2})
+	began := time.Now()
+	got := node.request(test, http.MethodPost, "/stream/1", "prompt")
+	require.Error(test, got.err)
+	require.Equal(test, events(2), got.body)
+	<-ended
+	require.Less(test, time.Since(began), waitTimeout)
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -23,6 +23,13 @@
 	// long prompt sends nothing for some hundred milliseconds.
 	minEventTimeout = 1200 * time.Millisecond
 
+	// callerPatience is the shortest time without an event after which callers
+	// abandon a stream. It is longer for routes with long objectives, by
+	// objectivePatience and gapPatience times their objectives.
+	callerPatience    = 2 * time.Second
+	objectivePatience = 4
+	gapPatience       = 8
+
 	// resumeTimeout is how long a started stream waits for a group to resume at.
 	// Callers abandon a stream after two seconds without an event.
 	resumeTimeout = 1500 * time.Millisecond
@@ -199,13 +206,24 @@
 	defer func() { ended(server.config.Now()) }()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stream := server.stallDetector.Begin(target.Name, server.config.Now(), func() { cancel(errGroupStalled) })
+	last := exchange.isLastAttempt()
+	stream := server.stallDetector.Begin(target.Name, server.config.Now(), func() {
+		if !last {
+			cancel(errGroupStalled)
+		}
+	})
 	defer stream.End()
 	delivery.pending = server.forecast.Begin(target.Name, exchange.caller.PromptTokens, server.config.Now())
 	delivery.lastEventAt = time.Time{}
 	defer delivery.pending.End()
-	timeout := min(max(firstEventTimeoutFactor*exchange.route.Objective, minEventTimeout), exchange.remaining())
-	response, err := server.client.do(ctx, exchange.newCall(target.VM, target.Address, delivery.lastEventID), timeout)
+	firstTimeout := max(firstEventTimeoutFactor*exchange.route.Objective, minEventTimeout)
+	timeout := minEventTimeout
+	if last {
+		timeout = exchange.patience()
+		firstTimeout = timeout
+	}
+	firstTimeout = min(firstTimeout, exchange.remaining())
+	response, err := server.client.do(ctx, exchange.newCall(target.VM, target.Address, delivery.lastEventID), firstTimeout)
 	if err != nil {
 		return exchange.classifyFailure(target.Name, err)
 	}
@@ -223,7 +241,7 @@
 	case response.http.StatusCode != http.StatusOK:
 		return exchange.forwardFailure(target, response, delivery)
 	}
-	if err := delivery.forwardEvents(response, target.Name, stream, timeout); err != nil {
+	if err := delivery.forwardEvents(response, target.Name, stream, firstTimeout, timeout); err != nil {
 		response.discard()
 		if errors.Is(err, errCallerNotReading) {
 			exchange.log("caller-left", 0, "caller does not read")
@@ -237,6 +255,18 @@
 	return answered{}
 }
 
+// isLastAttempt reports whether the request may not be sent to another target after
+// the attempt that is about to begin.
+func (exchange *exchange) isLastAttempt() bool {
+	return !exchange.route.Repeatable() || len(exchange.attempts)+1 >= exchange.route.MaxAttempts
+}
+
+// patience returns the time without an event after which the caller abandons the
+// stream. A last attempt is not ended before: a slow group still completes it.
+func (exchange *exchange) patience() time.Duration {
+	return max(callerPatience, objectivePatience*exchange.route.Objective, gapPatience*exchange.route.GapObjective)
+}
+
 // forwardFailure sends a group's error response to the caller, unless the stream
 // has started or another group may succeed.
 func (exchange *exchange) forwardFailure(target route.GroupTarget, response *response, delivery *delivery) attemptResult {
@@ -259,13 +289,13 @@
 // errCallerNotReading is returned if a write to the caller fails.
 var errCallerNotReading = errors.New("caller does not read")
 
-// forwardEvents sends the events of one attempt to the caller. It returns nil at
-// the end of a complete stream, and errCallerNotReading if the caller does not
-// read.
-func (delivery *delivery) forwardEvents(response *response, target string, stream *route.MonitoredStream, timeout time.Duration) error {
+// forwardEvents sends the events of one attempt to the caller. Each event must
+// arrive within timeout, the first one within firstTimeout. It returns nil at the
+// end of a complete stream, and errCallerNotReading if the caller does not read.
+func (delivery *delivery) forwardEvents(response *response, target string, stream *route.MonitoredStream, firstTimeout, timeout time.Duration) error {
 	events := newEventReader(response.http.Body)
-	for {
-		if err := response.setTimeout(timeout); err != nil {
+	for limit := firstTimeout; ; limit = timeout {
+		if err := response.setTimeout(limit); err != nil {
 			return errors.Trace(response.cause(err))
 		}
 		response.expectBody(maxEventBytes)
@@ -280,12 +310,11 @@
 		if err := delivery.write(response.http, received, !events.buffered()); err != nil {
 			return err
 		}
-		timeout = minEventTimeout
 	}
 }
 
-// write writes one event to the caller, and flushes it if flush is set. The
-// caller of write sets flush unless bytes after the event have already arrived.
+// write writes one event to the caller, and flushes it if flush is set. The caller
+// of write sets flush unless the next event has already arrived.
 func (delivery *delivery) write(answer *http.Response, received event, flush bool) error {
 	exchange := delivery.exchange
 	delivery.sendHeader(answer)
