--- a/group/open_test.go
+++ b/group/open_test.go
@@ -250,3 +250,49 @@
 		})
 	}
 }
+
+// setListed changes the state of a VM in the platform's list.
+func (domain *testDomain) setListed(name string, state kvstore.VMState) {
+	domain.list = slices.Clone(domain.list)
+	for index := range domain.list {
+		if domain.list[index].Name == name {
+			domain.list[index].State = state
+		}
+	}
+	domain.send(VMsListed{VMs: domain.list})
+}
+
+// A member cannot reach the platform but answers its leader. Guards against orders
+// that end or move its group, against a record that keeps the mark after the member
+// has returned, and against a mark that survives a new composition, in which the
+// member may not have taken its place yet.
+func TestUnlistedMemberStaysInItsGroup(test *testing.T) {
+	domain := newOpenedByOrderDomain(test, 9)
+	domain.waitFor(20*time.Second, domain.bothServing())
+	group := domain.engines[domain.openVM("large")].report.Group
+	member := domain.leader.Placement().Members(group)[2]
+	unlisted := func() bool {
+		assignment, _ := domain.leader.Placement().Assignment(member)
+		return assignment.Unlisted
+	}
+	domain.orders = nil
+	domain.setListed(member, kvstore.VMUnlisted)
+	domain.waitFor(5*time.Second, unlisted)
+	domain.runFor(5 * time.Second)
+	for _, order := range domain.orders {
+		require.Equal(test, engine.ActionStage, order.Order.Action, "an order to %s", order.VM)
+	}
+	other := domain.leader.Placement().Members(group)[3]
+	epoch := domain.engines[member].report.Epoch
+	domain.unlist(other)
+	domain.waitFor(5*time.Second, func() bool {
+		placed, _ := domain.leader.Placement().Group(group)
+		return placed.Epoch != epoch
+	})
+	if domain.engines[member].report.Epoch == epoch {
+		require.False(test, unlisted(), "the mark is kept in a new composition that the member has not joined")
+	}
+	domain.waitFor(20*time.Second, unlisted)
+	domain.setListed(member, kvstore.VMLive)
+	domain.waitFor(5*time.Second, func() bool { return !unlisted() })
+}
