Report stalled groups to the leader of their fabric domain

Cause: a node that saw the streams of a group stall had its members probed only if it led the fabric domain itself. Change: the node reports the group to the leader over the admin address, at most once a second for each group; the leader probes as for its own streams. Result: TestStalledGroupIsReportedToItsLeader failed before and passes.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -95,6 +95,15 @@
 	Reason string `json:"reason"`
 }
 
+// StalledPath is the path at which a leader receives a StalledReport.
+const StalledPath = "/v1/stalled"
+
+// StalledReport tells the leader of a fabric domain that the streams of one of its
+// groups have stalled at another node.
+type StalledReport struct {
+	Group string `json:"group"`
+}
+
 // DrainResult reports how far a drain has spread.
 type DrainResult struct {
 	// Recorded is true if the audit entry is stored. Otherwise the node keeps
@@ -110,6 +119,10 @@
 	Node     Node
 	Gatherer prometheus.Gatherer
 
+	// GroupStalled is called when another node reports that the streams of a group
+	// have stalled. It is optional.
+	GroupStalled func(ctx context.Context, group string) error
+
 	// Mirror serves other nodes that read the store through this node. It is
 	// optional.
 	Mirror http.Handler
@@ -117,17 +130,21 @@
 
 // A Server is the admin interface of one node.
 type Server struct {
-	node   Node
-	router *mux.Router
+	node         Node
+	groupStalled func(ctx context.Context, group string) error
+	router       *mux.Router
 }
 
 // New returns a server for the node in config.
 func New(config Config) *Server {
-	server := &Server{node: config.Node, router: mux.NewRouter()}
+	server := &Server{node: config.Node, groupStalled: config.GroupStalled, router: mux.NewRouter()}
 	server.router.Handle("/metrics", promhttp.HandlerFor(config.Gatherer, promhttp.HandlerOpts{})).Methods(http.MethodGet)
 	server.router.HandleFunc("/healthz", server.serveHealth).Methods(http.MethodGet)
 	server.router.HandleFunc("/v1/status", server.serveStatus).Methods(http.MethodGet)
 	server.router.HandleFunc("/v1/drain", server.serveDrain).Methods(http.MethodPost)
+	if config.GroupStalled != nil {
+		server.router.HandleFunc(StalledPath, server.serveStalled).Methods(http.MethodPost)
+	}
 	if config.Mirror != nil {
 		server.router.Handle(mirror.Path, config.Mirror).Methods(http.MethodGet)
 	}
@@ -186,6 +203,21 @@
 	writeJSON(writer, http.StatusOK, result)
 }
 
+func (server *Server) serveStalled(writer http.ResponseWriter, request *http.Request) {
+	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, MaxRequestBytes))
+	decoder.DisallowUnknownFields()
+	var report StalledReport
+	if err := decoder.Decode(&report); err != nil || report.Group == "" {
+		http.Error(writer, "report of a stalled group is not valid", http.StatusBadRequest)
+		return
+	}
+	if err := server.groupStalled(request.Context(), report.Group); err != nil {
+		http.Error(writer, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	writer.WriteHeader(http.StatusNoContent)
+}
+
 func drainStatus(err error) int {
 	switch {
 	case errors.Is(err, errors.NotFound):
--- a/cmd/lacewingspoke/module.go
+++ b/cmd/lacewingspoke/module.go
@@ -177,6 +177,7 @@
 func newAdmin(params adminParams) *admin.Server {
 	config := admin.Config{Node: params.Controller, Gatherer: params.Registry}
 	if params.Mirror != nil {
+		config.GroupStalled = params.Controller.GroupStalled
 		config.Mirror = params.Mirror.Handler()
 	}
 	return admin.New(config)
--- a/cmd/lacewingspoke/sharedmodule.go
+++ b/cmd/lacewingspoke/sharedmodule.go
@@ -226,9 +226,12 @@
 			SetPause:    params.Feed.SetPause,
 			SetSources:  params.Mirror.SetSources,
 			ReturnGrace: returnGrace,
-			LapseGrace:  params.Settings.DrainBound() / lapseGraceDivisor,
-			LoadWindow:  params.Settings.LoadWindow(),
-			LoadSlack:   loadSlack,
+
+			ReportStalled: newStallReporter().Report,
+
+			LapseGrace: params.Settings.DrainBound() / lapseGraceDivisor,
+			LoadWindow: params.Settings.LoadWindow(),
+			LoadSlack:  loadSlack,
 
 			RenewalsPerSecond: sharedRenewalsPerSecond,
 			Bootstrap:         params.Settings.Bootstrap(),
--- a/control/feed.go
+++ b/control/feed.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"math"
 	"slices"
 	"time"
@@ -58,6 +59,10 @@
 	// read. It is nil if the store is always read directly.
 	SetSources func(addresses []string)
 
+	// ReportStalled tells the node at an admin address, which leads the group's
+	// fabric domain, that the streams of the group have stalled. It may be nil.
+	ReportStalled func(ctx context.Context, address, group string) error
+
 	// ReturnGrace is how long after an outage of the platform a target may be
 	// missing from its list before it is removed.
 	ReturnGrace time.Duration
--- a/control/feed_test.go
+++ b/control/feed_test.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -10,6 +12,7 @@
 	"lacewingspoke.org/lacewingspoke/catalog"
 	"lacewingspoke.org/lacewingspoke/directory"
 	"lacewingspoke.org/lacewingspoke/engine"
+	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
@@ -121,3 +124,36 @@
 	require.False(test, serves(state, now))
 	require.Empty(test, state.feed.directory.Lapsed())
 }
+
+// stalledTraffic is traffic whose streams at the group g have stalled.
+type stalledTraffic struct{ Traffic }
+
+func (stalledTraffic) StalledGroups() []string { return []string{"g"} }
+
+// In a fleet of hundreds of nodes the leader of a fabric domain rarely has a stream
+// at the group that loses a member. Guards against a loss that it learns of only
+// when the member's announcement expires, and against a report with each check.
+func TestStalledGroupIsReportedToItsLeader(test *testing.T) {
+	now := time.Now()
+	state := newTestFeed(test, now)
+	state.config.Traffic = stalledTraffic{}
+	reports := make(chan string, 4)
+	state.config.Feed.ReportStalled = func(_ context.Context, address, group string) error {
+		reports <- address + " " + group
+		return nil
+	}
+	node, err := json.Marshal(fleet.Node{Name: "two", Incarnation: "1", AdminAddress: "10.0.0.9:80"})
+	require.NoError(test, err)
+	leader, err := json.Marshal(fleet.Leader{Node: "two", Incarnation: "1"})
+	require.NoError(test, err)
+	state.probeStalledGroups(now)
+	require.Empty(test, reports, "reported without a leader")
+	state.handleFleet(now, fleet.KeysListed{Prefix: fleet.NodePrefix, Revision: 5, Entries: []kvstore.Entry{{Key: fleet.NodeKey("two"), Value: node, Revision: 4}}})
+	state.handleFleet(now, fleet.KeysListed{Prefix: fleet.DomainPrefix, Revision: 5, Entries: []kvstore.Entry{{Key: fleet.LeaderKey("d0"), Value: leader, Revision: 5, Lease: "7"}}})
+	state.probeStalledGroups(now)
+	require.Equal(test, "10.0.0.9:80 g", <-reports)
+	state.probeStalledGroups(now.Add(probeInterval / 2))
+	require.Empty(test, reports)
+	state.probeStalledGroups(now.Add(probeInterval))
+	require.Equal(test, "10.0.0.9:80 g", <-reports)
+}
--- a/control/probe.go
+++ b/control/probe.go
@@ -44,23 +44,71 @@
 // A probedTarget is one incarnation of a target with its address.
 type probedTarget struct{ vm, incarnation, address string }
 
-// probeStalledGroups probes the members of groups with stalled streams, if this
-// node leads their fabric domain. This detects a lost member long before its
-// announcement expires.
+// probeStalledGroups has the members of groups with stalled streams probed: by this
+// node if it leads their fabric domain, and by the leader otherwise. This detects a
+// lost member long before its announcement expires. In a large fleet the leader
+// itself rarely has a stream at the group.
 func (state *state) probeStalledGroups(now time.Time) {
 	for _, name := range state.config.Traffic.StalledGroups() {
 		if now.Sub(state.feed.probedAt[name]) < probeInterval {
 			continue
 		}
-		for domain, leadership := range state.leaderships {
-			placement := leadership.leader.Placement()
-			if _, found := placement.Group(name); found && leadership.leader.Leading() {
-				state.feed.probedAt[name] = now
-				state.logger.Info("probing the members of a group with stalled streams", zap.String("group", name), zap.String("domain", domain))
-				state.probe(name, placement)
-			}
+		if !state.probeGroup(now, name) {
+			state.reportStalled(now, name)
+		}
+	}
+}
+
+// probeGroup probes the members of a group, at most once per probeInterval. It
+// returns false if this node does not lead the group's fabric domain.
+func (state *state) probeGroup(now time.Time, name string) bool {
+	for domain, leadership := range state.leaderships {
+		placement := leadership.leader.Placement()
+		if _, found := placement.Group(name); !found || !leadership.leader.Leading() {
+			continue
 		}
+		if now.Sub(state.feed.probedAt[name]) >= probeInterval {
+			state.feed.probedAt[name] = now
+			state.logger.Info("probing the members of a group with stalled streams", zap.String("group", name), zap.String("domain", domain))
+			state.probe(name, placement)
+		}
+		return true
 	}
+	return false
+}
+
+// reportStalled tells the leader of a group's fabric domain that its streams have
+// stalled.
+func (state *state) reportStalled(now time.Time, name string) {
+	if state.config.Feed.ReportStalled == nil {
+		return
+	}
+	for domainName, domain := range state.domains {
+		if domain.placement == nil {
+			continue
+		}
+		if _, found := domain.placement.Group(name); !found {
+			continue
+		}
+		address, known := state.fleet.LeaderAddress(domainName)
+		if !known {
+			return
+		}
+		state.feed.probedAt[name] = now
+		state.startWorker(func(ctx context.Context) message {
+			if err := state.config.Feed.ReportStalled(ctx, address, name); err != nil {
+				state.logger.Warn("leader did not take the report of a stalled group", zap.String("group", name), zap.String("leader", address), zap.Error(err))
+			}
+			return workerEnded{}
+		})
+		return
+	}
+}
+
+// GroupStalled has the members of a group probed after another node has reported
+// that its streams have stalled.
+func (controller *Controller) GroupStalled(ctx context.Context, name string) error {
+	return controller.do(ctx, func(now time.Time) { controller.state.probeGroup(now, name) })
 }
 
 // probe starts a worker that requests a report from every listed member of a
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -49,6 +49,10 @@
 	return kvstore.Listing{}, errors.New("store does not answer")
 }
 
+func (record *recorder) Grant(context.Context, time.Duration) (string, error) {
+	return "", errors.New("store does not answer")
+}
+
 func (record *recorder) Put(_ context.Context, request kvstore.PutRequest) kvstore.PutOutcome {
 	record.puts = append(record.puts, request)
 	return kvstore.Written{Revision: 1}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -338,6 +338,20 @@
 	return domain.leader, true
 }
 
+// LeaderAddress returns the admin address of another node that leads a domain. It
+// returns false if this node leads it, or if there is no leader that is alive.
+func (fleet *Fleet) LeaderAddress(name string) (string, bool) {
+	leader, found := fleet.LeaderOf(name)
+	if !found {
+		return "", false
+	}
+	member, alive := fleet.members[leader.Node]
+	if !alive || member.self || member.node.AdminAddress == "" {
+		return "", false
+	}
+	return member.node.AdminAddress, true
+}
+
 // Rank returns the number of candidates for a domain that rank before this
 // node. It returns false for an unknown domain.
 func (fleet *Fleet) Rank(name string) (rank int, known bool) {
