--- a/control/feed_test.go
+++ b/control/feed_test.go
@@ -137,6 +137,9 @@
 	now := time.Now()
 	state := newTestFeed(test, now)
 	state.config.Traffic = stalledTraffic{}
+	workers, cancel := context.WithCancel(context.Background())
+	test.Cleanup(cancel)
+	state.workers = workers
 	reports := make(chan string, 4)
 	state.config.Feed.ReportStalled = func(_ context.Context, address, group string) error {
 		reports <- address + " " + group
