--- /dev/null
+++ b/control/lapsed.go
@@ -0,0 +1,82 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// lapsedInterval is the time between two requests for the report of a lapsed
+	// target, and lapsedHold the time for which a response keeps it: two further
+	// requests may be lost.
+	lapsedInterval = 500 * time.Millisecond
+	lapsedHold     = 1500 * time.Millisecond
+)
+
+// lapsedResult holds the answers of the lapsed targets.
+type lapsedResult struct{ answers []probeAnswer }
+
+func (lapsedResult) message() {}
+
+// askLapsed asks the lapsed targets of the fabric domains that this node leads for
+// their reports. A target that cannot reach the platform still serves its group; a
+// target that has failed does not respond.
+func (state *state) askLapsed(now time.Time) {
+	if state.feed.askingLapsed || now.Sub(state.feed.askedLapsedAt) < lapsedInterval {
+		return
+	}
+	var targets []probedTarget
+	for _, lapsed := range state.feed.directory.Lapsed() {
+		if _, leads := state.leaderships[lapsed.VM.FabricDomain]; leads {
+			targets = append(targets, probedTarget{vm: lapsed.VM.Name, incarnation: lapsed.VM.Incarnation, address: lapsed.VM.Address})
+		}
+	}
+	if len(targets) == 0 {
+		return
+	}
+	state.feed.askingLapsed = true
+	state.feed.askedLapsedAt = now
+	state.startWorker(func(ctx context.Context) message { return lapsedResult{answers: state.probeAll(ctx, targets)} })
+}
+
+// handleLapsedResult holds the members of groups that responded and drops the
+// targets that did not. Requests are sent to rank 0, so it is not held: without an
+// announcement it may be leaving.
+func (state *state) handleLapsedResult(now time.Time, result lapsedResult) {
+	state.feed.askingLapsed = false
+	changed := false
+	for _, answer := range result.answers {
+		held := answer.responded && answer.report.Group != "" && answer.report.Rank > 0
+		if held {
+			report := answer.report
+			report.VM, report.Incarnation = answer.vm, answer.incarnation
+			report.Sequence, report.Running, report.Queued, report.FreeCache = 0, 0, 0, 0
+			changed = state.feed.directory.Hold(answer.vm, report, now.Add(lapsedHold)) || changed
+		} else if !answer.responded {
+			changed = state.feed.directory.Drop(answer.vm) || changed
+		}
+		state.logLapsed(answer, held)
+	}
+	if changed {
+		state.applyTargets(now)
+	}
+}
+
+// logLapsed logs the first answer of a lapsed target and each change of it.
+func (state *state) logLapsed(answer probeAnswer, held bool) {
+	decision := "removed after its grace period"
+	switch {
+	case held:
+		decision = "kept in its group"
+	case !answer.responded:
+		decision = "removed"
+	}
+	if state.feed.lapsedDecisions[answer.vm] == decision {
+		return
+	}
+	state.feed.lapsedDecisions[answer.vm] = decision
+	state.logger.Info("announcement of target expired", zap.String("target", answer.vm), zap.String("incarnation", answer.incarnation),
+		zap.Bool("responds", answer.responded), zap.String("group", answer.report.Group), zap.Int("rank", answer.report.Rank), zap.String("decision", decision))
+}
--- a/mirror/serve.go
+++ b/mirror/serve.go
@@ -51,9 +51,6 @@
 	StoreAgeMicros int64 `msgpack:"store-age-us"`
 }
 
-// notesMessage is the body of a read request.
-type notesMessage struct{}
-
 func (reply reply) age() time.Duration { return time.Duration(reply.AgeMicros) * time.Microsecond }
 
 func (reply reply) storeAge() time.Duration {
