--- a/control/lapsed.go
+++ b/control/lapsed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,11 +29,14 @@
 		return
 	}
 	var targets []probedTarget
+	known := map[string]bool{}
 	for _, lapsed := range state.feed.directory.Lapsed() {
+		known[lapsed.VM.Name] = true
 		if _, leads := state.leaderships[lapsed.VM.FabricDomain]; leads {
 			targets = append(targets, probedTarget{vm: lapsed.VM.Name, incarnation: lapsed.VM.Incarnation, address: lapsed.VM.Address})
 		}
 	}
+	maps.DeleteFunc(state.feed.lapsedDecisions, func(vm, _ string) bool { return !known[vm] })
 	if len(targets) == 0 {
 		return
 	}
--- a/control/target.go
+++ b/control/target.go
@@ -80,11 +80,6 @@
 		reports[target.VM.Name] = target.Report
 		state.feed.fabricDomains[target.VM.Name] = target.VM.FabricDomain
 	}
-	for name := range state.feed.lapsedDecisions {
-		if _, found := reports[name]; found && !state.feed.directory.Missing(name) {
-			delete(state.feed.lapsedDecisions, name)
-		}
-	}
 	previous := state.feed.reports
 	state.feed.reports = reports
 	for name := range previous {
