Remove a kept target when its grace period ends with other changes

Cause: a change of reports alone skips the rebuild of all targets, also when it ended the grace period of a kept target, whose group then served on until the next other change. Change: the short way is taken only if the number of targets stays.

--- a/control/feed.go
+++ b/control/feed.go
@@ -193,7 +193,10 @@
 	case TargetsChanged:
 		state.storeReachedAt = now
 		onlyReports := state.onlyReportsChanged(event)
+		known := state.feed.directory.Size()
 		changed = state.feed.directory.Apply(now, event.Put, event.Removed)
+		// A grace period may have ended as well.
+		onlyReports = onlyReports && state.feed.directory.Size() == known
 		if changed && onlyReports {
 			state.applyReports(now, event.Put)
 			changed = false
--- a/control/feed_test.go
+++ b/control/feed_test.go
@@ -160,3 +160,18 @@
 	state.probeStalledGroups(now.Add(probeInterval))
 	require.Equal(test, "10.0.0.9:80 g", <-reports)
 }
+
+// A kept target's grace period ends with a change that concerns other targets.
+// Guards against a removal that is lost because the change looks like one of reports
+// only (hunt on bradescu-punti, trouble-2 --seed 408674794511: DRAIN broken by 42 ms).
+func TestGracePeriodEndsWithAChangeOfReports(test *testing.T) {
+	now := time.Now()
+	state := newTestFeed(test, now)
+	state.handleFeed(now, TargetsChanged{Removed: []string{"a"}})
+	require.True(test, serves(state, now))
+	at := now.Add(testLapseGrace)
+	changed := testMember("b", 1)
+	changed.Report.Staged = []string{"other"}
+	state.handleFeed(at, TargetsChanged{Put: []directory.Target{changed}})
+	require.False(test, serves(state, at))
+}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -120,6 +120,9 @@
 	return targets
 }
 
+// Size returns the number of targets, including missing ones.
+func (directory *Directory) Size() int { return len(directory.targets) }
+
 // Announced returns an announced target. It returns false for a target that is not
 // in the directory or is missing.
 func (directory *Directory) Announced(name string) (Target, bool) {
