Mark a member that answers as unlisted at once

Cause: found by reading the change again. A target whose entry expired is marked unlisted when the targets are applied, and an answer equal to its last report did not apply them. Until something else did, the record did not keep its group at the nodes that lead nothing, which gave it up after their grace period. Ruled out: marking every target without an entry (a write for each entry that returns after an outage, and spares that nobody asked). Change: the first answer of a lapsed target counts as a change, as does its return; only targets that answered are unlisted. The directory counts changes other than those of reports, which replaces the comparison of every changed target and of the number of targets in control. Probes of unresponsive and of lapsed targets share their rounds; the map of fabric domains kept for log lines goes. RenewalsPerSecond moves from FeedConfig to Config, beside the lease that it bounds. Result: TestAnsweringMemberIsMarkedUnlisted failed before and passes.

--- a/cmd/lacewingspoke/sharedmodule.go
+++ b/cmd/lacewingspoke/sharedmodule.go
@@ -209,32 +209,27 @@
 
 func newFeedController(params feedParams) (*control.Controller, error) {
 	controller, err := control.New(control.Config{
-		Name:          params.Settings.Name(),
-		Incarnation:   string(params.Incarnation),
-		FailureDomain: params.Settings.FailureDomain(),
-
-		ProcessorShare: params.Settings.ProcessorShare(),
-
-		PeerAddress:  params.Mesh.Address(),
-		AdminAddress: params.Settings.AdminAddress(),
-		LeaseMinimum: sharedLeaseMinimum,
-		ClaimStep:    sharedClaimStep,
-		SettleNear:   sharedSettleNear,
-		SettleFar:    sharedSettleFar,
+		Name:              params.Settings.Name(),
+		Incarnation:       string(params.Incarnation),
+		FailureDomain:     params.Settings.FailureDomain(),
+		ProcessorShare:    params.Settings.ProcessorShare(),
+		PeerAddress:       params.Mesh.Address(),
+		AdminAddress:      params.Settings.AdminAddress(),
+		LeaseMinimum:      sharedLeaseMinimum,
+		RenewalsPerSecond: sharedRenewalsPerSecond,
+		ClaimStep:         sharedClaimStep,
+		SettleNear:        sharedSettleNear,
+		SettleFar:         sharedSettleFar,
 		Feed: control.FeedConfig{
-			Events:      params.Feed.Events(),
-			SetPause:    params.Feed.SetPause,
-			SetSources:  params.Mirror.SetSources,
-			ReturnGrace: returnGrace,
-
+			Events:        params.Feed.Events(),
+			SetPause:      params.Feed.SetPause,
+			SetSources:    params.Mirror.SetSources,
 			ReportStalled: newStallReporter().Report,
-
-			LapseGrace: params.Settings.DrainBound() / lapseGraceDivisor,
-			LoadWindow: params.Settings.LoadWindow(),
-			LoadSlack:  loadSlack,
-
-			RenewalsPerSecond: sharedRenewalsPerSecond,
-			Bootstrap:         params.Settings.Bootstrap(),
+			ReturnGrace:   returnGrace,
+			LapseGrace:    params.Settings.DrainBound() / lapseGraceDivisor,
+			LoadWindow:    params.Settings.LoadWindow(),
+			LoadSlack:     loadSlack,
+			Bootstrap:     params.Settings.Bootstrap(),
 		},
 		Platform:   mirroredPlatform{StoreClient: params.Client, mirrored: params.Mirror},
 		Mesh:       params.Mesh,
--- a/control/control.go
+++ b/control/control.go
@@ -131,6 +131,9 @@
 	// package fleet.
 	LeaseMinimum time.Duration
 
+	// RenewalsPerSecond bounds the lease renewals of all nodes, see fleet.Config.
+	RenewalsPerSecond int
+
 	// ClaimStep, SettleNear and SettleFar set the delays of the claims of
 	// fabric domains, see fleet.Config; 0 means the defaults of package fleet.
 	ClaimStep  time.Duration
@@ -262,7 +265,7 @@
 		Mirrored:      config.Feed.SetSources != nil,
 
 		ProcessorShare:    config.ProcessorShare,
-		RenewalsPerSecond: config.Feed.RenewalsPerSecond,
+		RenewalsPerSecond: config.RenewalsPerSecond,
 		SettleNear:        config.SettleNear,
 		SettleFar:         config.SettleFar,
 		Random:            config.Random,
--- a/control/feed.go
+++ b/control/feed.go
@@ -75,9 +75,6 @@
 	LoadWindow time.Duration
 	LoadSlack  int
 
-	// RenewalsPerSecond bounds the lease renewals of all nodes, see fleet.Config.
-	RenewalsPerSecond int
-
 	// Bootstrap removes the bound on loads until the first request of a caller.
 	// It is set on nodes that start while the whole system is started for the
 	// first time.
@@ -134,10 +131,6 @@
 	directory *directory.Directory
 	reports   map[string]engine.Report
 
-	// fabricDomains maps the targets with a report, and those that had one before
-	// the last change, to their fabric domains.
-	fabricDomains map[string]string
-
 	runners []route.ServiceTarget
 	catalog *catalog.Catalog
 	loads   *limit.LoadLimiter
@@ -148,15 +141,10 @@
 	// has recovered.
 	unresponsive map[string]uint64
 
-	// rechecking is true while the unresponsive targets are probed again, and
-	// recheckedAt is when that last began.
-	rechecking  bool
-	recheckedAt time.Time
-
-	// askingLapsed is true while the lapsed targets are asked for their reports,
-	// and askedLapsedAt is when that last began.
-	askingLapsed  bool
-	askedLapsedAt time.Time
+	// rechecks are the probes of the unresponsive targets, and lapsedProbes those of
+	// the lapsed ones.
+	rechecks     probeRound
+	lapsedProbes probeRound
 
 	// lapsedDecisions holds what was last logged about each lapsed target.
 	lapsedDecisions map[string]string
@@ -192,12 +180,9 @@
 		changed = state.feed.directory.Replace(now, event.Targets)
 	case TargetsChanged:
 		state.storeReachedAt = now
-		onlyReports := state.onlyReportsChanged(event)
-		known := state.feed.directory.Size()
+		composition := state.feed.directory.Composition()
 		changed = state.feed.directory.Apply(now, event.Put, event.Removed)
-		// A grace period may have ended as well.
-		onlyReports = onlyReports && state.feed.directory.Size() == known
-		if changed && onlyReports {
+		if changed && state.feed.directory.Composition() == composition && state.feed.inUse(event.Put) {
 			state.applyReports(now, event.Put)
 			changed = false
 		}
--- a/control/feed_test.go
+++ b/control/feed_test.go
@@ -175,3 +175,21 @@
 	state.handleFeed(at, TargetsChanged{Put: []directory.Target{changed}})
 	require.False(test, serves(state, at))
 }
+
+// A member's announcement expires and its answer to the leader equals its last report.
+// Guards against a leader that does not learn that the member is unlisted: its record
+// then ends the group at the other nodes after their grace period.
+func TestAnsweringMemberIsMarkedUnlisted(test *testing.T) {
+	now := time.Now()
+	state := newTestFeed(test, now)
+	member := testMember("b", 1)
+	state.handleFeed(now, TargetsChanged{Removed: []string{"b"}})
+	state.handleLapsedResult(now, lapsedResult{answers: []probeAnswer{{
+		probedTarget: probedTarget{vm: "b", incarnation: "1", address: member.VM.Address},
+		responded:    true,
+		report:       member.Report,
+	}}})
+	require.Equal(test, kvstore.VMUnlisted, state.vms["b"].State)
+	state.handleFeed(now, TargetsChanged{Put: []directory.Target{member}})
+	require.Equal(test, kvstore.VMLive, state.vms["b"].State)
+}
--- a/control/lapsed.go
+++ b/control/lapsed.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"context"
 	"maps"
 	"time"
 
@@ -25,7 +24,7 @@
 // their reports. A target that cannot reach the platform still serves its group; a
 // target that has failed does not respond.
 func (state *state) askLapsed(now time.Time) {
-	if state.feed.askingLapsed || now.Sub(state.feed.askedLapsedAt) < lapsedInterval {
+	if !state.feed.lapsedProbes.due(now, lapsedInterval) {
 		return
 	}
 	var targets []probedTarget
@@ -33,23 +32,18 @@
 	for _, lapsed := range state.feed.directory.Lapsed() {
 		known[lapsed.VM.Name] = true
 		if _, leads := state.leaderships[lapsed.VM.FabricDomain]; leads {
-			targets = append(targets, probedTarget{vm: lapsed.VM.Name, incarnation: lapsed.VM.Incarnation, address: lapsed.VM.Address})
+			targets = append(targets, newProbedTarget(lapsed.VM))
 		}
 	}
 	maps.DeleteFunc(state.feed.lapsedDecisions, func(vm, _ string) bool { return !known[vm] })
-	if len(targets) == 0 {
-		return
-	}
-	state.feed.askingLapsed = true
-	state.feed.askedLapsedAt = now
-	state.startWorker(func(ctx context.Context) message { return lapsedResult{answers: state.probeAll(ctx, targets)} })
+	state.startRound(now, &state.feed.lapsedProbes, targets, func(answers []probeAnswer) message { return lapsedResult{answers: answers} })
 }
 
 // handleLapsedResult holds the members of groups that responded and drops the
 // targets that did not. Requests are sent to rank 0, so it is not held: without an
 // announcement it may be leaving.
 func (state *state) handleLapsedResult(now time.Time, result lapsedResult) {
-	state.feed.askingLapsed = false
+	state.feed.lapsedProbes.running = false
 	changed := false
 	for _, answer := range result.answers {
 		held := answer.responded && answer.report.Group != "" && answer.report.Rank > 0
--- a/control/probe.go
+++ b/control/probe.go
@@ -9,6 +9,7 @@
 	"lacewingspoke.org/lacewingspoke/directory"
 	"lacewingspoke.org/lacewingspoke/engine"
 	"lacewingspoke.org/lacewingspoke/group"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 const (
@@ -36,14 +37,39 @@
 
 func (probeResult) message() {}
 
-// recheckResult is the result of probing the unresponsive targets again.
-type recheckResult struct{ responsive []probedTarget }
+// recheckResult holds the answers of the unresponsive targets.
+type recheckResult struct{ answers []probeAnswer }
 
 func (recheckResult) message() {}
 
 // A probedTarget is one incarnation of a target with its address.
 type probedTarget struct{ vm, incarnation, address string }
 
+func newProbedTarget(vm kvstore.VM) probedTarget {
+	return probedTarget{vm: vm.Name, incarnation: vm.Incarnation, address: vm.Address}
+}
+
+// A probeRound limits the probes of a set of targets to one round at a time and one
+// in an interval.
+type probeRound struct {
+	running bool
+	beganAt time.Time
+}
+
+func (round *probeRound) due(now time.Time, interval time.Duration) bool {
+	return !round.running && now.Sub(round.beganAt) >= interval
+}
+
+// startRound probes the targets in a worker, whose result is made of the answers. The
+// handler of the result must set round.running to false.
+func (state *state) startRound(now time.Time, round *probeRound, targets []probedTarget, result func(answers []probeAnswer) message) {
+	if len(targets) == 0 {
+		return
+	}
+	*round = probeRound{running: true, beganAt: now}
+	state.startWorker(func(ctx context.Context) message { return result(state.probeAll(ctx, targets)) })
+}
+
 // probeStalledGroups has the members of groups with stalled streams probed: by this
 // node if it leads their fabric domain, and by the leader otherwise. This detects a
 // lost member long before its announcement expires. In a large fleet the leader
@@ -176,44 +202,34 @@
 // reach nodes that read the store through others, so the announcements alone do
 // not show that a paused target has resumed.
 func (state *state) recheckUnresponsive(now time.Time) {
-	if len(state.feed.unresponsive) == 0 || state.feed.rechecking || now.Sub(state.feed.recheckedAt) < probeInterval {
+	if !state.feed.rechecks.due(now, probeInterval) {
 		return
 	}
 	var targets []probedTarget
-	for _, target := range state.feed.directory.Targets() {
-		if _, unresponsive := state.feed.unresponsive[target.VM.Name]; !unresponsive {
-			continue
-		}
-		if _, leads := state.leaderships[target.VM.FabricDomain]; !leads {
-			delete(state.feed.unresponsive, target.VM.Name)
+	for name := range state.feed.unresponsive {
+		target, found := state.feed.directory.Target(name)
+		if _, leads := state.leaderships[target.VM.FabricDomain]; found && leads {
+			targets = append(targets, newProbedTarget(target.VM))
 			continue
 		}
-		targets = append(targets, probedTarget{vm: target.VM.Name, incarnation: target.VM.Incarnation, address: target.VM.Address})
-	}
-	if len(targets) == 0 {
-		return
+		delete(state.feed.unresponsive, name)
 	}
-	state.feed.rechecking = true
-	state.feed.recheckedAt = now
-	state.startWorker(func(ctx context.Context) message {
-		var result recheckResult
-		for _, probed := range state.probeAll(ctx, targets) {
-			if probed.responded {
-				result.responsive = append(result.responsive, probed.probedTarget)
-			}
-		}
-		return result
-	})
+	state.startRound(now, &state.feed.rechecks, targets, func(answers []probeAnswer) message { return recheckResult{answers: answers} })
 }
 
 // handleRecheckResult treats the targets that responded as live again.
 func (state *state) handleRecheckResult(now time.Time, result recheckResult) {
-	state.feed.rechecking = false
-	for _, target := range result.responsive {
-		delete(state.feed.unresponsive, target.vm)
-		state.logger.Info("target responds to probes again", zap.String("target", target.vm), zap.String("incarnation", target.incarnation))
+	state.feed.rechecks.running = false
+	recovered := false
+	for _, answer := range result.answers {
+		if !answer.responded {
+			continue
+		}
+		recovered = true
+		delete(state.feed.unresponsive, answer.vm)
+		state.logger.Info("target responds to probes again", zap.String("target", answer.vm), zap.String("incarnation", answer.incarnation))
 	}
-	if len(result.responsive) > 0 {
+	if recovered {
 		state.applyTargets(now)
 	}
 }
--- a/control/target.go
+++ b/control/target.go
@@ -20,27 +20,19 @@
 	}
 }
 
-// onlyReportsChanged reports whether a change concerns nothing but the reports of
-// engines that are in use. Nearly all changes do.
-func (state *state) onlyReportsChanged(event TargetsChanged) bool {
-	if len(event.Removed) > 0 {
-		return false
-	}
-	for _, target := range event.Put {
-		known, announced := state.feed.directory.Announced(target.VM.Name)
-		_, used := state.feed.reports[target.VM.Name]
-		if !announced || !used || known.VM != target.VM || known.Service != target.Service || known.Slots != target.Slots {
-			return false
-		}
-		if _, unresponsive := state.feed.unresponsive[target.VM.Name]; unresponsive {
+// inUse reports whether all targets are engines whose reports are in use.
+func (feed *feedState) inUse(targets []directory.Target) bool {
+	for _, target := range targets {
+		if _, used := feed.reports[target.VM.Name]; !used {
 			return false
 		}
 	}
 	return true
 }
 
-// applyReports updates the reports of some engines. Unlike applyTargets, its cost
-// does not grow with the number of targets.
+// applyReports updates the reports of some engines, of which nothing else changed.
+// Nearly all changes are of this kind. Unlike that of applyTargets, the cost does not
+// grow with the number of targets.
 func (state *state) applyReports(now time.Time, targets []directory.Target) {
 	state.dirty = true
 	for _, target := range targets {
@@ -50,7 +42,7 @@
 		}
 		state.feed.reports[name] = target.Report
 		state.ensureDomain(domain).grantsDerivedAt = time.Time{}
-		state.logTarget("target reported", target.Report)
+		state.logTarget("target reported", domain, target.Report)
 		if leadership, leads := state.leaderships[domain]; leads {
 			state.handleGroup(now, leadership, group.ReportRead{Sent: now, Report: target.Report})
 		}
@@ -62,8 +54,6 @@
 func (state *state) applyTargets(now time.Time) {
 	var vms []kvstore.VM
 	reports := make(map[string]engine.Report, len(state.feed.reports))
-	previousDomains := state.feed.fabricDomains
-	state.feed.fabricDomains = make(map[string]string, len(reports))
 	state.feed.runners = nil
 	for _, target := range state.feed.directory.Targets() {
 		if !state.feed.configured(target) || !state.feed.responsive(target) {
@@ -73,22 +63,16 @@
 			state.feed.runners = append(state.feed.runners, runnerOf(target))
 			continue
 		}
-		if state.feed.directory.Missing(target.VM.Name) && target.VM.State == kvstore.VMLive {
+		if state.feed.directory.Held(target.VM.Name) {
 			target.VM.State = kvstore.VMUnlisted
 		}
 		vms = append(vms, target.VM)
 		reports[target.VM.Name] = target.Report
-		state.feed.fabricDomains[target.VM.Name] = target.VM.FabricDomain
 	}
 	previous := state.feed.reports
 	state.feed.reports = reports
-	for name := range previous {
-		if _, found := reports[name]; !found {
-			state.feed.fabricDomains[name] = previousDomains[name]
-		}
-	}
 	state.feed.orders.retain(reports)
-	state.logTargets(previous, reports)
+	state.logTargets(previous, vms)
 	state.dirty = true
 	for _, domain := range state.domains {
 		domain.grantsDerivedAt = time.Time{}
@@ -126,27 +110,27 @@
 	}
 }
 
-// logTargets logs the targets whose report changed and the removed targets of the
-// fabric domains that this node leads, because the leader decides by them. It
-// counts those of the others: a fleet would otherwise write each change once for
-// each of its nodes.
-func (state *state) logTargets(previous, current map[string]engine.Report) {
-	for name, report := range current {
-		if known, found := previous[name]; found && known.Same(report) {
-			continue
+// logTargets logs the VMs whose report changed and the removed ones of the fabric
+// domains that this node leads, because the leader decides by them. It counts those
+// of the others: a fleet would otherwise write each change once for each of its
+// nodes. state.vms still holds the previous VMs.
+func (state *state) logTargets(previous map[string]engine.Report, vms []kvstore.VM) {
+	for _, vm := range vms {
+		report := state.feed.reports[vm.Name]
+		if known, found := previous[vm.Name]; !found || !known.Same(report) {
+			state.logTarget("target reported", vm.FabricDomain, report)
 		}
-		state.logTarget("target reported", report)
 	}
 	for name, known := range previous {
-		if _, found := current[name]; !found {
-			state.logTarget("target removed", known)
+		if _, found := state.feed.reports[name]; !found {
+			state.logTarget("target removed", state.vms[name].FabricDomain, known)
 		}
 	}
 }
 
-func (state *state) logTarget(message string, report engine.Report) {
+func (state *state) logTarget(message, domain string, report engine.Report) {
 	state.metrics.targetChanges.Inc()
-	if _, leads := state.leaderships[state.feed.fabricDomains[report.VM]]; !leads {
+	if _, leads := state.leaderships[domain]; !leads {
 		return
 	}
 	state.logger.Info(message, zap.String("target", report.VM), zap.String("incarnation", report.Incarnation),
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -79,6 +79,9 @@
 type LapsedTarget struct {
 	Target
 	Since time.Time
+
+	// Held is true after the target was first kept because it responds.
+	Held bool
 }
 
 // A Directory is the set of announced targets. It is not safe for concurrent
@@ -87,6 +90,9 @@
 	config  Config
 	targets map[string]Target
 
+	// composition counts the changes other than those of reports.
+	composition uint64
+
 	// sorted holds the names of the targets in order, nil if they have changed.
 	sorted []string
 
@@ -120,14 +126,15 @@
 	return targets
 }
 
-// Size returns the number of targets, including missing ones.
-func (directory *Directory) Size() int { return len(directory.targets) }
+// Composition returns a number that stays the same while nothing but the reports of
+// targets changes.
+func (directory *Directory) Composition() uint64 { return directory.composition }
 
-// Announced returns an announced target. It returns false for a target that is not
-// in the directory or is missing.
-func (directory *Directory) Announced(name string) (Target, bool) {
+// Target returns a target, which may be missing, and whether it is in the
+// directory.
+func (directory *Directory) Target(name string) (Target, bool) {
 	target, found := directory.targets[name]
-	return target, found && !directory.Missing(name)
+	return target, found
 }
 
 // Heartbeat returns the Heartbeat of a target and whether the target is in the
@@ -161,14 +168,20 @@
 	if !found {
 		return false
 	}
-	previous, kept := directory.targets[name]
-	held := lapsed.Target
-	held.Report = report
-	lapsed.Target = held
+	first := !lapsed.Held
+	lapsed.Held = true
+	lapsed.Report = report
 	directory.lapsed[name] = lapsed
-	directory.setTarget(held)
 	directory.missing[name] = until
-	return !kept || !previous.Same(held)
+	if first {
+		directory.composition++
+	}
+	return directory.setTarget(lapsed.Target) || first
+}
+
+// Held reports whether a target is kept because it responds.
+func (directory *Directory) Held(name string) bool {
+	return directory.Missing(name) && directory.lapsed[name].Held
 }
 
 // Drop removes a lapsed target that does not respond. It reports whether the
@@ -248,11 +261,13 @@
 }
 
 func (directory *Directory) put(target Target) bool {
+	returned := directory.Held(target.VM.Name)
+	if returned {
+		directory.composition++
+	}
 	delete(directory.missing, target.VM.Name)
 	delete(directory.lapsed, target.VM.Name)
-	previous, found := directory.targets[target.VM.Name]
-	directory.setTarget(target)
-	return !found || !previous.Same(target)
+	return directory.setTarget(target) || returned
 }
 
 // remove removes a target whose announcement has ended, or marks it as missing if
@@ -262,7 +277,7 @@
 	if !found {
 		return false
 	}
-	if _, missing := directory.missing[name]; missing {
+	if directory.Missing(name) {
 		return false
 	}
 	deadline := directory.keptUntil(now, target)
@@ -292,14 +307,22 @@
 	return deadline
 }
 
-func (directory *Directory) setTarget(target Target) {
-	if _, found := directory.targets[target.VM.Name]; !found {
+// setTarget adds or replaces a target and reports whether it differs from the
+// previous one.
+func (directory *Directory) setTarget(target Target) bool {
+	previous, found := directory.targets[target.VM.Name]
+	if !found {
 		directory.sorted = nil
 	}
+	if !found || previous.VM != target.VM || previous.Service != target.Service || previous.Slots != target.Slots {
+		directory.composition++
+	}
 	directory.targets[target.VM.Name] = target
+	return !found || !previous.Same(target)
 }
 
 func (directory *Directory) deleteTarget(name string) {
+	directory.composition++
 	directory.sorted = nil
 	delete(directory.targets, name)
 }
--- a/group/placement.go
+++ b/group/placement.go
@@ -41,8 +41,8 @@
 	Incarnation   string `json:"incarnation"`
 	FailureDomain string `json:"failure-domain"`
 
-	// Unlisted is set while the platform's list does not contain the VM, but the
-	// VM confirms the assignment when the leader asks it.
+	// Unlisted is set while the platform's list does not contain the VM, but the VM
+	// answers its leader with this assignment.
 	Unlisted bool `json:"unlisted,omitempty"`
 }
 
