Rank the readers once and decode request bodies in one place

No change of behaviour: readers and relays are chosen from one ranking, the outcome of a store call is recorded under one lock, drain requests and reports of stalled groups are decoded by one function.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -188,10 +188,8 @@
 }
 
 func (server *Server) serveDrain(writer http.ResponseWriter, request *http.Request) {
-	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, MaxRequestBytes))
-	decoder.DisallowUnknownFields()
 	var drain DrainRequest
-	if err := decoder.Decode(&drain); err != nil {
+	if err := decodeBody(writer, request, &drain); err != nil {
 		http.Error(writer, "drain request is not valid: "+err.Error(), http.StatusBadRequest)
 		return
 	}
@@ -204,10 +202,8 @@
 }
 
 func (server *Server) serveStalled(writer http.ResponseWriter, request *http.Request) {
-	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, MaxRequestBytes))
-	decoder.DisallowUnknownFields()
 	var report StalledReport
-	if err := decoder.Decode(&report); err != nil || report.Group == "" {
+	if err := decodeBody(writer, request, &report); err != nil || report.Group == "" {
 		http.Error(writer, "report of a stalled group is not valid", http.StatusBadRequest)
 		return
 	}
@@ -229,6 +225,13 @@
 	}
 }
 
+// decodeBody decodes a request body of at most MaxRequestBytes.
+func decodeBody(writer http.ResponseWriter, request *http.Request, body any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, MaxRequestBytes))
+	decoder.DisallowUnknownFields()
+	return errors.Trace(decoder.Decode(body))
+}
+
 func writeJSON(writer http.ResponseWriter, status int, body any) {
 	writer.Header().Set("Content-Type", "application/json")
 	writer.WriteHeader(status)
--- a/fleet/topology.go
+++ b/fleet/topology.go
@@ -17,6 +17,10 @@
 	// that of both readers.
 	MirrorNodes = 4
 
+	// readerCount is the number of nodes that read the store for the others: one that
+	// does, and one that takes its place.
+	readerCount = 2
+
 	// WatchersPerFailureDomain is the number of nodes in each failure domain
 	// that watch the store.
 	WatchersPerFailureDomain = 2
@@ -37,8 +41,7 @@
 	fleet.choosePeers()
 	fleet.chooseWatch()
 	fleet.rankCandidates()
-	fleet.readers = fleet.chooseReaders()
-	fleet.relays = fleet.chooseRelays()
+	fleet.chooseSources()
 }
 
 func (fleet *Fleet) choosePeers() {
@@ -148,50 +151,47 @@
 	return addresses
 }
 
-// chooseReaders returns the member with the highest score for watchSubject, and the
-// one with the next highest score in another failure domain, if there is one.
-func (fleet *Fleet) chooseReaders() []*member {
-	ranked := fleet.rankReaders(func(*member) bool { return true })
-	if len(ranked) == 0 {
-		return nil
-	}
-	first := ranked[0]
+// chooseSources chooses the nodes that other nodes read the store through. The readers
+// are the first of the ranked members and the next one of another failure domain, if
+// there is one. The relays are the next WatchersPerFailureDomain members of this
+// node's failure domain; a fleet of at most FullMeshNodes has none, and all nodes read
+// through the readers.
+func (fleet *Fleet) chooseSources() {
+	ranked := fleet.rankReaders()
+	fleet.readers = ranked[:min(len(ranked), readerCount)]
 	other := slices.IndexFunc(ranked, func(member *member) bool {
-		return member.node.FailureDomain != first.node.FailureDomain
+		return member.node.FailureDomain != ranked[0].node.FailureDomain
 	})
-	switch {
-	case other > 0:
-		return []*member{first, ranked[other]}
-	default:
-		return ranked[:min(len(ranked), 2)]
+	if other > 0 {
+		fleet.readers = []*member{ranked[0], ranked[other]}
 	}
-}
-
-// chooseRelays returns the WatchersPerFailureDomain members of this node's failure
-// domain with the highest scores that are not readers. In a fleet of at most
-// FullMeshNodes there are none, and all nodes read through the readers.
-func (fleet *Fleet) chooseRelays() []*member {
+	fleet.relays = nil
 	if len(fleet.members) <= FullMeshNodes {
-		return nil
+		return
+	}
+	for _, member := range ranked {
+		near := member.node.FailureDomain == fleet.self.FailureDomain
+		if near && !slices.Contains(fleet.readers, member) && len(fleet.relays) < WatchersPerFailureDomain {
+			fleet.relays = append(fleet.relays, member)
+		}
 	}
-	ranked := fleet.rankReaders(func(member *member) bool {
-		return member.node.FailureDomain == fleet.self.FailureDomain && !slices.Contains(fleet.readers, member)
-	})
-	return ranked[:min(len(ranked), WatchersPerFailureDomain)]
 }
 
-// rankReaders returns the members with a record for which include is true: those
-// with the largest processor share first, and among them the one with the highest
-// score for watchSubject.
-func (fleet *Fleet) rankReaders(include func(*member) bool) []*member {
+// rankReaders returns the members with a record: those with the largest processor
+// share first, and among them the one with the highest score for watchSubject.
+func (fleet *Fleet) rankReaders() []*member {
 	var ranked []*member
 	for _, member := range fleet.members {
-		if (member.self || member.recorded) && include(member) {
+		if member.self || member.recorded {
 			ranked = append(ranked, member)
 		}
 	}
 	slices.SortFunc(ranked, func(left, right *member) int {
-		return cmp.Or(cmp.Compare(right.node.ProcessorShare, left.node.ProcessorShare), cmp.Compare(score(right.hash, watchSubject), score(left.hash, watchSubject)), cmp.Compare(left.node.Name, right.node.Name))
+		return cmp.Or(
+			cmp.Compare(right.node.ProcessorShare, left.node.ProcessorShare),
+			cmp.Compare(score(right.hash, watchSubject), score(left.hash, watchSubject)),
+			cmp.Compare(left.node.Name, right.node.Name),
+		)
 	})
 	return ranked
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -16,8 +16,7 @@
 // time since either reached the store grow, and stop as well.
 //
 // A write that does not change the content of an entry, such as a heartbeat, is
-// not passed on. Followers learn from the age of the results that an entry without
-// changes still exists.
+// not passed on; the end of an entry is.
 //
 // # Usage
 //
@@ -317,26 +316,20 @@
 // recordStoreCall records the outcome of a call to the store. After a failure, a
 // node with sources backs off.
 func (mirror *Mirror) recordStoreCall(err error) {
-	if err == nil || errors.Is(err, errors.NotValid) {
-		mirror.reads.WithLabelValues("store", "answered").Inc()
-		mirror.setStoreFailed(false)
-		return
+	failed := err != nil && !errors.Is(err, errors.NotValid)
+	outcome := "answered"
+	if failed {
+		outcome = "failed"
 	}
-	mirror.reads.WithLabelValues("store", "failed").Inc()
-	mirror.setStoreFailed(true)
+	mirror.reads.WithLabelValues("store", outcome).Inc()
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
-	if len(mirror.sources) > 0 {
+	mirror.storeFailed = failed
+	if failed && len(mirror.sources) > 0 {
 		mirror.storeRetryAt = mirror.config.Now().Add(storeBackoff)
 	}
 }
 
-func (mirror *Mirror) setStoreFailed(failed bool) {
-	mirror.mutex.Lock()
-	defer mirror.mutex.Unlock()
-	mirror.storeFailed = failed
-}
-
 // checkStoreBackoff returns an error if this node has sources and its last call
 // to the store failed within storeBackoff. Many other nodes would call the store
 // at the same time.
--- a/mirror/serve.go
+++ b/mirror/serve.go
@@ -170,12 +170,11 @@
 	defer mirror.mutex.Unlock()
 	journal := mirror.journals[request.prefix]
 	now := mirror.config.Now()
-	connected := len(mirror.sources) > 0 || !mirror.storeFailed
-	bound := maxStoreAge
+	serving, bound := !mirror.storeFailed, maxStoreAge
 	if len(mirror.sources) > 0 {
-		bound += maxSourceWait
+		serving, bound = true, maxStoreAge+maxSourceWait
 	}
-	serving := connected && journal != nil && journal.Current(now, bound)
+	serving = serving && journal != nil && journal.Current(now, bound)
 	if !serving || now.Sub(mirror.storeReachedAt) > bound {
 		return reply{}, http.StatusServiceUnavailable, mirror.journalsChanged
 	}
