--- a/control/feed_test.go
+++ b/control/feed_test.go
@@ -34,12 +34,12 @@
 	return state
 }
 
-// testPlacement returns a record in which the member b may be unlisted.
+// testPlacement returns a record in which the members may be unlisted.
 func testPlacement(unlisted bool) []byte {
 	return []byte(fmt.Sprintf(`{"domain":"d0","fence":1,"epoch":1,"leader":"other/1","change":"c",
 		"groups":{"g":{"name":"g","spec":"m","epoch":1,"state":"ready","size":2,"model":"m","version":""}},
-		"vms":{"a":{"group":"g","rank":0,"address":"10.0.0.1:80","incarnation":"1","failure-domain":"z"},
-		"b":{"group":"g","rank":1,"address":"10.0.0.2:80","incarnation":"1","failure-domain":"z","unlisted":%v}}}`, unlisted))
+		"vms":{"a":{"group":"g","rank":0,"address":"10.0.0.1:80","incarnation":"1","failure-domain":"z","unlisted":%v},
+		"b":{"group":"g","rank":1,"address":"10.0.0.2:80","incarnation":"1","failure-domain":"z","unlisted":%v}}}`, unlisted, unlisted))
 }
 
 func testMember(name string, rank int) directory.Target {
@@ -154,11 +154,20 @@
 	state.handleFleet(now, fleet.KeysListed{Prefix: fleet.NodePrefix, Revision: 5, Entries: []kvstore.Entry{{Key: fleet.NodeKey("two"), Value: node, Revision: 4}}})
 	state.handleFleet(now, fleet.KeysListed{Prefix: fleet.DomainPrefix, Revision: 5, Entries: []kvstore.Entry{{Key: fleet.LeaderKey("d0"), Value: leader, Revision: 5, Lease: "7"}}})
 	state.probeStalledGroups(now)
-	require.Equal(test, "10.0.0.9:80 g", <-reports)
+	requireReport(test, reports, "10.0.0.9:80 g")
 	state.probeStalledGroups(now.Add(probeInterval / 2))
 	require.Empty(test, reports)
 	state.probeStalledGroups(now.Add(probeInterval))
-	require.Equal(test, "10.0.0.9:80 g", <-reports)
+	requireReport(test, reports, "10.0.0.9:80 g")
+}
+
+func requireReport(test *testing.T, reports <-chan string, want string) {
+	select {
+	case got := <-reports:
+		require.Equal(test, want, got)
+	case <-time.After(10 * time.Second):
+		test.Fatal("no report was sent")
+	}
 }
 
 // A kept target's grace period ends with a change that concerns other targets.
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -542,6 +542,8 @@
 	listing, err := relay.List(test.Context(), "op/config")
 	require.NoError(test, err)
 	clock.advance(500 * time.Millisecond)
+	_, err = relay.Watch(test.Context(), "op/config", listing.Revision, 0)
+	require.NoError(test, err)
 	sent := clock.Now()
 	listing, err = leaf.List(test.Context(), "op/config")
 	require.NoError(test, err)
@@ -599,6 +601,17 @@
 		clock.advance(100 * time.Millisecond)
 	}
 	require.LessOrEqual(test, attempts, 2, "attempts in 18 seconds")
+
+	// Without another source only the growing backoff limits the attempts.
+	attempts = 0
+	alone := newTestMirror(test, store, clock)
+	alone.SetSources([]string{serve(test, failing)})
+	for range 180 {
+		_, err := alone.List(test.Context(), "servers/")
+		require.NoError(test, err)
+		clock.advance(100 * time.Millisecond)
+	}
+	require.LessOrEqual(test, attempts, 7, "attempts in 18 seconds")
 }
 
 // All nodes of a large fleet start at once, and the sources are not ready yet.
@@ -613,7 +626,11 @@
 		return mirrored
 	}
 	source, follower := newNode(), newNode()
-	address := serve(test, source.Handler())
+	rejected := make(chan bool, 100)
+	address := serve(test, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		source.Handler().ServeHTTP(writer, request)
+		rejected <- true
+	}))
 	_, err := follower.List(test.Context(), "node/")
 	require.NoError(test, err, "nodes must find each other before they know their sources")
 	calls := store.callCount()
@@ -624,6 +641,7 @@
 	}()
 	follower.SetSources([]string{address})
 	require.Equal(test, calls, store.callCount())
+	<-rejected
 	source.SetSources(nil)
 	_, err = source.List(test.Context(), "servers/")
 	require.NoError(test, err)
