--- a/cmd/lacewingspoke/sharedmodule.go
+++ b/cmd/lacewingspoke/sharedmodule.go
@@ -94,10 +94,11 @@
 	return timer.New(timer.Config{Logger: logger, Clock: clock.Now})
 }
 
-func newStoreClient(loaded *settings.Settings, registry *prometheus.Registry) (*platform.StoreClient, error) {
+func newStoreClient(loaded *settings.Settings, logger *zap.Logger, registry *prometheus.Registry) (*platform.StoreClient, error) {
 	client, err := platform.NewStoreClient(platform.StoreClientConfig{
 		Address:    loaded.StoreAddresses()[0],
 		Timeout:    loaded.StoreTimeout(),
+		Logger:     logger,
 		Registerer: registry,
 	})
 	return client, errors.Trace(err)
--- a/mirror/journal.go
+++ b/mirror/journal.go
@@ -63,10 +63,11 @@
 
 // Replace replaces the state with a complete listing from a call sent at the
 // given time. Keys that differ from the previous state are recorded as changed at
-// the listing's revision. An outdated listing is ignored.
-func (journal *Journal) Replace(listing kvstore.Listing, sent time.Time) {
+// the listing's revision. An outdated listing is ignored; Replace then returns
+// false.
+func (journal *Journal) Replace(listing kvstore.Listing, sent time.Time) bool {
 	if journal.loaded() && listing.Revision < journal.revision {
-		return
+		return false
 	}
 	first := !journal.loaded()
 	present := make(map[string]bool, len(listing.Entries))
@@ -87,6 +88,7 @@
 		journal.changes = nil
 		journal.changesAfter = listing.Revision
 	}
+	return true
 }
 
 // Apply applies the changes after a revision, from a call sent at the given time.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -181,7 +181,7 @@
 		if err == nil {
 			mirror.recordSourceResponse(address)
 			listing := kvstore.Listing{Revision: read.Revision, Entries: read.Entries, Age: read.age()}
-			mirror.applySourceReply(prefix, sent, read, func(journal *Journal, confirmed time.Time) { journal.Replace(listing, confirmed) })
+			mirror.applySourceReply(prefix, sent, read, func(journal *Journal, confirmed time.Time) { mirror.replace(journal, prefix, listing, confirmed) })
 			return listing, nil
 		}
 		if ctx.Err() != nil {
@@ -282,10 +282,18 @@
 	if err != nil {
 		return listing, errors.Trace(err)
 	}
-	mirror.updateJournal(mirror.config.Now(), prefix, func(journal *Journal) { journal.Replace(listing, sent) })
+	mirror.updateJournal(mirror.config.Now(), prefix, func(journal *Journal) { mirror.replace(journal, prefix, listing, sent) })
 	return listing, nil
 }
 
+// replace replaces the state of a journal with a listing.
+func (mirror *Mirror) replace(journal *Journal, prefix string, listing kvstore.Listing, sent time.Time) {
+	if !journal.Replace(listing, sent) {
+		mirror.config.Logger.Warn("ignored a listing older than the journal", zap.String("prefix", prefix),
+			zap.Uint64("revision", listing.Revision), zap.Uint64("journal-revision", journal.revision))
+	}
+}
+
 // watchStore reads changes from the store and records them in the prefix's
 // journal.
 func (mirror *Mirror) watchStore(ctx context.Context, prefix string, after uint64, wait time.Duration) (kvstore.Changes, error) {
