Include the era of the store in revisions

What callers saw: after the store had returned from an older copy, a route that a version removed was still served and one that it added got 404, on all nodes but the one that reads the store for the others (CONFIG 14, 20 and 28 times, DENIED 22).

Cause: revisions were compared across the return. Class of fault: an order that holds only as long as its issuer remembers it.

--- a/kvstore/store.go
+++ b/kvstore/store.go
@@ -102,8 +102,9 @@
 //
 // Get returns an errors.NotFound error for a key that does not exist. Watch
 // waits at most wait and returns empty Changes when nothing changed; it
-// returns an errors.NotValid error when the revision is too old, after which
-// the caller lists again. Renew returns an errors.NotFound error for a lease
+// returns an errors.NotValid error when the revision is too old or of an earlier
+// era (JoinRevision), after which the caller lists again. A condition on a revision
+// of an earlier era does not hold. Renew returns an errors.NotFound error for a lease
 // that has expired.
 type Store interface {
 	Get(ctx context.Context, key string) (Entry, error)
