Do not return to targets that have left after a copy of the store announces them

A copy some seconds old lists targets that have left since, earlier states (ready in place of draining) and earlier incarnations. Each replaced what the node had seen later, and requests could reach a target that had left (DRAIN). Targets that announced themselves after the copy are missing from it and were removed at once at a node that had not noticed an outage.

The directory compares the counts of announcements of one incarnation, remembers for two minutes which incarnations have left, and uses one from a copy only after a further announcement. A mirror passes on the first write of each entry after a copy, also without a change: otherwise followers would never see that announcement. Targets missing from a copy are kept as after an outage.

Tests of directory, mirror and control pass.

--- a/control/feed.go
+++ b/control/feed.go
@@ -24,7 +24,12 @@
 type FeedEvent interface{ feedEvent() }
 
 // TargetsListed is the complete list of targets.
-type TargetsListed struct{ Targets []directory.Target }
+type TargetsListed struct {
+	Targets []directory.Target
+
+	// Copied is set for the first list after the platform returned from an older copy.
+	Copied bool
+}
 
 // TargetsChanged holds the targets that were added, changed or removed since
 // the last event.
@@ -177,6 +182,9 @@
 	switch event := event.(type) {
 	case TargetsListed:
 		state.storeReachedAt = now
+		if event.Copied {
+			state.feed.directory.BeginEra()
+		}
 		changed = state.feed.directory.Replace(now, event.Targets)
 	case TargetsChanged:
 		state.storeReachedAt = now
--- a/control/lapsed.go
+++ b/control/lapsed.go
@@ -53,7 +53,7 @@
 			report.Sequence, report.Running, report.Queued, report.FreeCache = 0, 0, 0, 0
 			changed = state.feed.directory.Hold(answer.vm, report, now.Add(lapsedHold)) || changed
 		} else if !answer.responded {
-			changed = state.feed.directory.Drop(answer.vm) || changed
+			changed = state.feed.directory.Drop(now, answer.vm) || changed
 		}
 		state.logLapsed(answer, held)
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -11,12 +11,17 @@
 // after it, so targets that are missing after an outage are kept as well. The
 // package performs no I/O and reads no clock; the caller passes the time.
 //
+// A platform that returns from an older copy announces targets that have left since,
+// and earlier states of others. The directory goes by the count of announcements of each
+// incarnation, and uses a target that has left only after a later announcement.
+//
 // # Usage
 //
 //	targets := directory.New(directory.Config{ReturnGrace: 2500 * time.Millisecond})
 //	changed := targets.Replace(now, listed)    // after a listing
 //	changed = targets.Apply(now, put, removed) // after a watch call
 //	targets.BeginOutage()                      // after a failed call
+//	targets.BeginEra()                         // before a listing of an older copy
 //	changed = targets.Expire(now)              // at regular intervals
 //	for _, target := range targets.Lapsed() {
 //		// ask the target, then call Hold or Drop
@@ -75,6 +80,17 @@
 // node that becomes the leader of its fabric domain can still ask it.
 const lapseMemory = 30 * time.Second
 
+// departureMemory is how long an incarnation that has left is remembered. The copy from
+// which a platform returns is some seconds old.
+const departureMemory = 2 * time.Minute
+
+// A targetLife is one incarnation of a target.
+type targetLife struct{ name, incarnation string }
+
+func (target Target) life() targetLife {
+	return targetLife{name: target.VM.Name, incarnation: target.VM.Incarnation}
+}
+
 // A LapsedTarget is a target whose announcement expired.
 type LapsedTarget struct {
 	Target
@@ -107,11 +123,26 @@
 	// the last outage ended.
 	outage      bool
 	outageEnded time.Time
+
+	// departed holds when each incarnation left that has left within departureMemory.
+	departed map[targetLife]time.Time
+
+	// copied holds the heartbeats of departed incarnations in the last listing of an
+	// older copy. inCopy is true until that listing.
+	copied map[targetLife]uint64
+	inCopy bool
 }
 
 // New returns an empty directory.
 func New(config Config) *Directory {
-	return &Directory{config: config, targets: map[string]Target{}, missing: map[string]time.Time{}, lapsed: map[string]LapsedTarget{}}
+	return &Directory{
+		config:   config,
+		targets:  map[string]Target{},
+		missing:  map[string]time.Time{},
+		lapsed:   map[string]LapsedTarget{},
+		departed: map[targetLife]time.Time{},
+		copied:   map[targetLife]uint64{},
+	}
 }
 
 // Targets returns the targets, including missing ones, sorted by name.
@@ -186,14 +217,14 @@
 
 // Drop removes a lapsed target that does not respond. It reports whether the
 // targets changed.
-func (directory *Directory) Drop(name string) bool {
+func (directory *Directory) Drop(now time.Time, name string) bool {
 	if _, found := directory.lapsed[name]; !found {
 		return false
 	}
 	_, kept := directory.targets[name]
 	delete(directory.lapsed, name)
 	delete(directory.missing, name)
-	directory.deleteTarget(name)
+	directory.deleteTarget(now, name)
 	return kept
 }
 
@@ -201,6 +232,14 @@
 // the next call of Replace or Apply.
 func (directory *Directory) BeginOutage() { directory.outage = true }
 
+// BeginEra records that the next listing is that of an older copy of the platform. Targets
+// that are missing from it are kept as after an outage.
+func (directory *Directory) BeginEra() {
+	directory.outage = true
+	directory.inCopy = true
+	clear(directory.copied)
+}
+
 // Replace updates the directory from a complete listing and reports whether a
 // target was added, changed or removed.
 func (directory *Directory) Replace(now time.Time, targets []Target) bool {
@@ -209,8 +248,9 @@
 	changed := false
 	for _, target := range targets {
 		listed[target.VM.Name] = true
-		changed = directory.put(target) || changed
+		changed = directory.put(now, target) || changed
 	}
+	directory.inCopy = false
 	for name := range directory.targets {
 		if !listed[name] {
 			changed = directory.remove(now, name) || changed
@@ -225,7 +265,7 @@
 	directory.endOutage(now)
 	changed := false
 	for _, target := range put {
-		changed = directory.put(target) || changed
+		changed = directory.put(now, target) || changed
 	}
 	for _, name := range removed {
 		changed = directory.remove(now, name) || changed
@@ -242,9 +282,15 @@
 			continue
 		}
 		delete(directory.missing, name)
-		directory.deleteTarget(name)
+		directory.deleteTarget(now, name)
 		changed = true
 	}
+	for life, since := range directory.departed {
+		if now.Sub(since) >= departureMemory {
+			delete(directory.departed, life)
+			delete(directory.copied, life)
+		}
+	}
 	for name, lapsed := range directory.lapsed {
 		if _, kept := directory.targets[name]; !kept && now.Sub(lapsed.Since) >= lapseMemory {
 			delete(directory.lapsed, name)
@@ -260,7 +306,15 @@
 	}
 }
 
-func (directory *Directory) put(target Target) bool {
+func (directory *Directory) put(now time.Time, target Target) bool {
+	if directory.superseded(target) {
+		return false
+	}
+	if current, found := directory.targets[target.VM.Name]; found && current.life() != target.life() {
+		directory.departed[current.life()] = now
+	}
+	delete(directory.departed, target.life())
+	delete(directory.copied, target.life())
 	returned := directory.Held(target.VM.Name)
 	if returned {
 		directory.composition++
@@ -270,6 +324,25 @@
 	return directory.setTarget(target) || returned
 }
 
+// superseded reports whether the directory has later information than an announcement:
+// a later announcement of the same incarnation or a later incarnation, or that the target
+// has left and was only found in an older copy.
+func (directory *Directory) superseded(target Target) bool {
+	life := target.life()
+	current, found := directory.targets[target.VM.Name]
+	if found && current.life() == life {
+		return target.Heartbeat < current.Heartbeat
+	}
+	if _, departed := directory.departed[life]; !departed {
+		return false
+	}
+	if directory.inCopy {
+		directory.copied[life] = target.Heartbeat
+	}
+	heartbeat, copied := directory.copied[life]
+	return found || copied && target.Heartbeat <= heartbeat
+}
+
 // remove removes a target whose announcement has ended, or marks it as missing if
 // it is kept, and reports whether it removed it.
 func (directory *Directory) remove(now time.Time, name string) bool {
@@ -282,7 +355,7 @@
 	}
 	deadline := directory.keptUntil(now, target)
 	if !now.Before(deadline) {
-		directory.deleteTarget(name)
+		directory.deleteTarget(now, name)
 		return true
 	}
 	directory.missing[name] = deadline
@@ -321,7 +394,10 @@
 	return !found || !previous.Same(target)
 }
 
-func (directory *Directory) deleteTarget(name string) {
+func (directory *Directory) deleteTarget(now time.Time, name string) {
+	if target, found := directory.targets[name]; found {
+		directory.departed[target.life()] = now
+	}
 	directory.composition++
 	directory.sorted = nil
 	delete(directory.targets, name)
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -123,7 +123,7 @@
 	report := engine.Report{VM: "a", Incarnation: "1", Group: "g", Epoch: 2}
 	require.True(test, directory.Hold("a", report, now.Add(5*time.Second)))
 	require.False(test, directory.Hold("a", report, now.Add(5*time.Second)), "an equal report is not a change")
-	require.True(test, directory.Drop("b"))
+	require.True(test, directory.Drop(now, "b"))
 	require.False(test, directory.Expire(now.Add(4*time.Second)))
 	require.Equal(test, []string{"a"}, names(directory))
 	require.True(test, directory.Expire(now.Add(5*time.Second)))
@@ -137,3 +137,66 @@
 	directory.Expire(now.Add(7*time.Second + lapseMemory))
 	require.Empty(test, directory.Lapsed(), "lapsed targets accumulate")
 }
+
+// Guards against a target that is used again because the platform returned from a copy in
+// which it had not left yet (issue 28, CONFIG), and against one that stays out although it
+// announces itself again.
+func TestCopyDoesNotReturnDepartedTargets(test *testing.T) {
+	now := time.Unix(1000, 0)
+	targets := New(Config{ReturnGrace: time.Second})
+	left, stays := announced("left", 3), announced("stays", 9)
+	targets.Replace(now, []Target{left, stays})
+	require.True(test, targets.Apply(now, nil, []string{"left"}))
+	targets.BeginEra()
+	older := announced("left", 5)
+	require.False(test, targets.Replace(now, []Target{older, stays}))
+	_, found := targets.Target("left")
+	require.False(test, found, "the copy returned a target that had left")
+	require.False(test, targets.Apply(now, []Target{older}, nil), "the same announcement again")
+	require.True(test, targets.Apply(now, []Target{announced("left", 6)}, nil), "a later announcement")
+}
+
+// Guards against the announcement of a copy that takes back what the target has announced
+// since, such as that it is draining.
+func TestEarlierAnnouncementIsIgnored(test *testing.T) {
+	now := time.Unix(1000, 0)
+	targets := New(Config{})
+	draining := announced("target", 7)
+	draining.VM.State = kvstore.VMLeaving
+	targets.Replace(now, []Target{draining})
+	targets.BeginEra()
+	require.False(test, targets.Replace(now, []Target{announced("target", 6)}))
+	target, _ := targets.Target("target")
+	require.Equal(test, kvstore.VMLeaving, target.VM.State)
+}
+
+// Guards against an incarnation of a copy that replaces the one that has followed it.
+func TestCopyDoesNotReturnEarlierIncarnation(test *testing.T) {
+	now := time.Unix(1000, 0)
+	targets := New(Config{})
+	first, second := announced("target", 30), announced("target", 2)
+	second.VM.Incarnation = "second"
+	targets.Replace(now, []Target{first})
+	require.True(test, targets.Apply(now, []Target{second}, nil))
+	targets.BeginEra()
+	require.False(test, targets.Replace(now, []Target{first}))
+	require.False(test, targets.Apply(now, []Target{announced("target", 31)}, nil))
+	target, _ := targets.Target("target")
+	require.Equal(test, "second", target.VM.Incarnation)
+}
+
+// Guards against targets that are removed because they announced themselves after the copy
+// was made and have not done so again.
+func TestTargetsMissingFromCopyAreKept(test *testing.T) {
+	now := time.Unix(1000, 0)
+	targets := New(Config{ReturnGrace: time.Second})
+	targets.Replace(now, []Target{announced("target", 1)})
+	targets.BeginEra()
+	require.False(test, targets.Replace(now, nil))
+	require.False(test, targets.Expire(now.Add(time.Second/2)))
+	require.True(test, targets.Expire(now.Add(time.Second)))
+}
+
+func announced(name string, heartbeat uint64) Target {
+	return Target{VM: kvstore.VM{Name: name, Incarnation: "first", State: kvstore.VMLive}, Service: "desk", Slots: 1, Heartbeat: heartbeat}
+}
--- a/mirror/journal.go
+++ b/mirror/journal.go
@@ -70,6 +70,7 @@
 		return false
 	}
 	first := !journal.loaded()
+	copied := kvstore.Era(listing.Revision) > kvstore.Era(journal.revision)
 	present := make(map[string]bool, len(listing.Entries))
 	for _, entry := range listing.Entries {
 		present[entry.Key] = true
@@ -88,6 +89,11 @@
 		journal.changes = nil
 		journal.changesAfter = listing.Revision
 	}
+	if copied {
+		// The listing is an older copy. The next write of each entry shows that the entry
+		// still holds, although its content is the same.
+		clear(journal.contents)
+	}
 	return true
 }
 
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -615,6 +615,28 @@
 }
 
 // All nodes of a large fleet start at once, and the sources are not ready yet.
+// Guards against followers that never use a target again that they saw leave before the
+// store returned from an older copy: the write that shows that it is alive changes nothing.
+func TestFirstWriteAfterCopyIsPassedOn(test *testing.T) {
+	journal := newContentJournal(func(kvstore.Entry) uint64 { return 1 })
+	now := time.Unix(1000, 0)
+	entry := func(era, changes uint64) kvstore.Entry {
+		revision, err := kvstore.JoinRevision(era, changes)
+		require.NoError(test, err)
+		return kvstore.Entry{Key: "servers/a", Revision: revision}
+	}
+	first, copied, next, last := entry(1, 10), entry(2, 5), entry(2, 6), entry(2, 7)
+	journal.Replace(kvstore.Listing{Revision: first.Revision, Entries: []kvstore.Entry{first}}, now)
+	journal.Replace(kvstore.Listing{Revision: copied.Revision, Entries: []kvstore.Entry{copied}}, now)
+	journal.Apply(copied.Revision, kvstore.Changes{Revision: next.Revision, Entries: []kvstore.Entry{next}}, now)
+	changes, known := journal.After(copied.Revision)
+	require.True(test, known)
+	require.Len(test, changes.Entries, 1)
+	journal.Apply(next.Revision, kvstore.Changes{Revision: last.Revision, Entries: []kvstore.Entry{last}}, now)
+	changes, _ = journal.After(next.Revision)
+	require.Empty(test, changes.Entries)
+}
+
 // Guards against every node reading the store then.
 func TestStartingNodesWaitForTheirSources(test *testing.T) {
 	store := newTestStore()
