Rely on a lease again only after the store that returned is known to have it

A copy some seconds old has lost leases and renewals, may give out their ids again, and may contain the key of a leader that was replaced. A leader whose key was lost went on until its next renewal, another node claimed the domain at once, and a renewal under an id that was given out again would have kept both leading.

The membership core sees eras in the revisions of all events. With a new one its lease does not count until a listing shows the node's record under it and it was renewed again; otherwise it is given up, and not revoked, because the id may be another's. A domain is led in the new era by the node that led it when the era began, or after all leases of the time before have ended (3 s on the platform). Renewals return the era.

The simulation of package fleet returns from copies and gives ids and revisions out again.

--- a/control/membership.go
+++ b/control/membership.go
@@ -83,10 +83,10 @@
 
 func (state *state) renewLease(ctx context.Context, effect fleet.RenewLease) message {
 	sent := state.now()
-	err := state.config.Platform.Renew(ctx, effect.Lease)
+	era, err := state.config.Platform.Renew(ctx, effect.Lease)
 	switch {
 	case err == nil:
-		return fleetResult{event: fleet.LeaseRenewed{Lease: effect.Lease, Sent: sent}, reached: true}
+		return fleetResult{event: fleet.LeaseRenewed{Lease: effect.Lease, Sent: sent, Era: era}, reached: true}
 	case errors.Is(err, errors.NotFound):
 		return fleetResult{event: fleet.LeaseMissing(effect), reached: true}
 	default:
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -49,10 +49,12 @@
 // granted a lease nevertheless, it expires unused.
 type LeaseGrantFailed struct{}
 
-// LeaseRenewed answers RenewLease. Sent is when the request was sent.
+// LeaseRenewed answers RenewLease. Sent is when the request was sent, and Era the era of
+// the store that answered, 0 if it has none.
 type LeaseRenewed struct {
 	Lease string
 	Sent  time.Time
+	Era   uint64
 }
 
 // LeaseRenewFailed answers RenewLease when the result is unknown.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -17,6 +17,11 @@
 // request. A node that was paused past the safe end reports its domains as lost
 // before it emits any other effect.
 //
+// A store that returns from an older copy (kvstore.JoinRevision) has lost leases and
+// renewals, and may give out their ids again. A node relies on its lease again once it
+// has found its record under that lease in the copy and renewed it. Domains without a
+// leader in the copy are claimed only when all leases of the time before have ended.
+//
 // # Usage
 //
 //	members := fleet.New(fleet.Config{Name: "node-1", Incarnation: "1", Random: random})
@@ -125,6 +130,11 @@
 	// sortedDomains holds the domains in order of their names.
 	sortedDomains []*domain
 
+	// era is the latest era of the store that this node has seen, and eraBeganAt when it
+	// first saw it. Both are zero before the first listing.
+	era        uint64
+	eraBeganAt time.Time
+
 	// nodesListed is set after the first listing of the nodes. listPending is
 	// set while a ListNodes effect is unanswered.
 	nodesListed  bool
@@ -212,6 +222,7 @@
 func (fleet *Fleet) Handle(now time.Time, event Event) []Effect {
 	fleet.effects = nil
 	fleet.reportLeaseExpiry(now)
+	fleet.observeEra(now, eraOf(event))
 	fleet.apply(now, event)
 	fleet.reportLeaseExpiry(now)
 	if len(fleet.members) >= MirrorNodes {
@@ -310,7 +321,7 @@
 // effect that only a leader may carry out.
 func (fleet *Fleet) Leads(name string, now time.Time) (until time.Time, leads bool) {
 	domain, found := fleet.domains[name]
-	if !found || !domain.ownsKey || !fleet.lease.isSafe(now) {
+	if !found || !domain.ownsKey || !fleet.lease.isSafe(now) || !fleet.earlierLeasesEnded(now, domain) {
 		return time.Time{}, false
 	}
 	return fleet.lease.safeUntil, true
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -94,6 +94,48 @@
 	}
 }
 
+// At any time at most one node leads a domain while the store returns from older copies
+// again and again, beside nodes that pause, restart, stop or are cut off. Guards against a
+// lease that counts although the copy does not have it, against one whose id has been
+// given out again, and against a claim while a leader of the time before still holds one.
+func TestAtMostOneLeaderAcrossCopies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		domains := testDomains(3)
+		sim := startSix(rapid.Uint64().Draw(t, "seed"), domains)
+		sim.loss = rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(t, "loss")
+		sim.delay = rapid.SampledFrom([]time.Duration{5 * time.Millisecond, time.Second, 4 * time.Second}).Draw(t, "delay")
+		restarts := 1
+		for range rapid.IntRange(5, 30).Draw(t, "steps") {
+			name := rapid.SampledFrom(sim.names).Draw(t, "node")
+			node := sim.nodes[name]
+			switch rapid.IntRange(0, 7).Draw(t, "action") {
+			case 0, 1, 2:
+				sim.restore(rapid.IntRange(1, maxCopies).Draw(t, "copy"))
+			case 3:
+				node.paused = true
+			case 4:
+				sim.resume(name)
+			case 5:
+				sim.disconnected[name] = !sim.disconnected[name]
+			case 6:
+				restarts++
+				fresh := sim.add(name, fmt.Sprint(restarts), node.fleet.self.FailureDomain)
+				sim.deliver(name, fresh, DomainsListed{Domains: domains})
+			case 7:
+				sim.deliver(name, node, Stopping{})
+			}
+			for range rapid.IntRange(1, 40).Draw(t, "quarters") {
+				sim.advance(250 * time.Millisecond)
+				for _, domain := range domains {
+					if leaders := sim.leaders(domain.Name); len(leaders) > 1 {
+						t.Fatalf("%s is led by %v", domain.Name, leaders)
+					}
+				}
+			}
+		}
+	})
+}
+
 // Every domain has exactly one leader again 90 s after an outage with pauses,
 // losses, delays and disconnected nodes ends.
 func TestEveryDomainRegainsALeader(t *testing.T) {
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -66,6 +66,10 @@
 	endReported        bool
 	leadershipReported bool
 
+	// ledBeforeEra is set if this node led the domain when it first saw the current era
+	// of the store. No other node can hold a lease of the time before.
+	ledBeforeEra bool
+
 	// releasedRevision is the revision at which this node last released the key.
 	// Results that contain the key at that or an earlier revision are ignored.
 	releasedRevision uint64
@@ -309,7 +313,7 @@
 // emitLeadershipHeld reports that this node leads a domain, once for each safe
 // end of the lease.
 func (fleet *Fleet) emitLeadershipHeld(now time.Time, domain *domain) {
-	if domain.endReported || !fleet.lease.isSafe(now) {
+	if domain.endReported || !fleet.lease.isSafe(now) || !fleet.earlierLeasesEnded(now, domain) {
 		return
 	}
 	domain.endReported = true
@@ -340,10 +344,20 @@
 	if domain.rank >= pollingCandidates && !fleet.watching || !fleet.settleTimePassed(now, domain) {
 		return false
 	}
+	if !fleet.earlierLeasesEnded(now, domain) {
+		return false
+	}
 	wait := time.Duration(min(fleet.claimRank(domain), pollingCandidates)) * fleet.config.ClaimStep
 	return !now.Before(domain.absentSince.Add(wait))
 }
 
+// earlierLeasesEnded reports whether no other node can lead the domain under a lease from
+// before the current era of the store. The copy may lack that node's key, or contain the
+// key of a leader that it replaced.
+func (fleet *Fleet) earlierLeasesEnded(now time.Time, domain *domain) bool {
+	return domain.ledBeforeEra || !now.Before(fleet.eraBeganAt.Add(fleet.LongestLease()))
+}
+
 func (fleet *Fleet) settleTimePassed(now time.Time, domain *domain) bool {
 	settle := fleet.config.SettleFar
 	if domain.failureDomain == fleet.self.FailureDomain {
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -40,6 +40,10 @@
 	nextCallAt  time.Time
 	nextWriteAt time.Time
 
+	// unconfirmed is set after the store returned from an older copy, until the copy
+	// shows that it has the lease.
+	unconfirmed bool
+
 	// predecessor is the shorter lease that this one replaces. It is revoked once
 	// the node's record is attached to this one.
 	predecessor string
@@ -72,7 +76,7 @@
 		fleet.scheduleLeaseRetry(now)
 	case LeaseRenewed:
 		if event.Lease == fleet.lease.id {
-			fleet.applyLeaseRenewal(event.Sent)
+			fleet.applyLeaseRenewal(now, event.Sent)
 		}
 	case LeaseRenewFailed:
 		if event.Lease == fleet.lease.id {
@@ -93,6 +97,11 @@
 		fleet.emit(RevokeLease{Lease: event.Lease})
 		return
 	}
+	if event.Sent.Before(fleet.eraBeganAt) {
+		// The copy may not have the lease, or may give out its id again.
+		fleet.lease.granting = false
+		return
+	}
 	fresh := lease{id: event.Lease, ttl: event.TTL, predecessor: fleet.lease.id, nextWriteAt: now}
 	fresh.extend(event.Sent)
 	fresh.nextCallAt = event.Sent.Add(fleet.randomBetween(fresh.ttl/(2*renewalsPerLease), fresh.ttl/renewalsPerLease))
@@ -100,10 +109,15 @@
 	fleet.lease = fresh
 }
 
-func (fleet *Fleet) applyLeaseRenewal(sent time.Time) {
+func (fleet *Fleet) applyLeaseRenewal(now, sent time.Time) {
 	lease := &fleet.lease
 	lease.renewing = false
 	lease.failures = 0
+	if lease.unconfirmed || sent.Before(fleet.eraBeganAt) {
+		// The copy may not have the renewal.
+		lease.nextCallAt = now
+		return
+	}
 	lease.extend(sent)
 	interval := min(fleet.renewInterval(), lease.ttl/renewalsPerLease)
 	lease.nextCallAt = sent.Add(fleet.randomBetween(interval-interval/10, interval+interval/10))
@@ -138,6 +152,84 @@
 	fleet.lease = lease{nextCallAt: now.Add(fleet.randomBetween(0, fleet.renewInterval()))}
 }
 
+// firstEra is the era of a store that has never returned from an older copy.
+const firstEra = 1
+
+// eraOf returns the era of the store that an event shows, 0 if it shows none.
+func eraOf(event Event) uint64 {
+	switch event := event.(type) {
+	case KeysListed:
+		return kvstore.Era(event.Revision)
+	case KeysChanged:
+		return kvstore.Era(event.Revision)
+	case LeaderRead:
+		return kvstore.Era(event.Entry.Revision)
+	case LeaseRenewed:
+		return event.Era
+	case NodeWritten:
+		return outcomeEra(event.Outcome)
+	case ClaimDone:
+		return outcomeEra(event.Outcome)
+	default:
+		return 0
+	}
+}
+
+func outcomeEra(outcome kvstore.PutOutcome) uint64 {
+	switch outcome := outcome.(type) {
+	case kvstore.Written:
+		return kvstore.Era(outcome.Revision)
+	case kvstore.Conflict:
+		return kvstore.Era(outcome.Revision)
+	default:
+		return 0
+	}
+}
+
+// observeEra begins an era of the store when it is first seen. The node's lease is not
+// safe to rely on until it is confirmed: the copy may not have it. A lease whose record
+// was not written, or is just being written, is given up, because the record in the copy
+// does not show whose lease it is.
+func (fleet *Fleet) observeEra(now time.Time, era uint64) {
+	if era <= fleet.era {
+		return
+	}
+	first := fleet.era == 0
+	fleet.era = era
+	if !first || era > firstEra {
+		// A node that has just started cannot tell when the era began.
+		fleet.eraBeganAt = now
+	}
+	for _, domain := range fleet.sortedDomains {
+		domain.ledBeforeEra = domain.ownsKey && fleet.lease.isSafe(now)
+	}
+	if first || fleet.lease.id == "" {
+		return
+	}
+	fleet.nextListAt = now
+	if !fleet.lease.recordWritten || fleet.lease.recordWriting {
+		fleet.loseLease(now)
+		return
+	}
+	fleet.lease.safeUntil = time.Time{}
+	fleet.lease.unconfirmed = true
+	fleet.lease.predecessor = ""
+}
+
+// confirmLease decides by a listing of the nodes whether the store has this node's lease.
+// listed is the lease of this node's record, if the listing contains it.
+func (fleet *Fleet) confirmLease(now time.Time, revision uint64, listed string) {
+	if !fleet.lease.unconfirmed || kvstore.Era(revision) < fleet.era {
+		return
+	}
+	if listed != fleet.lease.id {
+		fleet.loseLease(now)
+		return
+	}
+	fleet.lease.unconfirmed = false
+	fleet.lease.nextCallAt = now
+}
+
 func (fleet *Fleet) applyNodeWritten(now time.Time, event NodeWritten) {
 	lease := &fleet.lease
 	if event.Lease != lease.id {
@@ -169,7 +261,7 @@
 func (fleet *Fleet) maintainLease(now time.Time) {
 	lease := &fleet.lease
 	switch {
-	case now.Before(lease.nextCallAt) || lease.granting || lease.renewing:
+	case now.Before(lease.nextCallAt) || lease.granting || lease.renewing || lease.unconfirmed:
 	case lease.id == "" && fleet.nodesListed && !fleet.stopping, fleet.leaseTooShort():
 		// The nodes must be listed first, because the TTL depends on their number.
 		lease.granting = true
@@ -178,7 +270,7 @@
 		lease.renewing = true
 		fleet.emit(RenewLease{Lease: lease.id})
 	}
-	if lease.id != "" && !lease.recordWritten && !lease.recordWriting && !now.Before(lease.nextWriteAt) && !fleet.stopping {
+	if lease.id != "" && !lease.unconfirmed && !lease.recordWritten && !lease.recordWriting && !now.Before(lease.nextWriteAt) && !fleet.stopping {
 		lease.recordWriting = true
 		fleet.emit(WriteNode{Key: NodeKey(fleet.self.Name), Value: fleet.selfRecord, Lease: lease.id})
 	}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"strings"
 	"time"
 
@@ -44,12 +45,17 @@
 	fleet.nodesListed = true
 	fleet.listFailures = 0
 	present := make(map[string]bool, len(event.Entries))
+	ownLease := ""
 	for _, entry := range event.Entries {
 		if name, ok := strings.CutPrefix(entry.Key, NodePrefix); ok {
 			present[name] = true
+			if name == fleet.self.Name && bytes.Equal(entry.Value, fleet.selfRecord) {
+				ownLease = entry.Lease
+			}
 			fleet.recordNode(now, name, entry)
 		}
 	}
+	fleet.confirmLease(now, event.Revision, ownLease)
 	for name, member := range fleet.members {
 		if !present[name] && reflectsRevision(member.revision, event.Revision) {
 			fleet.removeNodeRecord(now, name)
--- a/fleet/sim_test.go
+++ b/fleet/sim_test.go
@@ -31,10 +31,12 @@
 	storeDown    bool
 	disconnected map[string]bool
 
-	entries      map[string]kvstore.Entry
-	leases       map[string]simLease
-	revision     uint64
-	issuedLeases int
+	simStore
+
+	// era rises when the store returns from one of the copies, which are made with each
+	// step of the clock.
+	era    uint64
+	copies []simStore
 
 	scheduledDeliveries int
 	nextExpiry          time.Time
@@ -46,6 +48,20 @@
 	onLeadership func(name string, effect Effect)
 }
 
+// simStore is what a copy of the store contains. Revisions have no era.
+type simStore struct {
+	entries      map[string]kvstore.Entry
+	leases       map[string]simLease
+	revision     uint64
+	issuedLeases int
+}
+
+func (store simStore) clone() simStore {
+	store.entries = maps.Clone(store.entries)
+	store.leases = maps.Clone(store.leases)
+	return store
+}
+
 type simLease struct {
 	ttl     time.Duration
 	expires time.Time
@@ -96,8 +112,8 @@
 		nodes:        map[string]*simNode{},
 		delay:        20 * time.Millisecond,
 		disconnected: map[string]bool{},
-		entries:      map[string]kvstore.Entry{},
-		leases:       map[string]simLease{},
+		simStore:     simStore{entries: map[string]kvstore.Entry{}, leases: map[string]simLease{}},
+		era:          1,
 		calls:        map[int]int{},
 	}
 }
@@ -122,6 +138,41 @@
 	sim.names = slices.DeleteFunc(sim.names, func(other string) bool { return other == name })
 }
 
+// maxCopies is the number of copies of the store that are kept: 15 s.
+const maxCopies = 60
+
+// restore makes the store return from a copy that was made a number of steps ago. Ids of
+// leases and revisions are given out again. All watches start again with a listing.
+func (sim *simulation) restore(steps int) {
+	if steps >= len(sim.copies) {
+		return
+	}
+	sim.copies = sim.copies[:len(sim.copies)-steps]
+	sim.simStore = sim.copies[len(sim.copies)-1].clone()
+	sim.era++
+	sim.nextExpiry = sim.now
+	for _, name := range sim.names {
+		node := sim.nodes[name]
+		for _, prefix := range []string{NodePrefix, DomainPrefix} {
+			sim.scheduleWithin(sim.delay, func() { sim.watch(name, node, prefix) })
+		}
+	}
+}
+
+// joined returns a revision with the era.
+func (sim *simulation) joined(revision uint64) uint64 {
+	joined, err := kvstore.JoinRevision(sim.era, revision)
+	if err != nil {
+		panic(err)
+	}
+	return joined
+}
+
+func (sim *simulation) joinedEntry(entry kvstore.Entry) kvstore.Entry {
+	entry.Revision = sim.joined(entry.Revision)
+	return entry
+}
+
 // advance moves the clock in steps of 250 ms and delivers a Tick to every node
 // after each.
 func (sim *simulation) advance(duration time.Duration) {
@@ -131,6 +182,10 @@
 		sim.deliverUntil(step)
 		sim.now = step
 		sim.expireLeases()
+		sim.copies = append(sim.copies, sim.clone())
+		if len(sim.copies) > maxCopies {
+			sim.copies = sim.copies[1:]
+		}
 		for _, name := range sim.names {
 			sim.deliver(name, sim.nodes[name], Tick{})
 		}
@@ -193,7 +248,7 @@
 	for _, key := range keys {
 		sim.revision++
 		delete(sim.entries, key)
-		sim.notifyWatchers(KeysChanged{Revision: sim.revision, Deleted: []string{key}})
+		sim.notifyWatchers(KeysChanged{Revision: sim.joined(sim.revision), Deleted: []string{key}})
 	}
 }
 
@@ -279,7 +334,7 @@
 			}
 			lease.expires = sim.now.Add(lease.ttl)
 			sim.leases[effect.Lease] = lease
-			return LeaseRenewed{Lease: effect.Lease, Sent: sent}
+			return LeaseRenewed{Lease: effect.Lease, Sent: sent, Era: sim.era}
 		}, LeaseRenewFailed(effect))
 	case RevokeLease:
 		sim.call(name, node, func() Event { sim.endLease(effect.Lease); return nil }, nil)
@@ -294,7 +349,7 @@
 		}, ClaimDone{Domain: effect.Domain, Lease: effect.Lease, Outcome: kvstore.Unknown{}})
 	case ReadLeader:
 		sim.call(name, node, func() Event {
-			return LeaderRead{Domain: effect.Domain, Entry: sim.entries[effect.Key]}
+			return LeaderRead{Domain: effect.Domain, Entry: sim.joinedEntry(sim.entries[effect.Key])}
 		}, LeaderRead{Domain: effect.Domain, Err: errors.New("read of the leader key: message lost")})
 	case ReleaseDomain:
 		sim.call(name, node, func() Event { sim.delete(effect.Key, effect.Revision); return nil }, nil)
@@ -327,10 +382,10 @@
 }
 
 func (sim *simulation) list(prefix string) Event {
-	listed := KeysListed{Prefix: prefix, Revision: sim.revision}
+	listed := KeysListed{Prefix: prefix, Revision: sim.joined(sim.revision)}
 	for key, entry := range sim.entries {
 		if strings.HasPrefix(key, prefix) {
-			listed.Entries = append(listed.Entries, entry)
+			listed.Entries = append(listed.Entries, sim.joinedEntry(entry))
 		}
 	}
 	slices.SortFunc(listed.Entries, func(left, right kvstore.Entry) int { return cmp.Compare(left.Key, right.Key) })
@@ -342,22 +397,22 @@
 		return kvstore.Refused{Err: errors.New("put: lease does not exist")}
 	}
 	if present, found := sim.entries[key]; found && createOnly {
-		return kvstore.Conflict{Revision: present.Revision}
+		return kvstore.Conflict{Revision: sim.joined(present.Revision)}
 	}
 	sim.revision++
 	entry := kvstore.Entry{Key: key, Value: value, Revision: sim.revision, Lease: lease}
 	sim.entries[key] = entry
-	sim.notifyWatchers(KeysChanged{Revision: sim.revision, Entries: []kvstore.Entry{entry}})
-	return kvstore.Written{Revision: sim.revision}
+	sim.notifyWatchers(KeysChanged{Revision: sim.joined(sim.revision), Entries: []kvstore.Entry{sim.joinedEntry(entry)}})
+	return kvstore.Written{Revision: sim.joined(sim.revision)}
 }
 
 func (sim *simulation) delete(key string, revision uint64) {
-	if sim.entries[key].Revision != revision {
+	if sim.joined(sim.entries[key].Revision) != revision {
 		return
 	}
 	sim.revision++
 	delete(sim.entries, key)
-	sim.notifyWatchers(KeysChanged{Revision: sim.revision, Deleted: []string{key}})
+	sim.notifyWatchers(KeysChanged{Revision: sim.joined(sim.revision), Deleted: []string{key}})
 }
 
 // leaders returns the nodes whose Fleet reports at the current time that they
--- a/kvstore/client.go
+++ b/kvstore/client.go
@@ -227,7 +227,7 @@
 }
 
 // Renew implements Store.
-func (client *Client) Renew(ctx context.Context, lease string) error {
+func (client *Client) Renew(ctx context.Context, lease string) (era uint64, err error) {
 	reply, err := client.write(ctx, "renew", httpsend.Request{
 		Method: http.MethodPost,
 		Path:   "/v1/lease/" + lease + "/renew",
@@ -235,7 +235,7 @@
 	if err == nil {
 		err = statusError(reply)
 	}
-	return errors.Annotatef(err, "renew lease %s", lease)
+	return 0, errors.Annotatef(err, "renew lease %s", lease)
 }
 
 // Revoke implements Store. A lease that does not exist is no error.
--- a/kvstore/store.go
+++ b/kvstore/store.go
@@ -104,8 +104,8 @@
 // waits at most wait and returns empty Changes when nothing changed; it
 // returns an errors.NotValid error when the revision is too old or of an earlier
 // era (JoinRevision), after which the caller lists again. A condition on a revision
-// of an earlier era does not hold. Renew returns an errors.NotFound error for a lease
-// that has expired.
+// of an earlier era does not hold. Renew returns the era of the store, 0 if it has
+// none, and an errors.NotFound error for a lease that has expired.
 type Store interface {
 	Get(ctx context.Context, key string) (Entry, error)
 	List(ctx context.Context, prefix string) (Listing, error)
@@ -113,7 +113,7 @@
 	Delete(ctx context.Context, key string, expect Expect) PutOutcome
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Changes, error)
 	Grant(ctx context.Context, ttl time.Duration) (lease string, err error)
-	Renew(ctx context.Context, lease string) error
+	Renew(ctx context.Context, lease string) (era uint64, err error)
 	Revoke(ctx context.Context, lease string) error
 }
 
