Write placement records again that the store lost, under numbers of its era

After the return of a copy the leader and all nodes went back to its record: groups that were composed since stood still although all their members reported them, and the fencing numbers and epochs of the lost records would have been given out again, which engines that saw them reject (412) or take for the earlier leader's.

A node keeps its record if it was written after the one in the copy, and a leader that reads a record older than the one that its node has writes that one again, as a takeover. Fencing numbers and epochs of an era are above those of all earlier ones, also where no node is left that knows them.

--- a/control/leadership.go
+++ b/control/leadership.go
@@ -125,9 +125,32 @@
 	if !found || leadership.term != result.term {
 		return
 	}
+	if read, found := result.event.(group.PlacementRead); found {
+		result.event = state.recoverPlacement(result.domain, read)
+	}
 	state.handleGroup(now, leadership, result.event)
 }
 
+// recoverPlacement replaces the record that a leader has read by the one that this node
+// has, if the store returned from a copy that is older than it.
+func (state *state) recoverPlacement(name string, read group.PlacementRead) group.PlacementRead {
+	read.Era = max(read.Era, state.fleet.Era())
+	domain := state.ensureDomain(name)
+	if domain.placement == nil || read.Era <= kvstore.Era(domain.revision) {
+		return read
+	}
+	if read.Revision != 0 {
+		stored, err := group.DecodePlacement(read.Record)
+		if err != nil || !domain.placement.Follows(stored) {
+			return read
+		}
+	}
+	read.Record, read.Lost = domain.record, true
+	state.logger.Info("the store lost a placement record", zap.String("domain", name), zap.Uint64("era", read.Era),
+		zap.Uint64("fence", domain.placement.Fence()), zap.String("change", domain.placement.Change()))
+	return read
+}
+
 func (state *state) handleGroup(now time.Time, leadership *leadership, event group.Event) {
 	for _, effect := range leadership.leader.Handle(now, event) {
 		state.runGroupEffect(now, leadership, effect)
@@ -185,7 +208,7 @@
 	entry, err := state.config.Platform.Get(ctx, placementKey(domain))
 	switch {
 	case err == nil:
-		return group.PlacementRead{Record: entry.Value, Revision: entry.Revision}
+		return group.PlacementRead{Record: entry.Value, Revision: entry.Revision, Era: kvstore.Era(entry.Revision)}
 	case errors.Is(err, errors.NotFound):
 		return group.PlacementRead{}
 	default:
@@ -379,7 +402,8 @@
 }
 
 // setPlacement adopts a committed placement record if it is newer than the
-// current one, and sends it to the peers.
+// current one, and sends it to the peers. A record that a store returned from an older
+// copy is not: the domain's leader writes the current one again.
 func (state *state) setPlacement(now time.Time, name string, revision uint64, record []byte) {
 	domain := state.ensureDomain(name)
 	if revision <= domain.revision {
@@ -391,6 +415,11 @@
 		state.logger.Error("failed to decode placement record", zap.String("domain", name), zap.Error(err))
 		return
 	}
+	if domain.placement != nil && kvstore.Era(revision) > kvstore.Era(domain.revision) && domain.placement.Follows(placement) {
+		state.logger.Info("ignored a placement record of an older copy", zap.String("domain", name), zap.Uint64("revision", revision),
+			zap.String("change", placement.Change()), zap.String("current", domain.placement.Change()))
+		return
+	}
 	domain.placement = placement
 	domain.targets = nil
 	domain.grantsDerivedAt = time.Time{}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -303,6 +303,10 @@
 	return nodes
 }
 
+// Era returns the latest era of the store that this node has seen, 0 before the first
+// listing and for a store without eras.
+func (fleet *Fleet) Era() uint64 { return fleet.era }
+
 // Listed reports whether the nodes have been listed.
 func (fleet *Fleet) Listed() bool { return fleet.nodesListed }
 
--- a/group/commit.go
+++ b/group/commit.go
@@ -51,6 +51,11 @@
 	}
 	applied := leader.commit.outstanding() && placement.change == leader.commit.id
 	own := placement.leader == leader.writer() && placement.fence == leader.fence
+	if read.Lost || read.Era > leader.era {
+		// The store has to get a record of this era, under a new fencing number.
+		applied, own = false, false
+	}
+	leader.era = read.Era
 	leader.commit = pendingCommit{}
 	leader.placement = placement
 	leader.revision = read.Revision
@@ -74,18 +79,33 @@
 }
 
 // takeOver writes the record under a fencing number that is higher than the
-// record's and every reported one.
+// record's, every reported one and all of earlier eras of the store.
 func (leader *Leader) takeOver(now time.Time) []Effect {
 	if leader.commit.outstanding() || now.Before(leader.retryAt) {
 		return nil
 	}
 	record := leader.placement.clone()
-	record.fence = max(record.fence, leader.highestFence()) + 1
-	record.epoch = max(record.epoch, leader.highestEpoch())
+	record.fence = max(record.fence, leader.highestFence(), firstNumber(leader.era)) + 1
+	record.epoch = max(record.epoch, leader.highestEpoch(), firstNumber(leader.era))
 	record.leader = leader.writer()
 	return leader.write(record)
 }
 
+// eraNumberBits is the number of bits for the fencing numbers and epochs of one era. A
+// domain has far fewer changes of leader and compositions between two returns of the store
+// from a copy, and the numbers of all eras are exact in JSON.
+const eraNumberBits = 24
+
+// firstNumber returns a number above all fencing numbers and epochs of earlier eras. A
+// store that returns from an older copy has lost the last ones, and engines that saw them
+// would reject them for another leader or composition.
+func firstNumber(era uint64) uint64 {
+	if era <= 1 {
+		return 0
+	}
+	return (era - 1) << eraNumberBits
+}
+
 // highestEpoch returns the highest epoch that an engine reported.
 func (leader *Leader) highestEpoch() uint64 {
 	highest := uint64(0)
--- a/group/effect.go
+++ b/group/effect.go
@@ -25,6 +25,13 @@
 type PlacementRead struct {
 	Record   []byte
 	Revision uint64
+
+	// Era is the era of the store, 0 if it has none.
+	Era uint64
+
+	// Lost is set if the store has returned from an older copy and Record is a later
+	// record that the node had read before. Revision is then that of the copy's record.
+	Lost bool
 }
 
 // PlacementUnavailable reports that a ReadPlacement got no answer.
--- a/group/leader.go
+++ b/group/leader.go
@@ -84,6 +84,9 @@
 	revision  uint64
 	fence     uint64
 
+	// era is the era of the store in which the placement was last read.
+	era uint64
+
 	// oldOrdersUntil is the time until which an order of an earlier leader may
 	// still arrive at an engine.
 	oldOrdersUntil time.Time
--- a/group/leader_test.go
+++ b/group/leader_test.go
@@ -707,3 +707,38 @@
 	spare.report.Group = "large.fd.1"
 	require.False(test, leader.assignable(domain.now, spare))
 }
+
+// Guards against fencing numbers and epochs of a later era of the store that are not above
+// those that engines have seen: a copy of the store has lost the last ones, and idle engines
+// report none. Guards as well against a record that is only in the leader's memory.
+func TestTakeoverInLaterEraUsesHigherNumbers(test *testing.T) {
+	now := time.Unix(1000, 0)
+	leader := NewLeader(LeaderConfig{Domain: "fd", Node: "n1", Incarnation: "i1"})
+	before := NewPlacement("fd")
+	before.fence, before.epoch, before.leader, before.change = 7, 9, "n1/i1", "n1/i1/3"
+	record, err := before.Encode()
+	require.NoError(test, err)
+	leader.Handle(now, LeaseHeld{Until: now.Add(time.Minute)})
+	effects := leader.Handle(now, PlacementRead{Record: record, Revision: 5, Era: 3, Lost: true})
+	commit := effects[len(effects)-1].(Commit)
+	require.Equal(test, kvstore.ExpectRevision(5), commit.Expect)
+	written, err := DecodePlacement(commit.Record)
+	require.NoError(test, err)
+	require.Greater(test, written.Fence(), uint64(2<<24))
+	require.GreaterOrEqual(test, written.Epoch(), uint64(2<<24))
+	require.True(test, written.Follows(before))
+	leader.Handle(now, CommitDone{ID: commit.ID, Outcome: kvstore.Conflict{}})
+	effects = leader.Handle(now, PlacementRead{Record: commit.Record, Revision: 2, Era: 4, Lost: true})
+	require.IsType(test, Commit{}, effects[len(effects)-1], "the record of an earlier era is not written again")
+}
+
+// Guards against records that are ordered by the text of their change ids.
+func TestFollowsOrdersChangesByNumber(test *testing.T) {
+	earlier, later := NewPlacement("fd"), NewPlacement("fd")
+	earlier.change, later.change = "n1/i1/9", "n1/i1/10"
+	require.True(test, later.Follows(earlier))
+	require.False(test, earlier.Follows(later))
+	require.False(test, later.Follows(later))
+	earlier.fence = 1
+	require.True(test, earlier.Follows(later))
+}
--- a/group/placement.go
+++ b/group/placement.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"sort"
+	"strconv"
+	"strings"
 
 	"github.com/juju/errors"
 
@@ -183,6 +185,24 @@
 // answer took effect.
 func (placement *Placement) Change() string { return placement.change }
 
+// Follows reports whether the record was written after another one of the domain.
+func (placement *Placement) Follows(other *Placement) bool {
+	if placement.fence != other.fence {
+		return placement.fence > other.fence
+	}
+	return changeNumber(placement.change) > changeNumber(other.change)
+}
+
+// changeNumber returns the number of a change id, by which the changes of one leader are
+// ordered, or 0 if it has none.
+func changeNumber(change string) uint64 {
+	number, err := strconv.ParseUint(change[strings.LastIndexByte(change, '/')+1:], 10, 64)
+	if err != nil {
+		return 0
+	}
+	return number
+}
+
 // Assignment returns the group and rank of a VM, or false if it is in no group.
 func (placement *Placement) Assignment(vm string) (Assignment, bool) {
 	assignment, found := placement.vms[vm]
