Write shared records again that the store lost

Nodes took a listing of an older copy as complete: a part whose record was lost left quarantine, its probes were counted anew, and one that an operator had released returned.

At the first listing of an era a node keeps what it has, writes records again that are missing or older in the copy, and deletes those again whose deletion was lost; of several nodes the condition lets one.

--- a/control/records.go
+++ b/control/records.go
@@ -1,9 +1,15 @@
 package control
 
 import (
+	"bytes"
+	"context"
+	"slices"
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
+	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/peer"
 	"lacewingspoke.org/lacewingspoke/quarantine"
@@ -22,13 +28,16 @@
 type sharedRecords struct {
 	known map[string]peer.Record
 
-	// ended holds the revisions at which records were deleted. Frames about earlier
-	// ones may arrive late.
-	ended map[string]uint64
+	// ended holds the last values of records with the revisions at which they were
+	// deleted. Frames about earlier ones may arrive late.
+	ended map[string]peer.Record
+
+	// era is the era of the store in which the records were last listed, 0 before that.
+	era uint64
 }
 
 func newSharedRecords() sharedRecords {
-	return sharedRecords{known: map[string]peer.Record{}, ended: map[string]uint64{}}
+	return sharedRecords{known: map[string]peer.Record{}, ended: map[string]peer.Record{}}
 }
 
 func isSharedRecord(key string) bool {
@@ -37,6 +46,13 @@
 
 // replaceRecords adopts a complete listing of the records.
 func (state *state) replaceRecords(now time.Time, result keysListed) {
+	era := kvstore.Era(result.revision)
+	copied := state.records.era != 0 && era > state.records.era
+	state.records.era = era
+	if copied {
+		state.changeRecords(now, result.revision, state.recoverRecords(result.entries), nil)
+		return
+	}
 	listed := map[string]bool{}
 	for _, entry := range result.entries {
 		listed[entry.Key] = true
@@ -50,6 +66,60 @@
 	state.changeRecords(now, result.revision, result.entries, deleted)
 }
 
+// recoverRecords restores what the store lost when it returned from an older copy: it
+// writes records again that are missing or older in the copy, and deletes those again that
+// had been deleted. It returns the entries of the copy that still hold.
+func (state *state) recoverRecords(copied []kvstore.Entry) []kvstore.Entry {
+	var holding []kvstore.Entry
+	listed := map[string]bool{}
+	for _, entry := range copied {
+		if !isSharedRecord(entry.Key) {
+			continue
+		}
+		listed[entry.Key] = true
+		known, found := state.records.known[entry.Key]
+		ended, deleted := state.records.ended[entry.Key]
+		switch {
+		case found && !bytes.Equal(known.Value, entry.Value):
+			state.restoreRecord(known, kvstore.ExpectRevision(entry.Revision))
+		case !found && deleted && bytes.Equal(ended.Value, entry.Value):
+			state.restoreRecord(peer.Record{Key: entry.Key}, kvstore.ExpectRevision(entry.Revision))
+		default:
+			holding = append(holding, entry)
+		}
+	}
+	for key, known := range state.records.known {
+		if !listed[key] {
+			state.restoreRecord(known, kvstore.ExpectAbsent())
+		}
+	}
+	return holding
+}
+
+// restoreRecord writes a record again, or deletes one without a value, until the store
+// answers. In a large fleet only the nodes that decide on parts do, so that the store is
+// not called by all nodes at once; the others have the record.
+func (state *state) restoreRecord(record peer.Record, expect kvstore.Expect) {
+	restores := slices.ContainsFunc(state.endingReceivers(), func(node fleet.Node) bool { return node.Name == state.config.Name })
+	state.logger.Info("the store lost a change of a record", zap.String("key", record.Key), zap.Bool("deleted", len(record.Value) == 0), zap.Bool("restores", restores))
+	if !restores {
+		return
+	}
+	state.startWorker(func(ctx context.Context) message {
+		for {
+			var outcome kvstore.PutOutcome
+			if len(record.Value) == 0 {
+				outcome = state.config.Platform.Delete(ctx, record.Key, expect)
+			} else {
+				outcome = state.config.Platform.Put(ctx, kvstore.PutRequest{Key: record.Key, Value: record.Value, Expect: expect})
+			}
+			if storeAnswered(outcome) || !pause(ctx, state.config.Timers, recordRetry) {
+				return workerEnded{}
+			}
+		}
+	})
+}
+
 // changeRecords adopts changes in the store. revision is that of the store when it sent
 // them.
 func (state *state) changeRecords(now time.Time, revision uint64, entries []kvstore.Entry, deleted []string) {
@@ -69,14 +139,14 @@
 // peers except from.
 func (state *state) receiveRecord(now time.Time, frame peer.Record, from string) {
 	known, found := state.records.known[frame.Key]
-	if found && known.Revision >= frame.Revision || frame.Revision <= state.records.ended[frame.Key] {
+	if found && known.Revision >= frame.Revision || frame.Revision <= state.records.ended[frame.Key].Revision {
 		return
 	}
 	if len(frame.Value) == 0 {
 		if len(state.records.ended) >= maxEndedRecords {
 			clear(state.records.ended)
 		}
-		state.records.ended[frame.Key] = frame.Revision
+		state.records.ended[frame.Key] = peer.Record{Key: frame.Key, Revision: frame.Revision, Value: known.Value}
 		delete(state.records.known, frame.Key)
 	} else {
 		state.records.known[frame.Key] = frame
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -32,6 +32,9 @@
 	sent   []peer.Frame
 	puts   []kvstore.PutRequest
 	orders int
+
+	// deletes are the keys that were deleted, with the conditions.
+	deletes map[string]kvstore.Expect
 }
 
 func (record *recorder) Send(_ string, frame peer.Frame) bool {
@@ -58,6 +61,14 @@
 	return kvstore.Written{Revision: 1}
 }
 
+func (record *recorder) Delete(_ context.Context, key string, expect kvstore.Expect) kvstore.PutOutcome {
+	if record.deletes == nil {
+		record.deletes = map[string]kvstore.Expect{}
+	}
+	record.deletes[key] = expect
+	return kvstore.Written{Revision: 1}
+}
+
 func (record *recorder) Report(context.Context, string) (engine.Report, error) {
 	return engine.Report{VM: "other", Incarnation: "1", State: engine.StateReady}, nil
 }
