--- a/cmd/lacewingspoke/sharedmodule.go
+++ b/cmd/lacewingspoke/sharedmodule.go
@@ -109,6 +109,7 @@
 		Store:      client,
 		Now:        clock.Now,
 		Content:    platform.EntryContent,
+		Follows:    platform.EntryFollows,
 		HoldTime:   discoveryTime,
 		Discovery:  fleet.NodePrefix,
 		Logger:     logger,
--- a/mirror/journal.go
+++ b/mirror/journal.go
@@ -22,6 +22,9 @@
 	content  func(entry kvstore.Entry) uint64
 	contents map[string]uint64
 
+	// follows compares two entries of a key, see Config.Follows. It may be nil.
+	follows func(entry, earlier kvstore.Entry) bool
+
 	// changes holds all changes after the revision changesAfter, in order.
 	changes      []change
 	changesAfter uint64
@@ -52,8 +55,9 @@
 
 // newContentJournal returns a journal that records a write as a change only if it
 // changes the content of the entry.
-func newContentJournal(content func(entry kvstore.Entry) uint64) *Journal {
+func newContentJournal(content func(entry kvstore.Entry) uint64, follows func(entry, earlier kvstore.Entry) bool) *Journal {
 	journal := NewJournal()
+	journal.follows = follows
 	if content != nil {
 		journal.content = content
 		journal.contents = map[string]uint64{}
@@ -64,7 +68,8 @@
 // Replace replaces the state with a complete listing from a call sent at the
 // given time. Keys that differ from the previous state are recorded as changed at
 // the listing's revision. An outdated listing is ignored; Replace then returns
-// false.
+// false. Of a listing of a later era, which is an older copy, the values that the journal
+// already had later ones of are ignored.
 func (journal *Journal) Replace(listing kvstore.Listing, sent time.Time) bool {
 	if journal.loaded() && listing.Revision < journal.revision {
 		return false
@@ -74,6 +79,9 @@
 	present := make(map[string]bool, len(listing.Entries))
 	for _, entry := range listing.Entries {
 		present[entry.Key] = true
+		if known, found := journal.entries[entry.Key]; copied && found && journal.follows != nil && journal.follows(known, entry) {
+			entry.Value = known.Value
+		}
 		if journal.entries[entry.Key].Revision != entry.Revision {
 			journal.applyChange(change{key: entry.Key, revision: listing.Revision, entry: entry})
 		}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -82,6 +82,11 @@
 	// write is.
 	Content func(entry kvstore.Entry) uint64
 
+	// Follows reports whether an entry was written after another one of its key, by what
+	// its value says. Nodes that start after the store returned from an older copy then
+	// get the later one from this node. If it is nil, they get the copy's.
+	Follows func(entry, earlier kvstore.Entry) bool
+
 	// HoldTime is how long reads wait for the first call of SetSources, so that the
 	// nodes of a large fleet that start together do not all read the store. Reads of
 	// the prefix Discovery, by which nodes find each other, do not wait.
@@ -360,7 +365,7 @@
 	}
 	journal := mirror.journals[prefix]
 	if journal == nil {
-		journal = newContentJournal(mirror.config.Content)
+		journal = newContentJournal(mirror.config.Content, mirror.config.Follows)
 		mirror.journals[prefix] = journal
 	}
 	update(journal)
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -618,7 +618,7 @@
 // Guards against followers that never use a target again that they saw leave before the
 // store returned from an older copy: the write that shows that it is alive changes nothing.
 func TestFirstWriteAfterCopyIsPassedOn(test *testing.T) {
-	journal := newContentJournal(func(kvstore.Entry) uint64 { return 1 })
+	journal := newContentJournal(func(kvstore.Entry) uint64 { return 1 }, nil)
 	now := time.Unix(1000, 0)
 	entry := func(era, changes uint64) kvstore.Entry {
 		revision, err := kvstore.JoinRevision(era, changes)
@@ -637,6 +637,26 @@
 	require.Empty(test, changes.Entries)
 }
 
+// Guards against nodes that start with an older configuration than the others have in
+// force, because the store returned from a copy that does not have it.
+func TestSourcePassesOnLaterValueThanCopy(test *testing.T) {
+	later := func(entry, earlier kvstore.Entry) bool { return string(entry.Value) > string(earlier.Value) }
+	journal := newContentJournal(nil, later)
+	now := time.Unix(1000, 0)
+	list := func(era, changes uint64, value string) {
+		revision, err := kvstore.JoinRevision(era, changes)
+		require.NoError(test, err)
+		journal.Replace(kvstore.Listing{Revision: revision, Entries: []kvstore.Entry{{Key: "config", Value: []byte(value), Revision: revision}}}, now)
+	}
+	list(1, 10, "version 8")
+	list(2, 5, "version 7")
+	require.Equal(test, "version 8", string(journal.Listing().Entries[0].Value))
+	list(2, 6, "version 7")
+	require.Equal(test, "version 7", string(journal.Listing().Entries[0].Value), "a value of the same era was not taken")
+	list(3, 2, "version 9")
+	require.Equal(test, "version 9", string(journal.Listing().Entries[0].Value))
+}
+
 // Guards against every node reading the store then.
 func TestStartingNodesWaitForTheirSources(test *testing.T) {
 	store := newTestStore()
