--- a/control/leadership.go
+++ b/control/leadership.go
@@ -139,11 +139,8 @@
 	if domain.placement == nil || read.Era <= kvstore.Era(domain.revision) {
 		return read
 	}
-	if read.Revision != 0 {
-		stored, err := group.DecodePlacement(read.Record)
-		if err != nil || !domain.placement.Follows(stored) {
-			return read
-		}
+	if read.Revision != 0 && !domain.follows(read.Record) {
+		return read
 	}
 	read.Record, read.Lost = domain.record, true
 	state.logger.Info("the store lost a placement record", zap.String("domain", name), zap.Uint64("era", read.Era),
--- a/control/records.go
+++ b/control/records.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"lacewingspoke.org/lacewingspoke/fleet"
+	"lacewingspoke.org/lacewingspoke/group"
 	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/peer"
 	"lacewingspoke.org/lacewingspoke/quarantine"
@@ -50,6 +51,7 @@
 	copied := state.records.era != 0 && era > state.records.era
 	state.records.era = era
 	if copied {
+		state.restorePlacements(result.entries)
 		state.changeRecords(now, result.revision, state.recoverRecords(result.entries), nil)
 		return
 	}
@@ -96,6 +98,31 @@
 	return holding
 }
 
+// restorePlacements writes the placement records again that are missing or older in the
+// copy. The domain's leader may be the node that failed, and without the record the next
+// one would close the groups.
+func (state *state) restorePlacements(copied []kvstore.Entry) {
+	listed := map[string]kvstore.Entry{}
+	for _, entry := range copied {
+		listed[entry.Key] = entry
+	}
+	for name, domain := range state.domains {
+		key := placementKey(name)
+		entry := listed[key]
+		if domain.placement == nil || entry.Key != "" && !domain.follows(entry.Value) {
+			continue
+		}
+		state.restoreRecord(peer.Record{Key: key, Value: domain.record}, kvstore.ExpectRevision(entry.Revision))
+	}
+}
+
+// follows reports whether the domain's record was written after another one. A record that
+// cannot be decoded is none that it was written after.
+func (domain *domainState) follows(record []byte) bool {
+	other, err := group.DecodePlacement(record)
+	return err == nil && domain.placement.Follows(other)
+}
+
 // restoreRecord writes a record again, or deletes one without a value, until the store
 // answers. In a large fleet only the nodes that decide on parts do, so that the store is
 // not called by all nodes at once; the others have the record.
--- a/control/restore_test.go
+++ b/control/restore_test.go
@@ -76,3 +76,28 @@
 	require.Equal(test, "two/1/1", state.domains["fd"].placement.Change())
 	require.False(test, state.recoverPlacement("fd", read).Lost, "records of one era are not compared")
 }
+
+// Guards against placement records that only the nodes have, and lose when they end.
+func TestPlacementsAreWrittenAgain(test *testing.T) {
+	state, record := newTestState(test)
+	now := time.Now()
+	value := []byte(`{"domain":"fd","fence":3,"epoch":1,"leader":"one/1","change":"one/1/12"}`)
+	older := []byte(`{"domain":"fd","fence":3,"epoch":1,"leader":"one/1","change":"one/1/11"}`)
+	list := func(revision uint64, record []byte) {
+		result := keysListed{prefix: fleet.DomainPrefix, revision: revision}
+		if record != nil {
+			result.entries = []kvstore.Entry{{Key: placementKey("fd"), Value: record, Revision: revision}}
+		}
+		state.handleListed(now, result)
+		state.awaitWorkers()
+	}
+	list(revisionOf(test, 1, 9), value)
+	require.Empty(test, record.puts)
+	list(revisionOf(test, 2, 5), older)
+	list(revisionOf(test, 3, 4), nil)
+	list(revisionOf(test, 4, 6), value)
+	require.Equal(test, []kvstore.PutRequest{
+		{Key: placementKey("fd"), Value: value, Expect: kvstore.ExpectRevision(revisionOf(test, 2, 5))},
+		{Key: placementKey("fd"), Value: value, Expect: kvstore.ExpectAbsent()},
+	}, record.puts)
+}
