Confirm a configuration at once that the operator has written in the new era

A copy has the revisions of before, so a known version at another revision was written again since: it is confirmed at once. A source does not confirm to its followers what it has and the store lacks.

--- a/cmd/lacewingspoke/sharedmodule.go
+++ b/cmd/lacewingspoke/sharedmodule.go
@@ -118,8 +118,8 @@
 	return mirrored, errors.Trace(err)
 }
 
-func newFeed(mirrored *mirror.Mirror, clock *timer.BootClock, logger *zap.Logger) *platform.Feed {
-	return platform.NewFeed(platform.FeedConfig{Client: mirrored, Clock: clock.Now, Logger: logger})
+func newFeed(loaded *settings.Settings, mirrored *mirror.Mirror, clock *timer.BootClock, logger *zap.Logger) *platform.Feed {
+	return platform.NewFeed(platform.FeedConfig{Client: mirrored, Revocation: loaded.RevocationBound(), Clock: clock.Now, Logger: logger})
 }
 
 // mirroredPlatform lists and watches keys through the mirror and sends all other
--- a/mirror/journal.go
+++ b/mirror/journal.go
@@ -22,6 +22,10 @@
 	content  func(entry kvstore.Entry) uint64
 	contents map[string]uint64
 
+	// lost holds the keys of which the journal has later values than the older copy from
+	// which the store returned, until they are written again.
+	lost map[string]bool
+
 	// follows compares two entries of a key, see Config.Follows. It may be nil.
 	follows func(entry, earlier kvstore.Entry) bool
 
@@ -51,7 +55,9 @@
 
 // NewJournal returns an empty journal, which needs a listing before it can apply
 // changes.
-func NewJournal() *Journal { return &Journal{entries: map[string]kvstore.Entry{}} }
+func NewJournal() *Journal {
+	return &Journal{entries: map[string]kvstore.Entry{}, lost: map[string]bool{}}
+}
 
 // newContentJournal returns a journal that records a write as a change only if it
 // changes the content of the entry.
@@ -76,11 +82,17 @@
 	}
 	first := !journal.loaded()
 	copied := kvstore.Era(listing.Revision) > kvstore.Era(journal.revision)
+	if copied {
+		clear(journal.lost)
+	}
 	present := make(map[string]bool, len(listing.Entries))
 	for _, entry := range listing.Entries {
 		present[entry.Key] = true
-		if known, found := journal.entries[entry.Key]; copied && found && journal.follows != nil && journal.follows(known, entry) {
-			entry.Value = known.Value
+		if (copied || journal.lost[entry.Key]) && journal.hasLater(entry) {
+			entry.Value = journal.entries[entry.Key].Value
+			journal.lost[entry.Key] = true
+		} else {
+			delete(journal.lost, entry.Key)
 		}
 		if journal.entries[entry.Key].Revision != entry.Revision {
 			journal.applyChange(change{key: entry.Key, revision: listing.Revision, entry: entry})
@@ -105,6 +117,12 @@
 	return true
 }
 
+// hasLater reports whether the journal has a later value than that of an entry.
+func (journal *Journal) hasLater(entry kvstore.Entry) bool {
+	known, found := journal.entries[entry.Key]
+	return found && journal.follows != nil && journal.follows(known, entry)
+}
+
 // Apply applies the changes after a revision, from a call sent at the given time.
 // Changes that would leave a gap after the current state are discarded.
 func (journal *Journal) Apply(after uint64, changes kvstore.Changes, sent time.Time) {
@@ -112,12 +130,14 @@
 		return
 	}
 	for _, key := range changes.Deleted {
+		delete(journal.lost, key)
 		if entry, found := journal.entries[key]; found && entry.Revision <= changes.Revision {
 			journal.applyChange(change{key: key, revision: changes.Revision})
 		}
 	}
 	for _, entry := range changes.Entries {
 		if entry.Revision > journal.entries[entry.Key].Revision {
+			delete(journal.lost, entry.Key)
 			journal.applyChange(change{key: entry.Key, revision: entry.Revision, entry: entry})
 		}
 	}
@@ -175,8 +195,13 @@
 	return !found || previous != content
 }
 
+// confirm records that the state was the newest one when a call was sent. Values that the
+// store does not have are not confirmed by it.
 func (journal *Journal) confirm(sent time.Time) {
 	journal.Refresh(sent)
+	if len(journal.lost) > 0 {
+		return
+	}
 	if sent.After(journal.confirmedAt) {
 		journal.confirmedAt = sent
 	}
