--- a/forward/runner.go
+++ b/forward/runner.go
@@ -167,7 +167,7 @@
 	}
 	exchange.server.config.Logger.Info("attempt failed",
 		zap.String("id", exchange.caller.Attempt), zap.String("target", target), zap.Bool("sent", maySent(err)), zap.Bool("began", exchange.began),
-		zap.Strings("parts", exchange.caller.PromptParts), zap.Int("attempt", len(exchange.attempts)+1), zap.Error(err))
+		zap.Strings("parts", exchange.caller.PromptParts), zap.Strings("evidence", exchange.parts), zap.Int("attempt", len(exchange.attempts)+1), zap.Error(err))
 	exchange.countAttempt(exchange.failureLabel(err))
 	if !maySent(err) {
 		return notRun{reason: "target " + target + " was not reached"}
