Count a whole request, with its caller, as a part that may end targets

Cause: the evidence had no name for the request itself. Of a prompt the last part, which is the request's own, was left out, and the other parts are in requests that succeed, which clears them. At a plain service a request counted by method, path and body, and requests of other callers with the same ones cleared it. Class of fault: evidence summed over a wider class than the one that the fault belongs to.

Ruled out: the store, nodes that start, overload, a decision that comes too late for three targets (three ends, then none, where the request has a name).

Change: each request has a part of its own, from caller, method, host, URI, prompt and body, beside the shared ones. Its successes are remembered apart, so that they do not displace those of shared parts. A request explains the ends that its shared parts were at; these stay suspected, and one end with another request is enough for them. Requests at the same ends are judged together. Records of requests that nobody repeats are dropped after two hours. The other front door has the caller in the part of plain requests too.

--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -145,6 +145,13 @@
 			state.askParts(now, parts)
 		}
 	}
+	if state.decides() {
+		for key, known := range quarantined.records {
+			if known.Expired(now.Sub(known.readAt)) {
+				state.deleteRecord(key)
+			}
+		}
+	}
 	for _, part := range quarantined.tracker.TakeWanted() {
 		state.claimProbe(now, quarantine.Key(part))
 	}
--- a/entry/service.go
+++ b/entry/service.go
@@ -36,7 +36,8 @@
 		body:       body,
 		excluded:   map[string]bool{},
 		result:     outcome.NotRun{Reason: "no runner can serve the request", RetryAfter: time.Second},
-		parts:      quarantine.RequestParts(exchange.request.Method, exchange.request.URL.RequestURI(), body),
+		parts: []string{quarantine.RequestPart(exchange.workspace.Name, exchange.request.Method, exchange.request.Host,
+			exchange.request.URL.RequestURI(), nil, body)},
 	}
 	if retryClass != outcome.RunOnce {
 		exchange.respondService(call.run(ctx))
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -60,8 +60,8 @@
 	// attempts are the targets that may have received the request.
 	attempts []string
 
-	// parts are those parts of the prompt that other requests may have too, or those of
-	// a request to a plain service. admission is the decision on them for the next
+	// parts are the whole request and those parts of the prompt that other requests may
+	// have too. admission is the decision on them for the next
 	// attempt.
 	parts     []string
 	admission quarantine.Admission
@@ -109,7 +109,6 @@
 		return
 	}
 	exchange.caller = caller
-	exchange.parts = caller.PromptParts[:max(0, len(caller.PromptParts)-1)]
 	if !exchange.resolve(current) || !exchange.readBody(current.Limits().MaxBodyBytes) {
 		return
 	}
@@ -124,11 +123,13 @@
 	ctx, cancel := context.WithTimeout(exchange.request.Context(), exchange.remaining())
 	defer cancel()
 	exchange.server.countRequest(exchange.service.Name)
+	whole := quarantine.RequestPart(caller.Key, exchange.request.Method, exchange.request.Host, exchange.request.RequestURI, caller.PromptParts, exchange.body)
+	exchange.parts = []string{whole}
 	if exchange.service.Engine != nil {
+		exchange.parts = append(exchange.parts, caller.PromptParts[:max(0, len(caller.PromptParts)-1)]...)
 		exchange.serveStream(ctx)
 		return
 	}
-	exchange.parts = quarantine.RequestParts(exchange.request.Method, exchange.request.RequestURI, exchange.body)
 	exchange.serveRunner(ctx)
 }
 
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -25,9 +25,15 @@
 	// suspects are the parts that have reached MinEndings.
 	suspects map[string]bool
 
-	// explained holds the targets that ended under a part in quarantine, with the time.
-	// Their ends count for no other part.
-	explained map[string]time.Time
+	// explained holds the targets that ended under a part in quarantine. Their ends count
+	// for no other part, or, if the part is a whole request, for no other request.
+	explained map[string]explanation
+}
+
+// An explanation is the reason for the end of a target at a time.
+type explanation struct {
+	at      time.Time
+	request bool
 }
 
 type ledgerPart struct {
@@ -40,7 +46,7 @@
 // NewLedger returns a ledger without ends.
 func NewLedger() *Ledger {
 	return &Ledger{
-		parts: map[string]*ledgerPart{}, quarantined: map[string]bool{}, suspects: map[string]bool{}, explained: map[string]time.Time{},
+		parts: map[string]*ledgerPart{}, quarantined: map[string]bool{}, suspects: map[string]bool{}, explained: map[string]explanation{},
 	}
 }
 
@@ -54,22 +60,28 @@
 
 // Add adds a reported end.
 func (ledger *Ledger) Add(ending Ending) {
-	if slices.ContainsFunc(ending.Parts, func(part string) bool { return ledger.quarantined[part] }) {
-		ledger.explain(ending.Target, ending.At)
+	for _, part := range ending.Parts {
+		if ledger.quarantined[part] {
+			ledger.explain(ending.Target, part, ending.At)
+		}
 	}
-	if _, found := ledger.explained[ending.Target]; found {
+	reason, explained := ledger.explained[ending.Target]
+	if explained && !reason.request {
 		return
 	}
 	for _, part := range ending.Parts {
+		if explained && isRequest(part) {
+			continue
+		}
 		entry := ledger.parts[part]
 		if entry == nil {
 			entry = &ledgerPart{}
 			ledger.parts[part] = entry
 		}
 		if !slices.ContainsFunc(entry.ends, func(end targetEnd) bool { return end.target == ending.Target }) {
-			entry.ends = append(endsAfter(entry.ends, ending.At.Add(-EndingMemory)), targetEnd{target: ending.Target, at: ending.At})
+			entry.ends = append(endsAfter(entry.ends, ending.At.Add(-EndingMemory)), targetEnd{target: ending.Target, at: ending.At, explained: explained})
 		}
-		if len(entry.ends) >= MinEndings {
+		if entry.suspicious() {
 			ledger.suspects[part] = true
 		}
 	}
@@ -78,11 +90,39 @@
 	}
 }
 
+// unexplained returns the number of ends that no request in quarantine explains.
+func (entry *ledgerPart) unexplained() int {
+	count := 0
+	for _, end := range entry.ends {
+		if !end.explained {
+			count++
+		}
+	}
+	return count
+}
+
+// suspicious reports whether a part has enough ends: MinEndings, or one more than that of
+// which a request in quarantine explains all but one.
+func (entry *ledgerPart) suspicious() bool {
+	unexplained := entry.unexplained()
+	return unexplained >= MinEndings || unexplained > 0 && len(entry.ends) > MinEndings
+}
+
 // explain records that a target ended under a part in quarantine.
-func (ledger *Ledger) explain(target string, at time.Time) {
-	maps.DeleteFunc(ledger.explained, func(_ string, old time.Time) bool { return at.Sub(old) > EndingMemory })
-	ledger.explained[target] = at
+func (ledger *Ledger) explain(target, reason string, at time.Time) {
+	maps.DeleteFunc(ledger.explained, func(_ string, old explanation) bool { return at.Sub(old.at) > EndingMemory })
+	known, found := ledger.explained[target]
+	byRequest := isRequest(reason) && (!found || known.request)
+	ledger.explained[target] = explanation{at: at, request: byRequest}
 	for part, entry := range ledger.parts {
+		for index := range entry.ends {
+			if entry.ends[index].target == target {
+				entry.ends[index].explained = true
+			}
+		}
+		if byRequest && !isRequest(part) {
+			continue
+		}
 		entry.ends = slices.DeleteFunc(entry.ends, func(end targetEnd) bool { return end.target == target })
 		if len(entry.ends) == 0 {
 			delete(ledger.parts, part)
@@ -102,13 +142,13 @@
 	}
 }
 
-// Suspects returns the parts under which MinEndings targets have ended and about which
-// the nodes have to be asked now.
+// Suspects returns the parts under which enough targets have ended and about which the
+// nodes have to be asked now.
 func (ledger *Ledger) Suspects(now time.Time) []string {
 	var parts []string
 	for part := range ledger.suspects {
 		switch entry := ledger.parts[part]; {
-		case entry == nil || len(entry.ends) < MinEndings:
+		case entry == nil || !entry.suspicious():
 			delete(ledger.suspects, part)
 		case !now.Before(entry.askAt):
 			entry.askAt = now.Add(askInterval)
@@ -125,8 +165,9 @@
 // Judge decides on parts from the times at which the nodes last saw them succeed. A
 // part that is missing in soundAt has succeeded at none of them. It returns the records
 // of the parts to put in quarantine, without a node: those under which the most targets
-// ended first, so that the ends which they explain are not held against the parts that
-// were with them.
+// ended first, and whole requests before other parts, so that the ends which they explain
+// are not held against the parts that were with them. Requests that were at the same ends
+// cannot be told apart, and each of them concerns one caller only.
 func (ledger *Ledger) Judge(parts []string, soundAt map[string]time.Time, now time.Time) []Record {
 	for _, part := range parts {
 		if entry := ledger.parts[part]; entry != nil {
@@ -136,24 +177,32 @@
 			}
 		}
 	}
-	count := func(part string) int {
-		if entry := ledger.parts[part]; entry != nil {
-			return len(entry.ends)
+	ends := map[string][]targetEnd{}
+	for _, part := range parts {
+		if entry := ledger.parts[part]; entry != nil && entry.suspicious() {
+			ends[part] = slices.Clone(entry.ends)
 		}
-		return 0
 	}
-	sorted := slices.SortedFunc(slices.Values(parts), func(left, right string) int {
-		return cmp.Or(cmp.Compare(count(right), count(left)), cmp.Compare(left, right))
+	kind := func(part string) int {
+		if isRequest(part) {
+			return 0
+		}
+		return 1
+	}
+	sorted := slices.SortedFunc(maps.Keys(ends), func(left, right string) int {
+		return cmp.Or(cmp.Compare(len(ends[right]), len(ends[left])), cmp.Compare(kind(left), kind(right)), cmp.Compare(left, right))
 	})
 	var records []Record
 	for _, part := range sorted {
-		if ledger.quarantined[part] || count(part) < MinEndings || Presumed(soundAt[part], now) {
+		entry := ledger.parts[part]
+		suspicious := isRequest(part) || entry != nil && entry.suspicious()
+		if ledger.quarantined[part] || !suspicious || Presumed(soundAt[part], now) {
 			continue
 		}
 		record := Record{Part: part}
-		for _, end := range slices.Clone(ledger.parts[part].ends) {
+		for _, end := range ends[part] {
 			record.Targets = append(record.Targets, end.target)
-			ledger.explain(end.target, end.at)
+			ledger.explain(end.target, part, end.at)
 		}
 		ledger.quarantined[part] = true
 		records = append(records, record)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -20,6 +20,11 @@
 // the part succeed, and only then decides. The decision is a Record in the store, which
 // all nodes follow.
 //
+// A whole request counts as a part too (RequestPart): a caller may repeat one of which all
+// other parts are sound. Of a request and the parts that it has, which were at the same
+// ends, the request is the narrower explanation. Its parts remain under suspicion: one
+// further end without the request is enough for them.
+//
 // # Quarantine
 //
 // A part in quarantine is refused at once, as not run, and attempts in progress that
@@ -65,6 +70,7 @@
 	"encoding/json"
 	"io"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -115,15 +121,33 @@
 	maxProbeDelay    = time.Hour
 )
 
-// RequestParts returns the only part of a request to a plain service: the whole request.
-// A URI alone is no part, because all requests of a kind may have the same one.
-func RequestParts(method, uri string, body []byte) []string {
-	return []string{PartOf(method, uri, string(body))}
+// requestPrefix begins the names of parts that stand for whole requests.
+const requestPrefix = "request-"
+
+// RequestPart returns the part that stands for a whole request, which is the same each time
+// that a caller repeats it. Requests of other callers may have the same URI and body, and
+// requests of one caller the same body with another prompt. prompt holds the parts of the
+// prompt, if it is not in the body.
+func RequestPart(caller, method, host, uri string, prompt []string, body []byte) string {
+	return requestPrefix + PartOf(append([]string{caller, method, host, uri, string(body)}, prompt...)...)
 }
 
+// isRequest reports whether a part stands for a whole request.
+func isRequest(part string) bool { return strings.HasPrefix(part, requestPrefix) }
+
 // RetryAfter is the wait before a caller retries a request with a part in quarantine.
 const RetryAfter = firstProbeDelay
 
+// Expired reports whether the record of a whole request is no longer needed: it was last
+// written the given time ago, and nobody has repeated the request since the last probe was
+// due. Few requests are ever repeated, so that their records would add up.
+func (record Record) Expired(age time.Duration) bool {
+	return isRequest(record.Part) && age > requestLifetime
+}
+
+// requestLifetime is longer than any delay between probes.
+const requestLifetime = 2 * maxProbeDelay
+
 // ProbeDelay returns the time from the last write of the record to the next probe.
 func (record Record) ProbeDelay() time.Duration {
 	delay := firstProbeDelay
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -228,3 +230,69 @@
 	record.Probes = 1 << 20
 	require.Equal(test, maxProbeDelay, record.ProbeDelay())
 }
+
+func addEndings(ledger *Ledger, now time.Time, endings map[string][]string) {
+	for _, target := range slices.Sorted(maps.Keys(endings)) {
+		ledger.Add(Ending{Target: target, Parts: endings[target], At: now})
+	}
+}
+
+func judged(ledger *Ledger, now time.Time) []string {
+	var parts []string
+	for _, record := range ledger.Judge(ledger.Suspects(now), nil, now) {
+		parts = append(parts, record.Part)
+	}
+	return parts
+}
+
+// Guards against a repeated request that is never put in quarantine because its other
+// parts are sound, and against the quarantine of these parts (incident second1). Guards as
+// well against a part that ends targets and is held to be explained by one request.
+func TestRepeatedRequestExplainsEndsOfItsParts(test *testing.T) {
+	now := time.Unix(1000, 0)
+	ledger := NewLedger()
+	repeated := RequestPart("key", "POST", "host", "/d/", []string{"subject", "own"}, []byte("body"))
+	other := RequestPart("key", "POST", "host", "/d/", []string{"subject", "other"}, []byte("body"))
+	addEndings(ledger, now, map[string][]string{"t1": {repeated, "subject"}, "t2": {repeated, "subject"}, "t3": {repeated, "subject", other}})
+	require.Equal(test, []string{repeated}, judged(ledger, now))
+	addEndings(ledger, now, map[string][]string{"t4": {repeated, "subject"}})
+	later := now.Add(askInterval)
+	require.Empty(test, judged(ledger, later), "the request explains the fourth end")
+	addEndings(ledger, now, map[string][]string{"t5": {other, "subject"}})
+	require.Equal(test, []string{"subject"}, judged(ledger, later.Add(askInterval)), "a part ended a target with another request")
+}
+
+// Guards against a repeated request that goes on because another one was at the same ends.
+func TestRequestsAtTheSameEndsAreJudgedTogether(test *testing.T) {
+	now := time.Unix(1000, 0)
+	ledger := NewLedger()
+	first, second := RequestPart("a", "GET", "h", "/", nil, nil), RequestPart("b", "GET", "h", "/", nil, nil)
+	addEndings(ledger, now, map[string][]string{"t1": {first, second}, "t2": {first, second}, "t3": {first, second}})
+	require.ElementsMatch(test, []string{first, second}, judged(ledger, now))
+}
+
+// Guards against successes of single requests that displace those of parts that many
+// requests have, which then count as never seen to succeed.
+func TestRequestsDoNotDisplaceOtherParts(test *testing.T) {
+	now := time.Unix(1000, 0)
+	tracker := NewTracker()
+	succeed := func(part string) {
+		attempt := tracker.Begin("t", []string{part}, Admission{}, func() {})
+		attempt.Completed(now)
+		attempt.Close()
+	}
+	succeed("shared")
+	for index := range 3 * maxParts {
+		succeed(RequestPart("key", "GET", "h", fmt.Sprint("/", index), nil, nil))
+	}
+	require.Contains(test, tracker.SoundAt([]string{"shared"}), "shared")
+}
+
+// Guards against records of requests that stay for ever, and against other parts that
+// leave quarantine because nobody asked for them.
+func TestOnlyRecordsOfRequestsExpire(test *testing.T) {
+	request := Record{Part: RequestPart("key", "GET", "h", "/", nil, nil), Probes: 9}
+	require.False(test, request.Expired(request.ProbeDelay()))
+	require.True(test, request.Expired(requestLifetime+time.Second))
+	require.False(test, Record{Part: "part"}.Expired(1000*time.Hour))
+}
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -50,6 +50,10 @@
 	// parts of the last maxParts to 2*maxParts successes are remembered.
 	sound, olderSound map[string]time.Time
 
+	// repeated are the same for whole requests, most of which succeed once only and
+	// would displace the other parts.
+	repeated, olderRepeated map[string]time.Time
+
 	quarantined map[string]bool
 
 	// permits holds until when one request with a part may be sent as a probe.
@@ -75,6 +79,9 @@
 type targetEnd struct {
 	target string
 	at     time.Time
+
+	// explained is set in a Ledger if a request in quarantine was at the target.
+	explained bool
 }
 
 // An Attempt is a request at a target.
@@ -110,6 +117,7 @@
 		ends:        map[string][]targetEnd{},
 		sound:       map[string]time.Time{},
 		olderSound:  map[string]time.Time{},
+		repeated:    map[string]time.Time{},
 		quarantined: map[string]bool{},
 		permits:     map[string]time.Time{},
 		wanted:      map[string]bool{},
@@ -214,8 +222,12 @@
 	attempt.proved = true
 	tracker := attempt.tracker
 	for _, part := range attempt.parts {
-		if attempt.firstEventAt.After(tracker.sound[part]) {
-			tracker.sound[part] = attempt.firstEventAt
+		sound := tracker.sound
+		if isRequest(part) {
+			sound = tracker.repeated
+		}
+		if attempt.firstEventAt.After(sound[part]) {
+			sound[part] = attempt.firstEventAt
 		}
 		if ends := endsAfter(tracker.ends[part], attempt.firstEventAt); len(ends) > 0 {
 			tracker.ends[part] = ends
@@ -229,6 +241,9 @@
 	if len(tracker.sound) > maxParts {
 		tracker.olderSound, tracker.sound = tracker.sound, map[string]time.Time{}
 	}
+	if len(tracker.repeated) > maxParts {
+		tracker.olderRepeated, tracker.repeated = tracker.repeated, map[string]time.Time{}
+	}
 }
 
 // endsAfter returns the ends that are later than a time.
@@ -336,10 +351,14 @@
 }
 
 func (tracker *Tracker) soundAt(part string) time.Time {
-	if at, found := tracker.sound[part]; found {
+	sound, older := tracker.sound, tracker.olderSound
+	if isRequest(part) {
+		sound, older = tracker.repeated, tracker.olderRepeated
+	}
+	if at, found := sound[part]; found {
 		return at
 	}
-	return tracker.olderSound[part]
+	return older[part]
 }
 
 // Close records that the attempt is over.
