--- a/admin/admin.go
+++ b/admin/admin.go
@@ -105,7 +105,7 @@
 // StalledPath is the path at which a leader receives a StalledReport.
 const StalledPath = "/v1/stalled"
 
-// StalledReport tells the leader of a fabric domain that the streams of one of its
+// StalledReport is sent to the leader of a fabric domain when the streams of one of its
 // groups have stalled at another node.
 type StalledReport struct {
 	Group string `json:"group"`
@@ -119,7 +119,7 @@
 	DecisionPath = "/v1/decision"
 )
 
-// EndingsReport tells a node which targets have ended under which parts at another node.
+// EndingsReport lists the targets that have ended under parts at another node.
 type EndingsReport struct {
 	Endings []EndingReport `json:"endings"`
 }
--- a/cmd/lacewingspoke/nodecalls.go
+++ b/cmd/lacewingspoke/nodecalls.go
@@ -51,7 +51,7 @@
 	return ages, nil
 }
 
-// TellDecision tells a node of a part that is put in quarantine.
+// TellDecision sends a node the record of a part that is put in quarantine.
 func (calls nodeCalls) TellDecision(ctx context.Context, address string, record []byte) error {
 	return errors.Annotate(calls.post(ctx, address, admin.DecisionPath, json.RawMessage(record), nil), "telling a decision")
 }
--- a/cmd/lacewingspoke/sharedmodule.go
+++ b/cmd/lacewingspoke/sharedmodule.go
@@ -52,7 +52,7 @@
 	discoveryTime = 500 * time.Millisecond
 
 	// lapseGraceDivisor is the part of the drain bound for which a target without an
-	// announcement is kept. The rest covers the delay with which a node learns that
+	// announcement is kept. The rest covers the delay until a node reads that
 	// the announcement has expired.
 	lapseGraceDivisor = 2
 
--- a/control/feed.go
+++ b/control/feed.go
@@ -63,7 +63,7 @@
 	// read. It is nil if the store is always read directly.
 	SetSources func(addresses []string)
 
-	// ReportStalled tells the node at an admin address, which leads the group's
+	// ReportStalled reports to the node at an admin address, which leads the group's
 	// fabric domain, that the streams of the group have stalled. It may be nil.
 	ReportStalled func(ctx context.Context, address, group string) error
 
--- a/control/feed_bench_test.go
+++ b/control/feed_bench_test.go
@@ -16,7 +16,7 @@
 )
 
 // BenchmarkTargetChanged measures what one changed target costs a node that leads
-// nothing and knows 15 fabric domains with 73 targets each.
+// nothing and has 15 fabric domains with 73 targets each.
 func BenchmarkTargetChanged(bench *testing.B) {
 	state, _ := newTestState(bench)
 	state.logger = zap.NewNop()
--- a/control/feed_test.go
+++ b/control/feed_test.go
@@ -131,7 +131,7 @@
 func (stalledTraffic) StalledGroups() []string { return []string{"g"} }
 
 // In a fleet of hundreds of nodes the leader of a fabric domain rarely has a stream
-// at the group that loses a member. Guards against a loss that it learns of only
+// at the group that loses a member. Guards against a loss that it notices only
 // when the member's announcement expires, and against a report with each check.
 func TestStalledGroupIsReportedToItsLeader(test *testing.T) {
 	now := time.Now()
@@ -186,7 +186,7 @@
 }
 
 // A member's announcement expires and its answer to the leader equals its last report.
-// Guards against a leader that does not learn that the member is unlisted: its record
+// Guards against a leader that does not notice that the member is unlisted: its record
 // then ends the group at the other nodes after their grace period.
 func TestAnsweringMemberIsMarkedUnlisted(test *testing.T) {
 	now := time.Now()
--- a/control/limits.go
+++ b/control/limits.go
@@ -24,7 +24,7 @@
 	return limitPrefix + strconv.FormatUint(xxhash.Sum64String(target), hexBase)
 }
 
-// tellLimits writes the limits that this node tells the others.
+// tellLimits writes the limits that this node publishes.
 func (state *state) tellLimits(now time.Time) {
 	for _, change := range state.config.Limits.TakeChanges(now) {
 		key := limitKey(change.Target)
@@ -58,7 +58,7 @@
 
 func (limitTold) message() {}
 
-// handleLimitTold logs the outcome. A limit that was not written is told again with a
+// handleLimitTold logs the outcome. A limit that was not written is published again with a
 // later answer. For an end that was not, other nodes with a share try, and those without
 // one ask the target in turns.
 func (state *state) handleLimitTold(result limitTold) {
--- a/control/limits_test.go
+++ b/control/limits_test.go
@@ -9,8 +9,8 @@
 	"lacewingspoke.org/lacewingspoke/limit"
 )
 
-// Guards against nodes without a share of a target's limit that are not told when another
-// node learns of it, or of its end.
+// Guards against nodes without a share of a target's limit that get no record when another
+// node receives it, or its end.
 func TestLimitIsToldToAllNodes(test *testing.T) {
 	const rate = 1
 	cluster := newGrantedCluster(test, 2, 5)
--- a/control/probe.go
+++ b/control/probe.go
@@ -103,7 +103,7 @@
 	return false
 }
 
-// reportStalled tells the leader of a group's fabric domain that its streams have
+// reportStalled reports to the leader of a group's fabric domain that its streams have
 // stalled.
 func (state *state) reportStalled(now time.Time, name string) {
 	if state.config.Feed.ReportStalled == nil {
--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -25,7 +25,7 @@
 	// are: parts that many requests have succeed at most nodes.
 	firstAsked = 16
 
-	// maxTellsAtOnce bounds the nodes that are told of a decision at the same time.
+	// maxTellsAtOnce bounds the nodes to which a decision is sent at the same time.
 	maxTellsAtOnce = 32
 
 	// maxRecentEndings bounds the ends that a node reports again to new receivers, and
@@ -50,8 +50,8 @@
 	dropped   int
 	receivers map[string]*endingReceiver
 
-	// records are the records in the store, and decided those that this node knows and
-	// has not yet read, both by key.
+	// records are the records in the store, and decided those that this node has received and
+	// not yet read, both by key.
 	records map[string]quarantineRecord
 	decided map[string]decision
 
@@ -180,7 +180,7 @@
 }
 
 // reportEndings reports the ends of targets to the nodes that add them up: all recent ones
-// to a node that begins to, which knows nothing of what was reported before.
+// to a node that begins to, which has nothing of what was reported before.
 func (state *state) reportEndings(now time.Time, endings []quarantine.Ending) {
 	quarantined := state.quarantine
 	for _, ending := range endings {
@@ -388,8 +388,8 @@
 	}
 }
 
-// tellDecision tells all nodes of a decision, because the store may be slow or down. The
-// nodes that it does not reach learn of it from the record.
+// tellDecision sends a decision to all nodes, because the store may be slow or down. The
+// nodes that it does not reach read the record.
 func (state *state) tellDecision(part string, value []byte) {
 	if state.config.TellDecision == nil {
 		return
--- a/control/quarantine_test.go
+++ b/control/quarantine_test.go
@@ -33,7 +33,7 @@
 	return running.tracker.Admit([]string{part}, time.Now()).Refused() != ""
 }
 
-// Guards against nodes that do not learn of a part in quarantine: those that saw no end
+// Guards against nodes that miss a part in quarantine: those that saw no end
 // under it, those that do not watch the store, and those that start later. Guards as well
 // against the quarantine of a part that is sound at one node only.
 func TestPartIsRefusedAtEveryNode(test *testing.T) {
--- a/control/state.go
+++ b/control/state.go
@@ -28,7 +28,7 @@
 
 	fleet *fleet.Fleet
 
-	// sourcesSet is true once the nodes have been listed and the feed was told
+	// sourcesSet is true once the nodes have been listed and the feed has got
 	// through which of them to read the store.
 	sourcesSet bool
 
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -152,9 +152,6 @@
 	fleet.lease = lease{nextCallAt: now.Add(fleet.randomBetween(0, fleet.renewInterval()))}
 }
 
-// firstEra is the era of a store that has never returned from an older copy.
-const firstEra = 1
-
 // eraOf returns the era of the store that an event shows, 0 if it shows none.
 func eraOf(event Event) uint64 {
 	switch event := event.(type) {
@@ -196,7 +193,7 @@
 	}
 	first := fleet.era == 0
 	fleet.era = era
-	if !first || era > firstEra {
+	if !first || era > kvstore.FirstEra {
 		// A node that has just started cannot tell when the era began.
 		fleet.eraBeganAt = now
 	}
--- a/fleet/topology_test.go
+++ b/fleet/topology_test.go
@@ -166,7 +166,7 @@
 }
 
 // Two nodes of each failure domain watch the store, even if the nodes have no
-// links and learn of each other only from the store.
+// links and find each other only in the store.
 func TestTwoWatchersPerFailureDomain(t *testing.T) {
 	sim := newSimulation(1)
 	for index := range 12 {
--- a/group/commit.go
+++ b/group/commit.go
@@ -100,10 +100,10 @@
 // store that returns from an older copy has lost the last ones, and engines that saw them
 // would reject them for another leader or composition.
 func firstNumber(era uint64) uint64 {
-	if era <= 1 {
+	if era <= kvstore.FirstEra {
 		return 0
 	}
-	return (era - 1) << eraNumberBits
+	return (era - kvstore.FirstEra) << eraNumberBits
 }
 
 // highestEpoch returns the highest epoch that an engine reported.
--- a/kvstore/revision.go
+++ b/kvstore/revision.go
@@ -6,6 +6,9 @@
 // At a million changes a second they last for eight years.
 const revisionBits = 48
 
+// FirstEra is the era of a store that has never returned from an older copy.
+const FirstEra = 1
+
 // JoinRevision returns the revision of a change in an era of the store.
 //
 // A store that returns from an older copy begins a new era and gives out the revisions
--- a/limit/allowance.go
+++ b/limit/allowance.go
@@ -13,7 +13,7 @@
 	Slack float64
 
 	// Safety is the fraction of the bound that is used. It is below 1 because
-	// nodes learn of each other with a delay.
+	// nodes see each other with a delay.
 	Safety float64
 }
 
--- a/limit/targetlimit.go
+++ b/limit/targetlimit.go
@@ -23,18 +23,18 @@
 	// maxTime bounds the times that follow from limits close to 0.
 	maxTime = time.Hour
 
-	// publishStep is the time between the first and the next node that may tell the
+	// publishStep is the time between the first and the next node that may publish the
 	// others of a change.
 	publishStep = 100 * time.Millisecond
 
-	// tellInterval is the time after which a change is told again if no node knows of it.
+	// tellInterval is the time after which a change is published again if no node has it.
 	tellInterval = 5 * time.Second
 
 	// limitMemory is how long the limit of a target that left the table is remembered:
 	// it returns as rank 0 of another group.
 	limitMemory = 10 * time.Second
 
-	// tellTolerance is the fraction by which a limit may change without being told and
+	// tellTolerance is the fraction by which a limit may change without being published and
 	// logged again.
 	tellTolerance = 0.2
 )
@@ -44,15 +44,15 @@
 //
 // Each node may send a share of the limit in any targetSpan, and the shares of the live
 // nodes add up to no more than the limit: whole requests, dealt in an order that each
-// node computes for itself. A node that does not know of a limit learns of it with its
+// node computes for itself. A node that has no limit gets it with its
 // first answer. In a large fleet many nodes have no share, and would not notice that a
-// limit has ended: those with a share tell the others, through changes that the owner of
+// limit has ended: those with a share publish it, through changes that the owner of
 // the TargetLimits takes and passes on. Without that, a node without a share sends one
 // request from time to time.
 //
 // Nodes that cannot see each other count themselves only: each side of a partition keeps
 // to the limit by itself. A node that has just started and has not listed the others
-// counts as alone, but knows of no limits either.
+// counts as alone, but has no limits either.
 type TargetLimits struct {
 	node string
 
@@ -60,7 +60,7 @@
 	nodes   []string
 	targets map[string]*limitedTarget
 
-	// untold holds the changes that this node tells the others, unless another one has
+	// untold holds the changes that this node publishes, unless another one has
 	// done so before.
 	untold map[string]untoldLimit
 }
@@ -70,7 +70,7 @@
 	at   time.Time
 }
 
-// A SharedLimit is a limit as nodes tell it each other. Rate is 0 if the limit has ended.
+// A SharedLimit is a limit as nodes publish it. Rate is 0 if the limit has ended.
 type SharedLimit struct {
 	Target string  `json:"target"`
 	Rate   float64 `json:"rate"`
@@ -84,17 +84,17 @@
 	namedAt time.Time
 
 	// loggedRate is the limit of the last LimitNamed, and sharedRate the one that the
-	// other nodes know, 0 for none.
+	// other nodes have, 0 for none.
 	loggedRate float64
 	sharedRate float64
 
-	// toldAt is when this node last told the others of the limit.
+	// toldAt is when this node last published the limit.
 	toldAt time.Time
 
 	// window bounds the requests of this node. It is nil if the node has no share.
 	window *Window
 
-	// since is when this node learned of the limit. A node without a share may send one
+	// since is when this node received the limit. A node without a share may send one
 	// request in its turn, which begins turnAt after since and returns.
 	since      time.Time
 	turn       time.Duration
@@ -217,11 +217,11 @@
 	return nil
 }
 
-// differs reports whether a limit has to be told again.
+// differs reports whether a limit has to be published again.
 func differs(rate, told float64) bool { return math.Abs(rate-told) > tellTolerance*told }
 
-// tell schedules a change to be told, if it is not yet. The nodes take turns, so that
-// most of them see it told before.
+// tell schedules a change to be published, if it is not yet. The nodes take turns, so that
+// most of them see it published before.
 func (limits *TargetLimits) tell(name string, rate float64, now time.Time) {
 	known, found := limits.untold[name]
 	if !found || known.rate == 0 != (rate == 0) {
@@ -308,7 +308,7 @@
 	return len(limits.targets)
 }
 
-// TakeChanges returns the changes that the other nodes have to be told now.
+// TakeChanges returns the changes that the other nodes have to get now.
 func (limits *TargetLimits) TakeChanges(now time.Time) []SharedLimit {
 	limits.mutex.Lock()
 	defer limits.mutex.Unlock()
@@ -325,7 +325,7 @@
 	return changes
 }
 
-// Share records a change that a node has told all nodes. A limit that is not a number has
+// Share records a change that a node has published. A limit that is not a number has
 // no effect.
 func (limits *TargetLimits) Share(shared SharedLimit, now time.Time) {
 	limits.mutex.Lock()
--- a/limit/targetlimit_test.go
+++ b/limit/targetlimit_test.go
@@ -100,7 +100,7 @@
 					load.stopped = load.random.IntN(count / 2)
 				}
 				for _, node := range nodes {
-					// The nodes learn of a change one after the other.
+					// The nodes receive a change one after the other.
 					if load.random.IntN(10) == 0 {
 						node.SetNodes(names[load.stopped:], now)
 					}
@@ -156,7 +156,7 @@
 	}
 }
 
-// Guards against a change that is told with each answer while the store does not take it.
+// Guards against a change that is published with each answer while the store does not take it.
 func TestUntakenChangeIsToldFromTimeToTime(test *testing.T) {
 	_, nodes := limitNodes(100)
 	told := 0
@@ -170,7 +170,7 @@
 	require.Equal(test, 2*10, told, "10 nodes with a share, for two intervals")
 }
 
-// Guards against a node without a share that never uses a target again when nobody tells
+// Guards against a node without a share that never uses a target again when nobody publishes
 // it that the limit has ended.
 func TestNodeWithoutAShareAsksFromTimeToTime(test *testing.T) {
 	_, nodes := limitNodes(100)
@@ -228,7 +228,7 @@
 	require.Zero(test, node.Limited())
 }
 
-// BenchmarkChangeOfNodes measures what a change of 730 nodes costs a node that knows 100
+// BenchmarkChangeOfNodes measures what a change of 730 nodes costs a node that has 100
 // limited targets.
 func BenchmarkChangeOfNodes(b *testing.B) {
 	names, nodes := limitNodes(730)
--- a/mirror/source.go
+++ b/mirror/source.go
@@ -25,7 +25,7 @@
 	minSourceBackoff = 500 * time.Millisecond
 	maxSourceBackoff = 16 * time.Second
 
-	// startTime is how long a node that has just learned its sources waits for them
+	// startTime is how long a node that has just got its sources waits for them
 	// before it reads the store itself, and startRetry is the time between two
 	// requests. After a power failure the sources start at the same time as their
 	// followers.
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -76,7 +76,7 @@
 
 // A Target is a node to dial.
 type Target struct {
-	// Name is empty for a seed, whose name is learned from its hello.
+	// Name is empty for a seed, whose name is in its hello.
 	Name string
 
 	// Address is IP:port.
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -35,9 +35,9 @@
 // # What holds without the others
 //
 // A node that reaches neither the store nor the other nodes keeps the parts in
-// quarantine that it knows, and does not retry requests whose parts were at two ends
-// that it saw itself. It learns of no new ones, because what it sees alone would also
-// condemn sound parts that are rare at this node. A node that has just started knows
+// quarantine that it has, and does not retry requests whose parts were at two ends
+// that it saw itself. It gets no new ones, because what it sees alone would also
+// condemn sound parts that are rare at this node. A node that has just started has
 // the parts in quarantine once it has listed the records.
 //
 // # Usage
