--- a/mirror/journal.go
+++ b/mirror/journal.go
@@ -130,7 +130,6 @@
 		return
 	}
 	for _, key := range changes.Deleted {
-		delete(journal.lost, key)
 		if entry, found := journal.entries[key]; found && entry.Revision <= changes.Revision {
 			journal.applyChange(change{key: key, revision: changes.Revision})
 		}
@@ -167,6 +166,7 @@
 func (journal *Journal) applyChange(changed change) {
 	if changed.entry.Key == "" {
 		delete(journal.entries, changed.key)
+		delete(journal.lost, changed.key)
 		delete(journal.contents, changed.key)
 	} else {
 		journal.entries[changed.key] = changed.entry
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -658,8 +658,14 @@
 	}
 	list(2, 7, "version 8")
 	require.Equal(test, now, journal.confirmedAt)
-	list(3, 2, "version 9")
-	require.Equal(test, "version 9", string(journal.Listing().Entries[0].Value))
+	list(3, 2, "version 7")
+	require.Equal(test, "version 8", string(journal.Listing().Entries[0].Value))
+	confirmed = now
+	now = now.Add(time.Second)
+	removed, err := kvstore.JoinRevision(3, 3)
+	require.NoError(test, err)
+	journal.Replace(kvstore.Listing{Revision: removed}, now)
+	require.Equal(test, now, journal.confirmedAt, "a key that is gone is still waited for")
 }
 
 // Guards against every node reading the store then.
