--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -660,7 +660,6 @@
 	require.Equal(test, now, journal.confirmedAt)
 	list(3, 2, "version 7")
 	require.Equal(test, "version 8", string(journal.Listing().Entries[0].Value))
-	confirmed = now
 	now = now.Add(time.Second)
 	removed, err := kvstore.JoinRevision(3, 3)
 	require.NoError(test, err)
