Let followers list an older copy, as nodes that read the store do

A watch through a source ends with the era like one at the store, and the follower lists. TestFollowersListCopyOfStore fails without the change and passes.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -218,6 +218,10 @@
 			continue
 		}
 		mirror.recordSourceResponse(address)
+		if after != 0 && kvstore.Era(read.Revision) > kvstore.Era(after) {
+			// The caller has to see the older copy as a listing, not as changes.
+			return kvstore.Changes{}, errors.NotValidf("watch of prefix %s across the end of an era of the store", prefix)
+		}
 		changes := kvstore.Changes{Revision: max(after, read.Revision), Entries: read.Entries, Deleted: read.Deleted}
 		changes.Age = read.age() - sent.Sub(began)
 		mirror.applySourceReply(prefix, sent, read, func(journal *Journal, confirmed time.Time) { journal.Apply(after, changes, confirmed) })
