Compare a node's placement record with an older copy in one place

The reading of the whole change found three checks of the same thing, in setPlacement, recoverPlacement and restorePlacements, and twins of two pieces of the quarantine: the loop that writes until the store answers, and whether this node is among some nodes. One function each now: outlives, repeatWrite, isOneOf. restorePlacements also compares the eras, which only saves a write whose condition cannot hold. No other behaviour changes; tests of control on copies, records and quarantine pass.

--- a/control/leadership.go
+++ b/control/leadership.go
@@ -136,10 +136,7 @@
 func (state *state) recoverPlacement(name string, read group.PlacementRead) group.PlacementRead {
 	read.Era = max(read.Era, state.fleet.Era())
 	domain := state.ensureDomain(name)
-	if domain.placement == nil || read.Era <= kvstore.Era(domain.revision) {
-		return read
-	}
-	if read.Revision != 0 && !domain.follows(read.Record) {
+	if !domain.outlives(read.Era, read.Record) {
 		return read
 	}
 	read.Record, read.Lost = domain.record, true
@@ -398,6 +395,20 @@
 	}
 }
 
+// outlives reports whether the store returned, in a later era than that of the domain's
+// record, a record that was written before it. Without a record the store has lost it. One
+// that cannot be decoded is not compared.
+func (domain *domainState) outlives(era uint64, record []byte) bool {
+	if domain.placement == nil || era <= kvstore.Era(domain.revision) {
+		return false
+	}
+	if len(record) == 0 {
+		return true
+	}
+	other, err := group.DecodePlacement(record)
+	return err == nil && domain.placement.Follows(other)
+}
+
 // setPlacement adopts a committed placement record if it is newer than the
 // current one, and sends it to the peers. A record that a store returned from an older
 // copy is not: the domain's leader writes the current one again.
@@ -412,7 +423,7 @@
 		state.logger.Error("failed to decode placement record", zap.String("domain", name), zap.Error(err))
 		return
 	}
-	if domain.placement != nil && kvstore.Era(revision) > kvstore.Era(domain.revision) && domain.placement.Follows(placement) {
+	if domain.outlives(kvstore.Era(revision), record) {
 		state.logger.Info("ignored a placement record of an older copy", zap.String("domain", name), zap.Uint64("revision", revision),
 			zap.String("change", placement.Change()), zap.String("current", domain.placement.Change()))
 		return
--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -176,7 +176,12 @@
 	for _, receiver := range state.quarantine.receivers {
 		reachable = reachable || !receiver.failed
 	}
-	return !reachable || slices.ContainsFunc(state.fleet.Readers(), func(node fleet.Node) bool { return node.Name == state.config.Name })
+	return !reachable || state.isOneOf(state.fleet.Readers())
+}
+
+// isOneOf reports whether this node is among some nodes.
+func (state *state) isOneOf(nodes []fleet.Node) bool {
+	return slices.ContainsFunc(nodes, func(node fleet.Node) bool { return node.Name == state.config.Name })
 }
 
 // reportEndings reports the ends of targets to the nodes that add them up: all recent ones
@@ -446,12 +451,13 @@
 func (state *state) writeRecord(key string, value []byte, change recordChange, expect kvstore.Expect) {
 	state.quarantine.writing[key] = true
 	state.startWorker(func(ctx context.Context) message {
-		for {
-			outcome := state.config.Platform.Put(ctx, kvstore.PutRequest{Key: key, Value: value, Expect: expect})
-			if change != recordCreated || storeAnswered(outcome) || !pause(ctx, state.config.Timers, recordRetry) {
-				return recordWritten{key: key, change: change, outcome: outcome}
-			}
+		put := func() kvstore.PutOutcome {
+			return state.config.Platform.Put(ctx, kvstore.PutRequest{Key: key, Value: value, Expect: expect})
+		}
+		if change == recordCreated {
+			return recordWritten{key: key, change: change, outcome: state.repeatWrite(ctx, put)}
 		}
+		return recordWritten{key: key, change: change, outcome: put()}
 	})
 }
 
--- a/control/records.go
+++ b/control/records.go
@@ -3,14 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"slices"
 	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
-	"lacewingspoke.org/lacewingspoke/fleet"
-	"lacewingspoke.org/lacewingspoke/group"
 	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/peer"
 	"lacewingspoke.org/lacewingspoke/quarantine"
@@ -51,7 +48,7 @@
 	copied := state.records.era != 0 && era > state.records.era
 	state.records.era = era
 	if copied {
-		state.restorePlacements(result.entries)
+		state.restorePlacements(era, result.entries)
 		state.changeRecords(now, result.revision, state.recoverRecords(result.entries), nil)
 		return
 	}
@@ -101,52 +98,50 @@
 // restorePlacements writes the placement records again that are missing or older in the
 // copy. The domain's leader may be the node that failed, and without the record the next
 // one would close the groups.
-func (state *state) restorePlacements(copied []kvstore.Entry) {
+func (state *state) restorePlacements(era uint64, copied []kvstore.Entry) {
 	listed := map[string]kvstore.Entry{}
 	for _, entry := range copied {
 		listed[entry.Key] = entry
 	}
 	for name, domain := range state.domains {
 		key := placementKey(name)
-		entry := listed[key]
-		if domain.placement == nil || entry.Key != "" && !domain.follows(entry.Value) {
-			continue
+		if entry := listed[key]; domain.outlives(era, entry.Value) {
+			state.restoreRecord(peer.Record{Key: key, Value: domain.record}, kvstore.ExpectRevision(entry.Revision))
 		}
-		state.restoreRecord(peer.Record{Key: key, Value: domain.record}, kvstore.ExpectRevision(entry.Revision))
 	}
 }
 
-// follows reports whether the domain's record was written after another one. A record that
-// cannot be decoded is none that it was written after.
-func (domain *domainState) follows(record []byte) bool {
-	other, err := group.DecodePlacement(record)
-	return err == nil && domain.placement.Follows(other)
-}
-
 // restoreRecord writes a record again, or deletes one without a value, until the store
 // answers. In a large fleet only the nodes that decide on parts do, so that the store is
 // not called by all nodes at once; the others have the record.
 func (state *state) restoreRecord(record peer.Record, expect kvstore.Expect) {
-	restores := slices.ContainsFunc(state.endingReceivers(), func(node fleet.Node) bool { return node.Name == state.config.Name })
+	restores := state.isOneOf(state.endingReceivers())
 	state.logger.Info("the store lost a change of a record", zap.String("key", record.Key), zap.Bool("deleted", len(record.Value) == 0), zap.Bool("restores", restores))
 	if !restores {
 		return
 	}
 	state.startWorker(func(ctx context.Context) message {
-		for {
-			var outcome kvstore.PutOutcome
+		state.repeatWrite(ctx, func() kvstore.PutOutcome {
 			if len(record.Value) == 0 {
-				outcome = state.config.Platform.Delete(ctx, record.Key, expect)
-			} else {
-				outcome = state.config.Platform.Put(ctx, kvstore.PutRequest{Key: record.Key, Value: record.Value, Expect: expect})
+				return state.config.Platform.Delete(ctx, record.Key, expect)
 			}
-			if storeAnswered(outcome) || !pause(ctx, state.config.Timers, recordRetry) {
-				return workerEnded{}
-			}
-		}
+			return state.config.Platform.Put(ctx, kvstore.PutRequest{Key: record.Key, Value: record.Value, Expect: expect})
+		})
+		return workerEnded{}
 	})
 }
 
+// repeatWrite makes a write until the store has answered or the context ends, and returns
+// the last outcome.
+func (state *state) repeatWrite(ctx context.Context, write func() kvstore.PutOutcome) kvstore.PutOutcome {
+	for {
+		outcome := write()
+		if storeAnswered(outcome) || !pause(ctx, state.config.Timers, recordRetry) {
+			return outcome
+		}
+	}
+}
+
 // changeRecords adopts changes in the store. revision is that of the store when it sent
 // them.
 func (state *state) changeRecords(now time.Time, revision uint64, entries []kvstore.Entry, deleted []string) {
