Remember the successes of parts and of whole requests with one type

No behaviour changes; one white-box test names the fields of the new type, with the same bound. Tests of quarantine pass.

--- a/control/quarantine.go
+++ b/control/quarantine.go
@@ -140,12 +140,13 @@
 	quarantined := state.quarantine
 	state.reportEndings(now, quarantined.tracker.TakeEndings())
 	state.expireDecisions(now)
-	if !quarantined.asking && state.decides() {
+	decides := state.decides()
+	if !quarantined.asking && decides {
 		if parts := quarantined.ledger.Suspects(now); len(parts) > 0 {
 			state.askParts(now, parts)
 		}
 	}
-	if state.decides() {
+	if decides {
 		for key, known := range quarantined.records {
 			if known.Expired(now.Sub(known.readAt)) {
 				state.deleteRecord(key)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -213,7 +213,7 @@
 	}
 	require.LessOrEqual(test, len(tracker.ends), maxParts)
 	require.LessOrEqual(test, len(ledger.parts), maxLedgerParts)
-	require.LessOrEqual(test, len(tracker.sound)+len(tracker.olderSound), 2*maxParts+2)
+	require.LessOrEqual(test, len(tracker.sound.newer)+len(tracker.sound.older), 2*maxParts+2)
 }
 
 // Guards against records of other writers that stop a node or condemn an empty part.
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -46,13 +46,9 @@
 	ends map[string][]targetEnd
 
 	// sound holds the time of the first event of the last answer that proved a part
-	// sound. Entries move from sound to olderSound and are dropped there, so that the
-	// parts of the last maxParts to 2*maxParts successes are remembered.
-	sound, olderSound map[string]time.Time
-
-	// repeated are the same for whole requests, most of which succeed once only and
-	// would displace the other parts.
-	repeated, olderRepeated map[string]time.Time
+	// sound, and soundRequests the same for whole requests: most of these succeed once
+	// only, and would displace the other parts.
+	sound, soundRequests recentTimes
 
 	quarantined map[string]bool
 
@@ -65,6 +61,28 @@
 	passed map[string]bool
 }
 
+// recentTimes holds the latest time of each part. Entries move from newer to older and are
+// dropped there, so that those of the last maxParts to 2*maxParts parts are remembered.
+type recentTimes struct{ newer, older map[string]time.Time }
+
+func newRecentTimes() recentTimes { return recentTimes{newer: map[string]time.Time{}} }
+
+func (times *recentTimes) record(part string, at time.Time) {
+	if at.After(times.newer[part]) {
+		times.newer[part] = at
+	}
+	if len(times.newer) > maxParts {
+		times.older, times.newer = times.newer, map[string]time.Time{}
+	}
+}
+
+func (times *recentTimes) at(part string) time.Time {
+	if at, found := times.newer[part]; found {
+		return at
+	}
+	return times.older[part]
+}
+
 // A targetRecord is what is known of a target at which requests broke off.
 type targetRecord struct {
 	ended bool
@@ -112,16 +130,16 @@
 // NewTracker returns a tracker without parts in quarantine.
 func NewTracker() *Tracker {
 	return &Tracker{
-		attempts:    map[*Attempt]bool{},
-		targets:     map[string]*targetRecord{},
-		ends:        map[string][]targetEnd{},
-		sound:       map[string]time.Time{},
-		olderSound:  map[string]time.Time{},
-		repeated:    map[string]time.Time{},
-		quarantined: map[string]bool{},
-		permits:     map[string]time.Time{},
-		wanted:      map[string]bool{},
-		passed:      map[string]bool{},
+		attempts: map[*Attempt]bool{},
+		targets:  map[string]*targetRecord{},
+		ends:     map[string][]targetEnd{},
+		sound:    newRecentTimes(),
+
+		soundRequests: newRecentTimes(),
+		quarantined:   map[string]bool{},
+		permits:       map[string]time.Time{},
+		wanted:        map[string]bool{},
+		passed:        map[string]bool{},
 	}
 }
 
@@ -222,13 +240,7 @@
 	attempt.proved = true
 	tracker := attempt.tracker
 	for _, part := range attempt.parts {
-		sound := tracker.sound
-		if isRequest(part) {
-			sound = tracker.repeated
-		}
-		if attempt.firstEventAt.After(sound[part]) {
-			sound[part] = attempt.firstEventAt
-		}
+		tracker.successes(part).record(part, attempt.firstEventAt)
 		if ends := endsAfter(tracker.ends[part], attempt.firstEventAt); len(ends) > 0 {
 			tracker.ends[part] = ends
 		} else {
@@ -238,12 +250,6 @@
 	if attempt.probe != "" {
 		tracker.passed[attempt.probe] = true
 	}
-	if len(tracker.sound) > maxParts {
-		tracker.olderSound, tracker.sound = tracker.sound, map[string]time.Time{}
-	}
-	if len(tracker.repeated) > maxParts {
-		tracker.olderRepeated, tracker.repeated = tracker.repeated, map[string]time.Time{}
-	}
 }
 
 // endsAfter returns the ends that are later than a time.
@@ -350,15 +356,14 @@
 	}
 }
 
-func (tracker *Tracker) soundAt(part string) time.Time {
-	sound, older := tracker.sound, tracker.olderSound
+func (tracker *Tracker) soundAt(part string) time.Time { return tracker.successes(part).at(part) }
+
+// successes returns the times at which parts of the kind were proved sound.
+func (tracker *Tracker) successes(part string) *recentTimes {
 	if isRequest(part) {
-		sound, older = tracker.repeated, tracker.olderRepeated
-	}
-	if at, found := sound[part]; found {
-		return at
+		return &tracker.soundRequests
 	}
-	return older[part]
+	return &tracker.sound
 }
 
 // Close records that the attempt is over.
