Send requests through another node when this one does not reach the targets

Cause: a node had no way to a target but its own connection, and tried one target after the other, 300 ms each. Class of fault: a failure of the path is taken for a failure of its end.

A node records which targets its own connections reach (route.Paths). Three unreached ones of a service in two failure domains, without an answer between them, are the loss of the service: the next requests go through another node at once. A connection that cannot be established sends the current request there as well, so that one lost domain or service needs no decision. Each lost service is probed four times a second, each unreached target once.

The other node sends the request to the target that the first one chose and nowhere else (one hop), if the target is open in its own table and its own, later configuration allows the request. The node that took the request keeps all decisions: attempts, the shared allowance of retries, deadline, key, quarantine, limits. What the other node reports decides between not run and unknown; an answer is complete only with its trailer. A caller that leaves ends both connections.

With it: the deadline and the key are checked right before a request is written; a target that was not reached draws no retry; a call that is given up is reset, so that bytes held up by a partition are dropped and do not start the request later; a target that another node reaches is no evidence against a part of a prompt; a node that stops waits for what it sends for others.

Weighed: to fail the readiness check and leave the balancer (callers keep their connections, and with most of a zone cut the platform sends them back); to refuse with a short Retry-After (each refusal is a failed first try); a tunnel of bytes (the other node could not keep leaving targets, limits and versions).

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -25,6 +25,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"lacewingspoke.org/lacewingspoke/forward"
 	"lacewingspoke.org/lacewingspoke/mirror"
 )
 
@@ -181,6 +182,10 @@
 	TakeDecision func(ctx context.Context, record []byte) error
 	PartAges     func(parts []string) map[string]time.Duration
 
+	// Relay sends requests to targets for other nodes, at forward.RelayPath. It is
+	// optional.
+	Relay http.Handler
+
 	// Mirror serves other nodes that read the store through this node. It is
 	// optional.
 	Mirror http.Handler
@@ -221,6 +226,9 @@
 	if config.TakeDecision != nil {
 		server.router.HandleFunc(DecisionPath, server.serveDecision).Methods(http.MethodPost)
 	}
+	if config.Relay != nil {
+		server.router.Handle(forward.RelayPath, config.Relay).Methods(http.MethodPost)
+	}
 	if config.Mirror != nil {
 		server.router.Handle(mirror.Path, config.Mirror).Methods(http.MethodGet)
 	}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -312,6 +312,16 @@
 // RequiresKey reports whether requests on routes that are not public need a key.
 func (catalog *Catalog) RequiresKey() bool { return catalog.keyed }
 
+// HasWorkspace reports whether a workspace has any key.
+func (catalog *Catalog) HasWorkspace(name string) bool {
+	for _, workspace := range catalog.workspaces {
+		if workspace.Name == name {
+			return true
+		}
+	}
+	return false
+}
+
 // Workspace returns the workspace with the given key and whether there is one.
 // It looks up the digest of the key, so that the duration of the lookup reveals
 // nothing about the stored keys.
--- a/cmd/lacewingspoke/daemon.go
+++ b/cmd/lacewingspoke/daemon.go
@@ -212,6 +212,9 @@
 	daemon.waitFor(ctx, daemon.settings.StopNotice())
 	daemon.callerServer.Stop()
 	err := daemon.callers.Shutdown(ctx)
+	if relayedErr := daemon.callerServer.AwaitRelayed(ctx); relayedErr != nil {
+		daemon.logger.Warn("requests of other nodes were cut off", zap.Error(relayedErr))
+	}
 	daemon.callerServer.Close()
 	finishCtx, cancel := context.WithTimeout(context.Background(), finishTimeout)
 	defer cancel()
--- a/cmd/lacewingspoke/module.go
+++ b/cmd/lacewingspoke/module.go
@@ -16,6 +16,8 @@
 	"lacewingspoke.org/lacewingspoke/control"
 	"lacewingspoke.org/lacewingspoke/engine"
 	"lacewingspoke.org/lacewingspoke/entry"
+	"lacewingspoke.org/lacewingspoke/fleet"
+	"lacewingspoke.org/lacewingspoke/forward"
 	"lacewingspoke.org/lacewingspoke/group"
 	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/limit"
@@ -187,7 +189,8 @@
 
 	Controller *control.Controller
 	Registry   *prometheus.Registry
-	Mirror     *mirror.Mirror `optional:"true"`
+	Mirror     *mirror.Mirror  `optional:"true"`
+	Forward    *forward.Server `optional:"true"`
 }
 
 func newAdmin(params adminParams) *admin.Server {
@@ -199,6 +202,9 @@
 		config.GroupStalled = params.Controller.GroupStalled
 		config.Mirror = params.Mirror.Handler()
 	}
+	if params.Forward != nil {
+		config.Relay = http.HandlerFunc(params.Forward.ServeRelayed)
+	}
 	return admin.New(config)
 }
 
@@ -224,6 +230,10 @@
 
 	// Stop makes the server refuse requests that arrive after the call.
 	Stop()
+
+	// AwaitRelayed waits until the requests that the server handles for other nodes have
+	// ended, or the context has.
+	AwaitRelayed(ctx context.Context) error
 	Close()
 
 	// Reload applies the settings that can change while the node runs.
@@ -237,6 +247,9 @@
 // entryCallerServer adapts the entry server to callerServer.
 type entryCallerServer struct{ *entry.Server }
 
+// AwaitRelayed returns nil: nodes without a feed handle no requests for others.
+func (entryCallerServer) AwaitRelayed(context.Context) error { return nil }
+
 // Reload does nothing: the limits on callers come from the operators' folder, not
 // from the settings file.
 func (entryCallerServer) Reload(*settings.Settings) {}
@@ -264,7 +277,7 @@
 
 // SetNodes does nothing: the entry server takes the other nodes from the demand
 // that they report, see SetUsage.
-func (traffic entryTraffic) SetNodes([]string) {}
+func (traffic entryTraffic) SetNodes([]fleet.Node) {}
 
 // StalledGroups returns no group. No probe of stalled groups is needed, because the
 // grants of a group end when a member is lost.
--- a/cmd/lacewingspoke/sharedmodule.go
+++ b/cmd/lacewingspoke/sharedmodule.go
@@ -159,6 +159,7 @@
 		Publisher:       params.Publisher,
 		Codec:           platform.Codec{},
 		FailureDomain:   params.Settings.FailureDomain(),
+		Node:            params.Settings.Name(),
 		Now:             params.Clock.Now,
 		Timers:          params.Timers,
 		Confirmed:       params.Feed.Confirmed,
--- a/control/control.go
+++ b/control/control.go
@@ -108,8 +108,8 @@
 	// call.
 	StalledGroups() []string
 
-	// SetNodes sets the names of the live nodes.
-	SetNodes(nodes []string)
+	// SetNodes sets the live nodes.
+	SetNodes(nodes []fleet.Node)
 }
 
 // Config is the configuration of a Controller.
--- a/control/harness_test.go
+++ b/control/harness_test.go
@@ -19,6 +19,7 @@
 	"lacewingspoke.org/lacewingspoke/admin"
 	"lacewingspoke.org/lacewingspoke/control"
 	"lacewingspoke.org/lacewingspoke/engine"
+	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/folder"
 	"lacewingspoke.org/lacewingspoke/generation"
 	"lacewingspoke.org/lacewingspoke/kvstore"
@@ -126,7 +127,7 @@
 func (traffic) SetUsage([]peer.Usage)        {}
 func (traffic) RequestReceived() bool        { return true }
 func (traffic) StalledGroups() []string      { return nil }
-func (traffic) SetNodes([]string)            {}
+func (traffic) SetNodes([]fleet.Node)        {}
 
 // A filter is a mesh that can drop the grants received from one peer.
 type filter struct {
--- a/control/limits.go
+++ b/control/limits.go
@@ -87,10 +87,11 @@
 
 // setNodes passes on which nodes are alive.
 func (state *state) setNodes(now time.Time) {
-	names := make([]string, 0, state.fleet.Size())
-	for _, node := range state.fleet.Nodes() {
+	nodes := state.fleet.Nodes()
+	names := make([]string, 0, len(nodes))
+	for _, node := range nodes {
 		names = append(names, node.Name)
 	}
-	state.config.Traffic.SetNodes(names)
+	state.config.Traffic.SetNodes(nodes)
 	state.config.Limits.SetNodes(names, now)
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -2,21 +2,25 @@
 
 import "context"
 
-// An attemptResult is the result of one attempt: answered, notRun or unknown.
+// An attemptResult is the result of one attempt: answered, notReached, notRun or unknown.
 type attemptResult interface{ attemptResult() }
 
 // answered means that a response was sent to the caller.
 type answered struct{}
 
+// notReached means that nothing was sent to the target.
+type notReached struct{ reason string }
+
 // notRun means that the target has not run the request.
 type notRun struct{ reason string }
 
 // unknown means that the target may have run the request.
 type unknown struct{ reason string }
 
-func (answered) attemptResult() {}
-func (notRun) attemptResult()   {}
-func (unknown) attemptResult()  {}
+func (answered) attemptResult()   {}
+func (notReached) attemptResult() {}
+func (notRun) attemptResult()     {}
+func (unknown) attemptResult()    {}
 
 // A candidate is a target that a request may be sent to.
 type candidate struct {
@@ -41,13 +45,21 @@
 // it. Other requests are retried within the route's MaxAttempts and the retry
 // allowance that all nodes share.
 func (exchange *exchange) tryTargets(ctx context.Context, plan attemptPlan) {
-	excluded := map[string]bool{}
+	excluded, unreached := map[string]bool{}, map[string]bool{}
 	reason := ""
 	for {
 		if !exchange.admitted(plan) {
 			return
 		}
 		target, found := plan.next(excluded)
+		if !found && exchange.throughNodes && len(unreached) > 0 {
+			// All others have been tried. Another node may reach these.
+			for name := range unreached {
+				delete(excluded, name)
+			}
+			clear(unreached)
+			target, found = plan.next(excluded)
+		}
 		if !found && reason == "" {
 			reason = plan.noTargetReason()
 		}
@@ -59,13 +71,22 @@
 			plan.giveUp("the time is over, or the key is not known to be valid; " + reason)
 			return
 		}
-		if len(exchange.attempts) > 0 && !exchange.server.takeRetry(exchange.service.Name) {
-			plan.giveUp(reason + "; no retry is left")
-			return
+		if len(exchange.attempts) > exchange.retries {
+			if !exchange.server.takeRetry(exchange.service.Name) {
+				plan.giveUp(reason + "; no retry is left")
+				return
+			}
+			exchange.retries = len(exchange.attempts)
 		}
+		direct := !exchange.throughNodes
 		switch result := target.try().(type) {
 		case answered:
 			return
+		case notReached:
+			reason = result.reason
+			if direct {
+				unreached[target.name] = true
+			}
 		case notRun:
 			reason = result.reason
 		case unknown:
--- a/forward/client.go
+++ b/forward/client.go
@@ -83,15 +83,16 @@
 	return failure
 }
 
-// A call is one request to one target.
+// A call is one request to one target, or to another node.
 type call struct {
 	address string
 	target  string
 	method  string
-	uri     string
-	host    string
-	header  http.Header
-	body    []byte
+
+	// message returns the request as it is written. It is called right before that, after
+	// the connection is established, so that it can contain the remaining time. After an
+	// error nothing is sent.
+	message func() ([]byte, error)
 
 	// newConnection requires a new connection. If the target closes a reused
 	// connection while a request is being sent, it is unknown whether the
@@ -104,6 +105,10 @@
 type callError struct {
 	cause error
 	sent  bool
+
+	// outcome is what the node reports that should have sent the request to the target,
+	// empty if there is none or it has reported nothing.
+	outcome relayOutcome
 }
 
 // Error returns the message of the cause.
@@ -128,6 +133,9 @@
 	idleTimeout time.Duration
 	idleSince   time.Time
 
+	// opened is true until the connection is returned to the pool for the first time.
+	opened bool
+
 	// readBudget is the number of bytes that may still be read for the part of the
 	// response that is expected.
 	readBudget int64
@@ -158,6 +166,11 @@
 	http   *http.Response
 	stop   func() bool
 	ctx    context.Context
+
+	// relayed is true if another node has sent the request to the target. finished is
+	// called once at the end, and may be nil.
+	relayed  bool
+	finished func()
 }
 
 // do sends a call and reads the status and headers of the response within the
@@ -173,7 +186,12 @@
 		response.discard()
 		return nil, &callError{cause: err}
 	}
-	if written, err := connection.Write(outgoing.bytes()); err != nil {
+	message, err := outgoing.message()
+	if err != nil {
+		response.discard()
+		return nil, &callError{cause: err}
+	}
+	if written, err := connection.Write(message); err != nil {
 		response.discard()
 		return nil, &callError{cause: errors.Annotate(err, "send request"), sent: written > 0}
 	}
@@ -209,6 +227,7 @@
 // release returns the connection to the pool after the body has been read to its
 // end. It closes connections that cannot be reused.
 func (response *response) release() {
+	response.finish()
 	if !response.stop() || response.http.Close || response.conn.reader.Buffered() > 0 {
 		response.conn.Close()
 		return
@@ -217,13 +236,24 @@
 	response.client.putIdle(response.conn)
 }
 
-// discard closes the connection. The closed connection signals the target to
-// cancel the request.
+// discard resets the connection. That signals the target to cancel the request. Bytes that
+// a partition holds up are dropped: after a mere close the system would go on sending them,
+// and the target would begin a request that was given up long before.
 func (response *response) discard() {
+	response.finish()
 	response.stop()
+	// A connection that cannot be reset is closed.
+	_ = response.conn.Conn.(*net.TCPConn).SetLinger(0)
 	response.conn.Close()
 }
 
+func (response *response) finish() {
+	if response.finished != nil {
+		response.finished()
+		response.finished = nil
+	}
+}
+
 // parseIdleTimeout returns how long a connection may be idle and still be
 // reused, from the Keep-Alive header of a response.
 func parseIdleTimeout(header http.Header) time.Duration {
@@ -239,17 +269,18 @@
 	return defaultIdleTimeout
 }
 
-func (outgoing call) bytes() []byte {
+// requestMessage returns an HTTP request.
+func requestMessage(method, uri, host string, header http.Header, body []byte) []byte {
 	var buffer bytes.Buffer
-	buffer.Grow(len(outgoing.body) + 1024)
-	buffer.WriteString(outgoing.method + " " + outgoing.uri + " HTTP/1.1\r\nHost: " + outgoing.host + "\r\n")
+	buffer.Grow(len(body) + 1024)
+	buffer.WriteString(method + " " + uri + " HTTP/1.1\r\nHost: " + host + "\r\n")
 	// A write to a bytes.Buffer does not fail.
-	_ = outgoing.header.Write(&buffer)
-	if len(outgoing.body) > 0 || outgoing.method == http.MethodPost || outgoing.method == http.MethodPut {
-		buffer.WriteString("Content-Length: " + strconv.Itoa(len(outgoing.body)) + "\r\n")
+	_ = header.Write(&buffer)
+	if len(body) > 0 || method == http.MethodPost || method == http.MethodPut {
+		buffer.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
 	}
 	buffer.WriteString("\r\n")
-	buffer.Write(outgoing.body)
+	buffer.Write(body)
 	return buffer.Bytes()
 }
 
@@ -270,7 +301,7 @@
 		return nil, errors.Annotate(err, "connect to target")
 	}
 	client.metrics.dials.WithLabelValues("ok").Inc()
-	connection := &conn{Conn: opened, key: key}
+	connection := &conn{Conn: opened, key: key, opened: true}
 	connection.reader = bufio.NewReaderSize(connection, readBufferBytes)
 	return connection, nil
 }
@@ -313,12 +344,23 @@
 	return err == nil && reusable
 }
 
+// accepts reports whether a target accepts a connection. It opens one as requests do.
+func (client *client) accepts(ctx context.Context, address string) bool {
+	opened, err := client.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return false
+	}
+	opened.Close()
+	return true
+}
+
 func (client *client) putIdle(connection *conn) {
 	if err := connection.SetDeadline(time.Time{}); err != nil {
 		connection.Close()
 		return
 	}
 	connection.idleSince = time.Now()
+	connection.opened = false
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
 	kept := client.idle[connection.key]
--- a/forward/ending.go
+++ b/forward/ending.go
@@ -16,9 +16,26 @@
 // checkTarget records that an attempt broke off, and if needed finds out whether the
 // target has ended: a process that has ended accepts no connections, one that reset or
 // cut off a single response does.
-func (exchange *exchange) checkTarget(ctx context.Context, attempt *quarantine.Attempt, life, address string, failure error) {
+//
+// A node that has lost its connections to a target cannot tell. It then asks the node that
+// sent the request for it, or others.
+func (exchange *exchange) checkTarget(ctx context.Context, attempt *quarantine.Attempt, life string, to destination, failure error) {
 	server := exchange.server
 	if maySent(failure) && ctx.Err() == nil && attempt.Broken(server.config.Now()) {
-		server.config.Quarantine.TargetProbed(life, !httpsend.Accepts(ctx, address))
+		server.config.Quarantine.TargetProbed(life, exchange.hasEnded(ctx, to, failure))
 	}
 }
+
+func (exchange *exchange) hasEnded(ctx context.Context, to destination, failure error) bool {
+	server := exchange.server
+	switch {
+	case exchange.direct == nil:
+		return outcomeOf(failure) == relayEnded
+	case httpsend.Accepts(ctx, to.address):
+		return false
+	case server.config.ReachedByOthers != nil && server.config.ReachedByOthers(context.WithoutCancel(ctx), to.id):
+		server.unreached(to.id, false)
+		return false
+	}
+	return !server.paths.Lost(to.id)
+}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -60,6 +60,18 @@
 	// attempts are the targets that may have received the request.
 	attempts []string
 
+	// retries is the number of attempts for which a retry was taken from the allowance.
+	retries int
+
+	// throughNodes is true after a connection to a target could not be established: later
+	// attempts go through other nodes, in case that this one does not reach the targets.
+	// through are the nodes that have sent the request.
+	throughNodes bool
+	through      []string
+
+	// direct is the current attempt's call, nil if it goes through another node.
+	direct *directCall
+
 	// parts are the whole request and those parts of the prompt that other requests may
 	// have too. admission is the decision on them for the next
 	// attempt.
@@ -207,28 +219,6 @@
 	return true
 }
 
-// newCall returns the call for one target. It reads the remaining time from the
-// clock when it is called, because the node may have been suspended before.
-func (exchange *exchange) newCall(target, address, resumeAfter string) call {
-	outgoing := exchange.server.config.Codec.Outgoing(exchange.request.Header, OutgoingValues{
-		Target:      target,
-		Workspace:   exchange.workspace.Name,
-		Deadline:    exchange.remaining(),
-		ResumeAfter: resumeAfter,
-		Urgency:     exchange.urgency(),
-	})
-	return call{
-		address:       address,
-		target:        target,
-		method:        exchange.request.Method,
-		uri:           exchange.request.RequestURI,
-		host:          exchange.request.Host,
-		header:        outgoing,
-		body:          exchange.body,
-		newConnection: !exchange.route.Repeatable(),
-	}
-}
-
 // admitted decides whether the parts of the request allow an attempt now. If not, it ends
 // the request.
 func (exchange *exchange) admitted(plan attemptPlan) bool {
@@ -359,6 +349,7 @@
 		zap.Int("status", status),
 		zap.String("reason", reason),
 		zap.Strings("targets", exchange.attempts),
+		zap.Strings("through", exchange.through),
 		zap.Duration("elapsed", elapsed),
 		zap.Duration("first", exchange.firstEventAfter),
 		zap.Duration("pause", exchange.longestPause),
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -27,8 +27,10 @@
 //	})
 //	httpServer := &http.Server{Handler: server}
 //	…
+//	server.SetNodes(nodes)   // other nodes send requests to targets that this one does not reach
 //	server.Stop()            // refuses new requests as not run
 //	httpServer.Shutdown(ctx) // waits for requests in progress
+//	server.AwaitRelayed(ctx) // and for those of other nodes
 //	server.Close()
 package forward
 
@@ -36,6 +38,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +47,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/group"
 	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/quarantine"
@@ -156,6 +160,12 @@
 	Codec         Codec
 	FailureDomain string
 
+	// Node is the name of this node among those of SetNodes.
+	Node string
+
+	// ReachedByOthers reports whether another node reaches a target. It may be nil.
+	ReachedByOthers func(ctx context.Context, target string) bool
+
 	// Now returns the current time, from which deadlines and the age of the
 	// configuration are computed.
 	Now func() time.Time
@@ -200,6 +210,9 @@
 	client        *client
 	tracker       *route.Tracker
 	suspects      *route.Suspects
+	paths         *route.Paths
+	nodes         *nodes
+	direct        *directCalls
 	picker        *route.Picker
 	stallDetector *route.StallDetector
 	forecast      *limit.Forecast
@@ -210,8 +223,13 @@
 	random  *rand.Rand
 	retries *limit.RetryAllowance
 
-	// nodes is the number of live nodes, which share the load.
-	nodes int
+	// liveNodes is the number of live nodes, which share the load.
+	liveNodes int
+
+	// relayed is the number of requests that this node sends for others now. relayedEnded
+	// is closed when there are none, nil if nothing waits for that.
+	relayed      int
+	relayedEnded chan struct{}
 
 	// objectives maps a model to the strictest objective of the routes that have
 	// been used for it.
@@ -260,14 +278,21 @@
 	server := &Server{
 		stalled:    map[string]bool{},
 		objectives: map[string]time.Duration{},
-		nodes:      1,
-		config:     config,
-		metrics:    registered,
-		client:     newClient(registered),
-		tracker:    tracker,
-		suspects:   suspects,
-		random:     rand.New(rand.NewPCG(config.Seed, config.Seed+1)),
-		retries:    limit.NewRetryAllowance(config.Retries),
+		liveNodes:  1,
+		paths:      route.NewPaths(),
+		direct:     &directCalls{calls: map[*directCall]bool{}},
+		nodes: newNodes(route.PickerConfig{
+			FailureDomain: config.FailureDomain,
+			Source:        rand.NewPCG(config.Seed, config.Seed+2),
+			HistorySize:   -1,
+		}),
+		config:   config,
+		metrics:  registered,
+		client:   newClient(registered),
+		tracker:  tracker,
+		suspects: suspects,
+		random:   rand.New(rand.NewPCG(config.Seed, config.Seed+1)),
+		retries:  limit.NewRetryAllowance(config.Retries),
 		picker: route.NewPicker(route.PickerConfig{
 			FailureDomain: config.FailureDomain,
 			Source:        rand.NewPCG(config.Seed, config.Seed),
@@ -305,17 +330,24 @@
 	ticks := server.config.Timers.Every("streams", stallCheckInterval, 0)
 	defer ticks.Cancel()
 	var lastTable *route.Table
+	probed := make(chan probeResult, maxProbes)
 	for {
 		select {
 		case <-ctx.Done():
 			server.watchDone <- nil
 			return
+		case result := <-probed:
+			server.handleProbe(result)
+			continue
 		case <-ticks.C():
 		}
 		now := server.config.Now()
+		server.startProbes(ctx, now, probed)
+		server.direct.cancelSilent(server.paths.Lost, now)
 		for _, name := range server.stallDetector.CancelStalled(now) {
 			server.suspects.Failed(name, now)
 			server.recordStalled(name)
+			server.recordSilent(name)
 		}
 		if table := server.config.Publisher.Current(); table != lastTable {
 			lastTable = table
@@ -335,6 +367,13 @@
 	}
 }
 
+// recordSilent records that the VM that serves a group is silent towards this node.
+func (server *Server) recordSilent(name string) {
+	if target, found := server.config.Publisher.Current().Group(name); found {
+		server.unreached(target.VM, true)
+	}
+}
+
 // StalledGroups returns the groups whose streams have stalled since the last
 // call.
 func (server *Server) StalledGroups() []string {
@@ -364,6 +403,10 @@
 		limited[target.ID()] = true
 		connections[connectionKey(target.Address, target.Name)] = true
 	}
+	for _, node := range server.nodes.all() {
+		connections[connectionKey(node.Address, "")] = true
+	}
+	server.paths.SetTargets(pathTargets(table))
 	server.tracker.Retain(names)
 	server.suspects.Retain(names)
 	server.forecast.Retain(names)
@@ -399,11 +442,13 @@
 	server.client.close()
 }
 
-// SetNodes sets the names of the live nodes, which share the retries.
-func (server *Server) SetNodes(nodes []string) {
+// SetNodes sets the live nodes, which share the retries and send requests for each other.
+func (server *Server) SetNodes(nodes []fleet.Node) {
+	others := slices.DeleteFunc(slices.Clone(nodes), func(node fleet.Node) bool { return node.Name == server.config.Node })
+	server.nodes.set(others)
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	server.nodes = max(1, len(nodes))
+	server.liveNodes = max(1, len(nodes))
 	server.retries.SetNodes(max(len(nodes), server.config.MinNodes), server.config.Now())
 }
 
@@ -454,7 +499,7 @@
 func (server *Server) otherNodesShare() float64 {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	return 1 - 1/float64(server.nodes)
+	return 1 - 1/float64(server.liveNodes)
 }
 
 func (server *Server) randomFraction() float64 {
--- a/forward/limits.go
+++ b/forward/limits.go
@@ -34,16 +34,15 @@
 
 // observeLimit records the limit that a target names in an answer to a request that was
 // sent at sentAt. The answer of another target or to another request says nothing of it.
-func (exchange *exchange) observeLimit(target string, response *http.Response, answer Answer, sentAt time.Time) {
-	server := exchange.server
-	if response.StatusCode == http.StatusMisdirectedRequest || !exchange.isOwnResponse(response, answer) {
+func (server *Server) observeLimit(target, attempt string, response *http.Response, answer Answer, sentAt time.Time) {
+	if response.StatusCode == http.StatusMisdirectedRequest || !isOwnResponse(attempt, response, answer) {
 		return
 	}
 	switch change := server.config.Limits.Observe(target, answer.RequestLimit, sentAt, server.config.Now()).(type) {
 	case limit.LimitNamed:
 		server.config.Logger.Info("target names a limit", zap.String("target", target), zap.Float64("requests-per-second", change.Rate),
-			zap.Int("share", change.Share), zap.String("id", exchange.caller.Attempt))
+			zap.Int("share", change.Share), zap.String("id", attempt))
 	case limit.LimitEnded:
-		server.config.Logger.Info("target names no limit any more", zap.String("target", target), zap.String("id", exchange.caller.Attempt))
+		server.config.Logger.Info("target names no limit any more", zap.String("target", target), zap.String("id", attempt))
 	}
 }
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -10,11 +10,15 @@
 const metricsPrefix = "lacewingspoke_forward_"
 
 type metrics struct {
-	requests   *prometheus.CounterVec
-	attempts   *prometheus.CounterVec
-	retries    *prometheus.CounterVec
-	dials      *prometheus.CounterVec
-	resumed    *prometheus.CounterVec
+	requests *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+	dials    *prometheus.CounterVec
+	resumed  *prometheus.CounterVec
+	relayed  *prometheus.CounterVec
+
+	lostServices prometheus.Counter
+
 	duration   *prometheus.HistogramVec
 	firstEvent prometheus.Histogram
 }
@@ -29,7 +33,11 @@
 		attempts: newCounterVec("attempts_total", "Attempts at targets.", "kind", "result"),
 		retries:  newCounterVec("retries_total", "Retries by decision.", "decision"),
 		dials:    newCounterVec("connections_total", "Connections to targets.", "result"),
-		resumed:  newCounterVec("resumed_total", "Streams that went on at another group.", "result"),
+		relayed:  newCounterVec("relayed_total", "Requests sent to targets for other nodes or by them.", "direction", "outcome"),
+		lostServices: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: metricsPrefix + "lost_services_total", Help: "Times that this node has lost the targets of a service.",
+		}),
+		resumed: newCounterVec("resumed_total", "Streams that went on at another group.", "result"),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: metricsPrefix + "duration_seconds", Help: "Time from a request to the end of its answer.", Buckets: durationBuckets,
 		}, []string{"kind"}),
@@ -42,7 +50,7 @@
 	}, func() float64 { return float64(limits.Limited()) })
 	collectors := []prometheus.Collector{
 		registered.requests, registered.attempts, registered.retries, registered.dials,
-		registered.resumed, registered.duration, registered.firstEvent, limitedTargets,
+		registered.resumed, registered.relayed, registered.lostServices, registered.duration, registered.firstEvent, limitedTargets,
 	}
 	for _, collector := range collectors {
 		if err := registerer.Register(collector); err != nil {
--- a/forward/runner.go
+++ b/forward/runner.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"lacewingspoke.org/lacewingspoke/route"
@@ -68,15 +69,19 @@
 	attempt := server.config.Quarantine.Begin(life, exchange.parts, exchange.admission, func() { cancel(errQuarantined) })
 	defer attempt.Close()
 	sentAt := server.config.Now()
-	response, err := server.client.do(ctx, exchange.newCall(target.Name, target.Address, ""), exchange.remaining())
+	to := destination{id: target.ID(), address: target.Address}
+	if exchange.route.Repeatable() && len(exchange.attempts)+1 < exchange.route.MaxAttempts {
+		to.cancel = cancel
+	}
+	response, err := exchange.send(ctx, to, exchange.remaining())
 	if err != nil {
-		exchange.checkTarget(ctx, attempt, life, target.Address, err)
+		exchange.checkTarget(ctx, attempt, life, to, err)
 		return exchange.classifyFailure(target.Name, err)
 	}
 	exchange.recordAttempt(target.Name)
 	answer := server.config.Codec.ParseAnswer(response.http.StatusCode, response.http.Header)
-	exchange.observeLoad(target.Name, answer)
-	exchange.observeLimit(target.ID(), response.http, answer, sentAt)
+	server.observeLoad(target.Name, answer)
+	server.observeLimit(target.ID(), exchange.caller.Attempt, response.http, answer, sentAt)
 	if answer.Refused {
 		response.discard()
 		server.suspects.Failed(target.Name, server.config.Now())
@@ -86,12 +91,12 @@
 	body, err := response.readAll(maxAnswerBytes)
 	if err != nil {
 		response.discard()
-		failure := &callError{cause: err, sent: true}
-		exchange.checkTarget(ctx, attempt, life, target.Address, failure)
+		failure := &callError{cause: err, sent: true, outcome: outcomeOf(err)}
+		exchange.checkTarget(ctx, attempt, life, to, failure)
 		return exchange.classifyFailure(target.Name, failure)
 	}
 	attempt.Completed(server.config.Now())
-	if !exchange.isOwnResponse(response.http, answer) {
+	if !isOwnResponse(exchange.caller.Attempt, response.http, answer) {
 		response.discard()
 		return unknown{reason: "runner " + target.Name + " sent an answer that is not its own"}
 	}
@@ -116,18 +121,17 @@
 
 // isOwnResponse reports whether a response was produced by the target itself and
 // for this request. Success responses must carry the target's seal.
-func (exchange *exchange) isOwnResponse(response *http.Response, answer Answer) bool {
-	if answer.Foreign || answer.Attempt != "" && answer.Attempt != exchange.caller.Attempt {
+func isOwnResponse(attempt string, response *http.Response, answer Answer) bool {
+	if answer.Foreign || answer.Attempt != "" && answer.Attempt != attempt {
 		return false
 	}
 	return answer.Sealed || response.StatusCode >= http.StatusMultipleChoices
 }
 
-func (exchange *exchange) observeLoad(target string, answer Answer) {
+func (server *Server) observeLoad(target string, answer Answer) {
 	if answer.Load == nil {
 		return
 	}
-	server := exchange.server
 	server.tracker.Observe(target, answer.Load.Load, server.config.Now())
 }
 
@@ -162,15 +166,15 @@
 // classifyFailure returns the result of an attempt that ended without a complete
 // response.
 func (exchange *exchange) classifyFailure(target string, err error) attemptResult {
-	if exchange.request.Context().Err() == nil {
+	if exchange.request.Context().Err() == nil && !errors.Is(err, errNoPath) && !errors.Is(err, errOutOfTime) {
 		exchange.server.suspects.Failed(target, exchange.server.config.Now())
 	}
 	exchange.server.config.Logger.Info("attempt failed",
 		zap.String("id", exchange.caller.Attempt), zap.String("target", target), zap.Bool("sent", maySent(err)), zap.Bool("began", exchange.began),
-		zap.Strings("parts", exchange.caller.PromptParts), zap.Strings("evidence", exchange.parts), zap.Int("attempt", len(exchange.attempts)+1), zap.Error(err))
+		zap.Strings("parts", exchange.caller.PromptParts), zap.Strings("evidence", exchange.parts), zap.Int("attempt", len(exchange.attempts)+1), zap.Strings("through", exchange.through), zap.Error(err))
 	exchange.countAttempt(exchange.failureLabel(err))
 	if !maySent(err) {
-		return notRun{reason: "target " + target + " was not reached"}
+		return notReached{reason: "target " + target + " was not reached"}
 	}
 	exchange.recordAttempt(target)
 	return unknown{reason: "target " + target + " gave no whole answer"}
--- /dev/null
+++ b/forward/send.go
@@ -0,0 +1,306 @@
+package forward
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"go.uber.org/zap"
+
+	"lacewingspoke.org/lacewingspoke/route"
+)
+
+// silenceBound is the time without a byte after which a call to a target of a lost service
+// is given up. Sound targets answer lookups and write events several times as fast.
+const silenceBound = 350 * time.Millisecond
+
+// errPathLost is the cause of cancelling a call that a target of a lost service does not
+// answer.
+var errPathLost = errors.New("this node does not reach the target any more")
+
+// errNoPath is returned for a request that cannot be sent, neither by this node nor through
+// another one.
+var errNoPath = errors.New("neither this node nor another one reaches the target")
+
+// errOutOfTime is returned for a request that may not be sent any more, see
+// exchange.mayStillRun.
+var errOutOfTime = errors.New("the time is over, or the key is not known to be valid")
+
+// A destination is the target of one attempt.
+type destination struct {
+	// id is the name of the VM or of the runner.
+	id      string
+	address string
+
+	// group and epoch are empty for a runner of a plain service.
+	group string
+	epoch uint64
+
+	resumeAfter string
+
+	// cancel gives up the attempt if the target is silent and this node has lost its
+	// service. It is nil for an attempt that must not be repeated.
+	cancel context.CancelCauseFunc
+}
+
+// A directCall is a call to a target over a connection of this node.
+type directCall struct {
+	calls  *directCalls
+	target string
+	cancel context.CancelCauseFunc
+	heard  time.Time
+}
+
+// directCalls are the calls in progress that may be given up.
+type directCalls struct {
+	mutex sync.Mutex
+	calls map[*directCall]bool
+}
+
+// begin adds a call. cancel may be nil; the call is then never given up.
+func (calls *directCalls) begin(target string, cancel context.CancelCauseFunc, now time.Time) *directCall {
+	begun := &directCall{calls: calls, target: target, cancel: cancel, heard: now}
+	if cancel != nil {
+		calls.mutex.Lock()
+		defer calls.mutex.Unlock()
+		calls.calls[begun] = true
+	}
+	return begun
+}
+
+// received records that the target has sent something.
+func (call *directCall) received(now time.Time) {
+	if call == nil {
+		return
+	}
+	call.calls.mutex.Lock()
+	defer call.calls.mutex.Unlock()
+	call.heard = now
+}
+
+func (call *directCall) end() {
+	call.calls.mutex.Lock()
+	defer call.calls.mutex.Unlock()
+	delete(call.calls.calls, call)
+}
+
+// cancelSilent gives up the calls to lost targets that are silent.
+func (calls *directCalls) cancelSilent(lost func(target string) bool, now time.Time) {
+	calls.mutex.Lock()
+	defer calls.mutex.Unlock()
+	for call := range calls.calls {
+		if now.Sub(call.heard) > silenceBound && lost(call.target) {
+			call.cancel(errPathLost)
+		}
+	}
+}
+
+// send sends the request to a target: over a connection of this node, or through another
+// node if this one does not reach the target. Its error is a *callError.
+func (exchange *exchange) send(ctx context.Context, to destination, timeout time.Duration) (*response, error) {
+	server := exchange.server
+	exchange.direct = nil
+	if !exchange.throughNodes && server.paths.Reached(to.id) {
+		return exchange.sendDirectly(ctx, to, timeout)
+	}
+	response, err := exchange.sendThroughNodes(ctx, to, timeout)
+	if !errors.Is(err, errNoPath) || server.paths.Lost(to.id) && len(server.nodes.all()) > 0 {
+		return response, err
+	}
+	return exchange.sendDirectly(ctx, to, timeout)
+}
+
+// sendDirectly sends the request over a connection of this node.
+func (exchange *exchange) sendDirectly(ctx context.Context, to destination, timeout time.Duration) (*response, error) {
+	server := exchange.server
+	call := server.direct.begin(to.id, to.cancel, server.config.Now())
+	exchange.direct = call
+	response, err := server.client.do(ctx, exchange.newCall(to), timeout)
+	if err == nil {
+		response.finished = call.end
+		call.received(server.config.Now())
+		server.answered(to.id, response.conn.opened)
+		return response, nil
+	}
+	call.end()
+	switch {
+	case exchange.request.Context().Err() != nil || errors.Is(err, errOutOfTime):
+	case !maySent(err):
+		exchange.throughNodes = true
+		server.unreached(to.id, false)
+	case timedOut(err):
+		server.unreached(to.id, true)
+	}
+	return nil, err
+}
+
+// timedOut reports whether an error is the end of a timeout.
+func timedOut(err error) bool {
+	var failure net.Error
+	return errors.As(err, &failure) && failure.Timeout()
+}
+
+// newCall returns the call for a target.
+func (exchange *exchange) newCall(to destination) call {
+	return call{
+		address:       to.address,
+		target:        to.id,
+		method:        exchange.request.Method,
+		newConnection: !exchange.route.Repeatable(),
+		message: func() ([]byte, error) {
+			header, err := exchange.outgoing(to)
+			if err != nil {
+				return nil, err
+			}
+			return requestMessage(exchange.request.Method, exchange.request.RequestURI, exchange.request.Host, header, exchange.body), nil
+		},
+	}
+}
+
+// outgoing returns the headers for a target, with the time that remains now.
+func (exchange *exchange) outgoing(to destination) (http.Header, error) {
+	if !exchange.mayStillRun() {
+		return nil, errOutOfTime
+	}
+	return exchange.server.config.Codec.Outgoing(exchange.request.Header, exchange.outgoingValues(to)), nil
+}
+
+func (exchange *exchange) outgoingValues(to destination) OutgoingValues {
+	return OutgoingValues{
+		Target:      to.id,
+		Workspace:   exchange.workspace.Name,
+		Deadline:    exchange.remaining(),
+		ResumeAfter: to.resumeAfter,
+		Urgency:     exchange.urgency(),
+	}
+}
+
+// sendThroughNodes sends the request through another node. It returns errNoPath if no node
+// sends requests to the target's service for this one now.
+func (exchange *exchange) sendThroughNodes(ctx context.Context, to destination, timeout time.Duration) (*response, error) {
+	server := exchange.server
+	message := func() (relayedCall, error) {
+		header, err := exchange.outgoing(to)
+		if err != nil {
+			return relayedCall{}, err
+		}
+		values := exchange.outgoingValues(to)
+		return relayedCall{
+			Target: to.id, Group: to.group, Epoch: to.epoch, Service: exchange.service.Name, Generation: exchange.table.Generation(),
+			Method: exchange.request.Method, URI: exchange.request.RequestURI, Host: exchange.request.Host, Header: header, Body: exchange.body,
+			Workspace: values.Workspace, ResumeAfter: values.ResumeAfter, Urgency: values.Urgency,
+			RemainingMicros: values.Deadline.Microseconds(), NewConnection: !exchange.route.Repeatable(),
+		}, nil
+	}
+	for range maxNodesTried {
+		now := server.config.Now()
+		node, found := server.nodes.pick(now)
+		if !found {
+			break
+		}
+		ended := server.nodes.tracker.Start(node.Name, now)
+		response, err := server.client.relay(ctx, node.Address, !exchange.route.Repeatable(), message, timeout)
+		outcome := outcomeOf(err)
+		server.metrics.relayed.WithLabelValues("sent", string(outcome)).Inc()
+		if err == nil {
+			exchange.through = append(exchange.through, node.Name)
+			response.finished = func() { ended(server.config.Now()) }
+			return response, nil
+		}
+		ended(server.config.Now())
+		if ctx.Err() != nil || maySent(err) || outcome == relayUnreached || outcome == relayClosed || errors.Is(err, errOutOfTime) {
+			return nil, err
+		}
+		server.nodes.failed(node.Name, server.config.Now())
+		server.config.Logger.Info("node did not send a request on", zap.String("id", exchange.caller.Attempt),
+			zap.String("through", node.Name), zap.String("target", to.id), zap.Error(err))
+	}
+	return nil, &callError{cause: errNoPath}
+}
+
+// outcomeOf returns what a node has reported of a call, relayAnswered for a nil error.
+func outcomeOf(err error) relayOutcome {
+	var failure *callError
+	switch {
+	case err == nil:
+		return relayAnswered
+	case errors.As(err, &failure):
+		return failure.outcome
+	}
+	return ""
+}
+
+// answered records that a target has sent something over a connection of this node.
+func (server *Server) answered(target string, opened bool) {
+	if server.paths.Answered(target, opened, server.config.Now()) {
+		server.config.Logger.Info("targets are reached again", zap.String("target", target))
+	}
+}
+
+// unreached records that no connection to a target could be established, or that its open
+// ones are silent.
+func (server *Server) unreached(target string, silent bool) {
+	now := server.config.Now()
+	var lost bool
+	if silent {
+		lost = server.paths.Silent(target, now)
+	} else {
+		lost = server.paths.Failed(target, now)
+	}
+	if lost {
+		// The failures so far are those of this node.
+		server.suspects.Retain(nil)
+		server.metrics.lostServices.Inc()
+		server.config.Logger.Warn("this node has lost the targets of a service, and sends requests through other nodes",
+			zap.String("target", target), zap.Bool("silent", silent), zap.Int("nodes", len(server.nodes.all())))
+	}
+}
+
+// TargetsLost reports whether this node has lost the targets of any service.
+func (server *Server) TargetsLost() bool { return server.paths.AnyLost() }
+
+// pathTargets returns the targets of a table.
+func pathTargets(table *route.Table) []route.PathTarget {
+	var targets []route.PathTarget
+	for _, target := range table.AllGroups() {
+		targets = append(targets, route.PathTarget{ID: target.VM, Address: target.Address, FailureDomain: target.FailureDomain})
+	}
+	for _, target := range table.AllServices() {
+		targets = append(targets, route.PathTarget{Service: target.Service, ID: target.ID(), Address: target.Address, FailureDomain: target.FailureDomain})
+	}
+	return targets
+}
+
+// maxProbes bounds the probes of one check.
+const maxProbes = 4
+
+// probeResult is the result of a probe.
+type probeResult struct {
+	target   string
+	accepted bool
+}
+
+// startProbes opens connections to the targets that are due, and sends the results to
+// probed.
+func (server *Server) startProbes(ctx context.Context, now time.Time, probed chan<- probeResult) {
+	for _, target := range server.paths.DueProbes(maxProbes, now) {
+		go func(ctx context.Context) {
+			result := probeResult{target: target.ID, accepted: server.client.accepts(ctx, target.Address)}
+			select {
+			case probed <- result:
+			case <-ctx.Done():
+			}
+		}(ctx)
+	}
+}
+
+func (server *Server) handleProbe(result probeResult) {
+	if result.accepted {
+		server.answered(result.target, true)
+		return
+	}
+	server.unreached(result.target, false)
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -75,6 +75,10 @@
 	delivery.deliveredAt = now
 	stream.Event(now)
 	delivery.attempt.EventArrived(now)
+	if direct := delivery.exchange.direct; direct != nil {
+		direct.received(now)
+		server.answered(direct.target, false)
+	}
 	if delivery.lastEventAt.IsZero() {
 		delivery.pending.FirstEventArrived(now)
 	} else {
@@ -225,6 +229,10 @@
 	delivery.attempt = server.config.Quarantine.Begin(life, exchange.parts, exchange.admission, func() { cancel(errQuarantined) })
 	defer delivery.attempt.Close()
 	last := exchange.isLastAttempt()
+	to := destination{id: target.VM, address: target.Address, group: target.Name, epoch: target.Epoch, resumeAfter: delivery.lastEventID}
+	if !last {
+		to.cancel = cancel
+	}
 	stream := server.stallDetector.Begin(target.Name, server.config.Now(), func() {
 		if !last {
 			cancel(errGroupStalled)
@@ -243,22 +251,22 @@
 	}
 	firstTimeout = min(firstTimeout, exchange.remaining())
 	sentAt := server.config.Now()
-	response, err := server.client.do(ctx, exchange.newCall(target.VM, target.Address, delivery.lastEventID), firstTimeout)
+	response, err := exchange.send(ctx, to, firstTimeout)
 	if err != nil {
-		exchange.checkTarget(ctx, delivery.attempt, life, target.Address, err)
+		exchange.checkTarget(ctx, delivery.attempt, life, to, err)
 		return exchange.classifyFailure(target.Name, err)
 	}
 	exchange.recordAttempt(target.Name)
 	answer := server.config.Codec.ParseAnswer(response.http.StatusCode, response.http.Header)
-	exchange.observeLoad(target.Name, answer)
-	exchange.observeLimit(target.VM, response.http, answer, sentAt)
+	server.observeLoad(target.Name, answer)
+	server.observeLimit(target.VM, exchange.caller.Attempt, response.http, answer, sentAt)
 	switch {
 	case answer.Refused:
 		response.discard()
 		server.suspects.Failed(target.Name, server.config.Now())
 		exchange.countAttempt("refused")
 		return notRun{reason: "group " + target.Name + " refused: " + response.http.Status}
-	case !exchange.isOwnResponse(response.http, answer):
+	case !isOwnResponse(exchange.caller.Attempt, response.http, answer):
 		response.discard()
 		return unknown{reason: "group " + target.Name + " sent an answer that is not its own"}
 	case response.http.StatusCode != http.StatusOK:
@@ -270,8 +278,8 @@
 			exchange.log("caller-left", 0, "caller does not read")
 			panic(http.ErrAbortHandler)
 		}
-		failure := &callError{cause: err, sent: true}
-		exchange.checkTarget(ctx, delivery.attempt, life, target.Address, failure)
+		failure := &callError{cause: err, sent: true, outcome: outcomeOf(err)}
+		exchange.checkTarget(ctx, delivery.attempt, life, to, failure)
 		return exchange.classifyFailure(target.Name, failure)
 	}
 	response.release()
