Hand over a fabric domain that other nodes reach and its leader does not

Cause: a probe that is not answered was the member's failure, whatever else the node did not reach. Class of fault: a failure of the path is taken for a failure of its end, as for requests.

A leader whose requests have lost a service probes its fabric domains itself, as a group without streams is never reported as stalled. Announcements that expire are judged in the same way.

Ruled out: targets of other fabric domains as the yardstick (wrong when one domain's targets only are cut off).

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -142,6 +142,20 @@
 	AgesMillis map[string]int64 `json:"ages-ms"`
 }
 
+// ReachedPath is the path of the question which targets a node reaches, for a node that does
+// not reach them.
+const ReachedPath = "/v1/reached"
+
+// ReachedQuestion names targets.
+type ReachedQuestion struct {
+	Targets []string `json:"targets"`
+}
+
+// ReachedReply names the targets of the question that the node reaches.
+type ReachedReply struct {
+	Targets []string `json:"targets"`
+}
+
 // ReleasePath is the path of a ReleaseRequest.
 const ReleasePath = "/v1/release"
 
@@ -182,6 +196,9 @@
 	TakeDecision func(ctx context.Context, record []byte) error
 	PartAges     func(parts []string) map[string]time.Duration
 
+	// TakeReached serves the call at ReachedPath. It is optional.
+	TakeReached func(ctx context.Context, question ReachedQuestion) (ReachedReply, error)
+
 	// Relay sends requests to targets for other nodes, at forward.RelayPath. It is
 	// optional.
 	Relay http.Handler
@@ -226,6 +243,9 @@
 	if config.TakeDecision != nil {
 		server.router.HandleFunc(DecisionPath, server.serveDecision).Methods(http.MethodPost)
 	}
+	if config.TakeReached != nil {
+		server.router.HandleFunc(ReachedPath, func(writer http.ResponseWriter, request *http.Request) { serveReached(writer, request, config.TakeReached) }).Methods(http.MethodPost)
+	}
 	if config.Relay != nil {
 		server.router.Handle(forward.RelayPath, config.Relay).Methods(http.MethodPost)
 	}
@@ -351,6 +371,20 @@
 	writeJSON(writer, http.StatusOK, reply)
 }
 
+func serveReached(writer http.ResponseWriter, request *http.Request, take func(ctx context.Context, question ReachedQuestion) (ReachedReply, error)) {
+	var question ReachedQuestion
+	if err := decodeBody(writer, request, &question); err != nil {
+		http.Error(writer, "question about targets is not valid: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	reply, err := take(request.Context(), question)
+	if err != nil {
+		http.Error(writer, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(writer, http.StatusOK, reply)
+}
+
 func errorStatus(err error) int {
 	switch {
 	case errors.Is(err, errors.NotFound):
--- a/cmd/lacewingspoke/module.go
+++ b/cmd/lacewingspoke/module.go
@@ -200,6 +200,7 @@
 	}
 	if params.Mirror != nil {
 		config.GroupStalled = params.Controller.GroupStalled
+		config.TakeReached = params.Controller.TakeReached
 		config.Mirror = params.Mirror.Handler()
 	}
 	if params.Forward != nil {
@@ -279,6 +280,9 @@
 // that they report, see SetUsage.
 func (traffic entryTraffic) SetNodes([]fleet.Node) {}
 
+// TargetsLost returns false: nodes without a feed have no other way to their targets.
+func (traffic entryTraffic) TargetsLost() bool { return false }
+
 // StalledGroups returns no group. No probe of stalled groups is needed, because the
 // grants of a group end when a member is lost.
 func (traffic entryTraffic) StalledGroups() []string { return nil }
--- a/cmd/lacewingspoke/nodecalls.go
+++ b/cmd/lacewingspoke/nodecalls.go
@@ -51,6 +51,15 @@
 	return ages, nil
 }
 
+// AskReached returns which of the targets a node reaches.
+func (calls nodeCalls) AskReached(ctx context.Context, address string, targets []string) ([]string, error) {
+	var reply admin.ReachedReply
+	if err := calls.post(ctx, address, admin.ReachedPath, admin.ReachedQuestion{Targets: targets}, &reply); err != nil {
+		return nil, errors.Annotate(err, "question about targets")
+	}
+	return reply.Targets, nil
+}
+
 // TellDecision sends a node the record of a part that is put in quarantine.
 func (calls nodeCalls) TellDecision(ctx context.Context, address string, record []byte) error {
 	return errors.Annotate(calls.post(ctx, address, admin.DecisionPath, json.RawMessage(record), nil), "telling a decision")
--- a/cmd/lacewingspoke/sharedmodule.go
+++ b/cmd/lacewingspoke/sharedmodule.go
@@ -148,6 +148,7 @@
 	Feed      *platform.Feed
 	Tracker   *quarantine.Tracker
 	Limits    *limit.TargetLimits
+	Calls     nodeCalls
 	Clock     *timer.BootClock
 	Timers    *timer.Service
 	Logger    *zap.Logger
@@ -160,6 +161,7 @@
 		Codec:           platform.Codec{},
 		FailureDomain:   params.Settings.FailureDomain(),
 		Node:            params.Settings.Name(),
+		AskReached:      params.Calls.AskReached,
 		Now:             params.Clock.Now,
 		Timers:          params.Timers,
 		Confirmed:       params.Feed.Confirmed,
@@ -246,6 +248,7 @@
 		Quarantine:    params.Quarantine,
 		ReportEndings: params.Calls.ReportEndings,
 		AskParts:      params.Calls.AskParts,
+		AskReached:    params.Calls.AskReached,
 		TellDecision:  params.Calls.TellDecision,
 
 		Platform:   mirroredPlatform{StoreClient: params.Client, mirrored: params.Mirror},
--- a/control/control.go
+++ b/control/control.go
@@ -108,6 +108,10 @@
 	// call.
 	StalledGroups() []string
 
+	// TargetsLost reports whether requests have found that this node does not reach the
+	// targets of a service.
+	TargetsLost() bool
+
 	// SetNodes sets the live nodes.
 	SetNodes(nodes []fleet.Node)
 }
@@ -157,6 +161,10 @@
 	ReportEndings func(ctx context.Context, address string, endings []admin.EndingReport) error
 	AskParts      func(ctx context.Context, address string, parts []string) (map[string]time.Duration, error)
 
+	// AskReached returns which of the targets the node at an admin address reaches. It may
+	// be nil.
+	AskReached func(ctx context.Context, address string, targets []string) ([]string, error)
+
 	// TellDecision sends a quarantine record to another node. It may be nil.
 	TellDecision func(ctx context.Context, address string, record []byte) error
 
--- a/control/feed.go
+++ b/control/feed.go
@@ -156,6 +156,12 @@
 
 	// probedAt is when the members of each group were last probed.
 	probedAt map[string]time.Time
+
+	// detached holds the fabric domains whose targets this node does not reach although
+	// other nodes do, and ledChecks those that it leads while it may not reach targets,
+	// each with the probes of its targets.
+	detached  map[string]*probeRound
+	ledChecks map[string]*probeRound
 }
 
 func newFeedState(config FeedConfig) *feedState {
@@ -165,6 +171,8 @@
 		orders:       newOrderCounts(),
 		unresponsive: map[string]uint64{},
 		probedAt:     map[string]time.Time{},
+		detached:     map[string]*probeRound{},
+		ledChecks:    map[string]*probeRound{},
 
 		lapsedDecisions: map[string]string{},
 		loads: limit.NewLoadLimiter(limit.LoadLimiterConfig{
--- a/control/harness_test.go
+++ b/control/harness_test.go
@@ -128,6 +128,7 @@
 func (traffic) RequestReceived() bool        { return true }
 func (traffic) StalledGroups() []string      { return nil }
 func (traffic) SetNodes([]fleet.Node)        {}
+func (traffic) TargetsLost() bool            { return false }
 
 // A filter is a mesh that can drop the grants received from one peer.
 type filter struct {
--- a/control/lapsed.go
+++ b/control/lapsed.go
@@ -47,6 +47,10 @@
 	changed := false
 	for _, answer := range result.answers {
 		held := answer.responded && answer.report.Group != "" && answer.report.Rank > 0
+		if answer.byOthers {
+			state.detach(now, answer.domain, []string{answer.vm})
+			continue
+		}
 		if held {
 			report := answer.report
 			report.VM, report.Incarnation = answer.vm, answer.incarnation
--- a/control/loop.go
+++ b/control/loop.go
@@ -206,6 +206,8 @@
 		state.handleDrainRecorded(result)
 	case probeResult:
 		state.handleProbeResult(now, result)
+	case domainProbed:
+		state.handleDomainProbed(now, result)
 	case lapsedResult:
 		state.handleLapsedResult(now, result)
 	case recheckResult:
@@ -255,6 +257,7 @@
 func (state *state) tickLeaders(now time.Time) {
 	if state.feeding() {
 		state.probeStalledGroups(now)
+		state.checkDetached(now)
 	}
 	for _, leadership := range state.leaderships {
 		state.handleGroup(now, leadership, group.Tick{})
--- a/control/probe.go
+++ b/control/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -29,10 +30,13 @@
 
 // probeResult is the result of probing the members of a group.
 type probeResult struct {
-	group string
+	group  string
+	domain string
 
-	// unresponsive holds the names of the members that did not respond.
+	// unresponsive holds the names of the members that did not respond, and byOthers those
+	// that responded to another node only.
 	unresponsive []string
+	byOthers     []string
 }
 
 func (probeResult) message() {}
@@ -42,11 +46,11 @@
 
 func (recheckResult) message() {}
 
-// A probedTarget is one incarnation of a target with its address.
-type probedTarget struct{ vm, incarnation, address string }
+// A probedTarget is one incarnation of a target with its address and fabric domain.
+type probedTarget struct{ vm, incarnation, address, domain string }
 
 func newProbedTarget(vm kvstore.VM) probedTarget {
-	return probedTarget{vm: vm.Name, incarnation: vm.Incarnation, address: vm.Address}
+	return probedTarget{vm: vm.Name, incarnation: vm.Incarnation, address: vm.Address, domain: vm.FabricDomain}
 }
 
 // A probeRound limits the probes of a set of targets to one round at a time and one
@@ -67,7 +71,8 @@
 		return
 	}
 	*round = probeRound{running: true, beganAt: now}
-	state.startWorker(func(ctx context.Context) message { return result(state.probeAll(ctx, targets)) })
+	asked := state.askedNodes()
+	state.startWorker(func(ctx context.Context) message { return result(state.probeAll(ctx, targets, asked)) })
 }
 
 // probeStalledGroups has the members of groups with stalled streams probed: by this
@@ -96,7 +101,7 @@
 		if now.Sub(state.feed.probedAt[name]) >= probeInterval {
 			state.feed.probedAt[name] = now
 			state.logger.Info("probing the members of a group with stalled streams", zap.String("group", name), zap.String("domain", domain))
-			state.probe(name, placement)
+			state.probe(name, domain, placement)
 		}
 		return true
 	}
@@ -139,7 +144,7 @@
 
 // probe starts a worker that requests a report from every listed member of a
 // group.
-func (state *state) probe(name string, placement *group.Placement) {
+func (state *state) probe(name, domain string, placement *group.Placement) {
 	var targets []probedTarget
 	for _, vm := range placement.Members(name) {
 		if _, listed := state.feed.reports[vm]; !listed {
@@ -148,10 +153,15 @@
 		assignment, _ := placement.Assignment(vm)
 		targets = append(targets, probedTarget{vm: vm, address: assignment.Address})
 	}
+	asked := state.askedNodes()
 	state.startWorker(func(ctx context.Context) message {
-		result := probeResult{group: name}
-		for _, probed := range state.probeAll(ctx, targets) {
-			if !probed.responded {
+		result := probeResult{group: name, domain: domain}
+		for _, probed := range state.probeAll(ctx, targets, asked) {
+			switch {
+			case probed.responded:
+			case probed.byOthers:
+				result.byOthers = append(result.byOthers, probed.vm)
+			default:
 				result.unresponsive = append(result.unresponsive, probed.vm)
 			}
 		}
@@ -164,16 +174,54 @@
 	probedTarget
 	responded bool
 	report    engine.Report
+
+	// byOthers is true if the target did not respond to this node but to another one.
+	byOthers bool
+}
+
+// probeAll requests a report from each target at the same time. Of the targets that do not
+// respond at once, it asks the other nodes meanwhile.
+func (state *state) probeAll(ctx context.Context, targets []probedTarget, nodes []string) []probeAnswer {
+	var answers []probeAnswer
+	var silent []probedTarget
+	var names []string
+	for _, answer := range askAll(ctx, targets, state.askOnce) {
+		if answer.responded {
+			answers = append(answers, answer)
+			continue
+		}
+		silent = append(silent, answer.probedTarget)
+		names = append(names, answer.vm)
+	}
+	if len(silent) == 0 {
+		return answers
+	}
+	replies := make(chan []string, 1)
+	go func(ctx context.Context, replies chan<- []string) {
+		replies <- state.reachedByOthers(ctx, nodes, names)
+	}(ctx, replies)
+	repeated := askAll(ctx, silent, func(ctx context.Context, target probedTarget) probeAnswer {
+		report, responded := state.askReport(ctx, target, probeAttempts-1)
+		return probeAnswer{probedTarget: target, responded: responded, report: report}
+	})
+	reached := <-replies
+	for _, answer := range repeated {
+		answer.byOthers = !answer.responded && slices.Contains(reached, answer.vm)
+		answers = append(answers, answer)
+	}
+	return answers
 }
 
-// probeAll requests a report from each target at the same time.
-func (state *state) probeAll(ctx context.Context, targets []probedTarget) []probeAnswer {
+func (state *state) askOnce(ctx context.Context, target probedTarget) probeAnswer {
+	report, responded := state.askReport(ctx, target, 1)
+	return probeAnswer{probedTarget: target, responded: responded, report: report}
+}
+
+// askAll asks each target at the same time.
+func askAll(ctx context.Context, targets []probedTarget, ask func(ctx context.Context, target probedTarget) probeAnswer) []probeAnswer {
 	results := make(chan probeAnswer, len(targets))
 	for _, target := range targets {
-		go func(ctx context.Context, results chan<- probeAnswer) {
-			report, responded := state.askReport(ctx, target)
-			results <- probeAnswer{probedTarget: target, responded: responded, report: report}
-		}(ctx, results)
+		go func(ctx context.Context, results chan<- probeAnswer) { results <- ask(ctx, target) }(ctx, results)
 	}
 	answers := make([]probeAnswer, 0, len(targets))
 	for range targets {
@@ -182,10 +230,10 @@
 	return answers
 }
 
-// askReport returns the report of an engine. It returns false if the engine
-// responds to none of probeAttempts requests or is another incarnation.
-func (state *state) askReport(ctx context.Context, target probedTarget) (engine.Report, bool) {
-	for range probeAttempts {
+// askReport returns the report of an engine. It returns false if the engine responds to
+// none of the attempts or is another incarnation.
+func (state *state) askReport(ctx context.Context, target probedTarget, attempts int) (engine.Report, bool) {
+	for range attempts {
 		attempt, cancel := context.WithTimeout(ctx, probeTimeout)
 		report, err := state.config.Engines.Report(attempt, target.address)
 		cancel()
@@ -234,9 +282,13 @@
 	}
 }
 
-// handleProbeResult treats the members that did not respond as lost until their
-// next announcement.
+// handleProbeResult treats the members that did not respond as lost until their next
+// announcement. If another node reaches any of them, this node cannot tell.
 func (state *state) handleProbeResult(now time.Time, result probeResult) {
+	if len(result.byOthers) > 0 {
+		state.detach(now, result.domain, result.byOthers)
+		return
+	}
 	if len(result.unresponsive) == 0 || now.Sub(state.storeReachedAt) > probeStoreAge {
 		return
 	}
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -91,6 +91,13 @@
 // LinkClosed reports that the link to a node is down.
 type LinkClosed struct{ Name string }
 
+// DomainReached says whether this node reaches the VMs of a fabric domain. Only a node that
+// does can lead it.
+type DomainReached struct {
+	Domain  string
+	Reached bool
+}
+
 // Stopping begins a graceful stop: the node releases the domains that it leads
 // and claims no others.
 type Stopping struct{}
@@ -114,5 +121,6 @@
 func (LeaderRead) event()       {}
 func (LinkOpened) event()       {}
 func (LinkClosed) event()       {}
+func (DomainReached) event()    {}
 func (Stopping) event()         {}
 func (Stopped) event()          {}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -260,6 +260,8 @@
 		fleet.applyClaim(now, event)
 	case LeaderRead:
 		fleet.applyLeaderRead(now, event)
+	case DomainReached:
+		fleet.setDetached(event.Domain, !event.Reached)
 	case Stopping:
 		fleet.beginStop()
 	case Stopped:
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -70,6 +70,9 @@
 	// of the store. No other node can hold a lease of the time before.
 	ledBeforeEra bool
 
+	// detached is set while this node does not reach the domain's VMs although others do.
+	detached bool
+
 	// releasedRevision is the revision at which this node last released the key.
 	// Results that contain the key at that or an earlier revision are ignored.
 	releasedRevision uint64
@@ -179,7 +182,7 @@
 		return
 	}
 	domain.ownsKey = true
-	if fleet.stopping {
+	if fleet.stopping || domain.detached {
 		fleet.release(domain)
 	}
 }
@@ -241,6 +244,16 @@
 	fleet.recordLeaderDeleted(now, event.Domain, domain.revision)
 }
 
+// setDetached records whether this node reaches the VMs of a domain. A node that does not
+// cannot repair its groups, so it releases the domain and does not claim it.
+func (fleet *Fleet) setDetached(name string, detached bool) {
+	domain := fleet.domain(name)
+	domain.detached = detached
+	if detached {
+		fleet.release(domain)
+	}
+}
+
 // release ends this node's leadership of a domain and deletes its leader key.
 func (fleet *Fleet) release(domain *domain) {
 	if !domain.ownsKey {
@@ -300,7 +313,7 @@
 		switch {
 		case domain.ownsKey:
 			fleet.emitLeadershipHeld(now, domain)
-		case !domain.hasVMs || fleet.stopping:
+		case !domain.hasVMs || fleet.stopping || domain.detached:
 		case fleet.mustReadLeader(now, domain):
 			domain.reading = true
 			fleet.emit(ReadLeader{Domain: domain.name, Key: LeaderKey(domain.name)})
--- a/forward/ending.go
+++ b/forward/ending.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -33,9 +35,40 @@
 		return outcomeOf(failure) == relayEnded
 	case httpsend.Accepts(ctx, to.address):
 		return false
-	case server.config.ReachedByOthers != nil && server.config.ReachedByOthers(context.WithoutCancel(ctx), to.id):
+	case server.reachedByOthers(context.WithoutCancel(ctx), to.id):
 		server.unreached(to.id, false)
 		return false
 	}
 	return !server.paths.Lost(to.id)
 }
+
+const (
+	// askReachedTimeout is far above the time in which a node finds out whether a target
+	// accepts connections. The retry of a request waits for it.
+	askReachedTimeout = 150 * time.Millisecond
+
+	// maxAsked bounds the nodes that are asked about one target.
+	maxAsked = 2
+)
+
+// reachedByOthers reports whether another node reaches a target.
+func (server *Server) reachedByOthers(ctx context.Context, target string) bool {
+	if server.config.AskReached == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, askReachedTimeout)
+	defer cancel()
+	asked := server.nodes.choose(maxAsked, server.config.Now())
+	replies := make(chan bool, len(asked))
+	for _, node := range asked {
+		go func(ctx context.Context, replies chan<- bool) {
+			reached, err := server.config.AskReached(ctx, node.Address, []string{target})
+			replies <- err == nil && slices.Contains(reached, target)
+		}(ctx, replies)
+	}
+	reached := false
+	for range asked {
+		reached = <-replies || reached
+	}
+	return reached
+}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -163,8 +163,9 @@
 	// Node is the name of this node among those of SetNodes.
 	Node string
 
-	// ReachedByOthers reports whether another node reaches a target. It may be nil.
-	ReachedByOthers func(ctx context.Context, target string) bool
+	// AskReached returns which of the targets the node at an admin address reaches. It may
+	// be nil.
+	AskReached func(ctx context.Context, address string, targets []string) ([]string, error)
 
 	// Now returns the current time, from which deadlines and the age of the
 	// configuration are computed.
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -246,6 +246,23 @@
 	return nodes.picker.PickService(nodes.table, nodesService, excluded, now)
 }
 
+// choose returns up to count nodes, each picked as by pick.
+func (nodes *nodes) choose(count int, now time.Time) []route.ServiceTarget {
+	nodes.mutex.Lock()
+	defer nodes.mutex.Unlock()
+	excluded := map[string]bool{}
+	var chosen []route.ServiceTarget
+	for len(chosen) < count {
+		node, found := nodes.picker.PickService(nodes.table, nodesService, excluded, now)
+		if !found {
+			break
+		}
+		excluded[node.Name] = true
+		chosen = append(chosen, node)
+	}
+	return chosen
+}
+
 // failed records that a node did not send a request on.
 func (nodes *nodes) failed(name string, now time.Time) {
 	nodes.mutex.Lock()
