--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -186,6 +187,12 @@
 	once, idempotent []*target
 	groups           []*target
 	attempts         int
+
+	// generation is 1 if it is 0, and routes are all of them if it is nil. noRetries is
+	// used by newNode only.
+	generation uint64
+	routes     []string
+	noRetries  bool
 }
 
 func newNode(test *testing.T, fixture tableFixture) *node {
@@ -193,6 +200,10 @@
 	timers := timer.New(timer.Config{})
 	ctx, cancel := context.WithCancel(context.Background())
 	go timers.Run(ctx)
+	slack := 100.0
+	if fixture.noRetries {
+		slack = 0
+	}
 	server, err := forward.New(forward.Config{
 		Publisher: started.publisher, Codec: testCodec{}, FailureDomain: "zone", Now: time.Now, Timers: timers, Seed: 1,
 		Quarantine: started.tracker,
@@ -201,7 +212,7 @@
 			defer started.mutex.Unlock()
 			return started.confirmed
 		},
-		MaxConfirmedAge: time.Minute, Retries: limit.RetryAllowanceConfig{Window: time.Second, Slack: 100, Safety: 1},
+		MaxConfirmedAge: time.Minute, Retries: limit.RetryAllowanceConfig{Window: time.Second, Slack: slack, Safety: 1}, Node: "self",
 	})
 	require.NoError(test, err)
 	started.forward = server
@@ -225,15 +236,22 @@
 			MaxAttempts: attempts, Resumable: true, Splits: []catalog.Split{{Service: name, Weight: 1}},
 		}
 	}
+	generation := max(fixture.generation, 1)
+	var routes []catalog.Route
+	for name, kind := range map[string]catalog.Kind{"once": catalog.KindOnce, "idempotent": catalog.KindIdempotent, "stream": catalog.KindStream} {
+		if fixture.routes == nil || slices.Contains(fixture.routes, name) {
+			routes = append(routes, routeTo(name, kind))
+		}
+	}
 	current, err := catalog.New(catalog.Config{
-		Version:    1,
+		Version:    generation,
 		Services:   []catalog.Service{{Name: "once"}, {Name: "idempotent"}, {Name: "stream", Engine: &catalog.Engine{Slots: 4}}},
-		Routes:     []catalog.Route{routeTo("once", catalog.KindOnce), routeTo("idempotent", catalog.KindIdempotent), routeTo("stream", catalog.KindStream)},
+		Routes:     routes,
 		Workspaces: []catalog.WorkspaceKeys{{Workspace: catalog.Workspace{Name: "one", Priority: -1}, Keys: []string{"key"}}},
 		Limits:     catalog.Limits{MaxBodyBytes: 64},
 	})
 	require.NoError(test, err)
-	config := route.TableConfig{Catalog: current, Generation: 1}
+	config := route.TableConfig{Catalog: current, Generation: generation}
 	add := func(service string, targets []*target) {
 		for _, target := range targets {
 			config.Services = append(config.Services, route.ServiceTarget{Service: service, Name: target.name, Address: target.address(), FailureDomain: "zone", Slots: 4, Open: true})
