--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -86,7 +86,7 @@
 
 // newTarget starts a target that calls script with each request and its
 // connection. script returns whether the connection stays open.
-func newTarget(test *testing.T, name string, script func(conn net.Conn, request *http.Request) bool) *target {
+func newTarget(test testing.TB, name string, script func(conn net.Conn, request *http.Request) bool) *target {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(test, err)
 	started := &target{name: name, listener: listener}
@@ -195,7 +195,7 @@
 	noRetries  bool
 }
 
-func newNode(test *testing.T, fixture tableFixture) *node {
+func newNode(test testing.TB, fixture tableFixture) *node {
 	started := &node{publisher: route.NewPublisher(), tracker: quarantine.NewTracker(), confirmed: time.Now()}
 	timers := timer.New(timer.Config{})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -228,7 +228,7 @@
 	return started
 }
 
-func (node *node) publish(test *testing.T, fixture tableFixture) {
+func (node *node) publish(test testing.TB, fixture tableFixture) {
 	attempts := max(fixture.attempts, 2)
 	routeTo := func(name string, kind catalog.Kind) catalog.Route {
 		return catalog.Route{
@@ -275,7 +275,7 @@
 	err    error
 }
 
-func (node *node) request(test *testing.T, method, path, body string) reply {
+func (node *node) request(test testing.TB, method, path, body string) reply {
 	request, err := http.NewRequest(method, node.server.URL+path, strings.NewReader(body))
 	require.NoError(test, err)
 	request.Host = "host.example"
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -200,6 +201,7 @@
 	tracker *route.Tracker
 
 	mutex   sync.Mutex
+	others  []fleet.Node
 	table   *route.Table
 	avoided map[string]time.Time
 }
@@ -210,16 +212,20 @@
 	return &nodes{picker: route.NewPicker(config), tracker: tracker, table: route.NewTable(route.TableConfig{}), avoided: map[string]time.Time{}}
 }
 
-// set replaces the nodes.
+// set replaces the nodes. It is called every second, mostly with the same ones.
 func (nodes *nodes) set(others []fleet.Node) {
+	nodes.mutex.Lock()
+	defer nodes.mutex.Unlock()
+	if slices.Equal(nodes.others, others) {
+		return
+	}
+	nodes.others = others
 	targets := make([]route.ServiceTarget, 0, len(others))
 	for _, other := range others {
 		targets = append(targets, route.ServiceTarget{
 			Service: nodesService, Name: other.Name, Address: other.AdminAddress, FailureDomain: other.FailureDomain, Open: other.AdminAddress != "",
 		})
 	}
-	nodes.mutex.Lock()
-	defer nodes.mutex.Unlock()
 	nodes.table = route.NewTable(route.TableConfig{Services: targets})
 }
 
--- a/forward/relay_test.go
+++ b/forward/relay_test.go
@@ -17,14 +17,14 @@
 )
 
 // closedTarget returns a target that refuses connections.
-func closedTarget(test *testing.T, name string) *target {
+func closedTarget(test testing.TB, name string) *target {
 	closed := newTarget(test, name, func(net.Conn, *http.Request) bool { return false })
 	closed.listener.Close()
 	return closed
 }
 
 // connect makes node send requests through the others.
-func (node *node) connect(test *testing.T, others ...*node) {
+func (node *node) connect(test testing.TB, others ...*node) {
 	nodes := []fleet.Node{{Name: "self", AdminAddress: "127.0.0.1:1"}}
 	for _, other := range others {
 		server := httptest.NewServer(http.HandlerFunc(other.forward.ServeRelayed))
