--- a/control/membership.go
+++ b/control/membership.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -18,6 +20,23 @@
 	for _, effect := range state.fleet.Handle(now, event) {
 		state.runFleetEffect(now, effect)
 	}
+	if changesNodes(event) {
+		state.setNodes(now)
+	}
+}
+
+// changesNodes reports whether an event may add or remove nodes. Requests go through a new
+// node as soon as it is known.
+func changesNodes(event fleet.Event) bool {
+	isNode := func(key string) bool { return strings.HasPrefix(key, fleet.NodePrefix) }
+	switch event := event.(type) {
+	case fleet.KeysListed:
+		return event.Prefix == fleet.NodePrefix
+	case fleet.KeysChanged:
+		return slices.ContainsFunc(event.Deleted, isNode) || slices.ContainsFunc(event.Entries, func(entry kvstore.Entry) bool { return isNode(entry.Key) })
+	default:
+		return false
+	}
 }
 
 func (state *state) runFleetEffect(now time.Time, effect fleet.Effect) {
