Keep the rest that a target asks for with a refusal

Cause: nobody read the header. A refusal made the target a suspect, which is probed after a second and used whenever nothing else is left; with most targets resting that is always.

A rest is kept (route.Closures) per incarnation of the target: it is excluded from every choice, also if there is no other, and checked again right before a request is written, so that requests that wait or are retried keep it too. When all targets rest the request is refused at once, with a Retry-After after the end of the first rest. A node keeps the rests for what it sends for others. Only the target's own answer to this request counts.

--- a/control/table.go
+++ b/control/table.go
@@ -73,6 +73,7 @@
 		assignment, _ := domain.placement.Assignment(vm)
 		if rank == 0 {
 			target.VM = vm
+			target.Incarnation = assignment.Incarnation
 			target.Address = assignment.Address
 			target.FailureDomain = assignment.FailureDomain
 		}
--- a/control/target.go
+++ b/control/target.go
@@ -103,6 +103,7 @@
 	return route.ServiceTarget{
 		Service:       target.Service,
 		Name:          target.VM.Name,
+		Incarnation:   target.VM.Incarnation,
 		Address:       target.VM.Address,
 		FailureDomain: target.VM.FailureDomain,
 		Slots:         target.Slots,
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -123,6 +123,10 @@
 	// nodes together, 0 if the response names none.
 	RequestLimit float64
 
+	// Rest is how long the target wants no requests from this node, 0 if the response does
+	// not say so.
+	Rest time.Duration
+
 	// Load is nil if the response does not report it.
 	Load *Load
 }
@@ -211,6 +215,7 @@
 	client        *client
 	tracker       *route.Tracker
 	suspects      *route.Suspects
+	closures      *route.Closures
 	paths         *route.Paths
 	nodes         *nodes
 	direct        *directCalls
@@ -280,6 +285,7 @@
 		stalled:    map[string]bool{},
 		objectives: map[string]time.Duration{},
 		liveNodes:  1,
+		closures:   route.NewClosures(),
 		paths:      route.NewPaths(),
 		direct:     &directCalls{calls: map[*directCall]bool{}},
 		nodes: newNodes(route.PickerConfig{
@@ -393,15 +399,18 @@
 func (server *Server) retainTargets(table *route.Table) {
 	names := map[string]bool{}
 	limited := map[string]bool{}
+	instances := map[string]bool{}
 	connections := map[string]bool{}
 	for _, target := range table.AllGroups() {
 		names[target.Name] = true
 		limited[target.VM] = true
+		instances[target.Instance()] = true
 		connections[connectionKey(target.Address, target.VM)] = true
 	}
 	for _, target := range table.AllServices() {
 		names[target.Name] = true
 		limited[target.ID()] = true
+		instances[target.Instance()] = true
 		connections[connectionKey(target.Address, target.Name)] = true
 	}
 	for _, node := range server.nodes.all() {
@@ -410,6 +419,7 @@
 	server.paths.SetTargets(pathTargets(table))
 	server.tracker.Retain(names)
 	server.suspects.Retain(names)
+	server.closures.Retain(instances, server.config.Now())
 	server.forecast.Retain(names)
 	server.config.Limits.Retain(limited, server.config.Now())
 	server.client.retain(connections)
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -50,7 +50,9 @@
 
 func (testCodec) ParseAnswer(status int, header http.Header) forward.Answer {
 	limit, _ := strconv.ParseFloat(header.Get("Limit"), 64)
+	rest, _ := time.ParseDuration(header.Get("Rest"))
 	return forward.Answer{
+		Rest:         rest,
 		RequestLimit: limit, Attempt: header.Get("Id"), Refused: header.Get("Refused") != "", Sealed: header.Get("Seal") != "", Foreign: header.Get("Foreign") != "",
 	}
 }
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -18,6 +18,7 @@
 	relayed  *prometheus.CounterVec
 
 	lostServices prometheus.Counter
+	rests        prometheus.Counter
 
 	duration   *prometheus.HistogramVec
 	firstEvent prometheus.Histogram
@@ -37,6 +38,9 @@
 		lostServices: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: metricsPrefix + "lost_services_total", Help: "Times that this node has lost the targets of a service.",
 		}),
+		rests: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: metricsPrefix + "rests_total", Help: "Answers in which a target asked for a rest.",
+		}),
 		resumed: newCounterVec("resumed_total", "Streams that went on at another group.", "result"),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: metricsPrefix + "duration_seconds", Help: "Time from a request to the end of its answer.", Buckets: durationBuckets,
@@ -50,7 +54,7 @@
 	}, func() float64 { return float64(limits.Limited()) })
 	collectors := []prometheus.Collector{
 		registered.requests, registered.attempts, registered.retries, registered.dials,
-		registered.resumed, registered.relayed, registered.lostServices, registered.duration, registered.firstEvent, limitedTargets,
+		registered.resumed, registered.relayed, registered.lostServices, registered.rests, registered.duration, registered.firstEvent, limitedTargets,
 	}
 	for _, collector := range collectors {
 		if err := registerer.Register(collector); err != nil {
--- /dev/null
+++ b/forward/observe.go
@@ -0,0 +1,103 @@
+package forward
+
+import (
+	"maps"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"lacewingspoke.org/lacewingspoke/limit"
+	"lacewingspoke.org/lacewingspoke/route"
+)
+
+// unavailable adds the targets that take no request of this node now, because of the limits
+// that they name or because they rest, to the excluded ones.
+func (exchange *exchange) unavailable(excluded map[string]bool, table *route.Table, now time.Time) map[string]bool {
+	server := exchange.server
+	limits := server.config.Limits
+	if limits.Limited() == 0 && server.closures.Empty() {
+		return excluded
+	}
+	extended := maps.Clone(excluded)
+	for _, target := range table.Groups(exchange.caller.Model) {
+		if _, closed := server.closures.Closed(target.Instance(), now); closed || limits.Full(target.VM, now) {
+			extended[target.Name] = true
+		}
+	}
+	for _, target := range table.Services(exchange.service.Name) {
+		if _, closed := server.closures.Closed(target.Instance(), now); closed || limits.Full(target.ID(), now) {
+			extended[target.ID()] = true
+		}
+	}
+	return extended
+}
+
+// restEndsIn returns the time until the first target takes requests again if all targets
+// that could serve the request rest, and otherwise 0.
+func (exchange *exchange) restEndsIn() time.Duration {
+	server := exchange.server
+	now := server.config.Now()
+	table := server.config.Publisher.Current()
+	var instances []string
+	if exchange.service.Engine != nil {
+		for _, target := range table.Groups(exchange.caller.Model) {
+			if target.Usable(now) {
+				instances = append(instances, target.Instance())
+			}
+		}
+	} else {
+		for _, target := range table.Services(exchange.service.Name) {
+			if target.Open {
+				instances = append(instances, target.Instance())
+			}
+		}
+	}
+	shortest := time.Duration(0)
+	for _, instance := range instances {
+		remaining, closed := server.closures.Closed(instance, now)
+		if !closed {
+			return 0
+		}
+		if shortest == 0 || remaining < shortest {
+			shortest = remaining
+		}
+	}
+	return shortest
+}
+
+// An observedTarget is the target of a response.
+type observedTarget struct {
+	// name is that in the tracker, id that in the limits, and instance the incarnation.
+	name, id, instance string
+}
+
+// observeAnswer records what a target says of itself in the answer to a request that was
+// sent at sentAt. The answer of another target or to another request says nothing of it.
+func (server *Server) observeAnswer(target observedTarget, attempt string, response *http.Response, answer Answer, sentAt time.Time) {
+	now := server.config.Now()
+	if answer.Load != nil {
+		server.tracker.Observe(target.name, answer.Load.Load, now)
+	}
+	if response.StatusCode == http.StatusMisdirectedRequest || !isOwnResponse(attempt, response, answer) {
+		return
+	}
+	server.observeLimit(target.id, attempt, answer, sentAt)
+	if answer.Rest > 0 {
+		server.closures.Rest(target.instance, answer.Rest, now)
+		server.metrics.rests.Inc()
+		server.config.Logger.Info("target asks for rest", zap.String("target", target.id), zap.Duration("rest", answer.Rest), zap.String("id", attempt))
+	}
+}
+
+// observeLimit records the limit that a target names in an answer to a request that was
+// sent at sentAt.
+func (server *Server) observeLimit(target, attempt string, answer Answer, sentAt time.Time) {
+	switch change := server.config.Limits.Observe(target, answer.RequestLimit, sentAt, server.config.Now()).(type) {
+	case limit.LimitNamed:
+		server.config.Logger.Info("target names a limit", zap.String("target", target), zap.Float64("requests-per-second", change.Rate),
+			zap.Int("share", change.Share), zap.String("id", attempt))
+	case limit.LimitEnded:
+		server.config.Logger.Info("target names no limit any more", zap.String("target", target), zap.String("id", attempt))
+	}
+}
--- a/forward/limits_test.go
+++ b/forward/observe_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -51,3 +52,46 @@
 	}
 	require.Equal(test, limitedShare+1, limited.count())
 }
+
+// Guards against requests to a runner that has asked for rest, by retries, over new
+// connections or because all others rest as well, and against a refusal that is late or says
+// to come back before the rest has ended.
+func TestRestingRunnerGetsNoRequests(test *testing.T) {
+	const rest = 600 * time.Millisecond
+	resting := answers(503, "Refused: 1\r\nRest: 600ms\r\n", "")
+	first, second := newTarget(test, "r1", resting), newTarget(test, "r2", resting)
+	free := newTarget(test, "r3", answers(200, "Seal: s\r\n", "ok"))
+	node := newNode(test, tableFixture{once: []*target{first, second, free}, idempotent: []*target{first, second}, attempts: 3})
+	began := time.Now()
+	for range 30 {
+		require.Equal(test, 200, node.request(test, http.MethodPost, "/once/1", "x").status)
+	}
+	require.LessOrEqual(test, first.count()+second.count(), 2)
+	node.request(test, http.MethodGet, "/idempotent/1", "")
+	seen := first.count() + second.count()
+	require.Equal(test, 2, seen)
+	got := node.request(test, http.MethodGet, "/idempotent/1", "")
+	require.Equal(test, http.StatusServiceUnavailable, got.status)
+	retryAfter, err := time.ParseDuration(got.header.Get("Retry-After") + "s")
+	require.NoError(test, err)
+	require.GreaterOrEqual(test, time.Since(began)+retryAfter, rest)
+	require.Equal(test, seen, first.count()+second.count())
+	require.Eventually(test, func() bool {
+		node.request(test, http.MethodGet, "/idempotent/1", "")
+		return first.count()+second.count() > seen
+	}, waitTimeout, waitTick, "the rest does not end")
+	require.GreaterOrEqual(test, time.Since(began), rest)
+}
+
+// Guards against a node that sends requests of others to a target that has asked this node
+// for rest.
+func TestRestingRunnerGetsNoRequestsOfOtherNodes(test *testing.T) {
+	resting := newTarget(test, "r1", answers(503, "Refused: 1\r\nRest: 1h\r\n", ""))
+	other := newNode(test, tableFixture{once: []*target{resting}})
+	for _, name := range []string{"first", "second"} {
+		cut := newNode(test, tableFixture{once: []*target{closedTarget(test, "r1")}})
+		cut.connect(test, other)
+		require.Equal(test, http.StatusServiceUnavailable, cut.request(test, http.MethodPost, "/once/1", "x").status, name)
+	}
+	require.Equal(test, 1, resting.count())
+}
--- a/forward/relay_server.go
+++ b/forward/relay_server.go
@@ -36,8 +36,7 @@
 	message  relayedCall
 	deadline time.Time
 
-	// name is the target's in the tracker. attempt is the caller's.
-	name    string
+	target  observedTarget
 	attempt string
 }
 
@@ -122,12 +121,12 @@
 	now := relayed.server.config.Now()
 	if message.Group != "" {
 		target, found := table.Group(message.Group)
-		relayed.name = target.Name
+		relayed.target = observedTarget{name: target.Name, id: target.VM, instance: target.Instance()}
 		return target.Address, found && target.VM == message.Target && target.Epoch == message.Epoch && target.Usable(now)
 	}
 	for _, target := range table.Services(message.Service) {
 		if target.ID() == message.Target {
-			relayed.name = target.ID()
+			relayed.target = observedTarget{name: target.ID(), id: target.ID(), instance: target.Instance()}
 			return target.Address, target.Open
 		}
 	}
@@ -162,10 +161,14 @@
 	server, target := relayed.server, relayed.message.Target
 	ctx, cancel := context.WithTimeout(relayed.request.Context(), relayed.remaining())
 	defer cancel()
-	ended := server.tracker.Start(relayed.name, server.config.Now())
+	ended := server.tracker.Start(relayed.target.name, server.config.Now())
 	defer func() { ended(server.config.Now()) }()
 	sentAt := server.config.Now()
 	response, err := server.client.do(ctx, relayed.newCall(address), relayed.remaining())
+	if errors.Is(err, errClosed) || errors.Is(err, errOutOfTime) {
+		relayed.report(relayClosed, err)
+		return
+	}
 	if err != nil && !maySent(err) {
 		if ctx.Err() == nil {
 			server.unreached(target, false)
@@ -179,8 +182,7 @@
 	}
 	server.answered(target, response.conn.opened)
 	answer := server.config.Codec.ParseAnswer(response.http.StatusCode, response.http.Header)
-	server.observeLoad(relayed.name, answer)
-	server.observeLimit(target, relayed.attempt, response.http, answer, sentAt)
+	server.observeAnswer(relayed.target, relayed.attempt, response.http, answer, sentAt)
 	relayed.passOn(ctx, address, response)
 }
 
@@ -197,6 +199,9 @@
 			if values.Deadline <= 0 {
 				return nil, errOutOfTime
 			}
+			if _, closed := relayed.server.closures.Closed(relayed.target.instance, relayed.server.config.Now()); closed {
+				return nil, errClosed
+			}
 			header := relayed.server.config.Codec.Outgoing(message.Header, values)
 			return requestMessage(message.Method, message.URI, message.Host, header, message.Body), nil
 		},
--- a/forward/runner.go
+++ b/forward/runner.go
@@ -33,7 +33,7 @@
 			}, found
 		},
 		noTargetReason: func() string { return "no runner has a place" },
-		giveUp:         func(reason string) { exchange.giveUp(reason, runnerRetryAfter) },
+		giveUp:         func(reason string) { exchange.giveUp(reason, exchange.restEndsIn()+runnerRetryAfter) },
 	})
 }
 
@@ -44,7 +44,7 @@
 	table := server.config.Publisher.Current()
 	for {
 		now := server.config.Now()
-		target, found := server.picker.PickService(table, exchange.service.Name, exchange.excludeFull(excluded, table, now), now)
+		target, found := server.picker.PickService(table, exchange.service.Name, exchange.unavailable(excluded, table, now), now)
 		if !found {
 			return route.ServiceTarget{}, false
 		}
@@ -69,7 +69,7 @@
 	attempt := server.config.Quarantine.Begin(life, exchange.parts, exchange.admission, func() { cancel(errQuarantined) })
 	defer attempt.Close()
 	sentAt := server.config.Now()
-	to := destination{id: target.ID(), address: target.Address}
+	to := destination{id: target.ID(), instance: target.Instance(), address: target.Address}
 	if exchange.route.Repeatable() && len(exchange.attempts)+1 < exchange.route.MaxAttempts {
 		to.cancel = cancel
 	}
@@ -80,8 +80,7 @@
 	}
 	exchange.recordAttempt(target.Name)
 	answer := server.config.Codec.ParseAnswer(response.http.StatusCode, response.http.Header)
-	server.observeLoad(target.Name, answer)
-	server.observeLimit(target.ID(), exchange.caller.Attempt, response.http, answer, sentAt)
+	server.observeAnswer(observedTarget{name: target.Name, id: target.ID(), instance: target.Instance()}, exchange.caller.Attempt, response.http, answer, sentAt)
 	if answer.Refused {
 		response.discard()
 		server.suspects.Failed(target.Name, server.config.Now())
@@ -128,13 +127,6 @@
 	return answer.Sealed || response.StatusCode >= http.StatusMultipleChoices
 }
 
-func (server *Server) observeLoad(target string, answer Answer) {
-	if answer.Load == nil {
-		return
-	}
-	server.tracker.Observe(target, answer.Load.Load, server.config.Now())
-}
-
 // recordAttempt records an attempt whose request the target may have received.
 // It may be called more than once for an attempt: the next attempt goes to
 // another target, so a repeated name belongs to the same attempt.
@@ -166,7 +158,7 @@
 // classifyFailure returns the result of an attempt that ended without a complete
 // response.
 func (exchange *exchange) classifyFailure(target string, err error) attemptResult {
-	if exchange.request.Context().Err() == nil && !errors.Is(err, errNoPath) && !errors.Is(err, errOutOfTime) {
+	if exchange.request.Context().Err() == nil && !errors.Is(err, errNoPath) && !errors.Is(err, errOutOfTime) && !errors.Is(err, errClosed) {
 		exchange.server.suspects.Failed(target, exchange.server.config.Now())
 	}
 	exchange.server.config.Logger.Info("attempt failed",
--- a/forward/send.go
+++ b/forward/send.go
@@ -29,11 +29,15 @@
 // exchange.mayStillRun.
 var errOutOfTime = errors.New("the time is over, or the key is not known to be valid")
 
+// errClosed is returned for a target that takes no requests of this node now.
+var errClosed = errors.New("the target takes no requests of this node now")
+
 // A destination is the target of one attempt.
 type destination struct {
-	// id is the name of the VM or of the runner.
-	id      string
-	address string
+	// id is the name of the VM or of the runner, instance its incarnation.
+	id       string
+	instance string
+	address  string
 
 	// group and epoch are empty for a runner of a plain service.
 	group string
@@ -127,7 +131,7 @@
 	}
 	call.end()
 	switch {
-	case exchange.request.Context().Err() != nil || errors.Is(err, errOutOfTime):
+	case exchange.request.Context().Err() != nil || errors.Is(err, errOutOfTime), errors.Is(err, errClosed):
 	case !maySent(err):
 		exchange.throughNodes = true
 		server.unreached(to.id, false)
@@ -165,6 +169,9 @@
 	if !exchange.mayStillRun() {
 		return nil, errOutOfTime
 	}
+	if _, closed := exchange.server.closures.Closed(to.instance, exchange.server.config.Now()); closed {
+		return nil, errClosed
+	}
 	return exchange.server.config.Codec.Outgoing(exchange.request.Header, exchange.outgoingValues(to)), nil
 }
 
@@ -211,7 +218,7 @@
 			return response, nil
 		}
 		ended(server.config.Now())
-		if ctx.Err() != nil || maySent(err) || outcome == relayUnreached || outcome == relayClosed || errors.Is(err, errOutOfTime) {
+		if ctx.Err() != nil || maySent(err) || outcome == relayUnreached || outcome == relayClosed || errors.Is(err, errOutOfTime) || errors.Is(err, errClosed) {
 			return nil, err
 		}
 		server.nodes.failed(node.Name, server.config.Now())
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -114,7 +114,7 @@
 		changed := server.config.Publisher.Changed()
 		now := server.config.Now()
 		table := server.config.Publisher.Current()
-		unavailable := exchange.excludeFull(excluded, table, now)
+		unavailable := exchange.unavailable(excluded, table, now)
 		target, found := server.picker.PickGroup(table, route.GroupRequest{Spec: exchange.caller.Model, Excluded: unavailable}, now)
 		if found && !delivery.headerSent && !exchange.meetsObjective(target, now) {
 			target, found = exchange.earliestGroup(table, unavailable, now)
@@ -176,13 +176,16 @@
 func (exchange *exchange) noGroupReason() string {
 	server := exchange.server
 	now := server.config.Now()
-	usable, avoided, full := 0, 0, 0
+	usable, avoided, full, resting := 0, 0, 0, 0
 	earliest := time.Duration(0)
 	for _, target := range server.config.Publisher.Current().Groups(exchange.caller.Model) {
 		first := exchange.predictFirstEvent(target, now)
+		_, closed := server.closures.Closed(target.Instance(), now)
 		switch {
 		case !target.Usable(now):
 			continue
+		case closed:
+			resting++
 		case server.suspects.Avoided(target.Name, now):
 			avoided++
 		case server.config.Limits.Full(target.VM, now):
@@ -192,8 +195,8 @@
 		}
 		usable++
 	}
-	return fmt.Sprintf("no group has a place: %d serve, %d of them avoided, %d at their limit, earliest first event in %v for an objective of %v",
-		usable, avoided, full, earliest.Round(time.Millisecond), server.objective(exchange.caller.Model, exchange.route.Objective))
+	return fmt.Sprintf("no group has a place: %d serve, %d of them avoided, %d at their limit, %d resting, earliest first event in %v for an objective of %v",
+		usable, avoided, full, resting, earliest.Round(time.Millisecond), server.objective(exchange.caller.Model, exchange.route.Objective))
 }
 
 // pace returns the speed of the engine for the request's model.
@@ -229,7 +232,7 @@
 	delivery.attempt = server.config.Quarantine.Begin(life, exchange.parts, exchange.admission, func() { cancel(errQuarantined) })
 	defer delivery.attempt.Close()
 	last := exchange.isLastAttempt()
-	to := destination{id: target.VM, address: target.Address, group: target.Name, epoch: target.Epoch, resumeAfter: delivery.lastEventID}
+	to := destination{id: target.VM, instance: target.Instance(), address: target.Address, group: target.Name, epoch: target.Epoch, resumeAfter: delivery.lastEventID}
 	if !last {
 		to.cancel = cancel
 	}
@@ -258,8 +261,7 @@
 	}
 	exchange.recordAttempt(target.Name)
 	answer := server.config.Codec.ParseAnswer(response.http.StatusCode, response.http.Header)
-	server.observeLoad(target.Name, answer)
-	server.observeLimit(target.VM, exchange.caller.Attempt, response.http, answer, sentAt)
+	server.observeAnswer(observedTarget{name: target.Name, id: target.VM, instance: target.Instance()}, exchange.caller.Attempt, response.http, answer, sentAt)
 	switch {
 	case answer.Refused:
 		response.discard()
@@ -399,7 +401,8 @@
 // that the caller does not take it for complete.
 func (delivery *delivery) giveUp(reason string) {
 	if !delivery.headerSent {
-		delivery.exchange.giveUp(reason, limit.RetryDelay(delivery.exchange.remaining(), delivery.exchange.server.randomFraction()))
+		delay := limit.RetryDelay(delivery.exchange.remaining(), delivery.exchange.server.randomFraction())
+		delivery.exchange.giveUp(reason, delivery.exchange.restEndsIn()+delay)
 		return
 	}
 	delivery.exchange.log("cut", http.StatusOK, reason)
--- a/route/table.go
+++ b/route/table.go
@@ -19,8 +19,9 @@
 	Spec  string
 	Epoch uint64
 
-	// VM is the name of rank 0's VM.
-	VM string
+	// VM is the name of rank 0's VM, and Incarnation the incarnation that was placed.
+	VM          string
+	Incarnation string
 
 	// Address is the IP:port of rank 0.
 	Address       string
@@ -43,6 +44,9 @@
 	return target.VM + "/" + target.Name + "/" + strconv.FormatUint(target.Epoch, 10)
 }
 
+// Instance identifies one incarnation of rank 0's VM.
+func (target GroupTarget) Instance() string { return target.VM + "/" + target.Incarnation }
+
 // LoadReportedAt returns the time at which the load was reported, zero if the
 // reports contain no load.
 func (target GroupTarget) LoadReportedAt() time.Time {
@@ -59,6 +63,7 @@
 	// Name identifies the runner. It is empty if the runner is identified by its
 	// address only.
 	Name          string
+	Incarnation   string
 	Address       string
 	FailureDomain string
 
@@ -80,6 +85,9 @@
 	return target.Address
 }
 
+// Instance identifies one incarnation of the runner.
+func (target ServiceTarget) Instance() string { return target.ID() + "/" + target.Incarnation }
+
 // TableConfig holds the content of a Table.
 type TableConfig struct {
 	// Folder is nil while no configuration has been received.
