Close targets that say in any answer that they leave

Cause: only the entry in the store was read for that. Class of fault: what a target says of itself is read on one of its ways only.

An incarnation of a target that says so in an answer, a refusal, a failure or a trailer is closed at once and for good at the node that has the answer (route.Closures), also for requests that wait, are retried or come from other nodes. The control thread records it as draining, from answers to requests, probes, questions for the order count and orders, so that the leader replaces the member. An answer of another target at the address (421), or to another request, closes nothing.

--- a/cmd/lacewingspoke/module.go
+++ b/cmd/lacewingspoke/module.go
@@ -280,6 +280,9 @@
 // that they report, see SetUsage.
 func (traffic entryTraffic) SetNodes([]fleet.Node) {}
 
+// TakeLeaving returns nothing: targets of nodes without a feed report that they leave.
+func (traffic entryTraffic) TakeLeaving() []route.LeavingTarget { return nil }
+
 // TargetsLost returns false: nodes without a feed have no other way to their targets.
 func (traffic entryTraffic) TargetsLost() bool { return false }
 
--- a/control/control.go
+++ b/control/control.go
@@ -108,6 +108,10 @@
 	// call.
 	StalledGroups() []string
 
+	// TakeLeaving returns the targets that said in answers to requests that they leave,
+	// since the last call.
+	TakeLeaving() []route.LeavingTarget
+
 	// TargetsLost reports whether requests have found that this node does not reach the
 	// targets of a service.
 	TargetsLost() bool
--- a/control/detached.go
+++ b/control/detached.go
@@ -166,6 +166,7 @@
 // handleDomainProbed ends or begins the time in which this node does not reach a fabric
 // domain.
 func (state *state) handleDomainProbed(now time.Time, result domainProbed) {
+	state.recordLeavingAnswers(now, result.answers)
 	if round, found := state.feed.ledChecks[result.domain]; found {
 		round.running = false
 	}
--- a/control/drain.go
+++ b/control/drain.go
@@ -73,6 +73,32 @@
 	}
 }
 
+// recordLeaving records that a target of the feed has said in an answer that it leaves.
+func (state *state) recordLeaving(now time.Time, target, incarnation string) {
+	if state.isDraining(target, incarnation) {
+		return
+	}
+	state.markDraining(now, peer.Leaving{Target: target, Incarnation: incarnation, Author: platformAuthor, Reason: "the target says so in its answers"}, "")
+	state.applyTargets(now)
+}
+
+// recordLeavingAnswers records the targets that have said in answers to probes that they
+// leave.
+func (state *state) recordLeavingAnswers(now time.Time, answers []probeAnswer) {
+	for _, answer := range answers {
+		if answer.responded && answer.report.Leaving {
+			state.recordLeaving(now, answer.vm, state.vms[answer.vm].Incarnation)
+		}
+	}
+}
+
+// recordLeavingTargets records the targets that have said so in answers to requests.
+func (state *state) recordLeavingTargets(now time.Time) {
+	for _, leaving := range state.config.Traffic.TakeLeaving() {
+		state.recordLeaving(now, leaving.Target, leaving.Incarnation)
+	}
+}
+
 // invalidateTargets discards the cached targets of all fabric domains, so that
 // the next table reflects a change of the draining targets.
 func (state *state) invalidateTargets() {
--- a/control/harness_test.go
+++ b/control/harness_test.go
@@ -123,12 +123,13 @@
 
 type traffic struct{}
 
-func (traffic) Usage() []peer.WorkspaceUsage { return nil }
-func (traffic) SetUsage([]peer.Usage)        {}
-func (traffic) RequestReceived() bool        { return true }
-func (traffic) StalledGroups() []string      { return nil }
-func (traffic) SetNodes([]fleet.Node)        {}
-func (traffic) TargetsLost() bool            { return false }
+func (traffic) Usage() []peer.WorkspaceUsage       { return nil }
+func (traffic) SetUsage([]peer.Usage)              {}
+func (traffic) RequestReceived() bool              { return true }
+func (traffic) StalledGroups() []string            { return nil }
+func (traffic) SetNodes([]fleet.Node)              {}
+func (traffic) TargetsLost() bool                  { return false }
+func (traffic) TakeLeaving() []route.LeavingTarget { return nil }
 
 // A filter is a mesh that can drop the grants received from one peer.
 type filter struct {
--- a/control/lapsed.go
+++ b/control/lapsed.go
@@ -44,6 +44,7 @@
 // announcement it may be leaving.
 func (state *state) handleLapsedResult(now time.Time, result lapsedResult) {
 	state.feed.lapsedProbes.running = false
+	state.recordLeavingAnswers(now, result.answers)
 	changed := false
 	for _, answer := range result.answers {
 		held := answer.responded && answer.report.Group != "" && answer.report.Rank > 0
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -121,6 +121,9 @@
 
 func (state *state) handleGroupResult(now time.Time, result groupResult) {
 	state.feed.orders.record(result.orderCount)
+	if result.orderCount.leaving {
+		state.recordLeaving(now, result.orderCount.vm, result.orderCount.incarnation)
+	}
 	leadership, found := state.leaderships[result.domain]
 	if !found || leadership.term != result.term {
 		return
@@ -301,6 +304,7 @@
 		return false
 	}
 	state.logger.Info("read the order count of an engine", zap.String("vm", count.vm), zap.Uint64("count", report.Sequence), zap.Uint64("assumed", count.begun))
+	count.leaving = report.Leaving
 	count.begun = report.Sequence
 	count.known = true
 	return true
--- a/control/loop.go
+++ b/control/loop.go
@@ -258,6 +258,7 @@
 	if state.feeding() {
 		state.probeStalledGroups(now)
 		state.checkDetached(now)
+		state.recordLeavingTargets(now)
 	}
 	for _, leadership := range state.leaderships {
 		state.handleGroup(now, leadership, group.Tick{})
--- a/control/orders.go
+++ b/control/orders.go
@@ -9,12 +9,16 @@
 	incarnation string
 	begun       uint64
 
+	// leaving is true if the engine said in an answer that it leaves.
+	leaving bool
+
 	// known is false if begun may differ from the count of the engine.
 	known bool
 }
 
 // apply updates the count with the outcome of an order that was sent with it.
 func (count *orderCount) apply(outcome engine.OrderOutcome) {
+	count.leaving = count.leaving || engine.SaysLeaving(outcome)
 	switch outcome := outcome.(type) {
 	case engine.OrderAccepted:
 		if outcome.Begun {
--- a/control/probe.go
+++ b/control/probe.go
@@ -37,6 +37,9 @@
 	// that responded to another node only.
 	unresponsive []string
 	byOthers     []string
+
+	// answers are those of the members that responded.
+	answers []probeAnswer
 }
 
 func (probeResult) message() {}
@@ -159,6 +162,7 @@
 		for _, probed := range state.probeAll(ctx, targets, asked) {
 			switch {
 			case probed.responded:
+				result.answers = append(result.answers, probed)
 			case probed.byOthers:
 				result.byOthers = append(result.byOthers, probed.vm)
 			default:
@@ -268,6 +272,7 @@
 // handleRecheckResult treats the targets that responded as live again.
 func (state *state) handleRecheckResult(now time.Time, result recheckResult) {
 	state.feed.rechecks.running = false
+	state.recordLeavingAnswers(now, result.answers)
 	recovered := false
 	for _, answer := range result.answers {
 		if !answer.responded {
@@ -285,6 +290,7 @@
 // handleProbeResult treats the members that did not respond as lost until their next
 // announcement. If another node reaches any of them, this node cannot tell.
 func (state *state) handleProbeResult(now time.Time, result probeResult) {
+	state.recordLeavingAnswers(now, result.answers)
 	if len(result.byOthers) > 0 {
 		state.detach(now, result.domain, result.byOthers)
 		return
--- a/control/target.go
+++ b/control/target.go
@@ -60,7 +60,9 @@
 			continue
 		}
 		if target.VM.FabricDomain == "" {
-			state.feed.runners = append(state.feed.runners, runnerOf(target))
+			runner := runnerOf(target)
+			runner.Open = runner.Open && !state.isDraining(target.VM.Name, target.VM.Incarnation)
+			state.feed.runners = append(state.feed.runners, runner)
 			continue
 		}
 		if state.feed.directory.Held(target.VM.Name) {
--- a/engine/control.go
+++ b/engine/control.go
@@ -54,22 +54,45 @@
 	// Begun is true when an engine that counts its orders has started this
 	// one. It is false when the order required no action.
 	Begun bool
+
+	// Leaving is true if the engine says that it leaves, here and below.
+	Leaving bool
 }
 
 // OrderFenced means that the engine refused the order because it has received
 // a higher fencing number, Fence.
-type OrderFenced struct{ Fence uint64 }
+type OrderFenced struct {
+	Fence   uint64
+	Leaving bool
+}
 
 // OrderExpired means that the engine refused the order because it had expired.
 type OrderExpired struct{}
 
 // OrderRefused means that the engine did not accept the order: the engine
 // responded that it is over its limits, or no byte of the order was sent.
-type OrderRefused struct{ Err error }
+type OrderRefused struct {
+	Err     error
+	Leaving bool
+}
 
 // OrderUnknown means that the engine may or may not have accepted the order.
 type OrderUnknown struct{ Err error }
 
+// SaysLeaving reports whether the engine said with the outcome that it leaves.
+func SaysLeaving(outcome OrderOutcome) bool {
+	switch outcome := outcome.(type) {
+	case OrderAccepted:
+		return outcome.Leaving
+	case OrderFenced:
+		return outcome.Leaving
+	case OrderRefused:
+		return outcome.Leaving
+	default:
+		return false
+	}
+}
+
 func (OrderAccepted) orderOutcome() {}
 func (OrderFenced) orderOutcome()   {}
 func (OrderExpired) orderOutcome()  {}
@@ -229,5 +252,5 @@
 	if err := json.Unmarshal(body, &message); err != nil {
 		return OrderRefused{Err: errors.NewNotValid(err, "decode refusal of order by fencing number")}
 	}
-	return OrderFenced(message)
+	return OrderFenced{Fence: message.Fence}
 }
--- a/engine/message.go
+++ b/engine/message.go
@@ -17,7 +17,11 @@
 	Running     int    `json:"running"`
 	Queued      int    `json:"queued"`
 	FreeCache   int    `json:"free-cache"`
-	AgeMillis   int64  `json:"age-ms"`
+
+	// Leaving is true if the engine said with the report that it leaves. The protocol of
+	// package engine has no such word.
+	Leaving   bool  `json:"-"`
+	AgeMillis int64 `json:"age-ms"`
 
 	// Staged lists the models whose weights are preloaded on the VM's host.
 	Staged []string `json:"staged,omitempty"`
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -127,6 +127,9 @@
 	// not say so.
 	Rest time.Duration
 
+	// Leaving is true if the target says that it leaves.
+	Leaving bool
+
 	// Load is nil if the response does not report it.
 	Load *Load
 }
@@ -241,6 +244,10 @@
 	// been used for it.
 	objectives map[string]time.Duration
 
+	// leaving contains the targets that said that they leave since the last call of
+	// TakeLeaving.
+	leaving []route.LeavingTarget
+
 	// stalled contains the groups whose streams have stalled since the last call
 	// of StalledGroups.
 	stalled map[string]bool
@@ -374,6 +381,15 @@
 	}
 }
 
+// TakeLeaving returns the targets that said that they leave since the last call.
+func (server *Server) TakeLeaving() []route.LeavingTarget {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	leaving := server.leaving
+	server.leaving = nil
+	return leaving
+}
+
 // recordSilent records that the VM that serves a group is silent towards this node.
 func (server *Server) recordSilent(name string) {
 	if target, found := server.config.Publisher.Current().Group(name); found {
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -53,6 +53,7 @@
 	rest, _ := time.ParseDuration(header.Get("Rest"))
 	return forward.Answer{
 		Rest:         rest,
+		Leaving:      header.Get("Leaving") != "",
 		RequestLimit: limit, Attempt: header.Get("Id"), Refused: header.Get("Refused") != "", Sealed: header.Get("Seal") != "", Foreign: header.Get("Foreign") != "",
 	}
 }
--- a/forward/observe.go
+++ b/forward/observe.go
@@ -56,6 +56,9 @@
 	shortest := time.Duration(0)
 	for _, instance := range instances {
 		remaining, closed := server.closures.Closed(instance, now)
+		if server.closures.Leaving(instance) {
+			continue
+		}
 		if !closed {
 			return 0
 		}
@@ -68,8 +71,17 @@
 
 // An observedTarget is the target of a response.
 type observedTarget struct {
-	// name is that in the tracker, id that in the limits, and instance the incarnation.
-	name, id, instance string
+	// name is that in the tracker, id that in the limits, and instance identifies the
+	// incarnation.
+	name, id, incarnation, instance string
+}
+
+func observedGroup(target route.GroupTarget) observedTarget {
+	return observedTarget{name: target.Name, id: target.VM, incarnation: target.Incarnation, instance: target.Instance()}
+}
+
+func observedRunner(target route.ServiceTarget) observedTarget {
+	return observedTarget{name: target.ID(), id: target.ID(), incarnation: target.Incarnation, instance: target.Instance()}
 }
 
 // observeAnswer records what a target says of itself in the answer to a request that was
@@ -83,6 +95,7 @@
 		return
 	}
 	server.observeLimit(target.id, attempt, answer, sentAt)
+	server.observeLeaving(target, attempt, answer)
 	if answer.Rest > 0 {
 		server.closures.Rest(target.instance, answer.Rest, now)
 		server.metrics.rests.Inc()
@@ -90,6 +103,22 @@
 	}
 }
 
+// observeLeaving records that a target says in an answer, or in its trailer, that it leaves.
+func (server *Server) observeLeaving(target observedTarget, attempt string, answer Answer) {
+	if !answer.Leaving || !server.closures.Leave(target.instance, server.config.Now()) {
+		return
+	}
+	server.config.Logger.Info("target says that it leaves", zap.String("target", target.id), zap.String("incarnation", target.incarnation), zap.String("id", attempt))
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.leaving = append(server.leaving, route.LeavingTarget{Target: target.id, Incarnation: target.incarnation})
+}
+
+// observeTrailer records what a target says in the trailer of its own answer.
+func (server *Server) observeTrailer(target observedTarget, attempt string, response *http.Response) {
+	server.observeLeaving(target, attempt, server.config.Codec.ParseAnswer(response.StatusCode, response.Trailer))
+}
+
 // observeLimit records the limit that a target names in an answer to a request that was
 // sent at sentAt.
 func (server *Server) observeLimit(target, attempt string, answer Answer, sentAt time.Time) {
--- a/forward/observe_test.go
+++ b/forward/observe_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"lacewingspoke.org/lacewingspoke/route"
 )
 
 // limitedShare is the number of requests that a single node may send in two seconds to a
@@ -95,3 +97,61 @@
 	}
 	require.Equal(test, 1, resting.count())
 }
+
+// Guards against requests to targets that have said in any answer that they leave, and
+// against one that is not passed on to the control thread.
+func TestLeavingTargetsGetNoRequests(test *testing.T) {
+	trailer := func(conn net.Conn, request *http.Request) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nTrailer: Leaving\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nLeaving: 1\r\n\r\n", request.Header.Get("Id"))
+		return true
+	}
+	for name, script := range map[string]func(net.Conn, *http.Request) bool{
+		"answer":  answers(200, "Seal: s\r\nLeaving: 1\r\n", "ok"),
+		"refusal": answers(503, "Refused: 1\r\nLeaving: 1\r\n", ""),
+		"failure": answers(500, "Seal: s\r\nLeaving: 1\r\n", "failed"),
+		"trailer": trailer,
+	} {
+		test.Run(name, func(test *testing.T) {
+			leaving := newTarget(test, "r1", script)
+			node := newNode(test, tableFixture{once: []*target{leaving}})
+			node.request(test, http.MethodPost, "/once/1", "x")
+			require.Equal(test, []route.LeavingTarget{{Target: "r1"}}, node.forward.TakeLeaving())
+			require.Empty(test, node.forward.TakeLeaving())
+			for range 3 {
+				require.Equal(test, http.StatusServiceUnavailable, node.request(test, http.MethodPost, "/once/1", "x").status)
+			}
+			require.Equal(test, 1, leaving.count())
+		})
+	}
+	group := newTarget(test, "g1", func(conn net.Conn, request *http.Request) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nLeaving: 1\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
+			request.Header.Get("Id"), len(event(1)), event(1))
+		return true
+	})
+	node := newNode(test, tableFixture{groups: []*target{group}})
+	require.Equal(test, event(1), node.request(test, http.MethodPost, "/stream/1", "x").body)
+	require.Equal(test, http.StatusServiceUnavailable, node.request(test, http.MethodPost, "/stream/1", "x").status)
+	require.Equal(test, 1, group.count())
+}
+
+// Guards against a target that is closed because of an answer that is not its own: that of
+// another target at its address, or a late one to an earlier request.
+func TestAnswersOfOthersCloseNoTarget(test *testing.T) {
+	for name, script := range map[string]func(net.Conn, *http.Request) bool{
+		"misdirected": answers(http.StatusMisdirectedRequest, "Refused: 1\r\nLeaving: 1\r\nRest: 1h\r\n", ""),
+		"late": func(conn net.Conn, request *http.Request) bool {
+			_, _ = io.WriteString(conn, answerText("a0", 503, "Refused: 1\r\nLeaving: 1\r\nRest: 1h\r\n", ""))
+			return true
+		},
+	} {
+		test.Run(name, func(test *testing.T) {
+			runner := newTarget(test, "r1", script)
+			node := newNode(test, tableFixture{once: []*target{runner}})
+			for range 3 {
+				node.request(test, http.MethodPost, "/once/1", "x")
+			}
+			require.Equal(test, 3, runner.count())
+			require.Empty(test, node.forward.TakeLeaving())
+		})
+	}
+}
--- a/forward/relay_server.go
+++ b/forward/relay_server.go
@@ -121,12 +121,12 @@
 	now := relayed.server.config.Now()
 	if message.Group != "" {
 		target, found := table.Group(message.Group)
-		relayed.target = observedTarget{name: target.Name, id: target.VM, instance: target.Instance()}
+		relayed.target = observedGroup(target)
 		return target.Address, found && target.VM == message.Target && target.Epoch == message.Epoch && target.Usable(now)
 	}
 	for _, target := range table.Services(message.Service) {
 		if target.ID() == message.Target {
-			relayed.target = observedTarget{name: target.ID(), id: target.ID(), instance: target.Instance()}
+			relayed.target = observedRunner(target)
 			return target.Address, target.Open
 		}
 	}
@@ -226,6 +226,7 @@
 		outcome = relayed.brokenOutcome(ctx, address)
 	} else {
 		response.release()
+		relayed.server.observeTrailer(relayed.target, relayed.attempt, response.http)
 	}
 	header.Set(headerRelayEnd, string(outcome))
 	relayed.log(outcome, response.http.StatusCode, err)
--- a/forward/runner.go
+++ b/forward/runner.go
@@ -80,7 +80,8 @@
 	}
 	exchange.recordAttempt(target.Name)
 	answer := server.config.Codec.ParseAnswer(response.http.StatusCode, response.http.Header)
-	server.observeAnswer(observedTarget{name: target.Name, id: target.ID(), instance: target.Instance()}, exchange.caller.Attempt, response.http, answer, sentAt)
+	observed := observedRunner(target)
+	server.observeAnswer(observed, exchange.caller.Attempt, response.http, answer, sentAt)
 	if answer.Refused {
 		response.discard()
 		server.suspects.Failed(target.Name, server.config.Now())
@@ -100,6 +101,7 @@
 		return unknown{reason: "runner " + target.Name + " sent an answer that is not its own"}
 	}
 	response.release()
+	server.observeTrailer(observed, exchange.caller.Attempt, response.http)
 	if exchange.shouldRetryStatus(response.http.StatusCode) {
 		return unknown{reason: "runner " + target.Name + " answered " + response.http.Status}
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -261,7 +261,8 @@
 	}
 	exchange.recordAttempt(target.Name)
 	answer := server.config.Codec.ParseAnswer(response.http.StatusCode, response.http.Header)
-	server.observeAnswer(observedTarget{name: target.Name, id: target.VM, instance: target.Instance()}, exchange.caller.Attempt, response.http, answer, sentAt)
+	observed := observedGroup(target)
+	server.observeAnswer(observed, exchange.caller.Attempt, response.http, answer, sentAt)
 	switch {
 	case answer.Refused:
 		response.discard()
@@ -285,6 +286,7 @@
 		return exchange.classifyFailure(target.Name, failure)
 	}
 	response.release()
+	server.observeTrailer(observed, exchange.caller.Attempt, response.http)
 	delivery.attempt.Completed(server.config.Now())
 	server.suspects.Succeeded(target.Name)
 	exchange.countAttempt("complete")
--- a/route/closures_test.go
+++ b/route/closures_test.go
@@ -29,3 +29,19 @@
 	closures.Retain(map[string]bool{"a/1": true}, now.Add(4*time.Second))
 	require.True(test, closures.Empty())
 }
+
+// Guards against a target that leaves and is used again after it was missing from the
+// targets, or after the end of its rest.
+func TestLeavingTargetStaysClosed(test *testing.T) {
+	closures, now := NewClosures(), time.Unix(1000, 0)
+	closures.Rest("a/1", time.Second, now)
+	require.True(test, closures.Leave("a/1", now))
+	require.False(test, closures.Leave("a/1", now))
+	closures.Retain(nil, now.Add(time.Minute))
+	_, closed := closures.Closed("a/1", now.Add(time.Minute))
+	require.True(test, closed)
+	require.True(test, closures.Leaving("a/1"))
+	require.False(test, closures.Leaving("a/2"))
+	closures.Retain(nil, now.Add(leavingMemory+time.Second))
+	require.True(test, closures.Empty())
+}
