Trust a refusal only if it belongs to the request

Report of another operator, shown here: a faulty target writes an earlier refusal once more, and the caller is told 'not run' for a request that the target runs, or the request runs at a second target (REFUSED, TWICE). Cause: a refusal was believed before its id was compared, unlike every other answer.

A refusal with another id is of an unknown outcome. One without an id is trusted on a connection that has had no other request only: requests that may run once always have such connections, also over another node. Elsewhere: orders to engines carry no id, but a refusal makes the count of orders unknown, which is read again before the next order; the other front door uses each connection to engines and booking services once.

--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -434,3 +435,47 @@
 	<-ended
 	require.Less(test, time.Since(began), waitTimeout)
 }
+
+// staleRefusal writes the refusal of an earlier request, runs the request, and answers it.
+func staleRefusal(ran *atomic.Int32) func(net.Conn, *http.Request) bool {
+	return func(conn net.Conn, request *http.Request) bool {
+		ran.Add(1)
+		_, _ = io.WriteString(conn, answerText("a0", 503, "Refused: 1\r\n", ""))
+		return answer(conn, request, 200, "Seal: s\r\n", "ok")
+	}
+}
+
+// Guards against a request that is reported as not run, or runs at a second runner, because
+// its runner wrote an earlier refusal once more (report of another operator).
+func TestRefusalOfAnotherRequestIsNotTrusted(test *testing.T) {
+	var ran atomic.Int32
+	first, second := newTarget(test, "r1", staleRefusal(&ran)), newTarget(test, "r2", staleRefusal(&ran))
+	node := newNode(test, tableFixture{once: []*target{first, second}, idempotent: []*target{first}})
+	got := node.request(test, http.MethodPost, "/once/1", "plank 7")
+	require.Equal(test, http.StatusBadGateway, got.status)
+	require.Equal(test, int32(1), ran.Load())
+	require.Equal(test, http.StatusBadGateway, node.request(test, http.MethodGet, "/idempotent/1", "").status)
+
+	cut := newNode(test, tableFixture{once: []*target{closedTarget(test, "r1"), closedTarget(test, "r2")}})
+	cut.connect(test, node)
+	ran.Store(0)
+	require.Equal(test, http.StatusBadGateway, cut.request(test, http.MethodPost, "/once/1", "plank 7").status)
+	require.Equal(test, int32(1), ran.Load(), "through another node")
+}
+
+// Guards against the same with a refusal that names no request, on a connection in use
+// again. On a new connection it can only belong to the request.
+func TestRefusalWithoutIDIsTrustedOnNewConnections(test *testing.T) {
+	var connections atomic.Int32
+	runner := newTarget(test, "r1", func(conn net.Conn, request *http.Request) bool {
+		if connections.Add(1) == 1 {
+			return answer(conn, request, 200, "Seal: s\r\n", "ok")
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 503 Status\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	node := newNode(test, tableFixture{once: []*target{runner}, idempotent: []*target{runner}})
+	require.Equal(test, 200, node.request(test, http.MethodGet, "/idempotent/1", "").status)
+	require.Equal(test, http.StatusBadGateway, node.request(test, http.MethodGet, "/idempotent/1", "").status)
+	require.Equal(test, http.StatusServiceUnavailable, node.request(test, http.MethodPost, "/once/1", "x").status)
+}
--- a/forward/runner.go
+++ b/forward/runner.go
@@ -82,6 +82,10 @@
 	answer := server.config.Codec.ParseAnswer(response.http.StatusCode, response.http.Header)
 	observed := observedRunner(target)
 	server.observeAnswer(observed, exchange.caller.Attempt, response.http, answer, sentAt)
+	if answer.Refused && !exchange.isOwnRefusal(response, answer) {
+		response.discard()
+		return unknown{reason: "runner " + target.Name + " sent a refusal that is not its own"}
+	}
 	if answer.Refused {
 		response.discard()
 		server.suspects.Failed(target.Name, server.config.Now())
@@ -129,6 +133,17 @@
 	return answer.Sealed || response.StatusCode >= http.StatusMultipleChoices
 }
 
+// isOwnRefusal reports whether a refusal belongs to this request. A target in trouble may
+// write an earlier one once more, while it runs the request: only one with the request's id
+// is trusted, or one without an id if the connection has had no other request.
+func (exchange *exchange) isOwnRefusal(response *response, answer Answer) bool {
+	if answer.Attempt != "" {
+		return answer.Attempt == exchange.caller.Attempt
+	}
+	// Requests that may run once have new connections also between the nodes.
+	return !exchange.route.Repeatable() || !response.relayed && response.conn.opened
+}
+
 // recordAttempt records an attempt whose request the target may have received.
 // It may be called more than once for an attempt: the next attempt goes to
 // another target, so a repeated name belongs to the same attempt.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -264,6 +264,9 @@
 	observed := observedGroup(target)
 	server.observeAnswer(observed, exchange.caller.Attempt, response.http, answer, sentAt)
 	switch {
+	case answer.Refused && !exchange.isOwnRefusal(response, answer):
+		response.discard()
+		return unknown{reason: "group " + target.Name + " sent a refusal that is not its own"}
 	case answer.Refused:
 		response.discard()
 		server.suspects.Failed(target.Name, server.config.Now())
