Go on with a stream only with what follows its last event

Report of another operator, shown here in part: a stream had begun and broke off, and the caller found something else in the middle of it, or it ended as complete. An error status never was passed on, nor an answer without a seal.

--- a/forward/event.go
+++ b/forward/event.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"strconv"
 
 	"github.com/juju/errors"
 )
@@ -16,6 +17,24 @@
 type event struct {
 	id    string
 	bytes []byte
+
+	// comment is true if the event has no field.
+	comment bool
+}
+
+// follows reports whether the event may come after the one with the id last: ids increase,
+// and a stream that has them has them in all events. Ids that are not numbers are not
+// compared.
+func (received event) follows(last string) bool {
+	if last == "" || received.comment {
+		return true
+	}
+	if received.id == "" {
+		return false
+	}
+	number, err := strconv.ParseUint(received.id, 10, 64)
+	lastNumber, lastErr := strconv.ParseUint(last, 10, 64)
+	return err != nil || lastErr != nil || number > lastNumber
 }
 
 // An eventReader splits a stream into complete events.
@@ -31,7 +50,7 @@
 // next returns the next complete event. It returns io.EOF if the stream ends
 // after a complete event, and errPartial if it ends inside one.
 func (events *eventReader) next() (event, error) {
-	var current event
+	current := event{comment: true}
 	for {
 		line, err := events.reader.ReadBytes('\n')
 		current.bytes = append(current.bytes, line...)
@@ -48,6 +67,7 @@
 		if len(text) == 0 {
 			return current, nil
 		}
+		current.comment = current.comment && text[0] == ':'
 		if id, found := bytes.CutPrefix(text, []byte("id:")); found {
 			current.id = string(bytes.TrimSpace(id))
 		}
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -479,3 +479,55 @@
 	require.Equal(test, http.StatusBadGateway, node.request(test, http.MethodGet, "/idempotent/1", "").status)
 	require.Equal(test, http.StatusServiceUnavailable, node.request(test, http.MethodPost, "/once/1", "x").status)
 }
+
+// Guards against the text or the head of an error in the middle of a stream, and against a
+// stream that ends as complete, when the group at which it should go on answers with an
+// error (report of another operator), or does not go on at the last event.
+func TestStreamDoesNotGoOnWithAnError(test *testing.T) {
+	fail := func(text string) func(net.Conn, *http.Request) bool {
+		return func(conn net.Conn, request *http.Request) bool {
+			_, _ = io.WriteString(conn, strings.ReplaceAll(text, "ID", request.Header.Get("Id")))
+			return false
+		}
+	}
+	const head = "Id: ID\r\nSeal: s\r\n"
+	for name, script := range map[string]func(net.Conn, *http.Request) bool{
+		"failure":               fail("HTTP/1.1 500 Status\r\n" + head + "Content-Length: 13\r\n\r\ndata: oops\n\n\n"),
+		"failure, to end":       fail("HTTP/1.1 500 Status\r\n" + head + "Content-Type: text/event-stream\r\n\r\nid: 3\ndata: oops\n\n"),
+		"client error":          fail("HTTP/1.1 400 Status\r\n" + head + "Content-Length: 4\r\n\r\noops"),
+		"refusal":               fail("HTTP/1.1 503 Status\r\nId: ID\r\nRefused: 1\r\nContent-Length: 4\r\n\r\noops"),
+		"success, no seal":      fail("HTTP/1.1 200 OK\r\nId: ID\r\nContent-Type: text/event-stream\r\n\r\nid: 3\ndata: oops\n\n"),
+		"success, not a stream": fail("HTTP/1.1 200 OK\r\n" + head + "Content-Type: application/json\r\nContent-Length: 19\r\n\r\n{\"error\": \"oops\"}\n\n"),
+		"no content":            fail("HTTP/1.1 204 Status\r\n" + head + "\r\n"),
+		"no answer":             fail("oops\r\n\r\n"),
+		"head in the body":      fail("HTTP/1.1 200 OK\r\n" + head + "Content-Type: text/event-stream\r\n\r\nHTTP/1.1 500 oops\r\nData: oops\r\n\r\n"),
+		"begins anew":           streams(5, "0\r\n\r\n"),
+	} {
+		test.Run(name, func(test *testing.T) {
+			first := newTarget(test, "g1", func(conn net.Conn, request *http.Request) bool {
+				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Id"))
+				for index := 1; index <= 2; index++ {
+					fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event(index)), event(index))
+				}
+				return false
+			})
+			second := newTarget(test, "g2", func(conn net.Conn, request *http.Request) bool {
+				if name == "begins anew" {
+					request.Header.Set("After", "0")
+				}
+				return script(conn, request)
+			})
+			node := newNode(test, tableFixture{groups: []*target{first, second}})
+			for range 6 {
+				began := first.count()
+				got := node.request(test, http.MethodPost, "/stream/1", "prompt")
+				if first.count() > began && strings.HasPrefix(got.body, event(1)) {
+					require.Error(test, got.err, "the stream ended as complete: %q", got.body)
+					require.Equal(test, events(2), got.body)
+				}
+			}
+			require.Positive(test, first.count())
+			require.Positive(test, second.count())
+		})
+	}
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -45,8 +46,10 @@
 type delivery struct {
 	exchange *exchange
 
-	// headerSent is true once the response header has been sent to the caller.
-	headerSent bool
+	// headerSent is true once the response header has been sent to the caller. contentType
+	// is the type in it.
+	headerSent  bool
+	contentType string
 
 	// lastEventID is the id of the last event that was delivered.
 	lastEventID string
@@ -331,10 +334,23 @@
 // errCallerNotReading is returned if a write to the caller fails.
 var errCallerNotReading = errors.New("caller does not read")
 
+// errNotTheStream is returned for an answer that does not go on with the stream after its
+// last event.
+var errNotTheStream = errors.New("answer does not go on with the stream")
+
+// mediaType returns the type of an answer's body without parameters.
+func mediaType(answer *http.Response) string {
+	name, _, _ := strings.Cut(answer.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // forwardEvents sends the events of one attempt to the caller. Each event must
 // arrive within timeout, the first one within firstTimeout. It returns nil at the
 // end of a complete stream, and errCallerNotReading if the caller does not read.
 func (delivery *delivery) forwardEvents(response *response, target string, stream *route.MonitoredStream, firstTimeout, timeout time.Duration) error {
+	if delivery.headerSent && mediaType(response.http) != delivery.contentType {
+		return errNotTheStream
+	}
 	events := newEventReader(response.http.Body)
 	for limit := firstTimeout; ; limit = timeout {
 		if err := response.setTimeout(limit); err != nil {
@@ -348,6 +364,9 @@
 		if err != nil {
 			return errors.Annotate(response.cause(err), "read stream event")
 		}
+		if !received.follows(delivery.lastEventID) {
+			return errNotTheStream
+		}
 		delivery.recordEvent(target, stream)
 		if err := delivery.write(response.http, received, !events.buffered()); err != nil {
 			return err
@@ -387,6 +406,7 @@
 		return
 	}
 	delivery.headerSent = true
+	delivery.contentType = mediaType(answer)
 	exchange := delivery.exchange
 	exchange.copyHeader(answer)
 	exchange.writer.WriteHeader(answer.StatusCode)
