Take no member for missing because its leader was paused

A leader that wakes from a freeze shorter than its lease found the reports of all members older than the bound, read that of rank 0 first, and closed the open group whose other members it took for missing. With a return of the store meanwhile nobody may open it again until the earlier leases have ended. Class of fault: time in which nothing was asked counts as silence.

A member is missing only if a report that was requested after its last one has not come in time; a leader that has handled nothing for longer than the bound requests all reports anew.

TestLeaderThatWakesClosesNoGroup fails before.

--- a/forward/ending_test.go
+++ b/forward/ending_test.go
@@ -72,3 +72,39 @@
 	require.Empty(test, node.tracker.TakeEndings())
 	require.Equal(test, 1, runner.count())
 }
+
+// Guards against a stream that ends one group after the other, by its retries and its
+// callers', while other streams of the same prompt's first part are served: day deadly.
+func TestStreamThatEndsGroupsIsKeptFromThem(test *testing.T) {
+	var groups []*target
+	for index := range 8 {
+		var group *target
+		sound := streams(2, "0\r\n\r\n")
+		group = newTarget(test, fmt.Sprint("g", index), func(conn net.Conn, request *http.Request) bool {
+			if strings.HasSuffix(request.URL.Path, "/deadly") {
+				group.listener.Close()
+				return false
+			}
+			return sound(conn, request)
+		})
+		groups = append(groups, group)
+	}
+	node := newNode(test, tableFixture{groups: groups})
+	ledger := quarantine.NewLedger()
+	for range 8 {
+		require.NotEqual(test, 200, node.request(test, http.MethodPost, "/stream/deadly", "prompt").status)
+		require.Equal(test, events(2), node.request(test, http.MethodPost, "/stream/sound", "prompt").body)
+		node.decide(ledger)
+	}
+	ended := 0
+	for _, group := range groups {
+		group.mutex.Lock()
+		for _, request := range group.requests {
+			if strings.HasSuffix(request.URL.Path, "/deadly") {
+				ended++
+			}
+		}
+		group.mutex.Unlock()
+	}
+	require.LessOrEqual(test, ended, quarantine.MinEndings)
+}
--- a/group/leader.go
+++ b/group/leader.go
@@ -113,6 +113,9 @@
 	members        map[string]*member
 	sortedNames    []string
 
+	// handledAt is when the last event was handled.
+	handledAt time.Time
+
 	// earliestRead is a lower bound of the times at which reports are due.
 	earliestRead time.Time
 
@@ -169,6 +172,7 @@
 // time at which the event is handled, not the time at which it happened.
 func (leader *Leader) Handle(now time.Time, event Event) []Effect {
 	leader.checkLease(now)
+	leader.resumeAfterPause(now)
 	if read, found := event.(ReportRead); found && leader.onlyLoadChanged(read) {
 		leader.handleReportRead(now, read)
 		return leader.readReports(now)
@@ -264,7 +268,7 @@
 
 func (leader *Leader) runPhase(now time.Time) []Effect {
 	for _, vm := range leader.members {
-		if vm.updateMissing(now, leader.missingAfter()) {
+		if vm.updateMissing(now, leader.missingAfter(), leader.policy.ReportInterval) {
 			leader.dirty = true
 		}
 	}
--- a/group/member.go
+++ b/group/member.go
@@ -56,6 +56,10 @@
 	reading  bool
 	nextRead time.Time
 
+	// askedAt is when the leader first requested a report after the last one, zero if it
+	// has not.
+	askedAt time.Time
+
 	// missingSince is the send time of the last report once no newer one has
 	// arrived within the grant bound, else zero.
 	missingSince time.Time
@@ -131,6 +135,7 @@
 	vm.report = read.Report
 	vm.reported = true
 	vm.sentAt = read.Sent
+	vm.askedAt = time.Time{}
 	vm.missingSince = time.Time{}
 	vm.recordLatency(now.Sub(read.Sent))
 }
@@ -143,10 +148,12 @@
 	vm.latency += (latency - vm.latency) >> latencyShift
 }
 
-// updateMissing marks the VM as missing when its last report is older than
-// bound. It reports whether the mark is new.
-func (vm *member) updateMissing(now time.Time, bound time.Duration) bool {
-	if !vm.missingSince.IsZero() {
+// updateMissing marks the VM as missing when its last report is older than bound, and the
+// report after it, which is requested after interval, has been due for the rest of bound. It
+// reports whether the mark is new. A leader that was paused has old reports because it has
+// not requested any.
+func (vm *member) updateMissing(now time.Time, bound, interval time.Duration) bool {
+	if !vm.missingSince.IsZero() || vm.askedAt.IsZero() || now.Sub(vm.askedAt) <= bound-interval {
 		return false
 	}
 	last := vm.addedAt
@@ -160,6 +167,20 @@
 	return true
 }
 
+// resumeAfterPause requests all reports again if the leader has handled nothing for longer
+// than the age above which a VM counts as missing.
+func (leader *Leader) resumeAfterPause(now time.Time) {
+	paused := !leader.handledAt.IsZero() && now.Sub(leader.handledAt) > leader.missingAfter()
+	leader.handledAt = now
+	if !paused {
+		return
+	}
+	leader.earliestRead = now
+	for _, vm := range leader.members {
+		vm.reading, vm.nextRead, vm.askedAt = false, now, time.Time{}
+	}
+}
+
 // missingAfter returns the age of the last report above which a VM counts as
 // missing. It is the grant bound, within which two reads can fail.
 func (leader *Leader) missingAfter() time.Duration {
@@ -309,6 +330,9 @@
 			continue
 		}
 		vm.reading = true
+		if vm.askedAt.IsZero() {
+			vm.askedAt = now
+		}
 		vm.nextRead = now.Add(leader.policy.ReportInterval)
 		effects = append(effects, ReadReport{
 			VM:      name,
--- a/group/open_test.go
+++ b/group/open_test.go
@@ -296,3 +296,41 @@
 	domain.setListed(member, kvstore.VMLive)
 	domain.waitFor(5*time.Second, func() bool { return !unlisted() })
 }
+
+// Guards against a leader that wakes from a freeze shorter than its lease, takes the members
+// whose reports have grown old meanwhile for missing, and closes its groups before it has
+// read them again (drill of the store with seed 120).
+func TestLeaderThatWakesClosesNoGroup(test *testing.T) {
+	for _, freeze := range []time.Duration{300 * time.Millisecond, 900 * time.Millisecond, 2500 * time.Millisecond} {
+		for _, first := range []bool{true, false} {
+			domain := newOpenedByOrderDomain(test, 9)
+			domain.waitFor(time.Minute, domain.bothServing())
+			domain.runFor(time.Second)
+			domain.orders = nil
+			domain.now = domain.now.Add(freeze)
+			if first {
+				// The first event after the freeze is the report of one rank 0.
+				vm := domain.openVM("large")
+				domain.send(ReportRead{Sent: domain.now, Report: domain.engines[vm].report})
+			}
+			domain.runFor(2 * time.Second)
+			for _, order := range domain.orders {
+				require.NotEqual(test, engine.ActionClose, order.Order.Action, "after %v", freeze)
+			}
+			require.True(test, domain.bothServing()())
+		}
+	}
+}
+
+// Guards against a member that ended during a freeze and is never found missing.
+func TestMemberLostDuringAFreezeIsReplaced(test *testing.T) {
+	domain := newOpenedByOrderDomain(test, 9)
+	domain.waitFor(time.Minute, domain.bothServing())
+	domain.runFor(time.Second)
+	domain.orders = nil
+	lost := domain.openVM("large")
+	domain.engines[lost].dead = true
+	domain.now = domain.now.Add(2500 * time.Millisecond)
+	domain.waitFor(time.Minute, domain.reopened)
+	require.NotEqual(test, lost, domain.openVM("large"))
+}
