Keep groups when no node reaches any target, and refuse at once meanwhile

A leader also probes up to three targets outside the group, of other failure domains first. If neither it nor an asked node reaches any target at all, the members are not taken for lost.

--- a/control/detached_test.go
+++ b/control/detached_test.go
@@ -67,3 +67,14 @@
 	require.Len(test, state.feed.unresponsive, 2)
 	require.Empty(test, state.feed.detached)
 }
+
+// Guards against groups that are dissolved when no node reaches any target: what failed is
+// the network between all nodes and all targets.
+func TestMembersAreNotLostWhenNothingIsReached(test *testing.T) {
+	now := time.Now()
+	state := newTestFeed(test, now)
+	state.storeReachedAt = now
+	state.handleProbeResult(now, probeResult{group: "g", domain: "d0", unresponsive: []string{"a", "b"}, noneReached: true})
+	require.True(test, serves(state, now))
+	require.Empty(test, state.feed.unresponsive)
+}
--- a/control/feed_test.go
+++ b/control/feed_test.go
@@ -136,7 +136,7 @@
 func TestStalledGroupIsReportedToItsLeader(test *testing.T) {
 	now := time.Now()
 	state := newTestFeed(test, now)
-	state.config.Traffic = stalledTraffic{}
+	state.config.Traffic = stalledTraffic{Traffic: noTraffic{}}
 	workers, cancel := context.WithCancel(context.Background())
 	test.Cleanup(cancel)
 	state.workers = workers
@@ -202,3 +202,8 @@
 	state.handleFeed(now, TargetsChanged{Put: []directory.Target{member}})
 	require.Equal(test, kvstore.VMLive, state.vms["b"].State)
 }
+
+// noTraffic is traffic without requests.
+type noTraffic struct{ Traffic }
+
+func (noTraffic) SetNodes([]fleet.Node) {}
--- a/control/probe.go
+++ b/control/probe.go
@@ -40,6 +40,10 @@
 
 	// answers are those of the members that responded.
 	answers []probeAnswer
+
+	// noneReached is true if neither this node nor another one reached any target, also
+	// none outside the group.
+	noneReached bool
 }
 
 func (probeResult) message() {}
@@ -156,10 +160,18 @@
 		assignment, _ := placement.Assignment(vm)
 		targets = append(targets, probedTarget{vm: vm, address: assignment.Address})
 	}
+	others := state.targetsOutside(name, placement)
 	asked := state.askedNodes()
 	state.startWorker(func(ctx context.Context) message {
 		result := probeResult{group: name, domain: domain}
-		for _, probed := range state.probeAll(ctx, targets, asked) {
+		result.noneReached = len(others) > 0
+		for _, probed := range state.probeAll(ctx, append(targets, others...), asked) {
+			if probed.responded || probed.byOthers {
+				result.noneReached = false
+			}
+			if slices.Contains(others, probed.probedTarget) {
+				continue
+			}
 			switch {
 			case probed.responded:
 				result.answers = append(result.answers, probed)
@@ -173,6 +185,32 @@
 	})
 }
 
+// maxOutside bounds the targets that are probed besides the members of a group.
+const maxOutside = 3
+
+// targetsOutside returns targets that are not in a group, those of other failure domains
+// first. If none of them responds either, the members need not be lost.
+func (state *state) targetsOutside(name string, placement *group.Placement) []probedTarget {
+	members := map[string]bool{}
+	domains := map[string]bool{}
+	for _, vm := range placement.Members(name) {
+		members[vm] = true
+		domains[state.vms[vm].FailureDomain] = true
+	}
+	var far, near []probedTarget
+	for _, vm := range state.vms {
+		switch _, listed := state.feed.reports[vm.Name]; {
+		case members[vm.Name] || !listed:
+		case domains[vm.FailureDomain]:
+			near = append(near, newProbedTarget(vm))
+		default:
+			far = append(far, newProbedTarget(vm))
+		}
+	}
+	outside := append(far, near...)
+	return outside[:min(len(outside), maxOutside)]
+}
+
 // A probeAnswer is the result of probing one target.
 type probeAnswer struct {
 	probedTarget
@@ -291,6 +329,10 @@
 // announcement. If another node reaches any of them, this node cannot tell.
 func (state *state) handleProbeResult(now time.Time, result probeResult) {
 	state.recordLeavingAnswers(now, result.answers)
+	if result.noneReached {
+		state.logger.Warn("no node reached any target; the members of the group are not taken for lost", zap.String("group", result.group))
+		return
+	}
 	if len(result.byOthers) > 0 {
 		state.detach(now, result.domain, result.byOthers)
 		return
