--- a/control/feed_test.go
+++ b/control/feed_test.go
@@ -136,7 +136,7 @@
 func TestStalledGroupIsReportedToItsLeader(test *testing.T) {
 	now := time.Now()
 	state := newTestFeed(test, now)
-	state.config.Traffic = stalledTraffic{Traffic: noTraffic{}}
+	state.config.Traffic = stalledTraffic{Traffic: state.config.Traffic}
 	workers, cancel := context.WithCancel(context.Background())
 	test.Cleanup(cancel)
 	state.workers = workers
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -17,6 +17,7 @@
 	"lacewingspoke.org/lacewingspoke/folder"
 	"lacewingspoke.org/lacewingspoke/group"
 	"lacewingspoke.org/lacewingspoke/kvstore"
+	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/peer"
 	"lacewingspoke.org/lacewingspoke/route"
 	"lacewingspoke.org/lacewingspoke/timer"
@@ -82,6 +83,8 @@
 	record := &recorder{}
 	built := newState(&Controller{results: make(chan message, 1), config: Config{
 		Name: "one", Incarnation: "1", Mesh: record, Platform: record, Engines: record,
+		Traffic:   noTraffic{},
+		Limits:    limit.NewTargetLimits("one"),
 		Publisher: route.NewPublisher(),
 		Timers:    timer.New(timer.Config{}),
 		Logger:    zaptest.NewLogger(test),
