Take no given-up attempt for an unreached target, and explain requests over nodes

An attempt that is cancelled while its connection is being established says nothing of the target; and without other nodes targets that were not reached are not tried a second time. The package comment of forward and docs/design.md say how requests go through other nodes; the admin interface serves the question about targets as it serves the others.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -215,6 +215,7 @@
 	takeEndings  func(ctx context.Context, endings []EndingReport) error
 	takeDecision func(ctx context.Context, record []byte) error
 	partAges     func(parts []string) map[string]time.Duration
+	takeReached  func(ctx context.Context, question ReachedQuestion) (ReachedReply, error)
 	router       *mux.Router
 }
 
@@ -226,6 +227,7 @@
 		takeEndings:  config.TakeEndings,
 		takeDecision: config.TakeDecision,
 		partAges:     config.PartAges,
+		takeReached:  config.TakeReached,
 		router:       mux.NewRouter(),
 	}
 	server.router.Handle("/metrics", promhttp.HandlerFor(config.Gatherer, promhttp.HandlerOpts{})).Methods(http.MethodGet)
@@ -244,7 +246,7 @@
 		server.router.HandleFunc(DecisionPath, server.serveDecision).Methods(http.MethodPost)
 	}
 	if config.TakeReached != nil {
-		server.router.HandleFunc(ReachedPath, func(writer http.ResponseWriter, request *http.Request) { serveReached(writer, request, config.TakeReached) }).Methods(http.MethodPost)
+		server.router.HandleFunc(ReachedPath, server.serveReached).Methods(http.MethodPost)
 	}
 	if config.Relay != nil {
 		server.router.Handle(forward.RelayPath, config.Relay).Methods(http.MethodPost)
@@ -371,13 +373,13 @@
 	writeJSON(writer, http.StatusOK, reply)
 }
 
-func serveReached(writer http.ResponseWriter, request *http.Request, take func(ctx context.Context, question ReachedQuestion) (ReachedReply, error)) {
+func (server *Server) serveReached(writer http.ResponseWriter, request *http.Request) {
 	var question ReachedQuestion
 	if err := decodeBody(writer, request, &question); err != nil {
 		http.Error(writer, "question about targets is not valid: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	reply, err := take(request.Context(), question)
+	reply, err := server.takeReached(request.Context(), question)
 	if err != nil {
 		http.Error(writer, err.Error(), http.StatusServiceUnavailable)
 		return
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -16,6 +16,15 @@
 // route allows it, the stream resumes at another group after the last complete
 // event.
 //
+// # Other nodes
+//
+// A node can lose its connections to targets that other nodes reach (route.Paths). It then
+// sends requests through another node, which calls ServeRelayed with them: that node sends
+// the request to the given target, never through a third one, and passes the answer on. The
+// node that took the request from its caller routes, admits, counts and retries it in both
+// cases. A request counts as not run only if the other node reports that nothing was sent,
+// and an answer as complete only with the trailer that says so.
+//
 // # Usage
 //
 //	server, err := forward.New(forward.Config{
--- a/forward/send.go
+++ b/forward/send.go
@@ -131,9 +131,10 @@
 	}
 	call.end()
 	switch {
-	case exchange.request.Context().Err() != nil || errors.Is(err, errOutOfTime), errors.Is(err, errClosed):
+	case ctx.Err() != nil, errors.Is(err, errOutOfTime), errors.Is(err, errClosed):
+		// The attempt was given up, which says nothing of the target.
 	case !maySent(err):
-		exchange.throughNodes = true
+		exchange.throughNodes = len(server.nodes.all()) > 0
 		server.unreached(to.id, false)
 	case timedOut(err):
 		server.unreached(to.id, true)
