Hold the quarantine over another node

Requests that end targets can go through a node that does not know it: the node that sends checked no quarantine of its own and kept no evidence, and when it had lost the service itself by then, the end of a target did not count at either node. The node that sends for another one now refuses parts in quarantine, tracks the request for its parts as the other one does, and tells an ended target from its own partition by asking further nodes, as for its own requests. A word of any node that does not reach the target either counts as its end, also while the service is lost.

TestQuarantineHoldsOverAnotherNode and TestEndsCountUnlessOtherNodesReachTheTarget.

--- a/forward/ending.go
+++ b/forward/ending.go
@@ -24,22 +24,28 @@
 func (exchange *exchange) checkTarget(ctx context.Context, attempt *quarantine.Attempt, life string, to destination, failure error) {
 	server := exchange.server
 	if maySent(failure) && ctx.Err() == nil && attempt.Broken(server.config.Now()) {
-		server.config.Quarantine.TargetProbed(life, exchange.hasEnded(ctx, to, failure))
+		ended := outcomeOf(failure) == relayEnded
+		if exchange.direct != nil {
+			ended = server.hasEnded(ctx, to.id, to.address)
+		}
+		server.config.Quarantine.TargetProbed(life, ended)
 	}
 }
 
-func (exchange *exchange) hasEnded(ctx context.Context, to destination, failure error) bool {
-	server := exchange.server
-	switch {
-	case exchange.direct == nil:
-		return outcomeOf(failure) == relayEnded
-	case httpsend.Accepts(ctx, to.address):
+// hasEnded reports whether a target accepts no connections any more, neither from this node
+// nor from others.
+func (server *Server) hasEnded(ctx context.Context, target, address string) bool {
+	if httpsend.Accepts(ctx, address) {
 		return false
-	case server.reachedByOthers(context.WithoutCancel(ctx), to.id):
-		server.unreached(to.id, false)
+	}
+	reached, answered := server.reachedByOthers(context.WithoutCancel(ctx), target)
+	if reached {
+		server.unreached(target, false)
 		return false
 	}
-	return !server.paths.Lost(to.id)
+	// Without the word of another node, a lost service is this node's partition rather than
+	// the end of all its targets. A node that is alone has nobody to ask.
+	return answered || len(server.nodes.all()) == 0 || !server.paths.Lost(target)
 }
 
 const (
@@ -51,24 +57,26 @@
 	maxAsked = 2
 )
 
-// reachedByOthers reports whether another node reaches a target.
-func (server *Server) reachedByOthers(ctx context.Context, target string) bool {
+// reachedByOthers reports whether another node reaches a target, and whether any has
+// answered.
+func (server *Server) reachedByOthers(ctx context.Context, target string) (reached, answered bool) {
 	if server.config.AskReached == nil {
-		return false
+		return false, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, askReachedTimeout)
 	defer cancel()
 	asked := server.nodes.choose(maxAsked, server.config.Now())
-	replies := make(chan bool, len(asked))
+	type reply struct{ reached, answered bool }
+	replies := make(chan reply, len(asked))
 	for _, node := range asked {
-		go func(ctx context.Context, replies chan<- bool) {
-			reached, err := server.config.AskReached(ctx, node.Address, []string{target})
-			replies <- err == nil && slices.Contains(reached, target)
+		go func(ctx context.Context, replies chan<- reply) {
+			names, err := server.config.AskReached(ctx, node.Address, []string{target})
+			replies <- reply{reached: err == nil && slices.Contains(names, target), answered: err == nil}
 		}(ctx, replies)
 	}
-	reached := false
 	for range asked {
-		reached = <-replies || reached
+		got := <-replies
+		reached, answered = reached || got.reached, answered || got.answered
 	}
-	return reached
+	return reached, answered
 }
--- a/forward/ending_test.go
+++ b/forward/ending_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -8,8 +9,10 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 
+	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/quarantine"
 )
 
@@ -108,3 +111,41 @@
 	}
 	require.LessOrEqual(test, ended, quarantine.MinEndings)
 }
+
+// Guards against ends of targets that do not count because so many have ended that the node
+// takes itself for cut off, although other nodes do not reach them either, and against ends
+// that count although others reach the targets (incident inc1 of RECOVER).
+func TestEndsCountUnlessOtherNodesReachTheTarget(test *testing.T) {
+	for name, scenario := range map[string]struct {
+		reached bool
+		err     error
+		counted int
+	}{
+		"not reached by others": {counted: 5},
+		"reached by others":     {reached: true, counted: 0},
+		"others do not answer":  {err: errors.New("no answer"), counted: 5},
+	} {
+		test.Run(name, func(test *testing.T) {
+			var runners []*target
+			for index := range 5 {
+				var runner *target
+				runner = newTarget(test, fmt.Sprint("r", index), func(net.Conn, *http.Request) bool {
+					runner.listener.Close()
+					return false
+				})
+				runners = append(runners, runner)
+			}
+			node := newNode(test, tableFixture{once: runners, askReached: func(_ context.Context, _ string, targets []string) ([]string, error) {
+				if scenario.reached {
+					return targets, nil
+				}
+				return nil, scenario.err
+			}})
+			node.forward.SetNodes([]fleet.Node{{Name: "other", AdminAddress: "127.0.0.1:1"}})
+			for index := range 5 {
+				node.request(test, http.MethodPost, fmt.Sprint("/once/", index), "x")
+			}
+			require.Len(test, node.tracker.TakeEndings(), scenario.counted)
+		})
+	}
+}
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -196,6 +196,9 @@
 	generation uint64
 	routes     []string
 	noRetries  bool
+
+	// askReached is the question whether other nodes reach a target, used by newNode only.
+	askReached func(ctx context.Context, address string, targets []string) ([]string, error)
 }
 
 func newNode(test testing.TB, fixture tableFixture) *node {
@@ -215,7 +218,7 @@
 			defer started.mutex.Unlock()
 			return started.confirmed
 		},
-		MaxConfirmedAge: time.Minute, Retries: limit.RetryAllowanceConfig{Window: time.Second, Slack: slack, Safety: 1}, Node: "self",
+		MaxConfirmedAge: time.Minute, Retries: limit.RetryAllowanceConfig{Window: time.Second, Slack: slack, Safety: 1}, Node: "self", AskReached: fixture.askReached,
 	})
 	require.NoError(test, err)
 	started.forward = server
--- a/forward/observe.go
+++ b/forward/observe.go
@@ -71,17 +71,17 @@
 
 // An observedTarget is the target of a response.
 type observedTarget struct {
-	// name is that in the tracker, id that in the limits, and instance identifies the
-	// incarnation.
-	name, id, incarnation, instance string
+	// name is that in the tracker, id that in the limits, instance identifies the
+	// incarnation, and life is that in the quarantine.
+	name, id, incarnation, instance, life string
 }
 
 func observedGroup(target route.GroupTarget) observedTarget {
-	return observedTarget{name: target.Name, id: target.VM, incarnation: target.Incarnation, instance: target.Instance()}
+	return observedTarget{name: target.Name, id: target.VM, incarnation: target.Incarnation, instance: target.Instance(), life: target.Life()}
 }
 
 func observedRunner(target route.ServiceTarget) observedTarget {
-	return observedTarget{name: target.ID(), id: target.ID(), incarnation: target.Incarnation, instance: target.Instance()}
+	return observedTarget{name: target.ID(), id: target.ID(), incarnation: target.Incarnation, instance: target.Instance(), life: target.ID()}
 }
 
 // observeAnswer records what a target says of itself in the answer to a request that was
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -66,6 +66,11 @@
 	Service    string `msgpack:"service"`
 	Generation uint64 `msgpack:"generation"`
 
+	// Parts are those by which the request may be in quarantine, see package quarantine.
+	// Probe is true if it is sent although one of them is.
+	Parts []string `msgpack:"parts"`
+	Probe bool     `msgpack:"probe"`
+
 	Method string      `msgpack:"method"`
 	URI    string      `msgpack:"uri"`
 	Host   string      `msgpack:"host"`
--- a/forward/relay_server.go
+++ b/forward/relay_server.go
@@ -10,7 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
-	"lacewingspoke.org/lacewingspoke/httpsend"
+	"lacewingspoke.org/lacewingspoke/quarantine"
 	"lacewingspoke.org/lacewingspoke/route"
 )
 
@@ -38,6 +38,10 @@
 
 	target  observedTarget
 	attempt string
+
+	// evidence tracks the request for its parts here as well: the node that took it may end
+	// before it has reported the end of a target.
+	evidence *quarantine.Attempt
 }
 
 // ServeRelayed handles a request at RelayPath.
@@ -64,8 +68,26 @@
 	case !server.paths.Reached(relayed.message.Target):
 		relayed.report(relayUnavailable, errNoPath)
 	default:
-		relayed.send(address)
+		relayed.admit(address)
+	}
+}
+
+// admit sends the request unless one of its parts is in quarantine here.
+func (relayed *relayedExchange) admit(address string) {
+	server := relayed.server
+	var admission quarantine.Admission
+	if !relayed.message.Probe {
+		admission = server.config.Quarantine.Admit(relayed.message.Parts, server.config.Now())
+	}
+	if part := admission.Refused(); part != "" {
+		relayed.report(relayClosed, errors.Errorf("part %s of the request is in quarantine", part))
+		return
 	}
+	ctx, cancel := context.WithTimeout(relayed.request.Context(), relayed.remaining())
+	defer cancel()
+	relayed.evidence = server.config.Quarantine.Begin(relayed.target.life, relayed.message.Parts, admission, cancel)
+	defer relayed.evidence.Close()
+	relayed.send(ctx, address)
 }
 
 // beginRelayed counts a request for another node. It returns false if the node is stopping
@@ -157,10 +179,8 @@
 }
 
 // send sends the request and passes the answer on.
-func (relayed *relayedExchange) send(address string) {
+func (relayed *relayedExchange) send(ctx context.Context, address string) {
 	server, target := relayed.server, relayed.message.Target
-	ctx, cancel := context.WithTimeout(relayed.request.Context(), relayed.remaining())
-	defer cancel()
 	ended := server.tracker.Start(relayed.target.name, server.config.Now())
 	defer func() { ended(server.config.Now()) }()
 	sentAt := server.config.Now()
@@ -226,6 +246,7 @@
 		outcome = relayed.brokenOutcome(ctx, address)
 	} else {
 		response.release()
+		relayed.evidence.Completed(relayed.server.config.Now())
 		relayed.server.observeTrailer(relayed.target, relayed.attempt, response.http)
 	}
 	header.Set(headerRelayEnd, string(outcome))
@@ -255,6 +276,7 @@
 		response.expectBody(relayBufferBytes)
 		count, err := response.http.Body.Read(buffer)
 		if count > 0 {
+			relayed.evidence.EventArrived(relayed.server.config.Now())
 			if failure := write(buffer[:count]); failure != nil {
 				return failure
 			}
@@ -271,7 +293,16 @@
 // brokenOutcome returns the outcome of a request that the target may have run, after
 // finding out whether the target has ended.
 func (relayed *relayedExchange) brokenOutcome(ctx context.Context, address string) relayOutcome {
-	if ctx.Err() == nil && !relayed.server.paths.Lost(relayed.message.Target) && !httpsend.Accepts(ctx, address) {
+	server := relayed.server
+	if ctx.Err() != nil {
+		return relayBroken
+	}
+	first := relayed.evidence.Broken(server.config.Now())
+	ended := server.hasEnded(ctx, relayed.message.Target, address)
+	if first {
+		server.config.Quarantine.TargetProbed(relayed.target.life, ended)
+	}
+	if ended {
 		return relayEnded
 	}
 	return relayBroken
@@ -291,6 +322,6 @@
 func (relayed *relayedExchange) log(outcome relayOutcome, status int, cause error) {
 	relayed.server.metrics.relayed.WithLabelValues("received", string(outcome)).Inc()
 	relayed.server.config.Logger.Info("request of another node",
-		zap.String("id", relayed.attempt), zap.String("node", relayed.request.RemoteAddr), zap.String("target", relayed.message.Target),
+		zap.String("id", relayed.attempt), zap.String("from", relayed.request.RemoteAddr), zap.String("target", relayed.message.Target),
 		zap.String("outcome", string(outcome)), zap.Int("status", status), zap.Duration("remaining", relayed.remaining()), zap.Error(cause))
 }
--- a/forward/relay_test.go
+++ b/forward/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -214,3 +215,30 @@
 		require.Equal(test, "unavailable", recorder.Header().Get("Relay-Outcome"))
 	}
 }
+
+// Guards against a request that ends targets through other nodes: evidence that only the
+// node has which took it, and a part in quarantine that the other node sends all the same.
+func TestQuarantineHoldsOverAnotherNode(test *testing.T) {
+	var runners []*target
+	var closed []*target
+	for index := range 3 {
+		var runner *target
+		runner = newTarget(test, fmt.Sprint("r", index), func(net.Conn, *http.Request) bool {
+			runner.listener.Close()
+			return false
+		})
+		runners = append(runners, runner)
+		closed = append(closed, closedTarget(test, runner.name))
+	}
+	other := newNode(test, tableFixture{once: runners})
+	cut := newNode(test, tableFixture{once: closed})
+	cut.connect(test, other)
+	require.Equal(test, http.StatusBadGateway, cut.request(test, http.MethodPost, "/once/deadly", "x").status)
+	mine, others := cut.tracker.TakeEndings(), other.tracker.TakeEndings()
+	require.Len(test, mine, 1)
+	require.Len(test, others, 1)
+	require.Equal(test, mine[0].Parts, others[0].Parts)
+	other.tracker.SetQuarantined(mine[0].Parts)
+	require.Equal(test, http.StatusServiceUnavailable, cut.request(test, http.MethodPost, "/once/deadly", "x").status)
+	require.Equal(test, 1, runners[0].count()+runners[1].count()+runners[2].count())
+}
--- a/forward/send.go
+++ b/forward/send.go
@@ -198,6 +198,7 @@
 		values := exchange.outgoingValues(to)
 		return relayedCall{
 			Target: to.id, Group: to.group, Epoch: to.epoch, Service: exchange.service.Name, Generation: exchange.table.Generation(),
+			Parts: exchange.parts, Probe: exchange.admission.Probe(),
 			Method: exchange.request.Method, URI: exchange.request.RequestURI, Host: exchange.request.Host, Header: header, Body: exchange.body,
 			Workspace: values.Workspace, ResumeAfter: values.ResumeAfter, Urgency: values.Urgency,
 			RemainingMicros: values.Deadline.Microseconds(), NewConnection: !exchange.route.Repeatable(),
