--- a/control/control.go
+++ b/control/control.go
@@ -108,7 +108,7 @@
 	// call.
 	StalledGroups() []string
 
-	// TakeLeaving returns the targets that said in answers to requests that they leave,
+	// TakeLeaving returns the targets whose answers to requests contained that they leave,
 	// since the last call.
 	TakeLeaving() []route.LeavingTarget
 
--- a/control/drain.go
+++ b/control/drain.go
@@ -73,17 +73,16 @@
 	}
 }
 
-// recordLeaving records that a target of the feed has said in an answer that it leaves.
+// recordLeaving records that an answer of a target of the feed contained that it leaves.
 func (state *state) recordLeaving(now time.Time, target, incarnation string) {
 	if state.isDraining(target, incarnation) {
 		return
 	}
-	state.markDraining(now, peer.Leaving{Target: target, Incarnation: incarnation, Author: platformAuthor, Reason: "the target says so in its answers"}, "")
+	state.markDraining(now, peer.Leaving{Target: target, Incarnation: incarnation, Author: platformAuthor, Reason: "the target's answers contain that it leaves"}, "")
 	state.applyTargets(now)
 }
 
-// recordLeavingAnswers records the targets that have said in answers to probes that they
-// leave.
+// recordLeavingAnswers records the targets whose answers to probes contained that they leave.
 func (state *state) recordLeavingAnswers(now time.Time, answers []probeAnswer) {
 	for _, answer := range answers {
 		if answer.responded && answer.report.Leaving {
@@ -92,7 +91,7 @@
 	}
 }
 
-// recordLeavingTargets records the targets that have said so in answers to requests.
+// recordLeavingTargets records those whose answers to requests did.
 func (state *state) recordLeavingTargets(now time.Time) {
 	for _, leaving := range state.config.Traffic.TakeLeaving() {
 		state.recordLeaving(now, leaving.Target, leaving.Incarnation)
--- a/control/orders.go
+++ b/control/orders.go
@@ -9,7 +9,7 @@
 	incarnation string
 	begun       uint64
 
-	// leaving is true if the engine said in an answer that it leaves.
+	// leaving is true if an answer of the engine contained that it leaves.
 	leaving bool
 
 	// known is false if begun may differ from the count of the engine.
@@ -18,7 +18,7 @@
 
 // apply updates the count with the outcome of an order that was sent with it.
 func (count *orderCount) apply(outcome engine.OrderOutcome) {
-	count.leaving = count.leaving || engine.SaysLeaving(outcome)
+	count.leaving = count.leaving || engine.ReportsLeaving(outcome)
 	switch outcome := outcome.(type) {
 	case engine.OrderAccepted:
 		if outcome.Begun {
--- a/control/probe.go
+++ b/control/probe.go
@@ -326,7 +326,7 @@
 }
 
 // handleProbeResult treats the members that did not respond as lost until their next
-// announcement. If another node reaches any of them, this node cannot tell.
+// announcement. If another node reaches any of them, this node cannot decide that.
 func (state *state) handleProbeResult(now time.Time, result probeResult) {
 	state.recordLeavingAnswers(now, result.answers)
 	if result.noneReached {
--- a/engine/control.go
+++ b/engine/control.go
@@ -55,7 +55,7 @@
 	// one. It is false when the order required no action.
 	Begun bool
 
-	// Leaving is true if the engine says that it leaves, here and below.
+	// Leaving is true if the engine's answer contains that it leaves, here and below.
 	Leaving bool
 }
 
@@ -79,8 +79,8 @@
 // OrderUnknown means that the engine may or may not have accepted the order.
 type OrderUnknown struct{ Err error }
 
-// SaysLeaving reports whether the engine said with the outcome that it leaves.
-func SaysLeaving(outcome OrderOutcome) bool {
+// ReportsLeaving reports whether the answer to the order contained that the engine leaves.
+func ReportsLeaving(outcome OrderOutcome) bool {
 	switch outcome := outcome.(type) {
 	case OrderAccepted:
 		return outcome.Leaving
--- a/engine/message.go
+++ b/engine/message.go
@@ -18,8 +18,8 @@
 	Queued      int    `json:"queued"`
 	FreeCache   int    `json:"free-cache"`
 
-	// Leaving is true if the engine said with the report that it leaves. The protocol of
-	// package engine has no such word.
+	// Leaving is true if the answer with the report contained that the engine leaves. The
+	// protocol of package engine has no field for it.
 	Leaving   bool  `json:"-"`
 	AgeMillis int64 `json:"age-ms"`
 
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -91,8 +91,8 @@
 // LinkClosed reports that the link to a node is down.
 type LinkClosed struct{ Name string }
 
-// DomainReached says whether this node reaches the VMs of a fabric domain. Only a node that
-// does can lead it.
+// DomainReached reports whether this node reaches the VMs of a fabric domain. Only a node
+// that does can lead it.
 type DomainReached struct {
 	Domain  string
 	Reached bool
--- a/forward/ending.go
+++ b/forward/ending.go
@@ -19,8 +19,8 @@
 // target has ended: a process that has ended accepts no connections, one that reset or
 // cut off a single response does.
 //
-// A node that has lost its connections to a target cannot tell. It then asks the node that
-// sent the request for it, or others.
+// A node that has lost its connections to a target cannot decide that by itself: it uses the
+// outcome of the node that sent the request for it, or asks others.
 func (exchange *exchange) checkTarget(ctx context.Context, attempt *quarantine.Attempt, life string, to destination, failure error) {
 	server := exchange.server
 	if maySent(failure) && ctx.Err() == nil && attempt.Broken(server.config.Now()) {
@@ -43,7 +43,7 @@
 		server.unreached(target, false)
 		return false
 	}
-	// Without the word of another node, a lost service is this node's partition rather than
+	// Without an answer of another node, a lost service is this node's partition rather than
 	// the end of all its targets. A node that is alone has nobody to ask.
 	return answered || len(server.nodes.all()) == 0 || !server.paths.Lost(target)
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -23,7 +23,7 @@
 // the request to the given target, never through a third one, and passes the answer on. The
 // node that took the request from its caller routes, admits, counts and retries it in both
 // cases. A request counts as not run only if the other node reports that nothing was sent,
-// and an answer as complete only with the trailer that says so.
+// and an answer as complete only with its trailer.
 //
 // # Usage
 //
@@ -133,10 +133,10 @@
 	RequestLimit float64
 
 	// Rest is how long the target wants no requests from this node, 0 if the response does
-	// not say so.
+	// ask for it.
 	Rest time.Duration
 
-	// Leaving is true if the target says that it leaves.
+	// Leaving is true if the target reports that it leaves.
 	Leaving bool
 
 	// Load is nil if the response does not report it.
@@ -253,7 +253,7 @@
 	// been used for it.
 	objectives map[string]time.Duration
 
-	// leaving contains the targets that said that they leave since the last call of
+	// leaving contains the targets that reported that they leave since the last call of
 	// TakeLeaving.
 	leaving []route.LeavingTarget
 
@@ -390,7 +390,7 @@
 	}
 }
 
-// TakeLeaving returns the targets that said that they leave since the last call.
+// TakeLeaving returns the targets that reported that they leave since the last call.
 func (server *Server) TakeLeaving() []route.LeavingTarget {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
--- a/forward/observe.go
+++ b/forward/observe.go
@@ -84,8 +84,8 @@
 	return observedTarget{name: target.ID(), id: target.ID(), incarnation: target.Incarnation, instance: target.Instance(), life: target.ID()}
 }
 
-// observeAnswer records what a target says of itself in the answer to a request that was
-// sent at sentAt. The answer of another target or to another request says nothing of it.
+// observeAnswer records what a target reports of itself in the answer to a request that was
+// sent at sentAt. The answer of another target or to another request is ignored.
 func (server *Server) observeAnswer(target observedTarget, attempt string, response *http.Response, answer Answer, sentAt time.Time) {
 	now := server.config.Now()
 	if answer.Load != nil {
@@ -103,18 +103,19 @@
 	}
 }
 
-// observeLeaving records that a target says in an answer, or in its trailer, that it leaves.
+// observeLeaving records that a target reports in an answer, or in its trailer, that it
+// leaves.
 func (server *Server) observeLeaving(target observedTarget, attempt string, answer Answer) {
 	if !answer.Leaving || !server.closures.Leave(target.instance, server.config.Now()) {
 		return
 	}
-	server.config.Logger.Info("target says that it leaves", zap.String("target", target.id), zap.String("incarnation", target.incarnation), zap.String("id", attempt))
+	server.config.Logger.Info("target reports that it leaves", zap.String("target", target.id), zap.String("incarnation", target.incarnation), zap.String("id", attempt))
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	server.leaving = append(server.leaving, route.LeavingTarget{Target: target.id, Incarnation: target.incarnation})
 }
 
-// observeTrailer records what a target says in the trailer of its own answer.
+// observeTrailer records what a target reports in the trailer of its own answer.
 func (server *Server) observeTrailer(target observedTarget, attempt string, response *http.Response) {
 	server.observeLeaving(target, attempt, server.config.Codec.ParseAnswer(response.StatusCode, response.Trailer))
 }
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -30,7 +30,7 @@
 type relayOutcome string
 
 const (
-	// relayAnswered precedes the target's answer. As the trailer it says that the answer
+	// relayAnswered precedes the target's answer. As the trailer it means that the answer
 	// is complete.
 	relayAnswered relayOutcome = "answered"
 
@@ -61,8 +61,8 @@
 	Group string `msgpack:"group"`
 	Epoch uint64 `msgpack:"epoch"`
 
-	// Service and Generation say for which service the sender has routed the request, by
-	// which configuration.
+	// Service is the one to which the sender has routed the request, by the configuration
+	// Generation.
 	Service    string `msgpack:"service"`
 	Generation uint64 `msgpack:"generation"`
 
--- a/forward/relay_server.go
+++ b/forward/relay_server.go
@@ -228,8 +228,8 @@
 	}
 }
 
-// passOn passes the target's answer on to the other node as it arrives. The trailer says
-// whether it is complete.
+// passOn passes the target's answer on to the other node as it arrives, and sends in the
+// trailer whether it is complete.
 func (relayed *relayedExchange) passOn(ctx context.Context, address string, response *response) {
 	header := relayed.writer.Header()
 	header.Set(headerRelayOutcome, string(relayAnswered))
--- a/forward/send.go
+++ b/forward/send.go
@@ -132,7 +132,7 @@
 	call.end()
 	switch {
 	case ctx.Err() != nil, errors.Is(err, errOutOfTime), errors.Is(err, errClosed):
-		// The attempt was given up, which says nothing of the target.
+		// The attempt was given up, whatever the target did.
 	case !maySent(err):
 		exchange.throughNodes = len(server.nodes.all()) > 0
 		server.unreached(to.id, false)
--- a/route/closures.go
+++ b/route/closures.go
@@ -10,12 +10,12 @@
 	// mistake.
 	maxRest = time.Hour
 
-	// leavingMemory is far above the time for which a target serves after it has said that
-	// it leaves.
+	// leavingMemory is far above the time for which a target serves after it has reported
+	// that it leaves.
 	leavingMemory = time.Hour
 )
 
-// A LeavingTarget is an incarnation of a target that has said that it leaves.
+// A LeavingTarget is an incarnation of a target that has reported that it leaves.
 type LeavingTarget struct {
 	Target      string
 	Incarnation string
@@ -29,7 +29,7 @@
 	mutex sync.Mutex
 	rests map[string]time.Time
 
-	// leaving holds when each leaving target first said so.
+	// leaving holds when each leaving target first reported it.
 	leaving map[string]time.Time
 }
 
