--- a/admin/admin.go
+++ b/admin/admin.go
@@ -196,8 +196,9 @@
 	TakeDecision func(ctx context.Context, record []byte) error
 	PartAges     func(parts []string) map[string]time.Duration
 
-	// TakeReached serves the call at ReachedPath. It is optional.
-	TakeReached func(ctx context.Context, question ReachedQuestion) (ReachedReply, error)
+	// Reached serves the call at ReachedPath: it returns those of the targets that the node
+	// reaches. It is optional.
+	Reached func(ctx context.Context, targets []string) ([]string, error)
 
 	// Relay sends requests to targets for other nodes, at forward.RelayPath. It is
 	// optional.
@@ -215,7 +216,7 @@
 	takeEndings  func(ctx context.Context, endings []EndingReport) error
 	takeDecision func(ctx context.Context, record []byte) error
 	partAges     func(parts []string) map[string]time.Duration
-	takeReached  func(ctx context.Context, question ReachedQuestion) (ReachedReply, error)
+	reached      func(ctx context.Context, targets []string) ([]string, error)
 	router       *mux.Router
 }
 
@@ -227,7 +228,7 @@
 		takeEndings:  config.TakeEndings,
 		takeDecision: config.TakeDecision,
 		partAges:     config.PartAges,
-		takeReached:  config.TakeReached,
+		reached:      config.Reached,
 		router:       mux.NewRouter(),
 	}
 	server.router.Handle("/metrics", promhttp.HandlerFor(config.Gatherer, promhttp.HandlerOpts{})).Methods(http.MethodGet)
@@ -245,7 +246,7 @@
 	if config.TakeDecision != nil {
 		server.router.HandleFunc(DecisionPath, server.serveDecision).Methods(http.MethodPost)
 	}
-	if config.TakeReached != nil {
+	if config.Reached != nil {
 		server.router.HandleFunc(ReachedPath, server.serveReached).Methods(http.MethodPost)
 	}
 	if config.Relay != nil {
@@ -379,12 +380,12 @@
 		http.Error(writer, "question about targets is not valid: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	reply, err := server.takeReached(request.Context(), question)
+	reached, err := server.reached(request.Context(), question.Targets)
 	if err != nil {
 		http.Error(writer, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
-	writeJSON(writer, http.StatusOK, reply)
+	writeJSON(writer, http.StatusOK, ReachedReply{Targets: reached})
 }
 
 func errorStatus(err error) int {
--- a/cmd/lacewingspoke/module.go
+++ b/cmd/lacewingspoke/module.go
@@ -200,7 +200,7 @@
 	}
 	if params.Mirror != nil {
 		config.GroupStalled = params.Controller.GroupStalled
-		config.TakeReached = params.Controller.TakeReached
+		config.Reached = params.Controller.Reached
 		config.Mirror = params.Mirror.Handler()
 	}
 	if params.Forward != nil {
--- a/control/detached.go
+++ b/control/detached.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"net"
 	"slices"
 	"time"
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
-	"lacewingspoke.org/lacewingspoke/admin"
 	"lacewingspoke.org/lacewingspoke/fleet"
+	"lacewingspoke.org/lacewingspoke/httpsend"
 )
 
 const (
@@ -88,7 +87,7 @@
 	}
 	answers := askAll(ctx, engines, state.askOnce)
 	answers = append(answers, askAll(ctx, runners, func(ctx context.Context, target probedTarget) probeAnswer {
-		return probeAnswer{probedTarget: target, responded: accepts(ctx, target.address)}
+		return probeAnswer{probedTarget: target, responded: httpsend.Accepts(ctx, target.address)}
 	})...)
 	var reached []string
 	for _, answer := range answers {
@@ -99,17 +98,6 @@
 	return reached, nil
 }
 
-// accepts reports whether a target accepts a connection.
-func accepts(ctx context.Context, address string) bool {
-	dialer := net.Dialer{Timeout: probeTimeout}
-	connection, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return false
-	}
-	connection.Close()
-	return true
-}
-
 // detach records that this node does not reach targets of a fabric domain that other nodes
 // reach. It hands over the leadership: it would take its own partition for losses of
 // members, and its orders would not arrive.
@@ -189,9 +177,3 @@
 		state.detach(now, result.domain, names)
 	}
 }
-
-// TakeReached serves the call at admin.ReachedPath.
-func (controller *Controller) TakeReached(ctx context.Context, question admin.ReachedQuestion) (admin.ReachedReply, error) {
-	reached, err := controller.Reached(ctx, question.Targets)
-	return admin.ReachedReply{Targets: reached}, errors.Trace(err)
-}
