Log the states of callers' connections at each step of a planned stop

Package httpserve has the state of every connection from the first byte of a request on; net/http counts a connection as idle until it has read the head of the next request. No change of logic.

--- a/cmd/lacewingspoke/daemon.go
+++ b/cmd/lacewingspoke/daemon.go
@@ -13,6 +13,7 @@
 
 	"lacewingspoke.org/lacewingspoke/admin"
 	"lacewingspoke.org/lacewingspoke/control"
+	"lacewingspoke.org/lacewingspoke/httpserve"
 	"lacewingspoke.org/lacewingspoke/peer"
 	"lacewingspoke.org/lacewingspoke/platform"
 	"lacewingspoke.org/lacewingspoke/settings"
@@ -39,12 +40,12 @@
 	mesh         *peer.Mesh
 	controller   *control.Controller
 	callerServer callerServer
-	callers      *http.Server
-	admin        *http.Server
+	callers      *httpserve.Server
+	admin        *httpserve.Server
 
 	// ready is a server that serves only the health check. It is nil if the
 	// settings have no address for it.
-	ready *http.Server
+	ready *httpserve.Server
 
 	// feed is nil if the platform does not publish the reports of its targets;
 	// the controller then polls them.
@@ -82,24 +83,26 @@
 		controller:   params.Controller,
 		callerServer: params.CallerServer,
 		feed:         params.Feed,
-		callers:      newHTTPServer(params.CallerServer, params.Settings.MaxHeader()),
-		admin:        newHTTPServer(params.Admin.Handler(), params.Settings.MaxHeader()),
+		callers:      newHTTPServer("callers", params.CallerServer, params),
+		admin:        newHTTPServer("admin", params.Admin.Handler(), params),
 		serverErrors: make(chan error, 3),
 	}
 	if params.Settings.ReadyAddress() != "" {
-		running.ready = newHTTPServer(params.Admin.ReadyHandler(), params.Settings.MaxHeader())
+		running.ready = newHTTPServer("ready", params.Admin.ReadyHandler(), params)
 	}
 	params.Lifecycle.Append(fx.Hook{OnStart: running.start, OnStop: running.stop})
 	return running
 }
 
-func newHTTPServer(handler http.Handler, maxHeader int64) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    int(maxHeader),
-	}
+func newHTTPServer(name string, handler http.Handler, params daemonParams) *httpserve.Server {
+	return httpserve.New(httpserve.Config{
+		Name:           name,
+		Handler:        handler,
+		HeaderTimeout:  readHeaderTimeout,
+		IdleTimeout:    idleTimeout,
+		MaxHeaderBytes: int(params.Settings.MaxHeader()),
+		Logger:         params.Logger,
+	})
 }
 
 // start opens the listeners for callers, operators and the health check before
@@ -145,13 +148,8 @@
 // serve runs an HTTP server and sends its result to serverErrors when it ends:
 // nil if the server was shut down. The context is the base context of all
 // requests.
-func serve(ctx context.Context, server *http.Server, listener net.Listener, serverErrors chan<- error) {
-	server.BaseContext = func(net.Listener) context.Context { return ctx }
-	err := server.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		err = nil
-	}
-	serverErrors <- err
+func serve(ctx context.Context, server *httpserve.Server, listener net.Listener, serverErrors chan<- error) {
+	serverErrors <- server.Serve(ctx, listener)
 }
 
 // settingsInterval is the interval at which the settings file is read again, so
@@ -208,10 +206,14 @@
 	if err := daemon.controller.BeginStop(ctx); err != nil {
 		return errors.Trace(err)
 	}
+	daemon.logConnections("stop notice begins")
 	daemon.callers.SetKeepAlivesEnabled(false)
+	daemon.logConnections("connections without a request closed")
 	daemon.waitFor(ctx, daemon.settings.StopNotice())
 	daemon.callerServer.Stop()
+	daemon.logConnections("stop notice ends")
 	err := daemon.callers.Shutdown(ctx)
+	daemon.logConnections("requests in progress have ended")
 	if relayedErr := daemon.callerServer.AwaitRelayed(ctx); relayedErr != nil {
 		daemon.logger.Warn("requests of other nodes were cut off", zap.Error(relayedErr))
 	}
@@ -233,6 +235,12 @@
 	return errors.Trace(err)
 }
 
+// logConnections logs the states of the callers' connections at a step of the stop.
+func (daemon *daemon) logConnections(step string) {
+	counts := daemon.callers.Connections()
+	daemon.logger.Info(step, zap.Int("idle", counts.Idle), zap.Int("reading", counts.Reading), zap.Int("serving", counts.Serving))
+}
+
 func (daemon *daemon) waitFor(ctx context.Context, duration time.Duration) {
 	delay := daemon.timers.After("stop notice", duration, 0)
 	defer delay.Cancel()
