End connections without losing a request that was read

Cause: at SIGTERM the node called SetKeepAlivesEnabled(false), which closes what net/http counts as idle, and a connection counts as idle until the head of its next request has been read whole and the state has been changed. The close ends the request's context, and the node cut its call to the runner. Shutdown, at the end of the notice, likewise drops a request that it has read before the handler. Class of fault: who closes a connection decides by a state that lags behind what has been read from it.

Change: httpserve.Server decides where the connection is read. End only wakes a Read that waits for a next request; that Read returns the bytes that have arrived, so that they are answered, or else the end of the connection, with nothing read. Connections stay open during the notice, and every answer then says that its connection closes. Connections that wait on the listener are accepted before it closes, and new ones have 0.2 s for their first request. The admin server, which takes requests of other nodes, ends in the same way after the lease is revoked.

--- a/cmd/lacewingspoke/daemon.go
+++ b/cmd/lacewingspoke/daemon.go
@@ -30,6 +30,9 @@
 	// finishTimeout bounds the revocation of the node's lease at the end of a
 	// graceful stop.
 	finishTimeout = 5 * time.Second
+
+	// adminTimeout bounds the end of the admin server after that.
+	adminTimeout = 200 * time.Millisecond
 )
 
 // A daemon starts and stops the components of a node.
@@ -199,7 +202,8 @@
 
 // stop stops the node without interrupting requests in progress. The health
 // check fails at once. The listener for callers stays open for the stop notice,
-// in which the balancer detects the failed check and stops sending requests.
+// in which the balancer detects the failed check and stops sending requests, and
+// in which answers on open connections say that these close.
 // Then stop waits for the requests in progress. The end of the context ends both
 // waits.
 func (daemon *daemon) stop(ctx context.Context) error {
@@ -207,13 +211,12 @@
 		return errors.Trace(err)
 	}
 	daemon.logConnections("stop notice begins")
-	daemon.callers.SetKeepAlivesEnabled(false)
-	daemon.logConnections("connections without a request closed")
+	daemon.callers.AnnounceEnd()
+	daemon.admin.AnnounceEnd()
 	daemon.waitFor(ctx, daemon.settings.StopNotice())
 	daemon.callerServer.Stop()
 	daemon.logConnections("stop notice ends")
-	err := daemon.callers.Shutdown(ctx)
-	daemon.logConnections("requests in progress have ended")
+	err := daemon.callers.End(ctx)
 	if relayedErr := daemon.callerServer.AwaitRelayed(ctx); relayedErr != nil {
 		daemon.logger.Warn("requests of other nodes were cut off", zap.Error(relayedErr))
 	}
@@ -223,6 +226,11 @@
 	if finishErr := daemon.controller.FinishStop(finishCtx); finishErr != nil {
 		daemon.logger.Warn("node lease was not revoked; it expires at the end of its TTL", zap.Error(finishErr))
 	}
+	// The lease is revoked first, so that other nodes send nothing more to this server.
+	adminCtx, cancelAdmin := context.WithTimeout(finishCtx, adminTimeout)
+	defer cancelAdmin()
+	// Reads of the store for other nodes wait for changes, longer than this.
+	_ = daemon.admin.End(adminCtx)
 	daemon.cancel()
 	<-daemon.controller.Done()
 	if daemon.feed != nil {
@@ -231,7 +239,6 @@
 	if daemon.ready != nil {
 		daemon.ready.Close()
 	}
-	daemon.admin.Close()
 	return errors.Trace(err)
 }
 
--- a/httpserve/connection.go
+++ b/httpserve/connection.go
@@ -1,53 +1,174 @@
 package httpserve
 
 import (
+	"io"
 	"net"
+	"os"
 	"sync"
+	"syscall"
+	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 )
 
 // state is the state of a connection.
 type state int
 
 const (
-	// stateIdle connections have had no byte of a next request.
-	stateIdle state = iota
+	// stateNew connections have had no byte, stateIdle ones no byte of a next request.
+	stateNew state = iota
+	stateIdle
 
 	// stateReading connections have had a byte of a request whose handler has not begun, or
-	// has ended without the whole answer being written yet.
+	// the handler has ended and the answer is being written.
 	stateReading
 
 	// stateServing connections have a request whose handler runs.
 	stateServing
 )
 
+// withoutRequest reports whether no byte of a request has been read.
+func (state state) withoutRequest() bool { return state == stateNew || state == stateIdle }
+
 // A connection is an accepted connection with its state.
+//
+// Whether it ends is decided where it is read: end only wakes a pending Read. That Read
+// returns the bytes that have arrived, so that their request is answered, or else io.EOF,
+// and net/http closes the connection.
 type connection struct {
 	net.Conn
 	server *Server
 
 	mutex sync.Mutex
 	state state
+
+	// readDeadline is the one that net/http has set. While woken is true, the connection has
+	// another one, with which it ends.
+	readDeadline time.Time
+	woken        bool
 }
 
 // Read implements net.Conn.
 func (connection *connection) Read(buffer []byte) (int, error) {
-	count, err := connection.Conn.Read(buffer)
-	if count > 0 {
-		connection.received()
+	for {
+		count, err := connection.Conn.Read(buffer)
+		if count > 0 {
+			connection.received()
+			return count, err
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return count, err
+		}
+		count, err, again := connection.afterDeadline(buffer, err)
+		if !again {
+			return count, err
+		}
 	}
-	return count, err
 }
 
-// received records that a byte was read: of a request, or of the next one while a handler
+// received records that bytes were read: of a request, or of the next one while a handler
 // runs.
 func (connection *connection) received() {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	if connection.state == stateIdle {
-		connection.state = stateReading
+	if connection.state.withoutRequest() {
+		connection.setState(stateReading)
+	}
+}
+
+// afterDeadline returns the result of a Read that ended with a deadline, or true if the
+// Read goes on because a request has begun.
+func (connection *connection) afterDeadline(buffer []byte, deadline error) (int, error, bool) {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	if !connection.woken {
+		return 0, deadline, !connection.expired()
+	}
+	count := connection.readArrived(buffer)
+	if count == 0 {
+		return 0, io.EOF, false
 	}
+	connection.setState(stateReading)
+	return count, nil, false
+}
+
+// expired reports whether the deadline of net/http has passed. Otherwise the one that ended
+// a Read was replaced meanwhile.
+func (connection *connection) expired() bool {
+	return !connection.readDeadline.IsZero() && !time.Now().Before(connection.readDeadline)
+}
+
+// readArrived reads the bytes that have arrived without waiting for others.
+func (connection *connection) readArrived(buffer []byte) int {
+	raw, err := connection.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return 0
+	}
+	count := 0
+	err = raw.Control(func(descriptor uintptr) {
+		if received, _, failure := unix.Recvfrom(int(descriptor), buffer, unix.MSG_DONTWAIT); failure == nil {
+			count = received
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return count
+}
+
+// end ends the connection as soon as it has no request. One that has a request closes after
+// the answer.
+func (connection *connection) end() {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	connection.wake()
+}
+
+// wake makes a pending or the next Read of a connection without a request return while the
+// server ends.
+func (connection *connection) wake() {
+	if connection.woken || !connection.state.withoutRequest() || !connection.server.ending.Load() {
+		return
+	}
+	connection.woken = true
+	deadline := time.Now()
+	if connection.state == stateNew {
+		deadline = deadline.Add(firstRequestTime)
+	}
+	_ = connection.Conn.SetReadDeadline(deadline)
+}
+
+// setState changes the state, and the deadline back to the one of net/http if a request has
+// begun.
+func (connection *connection) setState(next state) {
+	connection.state = next
+	if connection.woken && !next.withoutRequest() {
+		connection.woken = false
+		_ = connection.Conn.SetReadDeadline(connection.readDeadline)
+	}
+	connection.wake()
+}
+
+// SetReadDeadline implements net.Conn.
+func (connection *connection) SetReadDeadline(deadline time.Time) error {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	connection.readDeadline = deadline
+	connection.wake()
+	if connection.woken {
+		return nil
+	}
+	return connection.Conn.SetReadDeadline(deadline)
+}
+
+// SetDeadline implements net.Conn.
+func (connection *connection) SetDeadline(deadline time.Time) error {
+	if err := connection.SetReadDeadline(deadline); err != nil {
+		return err
+	}
+	return connection.SetWriteDeadline(deadline)
 }
 
 func (connection *connection) currentState() state {
@@ -56,17 +177,17 @@
 	return connection.state
 }
 
-func (connection *connection) setState(next state) {
+func (connection *connection) change(next state) {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	connection.state = next
+	connection.setState(next)
 }
 
-func (connection *connection) beginHandler() { connection.setState(stateServing) }
+func (connection *connection) beginHandler() { connection.change(stateServing) }
 
-func (connection *connection) endHandler() { connection.setState(stateReading) }
+func (connection *connection) endHandler() { connection.change(stateReading) }
 
-func (connection *connection) becomeIdle() { connection.setState(stateIdle) }
+func (connection *connection) becomeIdle() { connection.change(stateIdle) }
 
 // CloseWrite closes the sending side. net/http calls it before it closes a connection whose
 // request it has not read to its end.
--- a/httpserve/httpserve.go
+++ b/httpserve/httpserve.go
@@ -1,8 +1,27 @@
-// Package httpserve serves HTTP and has the state of every connection: whether a request
-// has been read from it, in part or whole, and whether its handler runs.
+// Package httpserve serves HTTP and ends its connections without losing a request.
 //
-// net/http counts a connection as idle until it has read the head of the next request, so
-// its own counts do not show a request that is on its way to a handler.
+// A request that has been read, in part or whole, is answered. A connection is only closed
+// without an answer while no byte of a request has been read from it: its caller can then
+// send the request again. net/http does not keep to that. It counts a connection as idle
+// until it has read the head of the next request and changed the state, so that
+// SetKeepAlivesEnabled closes connections whose handler begins, and Shutdown drops a
+// request that it has read. The Server therefore has states of its own, from the first byte
+// of a request on, and uses neither.
+//
+// # Planned stops
+//
+// AnnounceEnd begins the notice: connections stay open and requests are served, and each
+// answer says that its connection closes. End follows after the notice: the listener closes,
+// connections without a request end, and End waits for the others. What still arrives is
+// handled and answered; from then on the handler should refuse it.
+//
+//	connection                  during the notice        at End
+//	without a request           stays open               closes, nothing of it was read
+//	new, no request yet         stays open               has firstRequestTime to send one
+//	request on its way          answered, then closes    answered, then closes
+//	open stream                 goes on                  goes on to its end, then closes
+//	two requests at once        the first is answered with "Connection: close", which says
+//	                            that the second is not handled
 //
 // # Usage
 //
@@ -14,8 +33,9 @@
 //	})
 //	go func() { ended <- server.Serve(ctx, listener) }()
 //	…
-//	server.Connections()     // idle, reading and serving
-//	server.Shutdown(ctx)     // waits for requests in progress
+//	server.AnnounceEnd()
+//	… // the notice
+//	err := server.End(ctx) // an error if ctx ended before all requests had
 package httpserve
 
 import (
@@ -24,12 +44,23 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 )
 
+const (
+	// backlogTime is how long connections are accepted after End is called. A listener that
+	// closes resets the connections that it has not accepted, with the requests on them.
+	backlogTime = 20 * time.Millisecond
+
+	// firstRequestTime is how long a new connection may send its first request at the end.
+	// It is above the round trip between callers and nodes.
+	firstRequestTime = 200 * time.Millisecond
+)
+
 // Config holds the settings and dependencies of a Server.
 type Config struct {
 	// Name is the name of the server in log lines.
@@ -50,8 +81,19 @@
 	config Config
 	http   *http.Server
 
+	// announced is true after AnnounceEnd, ending after End.
+	announced atomic.Bool
+	ending    atomic.Bool
+
+	// accepting is closed when Serve accepts no more connections.
+	accepting chan struct{}
+
 	mutex       sync.Mutex
+	listener    net.Listener
 	connections map[*connection]bool
+
+	// empty is closed when there is no connection left. It is nil if nothing waits for that.
+	empty chan struct{}
 }
 
 // New returns a server.
@@ -59,7 +101,7 @@
 	if config.Logger == nil {
 		config.Logger = zap.NewNop()
 	}
-	server := &Server{config: config, connections: map[*connection]bool{}}
+	server := &Server{config: config, accepting: make(chan struct{}), connections: map[*connection]bool{}}
 	server.http = &http.Server{
 		Handler:           http.HandlerFunc(server.serve),
 		ReadHeaderTimeout: config.HeaderTimeout,
@@ -90,12 +132,16 @@
 	return len(message), nil
 }
 
-// Serve accepts connections until the server is shut down or closed, and then returns nil.
-// The context is the base context of all requests.
+// Serve accepts connections until End or Close is called, and then returns nil. It may be
+// called once. The context is the base context of all requests.
 func (server *Server) Serve(ctx context.Context, listener net.Listener) error {
+	defer close(server.accepting)
 	server.http.BaseContext = func(net.Listener) context.Context { return ctx }
+	server.mutex.Lock()
+	server.listener = listener
+	server.mutex.Unlock()
 	err := server.http.Serve(&trackingListener{Listener: listener, server: server})
-	if errors.Is(err, http.ErrServerClosed) {
+	if server.ending.Load() || errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
 	return errors.Trace(err)
@@ -106,20 +152,56 @@
 	connection := request.Context().Value(connectionKey{}).(*connection)
 	connection.beginHandler()
 	defer connection.endHandler()
+	if server.announced.Load() {
+		writer.Header().Set("Connection", "close")
+	}
 	server.config.Handler.ServeHTTP(writer, request)
 }
 
-// SetKeepAlivesEnabled is that of http.Server.
-func (server *Server) SetKeepAlivesEnabled(enabled bool) { server.http.SetKeepAlivesEnabled(enabled) }
+// AnnounceEnd makes every answer from now on say that its connection closes.
+func (server *Server) AnnounceEnd() { server.announced.Store(true) }
 
-// Shutdown closes the listener and waits for requests in progress. It returns the context's
-// error if that ends before.
-func (server *Server) Shutdown(ctx context.Context) error {
-	return errors.Trace(server.http.Shutdown(ctx))
+// End closes the listener and the connections without a request, and waits until the others
+// have been answered. If the context ends before, it closes them and returns the context's
+// error.
+func (server *Server) End(ctx context.Context) error {
+	server.AnnounceEnd()
+	server.ending.Store(true)
+	server.closeListener(ctx)
+	for _, open := range server.open() {
+		open.end()
+	}
+	select {
+	case <-server.awaitEmpty():
+		return nil
+	case <-ctx.Done():
+		_ = server.http.Close()
+		return errors.Trace(ctx.Err())
+	}
+}
+
+// closeListener closes the listener after the connections that wait on it are accepted.
+func (server *Server) closeListener(ctx context.Context) {
+	server.mutex.Lock()
+	listener := server.listener
+	server.mutex.Unlock()
+	if listener == nil {
+		return
+	}
+	if limited, ok := listener.(interface{ SetDeadline(time.Time) error }); ok && limited.SetDeadline(time.Now().Add(backlogTime)) == nil {
+		select {
+		case <-server.accepting:
+		case <-ctx.Done():
+		}
+	}
+	_ = listener.Close()
 }
 
 // Close closes the listener and all connections.
-func (server *Server) Close() error { return errors.Trace(server.http.Close()) }
+func (server *Server) Close() error {
+	server.ending.Store(true)
+	return errors.Trace(server.http.Close())
+}
 
 // Connections are the numbers of open connections by their state.
 type Connections struct {
@@ -132,12 +214,10 @@
 
 // Connections returns the numbers of open connections.
 func (server *Server) Connections() Connections {
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
 	var counts Connections
-	for open := range server.connections {
+	for _, open := range server.open() {
 		switch open.currentState() {
-		case stateIdle:
+		case stateNew, stateIdle:
 			counts.Idle++
 		case stateReading:
 			counts.Reading++
@@ -148,19 +228,26 @@
 	return counts
 }
 
-// A trackingListener wraps the connections that it accepts.
-type trackingListener struct {
-	net.Listener
-	server *Server
+// open returns the open connections.
+func (server *Server) open() []*connection {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	open := make([]*connection, 0, len(server.connections))
+	for connection := range server.connections {
+		open = append(open, connection)
+	}
+	return open
 }
 
-// Accept implements net.Listener.
-func (listener *trackingListener) Accept() (net.Conn, error) {
-	accepted, err := listener.Listener.Accept()
-	if err != nil {
-		return nil, err
+// awaitEmpty returns a channel that is closed when no connection is left.
+func (server *Server) awaitEmpty() <-chan struct{} {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	server.empty = make(chan struct{})
+	if len(server.connections) == 0 {
+		close(server.empty)
 	}
-	return listener.server.add(accepted), nil
+	return server.empty
 }
 
 func (server *Server) add(accepted net.Conn) *connection {
@@ -174,5 +261,30 @@
 func (server *Server) remove(closed *connection) {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
+	if !server.connections[closed] {
+		return
+	}
 	delete(server.connections, closed)
+	if len(server.connections) == 0 && server.empty != nil {
+		close(server.empty)
+	}
+}
+
+// A trackingListener wraps the connections that it accepts.
+type trackingListener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept implements net.Listener. It returns net.ErrClosed when no connection waits while
+// the server ends.
+func (listener *trackingListener) Accept() (net.Conn, error) {
+	accepted, err := listener.Listener.Accept()
+	if err != nil && listener.server.ending.Load() {
+		return nil, net.ErrClosed
+	}
+	if err != nil {
+		return nil, err
+	}
+	return listener.server.add(accepted), nil
 }
--- a/httpserve/httpserve_test.go
+++ b/httpserve/httpserve_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -73,21 +74,179 @@
 	return &caller{Conn: opened, test: server.test, reader: bufio.NewReader(opened)}
 }
 
+// dialKept returns a connection that has had one request.
+func (server *fixture) dialKept() *caller {
+	kept := server.dial()
+	kept.write(request("first"))
+	body, closes := kept.answer()
+	require.Equal(server.test, "first", body)
+	require.False(server.test, closes)
+	server.awaitCounts(func(counts httpserve.Connections) bool { return counts.Idle > 0 && counts.Serving+counts.Reading == 0 })
+	return kept
+}
+
 func request(body string) string {
 	return fmt.Sprintf("POST / HTTP/1.1\r\nHost: test\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 }
 
-// end shuts the server down and returns a channel with its result.
+func (caller *caller) write(text string) {
+	_, err := io.WriteString(caller, text)
+	require.NoError(caller.test, err)
+}
+
+// answer reads one answer. It returns its body and whether it says that the connection
+// closes.
+func (caller *caller) answer() (string, bool) {
+	answer, err := http.ReadResponse(caller.reader, nil)
+	require.NoError(caller.test, err)
+	body, err := io.ReadAll(answer.Body)
+	require.NoError(caller.test, err)
+	return string(body), answer.Close
+}
+
+// closed reports whether the connection ends without another byte.
+func (caller *caller) closed() bool {
+	_, err := caller.reader.ReadByte()
+	return errors.Is(err, io.EOF)
+}
+
+func (server *fixture) awaitCounts(condition func(counts httpserve.Connections) bool) {
+	require.Eventually(server.test, func() bool { return condition(server.Connections()) }, waitBound, waitTick)
+}
+
+// end calls End and returns a channel with its result.
 func (server *fixture) end() <-chan error {
 	result := make(chan error, 1)
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), waitBound)
 		defer cancel()
-		result <- server.Shutdown(ctx)
+		result <- server.End(ctx)
 	}()
 	return result
 }
 
+// Guards against an end that waits for connections without a request, or cuts them before
+// their callers were answered in the notice.
+func TestIdleConnectionIsServedInTheNoticeAndEndsAfterIt(test *testing.T) {
+	server := start(test)
+	used, unused := server.dialKept(), server.dialKept()
+	server.AnnounceEnd()
+	used.write(request("in the notice"))
+	body, closes := used.answer()
+	assert.Equal(test, "in the notice", body)
+	assert.True(test, closes)
+	assert.True(test, used.closed())
+	require.NoError(test, <-server.end())
+	assert.True(test, unused.closed())
+	require.NoError(test, <-server.ended)
+}
+
+// Guards against a request that is cut because only a part of its head had been read when
+// the server ended.
+func TestRequestWhoseHeadIsArrivingIsAnswered(test *testing.T) {
+	server := start(test)
+	kept := server.dialKept()
+	text := request("late")
+	kept.write(text[:10])
+	server.awaitCounts(func(counts httpserve.Connections) bool { return counts.Reading == 1 })
+	result := server.end()
+	server.awaitRefused()
+	kept.write(text[10:])
+	body, closes := kept.answer()
+	assert.Equal(test, "late", body)
+	assert.True(test, closes)
+	require.NoError(test, <-result)
+}
+
+// Guards against a request that is cut because its body was still arriving when the server
+// ended.
+func TestRequestWhoseBodyIsArrivingIsAnswered(test *testing.T) {
+	server := start(test)
+	kept := server.dialKept()
+	text := request("slow body")
+	kept.write(text[:len(text)-4])
+	server.awaitCounts(func(counts httpserve.Connections) bool { return counts.Serving == 1 })
+	result := server.end()
+	server.awaitRefused()
+	kept.write(text[len(text)-4:])
+	body, _ := kept.answer()
+	assert.Equal(test, "slow body", body)
+	require.NoError(test, <-result)
+}
+
+// awaitRefused waits until the server accepts no connection.
+func (server *fixture) awaitRefused() {
+	require.Eventually(server.test, func() bool {
+		opened, err := net.Dial("tcp", server.address)
+		if err == nil {
+			_ = opened.Close()
+		}
+		return err != nil
+	}, waitBound, waitTick)
+}
+
+// Guards against a handler that is cut when the server ends, and against a kept connection
+// that stays open after an answer that began before the notice.
+func TestRequestInProgressIsAnswered(test *testing.T) {
+	server := start(test)
+	server.release = make(chan struct{})
+	caller := server.dial()
+	caller.write(request("in progress"))
+	server.awaitCounts(func(counts httpserve.Connections) bool { return counts.Serving == 1 })
+	result := server.end()
+	server.awaitRefused()
+	close(server.release)
+	body, _ := caller.answer()
+	assert.Equal(test, "in progress", body)
+	assert.True(test, caller.closed())
+	require.NoError(test, <-result)
+}
+
+// Guards against new connections that are reset with their first request when the server
+// ends, and against an end that waits for those that send none.
+func TestNewConnectionMaySendItsFirstRequest(test *testing.T) {
+	server := start(test)
+	silent := server.dial()
+	waiting := server.dial()
+	server.awaitCounts(func(counts httpserve.Connections) bool { return counts.Idle == 2 })
+	result := server.end()
+	waiting.write(request("first"))
+	body, closes := waiting.answer()
+	assert.Equal(test, "first", body)
+	assert.True(test, closes)
+	assert.True(test, silent.closed())
+	require.NoError(test, <-result)
+}
+
+// Guards against a second request that is handled although the first answer has said that
+// the connection closes.
+func TestSecondOfTwoRequestsIsNotHandledAfterTheAnnouncedClose(test *testing.T) {
+	server := start(test)
+	kept := server.dialKept()
+	server.AnnounceEnd()
+	kept.write(request("one") + request("two"))
+	body, closes := kept.answer()
+	assert.Equal(test, "one", body)
+	assert.True(test, closes)
+	assert.True(test, kept.closed())
+	require.NoError(test, <-server.end())
+	assert.Equal(test, int64(2), server.handled.Load(), "the first request of the connection and one of the two")
+}
+
+// Guards against an end that lasts longer than its context.
+func TestEndClosesConnectionsWhenItsContextEnds(test *testing.T) {
+	server := start(test)
+	server.release = make(chan struct{})
+	defer close(server.release)
+	caller := server.dial()
+	caller.write(request("without end"))
+	server.awaitCounts(func(counts httpserve.Connections) bool { return counts.Serving == 1 })
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	require.ErrorIs(test, server.End(ctx), context.DeadlineExceeded)
+	assert.True(test, caller.closed())
+}
+
 // Guards against requests that are handled and get no answer when many kept connections
 // with requests on their way end at once: incident inc1 of issue 34.
 func TestHandledRequestsAreAnsweredWhenKeptConnectionsEnd(test *testing.T) {
@@ -123,7 +282,7 @@
 		}
 		require.Eventually(test, func() bool { return server.handled.Load() > callers }, waitBound, waitTick)
 		if round%2 == 0 {
-			server.SetKeepAlivesEnabled(false)
+			server.AnnounceEnd()
 		}
 		require.NoError(test, <-server.end())
 		answered := 0
