Go on with a graceful stop when SIGTERM is repeated

What callers saw: a platform that repeats SIGTERM cut the requests in progress, among them bookings that had run.

Cause: the second SIGTERM or SIGINT cancelled the stop, so that it closed all connections at once. Change: SIGTERM during the stop is logged and changes nothing; SIGINT, which an operator sends from a terminal, still cuts off.

--- a/cmd/lacewingspoke/node.go
+++ b/cmd/lacewingspoke/node.go
@@ -68,20 +68,29 @@
 	cause := running.wait(signals, reloads, path)
 	stopCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go cancelOnSignal(stopCtx, signals, cancel)
+	watchDone := make(chan error, 1)
+	go func() { watchDone <- watchSignals(stopCtx, signals, cancel, logger) }()
 	if err := app.Stop(stopCtx); err != nil {
 		logger.Warn("stopped before all requests had ended", zap.Error(err))
 	}
+	cancel()
+	<-watchDone
 	logger.Info("stopped")
 	return errors.Trace(cause)
 }
 
-// cancelOnSignal calls cancel when another signal arrives during a graceful stop,
-// so that the stop does not wait any longer.
-func cancelOnSignal(ctx context.Context, signals <-chan os.Signal, cancel context.CancelFunc) {
-	select {
-	case <-signals:
-		cancel()
-	case <-ctx.Done():
+// watchSignals handles the signals that arrive during a graceful stop until the context
+// ends. Platforms repeat SIGTERM, which changes nothing; SIGINT cuts off what still runs.
+func watchSignals(ctx context.Context, signals <-chan os.Signal, cancel context.CancelFunc, logger *zap.Logger) error {
+	for {
+		select {
+		case received := <-signals:
+			logger.Info("signal during the stop", zap.Stringer("signal", received))
+			if received == syscall.SIGINT {
+				cancel()
+			}
+		case <-ctx.Done():
+			return nil
+		}
 	}
 }
