Refuse or end requests inside the grace of a planned stop

What callers saw: a request that was taken late in the notice of a stop, passed on, and cut without an answer by SIGKILL at the end of the grace, also when it may run once only.

Cause: nothing compared a request's time with the time that the process has left. Requests that were taken before the listener closed ran without a limit of the node.

Nine tenths of the grace after the signal, what is left gets its last answer: 502 or 504, or a refusal for what was never sent, also for a body that has not arrived. Requests that were read before keep being served.

--- a/cmd/lacewingspoke/daemon.go
+++ b/cmd/lacewingspoke/daemon.go
@@ -33,6 +33,12 @@
 
 	// adminTimeout bounds the end of the admin server after that.
 	adminTimeout = 200 * time.Millisecond
+
+	// Shares of the grace. Requests end after requestsShare, the last answers have been
+	// written after answersShare, and the lease is revoked after finishShare.
+	requestsShare = 0.9
+	answersShare  = 0.94
+	finishShare   = 0.98
 )
 
 // A daemon starts and stops the components of a node.
@@ -203,34 +209,38 @@
 // stop stops the node without interrupting requests in progress. The health
 // check fails at once. The listener for callers stays open for the stop notice,
 // in which the balancer detects the failed check and stops sending requests, and
-// in which answers on open connections say that these close.
-// Then stop waits for the requests in progress. The end of the context ends both
-// waits.
+// in which answers on open connections say that these close. Then stop waits for
+// the requests in progress. If they have not ended in their part of the grace,
+// they get their last answers. The end of the context cuts them.
 func (daemon *daemon) stop(ctx context.Context) error {
+	began, grace := time.Now(), daemon.settings.StopGrace()
+	requestsCtx, endRequests := withGrace(ctx, began, requestsShare, grace)
+	defer endRequests()
+	answersCtx, endAnswers := withGrace(ctx, began, answersShare, grace)
+	defer endAnswers()
+	notice := daemon.settings.StopNotice()
+	if grace > 0 {
+		notice = min(notice, grace/2)
+	}
 	if err := daemon.controller.BeginStop(ctx); err != nil {
-		return errors.Trace(err)
+		daemon.logger.Warn("the health check still passes", zap.Error(err))
 	}
 	daemon.logConnections("stop notice begins")
+	if end, bounded := requestsCtx.Deadline(); bounded {
+		daemon.callerServer.BeginStop(time.Until(end))
+	}
+	defer context.AfterFunc(requestsCtx, daemon.callerServer.EndRequests)()
 	daemon.callers.AnnounceEnd()
 	daemon.admin.AnnounceEnd()
-	daemon.waitFor(ctx, daemon.settings.StopNotice())
+	daemon.waitFor(ctx, notice)
 	daemon.callerServer.Stop()
 	daemon.logConnections("stop notice ends")
-	err := daemon.callers.End(ctx)
-	if relayedErr := daemon.callerServer.AwaitRelayed(ctx); relayedErr != nil {
+	err := daemon.callers.End(answersCtx)
+	if relayedErr := daemon.callerServer.AwaitRelayed(answersCtx); relayedErr != nil {
 		daemon.logger.Warn("requests of other nodes were cut off", zap.Error(relayedErr))
 	}
 	daemon.callerServer.Close()
-	finishCtx, cancel := context.WithTimeout(context.Background(), finishTimeout)
-	defer cancel()
-	if finishErr := daemon.controller.FinishStop(finishCtx); finishErr != nil {
-		daemon.logger.Warn("node lease was not revoked; it expires at the end of its TTL", zap.Error(finishErr))
-	}
-	// The lease is revoked first, so that other nodes send nothing more to this server.
-	adminCtx, cancelAdmin := context.WithTimeout(finishCtx, adminTimeout)
-	defer cancelAdmin()
-	// Reads of the store for other nodes wait for changes, longer than this.
-	_ = daemon.admin.End(adminCtx)
+	daemon.finish(began, grace)
 	daemon.cancel()
 	<-daemon.controller.Done()
 	if daemon.feed != nil {
@@ -242,6 +252,31 @@
 	return errors.Trace(err)
 }
 
+// finish revokes the node's lease, so that other nodes send nothing more to the admin
+// server, and ends that server.
+func (daemon *daemon) finish(began time.Time, grace time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+	defer cancel()
+	ctx, cancelGrace := withGrace(ctx, began, finishShare, grace)
+	defer cancelGrace()
+	if err := daemon.controller.FinishStop(ctx); err != nil {
+		daemon.logger.Warn("node lease was not revoked; it expires at the end of its TTL", zap.Error(err))
+	}
+	adminCtx, cancelAdmin := context.WithTimeout(ctx, adminTimeout)
+	defer cancelAdmin()
+	// Reads of the store for other nodes wait for changes, longer than this.
+	_ = daemon.admin.End(adminCtx)
+}
+
+// withGrace returns a context that ends when a share of the grace has passed. A grace of 0
+// has no end.
+func withGrace(ctx context.Context, began time.Time, share float64, grace time.Duration) (context.Context, context.CancelFunc) {
+	if grace == 0 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, began.Add(time.Duration(share*float64(grace))))
+}
+
 // logConnections logs the states of the callers' connections at a step of the stop.
 func (daemon *daemon) logConnections(step string) {
 	counts := daemon.callers.Connections()
--- a/cmd/lacewingspoke/module.go
+++ b/cmd/lacewingspoke/module.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/juju/errors"
@@ -229,9 +230,15 @@
 type callerServer interface {
 	http.Handler
 
+	// BeginStop makes the server refuse requests that may last longer than the time left.
+	BeginStop(left time.Duration)
+
 	// Stop makes the server refuse requests that arrive after the call.
 	Stop()
 
+	// EndRequests ends the requests in progress. Each gets its last answer.
+	EndRequests()
+
 	// AwaitRelayed waits until the requests that the server handles for other nodes have
 	// ended, or the context has.
 	AwaitRelayed(ctx context.Context) error
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -41,10 +41,12 @@
 //		Logger:        logger,
 //		Registerer:    registry,
 //	})
-//	httpServer := &http.Server{Handler: server}
+//	httpServer := httpserve.New(httpserve.Config{Handler: server})
 //	…
-//	server.Stop()           // new requests are refused as not run
-//	httpServer.Shutdown(ctx) // waits for requests in progress
+//	server.BeginStop(left) // refuses requests that may not end in the time left
+//	server.Stop()          // refuses all new requests, as not run
+//	httpServer.End(ctx)    // waits for requests in progress
+//	server.EndRequests()   // answers those that are left when the time is over
 //	server.Close()
 package entry
 
@@ -212,6 +214,12 @@
 	gate      *grantGate
 	leases    *claimLeases
 
+	// grace bounds the requests of a stopping node. requests is the context of all
+	// requests, which endRequests ends.
+	grace       limit.Grace
+	requests    context.Context
+	endRequests context.CancelFunc
+
 	stopping atomic.Bool
 	inFlight atomic.Int64
 
@@ -243,19 +251,22 @@
 	tracker := route.NewTracker()
 	suspects := route.NewSuspects()
 	ctx, cancel := context.WithCancel(context.Background())
+	requests, endRequests := context.WithCancel(context.Background())
 	server := &Server{
-		config:    config,
-		metrics:   registered,
-		tracker:   tracker,
-		suspects:  suspects,
-		generator: engine.NewGenerator(config.Generator),
-		services:  service.New(config.Service),
-		admission: newAdmission(config),
-		gate:      newGrantGate(config.Publisher, config.Now),
-		leases:    newClaimLeases(config),
-		ctx:       ctx,
-		cancel:    cancel,
-		watchDone: make(chan struct{}),
+		requests:    requests,
+		endRequests: endRequests,
+		config:      config,
+		metrics:     registered,
+		tracker:     tracker,
+		suspects:    suspects,
+		generator:   engine.NewGenerator(config.Generator),
+		services:    service.New(config.Service),
+		admission:   newAdmission(config),
+		gate:        newGrantGate(config.Publisher, config.Now),
+		leases:      newClaimLeases(config),
+		ctx:         ctx,
+		cancel:      cancel,
+		watchDone:   make(chan struct{}),
 		picker: route.NewPicker(route.PickerConfig{
 			FailureDomain: config.FailureDomain,
 			Source:        rand.NewPCG(config.Seed, config.Seed),
@@ -303,6 +314,16 @@
 	server.router.ServeHTTP(writer, request)
 }
 
+// BeginStop begins a planned stop at whose end, after the time left, all requests must have
+// ended. From then on the server refuses, as not run, requests that may run only once and
+// may last longer.
+func (server *Server) BeginStop(left time.Duration) {
+	server.grace.Begin(server.config.Now().Add(left))
+}
+
+// EndRequests ends the requests in progress. Each gets its last answer.
+func (server *Server) EndRequests() { server.endRequests() }
+
 // Stop makes the server refuse new requests with the outcome not-run. Requests
 // accepted before, including queued ones, are still served.
 func (server *Server) Stop() {
@@ -318,6 +339,7 @@
 // Close stops the server's goroutines and waits for them. Call it after the
 // last request has been answered.
 func (server *Server) Close() {
+	server.endRequests()
 	server.cancel()
 	<-server.watchDone
 	server.background.Wait()
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -197,7 +197,7 @@
 // the kind of its route. The body is read after admission, so that the capacity
 // bounds the memory used by bodies.
 func (exchange *exchange) admitAndServe(table *route.Table) {
-	ctx, cancel := context.WithDeadline(exchange.request.Context(), exchange.deadline)
+	ctx, cancel := exchange.server.requestContext(exchange.request.Context(), exchange.deadline)
 	defer cancel()
 	admissionID, refusal := exchange.server.admission.acquire(ctx, limit.Request{
 		Workspace: exchange.workspace.Name,
@@ -220,6 +220,11 @@
 		exchange.refuse(status, outcome.NotRun{Reason: err.Error()})
 		return
 	}
+	server := exchange.server
+	if !server.grace.Allows(exchange.deadline, retryClassOf(exchange.route) != outcome.RunOnce, 0, server.config.Now()) {
+		exchange.refuse(http.StatusServiceUnavailable, outcome.NotRun{Reason: "node is stopping and may end before the request does", RetryAfter: time.Second})
+		return
+	}
 	if exchange.route.Kind == folder.KindDraft {
 		exchange.serveDraft(ctx, body)
 		return
@@ -227,6 +232,17 @@
 	exchange.serveService(ctx, body)
 }
 
+// requestContext returns a context that ends at the deadline, with its parent, or when the
+// server ends all requests.
+func (server *Server) requestContext(parent context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(parent, deadline)
+	stop := context.AfterFunc(server.requests, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 func refusalStatus(cause limit.RefuseCause) int {
 	if cause == limit.RefuseQueue {
 		return http.StatusTooManyRequests
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -132,7 +132,11 @@
 		wait = defaultTimeout
 	}
 	exchange.deadline = exchange.receivedAt.Add(wait)
-	ctx, cancel := context.WithTimeout(exchange.request.Context(), exchange.remaining())
+	if !exchange.endsInGrace() {
+		exchange.refuse("node is stopping and may end before the request does", shortRetryAfter)
+		return
+	}
+	ctx, cancel := exchange.server.requestContext(exchange.request, exchange.remaining())
 	defer cancel()
 	exchange.server.countRequest(exchange.service.Name)
 	whole := quarantine.RequestPart(caller.Key, exchange.request.Method, exchange.request.Host, exchange.request.RequestURI, caller.PromptParts, exchange.body)
@@ -145,9 +149,37 @@
 	exchange.serveRunner(ctx)
 }
 
-// remaining returns the time until the deadline.
+// requestContext returns the context of a request, which ends after the timeout, with the
+// request's own context, or when the server ends all requests.
+func (server *Server) requestContext(request *http.Request, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(request.Context(), timeout)
+	stop := context.AfterFunc(server.requests, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// remaining returns the time until the deadline, or until the end of a planned stop.
 func (exchange *exchange) remaining() time.Duration {
-	return exchange.deadline.Sub(exchange.server.config.Now())
+	return exchange.server.grace.Bound(exchange.deadline).Sub(exchange.server.config.Now())
+}
+
+// endsInGrace reports whether the request may be sent to a target although the node is
+// stopping.
+func (exchange *exchange) endsInGrace() bool {
+	server := exchange.server
+	return server.grace.Allows(exchange.deadline, exchange.route.Repeatable(), exchange.expectedTime(), server.config.Now())
+}
+
+// expectedTime returns the time that a target with a short queue needs for the request.
+func (exchange *exchange) expectedTime() time.Duration {
+	expected := exchange.route.Objective
+	if exchange.service.Engine != nil {
+		pace := exchange.pace()
+		expected += time.Duration(pace.Events) * pace.Pass
+	}
+	return expected
 }
 
 // resolve sets the route, service and workspace of the request. If it cannot, it
@@ -205,9 +237,14 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
+	stop := context.AfterFunc(exchange.server.requests, func() { _ = exchange.control.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(http.MaxBytesReader(exchange.writer, exchange.request.Body, limit))
+	stop()
 	var large *http.MaxBytesError
 	switch {
+	case err != nil && exchange.server.requests.Err() != nil:
+		exchange.refuse("node is stopping", shortRetryAfter)
+		return false
 	case errors.As(err, &large):
 		exchange.fail(http.StatusRequestEntityTooLarge, "body is over its bound")
 		return false
@@ -244,9 +281,10 @@
 
 // mayStillRun reports whether the request may still be sent to a target: its
 // deadline lies ahead, and if it has a workspace, its key is in a configuration
-// that was recently confirmed to be the newest.
+// that was recently confirmed to be the newest. One that may run only once must
+// also end in the grace of a stopping node.
 func (exchange *exchange) mayStillRun() bool {
-	if exchange.remaining() <= 0 {
+	if exchange.remaining() <= 0 || !exchange.route.Repeatable() && !exchange.endsInGrace() {
 		return false
 	}
 	if exchange.workspace.Name == "" {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -34,12 +34,14 @@
 //		Now:           clock.Now,
 //		Confirmed:     feed.Confirmed,
 //	})
-//	httpServer := &http.Server{Handler: server}
+//	httpServer := httpserve.New(httpserve.Config{Handler: server})
 //	…
 //	server.SetNodes(nodes)   // other nodes send requests to targets that this one does not reach
-//	server.Stop()            // refuses new requests as not run
-//	httpServer.Shutdown(ctx) // waits for requests in progress
+//	server.BeginStop(left)   // refuses requests that may not end in the time left
+//	server.Stop()            // refuses all new requests, as not run
+//	httpServer.End(ctx)      // waits for requests in progress
 //	server.AwaitRelayed(ctx) // and for those of other nodes
+//	server.EndRequests()     // answers those that are left when the time is over
 //	server.Close()
 package forward
 
@@ -261,6 +263,12 @@
 	// of StalledGroups.
 	stalled map[string]bool
 
+	// grace bounds the requests of a stopping node. requests is the context of all
+	// requests, which endRequests ends.
+	grace       limit.Grace
+	requests    context.Context
+	endRequests context.CancelFunc
+
 	stopping        atomic.Bool
 	requestReceived atomic.Bool
 	inFlight        atomic.Int64
@@ -297,13 +305,16 @@
 	tracker := route.NewTracker()
 	suspects := route.NewSuspects()
 	ctx, cancel := context.WithCancel(context.Background())
+	requests, endRequests := context.WithCancel(context.Background())
 	server := &Server{
-		stalled:    map[string]bool{},
-		objectives: map[string]time.Duration{},
-		liveNodes:  1,
-		closures:   route.NewClosures(),
-		paths:      route.NewPaths(),
-		direct:     &directCalls{calls: map[*directCall]bool{}},
+		requests:    requests,
+		endRequests: endRequests,
+		stalled:     map[string]bool{},
+		objectives:  map[string]time.Duration{},
+		liveNodes:   1,
+		closures:    route.NewClosures(),
+		paths:       route.NewPaths(),
+		direct:      &directCalls{calls: map[*directCall]bool{}},
 		nodes: newNodes(route.PickerConfig{
 			FailureDomain: config.FailureDomain,
 			Source:        rand.NewPCG(config.Seed, config.Seed+2),
@@ -467,12 +478,23 @@
 // RequestReceived reports whether the server has received a request.
 func (server *Server) RequestReceived() bool { return server.requestReceived.Load() }
 
+// BeginStop begins a planned stop at whose end, after the time left, all requests must have
+// ended. From then on the server refuses, as not run, requests that may last longer.
+func (server *Server) BeginStop(left time.Duration) {
+	server.grace.Begin(server.config.Now().Add(left))
+}
+
 // Stop makes the server refuse, as not run, all requests that arrive after the
 // call.
 func (server *Server) Stop() { server.stopping.Store(true) }
 
+// EndRequests ends the requests in progress: each gets its last answer, as not run or with
+// an unknown outcome.
+func (server *Server) EndRequests() { server.endRequests() }
+
 // Close stops the server's goroutine and closes the idle connections to targets.
 func (server *Server) Close() {
+	server.endRequests()
 	server.cancel()
 	<-server.watchDone
 	server.client.close()
--- a/forward/relay_server.go
+++ b/forward/relay_server.go
@@ -61,6 +61,10 @@
 		relayed.attempt = caller.Attempt
 	}
 	relayed.deadline = receivedAt.Add(time.Duration(relayed.message.RemainingMicros) * time.Microsecond)
+	if !server.grace.Allows(relayed.deadline, false, 0, server.config.Now()) {
+		relayed.report(relayUnavailable, errors.New("node is stopping and may end before the request does"))
+		return
+	}
 	address, found := relayed.find(server.config.Publisher.Current())
 	switch {
 	case !found:
@@ -83,7 +87,7 @@
 		relayed.report(relayClosed, errors.Errorf("part %s of the request is in quarantine", part))
 		return
 	}
-	ctx, cancel := context.WithTimeout(relayed.request.Context(), relayed.remaining())
+	ctx, cancel := server.requestContext(relayed.request, relayed.remaining())
 	defer cancel()
 	relayed.evidence = server.config.Quarantine.Begin(relayed.target.life, relayed.message.Parts, admission, cancel)
 	defer relayed.evidence.Close()
@@ -175,7 +179,7 @@
 }
 
 func (relayed *relayedExchange) remaining() time.Duration {
-	return relayed.deadline.Sub(relayed.server.config.Now())
+	return relayed.server.grace.Bound(relayed.deadline).Sub(relayed.server.config.Now())
 }
 
 // send sends the request and passes the answer on.
--- a/settings/field.go
+++ b/settings/field.go
@@ -54,6 +54,11 @@
 		defaultValue: "3s",
 		set:          func(settings *Settings, value string) error { return setDuration(&settings.stopNotice, value, 0) },
 	},
+	{
+		id:           fieldID{sectionNode, "stop-grace"},
+		defaultValue: "0s",
+		set:          func(settings *Settings, value string) error { return setDuration(&settings.stopGrace, value, 0) },
+	},
 	{
 		id:           fieldID{sectionNode, "processor-share"},
 		defaultValue: "1",
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -7,6 +7,7 @@
 //	name           = constanta-port-1    # required, unique in the fleet
 //	failure-domain = constanta-port      # required
 //	stop-notice    = 3s                  # time that the listener stays open after SIGTERM
+//	stop-grace     = 0s                  # time from SIGTERM until the platform ends the process; 0s for no limit
 //	processor-share = 1                  # cores that the node may use; larger nodes lead first
 //	bootstrap      = no                  # yes when the whole system starts for the first time
 //
@@ -78,6 +79,7 @@
 	name           string
 	failureDomain  string
 	stopNotice     time.Duration
+	stopGrace      time.Duration
 	processorShare float64
 	callersAddress string
 	peersAddress   string
@@ -173,6 +175,10 @@
 // StopNotice returns how long the listener stays open after SIGTERM.
 func (settings *Settings) StopNotice() time.Duration { return settings.stopNotice }
 
+// StopGrace returns the time from SIGTERM until the platform ends the process, 0 if it does
+// not.
+func (settings *Settings) StopGrace() time.Duration { return settings.stopGrace }
+
 // CallersAddress returns the IP:port that accepts requests of callers.
 func (settings *Settings) CallersAddress() string { return settings.callersAddress }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -35,6 +35,7 @@
 	assert.Equal(t, "port-1", loaded.Name())
 	assert.Equal(t, []string{"127.0.0.1:7000", "127.0.0.1:7001"}, loaded.StoreAddresses())
 	assert.Equal(t, 3*time.Second, loaded.StopNotice())
+	assert.Zero(t, loaded.StopGrace())
 	assert.Equal(t, 1.0, loaded.ProcessorShare())
 	assert.Equal(t, 2*time.Second, loaded.StoreTimeout())
 	assert.Empty(t, loaded.Seeds())
