Take the grace of a planned stop from the environment as well

Nodes of earlier releases reject the key stop-grace. During an upgrade or a roll-back they may be started with the settings file of another release, so the deployment passes the grace in LACEWINGSPOKE_STOP_GRACE, which they ignore.

--- a/cmd/lacewingspoke/daemon.go
+++ b/cmd/lacewingspoke/daemon.go
@@ -60,6 +60,9 @@
 	// the controller then polls them.
 	feed *platform.Feed
 
+	// stopGrace is the option of that name, 0 if the setting holds.
+	stopGrace time.Duration
+
 	// cancel stops the feed, the timers, the mesh and the control thread.
 	cancel context.CancelFunc
 
@@ -213,7 +216,10 @@
 // the requests in progress. If they have not ended in their part of the grace,
 // they get their last answers. The end of the context cuts them.
 func (daemon *daemon) stop(ctx context.Context) error {
-	began, grace := time.Now(), daemon.settings.StopGrace()
+	began, grace := time.Now(), daemon.stopGrace
+	if grace == 0 {
+		grace = daemon.settings.StopGrace()
+	}
 	requestsCtx, endRequests := withGrace(ctx, began, requestsShare, grace)
 	defer endRequests()
 	answersCtx, endAnswers := withGrace(ctx, began, answersShare, grace)
@@ -225,7 +231,7 @@
 	if err := daemon.controller.BeginStop(ctx); err != nil {
 		daemon.logger.Warn("the health check still passes", zap.Error(err))
 	}
-	daemon.logConnections("stop notice begins")
+	daemon.logConnections("stop notice begins", zap.Duration("notice", notice), zap.Duration("grace", grace))
 	if end, bounded := requestsCtx.Deadline(); bounded {
 		daemon.callerServer.BeginStop(time.Until(end))
 	}
@@ -278,9 +284,9 @@
 }
 
 // logConnections logs the states of the callers' connections at a step of the stop.
-func (daemon *daemon) logConnections(step string) {
+func (daemon *daemon) logConnections(step string, fields ...zap.Field) {
 	counts := daemon.callers.Connections()
-	daemon.logger.Info(step, zap.Int("idle", counts.Idle), zap.Int("reading", counts.Reading), zap.Int("serving", counts.Serving))
+	daemon.logger.With(fields...).Info(step, zap.Int("idle", counts.Idle), zap.Int("reading", counts.Reading), zap.Int("serving", counts.Serving))
 }
 
 func (daemon *daemon) waitFor(ctx context.Context, duration time.Duration) {
--- a/cmd/lacewingspoke/node.go
+++ b/cmd/lacewingspoke/node.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/juju/errors"
@@ -21,6 +22,10 @@
 // nodeCommand runs the daemon.
 type nodeCommand struct {
 	Settings string `long:"settings" env:"LACEWINGSPOKE_NODE_FILE" required:"yes" value-name:"FILE" description:"INI settings file of the node"`
+
+	// StopGrace is an option besides the setting, because nodes of earlier releases, which
+	// may be started with the same settings file, reject the key.
+	StopGrace time.Duration `long:"stop-grace" env:"LACEWINGSPOKE_STOP_GRACE" value-name:"DURATION" description:"time from SIGTERM until the platform ends the process; replaces stop-grace of the settings"`
 }
 
 func addNodeCommand(parser *flags.Parser) error {
@@ -42,14 +47,14 @@
 	}
 	sink := logline.New(logline.Config{Output: os.Stdout})
 	logger := sink.Logger().With(zap.String("node", loaded.Name()))
-	err := runNode(command.Settings, loaded, logger)
+	err := command.run(loaded, logger)
 	sink.Close()
 	return errors.Trace(err)
 }
 
-// runNode runs the daemon until a signal arrives or one of its components fails,
-// and then stops it gracefully.
-func runNode(path string, loaded *settings.Settings, logger *zap.Logger) error {
+// run runs the daemon until a signal arrives or one of its components fails, and
+// then stops it gracefully.
+func (command *nodeCommand) run(loaded *settings.Settings, logger *zap.Logger) error {
 	var running *daemon
 	app := fx.New(
 		fx.Supply(loaded, logger),
@@ -65,7 +70,8 @@
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
-	cause := running.wait(signals, reloads, path)
+	running.stopGrace = command.StopGrace
+	cause := running.wait(signals, reloads, command.Settings)
 	stopCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	watchDone := make(chan error, 1)
