Test what happens to requests on connections that a node or a target closes

- a request on a kept connection that the target closes may have run: it is sent again within the budget of retries only, and answered with 502, never with 503
- a node that stops ends the requests that it sends for others, and refuses later ones as not sent; they go to a third node
- a node that stops ends its own requests which others send, and sends a request through another node if it is cut off at the same time
- a target that leaves the table keeps the requests in progress; only its idle connections are closed
- a caller that leaves ends its own connection to the target only

--- /dev/null
+++ b/forward/connections_test.go
@@ -0,0 +1,231 @@
+package forward_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"lacewingspoke.org/lacewingspoke/fleet"
+)
+
+// A hop is the server at which a node takes requests of others.
+type hop struct {
+	server *httptest.Server
+
+	// opened is the number of accepted connections.
+	opened atomic.Int32
+}
+
+// newHop starts a hop that serves handler.
+func newHop(test testing.TB, handler http.Handler) *hop {
+	started := &hop{server: httptest.NewUnstartedServer(handler)}
+	started.server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			started.opened.Add(1)
+		}
+	}
+	started.server.Start()
+	test.Cleanup(func() {
+		started.server.CloseClientConnections()
+		started.server.Close()
+	})
+	return started
+}
+
+// connectHops makes the node send requests through the hops.
+func (node *node) connectHops(hops ...*hop) {
+	nodes := []fleet.Node{{Name: "self", AdminAddress: "127.0.0.1:1"}}
+	for _, hop := range hops {
+		nodes = append(nodes, fleet.Node{Name: hop.server.URL, AdminAddress: hop.server.Listener.Addr().String(), FailureDomain: "zone"})
+	}
+	node.forward.SetNodes(nodes)
+}
+
+// dropsKept returns a script that answers the first request on each connection, and closes
+// the connection without an answer to the second one.
+func dropsKept(dropped *atomic.Int32) func(net.Conn, *http.Request) bool {
+	var used sync.Map
+	return func(conn net.Conn, request *http.Request) bool {
+		if _, again := used.LoadOrStore(conn, true); again {
+			dropped.Add(1)
+			return false
+		}
+		return answer(conn, request, 200, "Seal: s\r\n", "free")
+	}
+}
+
+// Guards against a request on a kept connection that the target closes: it may have run, so
+// it is sent again within its budget only, and is never reported as not run.
+func TestRequestOnKeptConnectionThatClosesMayHaveRun(test *testing.T) {
+	var dropped atomic.Int32
+	first := newTarget(test, "r1", dropsKept(&dropped))
+	second := newTarget(test, "r2", answers(200, "Seal: s\r\n", "free"))
+	node := newNode(test, tableFixture{idempotent: []*target{first, second}})
+	for dropped.Load() == 0 {
+		require.Equal(test, 200, node.request(test, http.MethodGet, "/idempotent/1", "").status)
+	}
+	dropped.Store(0)
+	alone := newTarget(test, "r3", dropsKept(&dropped))
+	node = newNode(test, tableFixture{idempotent: []*target{alone}, once: []*target{alone}, noRetries: true})
+	require.Equal(test, 200, node.request(test, http.MethodGet, "/idempotent/1", "").status)
+	require.Equal(test, 200, node.request(test, http.MethodPost, "/once/1", "x").status)
+	require.Zero(test, dropped.Load(), "a booking is never sent on a kept connection")
+	require.Equal(test, http.StatusBadGateway, node.request(test, http.MethodGet, "/idempotent/1", "").status)
+	require.Equal(test, 3, alone.count())
+}
+
+// held returns a script that waits for release before it answers, and reports each request
+// that arrives.
+func held(arrived chan<- string, release <-chan struct{}, then func(net.Conn, *http.Request) bool) func(net.Conn, *http.Request) bool {
+	return func(conn net.Conn, request *http.Request) bool {
+		arrived <- request.URL.Path
+		<-release
+		return then(conn, request)
+	}
+}
+
+// begin sends requests and returns a channel for the reply to each.
+func (node *node) begin(test testing.TB, paths ...string) []chan reply {
+	var replies []chan reply
+	for _, path := range paths {
+		replied := make(chan reply, 1)
+		request := node.newRequest(test, http.MethodPost, path, "x")
+		go func() { replied <- node.send(request) }()
+		replies = append(replies, replied)
+	}
+	return replies
+}
+
+// Guards against a node that stops and cuts off a stream or a request that it sends for
+// another one, and against one that arrives later and is not passed to a third node.
+func TestStoppingNodeEndsWhatItSendsForOthers(test *testing.T) {
+	arrived, release := make(chan string, 2), make(chan struct{})
+	runner := newTarget(test, "r1", held(arrived, release, answers(200, "Seal: s\r\n", "receipt")))
+	group := newTarget(test, "g1", held(arrived, release, streams(5, "0\r\n\r\n")))
+	stopping := newNode(test, tableFixture{once: []*target{runner}, groups: []*target{group}})
+	cut := newNode(test, tableFixture{once: []*target{closedTarget(test, "r1")}, groups: []*target{closedTarget(test, "g1")}})
+	first := newHop(test, http.HandlerFunc(stopping.forward.ServeRelayed))
+	cut.connectHops(first)
+	replies := cut.begin(test, "/once/1", "/stream/1")
+	<-arrived
+	<-arrived
+	stopping.forward.Stop()
+	require.Equal(test, http.StatusServiceUnavailable, cut.request(test, http.MethodPost, "/once/2", "x").status, "nothing was sent")
+	free := newTarget(test, "r1", answers(200, "Seal: s\r\n", "later"))
+	third := newHop(test, http.HandlerFunc(newNode(test, tableFixture{once: []*target{free}}).forward.ServeRelayed))
+	cut.connectHops(first, third)
+	for range 5 {
+		require.Equal(test, "later", cut.request(test, http.MethodPost, "/once/3", "x").body)
+	}
+	close(release)
+	require.Equal(test, "receipt", (<-replies[0]).body)
+	streamed := <-replies[1]
+	require.NoError(test, streamed.err)
+	require.Equal(test, events(5), streamed.body)
+	require.NoError(test, stopping.forward.AwaitRelayed(context.Background()))
+	require.Equal(test, 1, runner.count())
+}
+
+// Guards against a node that stops and cuts off its own requests which another node sends.
+func TestStoppingNodeEndsWhatOthersSendForIt(test *testing.T) {
+	arrived, release := make(chan string, 2), make(chan struct{})
+	runner := newTarget(test, "r1", held(arrived, release, answers(200, "Seal: s\r\n", "receipt")))
+	group := newTarget(test, "g1", held(arrived, release, streams(5, "0\r\n\r\n")))
+	stopping := newNode(test, tableFixture{once: []*target{closedTarget(test, "r1")}, groups: []*target{closedTarget(test, "g1")}})
+	stopping.connectHops(newHop(test, http.HandlerFunc(newNode(test, tableFixture{once: []*target{runner}, groups: []*target{group}}).forward.ServeRelayed)))
+	replies := stopping.begin(test, "/once/1", "/stream/1")
+	<-arrived
+	<-arrived
+	stopping.forward.Stop()
+	require.Equal(test, http.StatusServiceUnavailable, stopping.request(test, http.MethodPost, "/once/2", "x").status)
+	close(release)
+	require.Equal(test, "receipt", (<-replies[0]).body)
+	streamed := <-replies[1]
+	require.NoError(test, streamed.err)
+	require.Equal(test, events(5), streamed.body)
+	require.Equal(test, 1, runner.count())
+}
+
+// Guards against a node that is cut off as it stops, and gives up a request that another one
+// could still send.
+func TestNodeCutOffWhileItStopsSendsThroughOthers(test *testing.T) {
+	arrived, release := make(chan string, 1), make(chan struct{})
+	lost := newTarget(test, "r1", held(arrived, release, func(net.Conn, *http.Request) bool { return false }))
+	sound := newTarget(test, "r2", answers(200, "Seal: s\r\n", "free"))
+	stopping := newNode(test, tableFixture{idempotent: []*target{lost}})
+	stopping.connectHops(newHop(test, http.HandlerFunc(newNode(test, tableFixture{idempotent: []*target{sound}}).forward.ServeRelayed)))
+	replies := stopping.begin(test, "/idempotent/1")
+	<-arrived
+	stopping.publish(test, tableFixture{idempotent: []*target{lost, closedTarget(test, "r2")}})
+	stopping.forward.Stop()
+	close(release)
+	require.Equal(test, "free", (<-replies[0]).body)
+}
+
+// Guards against requests that are cut off because their target leaves the table: only
+// connections without a request are closed.
+func TestTargetThatLeavesTheTableKeepsItsRequests(test *testing.T) {
+	arrived, release := make(chan string, 3), make(chan struct{})
+	wait := held(arrived, release, answers(200, "Seal: s\r\n", "whole"))
+	runner := newTarget(test, "r1", func(conn net.Conn, request *http.Request) bool {
+		if request.URL.Path == "/idempotent/kept" {
+			return answer(conn, request, 200, "Seal: s\r\n", "kept")
+		}
+		return wait(conn, request)
+	})
+	group := newTarget(test, "g1", held(arrived, release, streams(5, "0\r\n\r\n")))
+	node := newNode(test, tableFixture{once: []*target{runner}, idempotent: []*target{runner}, groups: []*target{group}, noRetries: true})
+	replies := node.begin(test, "/once/1", "/idempotent/1", "/stream/1")
+	for range replies {
+		<-arrived
+	}
+	require.Equal(test, "kept", node.request(test, http.MethodGet, "/idempotent/kept", "").body)
+	node.publish(test, tableFixture{})
+	require.Eventually(test, func() bool { return runner.closedConnections() == 1 }, waitTimeout, waitTick, "the idle connection stays open")
+	close(release)
+	for index, whole := range []string{"whole", "whole", events(5)} {
+		got := <-replies[index]
+		require.NoError(test, got.err)
+		require.Equal(test, whole, got.body)
+	}
+}
+
+// Guards against a caller that leaves and thereby closes the connection of another request.
+func TestCallerThatLeavesClosesOnlyItsOwnConnection(test *testing.T) {
+	const callers, rounds, seed = 4, 100, 7713
+	echo := func(conn net.Conn, request *http.Request) bool {
+		return answer(conn, request, 200, "Seal: s\r\n", request.RequestURI)
+	}
+	// Two runners have places for the requests of callers that have just left, too.
+	node := newNode(test, tableFixture{idempotent: []*target{newTarget(test, "r1", echo), newTarget(test, "r2", echo)}, noRetries: true})
+	var running sync.WaitGroup
+	for caller := range callers {
+		random := rand.New(rand.NewPCG(seed, uint64(caller)))
+		running.Go(func() {
+			for round := range rounds {
+				path := fmt.Sprintf("/idempotent/%d/%d", caller, round)
+				request := node.newRequest(test, http.MethodGet, path, "")
+				if caller%2 == 0 {
+					assert.Equal(test, path, node.send(request).body)
+					continue
+				}
+				ctx, cancel := context.WithTimeout(request.Context(), time.Duration(random.IntN(1000))*time.Microsecond)
+				if got := node.send(request.WithContext(ctx)); got.err == nil {
+					assert.Equal(test, path, got.body)
+				}
+				cancel()
+			}
+		})
+	}
+	running.Wait()
+}
