Keep connections between nodes as long as the other node keeps them

What callers see: 502 for a request that a node sends through another one, or a retry out of the budget, if the other node closes the connection while the request is sent.

Cause: the answer of a target, with its Keep-Alive time, replaced the answer of the node before the connection went back to the pool. A target that keeps connections for ten minutes made its time hold for the connection between the nodes, which the other node closes after one minute. A target that keeps none had each request open a new one.

Change: a response takes the idle time from the head that was read on its own connection.

Evidence: TestTargetDoesNotSayHowLongNodesKeepConnections opened 5 connections for 5 requests before, 1 now.

--- a/forward/client.go
+++ b/forward/client.go
@@ -167,6 +167,9 @@
 	stop   func() bool
 	ctx    context.Context
 
+	// idleTimeout is how long the other end of the connection lets it be reused.
+	idleTimeout time.Duration
+
 	// relayed is true if another node has sent the request to the target. finished is
 	// called once at the end, and may be nil.
 	relayed  bool
@@ -202,6 +205,7 @@
 		return nil, &callError{cause: errors.Annotate(response.cause(err), "read response header"), sent: true}
 	}
 	response.http = answer
+	response.idleTimeout = parseIdleTimeout(answer.Header)
 	return response, nil
 }
 
@@ -232,7 +236,7 @@
 		response.conn.Close()
 		return
 	}
-	response.conn.idleTimeout = parseIdleTimeout(response.http.Header)
+	response.conn.idleTimeout = response.idleTimeout
 	response.client.putIdle(response.conn)
 }
 
--- a/forward/connections_test.go
+++ b/forward/connections_test.go
@@ -51,6 +51,21 @@
 	node.forward.SetNodes(nodes)
 }
 
+// Guards against a connection between nodes that is kept for as long as a target keeps its
+// own ones: the other node closes it while a request is sent on it.
+func TestTargetDoesNotSayHowLongNodesKeepConnections(test *testing.T) {
+	runner := newTarget(test, "r1", answers(200, "Seal: s\r\nKeep-Alive: timeout=0\r\n", "free"))
+	other := newHop(test, http.HandlerFunc(newNode(test, tableFixture{idempotent: []*target{runner}}).forward.ServeRelayed))
+	cut := newNode(test, tableFixture{idempotent: []*target{closedTarget(test, "r1")}})
+	cut.connectHops(other)
+	const requests = 5
+	for range requests {
+		require.Equal(test, 200, cut.request(test, http.MethodGet, "/idempotent/1", "").status)
+	}
+	require.Equal(test, requests, runner.connections)
+	require.EqualValues(test, 1, other.opened.Load())
+}
+
 // dropsKept returns a script that answers the first request on each connection, and closes
 // the connection without an answer to the second one.
 func dropsKept(dropped *atomic.Int32) func(net.Conn, *http.Request) bool {
