Extend the write deadline before the end of a stream

What callers see: a stream all of whose events have arrived is cut off without its end, if its target ends it more than 5 s after the last event.

Cause: each event sets a deadline of 5 s for its own write (callerWriteTimeout). net/http writes the last chunk after the handler, under the deadline of the last event. A deadline that has passed fails the write although the caller reads.

Change: the end of a stream sets the deadline again.

Evidence: TestLateEndOfStreamReachesTheCaller failed before with "unexpected EOF" after all events (5.2 s pause, two runs), and passes. Only a last attempt waits that long for an event: with gapAimMs over 625 ms or an objective over 1.25 s.

--- a/forward/connections_test.go
+++ b/forward/connections_test.go
@@ -66,6 +66,31 @@
 	require.EqualValues(test, 1, other.opened.Load())
 }
 
+// Guards against a stream that has ended late and is cut off before its end: the deadline of
+// the last write to the caller has passed then.
+func TestLateEndOfStreamReachesTheCaller(test *testing.T) {
+	test.Parallel()
+	// callerWriteTimeout is 5 s.
+	const pause = 5200 * time.Millisecond
+	broken := newTarget(test, "g1", streams(2, ""))
+	late := newTarget(test, "g2", func(conn net.Conn, request *http.Request) bool {
+		streams(4, "")(conn, request)
+		time.Sleep(pause)
+		fmt.Fprint(conn, "0\r\n\r\n")
+		return true
+	})
+	node := newNode(test, tableFixture{groups: []*target{broken, late}, gap: time.Second})
+	for broken.count() == 0 {
+		request := node.newRequest(test, http.MethodPost, "/stream/1", "prompt")
+		request.Header.Set("Wait", waitTimeout.String())
+		got := node.send(request)
+		if broken.count() > 0 {
+			require.NoError(test, got.err)
+			require.Equal(test, events(4), got.body)
+		}
+	}
+}
+
 // dropsKept returns a script that answers the first request on each connection, and closes
 // the connection without an answer to the second one.
 func dropsKept(dropped *atomic.Int32) func(net.Conn, *http.Request) bool {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -417,6 +417,8 @@
 // finish flushes a complete stream. A stream without any event is an error.
 func (delivery *delivery) finish() error {
 	if delivery.headerSent {
+		// The end is written after this, perhaps long after the last event.
+		delivery.exchange.extendWriteDeadline()
 		return delivery.flush()
 	}
 	return errors.New("stream ended without an event")
