Let a broken stream go on at once at a group that another node may reach

Callers of a node that has just failed to connect to a group saw a pause of 1.5 s in the middle of a stream, close to the 2 s after which they give up. The stream had broken off at the group that the second node reached, and the group that was left had been excluded as unreached. Such groups became candidates again only after pickGroup had found no other, and for a begun stream it waits for one for resumeTimeout.

While groups are left to which another node may connect, the first search does not wait. The search after they have become candidates again waits as before.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -30,8 +30,9 @@
 
 // An attemptPlan defines how a request is tried at one target after the other.
 type attemptPlan struct {
-	// next returns a target that is not excluded, or false if there is none.
-	next func(excluded map[string]bool) (candidate, bool)
+	// next returns a target that is not excluded, or false if there is none. With mayWait it
+	// may wait for one.
+	next func(excluded map[string]bool, mayWait bool) (candidate, bool)
 
 	// noTargetReason returns why next found no target.
 	noTargetReason func() string
@@ -51,14 +52,15 @@
 		if !exchange.admitted(plan) {
 			return
 		}
-		target, found := plan.next(excluded)
-		if !found && exchange.throughNodes && len(unreached) > 0 {
+		othersReach := exchange.throughNodes && len(unreached) > 0
+		target, found := plan.next(excluded, !othersReach)
+		if !found && othersReach {
 			// All others have been tried. Another node may reach these.
 			for name := range unreached {
 				delete(excluded, name)
 			}
 			clear(unreached)
-			target, found = plan.next(excluded)
+			target, found = plan.next(excluded, true)
 		}
 		if !found && reason == "" {
 			reason = plan.noTargetReason()
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -197,6 +197,11 @@
 	routes     []string
 	noRetries  bool
 
+	// retries is the number of retries a second, 100 if it is 0, used by newNode only.
+	// unresumable is true if streams may run once.
+	retries     float64
+	unresumable bool
+
 	// askReached is the question whether other nodes reach a target, used by newNode only.
 	askReached func(ctx context.Context, address string, targets []string) ([]string, error)
 }
@@ -207,6 +212,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go timers.Run(ctx)
 	slack := 100.0
+	if fixture.retries > 0 {
+		slack = fixture.retries
+	}
 	if fixture.noRetries {
 		slack = 0
 	}
@@ -239,7 +247,7 @@
 	routeTo := func(name string, kind catalog.Kind) catalog.Route {
 		return catalog.Route{
 			Name: name, Host: "host.example", Prefix: "/" + name + "/", Kind: kind, Timeout: 5 * time.Second, Objective: 100 * time.Millisecond,
-			MaxAttempts: attempts, Resumable: true, Splits: []catalog.Split{{Service: name, Weight: 1}},
+			MaxAttempts: attempts, Resumable: !fixture.unresumable, Splits: []catalog.Split{{Service: name, Weight: 1}},
 		}
 	}
 	generation := max(fixture.generation, 1)
--- a/forward/relay_test.go
+++ b/forward/relay_test.go
@@ -17,11 +17,25 @@
 	"lacewingspoke.org/lacewingspoke/forward"
 )
 
+// closedAddress refuses connections. The port of a listener that a test has closed may be
+// in use again, by a node of the same test.
+const closedAddress = "127.0.0.1:1"
+
 // closedTarget returns a target that refuses connections.
-func closedTarget(test testing.TB, name string) *target {
-	closed := newTarget(test, name, func(net.Conn, *http.Request) bool { return false })
-	closed.listener.Close()
-	return closed
+func closedTarget(_ testing.TB, name string) *target {
+	return &target{name: name, listener: listenerAt{address: closedAddress}}
+}
+
+// A listenerAt only has an address.
+type listenerAt struct {
+	net.Listener
+	address string
+}
+
+// Addr implements net.Listener.
+func (listener listenerAt) Addr() net.Addr {
+	address, _ := net.ResolveTCPAddr("tcp", listener.address)
+	return address
 }
 
 // connect makes node send requests through the others.
--- a/forward/runner.go
+++ b/forward/runner.go
@@ -25,7 +25,7 @@
 // serveRunner forwards a request to a runner of a plain service.
 func (exchange *exchange) serveRunner(ctx context.Context) {
 	exchange.tryTargets(ctx, attemptPlan{
-		next: func(excluded map[string]bool) (candidate, bool) {
+		next: func(excluded map[string]bool, _ bool) (candidate, bool) {
 			target, found := exchange.pickRunner(excluded)
 			return candidate{
 				name: target.Name,
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -95,8 +95,8 @@
 func (exchange *exchange) serveStream(ctx context.Context) {
 	delivery := &delivery{exchange: exchange, lastEventID: exchange.caller.ResumeAfter}
 	exchange.tryTargets(ctx, attemptPlan{
-		next: func(excluded map[string]bool) (candidate, bool) {
-			target, found := exchange.pickGroup(ctx, delivery, excluded)
+		next: func(excluded map[string]bool, mayWait bool) (candidate, bool) {
+			target, found := exchange.pickGroup(ctx, delivery, excluded, mayWait)
 			return candidate{
 				name: target.Name,
 				try:  func() attemptResult { return exchange.tryGroup(ctx, target, delivery) },
@@ -109,8 +109,8 @@
 
 // pickGroup returns a group for the next attempt, or false. Until the stream has
 // started, the group must be predicted to meet the objective. A started stream
-// accepts any group and waits for one up to resumeTimeout.
-func (exchange *exchange) pickGroup(ctx context.Context, delivery *delivery, excluded map[string]bool) (route.GroupTarget, bool) {
+// accepts any group, and with mayWait waits for one up to resumeTimeout.
+func (exchange *exchange) pickGroup(ctx context.Context, delivery *delivery, excluded map[string]bool, mayWait bool) (route.GroupTarget, bool) {
 	server := exchange.server
 	resumeBy := server.config.Now().Add(resumeTimeout)
 	for {
@@ -129,7 +129,7 @@
 			// Another request has taken the last place of the target.
 			continue
 		}
-		if !delivery.headerSent || !now.Before(resumeBy) {
+		if !delivery.headerSent || !mayWait || !now.Before(resumeBy) {
 			return route.GroupTarget{}, false
 		}
 		waiting, cancel := context.WithTimeout(ctx, min(resumeBy.Sub(now), resumeStep))
