Cut answers at every byte, between nodes and targets and between two nodes

Report of another operator: a runner stopped in the middle of its answer's head, and clients got a 200 with an empty or short body, framed as whole. In package forward a cut head or body does not do that: these tests cut answers after every byte, by a close and by a reset, for requests that may run once, repeatable ones and streams, in each framing, directly and through another node, and also the connection between the nodes (head frame, chunks, trailer Relay-End). They cover refusals that are cut, streams that go on elsewhere, heads that contradict themselves about the length, and requests that are cut.

An answer until the close is whole at the close: the caller gets it with its length. A reset on the way gives 502.

--- a/forward/truncation_test.go
+++ b/forward/truncation_test.go
@@ -1,16 +1,22 @@
 package forward_test
 
 import (
+	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"lacewingspoke.org/lacewingspoke/fleet"
 )
 
 // cutAt returns a script that writes the first length bytes of an answer, and closes or
@@ -41,6 +47,14 @@
 
 func (framed framedAnswer) wire() string { return framed.head + framed.body }
 
+// whole returns the content of the answer if it is whole after length bytes.
+func (framed framedAnswer) whole(length int, reset bool) (string, bool) {
+	if framed.untilClose && !reset && length >= len(framed.head) {
+		return framed.content[:length-len(framed.head)], true
+	}
+	return framed.content, !framed.untilClose && length == len(framed.wire())
+}
+
 const sealedHead = "HTTP/1.1 200 OK\r\nDate: Sat, 05 Dec 2026 10:00:00 GMT\r\nId: a1\r\nSeal: 3e1b.07\r\nContent-Type: text/event-stream\r\n"
 
 // framings returns the content in each framing, with the length of one chunk.
@@ -114,6 +128,134 @@
 	fixture.node.publish(test, unreached)
 }
 
+// atEveryCut runs check for each number of bytes, not below from, after which an answer can
+// end, by a close and by a reset, directly and through another node.
+func atEveryCut(test *testing.T, wire string, from int, check func(test *testing.T, fixture *cutFixture, length int)) {
+	for _, relayed := range []bool{false, true} {
+		for _, reset := range []bool{false, true} {
+			test.Run(fmt.Sprintf("relayed %t, reset %t", relayed, reset), func(test *testing.T) {
+				test.Parallel()
+				fixture := newCutFixture(test, wire, reset, relayed)
+				for length := from; length <= len(wire); length++ {
+					check(test, fixture, length)
+				}
+			})
+		}
+	}
+}
+
+// Guards against an answer that ends early in its head or its body and looks whole, against
+// a request that may run once and runs again or is reported as not run after it, and against
+// one that may be repeated and is not (report of another operator).
+func TestAnswerThatEndsEarlyIsNotWhole(test *testing.T) {
+	for name, framed := range framings("plank 7, plank 8, plank 9", 16) {
+		test.Run(name, func(test *testing.T) {
+			sound := newTarget(test, "sound", answers(200, "Seal: s\r\n", "sound"))
+			atEveryCut(test, framed.wire(), framed.from, func(test *testing.T, fixture *cutFixture, length int) {
+				// A failure of one of its names does not count against the other.
+				once := &target{name: "once", listener: fixture.cut.listener}
+				fixture.begin(test, length, tableFixture{once: []*target{once}, idempotent: []*target{fixture.cut, sound}})
+				before := fixture.cut.count()
+				want, whole := framed.whole(length, fixture.reset)
+				got := fixture.node.request(test, http.MethodPost, "/once/1", "x")
+				require.NoError(test, got.err)
+				require.Equal(test, before+1, fixture.cut.count(), "after %d bytes", length)
+				switch {
+				case got.status == http.StatusOK:
+					require.True(test, whole, "after %d bytes: %q", length, got.body)
+					require.Equal(test, want, got.body)
+				default:
+					require.Equal(test, http.StatusBadGateway, got.status, "after %d bytes", length)
+					require.True(test, !whole || fixture.reset, "after %d bytes", length)
+				}
+				got = fixture.node.request(test, http.MethodGet, "/idempotent/1", "")
+				require.NoError(test, got.err)
+				require.Equal(test, http.StatusOK, got.status, "after %d bytes: %q", length, got.body)
+				if got.body != "sound" {
+					require.True(test, whole, "after %d bytes: %q", length, got.body)
+					require.Equal(test, want, got.body)
+				}
+				if length == len(framed.wire()) {
+					require.Greater(test, fixture.cut.count(), fixture.cases, "no request that may be repeated was cut off")
+				}
+			})
+		})
+	}
+}
+
+// Guards against a refusal whose head ends early and that is passed on: its request may have
+// run.
+func TestRefusalThatEndsEarlyIsNotTrusted(test *testing.T) {
+	refusal := answerText("a1", 503, "Refused: 1\r\nRetry-After: 1\r\n", "runner is full")
+	head := strings.Index(refusal, "\r\n\r\n") + 4
+	atEveryCut(test, refusal, 0, func(test *testing.T, fixture *cutFixture, length int) {
+		fixture.begin(test, length, tableFixture{once: []*target{fixture.cut}})
+		before := fixture.cut.count()
+		got := fixture.node.request(test, http.MethodPost, "/once/1", "x")
+		require.NoError(test, got.err)
+		require.Equal(test, before+1, fixture.cut.count(), "after %d bytes", length)
+		if length < head {
+			require.Equal(test, http.StatusBadGateway, got.status, "after %d bytes", length)
+		} else if !fixture.reset {
+			require.Equal(test, http.StatusServiceUnavailable, got.status, "after %d bytes", length)
+		}
+	})
+}
+
+// Guards against a stream that ends early and looks whole, with or without an event.
+func TestStreamThatEndsEarlyIsNotWhole(test *testing.T) {
+	prefixes := []string{events(1), events(2), events(3)}
+	for name, framed := range framings(events(3), 30) {
+		test.Run(name, func(test *testing.T) {
+			atEveryCut(test, framed.wire(), framed.from, func(test *testing.T, fixture *cutFixture, length int) {
+				fixture.begin(test, length, tableFixture{groups: []*target{fixture.cut}, unresumable: true})
+				before := fixture.cut.count()
+				got := fixture.node.request(test, http.MethodPost, "/stream/1", "prompt")
+				require.Equal(test, before+1, fixture.cut.count(), "after %d bytes", length)
+				content, whole := framed.whole(length, fixture.reset)
+				whole = whole && slices.Contains(prefixes, content)
+				switch {
+				case got.status == http.StatusOK && got.err == nil:
+					require.True(test, whole, "after %d bytes: %q", length, got.body)
+					require.Equal(test, content, got.body)
+				case got.status == http.StatusOK:
+					require.Contains(test, prefixes, got.body, "after %d bytes", length)
+				default:
+					require.NoError(test, got.err)
+					require.Equal(test, http.StatusBadGateway, got.status, "after %d bytes", length)
+				}
+				if whole && !fixture.reset {
+					require.NoError(test, got.err, "after %d bytes", length)
+					require.Equal(test, content, got.body)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a piece that is missing, comes twice or is not whole in a stream that goes
+// on at another group after an answer that ended early.
+func TestStreamThatEndsEarlyGoesOnWhole(test *testing.T) {
+	for name, framed := range framings(events(3), 30) {
+		if framed.untilClose {
+			// A close between two events is the end of such a stream.
+			continue
+		}
+		test.Run(name, func(test *testing.T) {
+			sound := newTarget(test, "sound", streams(3, "0\r\n\r\n"))
+			atEveryCut(test, framed.wire(), framed.from, func(test *testing.T, fixture *cutFixture, length int) {
+				fixture.begin(test, length, tableFixture{groups: []*target{fixture.cut, sound}})
+				got := fixture.node.request(test, http.MethodPost, "/stream/1", "prompt")
+				require.NoError(test, got.err, "after %d bytes", length)
+				require.Equal(test, events(3), got.body, "after %d bytes", length)
+				if length == len(framed.wire()) {
+					require.Positive(test, fixture.cut.count(), "no stream was cut off")
+				}
+			})
+		})
+	}
+}
+
 // Guards against a stream that breaks off and waits for a change of the table, although a
 // group remains to which this node could not connect and another node can.
 func TestRelayedStreamGoesOnAtOnce(test *testing.T) {
@@ -131,3 +273,208 @@
 	}
 	require.Positive(test, fixture.cut.count(), "no stream was cut off")
 }
+
+// connectTo makes node send requests through the node at an address.
+func (node *node) connectTo(name, address string) {
+	node.forward.SetNodes([]fleet.Node{{Name: "self", AdminAddress: "127.0.0.1:1"}, {Name: name, AdminAddress: address, FailureDomain: "zone"}})
+}
+
+// recordHop returns the bytes with which the fixture's other node answers the request that
+// send sends.
+func (fixture *cutFixture) recordHop(test *testing.T, send func()) string {
+	var recorded bytes.Buffer
+	server := httptest.NewServer(http.HandlerFunc(fixture.reaching.forward.ServeRelayed))
+	defer server.Close()
+	var hop *target
+	hop = newTarget(test, "hop", func(conn net.Conn, request *http.Request) bool {
+		upstream, err := net.Dial("tcp", server.Listener.Addr().String())
+		if err != nil {
+			return false
+		}
+		defer upstream.Close()
+		request.Body = io.NopCloser(strings.NewReader(hop.bodies[0]))
+		if request.Write(upstream) != nil {
+			return false
+		}
+		answer, err := http.ReadResponse(bufio.NewReader(io.TeeReader(upstream, &recorded)), request)
+		if err != nil {
+			return false
+		}
+		_, _ = io.Copy(io.Discard, answer.Body)
+		_, _ = conn.Write(recorded.Bytes())
+		return false
+	})
+	fixture.node.connectTo("hop", hop.address())
+	send()
+	require.Equal(test, 1, hop.count())
+	return recorded.String()
+}
+
+// Guards against an answer that looks whole although the connection between two nodes ended
+// early, and against a request that is reported as not run after it.
+func TestRelayedAnswerThatEndsEarlyIsNotWhole(test *testing.T) {
+	once := func(script func(net.Conn, *http.Request) bool) tableFixture {
+		return tableFixture{once: []*target{newTarget(test, "r", script)}}
+	}
+	stream := func(script func(net.Conn, *http.Request) bool) tableFixture {
+		return tableFixture{groups: []*target{newTarget(test, "g", script)}, unresumable: true}
+	}
+	cutAnswer := sealedHead + "Content-Length: 50\r\n\r\nplank 7"
+	for name, scenario := range map[string]struct {
+		table tableFixture
+		path  string
+		stop  bool
+
+		// status and body are those of the answer, without a body if that is not whole.
+		status int
+		body   string
+	}{
+		"answer":                   {once(answers(200, "Seal: s\r\n", "plank 7")), "/once/1", false, 200, "plank 7"},
+		"refusal":                  {once(answers(503, "Refused: 1\r\n", "runner is full")), "/once/1", false, 503, ""},
+		"request not sent":         {once(answers(200, "Seal: s\r\n", "plank 7")), "/once/1", true, 503, ""},
+		"answer that breaks off":   {once(cutAt(cutAnswer, len(cutAnswer), true)), "/once/1", false, 502, ""},
+		"no answer":                {once(cutAt(cutAnswer, 20, true)), "/once/1", false, 502, ""},
+		"stream":                   {stream(streams(3, "0\r\n\r\n")), "/stream/1", false, 200, events(3)},
+		"stream that breaks off":   {stream(streams(3, "")), "/stream/1", false, 200, ""},
+		"stream without any event": {stream(streams(0, "")), "/stream/1", false, 502, ""},
+	} {
+		test.Run(name, func(test *testing.T) {
+			test.Parallel()
+			fixture := newCutFixture(test, "", false, true)
+			if scenario.stop {
+				fixture.reaching.forward.Stop()
+			}
+			fixture.begin(test, 0, scenario.table)
+			wire := fixture.recordHop(test, func() { fixture.node.request(test, http.MethodPost, scenario.path, "x") })
+			head := strings.Index(wire, "\r\n\r\n") + 4
+			require.Greater(test, head, 4)
+			for _, reset := range []bool{false, true} {
+				hop := newTarget(test, "hop", func(conn net.Conn, request *http.Request) bool {
+					return cutAt(wire, int(fixture.length.Load()), reset)(conn, request)
+				})
+				for length := range len(wire) + 1 {
+					fixture.begin(test, length, scenario.table)
+					fixture.node.connectTo(fmt.Sprint("hop-", fixture.cases), hop.address())
+					before := hop.count()
+					got := fixture.node.request(test, http.MethodPost, scenario.path, "x")
+					require.Equal(test, before+1, hop.count())
+					if got.err == nil && got.status == http.StatusOK {
+						require.True(test, length == len(wire) && scenario.body != "", "after %d bytes: %q", length, got.body)
+						require.Equal(test, scenario.body, got.body)
+					}
+					if length < head {
+						require.NoError(test, got.err)
+						require.Equal(test, http.StatusBadGateway, got.status, "after %d bytes", length)
+					}
+					if length == len(wire) && !reset {
+						require.Equal(test, scenario.status, got.status)
+						require.Equal(test, scenario.status == 200 && scenario.body == "", got.err != nil)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against a relayed answer that looks whole without the trailer with which a node
+// confirms its end.
+func TestRelayedAnswerWithoutTrailerIsNotWhole(test *testing.T) {
+	fixture := newCutFixture(test, "", false, true)
+	table := tableFixture{once: []*target{newTarget(test, "r", answers(200, "Seal: s\r\n", "plank 7"))}}
+	fixture.begin(test, 0, table)
+	recorded := fixture.recordHop(test, func() { fixture.node.request(test, http.MethodPost, "/once/1", "x") })
+	const trailer = "0\r\nRelay-End: answered\r\n\r\n"
+	require.True(test, strings.HasSuffix(recorded, trailer), "%q", recorded)
+	for _, end := range []string{trailer, "0\r\n\r\n", "0\r\nRelay-End: \r\n\r\n", "0\r\nRelay-End: broken\r\n\r\n", "0\r\nRelay-End: answere\r\n\r\n"} {
+		wire := strings.TrimSuffix(recorded, trailer) + end
+		hop := newTarget(test, "hop", cutAt(wire, len(wire), false))
+		fixture.begin(test, 0, table)
+		fixture.node.connectTo(fmt.Sprint("hop-", fixture.cases), hop.address())
+		got := fixture.node.request(test, http.MethodPost, "/once/1", "x")
+		if end == trailer {
+			require.Equal(test, "plank 7", got.body)
+			continue
+		}
+		require.Equal(test, http.StatusBadGateway, got.status, "%q", end)
+	}
+}
+
+// Guards against an answer whose head contradicts itself about the length of the body and
+// that is passed on as whole with a part of it, or with bytes that are not of it.
+func TestAnswerWithContradictoryFramingIsNotWhole(test *testing.T) {
+	const chunks = "5\r\nplank\r\n0\r\n\r\n"
+	for name, scenario := range map[string]struct {
+		framing, body string
+
+		// content is the body of an answer that is whole, empty for one that is none.
+		content string
+	}{
+		"two lengths":                 {"Content-Length: 5\r\nContent-Length: 50\r\n", "plank", ""},
+		"same length twice":           {"Content-Length: 5\r\nContent-Length: 5\r\n", "plank", "plank"},
+		"list of lengths":             {"Content-Length: 5, 50\r\n", "plank", ""},
+		"no length":                   {"Content-Length:\r\n", "plank", ""},
+		"length with a sign":          {"Content-Length: +5\r\n", "plank", ""},
+		"negative length":             {"Content-Length: -5\r\n", "plank", ""},
+		"length in two lines":         {"Content-Length: 5\r\n 0\r\n", "plank", ""},
+		"length over all bounds":      {"Content-Length: 99999999999999999999\r\n", "plank", ""},
+		"length before the head":      {"Content-Length: 5\r\nContent-HTTP/1.1 200 OK\r\n", "plank", ""},
+		"chunks and a length":         {"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n", chunks, "plank"},
+		"cut chunks and their length": {"Content-Length: 8\r\nTransfer-Encoding: chunked\r\n", chunks[:8], ""},
+		"length of chunks, no chunks": {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "plank", ""},
+		"another encoding":            {"Transfer-Encoding: gzip, chunked\r\n", chunks, ""},
+		"chunked twice":               {"Transfer-Encoding: chunked, chunked\r\n", chunks, ""},
+		"identity and a length":       {"Transfer-Encoding: identity\r\nContent-Length: 5\r\n", "plank", ""},
+		"two lines of encodings":      {"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n", chunks, ""},
+		"chunk size with a sign":      {"Transfer-Encoding: chunked\r\n", "+5\r\nplank\r\n0\r\n\r\n", ""},
+		"chunk over its size":         {"Transfer-Encoding: chunked\r\n", "3\r\nplank\r\n0\r\n\r\n", ""},
+	} {
+		test.Run(name, func(test *testing.T) {
+			wire := sealedHead + scenario.framing + "\r\n" + scenario.body
+			for _, relayed := range []bool{false, true} {
+				fixture := newCutFixture(test, wire, false, relayed)
+				fixture.begin(test, len(wire), tableFixture{once: []*target{fixture.cut}})
+				got := fixture.node.request(test, http.MethodPost, "/once/1", "x")
+				require.NoError(test, got.err)
+				if scenario.content == "" {
+					require.Equal(test, http.StatusBadGateway, got.status, got.body)
+					continue
+				}
+				require.Equal(test, http.StatusOK, got.status)
+				require.Equal(test, scenario.content, got.body)
+			}
+		})
+	}
+}
+
+// Guards against a request that ends early and runs, with a part of its body or without it.
+func TestRequestThatEndsEarlyDoesNotRun(test *testing.T) {
+	const head = "POST /once/1 HTTP/1.1\r\nHost: host.example\r\nId: a1\r\nSecret: key\r\n"
+	for name, wire := range map[string]string{
+		"length":  head + "Content-Length: 7\r\n\r\nplank 7",
+		"chunked": head + "Transfer-Encoding: chunked\r\n\r\n5\r\nplank\r\n2\r\n 7\r\n0\r\n\r\n",
+	} {
+		test.Run(name, func(test *testing.T) {
+			runner := newTarget(test, "r1", answers(200, "Seal: s\r\n", "ok"))
+			node := newNode(test, tableFixture{once: []*target{runner}})
+			for length := range len(wire) + 1 {
+				conn, err := net.Dial("tcp", node.server.Listener.Addr().String())
+				require.NoError(test, err)
+				_, err = io.WriteString(conn, wire[:length])
+				require.NoError(test, err)
+				if length == len(wire) {
+					answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+					require.NoError(test, err)
+					require.Equal(test, http.StatusOK, answer.StatusCode)
+					require.Equal(test, []string{"plank 7"}, runner.bodies)
+					conn.Close()
+					continue
+				}
+				require.NoError(test, conn.(*net.TCPConn).CloseWrite())
+				answer, err := io.ReadAll(conn)
+				require.NoError(test, err)
+				require.Zero(test, runner.count(), "after %d bytes: %q", length, answer)
+				conn.Close()
+			}
+		})
+	}
+}
