Skip interim responses of targets

Callers got a 200 with an empty body, framed as whole, for a target's interim response (103 with the target's seal): also if the target then stopped in the middle of its answer's head. The client took the first head for the answer. It was passed on with status 103, which net/http sends as an interim response of its own, and then completes with an empty 200. A 101 was passed on as it was, and an answer after an interim response without a seal was lost: 502, although it was whole.

The client reads on to the final head, within the bound on the bytes of a head. A 101 and statuses below 100 are no answer.

TestInterimAnswerIsNotTheAnswer failed with expected 502, actual 200 (also for streams), with actual 101, and with an empty body in place of the whole answer.

--- a/forward/client.go
+++ b/forward/client.go
@@ -195,16 +195,33 @@
 		response.discard()
 		return nil, &callError{cause: errors.Annotate(err, "send request"), sent: written > 0}
 	}
-	connection.readBudget = maxHeadBytes
-	answer, err := http.ReadResponse(connection.reader, &http.Request{Method: outgoing.method})
-	if err != nil {
+	if err := response.readHead(outgoing.method); err != nil {
 		response.discard()
 		return nil, &callError{cause: errors.Annotate(response.cause(err), "read response header"), sent: true}
 	}
-	response.http = answer
 	return response, nil
 }
 
+// readHead reads the status and headers of the final response and skips the interim ones
+// before it. net/http would complete an interim response that is passed on with a 200 and an
+// empty body. No request asks for another protocol, so a response that switches to one is
+// not valid.
+func (response *response) readHead(method string) error {
+	response.conn.readBudget = maxHeadBytes
+	for {
+		answer, err := http.ReadResponse(response.conn.reader, &http.Request{Method: method})
+		switch {
+		case err != nil:
+			return err
+		case answer.StatusCode >= http.StatusOK:
+			response.http = answer
+			return nil
+		case answer.StatusCode < http.StatusContinue, answer.StatusCode == http.StatusSwitchingProtocols:
+			return errors.NotValidf("response with status %d", answer.StatusCode)
+		}
+	}
+}
+
 // setTimeout bounds the time of all reads and writes until it is called again.
 func (response *response) setTimeout(timeout time.Duration) error {
 	if err := response.conn.SetDeadline(time.Now().Add(timeout)); err != nil {
--- a/forward/truncation_test.go
+++ b/forward/truncation_test.go
@@ -446,6 +446,40 @@
 	}
 }
 
+// Guards against an interim answer that is passed on in place of the answer: the caller gets
+// a 200 with an empty body if the answer does not follow, or another status.
+func TestInterimAnswerIsNotTheAnswer(test *testing.T) {
+	const hints = "HTTP/1.1 103 Early Hints\r\nId: a1\r\nSeal: s\r\n\r\n"
+	const switching = "HTTP/1.1 101 Switching Protocols\r\nId: a1\r\nSeal: s\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"
+	stream := framings(events(2), 30)["chunked"].wire()
+	for name, scenario := range map[string]struct {
+		wire, path, body string
+	}{
+		"interim answer only":            {hints, "/once/1", ""},
+		"interim answer and a cut one":   {hints + sealedHead, "/once/1", ""},
+		"interim answer and a whole one": {hints + hints + answerText("a1", 200, "Seal: s\r\n", "plank 7"), "/once/1", "plank 7"},
+		"another protocol":               {switching, "/once/1", ""},
+		"interim answer, no stream":      {hints, "/stream/1", ""},
+		"interim answer and a stream":    {hints + stream, "/stream/1", events(2)},
+		"another protocol, no stream":    {switching, "/stream/1", ""},
+	} {
+		test.Run(name, func(test *testing.T) {
+			for _, relayed := range []bool{false, true} {
+				fixture := newCutFixture(test, scenario.wire, false, relayed)
+				fixture.begin(test, len(scenario.wire), tableFixture{once: []*target{fixture.cut}, groups: []*target{fixture.cut}, unresumable: true})
+				got := fixture.node.request(test, http.MethodPost, scenario.path, "x")
+				require.NoError(test, got.err)
+				if scenario.body == "" {
+					require.Equal(test, http.StatusBadGateway, got.status, got.body)
+					continue
+				}
+				require.Equal(test, http.StatusOK, got.status, got.body)
+				require.Equal(test, scenario.body, got.body)
+			}
+		})
+	}
+}
+
 // Guards against a request that ends early and runs, with a part of its body or without it.
 func TestRequestThatEndsEarlyDoesNotRun(test *testing.T) {
 	const head = "POST /once/1 HTTP/1.1\r\nHost: host.example\r\nId: a1\r\nSecret: key\r\n"
