Do not end a resumed stream at a response without events that ends with its connection

Callers got a stream that ended as complete after the events of the first group, if the group at which it went on closed its connection right after a head without a length and without chunks. Nothing distinguishes that from a group that stopped there.

Such a response counts as broken: the stream goes on elsewhere or is aborted. The node that has the connection to the group checks it, also for other nodes. A response in chunks that has no events still ends the stream.

TestResumedStreamWithoutEventsIsNotWhole failed with a stream of two events that ended without an error.

--- a/forward/client.go
+++ b/forward/client.go
@@ -173,6 +173,12 @@
 	finished func()
 }
 
+// untilClose reports whether the body ends with the connection, without a length or chunks.
+// For a relayed response the other node has checked that.
+func (response *response) untilClose() bool {
+	return !response.relayed && response.http.ContentLength < 0 && len(response.http.TransferEncoding) == 0
+}
+
 // do sends a call and reads the status and headers of the response within the
 // timeout. Its error is a *callError.
 func (client *client) do(ctx context.Context, outgoing call, timeout time.Duration) (*response, error) {
--- a/forward/relay_server.go
+++ b/forward/relay_server.go
@@ -272,15 +272,20 @@
 		return err
 	}
 	buffer := make([]byte, relayBufferBytes)
+	empty := true
 	for {
 		response.expectBody(relayBufferBytes)
 		count, err := response.http.Body.Read(buffer)
 		if count > 0 {
+			empty = false
 			relayed.evidence.EventArrived(relayed.server.config.Now())
 			if failure := write(buffer[:count]); failure != nil {
 				return failure
 			}
 		}
+		if err == io.EOF && empty && relayed.message.Group != "" && response.untilClose() {
+			return errEmptyStream
+		}
 		if err == io.EOF {
 			return nil
 		}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -338,6 +338,10 @@
 // last event.
 var errNotTheStream = errors.New("answer does not go on with the stream")
 
+// errEmptyStream is returned for a stream without any byte that ends with its connection. A
+// target that ends right after the header sends the same.
+var errEmptyStream = errors.New("stream without a byte ended with its connection")
+
 // mediaType returns the type of an answer's body without parameters.
 func mediaType(answer *http.Response) string {
 	name, _, _ := strings.Cut(answer.Header.Get("Content-Type"), ";")
@@ -352,18 +356,23 @@
 		return errNotTheStream
 	}
 	events := newEventReader(response.http.Body)
+	empty := true
 	for limit := firstTimeout; ; limit = timeout {
 		if err := response.setTimeout(limit); err != nil {
 			return errors.Trace(response.cause(err))
 		}
 		response.expectBody(maxEventBytes)
 		received, err := events.next()
+		if err == io.EOF && empty && response.untilClose() {
+			return errEmptyStream
+		}
 		if err == io.EOF {
 			return delivery.finish()
 		}
 		if err != nil {
 			return errors.Annotate(response.cause(err), "read stream event")
 		}
+		empty = false
 		if !received.follows(delivery.lastEventID) {
 			return errNotTheStream
 		}
--- a/forward/truncation_test.go
+++ b/forward/truncation_test.go
@@ -480,6 +480,26 @@
 	}
 }
 
+// Guards against a stream that goes on at a group which ends before its first event, and
+// that then looks whole because the end of the answer is that of its connection.
+func TestResumedStreamWithoutEventsIsNotWhole(test *testing.T) {
+	head := sealedHead + "Connection: close\r\n\r\n"
+	for _, relayed := range []bool{false, true} {
+		first := newTarget(test, "first", streams(2, ""))
+		fixture := newCutFixture(test, head, false, relayed)
+		resumed := 0
+		for resumed == 0 {
+			fixture.begin(test, len(head), tableFixture{groups: []*target{first, fixture.cut}})
+			before := fixture.cut.count()
+			got := fixture.node.request(test, http.MethodPost, "/stream/1", "prompt")
+			require.False(test, got.status == http.StatusOK && got.err == nil, "the stream ended as whole: %q", got.body)
+			if got.status == http.StatusOK {
+				resumed += fixture.cut.count() - before
+			}
+		}
+	}
+}
+
 // Guards against a request that ends early and runs, with a part of its body or without it.
 func TestRequestThatEndsEarlyDoesNotRun(test *testing.T) {
 	const head = "POST /once/1 HTTP/1.1\r\nHost: host.example\r\nId: a1\r\nSecret: key\r\n"
