Reset the connection of an HTTP/1.0 caller whose stream breaks off

A caller that speaks HTTP/1.0 got a stream that broke off as a whole one: without chunks the end of the connection is that of the body, and net/http closes the connection of an aborted handler as it closes that of a finished one. This applied to streams of groups (package forward) and to drafts (package entry).

Both call httpsend.Abort, which resets the connection of such a caller. HTTP/1.1 callers are not affected: for them the last chunk is missing, and the close delivers the events that were sent.

--- a/entry/draft_sink.go
+++ b/entry/draft_sink.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 
+	"lacewingspoke.org/lacewingspoke/httpsend"
 	"lacewingspoke.org/lacewingspoke/outcome"
 )
 
@@ -33,8 +34,8 @@
 	// started reports whether the response has been started.
 	started() bool
 
-	// finish ends the response. It panics with http.ErrAbortHandler to reset a
-	// stream that was started and cannot be completed.
+	// finish ends the response. It calls httpsend.Abort for a stream that was
+	// started and cannot be completed.
 	finish(result outcome.Outcome, assembler *outcome.Assembler)
 }
 
@@ -221,13 +222,13 @@
 	}
 	if !complete {
 		sink.exchange.countRequest(outcome.Unknown{})
-		panic(http.ErrAbortHandler)
+		httpsend.Abort(sink.exchange.writer, sink.exchange.request)
 	}
 	sink.writeHeader()
 	sink.exchange.extendWriteDeadline()
 	if err := sink.writeEnd(assembler.Next()); err != nil {
 		sink.exchange.countRequest(outcome.Unknown{})
-		panic(http.ErrAbortHandler)
+		httpsend.Abort(sink.exchange.writer, sink.exchange.request)
 	}
 	sink.exchange.writer.Header().Set(outcome.Header, result.String())
 	sink.exchange.countRequest(result)
--- a/entry/draft_test.go
+++ b/entry/draft_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -453,3 +456,23 @@
 	}
 	require.Positive(t, harness.counter("lacewingspoke_entry_retries_total"))
 }
+
+// Guards against a stream that breaks off and looks whole to a caller that speaks HTTP/1.0:
+// without chunks only a reset distinguishes it from one that has ended.
+func TestBrokenDraftIsResetForOldCallers(t *testing.T) {
+	fake := newFakeEngine(t)
+	fake.emit = func(_ context.Context, request engine.Generate, send func(engine.Piece)) {
+		sendPieces(request, request.ResumeIndex, 2, send)
+	}
+	harness := newHarness(t, func(config *entry.Config) { config.MaxAttempts = 1 })
+	harness.setGroups("copy-1", fake.address())
+	conn, err := net.Dial("tcp", strings.TrimPrefix(harness.url, "http://"))
+	require.NoError(t, err)
+	defer conn.Close()
+	body := `{"model":"m","prompt":"a","max_tokens":4,"stream":true}`
+	_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.0\r\nAuthorization: Bearer %s\r\nLacewingspoke-Deadline: 200ms\r\nContent-Length: %d\r\n\r\n%s", callerKey, len(body), body)
+	require.NoError(t, err)
+	got, err := io.ReadAll(conn)
+	require.ErrorIs(t, err, syscall.ECONNRESET, "the stream ended as whole: %q", got)
+	require.Contains(t, string(got), "a 1")
+}
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -333,6 +333,13 @@
 	}))
 }
 
+// setGroups replaces the groups by one with a grant that confirms all answers.
+func (harness *harness) setGroups(name, address string) {
+	harness.change(func() { harness.groups = nil })
+	harness.addGroupAt(name, address, longGrant)
+	harness.changeGroup(name, func(target *route.GroupTarget) { target.Grant.ReportedAt = time.Now().Add(longGrant) })
+}
+
 // keepRenewing renews the grants of the named groups until the test ends.
 func (harness *harness) keepRenewing(names ...string) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/forward/truncation_test.go
+++ b/forward/truncation_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -500,6 +501,32 @@
 	}
 }
 
+// oldCallerAnswer returns what a caller reads that speaks HTTP/1.0, for which the end of the
+// connection is that of the body.
+func (node *node) oldCallerAnswer(test *testing.T, path string) (string, error) {
+	conn, err := net.Dial("tcp", node.server.Listener.Addr().String())
+	require.NoError(test, err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.0\r\nHost: host.example\r\nId: a1\r\nSecret: key\r\nContent-Length: 6\r\n\r\nprompt", path)
+	require.NoError(test, err)
+	answer, err := io.ReadAll(conn)
+	return string(answer), err
+}
+
+// Guards against a stream that breaks off and looks whole to a caller that speaks HTTP/1.0:
+// without chunks only a reset tells it from the end.
+func TestBrokenStreamIsResetForOldCallers(test *testing.T) {
+	broken, sound := newTarget(test, "g1", streams(3, "")), newTarget(test, "g2", streams(3, "0\r\n\r\n"))
+	node := newNode(test, tableFixture{groups: []*target{broken}, unresumable: true})
+	got, err := node.oldCallerAnswer(test, "/stream/1")
+	require.ErrorIs(test, err, syscall.ECONNRESET, "the stream ended as whole: %q", got)
+	require.Contains(test, got, events(3))
+	node.publish(test, tableFixture{groups: []*target{sound}, unresumable: true})
+	got, err = node.oldCallerAnswer(test, "/stream/1")
+	require.NoError(test, err)
+	require.True(test, strings.HasSuffix(got, "\r\n\r\n"+events(3)), "%q", got)
+}
+
 // Guards against a request that ends early and runs, with a part of its body or without it.
 func TestRequestThatEndsEarlyDoesNotRun(test *testing.T) {
 	const head = "POST /once/1 HTTP/1.1\r\nHost: host.example\r\nId: a1\r\nSecret: key\r\n"
