--- /dev/null
+++ b/service/truncation_test.go
@@ -0,0 +1,106 @@
+package service_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"lacewingspoke.org/lacewingspoke/outcome"
+	"lacewingspoke.org/lacewingspoke/service"
+)
+
+// newCutService returns a service that answers each request with the first length bytes of
+// an answer, and closes or resets the connection.
+func newCutService(t *testing.T, answer string, length *atomic.Int64, reset bool) *scriptedService {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	cut := &scriptedService{listener: listener, ended: make(chan struct{})}
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		cut.requests.Add(1)
+		_, _ = io.WriteString(conn, answer[:length.Load()])
+		if reset {
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}
+	}
+	go func() {
+		defer close(cut.ended)
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			serve(conn)
+		}
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		<-cut.ended
+	})
+	return cut
+}
+
+// Guards against an answer that ends early in its head or its body and is taken for a whole
+// one or for a refusal, and against a request that is sent again after it.
+func TestAnswerThatEndsEarlyIsUnknown(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nDate: Sat, 05 Dec 2026 10:00:00 GMT\r\nContent-Type: text/plain\r\n"
+	const chunks = "8\r\nplank 7,\r\n8\r\n plank 8\r\n"
+	for name, scenario := range map[string]struct {
+		answer     string
+		untilClose bool
+		refusal    bool
+	}{
+		"length":               {answer: head + "Content-Length: 16\r\n\r\nplank 7, plank 8"},
+		"chunked":              {answer: head + "Transfer-Encoding: chunked\r\n\r\n" + chunks + "0\r\n\r\n"},
+		"chunked with trailer": {answer: head + "Transfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n" + chunks + "0\r\nX-Sum: 80\r\n\r\n"},
+		"until the close":      {answer: head + "\r\nplank 7, plank 8", untilClose: true},
+		"refusal":              {answer: "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 16\r\n\r\nplank 7, plank 8", refusal: true},
+	} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reset %t", name, reset), func(t *testing.T) {
+				var length atomic.Int64
+				cut := newCutService(t, scenario.answer, &length, reset)
+				client := service.New(service.Config{})
+				defer client.Close()
+				headEnd := strings.Index(scenario.answer, "\r\n\r\n") + 4
+				for count := range len(scenario.answer) + 1 {
+					length.Store(int64(count))
+					for _, once := range []bool{false, true} {
+						before := cut.requests.Load()
+						got := cut.do(client, http.MethodPost, once, "b")
+						require.Equal(t, before+1, cut.requests.Load())
+						want, whole := "plank 7, plank 8", count == len(scenario.answer)
+						if scenario.untilClose {
+							want, whole = scenario.answer[min(headEnd, count):count], count >= headEnd && !reset
+						}
+						result := got.Attempt.Outcome()
+						switch {
+						case !whole:
+							require.IsType(t, outcome.Unknown{}, result, "after %d bytes: %q", count, got.Body)
+							require.Zero(t, got.Status)
+						case scenario.refusal && !reset:
+							require.IsType(t, outcome.NotRun{}, result)
+						case !reset:
+							require.IsType(t, outcome.Complete{}, result)
+						}
+						if outcome.IsComplete(result) {
+							require.Equal(t, want, string(got.Body))
+						}
+					}
+				}
+			})
+		}
+	}
+}
