--- a/service/truncation_test.go
+++ b/service/truncation_test.go
@@ -104,3 +104,23 @@
 		}
 	}
 }
+
+// Guards against an interim answer that is taken for the answer, and against one that
+// switches to a protocol for which no request asks.
+func TestInterimAnswerIsNotTheAnswer(t *testing.T) {
+	const hints = "HTTP/1.1 103 Early Hints\r\nLink: </y>\r\n\r\n"
+	for answer, want := range map[string]outcome.Outcome{
+		hints: outcome.Unknown{},
+		hints + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n": outcome.Unknown{},
+		hints + okAnswer: outcome.Complete{},
+		"HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n": outcome.Unknown{},
+	} {
+		for _, once := range []bool{false, true} {
+			scripted := newScriptedService(t, answer)
+			client := service.New(service.Config{})
+			got := scripted.do(client, http.MethodPost, once, "b")
+			require.IsType(t, want, got.Attempt.Outcome(), "%q: status %d", answer, got.Status)
+			client.Close()
+		}
+	}
+}
