Take a relayed head without the status of an answer for broken

For a head frame without a status the handler of the node that took the request panicked in net/http ("invalid WriteHeader code 0"), and its caller got a closed connection. For the status of an interim response, which a node of an earlier release passes on, the caller gets an empty 200. A status outside 200 to 999 makes the head invalid: the request may have run, and its caller gets 502.

TestRelayedHeadWithoutStatusIsNotAnAnswer failed with EOF for status 0. TestRelayedCallThatEndsEarlyIsNotSent is new and passed before: a relayed call that is cut at any byte reaches no target and is answered as not sent.

--- a/forward/relay.go
+++ b/forward/relay.go
@@ -95,6 +95,9 @@
 
 const headLengthBytes = 4
 
+// maxStatus is the largest status that HTTP can express, and that net/http writes.
+const maxStatus = 999
+
 // encodeHead returns the head with its length.
 func encodeHead(head relayedHead) ([]byte, error) {
 	encoded, err := msgpack.Marshal(head)
@@ -119,8 +122,13 @@
 		return relayedHead{}, errors.Trace(err)
 	}
 	var head relayedHead
-	err := msgpack.Unmarshal(encoded, &head)
-	return head, errors.Trace(err)
+	if err := msgpack.Unmarshal(encoded, &head); err != nil {
+		return relayedHead{}, errors.Trace(err)
+	}
+	if head.Status < http.StatusOK || head.Status > maxStatus {
+		return relayedHead{}, errors.NotValidf("relayed answer with status %d", head.Status)
+	}
+	return head, nil
 }
 
 // relay sends a call through a node and reads the head of the target's answer within the
--- a/forward/truncation_test.go
+++ b/forward/truncation_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -16,8 +17,10 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"lacewingspoke.org/lacewingspoke/fleet"
+	"lacewingspoke.org/lacewingspoke/forward"
 )
 
 // cutAt returns a script that writes the first length bytes of an answer, and closes or
@@ -400,6 +403,45 @@
 	}
 }
 
+// Guards against a relayed head without the status of an answer, and against one of a node of
+// an earlier release that passes an interim answer on: the caller gets a 200 with an empty
+// body.
+func TestRelayedHeadWithoutStatusIsNotAnAnswer(test *testing.T) {
+	for _, status := range []int{0, 99, 101, 103, 1000} {
+		fixture := newCutFixture(test, "", false, true)
+		fixture.begin(test, 0, tableFixture{once: []*target{newTarget(test, "r", answers(200, "Seal: s\r\n", "plank 7"))}})
+		head, err := msgpack.Marshal(map[string]any{"status": status, "header": http.Header{"Id": {"a1"}, "Seal": {"s"}}})
+		require.NoError(test, err)
+		frame := string(binary.BigEndian.AppendUint32(nil, uint32(len(head)))) + string(head)
+		wire := fmt.Sprintf("HTTP/1.1 200 OK\r\nRelay-Outcome: answered\r\nTrailer: Relay-End\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nRelay-End: answered\r\n\r\n", len(frame), frame)
+		hop := newTarget(test, "hop", cutAt(wire, len(wire), false))
+		fixture.node.connectTo("hop", hop.address())
+		got := fixture.node.request(test, http.MethodPost, "/once/1", "x")
+		require.NoError(test, got.err, "status %d", status)
+		require.Equal(test, http.StatusBadGateway, got.status, "status %d", status)
+	}
+}
+
+// Guards against a relayed call that ends early and is sent to the target.
+func TestRelayedCallThatEndsEarlyIsNotSent(test *testing.T) {
+	runner := newTarget(test, "r", answers(200, "Seal: s\r\n", "ok"))
+	fixture := newCutFixture(test, "", false, true)
+	fixture.begin(test, 0, tableFixture{once: []*target{runner}})
+	hop := newTarget(test, "hop", cutAt("", 0, false))
+	fixture.node.connectTo("hop", hop.address())
+	fixture.node.request(test, http.MethodPost, "/once/1", "plank 7")
+	message := hop.bodies[0]
+	for length := range len(message) + 1 {
+		recorder := httptest.NewRecorder()
+		fixture.reaching.forward.ServeRelayed(recorder, httptest.NewRequest(http.MethodPost, forward.RelayPath, strings.NewReader(message[:length])))
+		if length < len(message) {
+			require.Equal(test, http.StatusServiceUnavailable, recorder.Code, "after %d bytes", length)
+			require.Zero(test, runner.count(), "after %d bytes", length)
+		}
+	}
+	require.Equal(test, []string{"plank 7"}, runner.bodies)
+}
+
 // Guards against an answer whose head contradicts itself about the length of the body and
 // that is passed on as whole with a part of it, or with bytes that are not of it.
 func TestAnswerWithContradictoryFramingIsNotWhole(test *testing.T) {
