--- a/forward/stream.go
+++ b/forward/stream.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"lacewingspoke.org/lacewingspoke/httpsend"
 	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/quarantine"
 	"lacewingspoke.org/lacewingspoke/route"
@@ -95,8 +96,8 @@
 func (exchange *exchange) serveStream(ctx context.Context) {
 	delivery := &delivery{exchange: exchange, lastEventID: exchange.caller.ResumeAfter}
 	exchange.tryTargets(ctx, attemptPlan{
-		next: func(excluded map[string]bool) (candidate, bool) {
-			target, found := exchange.pickGroup(ctx, delivery, excluded)
+		next: func(excluded map[string]bool, mayWait bool) (candidate, bool) {
+			target, found := exchange.pickGroup(ctx, delivery, excluded, mayWait)
 			return candidate{
 				name: target.Name,
 				try:  func() attemptResult { return exchange.tryGroup(ctx, target, delivery) },
@@ -109,8 +110,8 @@
 
 // pickGroup returns a group for the next attempt, or false. Until the stream has
 // started, the group must be predicted to meet the objective. A started stream
-// accepts any group and waits for one up to resumeTimeout.
-func (exchange *exchange) pickGroup(ctx context.Context, delivery *delivery, excluded map[string]bool) (route.GroupTarget, bool) {
+// accepts any group, and with mayWait waits for one up to resumeTimeout.
+func (exchange *exchange) pickGroup(ctx context.Context, delivery *delivery, excluded map[string]bool, mayWait bool) (route.GroupTarget, bool) {
 	server := exchange.server
 	resumeBy := server.config.Now().Add(resumeTimeout)
 	for {
@@ -129,7 +130,7 @@
 			// Another request has taken the last place of the target.
 			continue
 		}
-		if !delivery.headerSent || !now.Before(resumeBy) {
+		if !delivery.headerSent || !mayWait || !now.Before(resumeBy) {
 			return route.GroupTarget{}, false
 		}
 		waiting, cancel := context.WithTimeout(ctx, min(resumeBy.Sub(now), resumeStep))
@@ -285,7 +286,7 @@
 		response.discard()
 		if errors.Is(err, errCallerNotReading) {
 			exchange.log("caller-left", 0, "caller does not read")
-			panic(http.ErrAbortHandler)
+			httpsend.Abort(exchange.writer, exchange.request)
 		}
 		failure := &callError{cause: err, sent: true, outcome: outcomeOf(err)}
 		exchange.checkTarget(ctx, delivery.attempt, life, to, failure)
@@ -338,6 +339,10 @@
 // last event.
 var errNotTheStream = errors.New("answer does not go on with the stream")
 
+// errEmptyStream is returned for a stream without any byte that ends with its connection. A
+// target that ends right after the header sends the same.
+var errEmptyStream = errors.New("stream without a byte ended with its connection")
+
 // mediaType returns the type of an answer's body without parameters.
 func mediaType(answer *http.Response) string {
 	name, _, _ := strings.Cut(answer.Header.Get("Content-Type"), ";")
@@ -352,18 +357,23 @@
 		return errNotTheStream
 	}
 	events := newEventReader(response.http.Body)
+	empty := true
 	for limit := firstTimeout; ; limit = timeout {
 		if err := response.setTimeout(limit); err != nil {
 			return errors.Trace(response.cause(err))
 		}
 		response.expectBody(maxEventBytes)
 		received, err := events.next()
+		if err == io.EOF && empty && response.untilClose() {
+			return errEmptyStream
+		}
 		if err == io.EOF {
 			return delivery.finish()
 		}
 		if err != nil {
 			return errors.Annotate(response.cause(err), "read stream event")
 		}
+		empty = false
 		if !received.follows(delivery.lastEventID) {
 			return errNotTheStream
 		}
@@ -434,5 +444,5 @@
 	}
 	delivery.exchange.log("cut", http.StatusOK, reason)
 	delivery.exchange.server.config.Logger.Info("stream to the caller aborted", zap.String("id", delivery.exchange.caller.Attempt), zap.String("last-event", delivery.lastEventID))
-	panic(http.ErrAbortHandler)
+	httpsend.Abort(delivery.exchange.writer, delivery.exchange.request)
 }
