Serve requests that were read behind another one at the end of a connection

A connection became idle although the next request had been read with the one before it. While the server ended, the next Read then returned the end of the connection: a request read in part was dropped, and the context of a whole one could end, so that its handler aborted. net/http sets a second deadline without a Read in that case, which is now taken as the beginning of a request.

Also: a connection that was accepted while End returned ended the process with a panic (close of closed channel) or, without a header timeout, stayed open; Serve after End went on accepting; of two calls of End one waited until its context ended.

--- a/httpserve/connection.go
+++ b/httpserve/connection.go
@@ -48,6 +48,11 @@
 	// another one, with which it ends.
 	readDeadline time.Time
 	woken        bool
+
+	// awaiting is true if net/http has set a deadline since the connection became idle. It
+	// sets the next one when it has the beginning of a request, which it may have read
+	// together with the request before.
+	awaiting bool
 }
 
 // Read implements net.Conn.
@@ -156,6 +161,10 @@
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
 	connection.readDeadline = deadline
+	if connection.state == stateIdle && connection.awaiting {
+		connection.setState(stateReading)
+	}
+	connection.awaiting = connection.state == stateIdle
 	connection.wake()
 	if connection.woken {
 		return nil
--- a/httpserve/httpserve.go
+++ b/httpserve/httpserve.go
@@ -140,6 +140,11 @@
 	server.mutex.Lock()
 	server.listener = listener
 	server.mutex.Unlock()
+	if server.ending.Load() {
+		// End may have closed it too.
+		_ = listener.Close()
+		return nil
+	}
 	err := server.http.Serve(&trackingListener{Listener: listener, server: server})
 	if server.ending.Load() || errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -243,9 +248,13 @@
 func (server *Server) awaitEmpty() <-chan struct{} {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	server.empty = make(chan struct{})
 	if len(server.connections) == 0 {
-		close(server.empty)
+		empty := make(chan struct{})
+		close(empty)
+		return empty
+	}
+	if server.empty == nil {
+		server.empty = make(chan struct{})
 	}
 	return server.empty
 }
@@ -267,6 +276,7 @@
 	delete(server.connections, closed)
 	if len(server.connections) == 0 && server.empty != nil {
 		close(server.empty)
+		server.empty = nil
 	}
 }
 
@@ -286,5 +296,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return listener.server.add(accepted), nil
+	added := listener.server.add(accepted)
+	added.end()
+	return added, nil
 }
--- a/httpserve/httpserve_test.go
+++ b/httpserve/httpserve_test.go
@@ -36,11 +36,17 @@
 	ended   chan error
 }
 
-func start(test *testing.T) *fixture {
+func start(test *testing.T) *fixture { return startHandler(test, nil) }
+
+// startHandler returns a fixture with another handler, its own if that is nil.
+func startHandler(test *testing.T, handler http.Handler) *fixture {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(test, err)
 	started := &fixture{test: test, address: listener.Addr().String(), ended: make(chan error, 1)}
-	started.Server = httpserve.New(httpserve.Config{Name: "test", Handler: started, HeaderTimeout: waitBound, IdleTimeout: waitBound})
+	if handler == nil {
+		handler = started
+	}
+	started.Server = httpserve.New(httpserve.Config{Name: "test", Handler: handler, HeaderTimeout: waitBound, IdleTimeout: waitBound})
 	go func() { started.ended <- started.Serve(context.Background(), listener) }()
 	test.Cleanup(func() { _ = started.Close() })
 	return started
@@ -293,3 +299,130 @@
 	}
 	assert.Zero(test, unanswered, "requests that were handled and got no answer")
 }
+
+// Guards against second requests of connections, read together with the first, whose
+// context ends because the server takes the connection for idle.
+func TestRequestReadBehindAnotherKeepsItsContext(test *testing.T) {
+	const rounds, callers = 10, 64
+	for range rounds {
+		release := make(chan struct{})
+		var cancelled, handled atomic.Int64
+		server := startHandler(test, http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+			if request.URL.Path == "/one" {
+				<-release
+				return
+			}
+			select {
+			case <-request.Context().Done():
+				cancelled.Add(1)
+			case <-time.After(50 * time.Millisecond):
+			}
+			handled.Add(1)
+		}))
+		for range callers {
+			server.dial().write("GET /one HTTP/1.1\r\nHost: test\r\n\r\nGET /two HTTP/1.1\r\nHost: test\r\n\r\n")
+		}
+		server.awaitCounts(func(counts httpserve.Connections) bool { return counts.Serving == callers })
+		result := server.end()
+		server.awaitRefused()
+		close(release)
+		require.NoError(test, <-result)
+		require.Equal(test, int64(callers), handled.Load())
+		require.Zero(test, cancelled.Load(), "contexts of second requests that ended")
+	}
+}
+
+// Guards against a request that is cut because its first part was read together with the
+// request before it.
+func TestRequestPartlyReadBehindAnotherIsAnswered(test *testing.T) {
+	server := start(test)
+	server.release = make(chan struct{})
+	caller := server.dial()
+	second := request("two")
+	caller.write(request("one") + second[:10])
+	server.awaitCounts(func(counts httpserve.Connections) bool { return counts.Serving == 1 })
+	result := server.end()
+	server.awaitRefused()
+	close(server.release)
+	body, _ := caller.answer()
+	assert.Equal(test, "one", body)
+	caller.write(second[10:])
+	body, closes := caller.answer()
+	assert.Equal(test, "two", body)
+	assert.True(test, closes)
+	require.NoError(test, <-result)
+}
+
+// Guards against a server that goes on accepting connections if it ends before it serves.
+func TestServeReturnsAfterEnd(test *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(test, err)
+	server := httpserve.New(httpserve.Config{Name: "test", Handler: http.NotFoundHandler()})
+	test.Cleanup(func() { _ = server.Close() })
+	require.NoError(test, server.End(context.Background()))
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(context.Background(), listener) }()
+	select {
+	case err := <-ended:
+		require.NoError(test, err)
+	case <-time.After(waitBound):
+		test.Error("Serve accepts connections after End")
+	}
+}
+
+// Guards against an end that waits without a limit because another call of End waits too.
+func TestTwoCallsOfEndReturn(test *testing.T) {
+	server := start(test)
+	server.release = make(chan struct{})
+	caller := server.dial()
+	caller.write(request("in progress"))
+	server.awaitCounts(func(counts httpserve.Connections) bool { return counts.Serving == 1 })
+	first, second := server.end(), server.end()
+	server.awaitRefused()
+	close(server.release)
+	body, _ := caller.answer()
+	assert.Equal(test, "in progress", body)
+	require.NoError(test, <-first)
+	require.NoError(test, <-second)
+}
+
+// A lateListener holds the connections that it accepts until released is closed. It has no
+// deadline, so that End does not wait for it.
+type lateListener struct {
+	net.Listener
+	accepted, released chan struct{}
+}
+
+// Accept implements net.Listener.
+func (listener *lateListener) Accept() (net.Conn, error) {
+	accepted, err := listener.Listener.Accept()
+	if err == nil {
+		close(listener.accepted)
+		<-listener.released
+	}
+	return accepted, err
+}
+
+// Guards against a connection that is accepted while the server ends: it ended the process
+// with a panic when it closed, or stayed open without a limit.
+func TestConnectionAcceptedAtTheEndCloses(test *testing.T) {
+	for _, timeout := range []time.Duration{0, waitBound} {
+		test.Run(fmt.Sprint("header timeout ", timeout), func(test *testing.T) {
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(test, err)
+			listener := &lateListener{Listener: inner, accepted: make(chan struct{}), released: make(chan struct{})}
+			late := &fixture{test: test, address: inner.Addr().String()}
+			late.Server = httpserve.New(httpserve.Config{Name: "test", Handler: late, HeaderTimeout: timeout})
+			test.Cleanup(func() { _ = late.Close() })
+			ended := make(chan error, 1)
+			go func() { ended <- late.Serve(context.Background(), listener) }()
+			caller := late.dial()
+			<-listener.accepted
+			require.NoError(test, <-late.end())
+			close(listener.released)
+			assert.True(test, caller.closed())
+			require.NoError(test, <-ended)
+			late.awaitCounts(func(counts httpserve.Connections) bool { return counts == httpserve.Connections{} })
+		})
+	}
+}
