Keep signals from ending a node that starts

SIGHUP and SIGTERM ended the process until its listeners were open, because their channels were made after that. The platform sends SIGHUP when the settings file has changed, also to a node that it has just started. A SIGTERM now stops the node gracefully as soon as it has started.

--- a/cmd/lacewingspoke/node.go
+++ b/cmd/lacewingspoke/node.go
@@ -33,6 +33,11 @@
 // Execute runs the daemon. If the settings have faults, it prints all of them and
 // does not start.
 func (command *nodeCommand) Execute([]string) error {
+	// Without a channel, each of these signals would end the process while it starts.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	loaded, problems := settings.Load(command.Settings)
 	if len(problems) > 0 {
 		for _, problem := range problems {
@@ -42,14 +47,14 @@
 	}
 	sink := logline.New(logline.Config{Output: os.Stdout})
 	logger := sink.Logger().With(zap.String("node", loaded.Name()))
-	err := runNode(command.Settings, loaded, logger)
+	err := runNode(command.Settings, loaded, logger, signals, reloads)
 	sink.Close()
 	return errors.Trace(err)
 }
 
 // runNode runs the daemon until a signal arrives or one of its components fails,
 // and then stops it gracefully.
-func runNode(path string, loaded *settings.Settings, logger *zap.Logger) error {
+func runNode(path string, loaded *settings.Settings, logger *zap.Logger, signals, reloads <-chan os.Signal) error {
 	var running *daemon
 	app := fx.New(
 		fx.Supply(loaded, logger),
@@ -61,10 +66,6 @@
 	if err := app.Start(context.Background()); err != nil {
 		return errors.Annotate(err, "start node")
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
 	cause := running.wait(signals, reloads, path)
 	stopCtx, cancel := context.WithCancel(context.Background())
 	defer cancel()
