Answer requests of the entry server whose bodies do not arrive, and do not send bookings again late in a stop

At the end of the grace, a request whose body had not arrived got no answer: nothing ended its read, as in package forward. A body that took longer than its bound got none either: the read deadline was cleared before the refusal, and net/http reads the rest of a body before it sends an answer. The deadline now stays for bodies that were not read whole.

A booking that a runner refused during a planned stop was sent to another runner although its deadline lay beyond the grace; only the first attempt was checked.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -220,9 +220,8 @@
 		exchange.refuse(status, outcome.NotRun{Reason: err.Error()})
 		return
 	}
-	server := exchange.server
-	if !server.grace.Allows(exchange.deadline, retryClassOf(exchange.route) != outcome.RunOnce, 0, server.config.Now()) {
-		exchange.refuse(http.StatusServiceUnavailable, outcome.NotRun{Reason: "node is stopping and may end before the request does", RetryAfter: time.Second})
+	if !exchange.endsInGrace() {
+		exchange.refuse(http.StatusServiceUnavailable, refusedByStop())
 		return
 	}
 	if exchange.route.Kind == folder.KindDraft {
@@ -232,6 +231,18 @@
 	exchange.serveService(ctx, body)
 }
 
+// endsInGrace reports whether the request may be sent to a target although the node may be
+// stopping.
+func (exchange *exchange) endsInGrace() bool {
+	server := exchange.server
+	return server.grace.Allows(exchange.deadline, retryClassOf(exchange.route) != outcome.RunOnce, 0, server.config.Now())
+}
+
+// refusedByStop is the outcome of a request that was not sent because the node is stopping.
+func refusedByStop() outcome.NotRun {
+	return outcome.NotRun{Reason: "node is stopping and may end before the request does", RetryAfter: time.Second}
+}
+
 // requestContext returns a context that ends at the deadline, with its parent, or when the
 // server ends all requests.
 func (server *Server) requestContext(parent context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
@@ -253,15 +264,22 @@
 func (exchange *exchange) readBody() ([]byte, int, error) {
 	config := exchange.server.config
 	_ = exchange.controller.SetReadDeadline(time.Now().Add(config.BodyTimeout))
+	requests := exchange.server.requests
+	stop := context.AfterFunc(requests, func() { _ = exchange.controller.SetReadDeadline(time.Now()) })
 	reader := http.MaxBytesReader(exchange.writer, exchange.request.Body, config.MaxBodyBytes)
 	body, err := io.ReadAll(reader)
-	_ = exchange.controller.SetReadDeadline(time.Time{})
+	stop()
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
+		// The deadline remains for other bodies: net/http reads what is left of them before
+		// it sends the refusal.
+		_ = exchange.controller.SetReadDeadline(time.Time{})
 		return body, 0, nil
 	case errors.As(err, &tooLarge):
 		return nil, http.StatusRequestEntityTooLarge, errors.Errorf("body is longer than %d bytes", tooLarge.Limit)
+	case requests.Err() != nil:
+		return nil, http.StatusServiceUnavailable, errors.New("node is stopping")
 	default:
 		return nil, http.StatusRequestTimeout, errors.New("body was not received")
 	}
--- a/entry/service.go
+++ b/entry/service.go
@@ -108,6 +108,9 @@
 		if !found {
 			return service.Result{}, call.result
 		}
+		if !call.exchange.endsInGrace() {
+			return service.Result{}, outcome.Combine(call.result, refusedByStop())
+		}
 		if call.maySend != nil && !call.maySend() {
 			return service.Result{}, outcome.Combine(call.result, outcome.NotRun{Reason: "claim expired before it was sent under"})
 		}
