--- a/cmd/lacewingspoke/node.go
+++ b/cmd/lacewingspoke/node.go
@@ -38,6 +38,11 @@
 // Execute runs the daemon. If the settings have faults, it prints all of them and
 // does not start.
 func (command *nodeCommand) Execute([]string) error {
+	// Without a channel, each of these signals would end the process while it starts.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	loaded, problems := settings.Load(command.Settings)
 	if len(problems) > 0 {
 		for _, problem := range problems {
@@ -47,14 +52,14 @@
 	}
 	sink := logline.New(logline.Config{Output: os.Stdout})
 	logger := sink.Logger().With(zap.String("node", loaded.Name()))
-	err := command.run(loaded, logger)
+	err := command.run(loaded, logger, signals, reloads)
 	sink.Close()
 	return errors.Trace(err)
 }
 
 // run runs the daemon until a signal arrives or one of its components fails, and
 // then stops it gracefully.
-func (command *nodeCommand) run(loaded *settings.Settings, logger *zap.Logger) error {
+func (command *nodeCommand) run(loaded *settings.Settings, logger *zap.Logger, signals, reloads <-chan os.Signal) error {
 	var running *daemon
 	app := fx.New(
 		fx.Supply(loaded, logger),
@@ -66,10 +71,6 @@
 	if err := app.Start(context.Background()); err != nil {
 		return errors.Annotate(err, "start node")
 	}
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
 	running.stopGrace = command.StopGrace
 	cause := running.wait(signals, reloads, command.Settings)
 	stopCtx, cancel := context.WithCancel(context.Background())
