--- a/entry/draft_sink.go
+++ b/entry/draft_sink.go
@@ -10,7 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 
-	"lacewingspoke.org/lacewingspoke/httpsend"
+	"lacewingspoke.org/lacewingspoke/httpserve"
 	"lacewingspoke.org/lacewingspoke/outcome"
 )
 
@@ -34,7 +34,7 @@
 	// started reports whether the response has been started.
 	started() bool
 
-	// finish ends the response. It calls httpsend.Abort for a stream that was
+	// finish ends the response. It calls httpserve.Abort for a stream that was
 	// started and cannot be completed.
 	finish(result outcome.Outcome, assembler *outcome.Assembler)
 }
@@ -222,13 +222,13 @@
 	}
 	if !complete {
 		sink.exchange.countRequest(outcome.Unknown{})
-		httpsend.Abort(sink.exchange.writer, sink.exchange.request)
+		httpserve.Abort(sink.exchange.writer, sink.exchange.request)
 	}
 	sink.writeHeader()
 	sink.exchange.extendWriteDeadline()
 	if err := sink.writeEnd(assembler.Next()); err != nil {
 		sink.exchange.countRequest(outcome.Unknown{})
-		httpsend.Abort(sink.exchange.writer, sink.exchange.request)
+		httpserve.Abort(sink.exchange.writer, sink.exchange.request)
 	}
 	sink.exchange.writer.Header().Set(outcome.Header, result.String())
 	sink.exchange.countRequest(result)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -11,7 +11,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
-	"lacewingspoke.org/lacewingspoke/httpsend"
+	"lacewingspoke.org/lacewingspoke/httpserve"
 	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/quarantine"
 	"lacewingspoke.org/lacewingspoke/route"
@@ -286,7 +286,7 @@
 		response.discard()
 		if errors.Is(err, errCallerNotReading) {
 			exchange.log("caller-left", 0, "caller does not read")
-			httpsend.Abort(exchange.writer, exchange.request)
+			httpserve.Abort(exchange.writer, exchange.request)
 		}
 		failure := &callError{cause: err, sent: true, outcome: outcomeOf(err)}
 		exchange.checkTarget(ctx, delivery.attempt, life, to, failure)
@@ -444,5 +444,5 @@
 	}
 	delivery.exchange.log("cut", http.StatusOK, reason)
 	delivery.exchange.server.config.Logger.Info("stream to the caller aborted", zap.String("id", delivery.exchange.caller.Attempt), zap.String("last-event", delivery.lastEventID))
-	httpsend.Abort(delivery.exchange.writer, delivery.exchange.request)
+	httpserve.Abort(delivery.exchange.writer, delivery.exchange.request)
 }
--- a/httpsend/httpsend.go
+++ b/httpsend/httpsend.go
@@ -6,9 +6,6 @@
 // distinguish these cases, so the package counts the writes on the connections
 // that a call used, and blocks writes after the call has failed.
 //
-// Abort is for the other direction: it ends a response of this process that cannot be
-// completed, so that no caller takes it for complete.
-//
 // # Usage
 //
 //	client := httpsend.New(httpsend.Config{DialTimeout: time.Second})
--- a/httpsend/abort.go
+++ b/httpserve/abort.go
@@ -1,4 +1,4 @@
-package httpsend
+package httpserve
 
 import "net/http"
 
--- a/httpserve/connection.go
+++ b/httpserve/connection.go
@@ -204,6 +204,11 @@
 	return connection.Conn.(*net.TCPConn).CloseWrite()
 }
 
+// SetLinger is that of net.TCPConn. Abort calls it.
+func (connection *connection) SetLinger(seconds int) error {
+	return connection.Conn.(*net.TCPConn).SetLinger(seconds)
+}
+
 // Close implements net.Conn. No handler should run then: its request would end without an
 // answer.
 func (connection *connection) Close() error {
--- a/httpserve/httpserve.go
+++ b/httpserve/httpserve.go
@@ -23,6 +23,10 @@
 //	two requests at once        the first is answered with "Connection: close", which says
 //	                            that the second is not handled
 //
+// # Responses that cannot be completed
+//
+// Abort ends a handler whose response has begun, so that no caller takes it for complete.
+//
 // # Usage
 //
 //	server := httpserve.New(httpserve.Config{
--- a/httpserve/httpserve_test.go
+++ b/httpserve/httpserve_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -426,3 +427,23 @@
 		})
 	}
 }
+
+// Guards against an aborted response that a caller takes for complete: without chunks only a
+// reset distinguishes it from one that has ended.
+func TestAbortedResponseIsNotComplete(test *testing.T) {
+	server := startHandler(test, http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		_, _ = io.WriteString(writer, "plank 7")
+		_ = http.NewResponseController(writer).Flush()
+		httpserve.Abort(writer, request)
+	}))
+	for version, want := range map[string]error{"HTTP/1.0": syscall.ECONNRESET, "HTTP/1.1": io.ErrUnexpectedEOF} {
+		caller := server.dial()
+		caller.write("GET / " + version + "\r\nHost: a\r\n\r\n")
+		response, err := http.ReadResponse(caller.reader, nil)
+		require.NoError(test, err)
+		body, err := io.ReadAll(response.Body)
+		require.ErrorIs(test, err, want, version)
+		require.Equal(test, "plank 7", string(body))
+	}
+	require.NoError(test, <-server.end())
+}
