Hold the port of a closed target in the tests of package forward

What is seen: TestUnreachedTargetIsServedThroughAnotherNode and TestBrokenRelayedAnswerIsNotComplete fail on an unchanged tree beside other tests, 21 of 40 runs, with "unknown key" (401) or 503 from a target that refuses connections.

Cause: the address of the closed listener was free again, and the test's own server, or that of another process, got it. 28,483 TCP sockets were in use on the machine and 40,352 waited for their end, of 28,232 ephemeral ports. No fault of the nodes.

Change: the socket of a closed target stays bound and does not listen. Connections are refused as before. No check is changed.

Evidence: both tests and TestRequestOnKeptHopThatClosesMayHaveRun pass 20 of 20 with the race detector on the same machine, with 16,037 sockets in use.

--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -83,6 +83,9 @@
 	name     string
 	listener net.Listener
 
+	// closedAt is the address of a target without a listener.
+	closedAt string
+
 	mutex    sync.Mutex
 	requests []*http.Request
 	bodies   []string
@@ -138,7 +141,12 @@
 	}
 }
 
-func (target *target) address() string { return target.listener.Addr().String() }
+func (target *target) address() string {
+	if target.listener == nil {
+		return target.closedAt
+	}
+	return target.listener.Addr().String()
+}
 
 func (target *target) count() int {
 	target.mutex.Lock()
--- a/forward/relay_test.go
+++ b/forward/relay_test.go
@@ -12,16 +12,22 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/forward"
 )
 
-// closedTarget returns a target that refuses connections.
+// closedTarget returns a target that refuses connections. Its socket is bound and does not
+// listen, so that no other process or test gets its port.
 func closedTarget(test testing.TB, name string) *target {
-	closed := newTarget(test, name, func(net.Conn, *http.Request) bool { return false })
-	closed.listener.Close()
-	return closed
+	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	require.NoError(test, err)
+	test.Cleanup(func() { unix.Close(socket) })
+	require.NoError(test, unix.Bind(socket, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := unix.Getsockname(socket)
+	require.NoError(test, err)
+	return &target{name: name, closedAt: fmt.Sprintf("127.0.0.1:%d", bound.(*unix.SockaddrInet4).Port)}
 }
 
 // connect makes node send requests through the others.
