Close the idle connections to a target after a reused one has failed

What callers see: 502 for a lookup that could have been answered, because its retry is sent on a second kept connection that is as old as the first and closed as well.

Cause: a stopping node or a restarted runner closes all its idle connections within a moment, but the pool drops only the one that a request has failed on.

Change: if a reused connection fails before the head of a response, the pool closes the other idle ones to the same address and target, unless the caller has left. Connections with a request on them are not in the pool.

Requests that may run once were never affected: they use new connections.

--- a/forward/client.go
+++ b/forward/client.go
@@ -196,12 +196,14 @@
 	}
 	if written, err := connection.Write(message); err != nil {
 		response.discard()
+		client.closeIdleAfter(ctx, connection)
 		return nil, &callError{cause: errors.Annotate(err, "send request"), sent: written > 0}
 	}
 	connection.readBudget = maxHeadBytes
 	answer, err := http.ReadResponse(connection.reader, &http.Request{Method: outgoing.method})
 	if err != nil {
 		response.discard()
+		client.closeIdleAfter(ctx, connection)
 		return nil, &callError{cause: errors.Annotate(response.cause(err), "read response header"), sent: true}
 	}
 	response.http = answer
@@ -375,18 +377,34 @@
 	client.idle[connection.key] = append(kept, connection)
 }
 
+// closeIdleAfter closes the other idle connections to the same target after a reused one has
+// failed: the target may have given up all of them, and the retry of the request needs one
+// that works. The end of the context says nothing about them.
+func (client *client) closeIdleAfter(ctx context.Context, failed *conn) {
+	if failed.opened || ctx.Err() != nil {
+		return
+	}
+	client.mutex.Lock()
+	defer client.mutex.Unlock()
+	client.closeIdle(failed.key)
+}
+
+// closeIdle closes the idle connections with the key. The caller holds the mutex.
+func (client *client) closeIdle(key string) {
+	for _, connection := range client.idle[key] {
+		connection.Close()
+	}
+	delete(client.idle, key)
+}
+
 // retain closes the idle connections whose key is not in keep.
 func (client *client) retain(keep map[string]bool) {
 	client.mutex.Lock()
 	defer client.mutex.Unlock()
-	for key, kept := range client.idle {
-		if keep[key] {
-			continue
-		}
-		for _, connection := range kept {
-			connection.Close()
+	for key := range client.idle {
+		if !keep[key] {
+			client.closeIdle(key)
 		}
-		delete(client.idle, key)
 	}
 }
 
--- a/forward/connections_test.go
+++ b/forward/connections_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -104,6 +105,23 @@
 	}
 }
 
+// dropsKeptHop does the same to requests of other nodes.
+func dropsKeptHop(dropped *atomic.Int32, next http.HandlerFunc) http.Handler {
+	var used sync.Map
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if _, again := used.LoadOrStore(request.RemoteAddr, true); !again {
+			next(writer, request)
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		dropped.Add(1)
+		conn, _, err := http.NewResponseController(writer).Hijack()
+		if err == nil {
+			conn.Close()
+		}
+	})
+}
+
 // Guards against a request on a kept connection that the target closes: it may have run, so
 // it is sent again within its budget only, and is never reported as not run.
 func TestRequestOnKeptConnectionThatClosesMayHaveRun(test *testing.T) {
@@ -124,6 +142,31 @@
 	require.Equal(test, 3, alone.count())
 }
 
+// Guards against the same on a kept connection between two nodes, and against a retry on
+// another connection that is as old.
+func TestRequestOnKeptHopThatClosesMayHaveRun(test *testing.T) {
+	runners := []*target{newTarget(test, "r1", answers(200, "Seal: s\r\n", "free")), newTarget(test, "r2", answers(200, "Seal: s\r\n", "free"))}
+	closed := []*target{closedTarget(test, "r1"), closedTarget(test, "r2")}
+	for _, noRetries := range []bool{false, true} {
+		var dropped atomic.Int32
+		other := newNode(test, tableFixture{idempotent: runners, once: runners})
+		hop := newHop(test, dropsKeptHop(&dropped, other.forward.ServeRelayed))
+		cut := newNode(test, tableFixture{idempotent: closed, once: closed, noRetries: noRetries})
+		cut.connectHops(hop)
+		require.Equal(test, 200, cut.request(test, http.MethodGet, "/idempotent/1", "").status)
+		require.Equal(test, 200, cut.request(test, http.MethodPost, "/once/1", "x").status)
+		require.Zero(test, dropped.Load(), "a booking is never sent on a kept connection")
+		ran := runners[0].count() + runners[1].count()
+		status, runs := 200, 1
+		if noRetries {
+			status, runs = http.StatusBadGateway, 0
+		}
+		require.Equal(test, status, cut.request(test, http.MethodGet, "/idempotent/1", "").status)
+		require.EqualValues(test, 1, dropped.Load())
+		require.Equal(test, ran+runs, runners[0].count()+runners[1].count())
+	}
+}
+
 // held returns a script that waits for release before it answers, and reports each request
 // that arrives.
 func held(arrived chan<- string, release <-chan struct{}, then func(net.Conn, *http.Request) bool) func(net.Conn, *http.Request) bool {
