Send the records that have ended to a peer with a new link

What callers see: 503 for requests with a part of a prompt whose quarantine has ended, at a node without the store, for as long as it has none. The same for a limit that a target no longer names.

Cause: the frame that ends a record is queued on a link that closes or is replaced by a newer one, and is lost. A new link carried the configuration head, the placements, the drains and the records in force, but not those that have ended.

The frames of heads, bodies, usage and grants need nothing: heartbeats name the generation, the others come again.

--- a/control/peer.go
+++ b/control/peer.go
@@ -28,7 +28,8 @@
 }
 
 // handleLinkUp sends a newly linked peer the data that it may have missed: the
-// configuration head, the placements, the drain notices and the shared records.
+// configuration head, the placements, the drain notices, and the shared records with those
+// that have ended, because a peer without the store learns of an end from its links only.
 func (state *state) handleLinkUp(now time.Time, hello peer.Hello) {
 	state.logger.Info("link opened", zap.String("peer", hello.Name))
 	state.handleFleet(now, fleet.LinkOpened{Node: fleet.Node{
@@ -51,6 +52,9 @@
 	for _, known := range state.records.known {
 		state.config.Mesh.Send(hello.Name, known)
 	}
+	for key, ended := range state.records.ended {
+		state.config.Mesh.Send(hello.Name, peer.Record{Key: key, Revision: ended.Revision})
+	}
 }
 
 func (domain *domainState) frame(name string) peer.Placement {
