Test a follower whose source closes the connection of a waiting read

A node that stops closes the reads of other nodes that wait for changes. The follower reads from another source in the same call. No fault was found.

Evidence: go test ./mirror -run TestFollowerSwitchesFromFailedSource passes.

--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -296,7 +296,7 @@
 }
 
 // Guards against nodes that continue to read through a source that has lost the
-// store, reads through others itself, does not respond, or has stopped.
+// store, reads through others itself, does not respond, stops or has stopped.
 func TestFollowerSwitchesFromFailedSource(test *testing.T) {
 	silent := http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
 		// The server detects a closed connection only after the body was read.
@@ -322,6 +322,9 @@
 			return serve(test, relay.Handler())
 		},
 		"does not respond": func(test *testing.T, _ *Mirror, _ *testClock) string { return serve(test, silent) },
+		"stops while the read waits": func(test *testing.T, _ *Mirror, _ *testClock) string {
+			return serve(test, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+		},
 		"stopped": func(test *testing.T, source *Mirror, _ *testClock) string {
 			server := httptest.NewServer(source.Handler())
 			server.Close()
