End the requests in progress when a stand-in stops

What is seen: a stand-in that gets SIGTERM resets the requests that it runs. A test that stops a target as planned sees a crash: a booking that ran and has no answer.

Cause: the HTTP servers were closed at the signal.

Change: they shut down, for 2 s at most, and are then closed. No test of today stops a stand-in by SIGTERM; system and platform kill them, and the demo stops its nodes first.

Evidence: TestStoppedStandInEndsItsRequests fails with EOF on the former close, and passes 10 of 10 with the race detector.

--- a/cmd/lacewingspoke-standin/serve.go
+++ b/cmd/lacewingspoke-standin/serve.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/juju/errors"
 	"golang.org/x/sync/errgroup"
@@ -56,10 +57,28 @@
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 }
 
+// stopTimeout bounds the time for which a stand-in that stops waits for the requests in
+// progress. Watches of the store last longer.
+const stopTimeout = 2 * time.Second
+
+// stop ends the requests in progress, as the platform and its targets do at a planned stop.
+func (endpoint endpoint) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if endpoint.server.Shutdown(ctx) != nil {
+		endpoint.server.Close()
+	}
+}
+
 // serve runs the endpoints until a signal arrives or one of them fails.
 func serve(name string, endpoints []endpoint) error {
 	ctx, stop := signalContext()
 	defer stop()
+	return serveUntil(ctx, name, endpoints)
+}
+
+// serveUntil runs the endpoints until the context ends or one of them fails.
+func serveUntil(ctx context.Context, name string, endpoints []endpoint) error {
 	group, ctx := errgroup.WithContext(ctx)
 	for _, endpoint := range endpoints {
 		group.Go(func() error {
@@ -69,7 +88,11 @@
 			}
 			return errors.Annotate(err, "serve HTTP")
 		})
-		context.AfterFunc(ctx, func() { endpoint.server.Close() })
+		group.Go(func() error {
+			<-ctx.Done()
+			endpoint.stop()
+			return nil
+		})
 	}
 	announce(name, endpoints)
 	return group.Wait()
