Make the last attempt certain in the test of late ends of streams

The test relied on the order in which the seeded picker chooses the groups: if the slow group came first, the stream was moved after 1.2 s. Now the first attempt breaks off at the only group in the table, and the second group is added then. The check is unchanged.

--- a/forward/connections_test.go
+++ b/forward/connections_test.go
@@ -73,23 +73,23 @@
 	test.Parallel()
 	// callerWriteTimeout is 5 s.
 	const pause = 5200 * time.Millisecond
-	broken := newTarget(test, "g1", streams(2, ""))
+	arrived, release := make(chan string, 1), make(chan struct{})
+	broken := newTarget(test, "g1", held(arrived, release, streams(2, "")))
 	late := newTarget(test, "g2", func(conn net.Conn, request *http.Request) bool {
 		streams(4, "")(conn, request)
 		time.Sleep(pause)
 		fmt.Fprint(conn, "0\r\n\r\n")
 		return true
 	})
-	node := newNode(test, tableFixture{groups: []*target{broken, late}, gap: time.Second})
-	for broken.count() == 0 {
-		request := node.newRequest(test, http.MethodPost, "/stream/1", "prompt")
-		request.Header.Set("Wait", waitTimeout.String())
-		got := node.send(request)
-		if broken.count() > 0 {
-			require.NoError(test, got.err)
-			require.Equal(test, events(4), got.body)
-		}
-	}
+	node := newNode(test, tableFixture{groups: []*target{broken}, gap: time.Second})
+	replies := node.begin(test, "/stream/1")
+	<-arrived
+	// The second group gets the last attempt, which waits the longest.
+	node.publish(test, tableFixture{groups: []*target{broken, late}, gap: time.Second})
+	close(release)
+	got := <-replies[0]
+	require.NoError(test, got.err)
+	require.Equal(test, events(4), got.body)
 }
 
 // dropsKept returns a script that answers the first request on each connection, and closes
@@ -183,6 +183,7 @@
 	for _, path := range paths {
 		replied := make(chan reply, 1)
 		request := node.newRequest(test, http.MethodPost, path, "x")
+		request.Header.Set("Wait", waitTimeout.String())
 		go func() { replied <- node.send(request) }()
 		replies = append(replies, replied)
 	}
