--- a/forward/client.go
+++ b/forward/client.go
@@ -200,19 +200,38 @@
 		response.discard()
 		return nil, &callError{cause: err}
 	}
-	if written, err := connection.Write(message); err != nil {
-		response.discard()
-		client.closeIdleAfter(ctx, connection)
-		return nil, &callError{cause: errors.Annotate(err, "send request"), sent: written > 0}
-	}
-	if err := response.readHead(outgoing.method); err != nil {
+	sent, err := response.roundTrip(outgoing.method, message)
+	if err != nil {
 		response.discard()
 		client.closeIdleAfter(ctx, connection)
-		return nil, &callError{cause: errors.Annotate(response.cause(err), "read response header"), sent: true}
+		return nil, &callError{cause: err, sent: sent}
 	}
 	return response, nil
 }
 
+// roundTrip sends the request and reads the head of the response. sent is true if the other
+// end may have received a part of the request.
+func (response *response) roundTrip(method string, message []byte) (sent bool, err error) {
+	connection := response.conn
+	written, writeErr := connection.Write(message)
+	// On a reused connection, what can still be read may be an earlier answer.
+	if writeErr != nil && (written == 0 || !connection.opened) {
+		return written > 0, errors.Annotate(writeErr, "send request")
+	}
+	err = response.readHead(method)
+	switch {
+	case err == nil:
+		// The other end may answer, for example refuse, before it has read a long request, and
+		// then closes the connection.
+		response.http.Close = response.http.Close || writeErr != nil
+		return true, nil
+	case writeErr != nil:
+		return true, errors.Annotate(response.cause(writeErr), "send request")
+	default:
+		return true, errors.Annotate(response.cause(err), "read response header")
+	}
+}
+
 // readHead reads the status and headers of the final response and skips the interim ones
 // before it. net/http would complete an interim response that is passed on with a 200 and an
 // empty body. No request asks for another protocol, so a response that switches to one is
