Extend the write deadline before the trailer of a relayed answer, and read what is refused

What callers see: a relayed stream whose end comes over 5 s after its last event is cut off at the other node, because the trailer was written under the deadline of the last part (TestLateEndOfRelayedStreamReachesTheOtherNode failed with 'unexpected EOF'). A large request that a stopping node refuses for another one may end with a reset instead of the refusal: the message was not read.

--- a/forward/connections_test.go
+++ b/forward/connections_test.go
@@ -93,6 +93,30 @@
 	require.Equal(test, events(4), got.body)
 }
 
+// Guards against a relayed stream whose end is lost because it comes late.
+func TestLateEndOfRelayedStreamReachesTheOtherNode(test *testing.T) {
+	test.Parallel()
+	const pause = 5200 * time.Millisecond
+	arrived, release := make(chan string, 1), make(chan struct{})
+	broken := newTarget(test, "g1", held(arrived, release, streams(2, "")))
+	late := newTarget(test, "g2", func(conn net.Conn, request *http.Request) bool {
+		streams(4, "")(conn, request)
+		time.Sleep(pause)
+		fmt.Fprint(conn, "0\r\n\r\n")
+		return true
+	})
+	other := newNode(test, tableFixture{groups: []*target{broken, late}})
+	cut := newNode(test, tableFixture{groups: []*target{closedTarget(test, "g1")}, gap: time.Second})
+	cut.connectHops(newHop(test, http.HandlerFunc(other.forward.ServeRelayed)))
+	replies := cut.begin(test, "/stream/1")
+	<-arrived
+	cut.publish(test, tableFixture{groups: []*target{closedTarget(test, "g1"), closedTarget(test, "g2")}, gap: time.Second})
+	close(release)
+	got := <-replies[0]
+	require.NoError(test, got.err)
+	require.Equal(test, events(4), got.body)
+}
+
 // dropsKept returns a script that answers the first request on each connection, and closes
 // the connection without an answer to the second one.
 func dropsKept(dropped *atomic.Int32) func(net.Conn, *http.Request) bool {
--- a/forward/relay_server.go
+++ b/forward/relay_server.go
@@ -48,6 +48,8 @@
 func (server *Server) ServeRelayed(writer http.ResponseWriter, request *http.Request) {
 	relayed := &relayedExchange{server: server, writer: writer, request: request}
 	if !server.beginRelayed() {
+		// A message that is not read is reset, and the report may be lost with it.
+		_, _ = io.Copy(io.Discard, http.MaxBytesReader(writer, request.Body, maxRelayedBytes))
 		relayed.report(relayUnavailable, errors.New("node is stopping or sends enough requests for others"))
 		return
 	}
@@ -253,6 +255,8 @@
 		relayed.evidence.Completed(relayed.server.config.Now())
 		relayed.server.observeTrailer(relayed.target, relayed.attempt, response.http)
 	}
+	// The trailer is written after this, perhaps long after the last part.
+	_ = http.NewResponseController(relayed.writer).SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 	header.Set(headerRelayEnd, string(outcome))
 	relayed.log(outcome, response.http.StatusCode, err)
 }
