Bound the wait for the control thread at the beginning of a stop

The stop waited for the control thread before it set the end of the requests' time. While that thread was stalled, requests in progress got no last answer and were cut by SIGKILL. The requests' end is now set first, and the wait lasts 1 s at most.

--- a/cmd/lacewingspoke/daemon.go
+++ b/cmd/lacewingspoke/daemon.go
@@ -27,6 +27,10 @@
 	// idleTimeout is how long a connection without a request stays open.
 	idleTimeout = time.Minute
 
+	// beginTimeout bounds the wait for the control thread, which may be stalled, at the
+	// beginning of a stop. The requests of the node do not depend on it.
+	beginTimeout = time.Second
+
 	// finishTimeout bounds the revocation of the node's lease at the end of a
 	// graceful stop.
 	finishTimeout = 5 * time.Second
@@ -222,16 +226,18 @@
 	if grace > 0 {
 		notice = min(notice, grace/2)
 	}
-	if err := daemon.controller.BeginStop(ctx); err != nil {
-		daemon.logger.Warn("the health check still passes", zap.Error(err))
-	}
-	daemon.logConnections("stop notice begins")
 	if end, bounded := requestsCtx.Deadline(); bounded {
 		daemon.callerServer.BeginStop(time.Until(end))
 	}
 	defer context.AfterFunc(requestsCtx, daemon.callerServer.EndRequests)()
 	daemon.callers.AnnounceEnd()
 	daemon.admin.AnnounceEnd()
+	beginCtx, cancelBegin := context.WithTimeout(requestsCtx, beginTimeout)
+	defer cancelBegin()
+	if err := daemon.controller.BeginStop(beginCtx); err != nil {
+		daemon.logger.Warn("the control thread has not begun the stop", zap.Error(err))
+	}
+	daemon.logConnections("stop notice begins")
 	daemon.waitFor(ctx, notice)
 	daemon.callerServer.Stop()
 	daemon.logConnections("stop notice ends")
