--- a/httpserve/httpserve_test.go
+++ b/httpserve/httpserve_test.go
@@ -216,6 +216,7 @@
 	silent := server.dial()
 	waiting := server.dial()
 	server.awaitCounts(func(counts httpserve.Connections) bool { return counts.Idle == 2 })
+	server.AnnounceEnd()
 	result := server.end()
 	waiting.write(request("first"))
 	body, closes := waiting.answer()
