Keep idle connections of callers as long as the configuration lets them be used

What callers would see: a request on a connection that has been idle for up to four fifths of idleTimeoutMs meets the close of the node if that limit is above 75 s; the node closed idle connections after 1 min whatever the configuration said. Found in the survey of who closes connections; not seen on the users' sites, whose limit is 15 s. TestIdleConnectionStaysOpenAsLongAsCallersMayUseIt shows the close at the server's own limit and the longer one of the configuration.

--- a/cmd/lacewingspoke/daemon.go
+++ b/cmd/lacewingspoke/daemon.go
@@ -24,7 +24,7 @@
 	// readHeaderTimeout bounds the time in which a caller must send its header.
 	readHeaderTimeout = 10 * time.Second
 
-	// idleTimeout is how long a connection without a request stays open.
+	// idleTimeout is how long a connection without a request stays open at least.
 	idleTimeout = time.Minute
 
 	// beginTimeout bounds the wait for the control thread, which may be stalled, at the
@@ -99,23 +99,24 @@
 		controller:   params.Controller,
 		callerServer: params.CallerServer,
 		feed:         params.Feed,
-		callers:      newHTTPServer("callers", params.CallerServer, params),
-		admin:        newHTTPServer("admin", params.Admin.Handler(), params),
+		callers:      newHTTPServer("callers", params.CallerServer, params, params.CallerServer.IdleLimit),
+		admin:        newHTTPServer("admin", params.Admin.Handler(), params, nil),
 		serverErrors: make(chan error, 3),
 	}
 	if params.Settings.ReadyAddress() != "" {
-		running.ready = newHTTPServer("ready", params.Admin.ReadyHandler(), params)
+		running.ready = newHTTPServer("ready", params.Admin.ReadyHandler(), params, nil)
 	}
 	params.Lifecycle.Append(fx.Hook{OnStart: running.start, OnStop: running.stop})
 	return running
 }
 
-func newHTTPServer(name string, handler http.Handler, params daemonParams) *httpserve.Server {
+func newHTTPServer(name string, handler http.Handler, params daemonParams, idleLimit func() time.Duration) *httpserve.Server {
 	return httpserve.New(httpserve.Config{
 		Name:           name,
 		Handler:        handler,
 		HeaderTimeout:  readHeaderTimeout,
 		IdleTimeout:    idleTimeout,
+		IdleLimit:      idleLimit,
 		MaxHeaderBytes: int(params.Settings.MaxHeader()),
 		Logger:         params.Logger,
 	})
--- a/cmd/lacewingspoke/daemon_test.go
+++ b/cmd/lacewingspoke/daemon_test.go
@@ -32,6 +32,8 @@
 
 func (server stoppingServer) Close() {}
 
+func (server stoppingServer) IdleLimit() time.Duration { return 0 }
+
 func (server stoppingServer) Reload(*settings.Settings) {}
 
 // Guards against requests that get no answer at the end of the grace because the stop waits
--- a/cmd/lacewingspoke/module.go
+++ b/cmd/lacewingspoke/module.go
@@ -244,6 +244,10 @@
 	AwaitRelayed(ctx context.Context) error
 	Close()
 
+	// IdleLimit returns how long callers may use a connection without a request again, 0
+	// for no limit.
+	IdleLimit() time.Duration
+
 	// Reload applies the settings that can change while the node runs.
 	Reload(changed *settings.Settings)
 }
@@ -258,6 +262,9 @@
 // AwaitRelayed returns nil: nodes without a feed handle no requests for others.
 func (entryCallerServer) AwaitRelayed(context.Context) error { return nil }
 
+// IdleLimit returns 0: the operators' folder has no such limit.
+func (entryCallerServer) IdleLimit() time.Duration { return 0 }
+
 // Reload does nothing: the limits on callers come from the operators' folder, not
 // from the settings file.
 func (entryCallerServer) Reload(*settings.Settings) {}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -475,6 +475,16 @@
 	exchange.serve()
 }
 
+// IdleLimit returns how long callers may use a connection without a request again, by the
+// configuration in force, 0 if there is none.
+func (server *Server) IdleLimit() time.Duration {
+	current := server.config.Publisher.Current().Catalog()
+	if current == nil {
+		return 0
+	}
+	return current.Limits().IdleTimeout
+}
+
 // RequestReceived reports whether the server has received a request.
 func (server *Server) RequestReceived() bool { return server.requestReceived.Load() }
 
--- a/httpserve/connection.go
+++ b/httpserve/connection.go
@@ -160,6 +160,9 @@
 func (connection *connection) SetReadDeadline(deadline time.Time) error {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
+	if connection.state == stateIdle && !connection.awaiting {
+		deadline = connection.server.idleDeadline(deadline)
+	}
 	connection.readDeadline = deadline
 	if connection.state == stateIdle && connection.awaiting {
 		connection.setState(stateReading)
--- a/httpserve/httpserve.go
+++ b/httpserve/httpserve.go
@@ -77,6 +77,10 @@
 	HeaderTimeout  time.Duration
 	IdleTimeout    time.Duration
 
+	// IdleLimit returns the time for which callers may use a connection without a request
+	// again. If that is longer than IdleTimeout, connections stay open for it. It may be nil.
+	IdleLimit func() time.Duration
+
 	Logger *zap.Logger
 }
 
@@ -212,6 +216,18 @@
 	return errors.Trace(server.http.Close())
 }
 
+// idleDeadline returns when a connection without a request closes: at the deadline of
+// net/http, or after the limit for callers if that is later.
+func (server *Server) idleDeadline(deadline time.Time) time.Time {
+	if server.config.IdleLimit == nil || deadline.IsZero() {
+		return deadline
+	}
+	if limit := time.Now().Add(server.config.IdleLimit()); limit.After(deadline) {
+		return limit
+	}
+	return deadline
+}
+
 // Connections are the numbers of open connections by their state.
 type Connections struct {
 	// Idle connections have had no byte of a next request, Reading ones a part of it or all
--- a/httpserve/httpserve_test.go
+++ b/httpserve/httpserve_test.go
@@ -448,3 +448,30 @@
 	}
 	require.NoError(test, <-server.end())
 }
+
+// Guards against a connection that closes as idle while callers may still use it: the limit
+// of the configuration in force is longer than that of the server.
+func TestIdleConnectionStaysOpenAsLongAsCallersMayUseIt(test *testing.T) {
+	const idleTimeout = 50 * time.Millisecond
+	for _, limit := range []time.Duration{0, waitBound} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(test, err)
+		server := &fixture{test: test, address: listener.Addr().String(), ended: make(chan error, 1)}
+		server.Server = httpserve.New(httpserve.Config{
+			Name: "test", Handler: server, IdleTimeout: idleTimeout, IdleLimit: func() time.Duration { return limit },
+		})
+		go func() { server.ended <- server.Serve(context.Background(), listener) }()
+		kept := server.dial()
+		kept.write(request("first"))
+		_, _ = kept.answer()
+		if limit == 0 {
+			assert.True(test, kept.closed())
+		} else {
+			time.Sleep(2 * idleTimeout)
+			kept.write(request("second"))
+			body, _ := kept.answer()
+			assert.Equal(test, "second", body)
+		}
+		require.NoError(test, <-server.end())
+	}
+}
