End requests of a planned stop earlier in the last sixth of the grace, and bound its end

Requests now end after 85 in 100 of the grace, the platform's last sixth begins at 83, and the wait for the control thread and the feed ends with the grace. Not shown on a quiet machine yet.

--- a/cmd/lacewingspoke/daemon.go
+++ b/cmd/lacewingspoke/daemon.go
@@ -38,11 +38,12 @@
 	// adminTimeout bounds the end of the admin server after that.
 	adminTimeout = 200 * time.Millisecond
 
-	// Shares of the grace. Requests end after requestsShare, the last answers have been
-	// written after answersShare, and the lease is revoked after finishShare.
-	requestsShare = 0.9
-	answersShare  = 0.94
-	finishShare   = 0.98
+	// Shares of the grace. Requests end after requestsShare, which lies in the last sixth, the
+	// last answers have been written after answersShare, and the node has ended after
+	// finishShare.
+	requestsShare = 0.85
+	answersShare  = 0.9
+	finishShare   = 0.95
 )
 
 // A daemon starts and stops the components of a node.
@@ -254,11 +255,6 @@
 	}
 	daemon.callerServer.Close()
 	daemon.finish(began, grace)
-	daemon.cancel()
-	<-daemon.controller.Done()
-	if daemon.feed != nil {
-		<-daemon.feed.Done()
-	}
 	if daemon.ready != nil {
 		daemon.ready.Close()
 	}
@@ -266,7 +262,7 @@
 }
 
 // finish revokes the node's lease, so that other nodes send nothing more to the admin
-// server, and ends that server.
+// server, and ends that server and the components.
 func (daemon *daemon) finish(began time.Time, grace time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
 	defer cancel()
@@ -279,6 +275,20 @@
 	defer cancelAdmin()
 	// Reads of the store for other nodes wait for changes, longer than this.
 	_ = daemon.admin.End(adminCtx)
+	daemon.cancel()
+	select {
+	case <-daemon.controller.Done():
+	case <-ctx.Done():
+		daemon.logger.Warn("the control thread has not ended")
+		return
+	}
+	if daemon.feed != nil {
+		select {
+		case <-daemon.feed.Done():
+		case <-ctx.Done():
+			daemon.logger.Warn("the feed has not ended")
+		}
+	}
 }
 
 // withGrace returns a context that ends when a share of the grace has passed. A grace of 0
