--- a/cmd/lacewingspoke/daemon.go
+++ b/cmd/lacewingspoke/daemon.go
@@ -222,10 +222,7 @@
 // the requests in progress. If they have not ended in their part of the grace,
 // they get their last answers. The end of the context cuts them.
 func (daemon *daemon) stop(ctx context.Context) error {
-	began, grace := time.Now(), daemon.stopGrace
-	if grace == 0 {
-		grace = daemon.settings.StopGrace()
-	}
+	began, grace := time.Now(), daemon.grace()
 	requestsCtx, endRequests := withGrace(ctx, began, requestsShare, grace)
 	defer endRequests()
 	answersCtx, endAnswers := withGrace(ctx, began, answersShare, grace)
@@ -261,6 +258,14 @@
 	return errors.Trace(err)
 }
 
+// grace returns the time from SIGTERM until the platform ends the process, 0 if it does not.
+func (daemon *daemon) grace() time.Duration {
+	if daemon.stopGrace > 0 {
+		return daemon.stopGrace
+	}
+	return daemon.settings.StopGrace()
+}
+
 // finish revokes the node's lease, so that other nodes send nothing more to the admin
 // server, and ends that server and the components.
 func (daemon *daemon) finish(began time.Time, grace time.Duration) {
