--- a/control/peer.go
+++ b/control/peer.go
@@ -29,7 +29,7 @@
 
 // handleLinkUp sends a newly linked peer the data that it may have missed: the
 // configuration head, the placements, the drain notices, and the shared records with those
-// that have ended, because a peer without the store learns of an end from its links only.
+// that have ended, because a peer without the store receives an end from its links only.
 func (state *state) handleLinkUp(now time.Time, hello peer.Hello) {
 	state.logger.Info("link opened", zap.String("peer", hello.Name))
 	state.handleFleet(now, fleet.LinkOpened{Node: fleet.Node{
--- a/entry/grace_test.go
+++ b/entry/grace_test.go
@@ -64,7 +64,7 @@
 	}
 }
 
-// Guards against a caller that is not told that its body has taken too long.
+// Guards against a request that gets no answer when its body has taken too long.
 func TestRequestWhoseBodyTakesTooLongIsRefused(t *testing.T) {
 	harness := newHarness(t, func(config *entry.Config) { config.BodyTimeout = 50 * time.Millisecond })
 	refused := harness.sendPartOfBody()
--- a/forward/truncation_test.go
+++ b/forward/truncation_test.go
@@ -639,7 +639,7 @@
 }
 
 // Guards against a stream that breaks off and looks whole to a caller that speaks HTTP/1.0:
-// without chunks only a reset tells it from the end.
+// without chunks only a reset distinguishes it from the end.
 func TestBrokenStreamIsResetForOldCallers(test *testing.T) {
 	broken, sound := newTarget(test, "g1", streams(3, "")), newTarget(test, "g2", streams(3, "0\r\n\r\n"))
 	node := newNode(test, tableFixture{groups: []*target{broken}, unresumable: true})
--- a/httpserve/connection.go
+++ b/httpserve/connection.go
@@ -34,7 +34,7 @@
 
 // A connection is an accepted connection with its state.
 //
-// Whether it ends is decided where it is read: end only wakes a pending Read. That Read
+// Whether it ends is decided where it is read: end only interrupts a pending Read. That Read
 // returns the bytes that have arrived, so that their request is answered, or else io.EOF,
 // and net/http closes the connection.
 type connection struct {
@@ -44,10 +44,10 @@
 	mutex sync.Mutex
 	state state
 
-	// readDeadline is the one that net/http has set. While woken is true, the connection has
+	// readDeadline is the one that net/http has set. While interrupted is true, the connection has
 	// another one, with which it ends.
 	readDeadline time.Time
-	woken        bool
+	interrupted  bool
 
 	// awaiting is true if net/http has set a deadline since the connection became idle. It
 	// sets the next one when it has the beginning of a request, which it may have read
@@ -88,7 +88,7 @@
 func (connection *connection) afterDeadline(buffer []byte, deadline error) (int, error, bool) {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	if !connection.woken {
+	if !connection.interrupted {
 		return 0, deadline, !connection.expired()
 	}
 	count := connection.readArrived(buffer)
@@ -128,16 +128,16 @@
 func (connection *connection) end() {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	connection.wake()
+	connection.interruptIdle()
 }
 
-// wake makes a pending or the next Read of a connection without a request return while the
-// server ends.
-func (connection *connection) wake() {
-	if connection.woken || !connection.state.withoutRequest() || !connection.server.ending.Load() {
+// interruptIdle makes a pending or the next Read of a connection without a request return
+// while the server ends.
+func (connection *connection) interruptIdle() {
+	if connection.interrupted || !connection.state.withoutRequest() || !connection.server.ending.Load() {
 		return
 	}
-	connection.woken = true
+	connection.interrupted = true
 	deadline := time.Now()
 	if connection.state == stateNew {
 		deadline = deadline.Add(firstRequestTime)
@@ -149,11 +149,11 @@
 // begun.
 func (connection *connection) setState(next state) {
 	connection.state = next
-	if connection.woken && !next.withoutRequest() {
-		connection.woken = false
+	if connection.interrupted && !next.withoutRequest() {
+		connection.interrupted = false
 		_ = connection.Conn.SetReadDeadline(connection.readDeadline)
 	}
-	connection.wake()
+	connection.interruptIdle()
 }
 
 // SetReadDeadline implements net.Conn.
@@ -168,8 +168,8 @@
 		connection.setState(stateReading)
 	}
 	connection.awaiting = connection.state == stateIdle
-	connection.wake()
-	if connection.woken {
+	connection.interruptIdle()
+	if connection.interrupted {
 		return nil
 	}
 	return connection.Conn.SetReadDeadline(deadline)
--- a/limit/grace.go
+++ b/limit/grace.go
@@ -21,7 +21,7 @@
 func (grace *Grace) Begin(end time.Time) { grace.end.Store(&end) }
 
 // Allows reports whether a request may be sent to a target now. One that may run only once
-// must reach its deadline inside the grace: if it were cut, nobody could tell whether it ran.
+// must reach its deadline inside the grace: if it were cut, its outcome would be unknown.
 // One that may be repeated is also allowed if it is expected to end well inside.
 func (grace *Grace) Allows(deadline time.Time, repeatable bool, expected time.Duration, now time.Time) bool {
 	end := grace.end.Load()
