--- a/control/leadership.go
+++ b/control/leadership.go
@@ -160,6 +160,7 @@
 		state.startGroupWorker(leadership, state.readPlacement)
 	case group.Commit:
 		state.metrics.commits.Inc()
+		state.logDecisions(leadership.domain, effect)
 		state.startGroupWorker(leadership, func(ctx context.Context, domain string) group.Event {
 			return state.commitPlacement(ctx, domain, effect)
 		})
@@ -194,6 +195,18 @@
 	}
 }
 
+// logDecisions logs why the leader of a fabric domain changes its placement.
+func (state *state) logDecisions(domain string, effect group.Commit) {
+	if len(effect.Decisions) == 0 {
+		return
+	}
+	decisions := make([]string, 0, len(effect.Decisions))
+	for _, decision := range effect.Decisions {
+		decisions = append(decisions, fmt.Sprintf("%T%+v", decision, decision))
+	}
+	state.logger.Info("placement changes", zap.String("domain", domain), zap.String("change", effect.ID), zap.Strings("decisions", decisions))
+}
+
 // startGroupWorker runs a worker for a term of leadership.
 func (state *state) startGroupWorker(leadership *leadership, work func(ctx context.Context, domain string) group.Event) {
 	state.startWorker(func(context.Context) message {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -378,12 +378,13 @@
 		now := server.config.Now()
 		server.startProbes(ctx, now, probed)
 		server.direct.cancelSilent(server.paths.Lost, now)
-		for _, name := range server.stallDetector.CancelStalled(now) {
-			server.suspects.Failed(name, now)
-			server.recordStalled(name)
-			server.recordSilent(name)
+		for _, stalled := range server.stallDetector.CancelStalled(now) {
+			server.suspects.Failed(stalled.Name, now)
+			server.recordStalled(stalled)
+			server.recordSilent(stalled.Name)
 		}
 		if table := server.config.Publisher.Current(); table != lastTable {
+			server.logClosedGroups(lastTable, table)
 			lastTable = table
 			server.retainTargets(table)
 		}
@@ -392,12 +393,30 @@
 
 // recordStalled records a group whose streams have stalled. The control thread
 // reads the record with StalledGroups.
-func (server *Server) recordStalled(name string) {
+func (server *Server) recordStalled(stalled route.StalledTarget) {
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
-	if !server.stalled[name] {
-		server.stalled[name] = true
-		server.config.Logger.Info("streams of group stalled", zap.String("group", name))
+	if !server.stalled[stalled.Name] {
+		server.stalled[stalled.Name] = true
+		server.config.Logger.Info("streams of group stalled", zap.String("group", stalled.Name),
+			zap.Int("streams", stalled.Streams), zap.Duration("silence", stalled.Silence))
+	}
+}
+
+// logClosedGroups logs the groups with requests of this node in progress that a new table
+// does not open to new ones.
+func (server *Server) logClosedGroups(previous, table *route.Table) {
+	if previous == nil {
+		return
+	}
+	now := server.config.Now()
+	for _, target := range previous.AllGroups() {
+		running := server.tracker.InFlight(target.Name)
+		if current, found := table.Group(target.Name); running == 0 || !target.Usable(now) || found && current.Usable(now) {
+			continue
+		}
+		server.config.Logger.Info("group with requests in progress takes no new ones", zap.String("group", target.Name),
+			zap.Uint64("epoch", target.Epoch), zap.String("target", target.VM), zap.Int("requests", running))
 	}
 }
 
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -442,7 +442,10 @@
 		delivery.exchange.giveUp(reason, delivery.exchange.restEndsIn()+delay)
 		return
 	}
-	delivery.exchange.log("cut", http.StatusOK, reason)
-	delivery.exchange.server.config.Logger.Info("stream to the caller aborted", zap.String("id", delivery.exchange.caller.Attempt), zap.String("last-event", delivery.lastEventID))
-	httpserve.Abort(delivery.exchange.writer, delivery.exchange.request)
+	exchange := delivery.exchange
+	places := exchange.noGroupReason()
+	exchange.log("cut", http.StatusOK, reason)
+	exchange.server.config.Logger.Info("stream to the caller aborted", zap.String("id", exchange.caller.Attempt), zap.String("last-event", delivery.lastEventID),
+		zap.Duration("silence", exchange.server.config.Now().Sub(delivery.deliveredAt)), zap.Duration("remaining", exchange.remaining()), zap.String("places", places))
+	httpserve.Abort(exchange.writer, exchange.request)
 }
--- a/group/commit.go
+++ b/group/commit.go
@@ -88,7 +88,7 @@
 	record.fence = max(record.fence, leader.highestFence(), firstNumber(leader.era)) + 1
 	record.epoch = max(record.epoch, leader.highestEpoch(), firstNumber(leader.era))
 	record.leader = leader.writer()
-	return leader.write(record)
+	return leader.write(record, nil)
 }
 
 // eraNumberBits is the number of bits for the fencing numbers and epochs of one era. A
@@ -129,7 +129,7 @@
 	return highest
 }
 
-func (leader *Leader) write(record *Placement) []Effect {
+func (leader *Leader) write(record *Placement, decisions []Decision) []Effect {
 	leader.changeCount++
 	record.change = fmt.Sprintf("%s/%d", leader.writer(), leader.changeCount)
 	encoded, err := record.Encode()
@@ -138,7 +138,7 @@
 	}
 	record.buildIndex()
 	leader.commit = pendingCommit{id: record.change, record: record}
-	return []Effect{Commit{ID: record.change, Record: encoded, Expect: leader.expect()}}
+	return []Effect{Commit{ID: record.change, Record: encoded, Expect: leader.expect(), Decisions: decisions}}
 }
 
 func (leader *Leader) handleCommitDone(now time.Time, done CommitDone) []Effect {
--- a/group/decision.go
+++ b/group/decision.go
@@ -37,6 +37,11 @@
 	RepairReassigned
 )
 
+// String returns the reason as it is logged.
+func (reason RepairReason) String() string {
+	return [...]string{"", "missing", "restarted", "straggler", "leaving", "reassigned"}[reason]
+}
+
 // Dissolve removes a group and frees its members, so that they complete the group
 // For. For is empty if they are freed for no particular group, as for a replica
 // that is no longer needed.
@@ -62,6 +67,11 @@
 	DrainStraggler
 )
 
+// String returns the reason as it is logged.
+func (reason DrainReason) String() string {
+	return [...]string{"", "version", "leaving", "surplus", "straggler"}[reason]
+}
+
 // Release ends a drained group whose replica is no longer needed.
 type Release struct{ Group string }
 
--- a/group/effect.go
+++ b/group/effect.go
@@ -173,6 +173,9 @@
 	ID     string
 	Record []byte
 	Expect kvstore.Expect
+
+	// Decisions are those of the policy that the record carries out, for the log.
+	Decisions []Decision
 }
 
 // ReadReport requests the report of one VM. The answer is a ReportRead, or a
--- a/group/lifecycle.go
+++ b/group/lifecycle.go
@@ -46,12 +46,13 @@
 		changed = leader.updateUnlisted(next) || changed
 	}
 	input := leader.planInput(now, next, unreachable)
-	for _, decision := range leader.config.Planner(input) {
+	decisions := leader.config.Planner(input)
+	for _, decision := range decisions {
 		leader.apply(next, decision)
 		changed = true
 	}
 	if changed {
-		return leader.write(next)
+		return leader.write(next, decisions)
 	}
 	if !unreachable && input.allServing() {
 		leader.planAt = now.Add(idleFactor * leader.policy.ReportInterval)
--- a/route/stall_detector.go
+++ b/route/stall_detector.go
@@ -111,17 +111,26 @@
 	}
 }
 
-// CancelStalled cancels the streams of stalled targets and returns the names of
-// these targets.
-func (detector *StallDetector) CancelStalled(now time.Time) []string {
+// A StalledTarget is a target whose streams have stalled.
+type StalledTarget struct {
+	Name string
+
+	// Streams is the number of its streams, and Silence the time since the latest event of
+	// any of them.
+	Streams int
+	Silence time.Duration
+}
+
+// CancelStalled cancels the streams of stalled targets and returns these targets.
+func (detector *StallDetector) CancelStalled(now time.Time) []StalledTarget {
 	detector.mutex.Lock()
-	var names []string
+	var targets []StalledTarget
 	var cancelled []*MonitoredStream
 	for name, record := range detector.targets {
 		if !detector.stalled(record, now) {
 			continue
 		}
-		names = append(names, name)
+		targets = append(targets, StalledTarget{Name: name, Streams: len(record.streams), Silence: now.Sub(record.lastEvent)})
 		for stream := range record.streams {
 			cancelled = append(cancelled, stream)
 		}
@@ -130,7 +139,7 @@
 	for _, stream := range cancelled {
 		stream.cancel()
 	}
-	return names
+	return targets
 }
 
 // stalled reports whether a stream has had no event for longer than its bound and
--- a/route/stall_detector_test.go
+++ b/route/stall_detector_test.go
@@ -30,7 +30,7 @@
 		require.Empty(test, detector.CancelStalled(now))
 	}
 	require.Empty(test, detector.CancelStalled(now.Add(300*time.Millisecond)))
-	require.Equal(test, []string{"group"}, detector.CancelStalled(now.Add(360*time.Millisecond)))
+	require.Equal(test, []StalledTarget{{Name: "group", Streams: 3, Silence: 360 * time.Millisecond}}, detector.CancelStalled(now.Add(360*time.Millisecond)))
 	require.Equal(test, 3, cancelled)
 }
 
