Read a silent stream on until another group sends its next event

Cause: break before make. All streams of a group that counts as stalled were cancelled, and only then another group was looked for. A sound group may be silent for a second and go on, and a place elsewhere is not certain.

Change: a call runs in a goroutine of its own, and a stall is a suspicion. The delivery looks for another group while it reads on, takes the next event of either call and ends the other one. A started stream is not ended for silence any more; before its first event the bound is the time after which callers leave. A single silent stream is suspected like the timeouts of 1.2 s did that ended it. A caller that reads slowly makes no group a suspect.

The subtests of TestStreamDoesNotGoOnWithAnError run in parallel.

--- a/forward/ending.go
+++ b/forward/ending.go
@@ -21,14 +21,14 @@
 //
 // A node that has lost its connections to a target cannot decide that by itself: it uses the
 // outcome of the node that sent the request for it, or asks others.
-func (exchange *exchange) checkTarget(ctx context.Context, attempt *quarantine.Attempt, life string, to destination, failure error) {
-	server := exchange.server
-	if maySent(failure) && ctx.Err() == nil && attempt.Broken(server.config.Now()) {
+func (attempt *attempt) checkTarget(ctx context.Context, evidence *quarantine.Attempt, failure error) {
+	server := attempt.exchange.server
+	if maySent(failure) && ctx.Err() == nil && evidence.Broken(server.config.Now()) {
 		ended := outcomeOf(failure) == relayEnded
-		if exchange.direct != nil {
-			ended = server.hasEnded(ctx, to.id, to.address)
+		if attempt.direct != nil {
+			ended = server.hasEnded(ctx, attempt.to.id, attempt.to.address)
 		}
-		server.config.Quarantine.TargetProbed(life, ended)
+		server.config.Quarantine.TargetProbed(attempt.life, ended)
 	}
 }
 
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -57,8 +57,8 @@
 	// timeout, or from defaultTimeout if there is neither.
 	deadline time.Time
 
-	// attempts are the targets that may have received the request.
-	attempts []string
+	// attempts are all attempts in their order.
+	attempts []*attempt
 
 	// retries is the number of attempts for which a retry was taken from the allowance.
 	retries int
@@ -69,18 +69,12 @@
 	throughNodes bool
 	through      []string
 
-	// direct is the current attempt's call, nil if it goes through another node.
-	direct *directCall
-
 	// parts are the whole request and those parts of the prompt that other requests may
 	// have too. admission is the decision on them for the next
 	// attempt.
 	parts     []string
 	admission quarantine.Admission
 
-	// began is true if an event of the current attempt has arrived.
-	began bool
-
 	// mayHaveRun is true if a target may have run the request.
 	mayHaveRun      bool
 	firstEventAfter time.Duration
@@ -256,23 +250,6 @@
 	return true
 }
 
-// admitted decides whether the parts of the request allow an attempt now. If not, it ends
-// the request.
-func (exchange *exchange) admitted(plan attemptPlan) bool {
-	server := exchange.server
-	exchange.admission = server.config.Quarantine.Admit(exchange.parts, server.config.Now())
-	part := exchange.admission.Refused()
-	switch {
-	case part == "":
-		return true
-	case len(exchange.attempts) > 0:
-		plan.giveUp("part " + part + " of the request is in quarantine")
-	default:
-		exchange.refuse("part "+part+" of the request is in quarantine", quarantine.RetryAfter)
-	}
-	return false
-}
-
 // mayRepeat reports whether the parts allow a request that may have ended
 // its target to be sent to another one.
 func (exchange *exchange) mayRepeat() bool {
@@ -386,7 +363,7 @@
 		zap.String("outcome", outcome),
 		zap.Int("status", status),
 		zap.String("reason", reason),
-		zap.Strings("targets", exchange.attempts),
+		zap.Strings("targets", exchange.sent()),
 		zap.Strings("through", exchange.through),
 		zap.Duration("elapsed", elapsed),
 		zap.Duration("first", exchange.firstEventAfter),
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -334,7 +334,7 @@
 			Suspects:      suspects,
 			HistorySize:   -1,
 		}),
-		stallDetector: route.NewStallDetector(route.StallDetectorConfig{MinEventGap: minEventGap, MinFirstEventGap: minFirstEventGap}),
+		stallDetector: route.NewStallDetector(route.StallDetectorConfig{MinEventGap: minEventGap, MinFirstEventGap: minFirstEventGap, MaxEventGap: minEventTimeout}),
 		forecast:      limit.NewForecast(limit.ForecastConfig{GapMaxAge: gapMaxAge}),
 		cancel:        cancel,
 		watchDone:     make(chan error, 1),
@@ -357,8 +357,7 @@
 	gapMaxAge = time.Second
 )
 
-// watch periodically cancels the attempts at targets whose streams have
-// stalled, and drops the state of targets that a new route table does not
+// watch periodically suspects the streams of targets that have stalled, and drops the state of targets that a new route table does not
 // contain.
 func (server *Server) watch(ctx context.Context) {
 	ticks := server.config.Timers.Every("streams", stallCheckInterval, 0)
@@ -377,8 +376,8 @@
 		}
 		now := server.config.Now()
 		server.startProbes(ctx, now, probed)
-		server.direct.cancelSilent(server.paths.Lost, now)
-		for _, stalled := range server.stallDetector.CancelStalled(now) {
+		server.direct.reportSilent(server.paths.Lost, now)
+		for _, stalled := range server.stallDetector.SuspectStalled(now) {
 			server.suspects.Failed(stalled.Name, now)
 			server.recordStalled(stalled)
 			server.recordSilent(stalled.Name)
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -504,6 +504,7 @@
 		"begins anew":           streams(5, "0\r\n\r\n"),
 	} {
 		test.Run(name, func(test *testing.T) {
+			test.Parallel()
 			first := newTarget(test, "g1", func(conn net.Conn, request *http.Request) bool {
 				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Id"))
 				for index := 1; index <= 2; index++ {
--- a/forward/runner.go
+++ b/forward/runner.go
@@ -5,9 +5,6 @@
 	"net/http"
 	"time"
 
-	"github.com/juju/errors"
-	"go.uber.org/zap"
-
 	"lacewingspoke.org/lacewingspoke/route"
 )
 
@@ -25,7 +22,7 @@
 // serveRunner forwards a request to a runner of a plain service.
 func (exchange *exchange) serveRunner(ctx context.Context) {
 	exchange.tryTargets(ctx, attemptPlan{
-		next: func(excluded map[string]bool, _ bool) (candidate, bool) {
+		next: func(excluded map[string]bool) (candidate, bool) {
 			target, found := exchange.pickRunner(excluded)
 			return candidate{
 				name: target.Name,
@@ -65,41 +62,31 @@
 	defer func() { ended(server.config.Now()) }()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	life := target.ID()
-	attempt := server.config.Quarantine.Begin(life, exchange.parts, exchange.admission, func() { cancel(errQuarantined) })
-	defer attempt.Close()
-	sentAt := server.config.Now()
 	to := destination{id: target.ID(), instance: target.Instance(), address: target.Address}
-	if exchange.route.Repeatable() && len(exchange.attempts)+1 < exchange.route.MaxAttempts {
-		to.cancel = cancel
+	attempt := exchange.begin(target.Name, target.ID(), to)
+	evidence := server.config.Quarantine.Begin(attempt.life, exchange.parts, attempt.admission, func() { cancel(errQuarantined) })
+	defer evidence.Close()
+	sentAt := server.config.Now()
+	if exchange.route.Repeatable() && exchange.mayReachAnother() {
+		attempt.to.silent = func() { cancel(errPathLost) }
 	}
-	response, err := exchange.send(ctx, to, exchange.remaining())
+	response, err := attempt.send(ctx, exchange.remaining())
 	if err != nil {
-		exchange.checkTarget(ctx, attempt, life, to, err)
-		return exchange.classifyFailure(target.Name, err)
+		attempt.checkTarget(ctx, evidence, err)
+		return attempt.failed(err)
 	}
-	exchange.recordAttempt(target.Name)
 	answer := server.config.Codec.ParseAnswer(response.http.StatusCode, response.http.Header)
 	observed := observedRunner(target)
 	server.observeAnswer(observed, exchange.caller.Attempt, response.http, answer, sentAt)
-	if answer.Refused && !exchange.isOwnRefusal(response, answer) {
-		response.discard()
-		return unknown{reason: "runner " + target.Name + " sent a refusal that is not its own"}
-	}
 	if answer.Refused {
-		response.discard()
-		server.suspects.Failed(target.Name, server.config.Now())
-		exchange.countAttempt("refused")
-		return notRun{reason: "runner " + target.Name + " refused: " + response.http.Status}
+		return attempt.refused(response, answer)
 	}
 	body, err := response.readAll(maxAnswerBytes)
 	if err != nil {
 		response.discard()
-		failure := &callError{cause: err, sent: true, outcome: outcomeOf(err)}
-		exchange.checkTarget(ctx, attempt, life, to, failure)
-		return exchange.classifyFailure(target.Name, failure)
+		return attempt.broken(ctx, evidence, err)
 	}
-	attempt.Completed(server.config.Now())
+	evidence.Completed(server.config.Now())
 	if !isOwnResponse(exchange.caller.Attempt, response.http, answer) {
 		response.discard()
 		return unknown{reason: "runner " + target.Name + " sent an answer that is not its own"}
@@ -117,13 +104,6 @@
 	return answered{}
 }
 
-// shouldRetryStatus reports whether a response with this status is discarded and
-// the request retried, because another target may succeed.
-func (exchange *exchange) shouldRetryStatus(status int) bool {
-	return status >= http.StatusInternalServerError && exchange.route.Repeatable() &&
-		len(exchange.attempts) < exchange.route.MaxAttempts
-}
-
 // isOwnResponse reports whether a response was produced by the target itself and
 // for this request. Success responses must carry the target's seal.
 func isOwnResponse(attempt string, response *http.Response, answer Answer) bool {
@@ -144,47 +124,6 @@
 	return !exchange.route.Repeatable() || !response.relayed && response.conn.opened
 }
 
-// recordAttempt records an attempt whose request the target may have received.
-// It may be called more than once for an attempt: the next attempt goes to
-// another target, so a repeated name belongs to the same attempt.
-func (exchange *exchange) recordAttempt(target string) {
-	if last := len(exchange.attempts) - 1; last >= 0 && exchange.attempts[last] == target {
-		return
-	}
-	exchange.attempts = append(exchange.attempts, target)
-}
-
-// failureLabel returns the metric label of an attempt that ended without a complete
-// response.
-func (exchange *exchange) failureLabel(err error) string {
-	switch {
-	case exchange.request.Context().Err() != nil:
-		return "caller-left"
-	case !maySent(err):
-		return "not-reached"
-	case exchange.began:
-		return "broken"
-	}
-	return "broken-before-first-event"
-}
-
 func (exchange *exchange) countAttempt(result string) {
 	exchange.server.metrics.attempts.WithLabelValues(exchange.route.Kind.String(), result).Inc()
 }
-
-// classifyFailure returns the result of an attempt that ended without a complete
-// response.
-func (exchange *exchange) classifyFailure(target string, err error) attemptResult {
-	if exchange.request.Context().Err() == nil && !errors.Is(err, errNoPath) && !errors.Is(err, errOutOfTime) && !errors.Is(err, errClosed) {
-		exchange.server.suspects.Failed(target, exchange.server.config.Now())
-	}
-	exchange.server.config.Logger.Info("attempt failed",
-		zap.String("id", exchange.caller.Attempt), zap.String("target", target), zap.Bool("sent", maySent(err)), zap.Bool("began", exchange.began),
-		zap.Strings("parts", exchange.caller.PromptParts), zap.Strings("evidence", exchange.parts), zap.Int("attempt", len(exchange.attempts)+1), zap.Strings("through", exchange.through), zap.Error(err))
-	exchange.countAttempt(exchange.failureLabel(err))
-	if !maySent(err) {
-		return notReached{reason: "target " + target + " was not reached"}
-	}
-	exchange.recordAttempt(target)
-	return unknown{reason: "target " + target + " gave no whole answer"}
-}
--- a/forward/send.go
+++ b/forward/send.go
@@ -14,7 +14,7 @@
 )
 
 // silenceBound is the time without a byte after which a call to a target of a lost service
-// is given up. Sound targets answer lookups and write events several times as fast.
+// counts as silent. Sound targets answer lookups and write events several times as fast.
 const silenceBound = 350 * time.Millisecond
 
 // errPathLost is the cause of cancelling a call that a target of a lost service does not
@@ -45,29 +45,29 @@
 
 	resumeAfter string
 
-	// cancel gives up the attempt if the target is silent and this node has lost its
-	// service. It is nil for an attempt that must not be repeated.
-	cancel context.CancelCauseFunc
+	// silent is called, perhaps more than once, while the target is silent and this node has
+	// lost its service. It is nil for an attempt that must not be repeated.
+	silent func()
 }
 
 // A directCall is a call to a target over a connection of this node.
 type directCall struct {
 	calls  *directCalls
 	target string
-	cancel context.CancelCauseFunc
+	silent func()
 	heard  time.Time
 }
 
-// directCalls are the calls in progress that may be given up.
+// directCalls are the calls in progress that may be repeated.
 type directCalls struct {
 	mutex sync.Mutex
 	calls map[*directCall]bool
 }
 
-// begin adds a call. cancel may be nil; the call is then never given up.
-func (calls *directCalls) begin(target string, cancel context.CancelCauseFunc, now time.Time) *directCall {
-	begun := &directCall{calls: calls, target: target, cancel: cancel, heard: now}
-	if cancel != nil {
+// begin adds a call. silent may be nil.
+func (calls *directCalls) begin(target string, silent func(), now time.Time) *directCall {
+	begun := &directCall{calls: calls, target: target, silent: silent, heard: now}
+	if silent != nil {
 		calls.mutex.Lock()
 		defer calls.mutex.Unlock()
 		calls.calls[begun] = true
@@ -91,38 +91,37 @@
 	delete(call.calls.calls, call)
 }
 
-// cancelSilent gives up the calls to lost targets that are silent.
-func (calls *directCalls) cancelSilent(lost func(target string) bool, now time.Time) {
+// reportSilent reports the calls to lost targets that are silent.
+func (calls *directCalls) reportSilent(lost func(target string) bool, now time.Time) {
 	calls.mutex.Lock()
 	defer calls.mutex.Unlock()
 	for call := range calls.calls {
 		if now.Sub(call.heard) > silenceBound && lost(call.target) {
-			call.cancel(errPathLost)
+			call.silent()
 		}
 	}
 }
 
 // send sends the request to a target: over a connection of this node, or through another
 // node if this one does not reach the target. Its error is a *callError.
-func (exchange *exchange) send(ctx context.Context, to destination, timeout time.Duration) (*response, error) {
-	server := exchange.server
-	exchange.direct = nil
-	if !exchange.throughNodes && server.paths.Reached(to.id) {
-		return exchange.sendDirectly(ctx, to, timeout)
+func (attempt *attempt) send(ctx context.Context, timeout time.Duration) (*response, error) {
+	server, to := attempt.exchange.server, attempt.to
+	if !attempt.throughNodes && server.paths.Reached(to.id) {
+		return attempt.sendDirectly(ctx, timeout)
 	}
-	response, err := exchange.sendThroughNodes(ctx, to, timeout)
+	response, err := attempt.sendThroughNodes(ctx, timeout)
 	if !errors.Is(err, errNoPath) || server.paths.Lost(to.id) && len(server.nodes.all()) > 0 {
 		return response, err
 	}
-	return exchange.sendDirectly(ctx, to, timeout)
+	return attempt.sendDirectly(ctx, timeout)
 }
 
 // sendDirectly sends the request over a connection of this node.
-func (exchange *exchange) sendDirectly(ctx context.Context, to destination, timeout time.Duration) (*response, error) {
-	server := exchange.server
-	call := server.direct.begin(to.id, to.cancel, server.config.Now())
-	exchange.direct = call
-	response, err := server.client.do(ctx, exchange.newCall(to), timeout)
+func (attempt *attempt) sendDirectly(ctx context.Context, timeout time.Duration) (*response, error) {
+	server, to := attempt.exchange.server, attempt.to
+	call := server.direct.begin(to.id, to.silent, server.config.Now())
+	attempt.direct = call
+	response, err := server.client.do(ctx, attempt.exchange.newCall(to), timeout)
 	if err == nil {
 		response.finished = call.end
 		call.received(server.config.Now())
@@ -134,7 +133,7 @@
 	case ctx.Err() != nil, errors.Is(err, errOutOfTime), errors.Is(err, errClosed):
 		// The attempt was given up, whatever the target did.
 	case !maySent(err):
-		exchange.throughNodes = len(server.nodes.all()) > 0
+		attempt.notConnected = true
 		server.unreached(to.id, false)
 	case timedOut(err):
 		server.unreached(to.id, true)
@@ -148,7 +147,7 @@
 	return errors.As(err, &failure) && failure.Timeout()
 }
 
-// newCall returns the call for a target.
+// newCall returns the call for a target. It may be used beside other goroutines.
 func (exchange *exchange) newCall(to destination) call {
 	return call{
 		address:       to.address,
@@ -188,7 +187,8 @@
 
 // sendThroughNodes sends the request through another node. It returns errNoPath if no node
 // sends requests to the target's service for this one now.
-func (exchange *exchange) sendThroughNodes(ctx context.Context, to destination, timeout time.Duration) (*response, error) {
+func (attempt *attempt) sendThroughNodes(ctx context.Context, timeout time.Duration) (*response, error) {
+	exchange, to := attempt.exchange, attempt.to
 	server := exchange.server
 	message := func() (relayedCall, error) {
 		header, err := exchange.outgoing(to)
@@ -198,7 +198,7 @@
 		values := exchange.outgoingValues(to)
 		return relayedCall{
 			Target: to.id, Group: to.group, Epoch: to.epoch, Service: exchange.service.Name, Generation: exchange.table.Generation(),
-			Parts: exchange.parts, Probe: exchange.admission.Probe(),
+			Parts: exchange.parts, Probe: attempt.admission.Probe(),
 			Method: exchange.request.Method, URI: exchange.request.RequestURI, Host: exchange.request.Host, Header: header, Body: exchange.body,
 			Workspace: values.Workspace, ResumeAfter: values.ResumeAfter, Urgency: values.Urgency,
 			RemainingMicros: values.Deadline.Microseconds(), NewConnection: !exchange.route.Repeatable(),
@@ -215,7 +215,7 @@
 		outcome := outcomeOf(err)
 		server.metrics.relayed.WithLabelValues("sent", string(outcome)).Inc()
 		if err == nil {
-			exchange.through = append(exchange.through, node.Name)
+			attempt.through = node.Name
 			response.finished = func() { ended(server.config.Now()) }
 			return response, nil
 		}
--- /dev/null
+++ b/forward/stall_test.go
@@ -0,0 +1,128 @@
+package forward_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// silentStreams returns a script that streams like streams, and is silent for a time after
+// the event with the index before.
+func silentStreams(last, before int, silence time.Duration, ended chan<- struct{}) func(net.Conn, *http.Request) bool {
+	return func(conn net.Conn, request *http.Request) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", request.Header.Get("Id"))
+		first := 0
+		fmt.Sscan(request.Header.Get("After"), &first)
+		for index := first + 1; index <= last; index++ {
+			if index == before+1 && !staysOpen(conn, silence) {
+				if ended != nil {
+					ended <- struct{}{}
+				}
+				return false
+			}
+			fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event(index)), event(index))
+		}
+		fmt.Fprint(conn, "0\r\n\r\n")
+		return true
+	}
+}
+
+// staysOpen reports whether a connection stays open for a time.
+func staysOpen(conn net.Conn, duration time.Duration) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(duration))
+	_, err := conn.Read(make([]byte, 1))
+	_ = conn.SetReadDeadline(time.Time{})
+	failure, timedOut := err.(net.Error)
+	return timedOut && failure.Timeout()
+}
+
+// refuses is a script that refuses all requests.
+func refuses(conn net.Conn, request *http.Request) bool {
+	return answer(conn, request, http.StatusServiceUnavailable, "Refused: 1\r\n", "")
+}
+
+// requestAt sends a streaming request until it begins at a target.
+func (node *node) requestAt(test *testing.T, target *target) reply {
+	for range 20 {
+		before := target.count()
+		got := node.request(test, http.MethodPost, "/stream/1", "prompt")
+		if target.count() > before {
+			return got
+		}
+	}
+	require.Fail(test, "no request began at the target", target.name)
+	return reply{}
+}
+
+// Guards against a stream that is aborted because its sound group is silent for a second and
+// the only other one has no place (issue 37).
+func TestSilentStreamGoesOnWhenNoGroupTakesIt(test *testing.T) {
+	for name, other := range map[string]func(net.Conn, *http.Request) bool{
+		"refused":   refuses,
+		"failed":    answers(http.StatusInternalServerError, "Seal: s\r\n", "oops"),
+		"cut":       streams(3, ""),
+		"not taken": func(conn net.Conn, _ *http.Request) bool { return staysOpen(conn, waitTimeout) },
+	} {
+		test.Run(name, func(test *testing.T) {
+			test.Parallel()
+			silent := newTarget(test, "g1", silentStreams(6, 3, time.Second, nil))
+			full := newTarget(test, "g2", other)
+			node := newNode(test, tableFixture{groups: []*target{silent, full}, attempts: 2})
+			got := node.requestAt(test, silent)
+			require.NoError(test, got.err)
+			require.Equal(test, events(6), got.body)
+		})
+	}
+}
+
+// Guards against a request whose group is silent before its first event and which is given
+// up because the only other group refuses it (issue 37).
+func TestSilentRequestIsAnsweredWhenNoGroupTakesIt(test *testing.T) {
+	silent := newTarget(test, "g1", silentStreams(4, 0, 1300*time.Millisecond, nil))
+	full := newTarget(test, "g2", refuses)
+	node := newNode(test, tableFixture{groups: []*target{silent, full}, attempts: 2})
+	got := node.requestAt(test, silent)
+	require.NoError(test, got.err)
+	require.Equal(test, events(4), got.body)
+}
+
+// Guards against a stream that waits for a stalled group although another one goes on, and
+// against events that come twice.
+func TestStalledStreamMovesWithTheNextEvent(test *testing.T) {
+	ended := make(chan struct{}, 1)
+	stalled := newTarget(test, "g1", silentStreams(6, 3, waitTimeout, ended))
+	sound := newTarget(test, "g2", streams(6, "0\r\n\r\n"))
+	node := newNode(test, tableFixture{groups: []*target{stalled, sound}, attempts: 2})
+	began := time.Now()
+	got := node.requestAt(test, stalled)
+	require.NoError(test, got.err)
+	require.Equal(test, events(6), got.body)
+	require.Less(test, time.Since(began), 2*time.Second)
+	select {
+	case <-ended:
+	case <-time.After(waitTimeout):
+		test.Fatal("the call to the stalled group did not end")
+	}
+}
+
+// Guards against a second call that goes on after the silent group has sent the next event,
+// and against events of two runs that are mixed.
+func TestFirstEventOfEitherGroupEndsTheOtherCall(test *testing.T) {
+	ended := make(chan struct{}, 1)
+	silent := newTarget(test, "g1", silentStreams(6, 3, 700*time.Millisecond, nil))
+	slow := newTarget(test, "g2", silentStreams(6, 3, waitTimeout, ended))
+	node := newNode(test, tableFixture{groups: []*target{silent, slow}, attempts: 2})
+	got := node.requestAt(test, silent)
+	require.NoError(test, got.err)
+	require.Equal(test, events(6), got.body)
+	require.NotZero(test, slow.count())
+	select {
+	case <-ended:
+	case <-time.After(waitTimeout):
+		test.Fatal("the call to the other group did not end")
+	}
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"io"
+	"maps"
 	"net/http"
-	"strings"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -22,8 +22,9 @@
 	// another group is tried if the first event has not arrived.
 	firstEventTimeoutFactor = 4
 
-	// minEventTimeout is the smallest timeout for an event: an engine that reads a
-	// long prompt sends nothing for some hundred milliseconds.
+	// minEventTimeout is the smallest time without an event after which another group is
+	// tried: an engine that reads a long prompt sends nothing for some hundred
+	// milliseconds.
 	minEventTimeout = 1200 * time.Millisecond
 
 	// callerPatience is the shortest time without an event after which callers
@@ -33,116 +34,288 @@
 	objectivePatience = 4
 	gapPatience       = 8
 
+	// resumeStep is the time after which a started stream looks for a group again although
+	// the table has not changed: a target with a limit takes requests again.
+	resumeStep = 100 * time.Millisecond
+
 	// resumeTimeout is how long a started stream waits for a group to resume at.
 	// Callers abandon a stream after two seconds without an event.
 	resumeTimeout = 1500 * time.Millisecond
 
-	// resumeStep is the time after which such a stream looks for a group again although
-	// the table has not changed: a target with a limit takes requests again.
-	resumeStep = 100 * time.Millisecond
+	// maxCalls is the number of calls of one stream at the same time: one that may have
+	// stalled, and the one at which the stream may go on.
+	maxCalls = 2
 )
 
-// A delivery is the state of the stream that is sent to a caller, over all
-// attempts.
+// A delivery is the state of the stream that is sent to a caller, over all calls.
+//
+// A call that may have stalled is not ended. The delivery looks for another group and reads
+// the first event of either: the group may be silent for a moment only, and another one may
+// have no place.
 type delivery struct {
 	exchange *exchange
+	search   *search
+
+	// calls are the calls in progress, the oldest first, and superseded those that were
+	// ended because another one went on.
+	calls      []*groupCall
+	superseded []*groupCall
+
+	// seeking is true while another group is looked for.
+	seeking bool
+
+	// events are those of the calls. suspicions are the calls that may have stalled.
+	events     chan callEvent
+	suspicions chan *groupCall
 
 	// headerSent is true once the response header has been sent to the caller. contentType
 	// is the type in it.
 	headerSent  bool
 	contentType string
 
-	// lastEventID is the id of the last event that was delivered.
+	// lastEventID is the id of the last event that was delivered, deliveredAt when it was.
 	lastEventID string
-
-	// pending tracks the current attempt until its first event arrives.
-	// lastEventAt is when the last event of the current attempt arrived.
-	pending     *limit.PendingRequest
-	lastEventAt time.Time
-
-	// attempt tracks the current attempt for the parts of its prompt.
-	attempt *quarantine.Attempt
-
-	// deliveredAt is when the last event of any attempt was delivered.
 	deliveredAt time.Time
-}
 
-// recordEvent records the arrival of an event for stall detection and for the
-// forecast.
-func (delivery *delivery) recordEvent(target string, stream *route.MonitoredStream) {
-	server := delivery.exchange.server
-	delivery.exchange.began = true
-	now := server.config.Now()
-	if !delivery.deliveredAt.IsZero() {
-		delivery.exchange.longestPause = max(delivery.exchange.longestPause, now.Sub(delivery.deliveredAt))
-	}
-	delivery.deliveredAt = now
-	stream.Event(now)
-	delivery.attempt.EventArrived(now)
-	if direct := delivery.exchange.direct; direct != nil {
-		direct.received(now)
-		server.answered(direct.target, false)
-	}
-	if delivery.lastEventAt.IsZero() {
-		delivery.pending.FirstEventArrived(now)
-	} else {
-		server.forecast.RecordGap(target, now.Sub(delivery.lastEventAt), now)
-	}
-	delivery.lastEventAt = now
+	// resumeBy is the time until which a stream without a call waits for a group.
+	resumeBy time.Time
 }
 
 // serveStream forwards a request to a serving group and streams the group's
 // events back to the caller.
 func (exchange *exchange) serveStream(ctx context.Context) {
-	delivery := &delivery{exchange: exchange, lastEventID: exchange.caller.ResumeAfter}
-	exchange.tryTargets(ctx, attemptPlan{
-		next: func(excluded map[string]bool, mayWait bool) (candidate, bool) {
-			target, found := exchange.pickGroup(ctx, delivery, excluded, mayWait)
-			return candidate{
-				name: target.Name,
-				try:  func() attemptResult { return exchange.tryGroup(ctx, target, delivery) },
-			}, found
+	delivery := &delivery{
+		exchange: exchange, lastEventID: exchange.caller.ResumeAfter, seeking: true,
+		events: make(chan callEvent), suspicions: make(chan *groupCall, maxCalls),
+	}
+	delivery.search = newSearch(exchange, attemptPlan{
+		next: func(excluded map[string]bool) (candidate, bool) {
+			target, found := delivery.pickGroup(excluded)
+			return candidate{name: target.Name, try: func() attemptResult {
+				delivery.beginCall(ctx, target)
+				return nil
+			}}, found
 		},
 		noTargetReason: exchange.noGroupReason,
-		giveUp:         delivery.giveUp,
 	})
+	defer delivery.awaitCalls()
+	defer delivery.endCalls()
+	delivery.serve(ctx)
 }
 
-// pickGroup returns a group for the next attempt, or false. Until the stream has
-// started, the group must be predicted to meet the objective. A started stream
-// accepts any group, and with mayWait waits for one up to resumeTimeout.
-func (exchange *exchange) pickGroup(ctx context.Context, delivery *delivery, excluded map[string]bool, mayWait bool) (route.GroupTarget, bool) {
+// serve begins calls and delivers their events until the stream has ended.
+func (delivery *delivery) serve(ctx context.Context) {
+	for {
+		changed := delivery.exchange.server.config.Publisher.Changed()
+		if delivery.seeking && !delivery.seek(ctx) {
+			return
+		}
+		if !delivery.await(ctx, changed) {
+			return
+		}
+	}
+}
+
+// await handles the next event, end or suspicion of a call. While another group is looked
+// for, it also returns after a change of the table and after resumeStep. It returns false
+// after the request has ended.
+func (delivery *delivery) await(ctx context.Context, changed <-chan struct{}) bool {
+	var again <-chan time.Time
+	if delivery.seeking {
+		alarm := delivery.exchange.server.config.Timers.After("resume", resumeStep, 0)
+		defer alarm.Cancel()
+		again = alarm.C()
+	} else {
+		changed = nil
+	}
+	var ends [maxCalls]<-chan struct{}
+	for index, call := range delivery.calls {
+		ends[index] = call.done
+	}
+	select {
+	case received := <-delivery.events:
+		return !slices.Contains(delivery.calls, received.call) || delivery.deliver(received)
+	case <-ends[0]:
+		return delivery.end(delivery.calls[0])
+	case <-ends[1]:
+		return delivery.end(delivery.calls[1])
+	case call := <-delivery.suspicions:
+		delivery.suspect(call)
+	case <-changed:
+	case <-again:
+	case <-ctx.Done():
+		delivery.awaitCalls()
+		delivery.giveUp("the time is over; " + delivery.search.reason)
+		return false
+	}
+	return true
+}
+
+// seek begins a call at another group, if there is one that takes the stream. Only a stream
+// that has started waits for one. It returns false after it has ended the request.
+func (delivery *delivery) seek(ctx context.Context) bool {
+	exchange := delivery.exchange
+	reason, final := "", true
+	switch step := delivery.search.next(ctx).(type) {
+	case found:
+		delivery.seeking = false
+		step.candidate.try()
+		return true
+	case quarantined:
+		exchange.refuse(step.reason, quarantine.RetryAfter)
+		return false
+	case noTarget:
+		reason, final = step.reason, !delivery.headerSent || len(delivery.calls) == 0 && exchange.server.config.Now().After(delivery.resumeBy)
+	case ended:
+		reason = step.reason
+	}
+	if !final {
+		return true
+	}
+	delivery.seeking = false
+	if len(delivery.calls) > 0 {
+		return true
+	}
+	delivery.giveUp(reason)
+	return false
+}
+
+// suspect looks for another group for a call that may have stalled.
+func (delivery *delivery) suspect(call *groupCall) {
+	exchange := delivery.exchange
+	now := exchange.server.config.Now()
+	if !exchange.route.Repeatable() || !slices.Contains(delivery.calls, call) || !call.suspectedAt.IsZero() && delivery.seeking {
+		return
+	}
+	call.suspectedAt = now
+	delivery.seeking = len(delivery.calls) < maxCalls
+	if delivery.seeking {
+		exchange.server.config.Logger.Info("looking for another group for a stream that may have stalled", zap.String("id", exchange.caller.Attempt),
+			zap.String("group", call.target.Name), zap.String("last-event", delivery.lastEventID))
+	}
+}
+
+// deliver passes an event on to the caller and ends the other call. It returns false after
+// the request has ended.
+func (delivery *delivery) deliver(received callEvent) bool {
+	received.call.suspectedAt = time.Time{}
+	delivery.seeking = false
+	delivery.supersede(received.call)
+	if delivery.write(received) != nil {
+		delivery.abandon()
+		return false
+	}
+	return true
+}
+
+// end handles the end of a call. It returns false after the request has ended.
+func (delivery *delivery) end(ended *groupCall) bool {
+	exchange := delivery.exchange
+	delivery.calls = slices.DeleteFunc(delivery.calls, func(call *groupCall) bool { return call == ended })
+	if _, whole := ended.result.(completed); whole {
+		delivery.supersede(nil)
+		if delivery.finish() != nil {
+			delivery.abandon()
+			return false
+		}
+		exchange.log("complete", http.StatusOK, "")
+		return false
+	}
+	delivery.search.failed(ended.target.Name, ended.attempt, ended.result)
+	if len(delivery.calls) > 0 {
+		// The other call goes on. If it may have stalled, the search for a group does too.
+		delivery.seeking = !delivery.calls[0].suspectedAt.IsZero()
+		return true
+	}
+	switch {
+	case ended.failure != nil && !delivery.headerSent && !exchange.shouldRetryStatus(ended.failure.StatusCode):
+		exchange.copyHeader(ended.failure)
+		exchange.respond(ended.failure.StatusCode, ended.failureBody)
+		exchange.log("failed", ended.failure.StatusCode, "group "+ended.target.Name+" failed")
+		return false
+	case !delivery.search.mayRetry(), !exchange.mayReachAnother():
+		delivery.giveUp(delivery.search.reason)
+		return false
+	}
+	delivery.seeking, delivery.resumeBy = true, exchange.server.config.Now().Add(resumeTimeout)
+	return true
+}
+
+// supersede ends all calls other than the one that goes on.
+func (delivery *delivery) supersede(kept *groupCall) {
+	if len(delivery.calls) == 1 && delivery.calls[0] == kept {
+		return
+	}
+	for _, call := range delivery.calls {
+		if call != kept {
+			delivery.exchange.countAttempt("superseded")
+			call.cancel(errNotNeeded)
+			delivery.superseded = append(delivery.superseded, call)
+		}
+	}
+	delivery.calls = slices.DeleteFunc(delivery.calls, func(call *groupCall) bool { return call != kept })
+}
+
+// endCalls ends all calls at the end of the request.
+func (delivery *delivery) endCalls() {
+	for _, call := range delivery.calls {
+		call.cancel(errNotNeeded)
+	}
+}
+
+// awaitCalls waits for the ends of all calls, and updates the request from their results.
+func (delivery *delivery) awaitCalls() {
+	for _, call := range delivery.superseded {
+		<-call.done
+	}
+	for _, call := range delivery.calls {
+		<-call.done
+		if call.result != nil {
+			delivery.search.failed(call.target.Name, call.attempt, call.result)
+		}
+	}
+	delivery.calls, delivery.superseded = nil, nil
+}
+
+// pickGroup returns a group for the next call, or false. Until the stream has started, the
+// group must be predicted to meet the objective. A started stream accepts any group.
+func (delivery *delivery) pickGroup(excluded map[string]bool) (route.GroupTarget, bool) {
+	exchange := delivery.exchange
 	server := exchange.server
-	resumeBy := server.config.Now().Add(resumeTimeout)
 	for {
-		changed := server.config.Publisher.Changed()
 		now := server.config.Now()
 		table := server.config.Publisher.Current()
-		unavailable := exchange.unavailable(excluded, table, now)
+		unavailable := exchange.unavailable(delivery.unavailable(excluded, table), table, now)
 		target, found := server.picker.PickGroup(table, route.GroupRequest{Spec: exchange.caller.Model, Excluded: unavailable}, now)
 		if found && !delivery.headerSent && !exchange.meetsObjective(target, now) {
 			target, found = exchange.earliestGroup(table, unavailable, now)
 		}
-		if found && server.config.Limits.Take(target.VM, now) {
-			return target, true
-		}
-		if found {
-			// Another request has taken the last place of the target.
-			continue
-		}
-		if !delivery.headerSent || !mayWait || !now.Before(resumeBy) {
+		if !found {
 			return route.GroupTarget{}, false
 		}
-		waiting, cancel := context.WithTimeout(ctx, min(resumeBy.Sub(now), resumeStep))
-		select {
-		case <-changed:
-		case <-waiting.Done():
+		if server.config.Limits.Take(target.VM, now) {
+			return target, true
 		}
-		cancel()
-		if ctx.Err() != nil {
-			return route.GroupTarget{}, false
+		// Another request has taken the last place of the target.
+	}
+}
+
+// unavailable adds the groups that take no further call of this stream now to the excluded
+// ones.
+func (delivery *delivery) unavailable(excluded map[string]bool, table *route.Table) map[string]bool {
+	exchange := delivery.exchange
+	if len(exchange.attempts) == 0 {
+		return excluded
+	}
+	extended, another := maps.Clone(excluded), exchange.mayReachAnother()
+	for _, target := range table.Groups(exchange.caller.Model) {
+		instance := target.Instance()
+		calling := slices.ContainsFunc(delivery.calls, func(call *groupCall) bool { return call.attempt.to.instance == instance })
+		if calling || !another {
+			extended[target.Name] = true
 		}
 	}
+	return extended
 }
 
 // meetsObjective reports whether a group is predicted to send the first event
@@ -223,180 +396,31 @@
 	return pace
 }
 
-// tryGroup makes one attempt at a group.
-func (exchange *exchange) tryGroup(ctx context.Context, target route.GroupTarget, delivery *delivery) attemptResult {
-	server := exchange.server
-	exchange.load = server.tracker.Load(target.Name, target.Load, target.LoadReportedAt())
-	exchange.predicted = exchange.predictFirstEvent(target, server.config.Now())
-	ended := server.tracker.Start(target.Name, server.config.Now())
-	defer func() { ended(server.config.Now()) }()
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	life := target.Life()
-	delivery.attempt = server.config.Quarantine.Begin(life, exchange.parts, exchange.admission, func() { cancel(errQuarantined) })
-	defer delivery.attempt.Close()
-	last := exchange.isLastAttempt()
-	to := destination{id: target.VM, instance: target.Instance(), address: target.Address, group: target.Name, epoch: target.Epoch, resumeAfter: delivery.lastEventID}
-	if !last {
-		to.cancel = cancel
-	}
-	stream := server.stallDetector.Begin(target.Name, server.config.Now(), func() {
-		if !last {
-			cancel(errGroupStalled)
-		}
-	})
-	defer stream.End()
-	delivery.pending = server.forecast.Begin(target.Name, exchange.caller.PromptTokens, server.config.Now())
-	delivery.lastEventAt = time.Time{}
-	exchange.began = false
-	defer delivery.pending.End()
-	firstTimeout := max(firstEventTimeoutFactor*exchange.route.Objective, minEventTimeout)
-	timeout := minEventTimeout
-	if last {
-		timeout = exchange.patience()
-		firstTimeout = timeout
-	}
-	firstTimeout = min(firstTimeout, exchange.remaining())
-	sentAt := server.config.Now()
-	response, err := exchange.send(ctx, to, firstTimeout)
-	if err != nil {
-		exchange.checkTarget(ctx, delivery.attempt, life, to, err)
-		return exchange.classifyFailure(target.Name, err)
-	}
-	exchange.recordAttempt(target.Name)
-	answer := server.config.Codec.ParseAnswer(response.http.StatusCode, response.http.Header)
-	observed := observedGroup(target)
-	server.observeAnswer(observed, exchange.caller.Attempt, response.http, answer, sentAt)
-	switch {
-	case answer.Refused && !exchange.isOwnRefusal(response, answer):
-		response.discard()
-		return unknown{reason: "group " + target.Name + " sent a refusal that is not its own"}
-	case answer.Refused:
-		response.discard()
-		server.suspects.Failed(target.Name, server.config.Now())
-		exchange.countAttempt("refused")
-		return notRun{reason: "group " + target.Name + " refused: " + response.http.Status}
-	case !isOwnResponse(exchange.caller.Attempt, response.http, answer):
-		response.discard()
-		return unknown{reason: "group " + target.Name + " sent an answer that is not its own"}
-	case response.http.StatusCode != http.StatusOK:
-		return exchange.forwardFailure(target, response, delivery)
-	}
-	if err := delivery.forwardEvents(response, target.Name, stream, firstTimeout, timeout); err != nil {
-		response.discard()
-		if errors.Is(err, errCallerNotReading) {
-			exchange.log("caller-left", 0, "caller does not read")
-			httpserve.Abort(exchange.writer, exchange.request)
-		}
-		failure := &callError{cause: err, sent: true, outcome: outcomeOf(err)}
-		exchange.checkTarget(ctx, delivery.attempt, life, to, failure)
-		return exchange.classifyFailure(target.Name, failure)
-	}
-	response.release()
-	server.observeTrailer(observed, exchange.caller.Attempt, response.http)
-	delivery.attempt.Completed(server.config.Now())
-	server.suspects.Succeeded(target.Name)
-	exchange.countAttempt("complete")
-	exchange.log("complete", http.StatusOK, "")
-	return answered{}
-}
-
-// isLastAttempt reports whether the request may not be sent to another target after
-// the attempt that is about to begin.
-func (exchange *exchange) isLastAttempt() bool {
-	return !exchange.route.Repeatable() || len(exchange.attempts)+1 >= exchange.route.MaxAttempts
-}
-
-// patience returns the time without an event after which the caller abandons the
-// stream. A last attempt is not ended before: a slow group still completes it.
+// patience returns the time without an event after which the caller abandons the stream.
 func (exchange *exchange) patience() time.Duration {
 	return max(callerPatience, objectivePatience*exchange.route.Objective, gapPatience*exchange.route.GapObjective)
 }
 
-// forwardFailure sends a group's error response to the caller, unless the stream
-// has started or another group may succeed.
-func (exchange *exchange) forwardFailure(target route.GroupTarget, response *response, delivery *delivery) attemptResult {
-	body, err := response.readAll(maxAnswerBytes)
-	if err != nil || delivery.headerSent || exchange.shouldRetryStatus(response.http.StatusCode) {
-		response.discard()
-		return unknown{reason: "group " + target.Name + " answered " + response.http.Status}
-	}
-	response.release()
-	exchange.copyHeader(response.http)
-	exchange.respond(response.http.StatusCode, body)
-	exchange.log("failed", response.http.StatusCode, "group "+target.Name+" failed")
-	return answered{}
-}
-
-// errGroupStalled is the cause of cancelling an attempt at a group all of whose
-// streams have stalled.
-var errGroupStalled = errors.New("streams of the group stalled")
-
 // errCallerNotReading is returned if a write to the caller fails.
 var errCallerNotReading = errors.New("caller does not read")
 
-// errNotTheStream is returned for an answer that does not go on with the stream after its
-// last event.
-var errNotTheStream = errors.New("answer does not go on with the stream")
-
-// errEmptyStream is returned for a stream without any byte that ends with its connection. A
-// target that ends right after the header sends the same.
-var errEmptyStream = errors.New("stream without a byte ended with its connection")
-
-// mediaType returns the type of an answer's body without parameters.
-func mediaType(answer *http.Response) string {
-	name, _, _ := strings.Cut(answer.Header.Get("Content-Type"), ";")
-	return strings.ToLower(strings.TrimSpace(name))
-}
-
-// forwardEvents sends the events of one attempt to the caller. Each event must
-// arrive within timeout, the first one within firstTimeout. It returns nil at the
-// end of a complete stream, and errCallerNotReading if the caller does not read.
-func (delivery *delivery) forwardEvents(response *response, target string, stream *route.MonitoredStream, firstTimeout, timeout time.Duration) error {
-	if delivery.headerSent && mediaType(response.http) != delivery.contentType {
-		return errNotTheStream
-	}
-	events := newEventReader(response.http.Body)
-	empty := true
-	for limit := firstTimeout; ; limit = timeout {
-		if err := response.setTimeout(limit); err != nil {
-			return errors.Trace(response.cause(err))
-		}
-		response.expectBody(maxEventBytes)
-		received, err := events.next()
-		if err == io.EOF && empty && response.untilClose() {
-			return errEmptyStream
-		}
-		if err == io.EOF {
-			return delivery.finish()
-		}
-		if err != nil {
-			return errors.Annotate(response.cause(err), "read stream event")
-		}
-		empty = false
-		if !received.follows(delivery.lastEventID) {
-			return errNotTheStream
-		}
-		delivery.recordEvent(target, stream)
-		if err := delivery.write(response.http, received, !events.buffered()); err != nil {
-			return err
-		}
-	}
-}
-
-// write writes one event to the caller, and flushes it if flush is set. The caller
-// of write sets flush unless the next event has already arrived.
-func (delivery *delivery) write(answer *http.Response, received event, flush bool) error {
+// write writes an event to the caller, and flushes it unless the next one has arrived.
+func (delivery *delivery) write(received callEvent) error {
 	exchange := delivery.exchange
-	delivery.sendHeader(answer)
+	now := exchange.server.config.Now()
+	if !delivery.deliveredAt.IsZero() {
+		exchange.longestPause = max(exchange.longestPause, now.Sub(delivery.deliveredAt))
+	}
+	delivery.deliveredAt = now
+	delivery.sendHeader(received.response)
 	exchange.extendWriteDeadline()
-	if _, err := exchange.writer.Write(received.bytes); err != nil {
+	if _, err := exchange.writer.Write(received.received.bytes); err != nil {
 		return errCallerNotReading
 	}
-	if received.id != "" {
-		delivery.lastEventID = received.id
+	if received.received.id != "" {
+		delivery.lastEventID = received.received.id
 	}
-	if !flush {
+	if received.more {
 		return nil
 	}
 	return delivery.flush()
@@ -424,14 +448,18 @@
 	exchange.server.metrics.firstEvent.Observe(exchange.firstEventAfter.Seconds())
 }
 
-// finish flushes a complete stream. A stream without any event is an error.
+// finish flushes a complete stream.
 func (delivery *delivery) finish() error {
-	if delivery.headerSent {
-		// The end is written after this, perhaps long after the last event.
-		delivery.exchange.extendWriteDeadline()
-		return delivery.flush()
-	}
-	return errors.New("stream ended without an event")
+	// The end is written after this, perhaps long after the last event.
+	delivery.exchange.extendWriteDeadline()
+	return delivery.flush()
+}
+
+// abandon ends the request of a caller that does not read.
+func (delivery *delivery) abandon() {
+	exchange := delivery.exchange
+	exchange.log("caller-left", 0, "caller does not read")
+	httpserve.Abort(exchange.writer, exchange.request)
 }
 
 // giveUp ends a request that no group completed. It aborts a started stream, so
@@ -443,6 +471,10 @@
 		return
 	}
 	exchange := delivery.exchange
+	if exchange.request.Context().Err() != nil {
+		exchange.log("caller-left", http.StatusOK, reason)
+		httpserve.Abort(exchange.writer, exchange.request)
+	}
 	places := exchange.noGroupReason()
 	exchange.log("cut", http.StatusOK, reason)
 	exchange.server.config.Logger.Info("stream to the caller aborted", zap.String("id", exchange.caller.Attempt), zap.String("last-event", delivery.lastEventID),
--- a/route/stall_detector_test.go
+++ b/route/stall_detector_test.go
@@ -8,7 +8,7 @@
 )
 
 func newTestStallDetector() *StallDetector {
-	return NewStallDetector(StallDetectorConfig{MinEventGap: 350 * time.Millisecond, MinFirstEventGap: 900 * time.Millisecond})
+	return NewStallDetector(StallDetectorConfig{MinEventGap: 350 * time.Millisecond, MinFirstEventGap: 900 * time.Millisecond, MaxEventGap: 1200 * time.Millisecond})
 }
 
 // Guards against a stalled target that is detected only when its engine fails after
@@ -20,17 +20,17 @@
 	cancelled := 0
 	var streams []*MonitoredStream
 	for range 3 {
-		streams = append(streams, detector.Begin("group", now, func() { cancelled++ }))
+		streams = append(streams, detector.Begin("group", time.Hour, now, func() { cancelled++ }))
 	}
 	for range 20 {
 		now = now.Add(60 * time.Millisecond)
 		for _, stream := range streams {
 			stream.Event(now)
 		}
-		require.Empty(test, detector.CancelStalled(now))
+		require.Empty(test, detector.SuspectStalled(now))
 	}
-	require.Empty(test, detector.CancelStalled(now.Add(300*time.Millisecond)))
-	require.Equal(test, []StalledTarget{{Name: "group", Streams: 3, Silence: 360 * time.Millisecond}}, detector.CancelStalled(now.Add(360*time.Millisecond)))
+	require.Empty(test, detector.SuspectStalled(now.Add(300*time.Millisecond)))
+	require.Equal(test, []StalledTarget{{Name: "group", Streams: 3, Silence: 360 * time.Millisecond}}, detector.SuspectStalled(now.Add(360*time.Millisecond)))
 	require.Equal(test, 3, cancelled)
 }
 
@@ -39,12 +39,12 @@
 func TestOneStalledStreamDoesNotCancelOthers(test *testing.T) {
 	detector := newTestStallDetector()
 	now := time.Unix(1000, 0)
-	detector.Begin("group", now, func() { test.Error("stream of a working group was cancelled") })
-	other := detector.Begin("group", now, func() { test.Error("stream of a working group was cancelled") })
+	detector.Begin("group", time.Hour, now, func() { test.Error("stream of a working group was cancelled") })
+	other := detector.Begin("group", time.Hour, now, func() { test.Error("stream of a working group was cancelled") })
 	for range 100 {
 		now = now.Add(60 * time.Millisecond)
 		other.Event(now)
-		require.Empty(test, detector.CancelStalled(now))
+		require.Empty(test, detector.SuspectStalled(now))
 	}
 }
 
@@ -53,22 +53,61 @@
 func TestStallBoundAdaptsToLongGaps(test *testing.T) {
 	detector := newTestStallDetector()
 	now := time.Unix(1000, 0)
-	stream := detector.Begin("group", now, func() { test.Error("stream of a slow group was cancelled") })
+	stream := detector.Begin("group", time.Hour, now, func() { test.Error("stream of a slow group was cancelled") })
 	for range 60 {
 		now = now.Add(300 * time.Millisecond)
 		stream.Event(now)
 	}
-	require.Empty(test, detector.CancelStalled(now.Add(600*time.Millisecond)))
+	require.Empty(test, detector.SuspectStalled(now.Add(600*time.Millisecond)))
 }
 
 // Guards against streams that are cancelled, or cause a stall, after their end.
 func TestEndedStreamsAreNotCancelled(test *testing.T) {
 	detector := newTestStallDetector()
 	now := time.Unix(1000, 0)
-	stream := detector.Begin("group", now, func() { test.Error("ended stream was cancelled") })
+	stream := detector.Begin("group", time.Hour, now, func() { test.Error("ended stream was cancelled") })
 	stream.Event(now)
 	stream.End()
 	stream.Event(now)
 	stream.End()
-	require.Empty(test, detector.CancelStalled(now.Add(time.Hour)))
+	require.Empty(test, detector.SuspectStalled(now.Add(time.Hour)))
+}
+
+// Guards against a single stream without events that waits for its caller's deadline because
+// the other streams of its group go on, and against one that is reported for its group.
+func TestSingleStreamWithoutEventsIsSuspected(test *testing.T) {
+	for name, started := range map[string]bool{"before its first event": false, "after an event": true} {
+		test.Run(name, func(test *testing.T) {
+			detector := newTestStallDetector()
+			now := time.Unix(1000, 0)
+			elapsed := time.Duration(0)
+			var suspected []time.Duration
+			silent := detector.Begin("group", 1200*time.Millisecond, now, func() { suspected = append(suspected, elapsed) })
+			if started {
+				silent.Event(now)
+			}
+			other := detector.Begin("group", time.Hour, now, func() { test.Error("stream of a working group was suspected") })
+			for ; elapsed < 3*time.Second; elapsed += 50 * time.Millisecond {
+				other.Event(now.Add(elapsed))
+				require.Empty(test, detector.SuspectStalled(now.Add(elapsed)))
+			}
+			require.Equal(test, []time.Duration{1250 * time.Millisecond, 2250 * time.Millisecond}, suspected)
+		})
+	}
+}
+
+// Guards against a group that is suspected because a caller reads slowly.
+func TestStreamHeldByItsCallerIsNotSuspected(test *testing.T) {
+	detector := newTestStallDetector()
+	now := time.Unix(1000, 0)
+	suspected := 0
+	stream := detector.Begin("group", time.Hour, now, func() { suspected++ })
+	stream.Event(now)
+	stream.Hold()
+	require.Empty(test, detector.SuspectStalled(now.Add(5*time.Second)))
+	require.Zero(test, suspected)
+	stream.Await(now.Add(5 * time.Second))
+	require.Empty(test, detector.SuspectStalled(now.Add(5300*time.Millisecond)))
+	require.Len(test, detector.SuspectStalled(now.Add(5400*time.Millisecond)), 1)
+	require.Equal(test, 1, suspected)
 }
