Let a started stream wait for a place until its deadline

Cause: a refusal by a group that is full for a moment counted as the last attempt, and a started stream looked for a group for 1.5 s at most.

Change: a started stream looks for a group until its deadline or its caller's leave. maxAttempts bounds the runners that get it: one that refused it or broke off may get it again, after a pause that doubles and is spread, and each time takes a retry from the allowance that all nodes share. Without a retry left it waits for one.

Ruled out: not counting the refused attempt, which sends the request to more runners than maxAttempts.

--- a/forward/stall_test.go
+++ b/forward/stall_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -126,3 +128,67 @@
 		test.Fatal("the call to the other group did not end")
 	}
 }
+
+// Guards against a started stream that is aborted with time left because the only group
+// that may take it is full for a moment, and against a third target for it (issue 37).
+func TestStartedStreamWaitsForAPlace(test *testing.T) {
+	broken := newTarget(test, "g1", streams(3, ""))
+	var opened atomic.Int64
+	opened.Store(time.Now().Add(time.Hour).UnixNano())
+	busy := func(conn net.Conn, request *http.Request) bool {
+		if time.Now().UnixNano() < opened.Load() {
+			return refuses(conn, request)
+		}
+		return streams(6, "0\r\n\r\n")(conn, request)
+	}
+	others := []*target{newTarget(test, "g2", busy), newTarget(test, "g3", busy)}
+	node := newNode(test, tableFixture{groups: append(slices.Clone(others), broken), attempts: 2})
+	counts := func() (reached int) {
+		for _, other := range others {
+			if other.count() > 0 {
+				reached++
+			}
+		}
+		return reached
+	}
+	for range 20 {
+		for _, other := range others {
+			other.mutex.Lock()
+			other.requests = nil
+			other.mutex.Unlock()
+		}
+		before := broken.count()
+		opened.Store(time.Now().Add(time.Second).UnixNano())
+		got := node.request(test, http.MethodPost, "/stream/1", "prompt")
+		if broken.count() == before || counts() > 1 {
+			// Both others have refused the request before it began.
+			continue
+		}
+		require.NoError(test, got.err)
+		require.Equal(test, events(6), got.body)
+		require.Equal(test, 1, counts())
+		return
+	}
+	test.Fatal("no request began at the broken group")
+}
+
+// Guards against resumed streams that exceed the retry allowance while they wait, and against
+// one that is aborted because no retry is left for a moment.
+func TestStartedStreamWaitsForARetry(test *testing.T) {
+	broken := newTarget(test, "g1", streams(3, ""))
+	full := newTarget(test, "g2", refuses)
+	node := newNode(test, tableFixture{groups: []*target{broken, full}, attempts: 2, retries: 2})
+	began, requests := time.Now(), 0
+	for before := 0; broken.count() == before && requests < 20; requests++ {
+		before = broken.count()
+		got := node.request(test, http.MethodPost, "/stream/1", "prompt")
+		if broken.count() > before {
+			require.Error(test, got.err)
+			require.Equal(test, events(3), got.body)
+		}
+	}
+	require.NotZero(test, broken.count())
+	retries := broken.count() + full.count() - requests
+	require.LessOrEqual(test, retries, 2*int(time.Since(began).Seconds()+2))
+	require.Greater(test, retries, 2)
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -38,9 +38,11 @@
 	// the table has not changed: a target with a limit takes requests again.
 	resumeStep = 100 * time.Millisecond
 
-	// resumeTimeout is how long a started stream waits for a group to resume at.
-	// Callers abandon a stream after two seconds without an event.
-	resumeTimeout = 1500 * time.Millisecond
+	// minResumePause is the time after which a started stream is sent again to a target that
+	// refused it or broke off. It doubles up to maxResumePause. A full group completes some
+	// ten streams a second.
+	minResumePause = 150 * time.Millisecond
+	maxResumePause = time.Second
 
 	// maxCalls is the number of calls of one stream at the same time: one that may have
 	// stalled, and the one at which the stream may go on.
@@ -77,8 +79,15 @@
 	lastEventID string
 	deliveredAt time.Time
 
-	// resumeBy is the time until which a stream without a call waits for a group.
-	resumeBy time.Time
+	// pauses hold when a started stream may be sent again to a target, by instance.
+	pauses map[string]resumePause
+}
+
+// A resumePause is the time for which a target that refused a stream, or broke off, gets it
+// no more.
+type resumePause struct {
+	until    time.Time
+	duration time.Duration
 }
 
 // serveStream forwards a request to a serving group and streams the group's
@@ -86,7 +95,7 @@
 func (exchange *exchange) serveStream(ctx context.Context) {
 	delivery := &delivery{
 		exchange: exchange, lastEventID: exchange.caller.ResumeAfter, seeking: true,
-		events: make(chan callEvent), suspicions: make(chan *groupCall, maxCalls),
+		events: make(chan callEvent), suspicions: make(chan *groupCall, maxCalls), pauses: map[string]resumePause{},
 	}
 	delivery.search = newSearch(exchange, attemptPlan{
 		next: func(excluded map[string]bool) (candidate, bool) {
@@ -165,7 +174,7 @@
 		exchange.refuse(step.reason, quarantine.RetryAfter)
 		return false
 	case noTarget:
-		reason, final = step.reason, !delivery.headerSent || len(delivery.calls) == 0 && exchange.server.config.Now().After(delivery.resumeBy)
+		reason, final = step.reason, !delivery.headerSent
 	case ended:
 		reason = step.reason
 	}
@@ -222,6 +231,9 @@
 		return false
 	}
 	delivery.search.failed(ended.target.Name, ended.attempt, ended.result)
+	if delivery.headerSent {
+		delivery.pause(ended)
+	}
 	if len(delivery.calls) > 0 {
 		// The other call goes on. If it may have stalled, the search for a group does too.
 		delivery.seeking = !delivery.calls[0].suspectedAt.IsZero()
@@ -233,14 +245,24 @@
 		exchange.respond(ended.failure.StatusCode, ended.failureBody)
 		exchange.log("failed", ended.failure.StatusCode, "group "+ended.target.Name+" failed")
 		return false
-	case !delivery.search.mayRetry(), !exchange.mayReachAnother():
+	case !delivery.search.mayRetry(), !delivery.headerSent && !exchange.mayReachAnother():
 		delivery.giveUp(delivery.search.reason)
 		return false
 	}
-	delivery.seeking, delivery.resumeBy = true, exchange.server.config.Now().Add(resumeTimeout)
+	delivery.seeking = true
 	return true
 }
 
+// pause keeps a started stream from a target for a while.
+func (delivery *delivery) pause(failed *groupCall) {
+	server, instance := delivery.exchange.server, failed.attempt.to.instance
+	duration := min(max(2*delivery.pauses[instance].duration, minResumePause), maxResumePause)
+	spread := time.Duration((0.5 + server.randomFraction()) * float64(duration))
+	delivery.pauses[instance] = resumePause{until: server.config.Now().Add(spread), duration: duration}
+	delete(delivery.search.excluded, failed.target.Name)
+	delete(delivery.search.unreached, failed.target.Name)
+}
+
 // supersede ends all calls other than the one that goes on.
 func (delivery *delivery) supersede(kept *groupCall) {
 	if len(delivery.calls) == 1 && delivery.calls[0] == kept {
@@ -278,14 +300,15 @@
 }
 
 // pickGroup returns a group for the next call, or false. Until the stream has started, the
-// group must be predicted to meet the objective. A started stream accepts any group.
+// group must be predicted to meet the objective. A started stream accepts any group, also one
+// that has refused it or has broken off.
 func (delivery *delivery) pickGroup(excluded map[string]bool) (route.GroupTarget, bool) {
 	exchange := delivery.exchange
 	server := exchange.server
 	for {
 		now := server.config.Now()
 		table := server.config.Publisher.Current()
-		unavailable := exchange.unavailable(delivery.unavailable(excluded, table), table, now)
+		unavailable := exchange.unavailable(delivery.unavailable(excluded, table, now), table, now)
 		target, found := server.picker.PickGroup(table, route.GroupRequest{Spec: exchange.caller.Model, Excluded: unavailable}, now)
 		if found && !delivery.headerSent && !exchange.meetsObjective(target, now) {
 			target, found = exchange.earliestGroup(table, unavailable, now)
@@ -302,16 +325,16 @@
 
 // unavailable adds the groups that take no further call of this stream now to the excluded
 // ones.
-func (delivery *delivery) unavailable(excluded map[string]bool, table *route.Table) map[string]bool {
+func (delivery *delivery) unavailable(excluded map[string]bool, table *route.Table, now time.Time) map[string]bool {
 	exchange := delivery.exchange
 	if len(exchange.attempts) == 0 {
 		return excluded
 	}
-	extended, another := maps.Clone(excluded), exchange.mayReachAnother()
+	extended, runners, another := maps.Clone(excluded), exchange.runners(), exchange.mayReachAnother()
 	for _, target := range table.Groups(exchange.caller.Model) {
 		instance := target.Instance()
 		calling := slices.ContainsFunc(delivery.calls, func(call *groupCall) bool { return call.attempt.to.instance == instance })
-		if calling || !another {
+		if calling || !another && !runners[instance] || now.Before(delivery.pauses[instance].until) {
 			extended[target.Name] = true
 		}
 	}
