Keep the members of a group while an unlisted rank 0 runs requests

The runner of rank 0 had left the platform's list without announcing that it drains and went on with its streams for seconds. The leader holds a lapsed member that responds, but not rank 0; after the grace period it counted rank 0 as missing, released the other members and had them join the next composition, and the streams stalled.

The leader now holds a lapsed rank 0 too while it responds. The planner replaces an unlisted rank 0 as it does a missing one, but its rank 0 gets a close order that lets the running requests end, and members leave only when it is closed or no longer responds. An unlisted VM that leaves its group is no future spare, and a drained group without a spare goes on without an unlisted rank 0. A rank 0 that is only cut off from the store closes when its requests have ended, at the latest at their deadlines, so it holds its members no longer than that.

Not changed: a node that starts after the announcement expired does not know the target and cannot ask it.

--- a/control/feed.go
+++ b/control/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -370,14 +371,32 @@
 // have changed, and of those whose grants are old, from the placement and the
 // reports in the feed.
 func (state *state) deriveGrants(now time.Time) {
+	reports := state.grantReports()
 	for _, domain := range state.domains {
 		if domain.placement == nil || now.Sub(domain.grantsDerivedAt) < localGrantValidity/2 {
 			continue
 		}
 		domain.grantsDerivedAt = now
 		domain.grants = map[string]group.GroupGrant{}
-		for _, granted := range group.GrantsFromReports(domain.placement, state.feed.reports, now, now.Add(localGrantValidity)) {
+		for _, granted := range group.GrantsFromReports(domain.placement, reports, now, now.Add(localGrantValidity)) {
 			domain.grants[granted.Grant.Group] = granted
 		}
 	}
 }
+
+// grantReports returns the reports from which grants follow: all except those of
+// rank 0 of a group after its grace period, which the directory of a leader contains
+// and those of the other nodes do not.
+func (state *state) grantReports() map[string]engine.Report {
+	reports := state.feed.reports
+	for _, lapsed := range state.feed.directory.Lapsed() {
+		name := lapsed.VM.Name
+		if state.feed.directory.GraceEnded(name) && reports[name].Rank == 0 {
+			if len(reports) == len(state.feed.reports) {
+				reports = maps.Clone(reports)
+			}
+			delete(reports, name)
+		}
+	}
+	return reports
+}
--- a/control/feed_test.go
+++ b/control/feed_test.go
@@ -203,6 +203,53 @@
 	require.Equal(test, kvstore.VMLive, state.vms["b"].State)
 }
 
+// A rank 0 leaves without an announcement and answers its leader (stops-hups on
+// pragovec-lws, seed 5201: 4 streams lost). Guards against a leader that loses sight of
+// it after its grace period and has the other members leave while it runs streams, and
+// against new requests to it after that period.
+func TestAnsweringRank0IsHeldWithoutRequests(test *testing.T) {
+	now := time.Now()
+	state := newTestFeed(test, now)
+	state.handleFeed(now, TargetsChanged{Removed: []string{"a"}})
+	respond := func(at time.Time) {
+		state.handleLapsedResult(at, lapsedResult{answers: []probeAnswer{{
+			probedTarget: probedTarget{vm: "a", incarnation: "1", address: "10.0.0.1:80"}, responded: true, report: testMember("a", 0).Report,
+		}}})
+	}
+	respond(now)
+	require.Equal(test, kvstore.VMLive, state.vms["a"].State)
+	require.True(test, serves(state, now), "requests to rank 0 end before its grace period")
+	for at := now; at.Before(now.Add(testLapseGrace)); at = at.Add(lapsedInterval) {
+		respond(at)
+	}
+	at := now.Add(testLapseGrace)
+	state.expireTargets(at)
+	require.Equal(test, kvstore.VMUnlisted, state.vms["a"].State)
+	require.Equal(test, engine.StateOpen, state.feed.reports["a"].State, "the leader does not see rank 0")
+	require.False(test, serves(state, at), "requests to rank 0 after its grace period")
+	respond(at.Add(time.Minute))
+	require.False(test, serves(state, at))
+	state.handleFeed(at, TargetsChanged{Put: []directory.Target{testMember("a", 0)}})
+	require.Equal(test, kvstore.VMLive, state.vms["a"].State)
+	require.True(test, serves(state, at))
+}
+
+// A new leader asks a rank 0 that its directory removed before its term. Guards against
+// a second grace period.
+func TestNewLeaderHoldsRank0WithoutRequests(test *testing.T) {
+	now := time.Now()
+	state := newTestFeed(test, now)
+	state.handleFeed(now, TargetsChanged{Removed: []string{"a"}})
+	at := now.Add(testLapseGrace)
+	state.expireTargets(at)
+	require.NotContains(test, state.vms, "a")
+	state.handleLapsedResult(at, lapsedResult{answers: []probeAnswer{{
+		probedTarget: probedTarget{vm: "a", incarnation: "1", address: "10.0.0.1:80"}, responded: true, report: testMember("a", 0).Report,
+	}}})
+	require.Equal(test, kvstore.VMUnlisted, state.vms["a"].State)
+	require.False(test, serves(state, at))
+}
+
 // noTraffic is traffic without requests.
 type noTraffic struct{ Traffic }
 
--- a/control/lapsed.go
+++ b/control/lapsed.go
@@ -40,14 +40,15 @@
 }
 
 // handleLapsedResult holds the members of groups that responded and drops the
-// targets that did not. Requests are sent to rank 0, so it is not held: without an
-// announcement it may be leaving.
+// targets that did not. A held rank 0 may be leaving and receives no new requests
+// after its grace period, but the leader has to see it as long as it runs earlier
+// ones: the other members must not leave before.
 func (state *state) handleLapsedResult(now time.Time, result lapsedResult) {
 	state.feed.lapsedProbes.running = false
 	state.recordLeavingAnswers(now, result.answers)
 	changed := false
 	for _, answer := range result.answers {
-		held := answer.responded && answer.report.Group != "" && answer.report.Rank > 0
+		held := answer.responded && answer.report.Group != ""
 		if answer.byOthers {
 			state.detach(now, answer.domain, []string{answer.vm})
 			continue
@@ -71,6 +72,8 @@
 func (state *state) logLapsed(answer probeAnswer, held bool) {
 	decision := "removed after its grace period"
 	switch {
+	case held && answer.report.Rank == 0:
+		decision = "kept in its group without new requests after its grace period"
 	case held:
 		decision = "kept in its group"
 	case !answer.responded:
--- a/control/target.go
+++ b/control/target.go
@@ -65,7 +65,7 @@
 			state.feed.runners = append(state.feed.runners, runner)
 			continue
 		}
-		if state.feed.directory.Held(target.VM.Name) {
+		if state.feed.unlisted(target) {
 			target.VM.State = kvstore.VMUnlisted
 		}
 		vms = append(vms, target.VM)
@@ -89,6 +89,16 @@
 	}
 }
 
+// unlisted reports whether a target that is kept because it responds counts as one
+// that is not in the platform's list. Rank 0 goes on serving until its grace period
+// ends.
+func (feed *feedState) unlisted(target directory.Target) bool {
+	if target.Report.Rank == 0 {
+		return feed.directory.GraceEnded(target.VM.Name)
+	}
+	return feed.directory.Held(target.VM.Name)
+}
+
 // configured reports whether a target belongs to a service of the
 // configuration and is of its kind: targets of services with engines are in a
 // fabric domain, others are not. Other programs may write entries that match
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -4,8 +4,9 @@
 // A target whose announcement expires has left, has failed or cannot reach the
 // platform. The directory keeps a target in a fabric domain for a grace period,
 // and longer while its leader finds that it responds: the other members of its
-// group would otherwise stand idle, although the target still serves. A target
-// that was draining, or that belongs to a plain service, is removed at once.
+// group would otherwise stand idle or leave, although the target still serves.
+// New requests to it end with the grace period in either case. A target that was
+// draining, or that belongs to a plain service, is removed at once.
 //
 // Announcements that expire during an outage of the platform are renewed soon
 // after it, so targets that are missing after an outage are kept as well. The
@@ -98,6 +99,11 @@
 
 	// Held is true after the target was first kept because it responds.
 	Held bool
+
+	// deadline is the end of the target's grace period, and graceEnded is true after
+	// it. No grace period ends during an outage of the platform.
+	deadline   time.Time
+	graceEnded bool
 }
 
 // A Directory is the set of announced targets. It is not safe for concurrent
@@ -215,6 +221,12 @@
 	return directory.Missing(name) && directory.lapsed[name].Held
 }
 
+// GraceEnded reports whether a target is kept only because it responds: it receives
+// no new requests, but may still run earlier ones.
+func (directory *Directory) GraceEnded(name string) bool {
+	return directory.Held(name) && directory.lapsed[name].graceEnded
+}
+
 // Drop removes a lapsed target that does not respond. It reports whether the
 // targets changed.
 func (directory *Directory) Drop(now time.Time, name string) bool {
@@ -273,10 +285,11 @@
 	return directory.Expire(now) || changed
 }
 
-// Expire removes the missing targets whose grace period has passed and reports
-// whether there were any. It removes none during an outage.
+// Expire ends the grace periods that have passed, removes the missing targets that
+// are not held longer, and reports whether there were any. It ends none during an
+// outage.
 func (directory *Directory) Expire(now time.Time) bool {
-	changed := false
+	changed := directory.endGracePeriods(now)
 	for name, deadline := range directory.missing {
 		if directory.outage || now.Before(deadline) {
 			continue
@@ -299,6 +312,24 @@
 	return changed
 }
 
+// endGracePeriods ends the grace periods of the lapsed targets and reports whether
+// one of a held target ended.
+func (directory *Directory) endGracePeriods(now time.Time) bool {
+	changed := false
+	for name, lapsed := range directory.lapsed {
+		if directory.outage || lapsed.graceEnded || now.Before(lapsed.deadline) {
+			continue
+		}
+		lapsed.graceEnded = true
+		directory.lapsed[name] = lapsed
+		if directory.Held(name) {
+			directory.composition++
+			changed = true
+		}
+	}
+	return changed
+}
+
 func (directory *Directory) endOutage(now time.Time) {
 	if directory.outage {
 		directory.outage = false
@@ -360,7 +391,7 @@
 	}
 	directory.missing[name] = deadline
 	if target.VM.FabricDomain != "" {
-		directory.lapsed[name] = LapsedTarget{Target: target, Since: now}
+		directory.lapsed[name] = LapsedTarget{Target: target, Since: now, deadline: deadline}
 	}
 	return false
 }
--- a/group/leader_test.go
+++ b/group/leader_test.go
@@ -27,6 +27,9 @@
 	// extraLoadTime is added to the time of a load.
 	extraLoadTime time.Duration
 
+	// streamTime is how long the streams of rank 0 last that an ordered drain waits for.
+	streamTime time.Duration
+
 	// lastModel is the model of the last group since the start.
 	lastModel string
 }
--- a/group/lifecycle.go
+++ b/group/lifecycle.go
@@ -127,7 +127,8 @@
 }
 
 // updateUnlisted records in next which members confirm their assignment without
-// being listed. It reports whether that changed.
+// being listed. It reports whether that changed. It omits rank 0: nodes send requests
+// to it as long as their own list contains it.
 func (leader *Leader) updateUnlisted(next *Placement) bool {
 	changed := false
 	for _, group := range leader.placement.Groups() {
@@ -135,7 +136,7 @@
 			vm, found := leader.members[name]
 			assignment := leader.placement.vms[name]
 			unlisted := found && vm.unlisted && vm.live() && vm.reportsAssignment(group, assignment)
-			if name != "" && unlisted != assignment.Unlisted {
+			if name != "" && assignment.Rank > 0 && unlisted != assignment.Unlisted {
 				next.setUnlisted(name, unlisted)
 				changed = true
 			}
@@ -155,6 +156,9 @@
 		if !found || !vm.live() || vm.report.Incarnation != leader.placement.vms[name].Incarnation {
 			return StateBroken
 		}
+		if vm.unlisted && leader.placement.vms[name].Rank == 0 {
+			return StateBroken
+		}
 		started = started || vm.reportsAssignment(group, leader.placement.vms[name])
 	}
 	if started {
@@ -252,9 +256,10 @@
 		Accelerators:  vm.vm.Accelerators,
 		Live:          vm.live(),
 		Gone:          !vm.listed,
+		Unlisted:      vm.unlisted,
 		Warm:          leader.warm(vm),
 		Spare:         !placed && leader.assignable(now, vm),
-		Incoming:      !placed && vm.live() && !vm.idle(),
+		Incoming:      !placed && vm.live() && !vm.idle() && !vm.unlisted,
 		MissingSince:  vm.missingSince,
 		Straggler:     vm.straggler(median),
 		Leaving:       vm.leaving(),
--- a/group/open.go
+++ b/group/open.go
@@ -70,6 +70,33 @@
 	return !leader.active(compositionOf(vm.report))
 }
 
+// closeAction returns the order that closes the rank 0 of a composition: one that
+// lets the running requests end if all members are still in their places, else one
+// that aborts them, because a request cannot go on without a member.
+func (leader *Leader) closeAction(rank0 *member) engine.Action {
+	if !rank0.unlisted || !leader.intact(rank0.report) {
+		return engine.ActionClose
+	}
+	return engine.ActionDrain
+}
+
+// intact reports whether live VMs report all ranks of the composition of a report.
+func (leader *Leader) intact(report engine.Report) bool {
+	ranks := map[int]bool{}
+	for _, vm := range leader.members {
+		if vm.live() && compositionOf(vm.report) == compositionOf(report) {
+			ranks[vm.report.Rank] = true
+		}
+	}
+	size := 0
+	for _, spec := range leader.groups {
+		if spec.Model == report.Model {
+			size = spec.Size
+		}
+	}
+	return size > 0 && len(ranks) == size
+}
+
 // mustClose reports whether the VM is an open rank 0 whose composition differs
 // from the record or has lost a member.
 func (leader *Leader) mustClose(vm *member, name string) bool {
@@ -110,7 +137,7 @@
 // mayOpen reports whether the VM is a ready rank 0 whose members all reported
 // ready.
 func (leader *Leader) mayOpen(vm *member, group Group, assignment Assignment) bool {
-	if assignment.Rank != 0 || vm.report.State != engine.StateReady || !leader.membersInPlace(group) {
+	if assignment.Rank != 0 || vm.report.State != engine.StateReady || vm.unlisted || !leader.membersInPlace(group) {
 		return false
 	}
 	for _, name := range leader.placement.Members(group.Name) {
--- a/group/open_test.go
+++ b/group/open_test.go
@@ -28,7 +28,11 @@
 }
 
 func newOpenedByOrderDomain(test *testing.T, vms int) *testDomain {
-	domain := newTestDomain(test, vms, openedByOrderFolder())
+	return newFolderDomain(test, vms, openedByOrderFolder())
+}
+
+func newFolderDomain(test *testing.T, vms int, adopted FolderAdopted) *testDomain {
+	domain := newTestDomain(test, vms, adopted)
 	for _, runner := range domain.engines {
 		runner.openedByOrder = true
 	}
@@ -59,9 +63,12 @@
 	switch order.Action {
 	case engine.ActionOpen:
 		report.State = engine.StateOpen
-	case engine.ActionClose, engine.ActionDrain:
+	case engine.ActionClose:
 		report.State = engine.StateDraining
 		runner.readyAt = now.Add(closeTime)
+	case engine.ActionDrain:
+		report.State = engine.StateDraining
+		runner.readyAt = now.Add(closeTime + runner.streamTime)
 	case engine.ActionStage:
 		if runner.extraLoadTime == 0 {
 			report.Staged = []string{order.Model}
@@ -262,6 +269,68 @@
 	domain.send(VMsListed{VMs: domain.list})
 }
 
+// A rank 0 leaves without an announcement and goes on answering its streams and its
+// leader (stops-hups on pragovec-lws, seed 5201: 4 streams lost). Guards against
+// members that join another composition while the streams run, against streams that
+// are cut, and against a group that stays without requests while a spare is free.
+func TestUnlistedRank0KeepsItsMembersWhileItRuns(test *testing.T) {
+	domain := newOpenedByOrderDomain(test, 9)
+	domain.waitFor(20*time.Second, domain.bothServing())
+	rank0 := domain.openVM("large")
+	name, epoch := domain.engines[rank0].report.Group, domain.engines[rank0].report.Epoch
+	members := slices.Clone(domain.leader.Placement().Members(name))
+	domain.engines[rank0].streamTime = 5 * time.Second
+	domain.orders = nil
+	domain.setListed(rank0, kvstore.VMUnlisted)
+	domain.waitFor(2*time.Second, func() bool { return domain.engines[rank0].report.State == engine.StateDraining })
+	require.NotContains(test, domain.leader.Placement().Members(name), rank0, "no repair was decided")
+	domain.runFor(4 * time.Second)
+	require.Equal(test, []engine.Action{engine.ActionDrain}, domain.actions(rank0))
+	require.False(test, domain.leader.vmStatus(domain.now, rank0, 0).Incoming, "an unlisted VM counts as a future spare")
+	for _, member := range members[1:] {
+		require.Equal(test, epoch, domain.engines[member].report.Epoch, "%s joined while its rank 0 runs requests", member)
+	}
+	domain.waitFor(10*time.Second, domain.reopened)
+	require.NotEqual(test, rank0, domain.openVM("large"))
+	require.NotContains(test, domain.actions(rank0), engine.ActionLoad)
+}
+
+// Guards against members that wait for an unlisted rank 0 that has ended while it ran
+// requests.
+func TestMembersOfEndedRank0DoNotWait(test *testing.T) {
+	domain := newOpenedByOrderDomain(test, 9)
+	domain.waitFor(20*time.Second, domain.bothServing())
+	rank0 := domain.openVM("large")
+	domain.engines[rank0].streamTime = time.Hour
+	domain.setListed(rank0, kvstore.VMUnlisted)
+	domain.waitFor(2*time.Second, func() bool { return domain.engines[rank0].report.State == engine.StateDraining })
+	domain.orders = nil
+	domain.unlist(rank0)
+	domain.waitFor(5*time.Second, domain.reopened)
+}
+
+// Guards against a rank 0 that was only cut off from the platform, for which no spare
+// was free, and that is closed or not used again when it is listed again.
+func TestUnlistedRank0WithoutSpareStaysOpen(test *testing.T) {
+	adopted := openedByOrderFolder()
+	adopted.Groups = adopted.Groups[:1]
+	domain := newFolderDomain(test, 4, adopted)
+	domain.waitFor(20*time.Second, func() bool { return domain.openVM("large") != "" })
+	rank0 := domain.openVM("large")
+	name := domain.engines[rank0].report.Group
+	granted := func() bool {
+		return slices.ContainsFunc(domain.grants, func(grant GroupGrant) bool { return grant.Grant.Group == name && grant.Open })
+	}
+	domain.waitFor(5*time.Second, granted)
+	domain.orders = nil
+	domain.setListed(rank0, kvstore.VMUnlisted)
+	domain.waitFor(time.Second, func() bool { return !granted() })
+	domain.runFor(5 * time.Second)
+	require.Equal(test, engine.StateOpen, domain.engines[rank0].report.State)
+	domain.setListed(rank0, kvstore.VMLive)
+	domain.waitFor(time.Second, granted)
+}
+
 // A member cannot reach the platform but answers its leader. Guards against orders
 // that end or move its group, against a record that keeps the mark after the member
 // has returned, and against a mark that survives a new composition, in which the
--- a/group/order.go
+++ b/group/order.go
@@ -124,7 +124,7 @@
 	}
 	desired := desiredOrder{vm: vm, name: name, action: engine.ActionRelease}
 	if leader.mustClose(vm, name) {
-		desired.action = engine.ActionClose
+		desired.action = leader.closeAction(vm)
 		return desired, true
 	}
 	assignment, placed := leader.placement.Assignment(name)
@@ -183,11 +183,12 @@
 
 func (leader *Leader) buildOrder(desired desiredOrder) engine.Order {
 	report := desired.vm.report
-	switch desired.action {
-	case engine.ActionRelease, engine.ActionClose:
-		return engine.Order{Action: desired.action, Group: report.Group, Epoch: report.Epoch, Rank: report.Rank}
-	case engine.ActionStage:
+	switch {
+	case desired.action == engine.ActionStage:
 		return engine.Order{Action: desired.action, Model: desired.group.Model, Version: desired.group.Version}
+	case desired.assignment.Group == "":
+		// The order ends the composition that the VM reports.
+		return engine.Order{Action: desired.action, Group: report.Group, Epoch: report.Epoch, Rank: report.Rank}
 	}
 	order := engine.Order{
 		Action:  desired.action,
--- a/group/plan.go
+++ b/group/plan.go
@@ -53,6 +53,10 @@
 	// Gone is set when the platform has removed the VM from its list.
 	Gone bool
 
+	// Unlisted is set when the VM is not in the platform's list but still reports. As
+	// rank 0 of a group it receives no new requests and may be leaving.
+	Unlisted bool
+
 	// Warm are the models for which the VM joins a group without a load from
 	// the weight store.
 	Warm []string
--- a/group/plan_test.go
+++ b/group/plan_test.go
@@ -61,6 +61,15 @@
 	return input
 }
 
+// unlist returns a change after which a VM reports without being listed.
+func unlist(name string) func(input *PlanInput) {
+	return func(input *PlanInput) {
+		for index := range input.VMs {
+			input.VMs[index].Unlisted = input.VMs[index].Unlisted || input.VMs[index].Name == name
+		}
+	}
+}
+
 // Guards against decisions that the rules of the policy forbid, and against missing
 // ones that they require.
 func TestPlan(test *testing.T) {
@@ -70,11 +79,18 @@
 		planCase
 		want []Decision
 	}{
-		"nothing to do":                    {planCase: planCase{groups: 2, spares: 1}},
-		"missing without spare":            {planCase: planCase{groups: 1, missing: hour}},
-		"paused briefly":                   {planCase: planCase{groups: 1, spares: 1, missing: map[string]time.Duration{"g0-1": 2 * time.Second}}},
-		"unreachable domain":               {planCase: planCase{groups: 2, spares: 1, missing: twoGroups, change: func(input *PlanInput) { input.Unreachable = true }}},
-		"repair":                           {planCase: planCase{groups: 1, spares: 1, missing: hour}, want: []Decision{Repair{Group: "large.fd.0", Rank: 1, VM: "s0", Replaced: "g0-1", Reason: RepairMissing}}},
+		"nothing to do":                 {planCase: planCase{groups: 2, spares: 1}},
+		"missing without spare":         {planCase: planCase{groups: 1, missing: hour}},
+		"paused briefly":                {planCase: planCase{groups: 1, spares: 1, missing: map[string]time.Duration{"g0-1": 2 * time.Second}}},
+		"unreachable domain":            {planCase: planCase{groups: 2, spares: 1, missing: twoGroups, change: func(input *PlanInput) { input.Unreachable = true }}},
+		"repair":                        {planCase: planCase{groups: 1, spares: 1, missing: hour}, want: []Decision{Repair{Group: "large.fd.0", Rank: 1, VM: "s0", Replaced: "g0-1", Reason: RepairMissing}}},
+		"unlisted rank 0":               {planCase: planCase{groups: 1, spares: 1, change: unlist("g0-0")}, want: []Decision{Repair{Group: "large.fd.0", Rank: 0, VM: "s0", Replaced: "g0-0", Reason: RepairMissing}}},
+		"unlisted member":               {planCase: planCase{groups: 1, spares: 1, change: unlist("g0-1")}},
+		"unlisted rank 0 without spare": {planCase: planCase{groups: 1, change: unlist("g0-0")}},
+		"drained with unlisted rank 0": {planCase: planCase{groups: 1, change: func(input *PlanInput) {
+			unlist("g0-0")(input)
+			input.Groups[0].Group.State, input.Groups[0].Drained = StateDraining, true
+		}}, want: []Decision{Vacate{Group: "large.fd.0", VMs: []string{"g0-0"}}}},
 		"dissolve":                         {planCase: planCase{groups: 2, missing: twoGroups}, want: []Decision{Dissolve{Group: "large.fd.1", For: "large.fd.0"}}},
 		"no dissolving after a short wait": {planCase: planCase{groups: 2, missing: map[string]time.Duration{"g0-1": 20 * time.Second, "g1-2": 20 * time.Second}}},
 		"no dissolving while VMs become spares": {planCase: planCase{groups: 2, missing: twoGroups, change: func(input *PlanInput) {
--- a/group/publish.go
+++ b/group/publish.go
@@ -74,14 +74,15 @@
 }
 
 // complete reports whether every member reported its assignment and is ready, and
-// returns the send time of the oldest of these reports.
+// returns the send time of the oldest of these reports. A group whose rank 0 is
+// unlisted is not complete, because the VM may be leaving.
 func (leader *Leader) complete(group Group) (oldest time.Time, complete bool) {
 	for rank, name := range leader.placement.Members(group.Name) {
 		vm, found := leader.members[name]
 		if !found || !vm.live() || !vm.reportsAssignment(group, leader.placement.vms[name]) {
 			return time.Time{}, false
 		}
-		if !leader.serves(vm, group) || rank == 0 && !leader.admits(vm, group) {
+		if !leader.serves(vm, group) || rank == 0 && (vm.unlisted || !leader.admits(vm, group)) {
 			return time.Time{}, false
 		}
 		if rank == 0 || vm.sentAt.Before(oldest) {
--- a/group/regroup.go
+++ b/group/regroup.go
@@ -200,7 +200,7 @@
 func (planner *planner) freeRoom() int {
 	room := 0
 	for _, vm := range planner.input.VMs {
-		if vm.Live && !vm.Gone && !vm.Leaving {
+		if vm.Live && !vm.Gone && !vm.Leaving && !vm.Unlisted {
 			room++
 		}
 	}
--- a/group/repair.go
+++ b/group/repair.go
@@ -7,12 +7,13 @@
 	"lacewingspoke.org/lacewingspoke/folder"
 )
 
-// rankFault returns why the VM at a rank has to be replaced, or 0 if it has not.
+// rankFault returns why the VM at a rank has to be replaced, or 0 if it has not. An
+// unlisted rank 0 counts as missing, because the group receives no requests.
 func (planner *planner) rankFault(status GroupStatus, rank int) RepairReason {
 	name := status.Members[rank]
 	vm, found := planner.vms[name]
 	switch {
-	case name == "" || !found || !vm.Live:
+	case name == "" || !found || !vm.Live || vm.Unlisted && rank == 0:
 		return RepairMissing
 	case vm.Incarnation != status.Incarnations[rank]:
 		return RepairRestarted
--- a/group/stop.go
+++ b/group/stop.go
@@ -33,7 +33,7 @@
 			planner.decide(name, Repair{Group: name, Rank: rank, VM: planner.takeSpare(status.Group.Model), Replaced: member, Reason: reason})
 			continue
 		}
-		if reason == RepairLeaving {
+		if reason == RepairLeaving || planner.vms[member].Unlisted {
 			leavingMembers = append(leavingMembers, member)
 		}
 	}
