Drain the group of a lapsed target that closes its connections

So two responses in succession are needed, of a target whose announcement has expired; the second is requested at the next turn (250 ms) instead of after the interval. The target is then recorded as leaving, as after an answer that says so: its group receives no new requests and is drained, and a spare is not assigned. The translation layer gives the header as engine.Report.Closing.

A target that is wrongly recorded would be out of use until its restart, like any target that has said that it leaves; that needs two of these rare responses in succession while its entry is gone.

--- a/control/drain.go
+++ b/control/drain.go
@@ -73,12 +73,12 @@
 	}
 }
 
-// recordLeaving records that an answer of a target of the feed contained that it leaves.
+// recordLeaving records that the answers of a target of the feed show that it leaves.
 func (state *state) recordLeaving(now time.Time, target, incarnation string) {
 	if state.isDraining(target, incarnation) {
 		return
 	}
-	state.markDraining(now, peer.Leaving{Target: target, Incarnation: incarnation, Author: platformAuthor, Reason: "the target's answers contain that it leaves"}, "")
+	state.markDraining(now, peer.Leaving{Target: target, Incarnation: incarnation, Author: platformAuthor, Reason: "the target's answers show that it leaves"}, "")
 	state.applyTargets(now)
 }
 
--- a/control/feed.go
+++ b/control/feed.go
@@ -152,8 +152,10 @@
 	rechecks     probeRound
 	lapsedProbes probeRound
 
-	// lapsedDecisions holds what was last logged about each lapsed target.
+	// lapsedDecisions holds what was last logged about each lapsed target, and
+	// lapsedClosing those that closed the connection after their last answer.
 	lapsedDecisions map[string]string
+	lapsedClosing   map[string]bool
 
 	// probedAt is when the members of each group were last probed.
 	probedAt map[string]time.Time
@@ -176,6 +178,7 @@
 		ledChecks:    map[string]*probeRound{},
 
 		lapsedDecisions: map[string]string{},
+		lapsedClosing:   map[string]bool{},
 		loads: limit.NewLoadLimiter(limit.LoadLimiterConfig{
 			Window:      limit.WindowConfig{Length: config.LoadWindow, Bound: config.LoadSlack},
 			ReportDelay: loadReportDelay,
--- a/control/feed_test.go
+++ b/control/feed_test.go
@@ -250,6 +250,60 @@
 	require.False(test, serves(state, at))
 }
 
+// A member leaves without an announcement (stops-hups on pragovec-lws, seed 5201): the
+// responses of such a runner contain "Connection: close", and those of a runner that is
+// cut off from the store do not. Guards against a group that receives requests until its
+// member has ended, and against a member that is out of use until its restart because it
+// closed one connection.
+func TestLapsedTargetThatClosesItsConnectionsLeaves(test *testing.T) {
+	now := time.Now()
+	for name, scenario := range map[string]struct {
+		closing []bool
+		leaves  bool
+	}{
+		"closes each":         {[]bool{true, true}, true},
+		"closes one":          {[]bool{true, false, false}, false},
+		"closes now and then": {[]bool{true, false, true, false}, false},
+		"closes later":        {[]bool{false, true, true}, true},
+		"closes none":         {[]bool{false, false}, false},
+	} {
+		for _, target := range []string{"a", "b"} {
+			test.Run(name+" "+target, func(test *testing.T) {
+				state := newTestFeed(test, now)
+				state.handleFeed(now, TargetsChanged{Removed: []string{target}})
+				member := testMember(target, map[string]int{"a": 0, "b": 1}[target])
+				for _, closing := range scenario.closing {
+					report := member.Report
+					report.VM, report.Closing = "", closing
+					state.handleLapsedResult(now, lapsedResult{answers: []probeAnswer{{
+						probedTarget: newProbedTarget(member.VM), responded: true, report: report,
+					}}})
+				}
+				require.Equal(test, scenario.leaves, state.isDraining(target, "1"))
+				require.Equal(test, !scenario.leaves, serves(state, now))
+				require.Contains(test, state.feed.reports, target, "the leader does not see the target while it drains")
+			})
+		}
+	}
+}
+
+// Guards against a second answer that is requested only after the interval: the target
+// may end a second later.
+func TestLapsedTargetThatClosesIsAskedAgainAtOnce(test *testing.T) {
+	now := time.Now()
+	state := newTestFeed(test, now)
+	state.handleFeed(now, TargetsChanged{Removed: []string{"b"}})
+	for _, closing := range []bool{false, true} {
+		state.feed.lapsedProbes = probeRound{running: true, beganAt: now}
+		report := testMember("b", 1).Report
+		report.Closing = closing
+		state.handleLapsedResult(now, lapsedResult{answers: []probeAnswer{{
+			probedTarget: newProbedTarget(testMember("b", 1).VM), responded: true, report: report,
+		}}})
+		require.Equal(test, closing, state.feed.lapsedProbes.due(now, lapsedInterval))
+	}
+}
+
 // noTraffic is traffic without requests.
 type noTraffic struct{ Traffic }
 
--- a/control/lapsed.go
+++ b/control/lapsed.go
@@ -36,6 +36,7 @@
 		}
 	}
 	maps.DeleteFunc(state.feed.lapsedDecisions, func(vm, _ string) bool { return !known[vm] })
+	maps.DeleteFunc(state.feed.lapsedClosing, func(vm string, _ bool) bool { return !known[vm] })
 	state.startRound(now, &state.feed.lapsedProbes, targets, func(answers []probeAnswer) message { return lapsedResult{answers: answers} })
 }
 
@@ -46,6 +47,7 @@
 func (state *state) handleLapsedResult(now time.Time, result lapsedResult) {
 	state.feed.lapsedProbes.running = false
 	state.recordLeavingAnswers(now, result.answers)
+	state.recordClosingAnswers(now, result.answers)
 	changed := false
 	for _, answer := range result.answers {
 		held := answer.responded && answer.report.Group != ""
@@ -68,6 +70,27 @@
 	}
 }
 
+// recordClosingAnswers records as leaving the lapsed targets that closed the connection
+// after two answers in succession: a target that leaves closes each connection, one that
+// only cannot reach the platform does so now and then. The second answer is requested
+// without waiting for the interval, because the group of a target that leaves has to be
+// drained before the target ends.
+func (state *state) recordClosingAnswers(now time.Time, answers []probeAnswer) {
+	for _, answer := range answers {
+		if !answer.responded {
+			continue
+		}
+		again := state.feed.lapsedClosing[answer.vm]
+		state.feed.lapsedClosing[answer.vm] = answer.report.Closing
+		switch {
+		case answer.report.Closing && again:
+			state.recordLeaving(now, answer.vm, answer.incarnation)
+		case answer.report.Closing:
+			state.feed.lapsedProbes.beganAt = time.Time{}
+		}
+	}
+}
+
 // logLapsed logs the first answer of a lapsed target and each change of it.
 func (state *state) logLapsed(answer probeAnswer, held bool) {
 	decision := "removed after its grace period"
@@ -84,5 +107,6 @@
 	}
 	state.feed.lapsedDecisions[answer.vm] = decision
 	state.logger.Info("announcement of target expired", zap.String("target", answer.vm), zap.String("incarnation", answer.incarnation),
-		zap.Bool("responds", answer.responded), zap.String("group", answer.report.Group), zap.Int("rank", answer.report.Rank), zap.String("decision", decision))
+		zap.Bool("responds", answer.responded), zap.String("group", answer.report.Group), zap.Int("rank", answer.report.Rank),
+		zap.Bool("closing", answer.report.Closing), zap.String("decision", decision))
 }
--- a/engine/message.go
+++ b/engine/message.go
@@ -20,7 +20,11 @@
 
 	// Leaving is true if the answer with the report contained that the engine leaves. The
 	// protocol of package engine has no field for it.
-	Leaving   bool  `json:"-"`
+	Leaving bool `json:"-"`
+
+	// Closing is true if the engine closes the connection on which it sent the report. An
+	// engine that leaves closes each connection after a response, others do so now and then.
+	Closing   bool  `json:"-"`
 	AgeMillis int64 `json:"age-ms"`
 
 	// Staged lists the models whose weights are preloaded on the VM's host.
--- a/httpsend/httpsend.go
+++ b/httpsend/httpsend.go
@@ -82,6 +82,9 @@
 	Status int
 	Header http.Header
 	Body   []byte
+
+	// Closes is true if the server closes the connection after the response.
+	Closes bool
 }
 
 // A Client makes calls over persistent connections. It is safe for concurrent
@@ -179,7 +182,7 @@
 	if int64(len(body)) > request.MaxReplyBytes {
 		return Reply{}, errors.QuotaLimitExceededf("reply of more than %d bytes", request.MaxReplyBytes)
 	}
-	return Reply{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+	return Reply{Status: response.StatusCode, Header: response.Header, Body: body, Closes: response.Close}, nil
 }
 
 func newRequest(ctx context.Context, request Request, used *callConns) (*http.Request, error) {
