A new leader ends no group before it knows the group's members

Nothing kept a new leader from this: it collects reports before it changes the placement, but sent orders at once, and a target whose announcement expired before its term was not in its directory.

A new leader now gives no order that closes a composition or takes a VM out of one until it has collected the reports (0.4 s); VMs without a group join, and ready groups open, without a wait. It holds each lapsed rank 0 of the domain with its last known report until it has asked it, and asks at once. Other lapsed members are not held before they have answered, since requests could be sent to a group with a lost member. Lapsed targets are also asked at once after an order to one of them: the old report stood for up to 0.5 s, and the order was repeated up to three times.

--- a/control/feed.go
+++ b/control/feed.go
@@ -157,6 +157,10 @@
 	lapsedDecisions map[string]string
 	lapsedClosing   map[string]bool
 
+	// newlyLed holds the fabric domains that this node has begun to lead and whose lapsed
+	// targets it has not held yet.
+	newlyLed []string
+
 	// probedAt is when the members of each group were last probed.
 	probedAt map[string]time.Time
 
--- a/control/feed_test.go
+++ b/control/feed_test.go
@@ -250,6 +250,45 @@
 	require.False(test, serves(state, at))
 }
 
+// Guards against a new leader that does not see a rank 0 whose announcement expired before
+// its term until it has asked it, and against one that is never asked or stays.
+func TestNewLeaderSeesLapsedRank0(test *testing.T) {
+	now := time.Now()
+	state := newTestFeed(test, now)
+	state.handleFeed(now, TargetsChanged{Removed: []string{"a", "b"}})
+	at := now.Add(testLapseGrace)
+	state.expireTargets(at)
+	require.Empty(test, state.vms)
+	state.feed.lapsedProbes.beganAt = at
+	state.beginTerm(at, "d0")
+	state.handleFleet(at, fleet.Tick{})
+	require.Equal(test, kvstore.VMUnlisted, state.vms["a"].State)
+	require.NotContains(test, state.vms, "b", "a member that was not asked may be lost")
+	require.False(test, serves(state, at))
+	require.True(test, state.feed.lapsedProbes.running, "the target is asked only after the interval")
+	state.handleLapsedResult(at, lapsedResult{answers: []probeAnswer{{probedTarget: newProbedTarget(testMember("a", 0).VM)}}})
+	require.NotContains(test, state.vms, "a")
+}
+
+// Guards against orders that are repeated until a lapsed target is asked after the interval
+// (four drain orders to one rank 0 within 0.7 s).
+func TestLapsedTargetIsAskedAfterAnOrder(test *testing.T) {
+	now := time.Now()
+	state := newTestFeed(test, now)
+	state.handleFeed(now, TargetsChanged{Removed: []string{"a"}})
+	state.beginTerm(now, "d0")
+	state.feed.newlyLed = nil
+	state.handleLapsedResult(now, lapsedResult{answers: []probeAnswer{{
+		probedTarget: newProbedTarget(testMember("a", 0).VM), responded: true, report: testMember("a", 0).Report,
+	}}})
+	state.feed.lapsedProbes.beganAt = now
+	for target, asked := range map[string]bool{"b": false, "a": true} {
+		state.handleGroupResult(now, groupResult{orderCount: orderCount{vm: target, incarnation: "1"}})
+		require.Equal(test, asked, state.feed.lapsedProbes.running, target)
+		state.feed.lapsedProbes = probeRound{beganAt: now}
+	}
+}
+
 // A member leaves without an announcement (stops-hups on pragovec-lws, seed 5201): the
 // responses of such a runner contain "Connection: close", and those of a runner that is
 // cut off from the store do not. Guards against a group that receives requests until its
--- a/control/lapsed.go
+++ b/control/lapsed.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -70,6 +71,37 @@
 	}
 }
 
+// holdUnasked holds each rank 0 whose announcement has expired in a fabric domain that
+// this node begins to lead, until this node has asked it. It may run requests, which end
+// if its members leave.
+func (state *state) holdUnasked(now time.Time) {
+	if len(state.feed.newlyLed) == 0 {
+		return
+	}
+	domains := state.feed.newlyLed
+	state.feed.newlyLed = nil
+	changed := false
+	for _, lapsed := range state.feed.directory.Lapsed() {
+		if slices.Contains(domains, lapsed.VM.FabricDomain) && lapsed.Report.Group != "" && lapsed.Report.Rank == 0 {
+			changed = state.feed.directory.Hold(lapsed.VM.Name, lapsed.Report, now.Add(lapsedHold)) || changed
+		}
+	}
+	if changed {
+		state.applyTargets(now)
+	}
+	state.feed.lapsedProbes.beganAt = time.Time{}
+	state.askLapsed(now)
+}
+
+// askAfterOrder asks the lapsed targets at once after an order to one of them, because
+// the leader repeats the order until a report shows its effect.
+func (state *state) askAfterOrder(now time.Time, vm string) {
+	if state.feed.directory.Held(vm) {
+		state.feed.lapsedProbes.beganAt = time.Time{}
+		state.askLapsed(now)
+	}
+}
+
 // recordClosingAnswers records as leaving the lapsed targets that closed the connection
 // after two answers in succession: a target that leaves closes each connection, one that
 // only cannot reach the platform does so now and then. The second answer is requested
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -63,6 +63,7 @@
 		cancel: cancel,
 	}
 	state.leaderships[name] = leadership
+	state.feed.newlyLed = append(state.feed.newlyLed, name)
 	state.metrics.ledDomains.Set(float64(len(state.leaderships)))
 	if state.configuration.folder != nil {
 		state.handleGroup(now, leadership, state.folderEvent())
@@ -124,6 +125,7 @@
 	if result.orderCount.leaving {
 		state.recordLeaving(now, result.orderCount.vm, result.orderCount.incarnation)
 	}
+	state.askAfterOrder(now, result.orderCount.vm)
 	leadership, found := state.leaderships[result.domain]
 	if !found || leadership.term != result.term {
 		return
--- a/control/membership.go
+++ b/control/membership.go
@@ -23,6 +23,7 @@
 	if changesNodes(event) {
 		state.setNodes(now)
 	}
+	state.holdUnasked(now)
 }
 
 // changesNodes reports whether an event may add or remove nodes. Requests go through a new
--- a/group/open_test.go
+++ b/group/open_test.go
@@ -295,6 +295,38 @@
 	require.NotContains(test, domain.actions(rank0), engine.ActionLoad)
 }
 
+// A new leader does not know each member at once: one whose announcement has expired is
+// in its list only after it has been asked (stops-hups on bradescu-punti, seed 5201, LOST
+// 1: releases 200 ms before rank 0 was asked). Guards against a new leader that closes a
+// group or has its members leave meanwhile.
+func TestNewLeaderEndsNoGroupOfAMemberThatItDoesNotKnowYet(test *testing.T) {
+	for rank, state := range map[int]engine.State{0: engine.StateOpen, 2: engine.StateOpen, 3: engine.StateDraining} {
+		domain := newOpenedByOrderDomain(test, 9)
+		domain.waitFor(20*time.Second, domain.bothServing())
+		domain.runFor(time.Second)
+		rank0 := domain.openVM("large")
+		late := domain.leader.Placement().Members(domain.engines[rank0].report.Group)[rank%3]
+		if state == engine.StateDraining {
+			// The previous leader has decided to repair rank 0, which still runs requests.
+			domain.engines[rank0].streamTime = 5 * time.Second
+			domain.setListed(rank0, kvstore.VMUnlisted)
+			domain.waitFor(2*time.Second, func() bool { return domain.engines[rank0].report.State == engine.StateDraining })
+		}
+		domain.orders = nil
+		complete := domain.list
+		domain.list = slices.DeleteFunc(slices.Clone(complete), func(vm kvstore.VM) bool { return vm.Name == late })
+		domain.replaceLeader(openedByOrderFolder())
+		domain.runFor(300 * time.Millisecond)
+		domain.list = complete
+		domain.send(VMsListed{VMs: domain.list})
+		domain.runFor(2 * time.Second)
+		for _, order := range domain.orders {
+			require.Contains(test, []engine.Action{engine.ActionStage, engine.ActionDrain}, order.Order.Action, "rank %d: an order to %s", rank, order.VM)
+		}
+		require.Equal(test, state, domain.engines[rank0].report.State)
+	}
+}
+
 // Guards against members that wait for an unlisted rank 0 that has ended while it ran
 // requests.
 func TestMembersOfEndedRank0DoNotWait(test *testing.T) {
--- a/group/order.go
+++ b/group/order.go
@@ -95,7 +95,7 @@
 	var effects []Effect
 	for _, name := range leader.memberNames() {
 		desired, found := leader.desiredOrderFor(now, name)
-		if !found {
+		if !found || now.Before(leader.collectUntil) && leader.endsComposition(desired) {
 			continue
 		}
 		class := leader.orderClass(desired)
@@ -107,6 +107,24 @@
 	return effects
 }
 
+// endsComposition reports whether an order closes the composition that a VM reports or
+// makes the VM leave it. A new leader gives no such order before it has collected the
+// reports: the members that it does not know yet may be in their places, and rank 0 may
+// run requests.
+func (leader *Leader) endsComposition(desired desiredOrder) bool {
+	if desired.vm.report.Group == "" || !leader.strictestClass().OpenedByOrder {
+		return false
+	}
+	switch desired.action {
+	case engine.ActionLoad:
+		return true
+	case engine.ActionRelease, engine.ActionClose, engine.ActionDrain:
+		return desired.assignment.Group == ""
+	default:
+		return false
+	}
+}
+
 // orderClass returns the target class whose rules apply to an order.
 func (leader *Leader) orderClass(desired desiredOrder) folder.TargetClass {
 	if desired.group.Spec == "" {
