Let a group that is given another composition end its streams

Where the policy dissolves a complete group or frees one of its members for a group of another model, rank 0 was closed with "cut": callers saw streams end that could have gone on, since all members were in their places. Nodes that had not received the record yet also sent requests to the closed rank 0, which refused them and used up an attempt of each.

Orders of the leader, checked in turn: - Dissolve of a complete group (dissolveServing), RepairReassigned: "cut". - Dissolve and repair of a group with a lost, departed or restarted member: "cut", and rightly so, since no request can go on without the member. - Surplus, stragglers, version, leaving members: Drain, close with "wait" after the spread time.

Now rank 0 is closed with "wait", after the spread time, whenever live VMs report all ranks of its composition, and with "cut", at once, if not. The wait ends with the last request, at the latest at its deadline, which the runner enforces also for a caller that reads slowly.

The cost: the group that is completed by members of another one waits for the other one's streams, at least 0.3 s and at most the longest route timeout; regroup makes no other decision meanwhile. A member that is lost during the wait does not turn "wait" into "cut"; rank 0 then gives the group up after its own stall bound.

TestLeaderThatWakesClosesNoGroup now rejects both kinds of close orders.

--- a/group/member.go
+++ b/group/member.go
@@ -69,6 +69,10 @@
 	order  pendingOrder
 	permit loadPermit
 
+	// closeNoted is when every node has received the record according to which this rank 0
+	// closes after its running requests. It is zero while it need not close.
+	closeNoted time.Time
+
 	// staging is the model that the engine was ordered to stage at stagedAt.
 	staging  string
 	stagedAt time.Time
--- a/group/open.go
+++ b/group/open.go
@@ -74,10 +74,19 @@
 // lets the running requests end if all members are still in their places, else one
 // that aborts them, because a request cannot go on without a member.
 func (leader *Leader) closeAction(rank0 *member) engine.Action {
-	if !rank0.unlisted || !leader.intact(rank0.report) {
-		return engine.ActionClose
+	if leader.intact(rank0.report) {
+		return engine.ActionDrain
 	}
-	return engine.ActionDrain
+	return engine.ActionClose
+}
+
+// notedByNodes reports whether every node has received the record according to which rank
+// 0 closes, and sends it no new request, which it would refuse.
+func (leader *Leader) notedByNodes(now time.Time, rank0 *member) bool {
+	if rank0.closeNoted.IsZero() {
+		rank0.closeNoted = now.Add(leader.policy.SpreadTime)
+	}
+	return !now.Before(rank0.closeNoted)
 }
 
 // intact reports whether live VMs report all ranks of the composition of a report.
--- a/group/open_test.go
+++ b/group/open_test.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -295,6 +296,62 @@
 	require.NotContains(test, domain.actions(rank0), engine.ActionLoad)
 }
 
+// Guards against streams that are cut because the policy gives a complete group another
+// composition, against new requests that are refused because rank 0 closes before the
+// nodes have the record, and against an order that waits for streams which cannot go on
+// because a member is lost.
+func TestClosedGroupEndsItsStreamsIfItsMembersAreInPlace(test *testing.T) {
+	for name, decide := range map[string]func(members []string) Decision{
+		"dissolved": func([]string) Decision { return Dissolve{Group: "small.fd.0"} },
+		"member reassigned": func(members []string) Decision {
+			return Repair{Group: "small.fd.0", Rank: 2, VM: "spare", Replaced: members[2], Reason: RepairReassigned}
+		},
+		"rank 0 reassigned": func(members []string) Decision {
+			return Repair{Group: "small.fd.0", Rank: 0, VM: "spare", Replaced: members[0], Reason: RepairReassigned}
+		},
+	} {
+		for lost, action := range map[bool]engine.Action{false: engine.ActionDrain, true: engine.ActionClose} {
+			test.Run(fmt.Sprint(name, " lost:", lost), func(test *testing.T) {
+				domain := newOpenedByOrderDomain(test, 9)
+				domain.waitFor(20*time.Second, domain.bothServing())
+				domain.runFor(5 * time.Second)
+				rank0 := domain.openVM("small")
+				members := slices.Clone(domain.leader.Placement().Members("small.fd.0"))
+				domain.engines[rank0].streamTime = 3 * time.Second
+				domain.orders = nil
+				var decidedAt time.Time
+				domain.leader.config.Planner = func(input PlanInput) []Decision {
+					if !decidedAt.IsZero() || lost && domain.leader.members[members[1]].live() {
+						return nil
+					}
+					decidedAt = input.Now
+					decision := decide(members)
+					if repair, is := decision.(Repair); is {
+						index := slices.IndexFunc(input.VMs, func(vm VMStatus) bool { return vm.Spare })
+						repair.VM = input.VMs[index].Name
+						decision = repair
+					}
+					return []Decision{decision}
+				}
+				if lost {
+					domain.unlist(members[1])
+				}
+				domain.waitFor(3*time.Second, func() bool { return len(domain.actions(rank0)) > 0 })
+				require.Equal(test, action, domain.actions(rank0)[0])
+				if lost {
+					require.Less(test, domain.now.Sub(decidedAt), openedByOrderFolder().Policy.SpreadTime)
+					return
+				}
+				require.GreaterOrEqual(test, domain.now.Sub(decidedAt), openedByOrderFolder().Policy.SpreadTime, "nodes send requests to a closing rank 0")
+				domain.runFor(2 * time.Second)
+				require.Equal(test, engine.StateDraining, domain.engines[rank0].report.State)
+				require.Len(test, domain.actions(rank0), 1)
+				domain.waitFor(5*time.Second, func() bool { return len(domain.actions(rank0)) > 1 })
+			})
+		}
+	}
+}
+
 // A new leader does not know each member at once: one whose announcement has expired is
 // in its list only after it has been asked (stops-hups on bradescu-punti, seed 5201, LOST
 // 1: releases 200 ms before rank 0 was asked). Guards against a new leader that closes a
@@ -417,6 +474,7 @@
 			domain.runFor(2 * time.Second)
 			for _, order := range domain.orders {
 				require.NotEqual(test, engine.ActionClose, order.Order.Action, "after %v", freeze)
+				require.NotEqual(test, engine.ActionDrain, order.Order.Action, "after %v", freeze)
 			}
 			require.True(test, domain.bothServing()())
 		}
--- a/group/order.go
+++ b/group/order.go
@@ -143,8 +143,9 @@
 	desired := desiredOrder{vm: vm, name: name, action: engine.ActionRelease}
 	if leader.mustClose(vm, name) {
 		desired.action = leader.closeAction(vm)
-		return desired, true
+		return desired, desired.action == engine.ActionClose || leader.notedByNodes(now, vm)
 	}
+	vm.closeNoted = time.Time{}
 	assignment, placed := leader.placement.Assignment(name)
 	if !placed {
 		if leader.mayStage(now, vm) {
