Give drained groups only spares that have the weights

A drained group took any spare in place of its leaving member, also one that had to load the weights from the store. The repair of a group with a missing member has long taken spares with the weights only, because the other members can serve in another group meanwhile; since lapsed targets that leave have their groups drained, more groups go the other way.

The same rule now holds for drained groups and for stragglers. Without such a spare the leaving member is vacated, and the group waits like any incomplete one: a spare is staged, or the members complete another group.

--- a/group/plan.go
+++ b/group/plan.go
@@ -208,12 +208,6 @@
 	return count
 }
 
-func (planner *planner) takeSpare(model string) string {
-	name := planner.spareVMs(model)[0]
-	planner.useSpare(name)
-	return name
-}
-
 // spareVMs returns the spares in the order in which a group of the model takes
 // them: first those that are warm for this model alone, then those that are warm
 // for it and others, then those that are warm for none, whose use displaces no
--- a/group/regroup_test.go
+++ b/group/regroup_test.go
@@ -128,6 +128,31 @@
 	}, Plan(input), "the large group lacks a VM")
 }
 
+// Drained groups waited up to 14 s for the load of a spare (stops-hups on pragovec-lws),
+// while their other members stood idle. Guards against a drained group that takes a spare
+// without weights, and against a straggler that is drained for one.
+func TestDrainedGroupTakesWarmSparesOnly(test *testing.T) {
+	for name, scenario := range map[string]struct {
+		warm []string
+		want []Decision
+	}{
+		"without weights":  {nil, []Decision{Vacate{Group: "large.fd.0", VMs: []string{"large-1"}}}},
+		"of another model": {[]string{"small"}, []Decision{Vacate{Group: "large.fd.0", VMs: []string{"large-1"}}}},
+		"of the model":     {[]string{"large"}, []Decision{Repair{Group: "large.fd.0", Rank: 1, VM: "s1", Replaced: "large-1", Reason: RepairLeaving}}},
+	} {
+		test.Run(name, func(test *testing.T) {
+			input := fillCase{spares: []string{"s0", "s1"}, warm: map[string][]string{"s1": scenario.warm}, ready: map[string]int{"large": 1, "small": 1}}.input()
+			input.VMs[1].Leaving = true
+			input.Groups[0].Group.State, input.Groups[0].Drained = StateDraining, true
+			require.Equal(test, scenario.want, Plan(input))
+			input.VMs[1].Leaving, input.VMs[1].Straggler = false, true
+			input.Groups[0].Group.State, input.Groups[0].Drained = StateReady, false
+			drains := slices.ContainsFunc(Plan(input), func(decision Decision) bool { return decision == Drain{Group: "large.fd.0", Reason: DrainStraggler} })
+			require.Equal(test, slices.Contains(scenario.warm, "large"), drains)
+		})
+	}
+}
+
 // Guards against models that are not served although the domain has VMs for them.
 // Replays a day of failures at the users' sites: members are lost one after the
 // other, and the VMs that replace them do not load in time. After the second loss
--- a/group/stop.go
+++ b/group/stop.go
@@ -20,7 +20,9 @@
 	}
 }
 
-// renew gives a drained group a new composition without its unfit members.
+// renew gives a drained group a new composition without its unfit members. Like the
+// repair, it takes no spare that has to load the weights first when groups are formed by
+// share: the other members can complete another group meanwhile.
 func (planner *planner) renew(status GroupStatus) {
 	var leavingMembers []string
 	name := status.Group.Name
@@ -29,8 +31,9 @@
 		if reason == 0 {
 			continue
 		}
-		if len(planner.spares) > 0 {
-			planner.decide(name, Repair{Group: name, Rank: rank, VM: planner.takeSpare(status.Group.Model), Replaced: member, Reason: reason})
+		if spares := planner.candidates(status.Group.Model); len(spares) > 0 {
+			planner.useSpare(spares[0])
+			planner.decide(name, Repair{Group: name, Rank: rank, VM: spares[0], Replaced: member, Reason: reason})
 			continue
 		}
 		if reason == RepairLeaving || planner.vms[member].Unlisted {
@@ -182,11 +185,13 @@
 	return true
 }
 
-// replaceStragglers drains groups with a straggler as long as there are spares.
+// replaceStragglers drains groups with a straggler as long as there are spares that may
+// join them.
 func (planner *planner) replaceStragglers() {
 	for _, status := range planner.input.Groups {
-		if len(planner.spares) == 0 {
-			return
+		spares := planner.candidates(status.Group.Model)
+		if len(spares) == 0 {
+			continue
 		}
 		if !planner.hasMember(status, func(vm VMStatus) bool { return vm.Straggler }) {
 			continue
@@ -194,7 +199,7 @@
 		if !planner.mayStop(planner.demand(status.Group.Spec)) {
 			continue
 		}
-		planner.takeSpare(status.Group.Model)
+		planner.useSpare(spares[0])
 		planner.decide(status.Group.Name, Drain{Group: status.Group.Name, Reason: DrainStraggler})
 	}
 }
