Let the spare join while a group with a leaving member ends its streams

Since close orders let the running requests end, the drained state is not needed for that.

If there are spares with the weights for all leaving members, the leader now gives the group its next composition at once: the spares join it, nodes send no new requests, rank 0 is closed with "wait" after the spread time, and the other members join when it is closed. Without such spares the group is drained as before; so are groups that are not opened by order.

--- a/group/regroup_test.go
+++ b/group/regroup_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lacewingspoke.org/lacewingspoke/engine"
+	"lacewingspoke.org/lacewingspoke/kvstore"
 )
 
 // A fillCase describes a domain with one large group of 4 VMs and one small group
@@ -153,6 +154,31 @@
 	}
 }
 
+// In a release of all runners, each drained group began to take in a spare only after its
+// last stream (1.6 s for a spare that has the weights on its host). Guards against such a
+// wait, and against members that join while rank 0 runs requests.
+func TestSpareJoinsWhileStreamsEnd(test *testing.T) {
+	for rank := range 3 {
+		domain := newOpenedByOrderDomain(test, 9)
+		domain.waitFor(20*time.Second, domain.bothServing())
+		domain.runFor(5 * time.Second)
+		rank0 := domain.openVM("small")
+		domain.engines[rank0].streamTime = 3 * time.Second
+		members := slices.Clone(domain.leader.Placement().Members("small.fd.0"))
+		domain.orders = nil
+		domain.setListed(members[rank], kvstore.VMLeaving)
+		joined := func() bool {
+			return slices.ContainsFunc(domain.orders, func(order SendOrder) bool { return order.Order.Action == engine.ActionLoad })
+		}
+		domain.waitFor(2*time.Second, joined)
+		require.Equal(test, engine.StateOpen, domain.engines[rank0].report.State, "the spare joins after rank 0 was closed")
+		domain.waitFor(time.Second, func() bool { return domain.engines[rank0].report.State == engine.StateDraining })
+		require.Equal(test, []engine.Action{engine.ActionDrain}, domain.actions(rank0))
+		domain.waitFor(10*time.Second, domain.reopened)
+		require.NotContains(test, domain.leader.Placement().Members("small.fd.0"), members[rank])
+	}
+}
+
 // Guards against models that are not served although the domain has VMs for them.
 // Replays a day of failures at the users' sites: members are lost one after the
 // other, and the VMs that replace them do not load in time. After the second loss
--- a/group/stop.go
+++ b/group/stop.go
@@ -204,20 +204,42 @@
 	}
 }
 
-// stopLeaving drains the groups with a leaving member, without regard to Keep.
-// Every node already sends such a group no new requests, so that waiting would only
-// delay its repair.
+// stopLeaving replaces the leaving members of groups or, without spares, drains the
+// groups, without regard to Keep. Nodes send such a group no new requests, so that waiting
+// would only delay its repair.
 func (planner *planner) stopLeaving() {
 	for _, status := range planner.input.Groups {
 		if planner.changed[status.Group.Name] || status.Group.State != StateReady || !status.Complete {
 			continue
 		}
-		if planner.hasMember(status, isLeaving) {
+		if planner.hasMember(status, isLeaving) && !planner.replaceLeaving(status) {
 			planner.decide(status.Group.Name, Drain{Group: status.Group.Name, Reason: DrainLeaving})
 		}
 	}
 }
 
+// replaceLeaving replaces the leaving members of a group that is opened by order, if there
+// are spares for all of them. The spares join while rank 0 ends its running requests; in a
+// drained group they would begin only then.
+func (planner *planner) replaceLeaving(status GroupStatus) bool {
+	spares := planner.candidates(status.Group.Model)
+	var repairs []Repair
+	for rank, member := range status.Members {
+		if !planner.vms[member].Leaving {
+			continue
+		}
+		if !planner.input.ByShare || len(repairs) == len(spares) {
+			return false
+		}
+		repairs = append(repairs, Repair{Group: status.Group.Name, Rank: rank, VM: spares[len(repairs)], Replaced: member, Reason: RepairLeaving})
+	}
+	for _, repair := range repairs {
+		planner.useSpare(repair.VM)
+		planner.decide(status.Group.Name, repair)
+	}
+	return true
+}
+
 func isLeaving(vm VMStatus) bool { return vm.Leaving }
 
 // stopOutdated drains groups whose model or version differs from the folder's.
