Remove a held target as soon as it has left its group

A held target that answers that it is in no group is now removed at once; if it is listed again, it is a spare, as before.

--- a/control/feed_test.go
+++ b/control/feed_test.go
@@ -289,6 +289,27 @@
 	}
 }
 
+// A held member has left its group by order. Guards against its last report, which stayed
+// for 1.5 s, and the further release orders that it caused.
+func TestHeldTargetThatLeftItsGroupIsRemoved(test *testing.T) {
+	now := time.Now()
+	state := newTestFeed(test, now)
+	state.handleFeed(now, TargetsChanged{Removed: []string{"b"}})
+	report := testMember("b", 1).Report
+	respond := func() {
+		state.handleLapsedResult(now, lapsedResult{answers: []probeAnswer{{
+			probedTarget: newProbedTarget(testMember("b", 1).VM), responded: true, report: report,
+		}}})
+	}
+	respond()
+	require.Contains(test, state.feed.reports, "b")
+	report.Group, report.State = "", engine.StateIdle
+	respond()
+	require.NotContains(test, state.feed.reports, "b")
+	state.handleFeed(now, TargetsChanged{Put: []directory.Target{testMember("b", 1)}})
+	require.Contains(test, state.feed.reports, "b", "the target is not used again after it is listed again")
+}
+
 // A member leaves without an announcement (stops-hups on pragovec-lws, seed 5201): the
 // responses of such a runner contain "Connection: close", and those of a runner that is
 // cut off from the store do not. Guards against a group that receives requests until its
--- a/control/lapsed.go
+++ b/control/lapsed.go
@@ -42,7 +42,7 @@
 }
 
 // handleLapsedResult holds the members of groups that responded and drops the
-// targets that did not. A held rank 0 may be leaving and receives no new requests
+// targets that did not and the held ones that have left their groups. A held rank 0 may be leaving and receives no new requests
 // after its grace period, but the leader has to see it as long as it runs earlier
 // ones: the other members must not leave before.
 func (state *state) handleLapsedResult(now time.Time, result lapsedResult) {
@@ -52,6 +52,7 @@
 	changed := false
 	for _, answer := range result.answers {
 		held := answer.responded && answer.report.Group != ""
+		dropped := !answer.responded || !held && state.feed.directory.Held(answer.vm)
 		if answer.byOthers {
 			state.detach(now, answer.domain, []string{answer.vm})
 			continue
@@ -61,10 +62,10 @@
 			report.VM, report.Incarnation = answer.vm, answer.incarnation
 			report.Sequence, report.Running, report.Queued, report.FreeCache = 0, 0, 0, 0
 			changed = state.feed.directory.Hold(answer.vm, report, now.Add(lapsedHold)) || changed
-		} else if !answer.responded {
+		} else if dropped {
 			changed = state.feed.directory.Drop(now, answer.vm) || changed
 		}
-		state.logLapsed(answer, held)
+		state.logLapsed(answer, held, dropped)
 	}
 	if changed {
 		state.applyTargets(now)
@@ -124,14 +125,14 @@
 }
 
 // logLapsed logs the first answer of a lapsed target and each change of it.
-func (state *state) logLapsed(answer probeAnswer, held bool) {
+func (state *state) logLapsed(answer probeAnswer, held, dropped bool) {
 	decision := "removed after its grace period"
 	switch {
 	case held && answer.report.Rank == 0:
 		decision = "kept in its group without new requests after its grace period"
 	case held:
 		decision = "kept in its group"
-	case !answer.responded:
+	case dropped:
 		decision = "removed"
 	}
 	if state.feed.lapsedDecisions[answer.vm] == decision {
