forward: end no call on the loss of other targets

A call that was silent for 350 ms was given up as soon as its service, or any other service, counted as lost. A service with one to three runners counts as lost when these accept no connections, as at the end of a planned stop, and every service whose last answer came over a kept connection counts as lost with it: sound runners lost their slow requests, which ended with 502 or were sent to a second runner. Now a connection to the call's own target must fail first, and be begun after its last byte. It is tried early enough that calls of a node that is cut off end as soon as before.

TestSlowAnswerOutlastsTheLossOfAnotherService: 502 before, 200 now.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -314,7 +314,7 @@
 		liveNodes:   1,
 		closures:    route.NewClosures(),
 		paths:       route.NewPaths(),
-		direct:      &directCalls{calls: map[*directCall]bool{}},
+		direct:      newDirectCalls(),
 		nodes: newNodes(route.PickerConfig{
 			FailureDomain: config.FailureDomain,
 			Source:        rand.NewPCG(config.Seed, config.Seed+2),
@@ -375,8 +375,8 @@
 		case <-ticks.C():
 		}
 		now := server.config.Now()
-		server.startProbes(ctx, now, probed)
-		server.direct.reportSilent(server.paths.Lost, now)
+		server.startProbes(ctx, server.paths.DueProbes(maxProbes, now), probed)
+		server.startProbes(ctx, server.direct.reportSilent(server.paths.Lost, now), probed)
 		for _, stalled := range server.stallDetector.SuspectStalled(now) {
 			server.suspects.Failed(stalled.Name, now)
 			server.recordStalled(stalled)
--- a/forward/send.go
+++ b/forward/send.go
@@ -13,9 +13,20 @@
 	"lacewingspoke.org/lacewingspoke/route"
 )
 
-// silenceBound is the time without a byte after which a call to a target of a lost service
-// counts as silent. Sound targets answer lookups and write events several times as fast.
-const silenceBound = 350 * time.Millisecond
+const (
+	// silenceBound is the time without a byte after which a call to a target of a lost
+	// service counts as silent, if its target accepts no connection either. Silence alone is no
+	// reason: a sound target may need longer for its answer, and the failures for which the
+	// service counts as lost may be those of other targets.
+	silenceBound = 350 * time.Millisecond
+
+	// checkAfter is the time without a byte after which a connection to such a target is
+	// tried. A connection that cannot be established is known by silenceBound.
+	checkAfter = silenceBound - dialTimeout
+
+	// pathCheckInterval is the time for which a failed check of a target holds.
+	pathCheckInterval = time.Second
+)
 
 // errPathLost is the cause of cancelling a call that a target of a lost service does not
 // answer.
@@ -52,22 +63,36 @@
 
 // A directCall is a call to a target over a connection of this node.
 type directCall struct {
-	calls  *directCalls
-	target string
-	silent func()
-	heard  time.Time
+	calls   *directCalls
+	target  string
+	address string
+	silent  func()
+	heard   time.Time
 }
 
 // directCalls are the calls in progress that may be repeated.
 type directCalls struct {
 	mutex sync.Mutex
 	calls map[*directCall]bool
+
+	// checks holds the checks of targets with silent calls.
+	checks map[string]*pathCheck
+}
+
+// A pathCheck is an attempt to establish a connection to a target with silent calls.
+type pathCheck struct {
+	beganAt time.Time
+	failed  bool
+}
+
+func newDirectCalls() *directCalls {
+	return &directCalls{calls: map[*directCall]bool{}, checks: map[string]*pathCheck{}}
 }
 
-// begin adds a call. silent may be nil.
-func (calls *directCalls) begin(target string, silent func(), now time.Time) *directCall {
-	begun := &directCall{calls: calls, target: target, silent: silent, heard: now}
-	if silent != nil {
+// begin adds a call. Its function silent may be nil.
+func (calls *directCalls) begin(to destination, now time.Time) *directCall {
+	begun := &directCall{calls: calls, target: to.id, address: to.address, silent: to.silent, heard: now}
+	if to.silent != nil {
 		calls.mutex.Lock()
 		defer calls.mutex.Unlock()
 		calls.calls[begun] = true
@@ -91,15 +116,47 @@
 	delete(call.calls.calls, call)
 }
 
-// reportSilent reports the calls to lost targets that are silent.
-func (calls *directCalls) reportSilent(lost func(target string) bool, now time.Time) {
+// reportSilent reports the calls to lost targets that are silent and to which no connection
+// could be established since. It returns the targets to which one must be tried first; the
+// caller reports the results with checked.
+func (calls *directCalls) reportSilent(lost func(target string) bool, now time.Time) []route.PathTarget {
 	calls.mutex.Lock()
 	defer calls.mutex.Unlock()
+	for target, check := range calls.checks {
+		if check.failed && now.Sub(check.beganAt) > pathCheckInterval {
+			delete(calls.checks, target)
+		}
+	}
+	var due []route.PathTarget
 	for call := range calls.calls {
-		if now.Sub(call.heard) > silenceBound && lost(call.target) {
+		silence := now.Sub(call.heard)
+		if silence <= checkAfter || !lost(call.target) {
+			continue
+		}
+		check := calls.checks[call.target]
+		switch {
+		case check == nil:
+			calls.checks[call.target] = &pathCheck{beganAt: now}
+			due = append(due, route.PathTarget{ID: call.target, Address: call.address})
+		case check.failed && !check.beganAt.Before(call.heard) && silence > silenceBound:
 			call.silent()
 		}
 	}
+	return due
+}
+
+// checked records whether a target that reportSilent has returned accepted a connection.
+func (calls *directCalls) checked(target string, accepted bool) {
+	calls.mutex.Lock()
+	defer calls.mutex.Unlock()
+	check := calls.checks[target]
+	switch {
+	case check == nil:
+	case accepted:
+		delete(calls.checks, target)
+	default:
+		check.failed = true
+	}
 }
 
 // send sends the request to a target: over a connection of this node, or through another
@@ -119,7 +176,7 @@
 // sendDirectly sends the request over a connection of this node.
 func (attempt *attempt) sendDirectly(ctx context.Context, timeout time.Duration) (*response, error) {
 	server, to := attempt.exchange.server, attempt.to
-	call := server.direct.begin(to.id, to.silent, server.config.Now())
+	call := server.direct.begin(to, server.config.Now())
 	attempt.direct = call
 	response, err := server.client.do(ctx, attempt.exchange.newCall(to), timeout)
 	if err == nil {
@@ -292,10 +349,9 @@
 	accepted bool
 }
 
-// startProbes opens connections to the targets that are due, and sends the results to
-// probed.
-func (server *Server) startProbes(ctx context.Context, now time.Time, probed chan<- probeResult) {
-	for _, target := range server.paths.DueProbes(maxProbes, now) {
+// startProbes opens connections to the targets, and sends the results to probed.
+func (server *Server) startProbes(ctx context.Context, targets []route.PathTarget, probed chan<- probeResult) {
+	for _, target := range targets {
 		go func(ctx context.Context) {
 			result := probeResult{target: target.ID, accepted: server.client.accepts(ctx, target.Address)}
 			select {
@@ -307,6 +363,7 @@
 }
 
 func (server *Server) handleProbe(result probeResult) {
+	server.direct.checked(result.target, result.accepted)
 	if result.accepted {
 		server.answered(result.target, true)
 		return
--- /dev/null
+++ b/forward/silence_test.go
@@ -0,0 +1,66 @@
+package forward_test
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// loseOnce makes the node take its targets for lost: the only runner of the service "once"
+// accepts no connections.
+func (node *node) loseOnce(test testing.TB) {
+	require.Eventually(test, func() bool {
+		require.Equal(test, http.StatusServiceUnavailable, node.request(test, http.MethodPost, "/once/1", "x").status)
+		return node.forward.TargetsLost()
+	}, disconnectTimeout, time.Millisecond)
+}
+
+// Guards against a call at a sound runner that is ended because the runner of another
+// service has left: its own accepts connections and has no substitute.
+func TestSlowAnswerOutlastsTheLossOfAnotherService(test *testing.T) {
+	arrived := make(chan struct{})
+	slow := newTarget(test, "r2", func(conn net.Conn, request *http.Request) bool {
+		// The call is silent for longer than a node waits for a lost target.
+		time.Sleep(400 * time.Millisecond)
+		close(arrived)
+		time.Sleep(600 * time.Millisecond)
+		return answer(conn, request, 200, "Seal: s\r\n", "free")
+	})
+	node := newNode(test, tableFixture{once: []*target{closedTarget(test, "r1")}, idempotent: []*target{slow}})
+	got := make(chan reply, 1)
+	go func() { got <- node.request(test, http.MethodGet, "/idempotent/1", "") }()
+	<-arrived
+	node.loseOnce(test)
+	last := <-got
+	require.Equal(test, 200, last.status, last.body)
+	require.Equal(test, "free", last.body)
+	require.Equal(test, 1, slow.count())
+}
+
+// Guards against a silent call that waits for its deadline although its runner accepts no
+// connections and another one is there.
+func TestSilentCallOfLostServiceIsGivenUp(test *testing.T) {
+	arrived, left := make(chan struct{}, 1), make(chan struct{})
+	cutOff := newTarget(test, "r1", func(net.Conn, *http.Request) bool {
+		arrived <- struct{}{}
+		<-left
+		return false
+	})
+	test.Cleanup(func() { close(left) })
+	closed := closedTarget(test, "r2")
+	node := newNode(test, tableFixture{once: []*target{closed}, idempotent: []*target{cutOff}})
+	node.connect(test, newNode(test, tableFixture{idempotent: []*target{newTarget(test, "r3", answers(200, "Seal: s\r\n", "free"))}}))
+	got := make(chan reply, 1)
+	began := time.Now()
+	go func() { got <- node.request(test, http.MethodGet, "/idempotent/1", "") }()
+	<-arrived
+	cutOff.listener.Close()
+	node.publish(test, tableFixture{once: []*target{closed}, idempotent: []*target{cutOff, closedTarget(test, "r3")}})
+	node.loseOnce(test)
+	last := <-got
+	require.Equal(test, "free", last.body)
+	require.Less(test, time.Since(began), 1500*time.Millisecond)
+}
