forward, entry: count no planned leave as the end of a target

A target that has announced that it leaves, or that the table no longer opens, ends by plan, and its last requests break off. Each such end counted as evidence against the requests and prompt parts that were there: after two of them a request was not sent again (502, or an aborted stream, although a sound target was there), and after three its parts could be put in quarantine, which cancels attempts elsewhere that have written for less than five seconds. Rolling releases end many targets within seconds.

--- a/entry/draft_relay.go
+++ b/entry/draft_relay.go
@@ -218,12 +218,16 @@
 var errQuarantined = errors.New("a message of the draft was put in quarantine")
 
 // checkTarget records that an attempt broke off, and if needed finds out whether the
-// engine has ended.
+// engine has ended. The end of a group that takes no new drafts is no evidence against
+// those that were there.
 func (relay *draftRelay) checkTarget(ctx context.Context, tracked *quarantine.Attempt, target route.GroupTarget, err error) {
 	var broken *engine.StreamError
 	if ctx.Err() != nil || !errors.As(err, &broken) || !broken.Sent || broken.Stalled {
 		return
 	}
+	if !relay.server.config.Publisher.Current().GroupOpen(target.Name, target.VM, target.Epoch) {
+		return
+	}
 	if tracked.Broken(relay.server.config.Now()) {
 		relay.server.config.Quarantine.TargetProbed(target.Life(), !httpsend.Accepts(ctx, target.Address))
 	}
--- a/entry/ending_test.go
+++ b/entry/ending_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -15,6 +16,7 @@
 	"lacewingspoke.org/lacewingspoke/engine"
 	"lacewingspoke.org/lacewingspoke/entry"
 	"lacewingspoke.org/lacewingspoke/quarantine"
+	"lacewingspoke.org/lacewingspoke/route"
 )
 
 // newEndingEngine returns an engine that ends as it begins to answer a prompt with the
@@ -126,3 +128,49 @@
 	require.Equal(t, "not-run", refused.outcome())
 	require.Equal(t, http.StatusOK, harness.do(http.MethodGet, "/planks/sound", "", nil).status)
 }
+
+// Guards against engines and runners that leave by plan and count as ended by a request that
+// was there: after two of them it was not sent again, and after three it was in quarantine.
+func TestTargetsThatLeaveAreNoEvidence(t *testing.T) {
+	tracker := quarantine.NewTracker()
+	harness := newHarness(t, func(config *entry.Config) {
+		config.Quarantine = tracker
+		config.TargetWait = 50 * time.Millisecond
+	})
+	const leaving = 3
+	var engines, runners atomic.Int64
+	for index := range leaving + 1 {
+		name, fake := fmt.Sprint("g", index), newFakeEngine(t)
+		fake.emit = func(_ context.Context, request engine.Generate, send func(engine.Piece)) {
+			if engines.Add(1) > leaving {
+				sendPieces(request, request.ResumeIndex, request.MaxTokens, send)
+				sendDone(request, send)
+				return
+			}
+			harness.changeGroup(name, func(target *route.GroupTarget) { target.Open = false })
+			fake.server.Listener.Close()
+			panic(http.ErrAbortHandler)
+		}
+		harness.addGroup(name, fake, longGrant)
+		harness.changeGroup(name, func(target *route.GroupTarget) { target.Grant.ReportedAt = time.Now().Add(longGrant) })
+		var runner *httptest.Server
+		runner = httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+			if runners.Add(1) > leaving {
+				return
+			}
+			address := runner.Listener.Addr().String()
+			harness.change(func() {
+				harness.services = slices.DeleteFunc(slices.Clone(harness.services), func(target route.ServiceTarget) bool { return target.Address == address })
+			})
+			runner.Listener.Close()
+			panic(http.ErrAbortHandler)
+		}))
+		t.Cleanup(runner.Close)
+		harness.addService(runner.Listener.Addr().String())
+	}
+	requireComplete(t, harness.draft("a", 3, true), answerText("a", 3))
+	require.Equal(t, http.StatusOK, harness.do(http.MethodGet, "/planks/1", "", nil).status)
+	require.Empty(t, tracker.TakeEndings())
+	require.EqualValues(t, leaving+1, engines.Load())
+	require.EqualValues(t, leaving+1, runners.Load())
+}
--- a/entry/service.go
+++ b/entry/service.go
@@ -182,7 +182,8 @@
 	switch {
 	case result.Status != 0:
 		tracked.Completed(call.server.config.Now())
-	case mayHaveRun && attemptCtx.Err() == nil && tracked.Broken(call.server.config.Now()):
+	case mayHaveRun && attemptCtx.Err() == nil && call.server.config.Publisher.Current().ServiceOpen(target.ID()) && tracked.Broken(call.server.config.Now()):
+		// The end of a runner that takes no new requests is no evidence against this one.
 		call.server.config.Quarantine.TargetProbed(target.ID(), !httpsend.Accepts(ctx, target.Address))
 	}
 	call.server.metrics.attempts.WithLabelValues("service", decided.String()).Inc()
--- a/forward/ending.go
+++ b/forward/ending.go
@@ -23,7 +23,7 @@
 // outcome of the node that sent the request for it, or asks others.
 func (attempt *attempt) checkTarget(ctx context.Context, evidence *quarantine.Attempt, failure error) {
 	server := attempt.exchange.server
-	if maySent(failure) && ctx.Err() == nil && evidence.Broken(server.config.Now()) {
+	if maySent(failure) && ctx.Err() == nil && !server.leaves(attempt.to) && evidence.Broken(server.config.Now()) {
 		ended := outcomeOf(failure) == relayEnded
 		if attempt.direct != nil {
 			ended = server.hasEnded(ctx, attempt.to.id, attempt.to.address)
@@ -32,6 +32,19 @@
 	}
 }
 
+// leaves reports whether a target takes no new requests any more, by what it or the control
+// thread has announced: its end is then no evidence against the requests that were there.
+func (server *Server) leaves(to destination) bool {
+	if server.closures.Leaving(to.instance) {
+		return true
+	}
+	table := server.config.Publisher.Current()
+	if to.group != "" {
+		return !table.GroupOpen(to.group, to.id, to.epoch)
+	}
+	return !table.ServiceOpen(to.id)
+}
+
 // hasEnded reports whether a target accepts no connections any more, neither from this node
 // nor from others.
 func (server *Server) hasEnded(ctx context.Context, target, address string) bool {
--- a/forward/relay_server.go
+++ b/forward/relay_server.go
@@ -310,8 +310,10 @@
 	if ctx.Err() != nil {
 		return relayBroken
 	}
-	first := relayed.evidence.Broken(server.config.Now())
-	ended := server.hasEnded(ctx, relayed.message.Target, address)
+	message := relayed.message
+	leaves := server.leaves(destination{id: message.Target, instance: relayed.target.instance, group: message.Group, epoch: message.Epoch})
+	first := !leaves && relayed.evidence.Broken(server.config.Now())
+	ended := server.hasEnded(ctx, message.Target, address) && !leaves
 	if first {
 		server.config.Quarantine.TargetProbed(relayed.target.life, ended)
 	}
--- a/route/table.go
+++ b/route/table.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -185,6 +186,17 @@
 // Services returns the runners of a service.
 func (table *Table) Services(service string) []ServiceTarget { return table.services[service] }
 
+// GroupOpen reports whether the group accepts new requests at a VM and epoch.
+func (table *Table) GroupOpen(name, vm string, epoch uint64) bool {
+	target, found := table.Group(name)
+	return found && target.Open && target.VM == vm && target.Epoch == epoch
+}
+
+// ServiceOpen reports whether a runner accepts new requests.
+func (table *Table) ServiceOpen(id string) bool {
+	return slices.ContainsFunc(table.runners, func(target ServiceTarget) bool { return target.ID() == id && target.Open })
+}
+
 // A Publisher provides the latest Table to the goroutines that serve requests.
 type Publisher struct {
 	current atomic.Pointer[Table]
