entry: give up a slow attempt only for another runner

An attempt of a repeatable service request ended after AttemptTimeout (5 s) also when no other runner was there, all others had failed, no retry was left in the budget or it was the last attempt: the answer of a sound runner that needs longer was lost, whatever the deadline. The attempt now ends only when another runner can take the request and its retry has been taken from the budget.

TestSlowRunnerAnswersWhenItCannotBeReplaced: 504 before, 201 now.

--- a/entry/booking_test.go
+++ b/entry/booking_test.go
@@ -255,3 +255,26 @@
 	}
 	require.LessOrEqual(t, silent.runs.Load(), int64(1))
 }
+
+// Guards against an answer that is given up after the attempt timeout although no other
+// runner could take the request, or no retry is left for it.
+func TestSlowRunnerAnswersWhenItCannotBeReplaced(t *testing.T) {
+	const attemptTimeout = 50 * time.Millisecond
+	slow := func(writer http.ResponseWriter, _ *http.Request) {
+		time.Sleep(6 * attemptTimeout)
+		writer.WriteHeader(http.StatusCreated)
+	}
+	for name, runners := range map[string]int{"one runner": 1, "all runners are slow": 3} {
+		t.Run(name, func(t *testing.T) {
+			harness := newHarness(t, func(config *entry.Config) { config.AttemptTimeout = attemptTimeout })
+			for range runners {
+				runner := newFakeService(t)
+				runner.answer = slow
+				harness.addService(runner.address())
+			}
+			for range 2 {
+				require.Equal(t, http.StatusCreated, harness.do(http.MethodGet, "/planks/1", "", nil).status)
+			}
+		})
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -132,9 +132,10 @@
 	// was delivered, default 2 s.
 	TargetWait time.Duration
 
-	// AttemptTimeout bounds one attempt of a service request that may be
-	// repeated, default 5 s. An attempt that must not be repeated is bounded by
-	// the request's deadline only.
+	// AttemptTimeout is the time after which an attempt of a service request that may
+	// be repeated is given up for another runner, default 5 s. An attempt that must not
+	// be repeated, or for which there is no other runner or no retry, is bounded by the
+	// request's deadline only.
 	AttemptTimeout time.Duration
 
 	// StoreTimeout bounds one call of the store, default 1 s.
--- a/entry/service.go
+++ b/entry/service.go
@@ -90,6 +90,11 @@
 	parts     []string
 	admission quarantine.Admission
 
+	// attempts is the number of attempts. replaced is true if the latest one was given up for
+	// another runner; its retry has been taken from the budget then.
+	attempts int
+	replaced bool
+
 	// maySend is called immediately before each attempt and reports whether the
 	// attempt may be sent. Nil allows all attempts.
 	maySend func() bool
@@ -98,7 +103,8 @@
 // run makes the attempts. It returns the result of the last one and the
 // request's outcome.
 func (call *serviceCall) run(ctx context.Context) (service.Result, outcome.Outcome) {
-	for attempts := 0; attempts < call.server.config.MaxAttempts; attempts++ {
+	for call.attempts < call.server.config.MaxAttempts {
+		call.attempts++
 		call.admission = call.server.config.Quarantine.Admit(call.parts, call.server.config.Now())
 		if call.admission.Refused() != "" {
 			refused := outcome.NotRun{Reason: "the request is in quarantine", RetryAfter: quarantine.RetryAfter}
@@ -124,10 +130,7 @@
 		if ctx.Err() != nil || !outcome.MayRetry(call.retryClass, call.result) {
 			return result, call.result
 		}
-		if call.admission.Probe() || !call.server.config.Quarantine.MayRetry(call.parts, call.server.config.Now()) {
-			return result, call.result
-		}
-		if !call.server.mayRetry(call.exchange.workspace.Name) {
+		if !call.replaced && !call.takeRetry() {
 			return result, call.result
 		}
 	}
@@ -158,14 +161,12 @@
 	started := call.server.config.Now()
 	finish := call.server.tracker.Start(target.Address, started)
 	defer func() { finish(call.server.config.Now()) }()
-	attemptCtx := ctx
-	if call.retryClass != outcome.RunOnce {
-		var cancel context.CancelFunc
-		attemptCtx, cancel = context.WithTimeout(ctx, call.server.config.AttemptTimeout)
-		defer cancel()
-	}
-	attemptCtx, cancelAttempt := context.WithCancel(attemptCtx)
+	attemptCtx, cancelAttempt := context.WithCancel(ctx)
 	defer cancelAttempt()
+	watchCtx, endWatch := context.WithCancel(attemptCtx)
+	defer endWatch()
+	replaced := make(chan bool, 1)
+	go call.watchAttempt(watchCtx, target, cancelAttempt, replaced)
 	tracked := call.server.config.Quarantine.Begin(target.ID(), call.parts, call.admission, cancelAttempt)
 	defer tracked.Close()
 	result := call.server.services.Do(attemptCtx, service.Request{
@@ -177,6 +178,8 @@
 		Body:    call.body,
 		Once:    call.retryClass == outcome.RunOnce,
 	})
+	endWatch()
+	call.replaced = <-replaced
 	decided := result.Attempt.Outcome()
 	_, mayHaveRun := decided.(outcome.Unknown)
 	switch {
@@ -192,6 +195,52 @@
 	return result
 }
 
+// takeRetry reports whether the request may be sent to another runner after its latest
+// attempt, and takes the retry from the budget.
+func (call *serviceCall) takeRetry() bool {
+	if call.admission.Probe() || !call.server.config.Quarantine.MayRetry(call.parts, call.server.config.Now()) {
+		return false
+	}
+	return call.server.mayRetry(call.exchange.workspace.Name)
+}
+
+// watchAttempt gives up an attempt that has not ended after the attempt timeout, as soon as
+// another runner can take the request: a slow runner still answers a request that cannot be
+// sent elsewhere. It sends to replaced whether it did so, at the end of the context or before.
+func (call *serviceCall) watchAttempt(ctx context.Context, target route.ServiceTarget, giveUp func(), replaced chan<- bool) {
+	if call.retryClass == outcome.RunOnce || call.attempts >= call.server.config.MaxAttempts {
+		replaced <- false
+		return
+	}
+	ticker := time.NewTicker(call.server.config.AttemptTimeout)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			replaced <- false
+			return
+		case <-ticker.C:
+		}
+		if ctx.Err() == nil && call.hasOther(target) && call.takeRetry() {
+			giveUp()
+			replaced <- true
+			return
+		}
+	}
+}
+
+// hasOther reports whether a runner that is not excluded could take the request instead of
+// the target.
+func (call *serviceCall) hasOther(target route.ServiceTarget) bool {
+	now := call.server.config.Now()
+	for _, other := range call.server.config.Publisher.Current().Services(call.exchange.route.Service) {
+		if other.Open && other.Address != target.Address && !call.excluded[other.Address] && !call.server.suspects.Avoided(other.Address, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // recordResult records a success or a failure of the runner in the suspects. An
 // attempt that failed is not conclusive if the request ended before the attempt
 // timeout: the runner may not have had enough time to answer.
