entry, engine: give up a draft's queue place only for another group

An attempt at a draft ended after FirstPieceTimeout (5 s) without a piece, also when no other group could take it: the draft lost its place in the engine's queue, and after the retry budget or TargetWait it ended with 502, long before its deadline, although the engine would have answered. The wait now goes on unless another usable group is there and the next attempt is allowed.

TestDraftWaitsForItsFirstPieceUnlessItCanMove: no answer before, whole now.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -18,7 +18,7 @@
 //	}
 //
 //	generator := engine.NewGenerator(engine.GeneratorConfig{})
-//	stream, err := generator.Generate(ctx, "10.0.1.7:7000", request)
+//	stream, err := generator.Generate(ctx, "10.0.1.7:7000", request, nil)
 //	defer stream.Close()
 //	for {
 //		piece, err := stream.Next()
--- a/engine/generate.go
+++ b/engine/generate.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,7 +40,8 @@
 	DialTimeout time.Duration
 
 	// FirstPieceTimeout bounds the wait for the first piece, including the time
-	// that the request spends in the engine's queue. The default is 5 s.
+	// that the request spends in the engine's queue, unless the caller of Generate
+	// extends it. The default is 5 s.
 	FirstPieceTimeout time.Duration
 
 	// ProgressTimeout bounds the wait between two pieces. A stream without a
@@ -130,7 +132,7 @@
 	body     io.ReadCloser
 	reader   *bufio.Reader
 	cancel   context.CancelCauseFunc
-	watchdog *time.Timer
+	watchdog *watchdog
 	progress time.Duration
 	ctx      context.Context
 
@@ -139,28 +141,71 @@
 	started bool
 }
 
+// A watchdog cancels a stream without progress.
+type watchdog struct {
+	mutex  sync.Mutex
+	timer  *time.Timer
+	cancel context.CancelCauseFunc
+
+	// mayGiveUp is asked before the stream is cancelled, nil for always. first is the time
+	// after which it is asked again.
+	mayGiveUp func() bool
+	first     time.Duration
+}
+
+func newWatchdog(cancel context.CancelCauseFunc, first time.Duration, mayGiveUp func() bool) *watchdog {
+	started := &watchdog{cancel: cancel, mayGiveUp: mayGiveUp, first: first}
+	started.mutex.Lock()
+	defer started.mutex.Unlock()
+	started.timer = time.AfterFunc(first, started.expire)
+	return started
+}
+
+func (watchdog *watchdog) expire() {
+	watchdog.mutex.Lock()
+	defer watchdog.mutex.Unlock()
+	if watchdog.mayGiveUp != nil && !watchdog.mayGiveUp() {
+		watchdog.timer.Reset(watchdog.first)
+		return
+	}
+	watchdog.cancel(errNoProgress)
+}
+
+// stop stops the watchdog until it is reset. From then on it asks nothing.
+func (watchdog *watchdog) stop() {
+	watchdog.mutex.Lock()
+	defer watchdog.mutex.Unlock()
+	watchdog.mayGiveUp = nil
+	watchdog.timer.Stop()
+}
+
+func (watchdog *watchdog) reset(timeout time.Duration) { watchdog.timer.Reset(timeout) }
+
 // Generate starts a stream at address, which has the form IP:port. Its error is
 // a *RefusedError or a *StreamError. The request's MaxTokens counts all pieces
 // of the answer, including those before ResumeIndex. The stream must be closed
 // with Close.
-func (generator *Generator) Generate(ctx context.Context, address string, request Generate) (*Stream, error) {
+//
+// mayGiveUp is called from another goroutine each time that FirstPieceTimeout has passed
+// without a piece, and reports whether the stream fails then. Nil stands for true.
+func (generator *Generator) Generate(ctx context.Context, address string, request Generate, mayGiveUp func() bool) (*Stream, error) {
 	body, err := json.Marshal(request)
 	if err != nil {
 		return nil, &StreamError{Err: errors.Trace(err)}
 	}
 	sent := &atomic.Bool{}
 	streamCtx, cancel := context.WithCancelCause(context.WithValue(ctx, sentKey{}, sent))
-	watchdog := time.AfterFunc(generator.config.FirstPieceTimeout, func() { cancel(errNoProgress) })
+	watchdog := newWatchdog(cancel, generator.config.FirstPieceTimeout, mayGiveUp)
 	response, err := generator.post(streamCtx, address, "/v1/generate", body)
 	if err != nil {
-		watchdog.Stop()
+		watchdog.stop()
 		broken := streamError(streamCtx, sent.Load(), err)
 		cancel(nil)
 		return nil, broken
 	}
 	if response.StatusCode != http.StatusOK {
 		defer cancel(nil)
-		defer watchdog.Stop()
+		defer watchdog.stop()
 		return nil, refusal(streamCtx, response)
 	}
 	return &Stream{
@@ -225,7 +270,7 @@
 // a slow caller is no delay of the engine.
 func (stream *Stream) Next() (Piece, error) {
 	if stream.started {
-		stream.watchdog.Reset(stream.progress)
+		stream.watchdog.reset(stream.progress)
 	}
 	for {
 		line, err := stream.readLine()
@@ -236,7 +281,7 @@
 		if !isData {
 			continue
 		}
-		stream.watchdog.Stop()
+		stream.watchdog.stop()
 		stream.started = true
 		var piece Piece
 		if err := json.Unmarshal(data, &piece); err != nil {
@@ -277,7 +322,7 @@
 
 // Close ends the stream and closes its connection.
 func (stream *Stream) Close() {
-	stream.watchdog.Stop()
+	stream.watchdog.stop()
 	stream.cancel(nil)
 	stream.body.Close()
 }
--- a/engine/generate_test.go
+++ b/engine/generate_test.go
@@ -39,7 +39,7 @@
 		}
 		_, _ = io.WriteString(writer, ": comment\n\ndata: {\"attempt\":\"a\",\"index\":1,\"text\":\"y\"}\n\ndata: {\"attempt\":\"a\",\"index\":2,\"done\":true}\n\n")
 	})
-	stream, err := engine.NewGenerator(engine.GeneratorConfig{}).Generate(context.Background(), address, want)
+	stream, err := engine.NewGenerator(engine.GeneratorConfig{}).Generate(context.Background(), address, want, nil)
 	require.NoError(t, err)
 	defer stream.Close()
 	piece, err := stream.Next()
@@ -64,7 +64,7 @@
 	config := engine.GeneratorConfig{FirstPieceTimeout: 50 * time.Millisecond, ProgressTimeout: 50 * time.Millisecond}
 	generator := engine.NewGenerator(config)
 	generate := func(address string) error {
-		stream, err := generator.Generate(context.Background(), address, engine.Generate{})
+		stream, err := generator.Generate(context.Background(), address, engine.Generate{}, nil)
 		if err != nil {
 			return err
 		}
--- a/engine/truncation_test.go
+++ b/engine/truncation_test.go
@@ -110,7 +110,7 @@
 
 // generate returns the pieces of a stream and the error that ended it.
 func generate(generator *engine.Generator, address string) ([]engine.Piece, error) {
-	stream, err := generator.Generate(context.Background(), address, engine.Generate{Attempt: "a"})
+	stream, err := generator.Generate(context.Background(), address, engine.Generate{Attempt: "a"}, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/draft_relay.go
+++ b/entry/draft_relay.go
@@ -32,6 +32,10 @@
 	attempts  int
 	result    outcome.Outcome
 
+	// replaced is true if the latest attempt was given up before its first piece for
+	// another group, which mayContinue has allowed then.
+	replaced bool
+
 	// admission is the decision on the parts of the draft for the next attempt.
 	admission quarantine.Admission
 }
@@ -60,6 +64,7 @@
 			return relay.markTimeout(ctx)
 		}
 		relay.attempts++
+		relay.replaced = false
 		delivered := relay.assembler.Next()
 		result, err := relay.attempt(ctx, target)
 		if relay.assembler.Next() > delivered {
@@ -76,7 +81,7 @@
 			return relay.markTimeout(ctx)
 		}
 		relay.excluded[target.Name] = true
-		if !relay.mayContinue(err) {
+		if !relay.replaced && !relay.mayContinue(err) {
 			return relay.result
 		}
 	}
@@ -128,6 +133,27 @@
 	return relay.server.mayRetry(relay.exchange.workspace.Name)
 }
 
+// mayReplace reports whether an attempt without a piece may be given up: it is not the last
+// one, another group can take the draft, and another attempt is allowed. Otherwise a group
+// with a long queue still answers.
+func (relay *draftRelay) mayReplace(target route.GroupTarget) bool {
+	if relay.attempts >= relay.server.config.MaxAttempts {
+		return false
+	}
+	now := relay.server.config.Now()
+	for _, other := range relay.server.config.Publisher.Current().Groups(relay.exchange.route.Group) {
+		if other.Name == target.Name || relay.excluded[other.Name] || !other.Usable(now) || relay.server.suspects.Avoided(other.Name, now) {
+			continue
+		}
+		relay.replaced = relay.mayContinue(errReplaced)
+		return relay.replaced
+	}
+	return false
+}
+
+// errReplaced ends an attempt without a piece for which another group is there.
+var errReplaced = errors.New("no piece within the first timeout, and another group is there")
+
 // mayRetry takes a token from the workspace's retry budget and counts the
 // decision.
 func (server *Server) mayRetry(workspace string) bool {
@@ -194,7 +220,7 @@
 		ResumeText:  relay.assembler.Text(),
 		Priority:    relay.exchange.priority,
 		Sampling:    relay.draft.sampling,
-	})
+	}, func() bool { return relay.mayReplace(target) })
 	if err != nil {
 		relay.checkTarget(attemptCtx, tracked, target, err)
 		return relay.startFailed(attemptCtx, target, attempt, err)
@@ -344,7 +370,7 @@
 		return "deadline"
 	case errors.As(err, &refused):
 		return "refused"
-	case errors.As(err, &broken) && broken.Stalled:
+	case errors.Is(err, errReplaced), errors.As(err, &broken) && broken.Stalled:
 		return "silent"
 	case errors.As(err, &broken) && !broken.Sent:
 		return "not-sent"
--- a/entry/draft_test.go
+++ b/entry/draft_test.go
@@ -476,3 +476,38 @@
 	require.ErrorIs(t, err, syscall.ECONNRESET, "the stream ended as whole: %q", got)
 	require.Contains(t, string(got), "a 1")
 }
+
+// Guards against a draft that is ended because its first piece takes long, although no other
+// group could take it, and against one that waits although another group could.
+func TestDraftWaitsForItsFirstPieceUnlessItCanMove(t *testing.T) {
+	const firstPieceTimeout = 50 * time.Millisecond
+	for _, others := range []int{0, 1} {
+		t.Run(fmt.Sprint("other groups: ", others), func(t *testing.T) {
+			harness := newHarness(t, func(config *entry.Config) {
+				config.Generator.FirstPieceTimeout = firstPieceTimeout
+				config.TargetWait = firstPieceTimeout
+			})
+			slow := newFakeEngine(t)
+			slow.emit = func(ctx context.Context, request engine.Generate, send func(engine.Piece)) {
+				if others > 0 {
+					<-ctx.Done()
+					return
+				}
+				time.Sleep(6 * firstPieceTimeout)
+				sendPieces(request, request.ResumeIndex, request.MaxTokens, send)
+				sendDone(request, send)
+			}
+			harness.addGroup("copy-1", slow, longGrant)
+			names := []string{"copy-1"}
+			if others > 0 {
+				harness.addGroup("copy-2", newFakeEngine(t), longGrant)
+				names = append(names, "copy-2")
+			}
+			harness.keepRenewing(names...)
+			for range 4 {
+				requireComplete(t, harness.draft("a", 3, true), answerText("a", 3))
+			}
+			require.LessOrEqual(t, len(slow.received()), 4)
+		})
+	}
+}
