entry: spend no attempt of a draft in progress on refusals

A draft of which pieces were delivered was reset after eight refusals in a row, which took 40 ms where the table changes every 5 ms, while its deadline was seconds away and the only group was full for a moment. A refusal of such a draft does not count any more: the groups are tried again only after a change of the table, until the deadline.

TestDraftInProgressOutlastsRefusals: reset before, whole now.

--- a/entry/draft_relay.go
+++ b/entry/draft_relay.go
@@ -67,10 +67,16 @@
 		relay.replaced = false
 		delivered := relay.assembler.Next()
 		result, err := relay.attempt(ctx, target)
-		if relay.assembler.Next() > delivered {
+		var refused *engine.RefusedError
+		switch {
+		case relay.assembler.Next() > delivered:
 			// MaxAttempts counts only consecutive attempts without progress. A draft
 			// that progresses too slowly is ended by its deadline.
 			relay.attempts = 0
+		case delivered > 0 && errors.As(err, &refused) && refused.Status != http.StatusBadRequest:
+			// A draft in progress has no other way out than a group that takes it. The
+			// groups are tried again only after a change of the table.
+			relay.attempts--
 		}
 		relay.result = outcome.Combine(relay.result, result)
 		relay.recordResult(ctx, target, err)
--- a/entry/draft_test.go
+++ b/entry/draft_test.go
@@ -511,3 +511,32 @@
 		})
 	}
 }
+
+// Guards against a draft in progress that is cut because its attempts are used up by groups
+// that are full for a moment.
+func TestDraftInProgressOutlastsRefusals(t *testing.T) {
+	const refusals = 20
+	harness := newHarness(t, nil)
+	full := newFakeEngine(t)
+	var refused atomic.Int64
+	serve := full.server.Config.Handler
+	full.server.Config.Handler = http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if strings.HasSuffix(request.URL.Path, "/generate") && len(full.received()) > 0 && refused.Add(1) <= refusals {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		serve.ServeHTTP(writer, request)
+	})
+	full.emit = func(_ context.Context, request engine.Generate, send func(engine.Piece)) {
+		if request.ResumeIndex == 0 {
+			sendPieces(request, 0, 2, send)
+			panic(http.ErrAbortHandler)
+		}
+		sendPieces(request, request.ResumeIndex, request.MaxTokens, send)
+		sendDone(request, send)
+	}
+	harness.addGroup("copy-1", full, longGrant)
+	harness.keepRenewing("copy-1")
+	requireComplete(t, harness.draft("a", 4, true), answerText("a", 4))
+	require.Greater(t, refused.Load(), int64(refusals))
+}
