--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -232,6 +232,9 @@
 	// maxBody is 64 bytes if it is 0.
 	maxBody int64
 
+	// withoutKey is true if the configuration does not have the key of requests.
+	withoutKey bool
+
 	// askReached is the question whether other nodes reach a target, used by newNode only.
 	askReached func(ctx context.Context, address string, targets []string) ([]string, error)
 }
@@ -291,11 +294,15 @@
 			routes = append(routes, routeTo(name, kind))
 		}
 	}
+	keys := []string{"key"}
+	if fixture.withoutKey {
+		keys = []string{"another key"}
+	}
 	current, err := catalog.New(catalog.Config{
 		Version:    generation,
 		Services:   []catalog.Service{{Name: "once"}, {Name: "idempotent"}, {Name: "stream", Engine: &catalog.Engine{Slots: 4}}},
 		Routes:     routes,
-		Workspaces: []catalog.WorkspaceKeys{{Workspace: catalog.Workspace{Name: "one", Priority: -1}, Keys: []string{"key"}}},
+		Workspaces: []catalog.WorkspaceKeys{{Workspace: catalog.Workspace{Name: "one", Priority: -1}, Keys: keys}},
 		Limits:     catalog.Limits{MaxBodyBytes: maxBody},
 	})
 	require.NoError(test, err)
