httpserve: one type for the bounds of requests in a stop

requestContext, BeginStop and EndRequests stood in forward and in entry. The type Requests serves both; the servers keep their methods, which call it. No change of behaviour.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -65,6 +65,7 @@
 
 	"lacewingspoke.org/lacewingspoke/engine"
 	"lacewingspoke.org/lacewingspoke/folder"
+	"lacewingspoke.org/lacewingspoke/httpserve"
 	"lacewingspoke.org/lacewingspoke/kvstore"
 	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/outcome"
@@ -215,11 +216,8 @@
 	gate      *grantGate
 	leases    *claimLeases
 
-	// grace bounds the requests of a stopping node. requests is the context of all
-	// requests, which endRequests ends.
-	grace       limit.Grace
-	requests    context.Context
-	endRequests context.CancelFunc
+	// requests bounds the requests of a stopping node.
+	requests *httpserve.Requests
 
 	stopping atomic.Bool
 	inFlight atomic.Int64
@@ -252,22 +250,20 @@
 	tracker := route.NewTracker()
 	suspects := route.NewSuspects()
 	ctx, cancel := context.WithCancel(context.Background())
-	requests, endRequests := context.WithCancel(context.Background())
 	server := &Server{
-		requests:    requests,
-		endRequests: endRequests,
-		config:      config,
-		metrics:     registered,
-		tracker:     tracker,
-		suspects:    suspects,
-		generator:   engine.NewGenerator(config.Generator),
-		services:    service.New(config.Service),
-		admission:   newAdmission(config),
-		gate:        newGrantGate(config.Publisher, config.Now),
-		leases:      newClaimLeases(config),
-		ctx:         ctx,
-		cancel:      cancel,
-		watchDone:   make(chan struct{}),
+		requests:  httpserve.NewRequests(config.Now),
+		config:    config,
+		metrics:   registered,
+		tracker:   tracker,
+		suspects:  suspects,
+		generator: engine.NewGenerator(config.Generator),
+		services:  service.New(config.Service),
+		admission: newAdmission(config),
+		gate:      newGrantGate(config.Publisher, config.Now),
+		leases:    newClaimLeases(config),
+		ctx:       ctx,
+		cancel:    cancel,
+		watchDone: make(chan struct{}),
 		picker: route.NewPicker(route.PickerConfig{
 			FailureDomain: config.FailureDomain,
 			Source:        rand.NewPCG(config.Seed, config.Seed),
@@ -318,12 +314,10 @@
 // BeginStop begins a planned stop at whose end, after the time left, all requests must have
 // ended. From then on the server refuses, as not run, requests that may run only once and
 // may last longer.
-func (server *Server) BeginStop(left time.Duration) {
-	server.grace.Begin(server.config.Now().Add(left))
-}
+func (server *Server) BeginStop(left time.Duration) { server.requests.BeginStop(left) }
 
 // EndRequests ends the requests in progress. Each gets its last answer.
-func (server *Server) EndRequests() { server.endRequests() }
+func (server *Server) EndRequests() { server.requests.End() }
 
 // Stop makes the server refuse new requests with the outcome not-run. Requests
 // accepted before, including queued ones, are still served.
@@ -340,7 +334,7 @@
 // Close stops the server's goroutines and waits for them. Call it after the
 // last request has been answered.
 func (server *Server) Close() {
-	server.endRequests()
+	server.requests.End()
 	server.cancel()
 	<-server.watchDone
 	server.background.Wait()
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
@@ -197,7 +196,7 @@
 // the kind of its route. The body is read after admission, so that the capacity
 // bounds the memory used by bodies.
 func (exchange *exchange) admitAndServe(table *route.Table) {
-	ctx, cancel := exchange.server.requestContext(exchange.request.Context(), exchange.deadline)
+	ctx, cancel := exchange.server.requests.Context(exchange.request.Context(), time.Until(exchange.deadline))
 	defer cancel()
 	admissionID, refusal := exchange.server.admission.acquire(ctx, limit.Request{
 		Workspace: exchange.workspace.Name,
@@ -234,8 +233,7 @@
 // endsInGrace reports whether the request may be sent to a target although the node may be
 // stopping.
 func (exchange *exchange) endsInGrace() bool {
-	server := exchange.server
-	return server.grace.Allows(exchange.deadline, retryClassOf(exchange.route) != outcome.RunOnce, 0, server.config.Now())
+	return exchange.server.requests.Allows(exchange.deadline, retryClassOf(exchange.route) != outcome.RunOnce, 0)
 }
 
 // refusedByStop is the outcome of a request that was not sent because the node is stopping.
@@ -243,17 +241,6 @@
 	return outcome.NotRun{Reason: "node is stopping and may end before the request does", RetryAfter: time.Second}
 }
 
-// requestContext returns a context that ends at the deadline, with its parent, or when the
-// server ends all requests.
-func (server *Server) requestContext(parent context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithDeadline(parent, deadline)
-	stop := context.AfterFunc(server.requests, cancel)
-	return ctx, func() {
-		stop()
-		cancel()
-	}
-}
-
 func refusalStatus(cause limit.RefuseCause) int {
 	if cause == limit.RefuseQueue {
 		return http.StatusTooManyRequests
@@ -265,7 +252,7 @@
 	config := exchange.server.config
 	_ = exchange.controller.SetReadDeadline(time.Now().Add(config.BodyTimeout))
 	requests := exchange.server.requests
-	stop := context.AfterFunc(requests, func() { _ = exchange.controller.SetReadDeadline(time.Now()) })
+	stop := requests.OnEnd(func() { _ = exchange.controller.SetReadDeadline(time.Now()) })
 	reader := http.MaxBytesReader(exchange.writer, exchange.request.Body, config.MaxBodyBytes)
 	body, err := io.ReadAll(reader)
 	stop()
@@ -278,7 +265,7 @@
 		return body, 0, nil
 	case errors.As(err, &tooLarge):
 		return nil, http.StatusRequestEntityTooLarge, errors.Errorf("body is longer than %d bytes", tooLarge.Limit)
-	case requests.Err() != nil:
+	case requests.Ended():
 		return nil, http.StatusServiceUnavailable, errors.New("node is stopping")
 	default:
 		return nil, http.StatusRequestTimeout, errors.New("body was not received")
--- a/entry/service.go
+++ b/entry/service.go
@@ -45,7 +45,7 @@
 	}
 	// The request continues when the caller disconnects: it must not be repeated,
 	// and a cancelled request may have run without its answer being received.
-	onceCtx, cancel := exchange.server.requestContext(context.WithoutCancel(ctx), exchange.deadline)
+	onceCtx, cancel := exchange.server.requests.Context(context.WithoutCancel(ctx), time.Until(exchange.deadline))
 	defer cancel()
 	if key := exchange.request.Header.Get(headerIdempotencyKey); key != "" {
 		exchange.serveBooking(onceCtx, key, call)
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -130,7 +129,7 @@
 		exchange.refuse("node is stopping and may end before the request does", shortRetryAfter)
 		return
 	}
-	ctx, cancel := exchange.server.requestContext(exchange.request, exchange.remaining())
+	ctx, cancel := exchange.server.requests.Context(exchange.request.Context(), exchange.remaining())
 	defer cancel()
 	exchange.server.countRequest(exchange.service.Name)
 	whole := quarantine.RequestPart(caller.Key, exchange.request.Method, exchange.request.Host, exchange.request.RequestURI, caller.PromptParts, exchange.body)
@@ -143,27 +142,15 @@
 	exchange.serveRunner(ctx)
 }
 
-// requestContext returns the context of a request, which ends after the timeout, with the
-// request's own context, or when the server ends all requests.
-func (server *Server) requestContext(request *http.Request, timeout time.Duration) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithTimeout(request.Context(), timeout)
-	stop := context.AfterFunc(server.requests, cancel)
-	return ctx, func() {
-		stop()
-		cancel()
-	}
-}
-
 // remaining returns the time until the deadline, or until the end of a planned stop.
 func (exchange *exchange) remaining() time.Duration {
-	return exchange.server.grace.Bound(exchange.deadline).Sub(exchange.server.config.Now())
+	return exchange.server.requests.Remaining(exchange.deadline)
 }
 
 // endsInGrace reports whether the request may be sent to a target although the node is
 // stopping.
 func (exchange *exchange) endsInGrace() bool {
-	server := exchange.server
-	return server.grace.Allows(exchange.deadline, exchange.route.Repeatable(), exchange.expectedTime(), server.config.Now())
+	return exchange.server.requests.Allows(exchange.deadline, exchange.route.Repeatable(), exchange.expectedTime())
 }
 
 // expectedTime returns the time that a target with a short queue needs for the request.
@@ -231,12 +218,12 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	stop := context.AfterFunc(exchange.server.requests, func() { _ = exchange.control.SetReadDeadline(time.Now()) })
+	stop := exchange.server.requests.OnEnd(func() { _ = exchange.control.SetReadDeadline(time.Now()) })
 	body, err := io.ReadAll(http.MaxBytesReader(exchange.writer, exchange.request.Body, limit))
 	stop()
 	var large *http.MaxBytesError
 	switch {
-	case err != nil && exchange.server.requests.Err() != nil:
+	case err != nil && exchange.server.requests.Ended():
 		exchange.refuse("node is stopping", shortRetryAfter)
 		return false
 	case errors.As(err, &large):
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -60,6 +60,7 @@
 
 	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/group"
+	"lacewingspoke.org/lacewingspoke/httpserve"
 	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/quarantine"
 	"lacewingspoke.org/lacewingspoke/route"
@@ -263,11 +264,8 @@
 	// of StalledGroups.
 	stalled map[string]bool
 
-	// grace bounds the requests of a stopping node. requests is the context of all
-	// requests, which endRequests ends.
-	grace       limit.Grace
-	requests    context.Context
-	endRequests context.CancelFunc
+	// requests bounds the requests of a stopping node.
+	requests *httpserve.Requests
 
 	stopping        atomic.Bool
 	requestReceived atomic.Bool
@@ -305,16 +303,14 @@
 	tracker := route.NewTracker()
 	suspects := route.NewSuspects()
 	ctx, cancel := context.WithCancel(context.Background())
-	requests, endRequests := context.WithCancel(context.Background())
 	server := &Server{
-		requests:    requests,
-		endRequests: endRequests,
-		stalled:     map[string]bool{},
-		objectives:  map[string]time.Duration{},
-		liveNodes:   1,
-		closures:    route.NewClosures(),
-		paths:       route.NewPaths(),
-		direct:      newDirectCalls(),
+		requests:   httpserve.NewRequests(config.Now),
+		stalled:    map[string]bool{},
+		objectives: map[string]time.Duration{},
+		liveNodes:  1,
+		closures:   route.NewClosures(),
+		paths:      route.NewPaths(),
+		direct:     newDirectCalls(),
 		nodes: newNodes(route.PickerConfig{
 			FailureDomain: config.FailureDomain,
 			Source:        rand.NewPCG(config.Seed, config.Seed+2),
@@ -508,9 +504,7 @@
 
 // BeginStop begins a planned stop at whose end, after the time left, all requests must have
 // ended. From then on the server refuses, as not run, requests that may last longer.
-func (server *Server) BeginStop(left time.Duration) {
-	server.grace.Begin(server.config.Now().Add(left))
-}
+func (server *Server) BeginStop(left time.Duration) { server.requests.BeginStop(left) }
 
 // Stop makes the server refuse, as not run, all requests that arrive after the
 // call.
@@ -518,11 +512,11 @@
 
 // EndRequests ends the requests in progress: each gets its last answer, as not run or with
 // an unknown outcome.
-func (server *Server) EndRequests() { server.endRequests() }
+func (server *Server) EndRequests() { server.requests.End() }
 
 // Close stops the server's goroutine and closes the idle connections to targets.
 func (server *Server) Close() {
-	server.endRequests()
+	server.requests.End()
 	server.cancel()
 	<-server.watchDone
 	server.client.close()
--- a/forward/relay_server.go
+++ b/forward/relay_server.go
@@ -63,7 +63,7 @@
 		relayed.attempt = caller.Attempt
 	}
 	relayed.deadline = receivedAt.Add(time.Duration(relayed.message.RemainingMicros) * time.Microsecond)
-	if !server.grace.Allows(relayed.deadline, false, 0, server.config.Now()) {
+	if !server.requests.Allows(relayed.deadline, false, 0) {
 		relayed.report(relayUnavailable, errors.New("node is stopping and may end before the request does"))
 		return
 	}
@@ -89,7 +89,7 @@
 		relayed.report(relayClosed, errors.Errorf("part %s of the request is in quarantine", part))
 		return
 	}
-	ctx, cancel := server.requestContext(relayed.request, relayed.remaining())
+	ctx, cancel := server.requests.Context(relayed.request.Context(), relayed.remaining())
 	defer cancel()
 	relayed.evidence = server.config.Quarantine.Begin(relayed.target.life, relayed.message.Parts, admission, cancel)
 	defer relayed.evidence.Close()
@@ -181,7 +181,7 @@
 }
 
 func (relayed *relayedExchange) remaining() time.Duration {
-	return relayed.server.grace.Bound(relayed.deadline).Sub(relayed.server.config.Now())
+	return relayed.server.requests.Remaining(relayed.deadline)
 }
 
 // send sends the request and passes the answer on.
--- a/httpserve/httpserve.go
+++ b/httpserve/httpserve.go
@@ -23,6 +23,9 @@
 //	two requests at once        the first is answered with "Connection: close", which says
 //	                            that the second is not handled
 //
+// A handler bounds its requests with Requests: late in a stop it refuses those that may not
+// end in time, and at the end it answers those that are left.
+//
 // # Responses that cannot be completed
 //
 // Abort ends a handler whose response has begun, so that no caller takes it for complete.
