--- a/engine/truncation_test.go
+++ b/engine/truncation_test.go
@@ -1,65 +1,17 @@
 package engine_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"lacewingspoke.org/lacewingspoke/engine"
+	"lacewingspoke.org/lacewingspoke/standin/cut"
 )
 
-// A cutEngine answers each request with the first length bytes of an answer, and closes or
-// resets the connection.
-type cutEngine struct {
-	address string
-	answer  string
-	length  atomic.Int64
-	reset   bool
-}
-
-func newCutEngine(t *testing.T, answer string, reset bool) *cutEngine {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	cut := &cutEngine{address: listener.Addr().String(), answer: answer, reset: reset}
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			cut.serve(conn)
-		}
-	}()
-	t.Cleanup(func() {
-		listener.Close()
-		<-ended
-	})
-	return cut
-}
-
-func (cut *cutEngine) serve(conn net.Conn) {
-	defer conn.Close()
-	request, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	_, _ = io.Copy(io.Discard, request.Body)
-	_, _ = io.WriteString(conn, cut.answer[:cut.length.Load()])
-	if cut.reset {
-		_ = conn.(*net.TCPConn).SetLinger(0)
-	}
-}
-
 // Guards against an answer that ends early in its head or its body and is taken for a
 // refusal or for a whole stream, or of which a part of a piece is returned.
 func TestAnswerThatEndsEarlyIsBroken(t *testing.T) {
@@ -76,12 +28,14 @@
 	} {
 		for _, reset := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, reset %t", name, reset), func(t *testing.T) {
-				cut := newCutEngine(t, answer, reset)
+				server, err := cut.Start(cut.Config{Answer: cut.Always(answer), Reset: reset})
+				require.NoError(t, err)
+				defer server.Close()
 				generator := engine.NewGenerator(engine.GeneratorConfig{})
 				headEnd := strings.Index(answer, "\r\n\r\n") + 4
 				for length := range len(answer) + 1 {
-					cut.length.Store(int64(length))
-					got, err := generate(generator, cut.address)
+					server.SetLength(length)
+					got, err := generate(generator, server.Address())
 					var refused *engine.RefusedError
 					if name == "refusal" && length >= headEnd && !reset {
 						require.ErrorAs(t, err, &refused)
--- a/entry/truncation_test.go
+++ b/entry/truncation_test.go
@@ -1,72 +1,26 @@
 package entry_test
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"lacewingspoke.org/lacewingspoke/engine"
+	"lacewingspoke.org/lacewingspoke/standin/cut"
 )
 
-// A cutTarget answers each request with the first length bytes of an answer, and closes or
-// resets the connection.
-type cutTarget struct {
-	address string
-	answer  func(body []byte) string
-	length  atomic.Int64
-	reset   bool
-
-	// answered counts the requests.
-	answered atomic.Int64
-}
-
-func newCutTarget(t *testing.T, reset bool, answer func(body []byte) string) *cutTarget {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	cut := &cutTarget{address: listener.Addr().String(), answer: answer, reset: reset}
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			cut.serve(conn)
-		}
-	}()
-	t.Cleanup(func() {
-		listener.Close()
-		<-ended
+// startCut starts a target whose answers end early. It answers the cancels of drafts whole.
+func startCut(t *testing.T, reset bool, answer func(body []byte) string) *cut.Server {
+	server, err := cut.Start(cut.Config{
+		Answer: answer, Reset: reset, Exempt: map[string]string{"/v1/cancel": "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"},
 	})
-	return cut
-}
-
-func (cut *cutTarget) serve(conn net.Conn) {
-	defer conn.Close()
-	request, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	body, _ := io.ReadAll(request.Body)
-	if request.URL.Path == "/v1/cancel" {
-		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-		return
-	}
-	cut.answered.Add(1)
-	answer := cut.answer(body)
-	_, _ = io.WriteString(conn, answer[:min(int(cut.length.Load()), len(answer))])
-	if cut.reset {
-		_ = conn.(*net.TCPConn).SetLinger(0)
-	}
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	return server
 }
 
 // Guards against an answer of a service that ends early in its head or its body and that a
@@ -85,15 +39,15 @@
 	} {
 		for _, reset := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, reset %t", name, reset), func(t *testing.T) {
-				cut := newCutTarget(t, reset, func([]byte) string { return scenario.answer })
+				server := startCut(t, reset, cut.Always(scenario.answer))
 				harness := newHarness(t, nil)
-				harness.addService(cut.address)
+				harness.addService(server.Address())
 				headEnd := strings.Index(scenario.answer, "\r\n\r\n") + 4
 				for length := range len(scenario.answer) + 1 {
-					cut.length.Store(int64(length))
+					server.SetLength(length)
 					got := harness.do(http.MethodPost, "/bookings/1", "plank 7", nil)
 					require.NoError(t, got.err)
-					require.EqualValues(t, length+1, cut.answered.Load())
+					require.Equal(t, length+1, server.Requests())
 					want, whole := "plank 7", length == len(scenario.answer)
 					if scenario.untilClose {
 						want, whole = scenario.answer[min(headEnd, length):length], length >= headEnd && !reset
@@ -137,15 +91,15 @@
 			t.Run(fmt.Sprintf("stream %t, reset %t", stream, reset), func(t *testing.T) {
 				sound := newFakeEngine(t)
 				harness := newHarness(t, nil)
-				var cut *cutTarget
-				cut = newCutTarget(t, reset, func(body []byte) string {
-					harness.setGroups(fmt.Sprint("sound-", cut.length.Load()), sound.address())
+				var server *cut.Server
+				server = startCut(t, reset, func(body []byte) string {
+					harness.setGroups(fmt.Sprint("sound-", server.Length()), sound.address())
 					return answer(body)
 				})
 				resumed := 0
 				for length := range len(answer(example)) + 1 {
-					cut.length.Store(int64(length))
-					harness.setGroups(fmt.Sprint("cut-", length), cut.address)
+					server.SetLength(length)
+					harness.setGroups(fmt.Sprint("cut-", length), server.Address())
 					got := harness.draft("a", count, stream)
 					require.NoError(t, got.err)
 					if got.status != http.StatusOK {
--- a/forward/truncation_test.go
+++ b/forward/truncation_test.go
@@ -22,16 +22,14 @@
 
 	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/forward"
+	"lacewingspoke.org/lacewingspoke/standin/cut"
 )
 
 // cutAt returns a script that writes the first length bytes of an answer, and closes or
 // resets the connection.
 func cutAt(wire string, length int, reset bool) func(net.Conn, *http.Request) bool {
 	return func(conn net.Conn, _ *http.Request) bool {
-		_, _ = io.WriteString(conn, wire[:length])
-		if reset {
-			_ = conn.(*net.TCPConn).SetLinger(0)
-		}
+		cut.Write(conn, wire, length, reset)
 		return false
 	}
 }
--- a/httpsend/truncation_test.go
+++ b/httpsend/truncation_test.go
@@ -1,16 +1,13 @@
 package httpsend
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"lacewingspoke.org/lacewingspoke/standin/cut"
 )
 
 // Guards against a reply that ends early in its head or its body and is returned as whole, or
@@ -29,16 +26,17 @@
 	} {
 		for _, reset := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, reset %t", name, reset), func(t *testing.T) {
-				var length atomic.Int64
-				address := newCutServer(t, reply, &length, reset)
+				server, err := cut.Start(cut.Config{Answer: cut.Always(reply), Reset: reset})
+				require.NoError(t, err)
+				defer server.Close()
 				client := testClient(t)
 				headEnd := strings.LastIndex(reply, "\r\n\r\n") + 4
 				if name == "until the close" {
 					headEnd = strings.Index(reply, "\r\n\r\n") + 4
 				}
 				for count := range len(reply) + 1 {
-					length.Store(int64(count))
-					got, err := client.Do(t.Context(), Request{Method: "PUT", Address: address, Path: "/", Body: []byte("b"), Timeout: testTimeout, MaxReplyBytes: 1 << 10})
+					server.SetLength(count)
+					got, err := client.Do(t.Context(), Request{Method: "PUT", Address: server.Address(), Path: "/", Body: []byte("b"), Timeout: testTimeout, MaxReplyBytes: 1 << 10})
 					want, whole := content, count == len(reply)
 					switch name {
 					case "until the close":
@@ -61,38 +59,3 @@
 		}
 	}
 }
-
-// newCutServer returns the address of a server that answers each request with the first
-// length bytes of a reply, and closes or resets the connection.
-func newCutServer(t *testing.T, reply string, length *atomic.Int64, reset bool) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	ended := make(chan struct{})
-	serve := func(conn net.Conn) {
-		defer conn.Close()
-		request, err := http.ReadRequest(bufio.NewReader(conn))
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, request.Body)
-		_, _ = io.WriteString(conn, reply[:length.Load()])
-		if reset {
-			_ = conn.(*net.TCPConn).SetLinger(0)
-		}
-	}
-	go func() {
-		defer close(ended)
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			serve(conn)
-		}
-	}()
-	t.Cleanup(func() {
-		listener.Close()
-		<-ended
-	})
-	return listener.Addr().String()
-}
--- a/service/service_test.go
+++ b/service/service_test.go
@@ -72,10 +72,15 @@
 }
 
 func (scripted *scriptedService) do(client *service.Client, method string, once bool, body string) service.Result {
+	return doAt(client, scripted.listener.Addr().String(), method, once, body)
+}
+
+// doAt sends a request to a service at an address.
+func doAt(client *service.Client, address, method string, once bool, body string) service.Result {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	return client.Do(ctx, service.Request{
-		Attempt: "a", Address: scripted.listener.Addr().String(), Method: method, URI: "/x", Body: []byte(body), Once: once,
+		Attempt: "a", Address: address, Method: method, URI: "/x", Body: []byte(body), Once: once,
 		Header: http.Header{"Idempotency-Key": {"k"}},
 	})
 }
--- a/service/truncation_test.go
+++ b/service/truncation_test.go
@@ -1,57 +1,18 @@
 package service_test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"lacewingspoke.org/lacewingspoke/outcome"
 	"lacewingspoke.org/lacewingspoke/service"
+	"lacewingspoke.org/lacewingspoke/standin/cut"
 )
 
-// newCutService returns a service that answers each request with the first length bytes of
-// an answer, and closes or resets the connection.
-func newCutService(t *testing.T, answer string, length *atomic.Int64, reset bool) *scriptedService {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	cut := &scriptedService{listener: listener, ended: make(chan struct{})}
-	serve := func(conn net.Conn) {
-		defer conn.Close()
-		request, err := http.ReadRequest(bufio.NewReader(conn))
-		if err != nil {
-			return
-		}
-		_, _ = io.Copy(io.Discard, request.Body)
-		cut.requests.Add(1)
-		_, _ = io.WriteString(conn, answer[:length.Load()])
-		if reset {
-			_ = conn.(*net.TCPConn).SetLinger(0)
-		}
-	}
-	go func() {
-		defer close(cut.ended)
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			serve(conn)
-		}
-	}()
-	t.Cleanup(func() {
-		_ = listener.Close()
-		<-cut.ended
-	})
-	return cut
-}
-
 // Guards against an answer that ends early in its head or its body and is taken for a whole
 // one or for a refusal, and against a request that is sent again after it.
 func TestAnswerThatEndsEarlyIsUnknown(t *testing.T) {
@@ -70,17 +31,18 @@
 	} {
 		for _, reset := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, reset %t", name, reset), func(t *testing.T) {
-				var length atomic.Int64
-				cut := newCutService(t, scenario.answer, &length, reset)
+				server, err := cut.Start(cut.Config{Answer: cut.Always(scenario.answer), Reset: reset})
+				require.NoError(t, err)
+				defer server.Close()
 				client := service.New(service.Config{})
 				defer client.Close()
 				headEnd := strings.Index(scenario.answer, "\r\n\r\n") + 4
 				for count := range len(scenario.answer) + 1 {
-					length.Store(int64(count))
+					server.SetLength(count)
 					for _, once := range []bool{false, true} {
-						before := cut.requests.Load()
-						got := cut.do(client, http.MethodPost, once, "b")
-						require.Equal(t, before+1, cut.requests.Load())
+						before := server.Requests()
+						got := doAt(client, server.Address(), http.MethodPost, once, "b")
+						require.Equal(t, before+1, server.Requests())
 						want, whole := "plank 7, plank 8", count == len(scenario.answer)
 						if scenario.untilClose {
 							want, whole = scenario.answer[min(headEnd, count):count], count >= headEnd && !reset
