entry: a draft that an engine may have begun waits for a group to its deadline

When the group of a draft without pieces left the table, the draft waited for another one for TargetWait (2 s) only and ended with 502, while a draft with pieces waits to its deadline. Both may have been begun, and no refusal would be true for either.

TestQueuedDraftWaitsForTheNextGroup: no answer before, whole now.

--- a/entry/draft_relay.go
+++ b/entry/draft_relay.go
@@ -172,12 +172,13 @@
 	return allowed
 }
 
-// pick returns a usable group and waits for one if there is none. Groups that
-// were tried become candidates again when a new table is published during the
-// wait.
+// pick returns a usable group and waits for one if there is none: for TargetWait,
+// or until the deadline if an engine may have begun the answer, because a refusal
+// would not be true then and an unknown outcome helps no caller. Groups that were
+// tried become candidates again when a new table is published during the wait.
 func (relay *draftRelay) pick(ctx context.Context) (route.GroupTarget, bool) {
 	waitCtx := ctx
-	if relay.assembler.Next() == 0 {
+	if _, begun := relay.result.(outcome.Unknown); !begun {
 		var cancel context.CancelFunc
 		waitCtx, cancel = context.WithTimeout(ctx, relay.server.config.TargetWait)
 		defer cancel()
--- a/entry/draft_test.go
+++ b/entry/draft_test.go
@@ -540,3 +540,19 @@
 	requireComplete(t, harness.draft("a", 4, true), answerText("a", 4))
 	require.Greater(t, refused.Load(), int64(refusals))
 }
+
+// Guards against a draft in an engine's queue that ends as unknown when its group is taken
+// apart, although the next group is there long before the deadline.
+func TestQueuedDraftWaitsForTheNextGroup(t *testing.T) {
+	harness := newHarness(t, func(config *entry.Config) { config.TargetWait = 50 * time.Millisecond })
+	queued := newFakeEngine(t)
+	queued.emit = func(ctx context.Context, _ engine.Generate, _ func(engine.Piece)) { <-ctx.Done() }
+	harness.addGroup("copy-1", queued, longGrant)
+	replied := harness.startDraft("a", 3)
+	eventually(t, func() bool { return len(queued.received()) == 1 })
+	harness.change(func() { harness.groups = nil })
+	// TargetWait passes without a group.
+	time.Sleep(200 * time.Millisecond)
+	harness.setGroups("copy-2", newFakeEngine(t).address())
+	requireComplete(t, <-replied, answerText("a", 3))
+}
