--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -64,3 +65,45 @@
 	require.Equal(test, "free", last.body)
 	require.Less(test, time.Since(began), 1500*time.Millisecond)
 }
+
+// pausing returns a script that streams events up to last and is silent for a time after the
+// event before.
+func pausing(before, last int, pause time.Duration) func(net.Conn, *http.Request) bool {
+	return func(conn net.Conn, request *http.Request) bool {
+		streams(before, "")(conn, request)
+		time.Sleep(pause)
+		for index := before + 1; index <= last; index++ {
+			chunk := event(index)
+			fmt.Fprintf(conn, "%x\r\n%s\r\n", len(chunk), chunk)
+		}
+		fmt.Fprint(conn, "0\r\n\r\n")
+		return true
+	}
+}
+
+// Guards against a stream that is ended because its sound group was silent for a moment, and
+// has no other group that takes it (issue 37). Callers wait for two seconds.
+func TestSilentStreamEndsOnlyForAnotherGroup(test *testing.T) {
+	const pause = 1500 * time.Millisecond
+	for _, before := range []int{0, 2} {
+		for _, others := range []int{0, 1} {
+			test.Run(fmt.Sprintf("after %d events, %d groups that refuse", before, others), func(test *testing.T) {
+				test.Parallel()
+				silent := newTarget(test, "g1", pausing(before, 4, pause))
+				groups := []*target{silent}
+				node := newNode(test, tableFixture{groups: groups})
+				replies := node.begin(test, "/stream/1")
+				require.Eventually(test, func() bool { return silent.count() == 1 }, waitTimeout, waitTick)
+				for index := range others {
+					groups = append(groups, newTarget(test, fmt.Sprint("refusing-", index), answers(503, "Refused: 1\r\n", "")))
+				}
+				node.publish(test, tableFixture{groups: groups})
+				got := <-replies[0]
+				require.NoError(test, got.err)
+				require.Equal(test, 200, got.status, got.body)
+				require.Equal(test, events(4), got.body)
+				require.Equal(test, 1, silent.count())
+			})
+		}
+	}
+}
