--- a/control/lapsed.go
+++ b/control/lapsed.go
@@ -41,10 +41,10 @@
 	state.startRound(now, &state.feed.lapsedProbes, targets, func(answers []probeAnswer) message { return lapsedResult{answers: answers} })
 }
 
-// handleLapsedResult holds the members of groups that responded and drops the
-// targets that did not and the held ones that have left their groups. A held rank 0 may be leaving and receives no new requests
-// after its grace period, but the leader has to see it as long as it runs earlier
-// ones: the other members must not leave before.
+// handleLapsedResult holds the members of groups that responded, and drops the targets
+// that did not and the held ones that have left their groups. A held rank 0 may be
+// leaving and receives no new requests after its grace period, but the leader has to see
+// it as long as it runs earlier ones: the other members must not leave before.
 func (state *state) handleLapsedResult(now time.Time, result lapsedResult) {
 	state.feed.lapsedProbes.running = false
 	state.recordLeavingAnswers(now, result.answers)
