forward: count resumed streams, log places, name search steps

The counter of resumed streams was never incremented. It counts started streams that moved to another group, were kept after a stall, or were aborted. The line of an aborted stream has the places without the words "no group has a place". No change of decisions.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -178,7 +178,7 @@
 	search := newSearch(exchange, plan)
 	for {
 		switch step := search.next(ctx).(type) {
-		case found:
+		case chosen:
 			result := step.candidate.try()
 			if _, done := result.(answered); done {
 				return
@@ -194,9 +194,11 @@
 		case noTarget:
 			plan.giveUp(step.reason)
 			return
-		case ended:
+		case exhausted:
 			plan.giveUp(step.reason)
 			return
+		default:
+			panic(errors.Errorf("forward: search step %T is not handled", step))
 		}
 	}
 }
@@ -219,25 +221,25 @@
 	return &search{exchange: exchange, plan: plan, excluded: map[string]bool{}, unreached: map[string]bool{}}
 }
 
-// A searchStep is the result of a search for the next target: found, noTarget, ended or
+// A searchStep is the result of a search for the next target: chosen, noTarget, exhausted or
 // quarantined.
 type searchStep interface{ searchStep() }
 
-// found means that the request may be sent to the candidate now.
-type found struct{ candidate candidate }
+// chosen means that the request may be sent to the candidate now.
+type chosen struct{ candidate candidate }
 
 // noTarget means that no target takes the request now.
 type noTarget struct{ reason string }
 
-// ended means that the request may not be sent any more.
-type ended struct{ reason string }
+// exhausted means that the request may not be sent any more.
+type exhausted struct{ reason string }
 
 // quarantined means that a request that was not sent yet has a part in quarantine.
 type quarantined struct{ reason string }
 
-func (found) searchStep()       {}
+func (chosen) searchStep()      {}
 func (noTarget) searchStep()    {}
-func (ended) searchStep()       {}
+func (exhausted) searchStep()   {}
 func (quarantined) searchStep() {}
 
 // next chooses the next target, and takes a retry for it if the request was sent before.
@@ -250,25 +252,25 @@
 		if sent == 0 {
 			return quarantined{reason: reason}
 		}
-		return ended{reason: reason}
+		return exhausted{reason: reason}
 	}
-	target, chosen := search.plan.next(search.excluded)
-	if !chosen && exchange.throughNodes && len(search.unreached) > 0 {
+	target, found := search.plan.next(search.excluded)
+	if !found && exchange.throughNodes && len(search.unreached) > 0 {
 		// All others have been tried. Another node may reach these.
 		for name := range search.unreached {
 			delete(search.excluded, name)
 		}
 		clear(search.unreached)
-		target, chosen = search.plan.next(search.excluded)
+		target, found = search.plan.next(search.excluded)
 	}
-	if !chosen && search.reason == "" {
+	if !found && search.reason == "" {
 		return noTarget{reason: search.plan.noTargetReason()}
 	}
-	if !chosen {
+	if !found {
 		return noTarget{reason: search.reason}
 	}
 	if ctx.Err() != nil || !exchange.mayStillRun() {
-		return ended{reason: "the time is over, or the key is not known to be valid; " + search.reason}
+		return exhausted{reason: "the time is over, or the key is not known to be valid; " + search.reason}
 	}
 	if sent > exchange.retries {
 		if !exchange.server.takeRetry(exchange.service.Name) {
@@ -276,7 +278,7 @@
 		}
 		exchange.retries = sent
 	}
-	return found{candidate: target}
+	return chosen{candidate: target}
 }
 
 // failed records an attempt that was not answered.
--- a/forward/groupcall.go
+++ b/forward/groupcall.go
@@ -29,7 +29,9 @@
 	lastEventID string
 
 	// suspectedAt is when the group or its target was last suspected, zero if it is not.
+	// delivered is true once an event of the call was passed on.
 	suspectedAt time.Time
+	delivered   bool
 
 	// done is closed at the end of the goroutine. result is the result of the call then, nil
 	// if its delivery has ended it. failure is an error response that may be passed on to the
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -41,7 +41,7 @@
 		rests: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: metricsPrefix + "rests_total", Help: "Answers in which a target asked for a rest.",
 		}),
-		resumed: newCounterVec("resumed_total", "Streams that went on at another group.", "result"),
+		resumed: newCounterVec("resumed_total", "Started streams that moved to another group, were kept after a stall, or were aborted.", "result"),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: metricsPrefix + "duration_seconds", Help: "Time from a request to the end of its answer.", Buckets: durationBuckets,
 		}, []string{"kind"}),
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -166,7 +166,7 @@
 	exchange := delivery.exchange
 	reason, final := "", true
 	switch step := delivery.search.next(ctx).(type) {
-	case found:
+	case chosen:
 		delivery.seeking = false
 		step.candidate.try()
 		return true
@@ -175,8 +175,10 @@
 		return false
 	case noTarget:
 		reason, final = step.reason, !delivery.headerSent
-	case ended:
+	case exhausted:
 		reason = step.reason
+	default:
+		panic(errors.Errorf("forward: search step %T is not handled", step))
 	}
 	if !final {
 		return true
@@ -207,6 +209,7 @@
 // deliver passes an event on to the caller and ends the other call. It returns false after
 // the request has ended.
 func (delivery *delivery) deliver(received callEvent) bool {
+	delivery.countResumed(received.call)
 	received.call.suspectedAt = time.Time{}
 	delivery.seeking = false
 	delivery.supersede(received.call)
@@ -217,6 +220,18 @@
 	return true
 }
 
+// countResumed counts a started stream that goes on after a stall or at another group.
+func (delivery *delivery) countResumed(call *groupCall) {
+	resumed := delivery.exchange.server.metrics.resumed
+	switch {
+	case call.resumed && !call.delivered:
+		resumed.WithLabelValues("moved").Inc()
+	case delivery.headerSent && !call.suspectedAt.IsZero():
+		resumed.WithLabelValues("kept").Inc()
+	}
+	call.delivered = true
+}
+
 // end handles the end of a call. It returns false after the request has ended.
 func (delivery *delivery) end(ended *groupCall) bool {
 	exchange := delivery.exchange
@@ -373,7 +388,10 @@
 }
 
 // noGroupReason describes why no group of the model was chosen.
-func (exchange *exchange) noGroupReason() string {
+func (exchange *exchange) noGroupReason() string { return "no group has a place: " + exchange.places() }
+
+// places describes the groups of the model.
+func (exchange *exchange) places() string {
 	server := exchange.server
 	now := server.config.Now()
 	usable, avoided, full, resting := 0, 0, 0, 0
@@ -395,7 +413,7 @@
 		}
 		usable++
 	}
-	return fmt.Sprintf("no group has a place: %d serve, %d of them avoided, %d at their limit, %d resting, earliest first event in %v for an objective of %v",
+	return fmt.Sprintf("%d serve, %d of them avoided, %d at their limit, %d resting, earliest first event in %v for an objective of %v",
 		usable, avoided, full, resting, earliest.Round(time.Millisecond), server.objective(exchange.caller.Model, exchange.route.Objective))
 }
 
@@ -498,7 +516,8 @@
 		exchange.log("caller-left", http.StatusOK, reason)
 		httpserve.Abort(exchange.writer, exchange.request)
 	}
-	places := exchange.noGroupReason()
+	places := exchange.places()
+	exchange.server.metrics.resumed.WithLabelValues("aborted").Inc()
 	exchange.log("cut", http.StatusOK, reason)
 	exchange.server.config.Logger.Info("stream to the caller aborted", zap.String("id", exchange.caller.Attempt), zap.String("last-event", delivery.lastEventID),
 		zap.Duration("silence", exchange.server.config.Now().Sub(delivery.deliveredAt)), zap.Duration("remaining", exchange.remaining()), zap.String("places", places))
