forward: complete a stream that arrived whole at its deadline

A caller who read slowly got all events of a stream and then a reset: the last event was written while the deadline passed, or while the node ended its requests, and the end of the context was handled before the end of the call.

--- a/forward/stall_test.go
+++ b/forward/stall_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -192,3 +194,41 @@
 	require.LessOrEqual(test, retries, 2*int(time.Since(began).Seconds()+2))
 	require.Greater(test, retries, 2)
 }
+
+// A slowWriter is the response to a caller that reads the event last only after a time.
+type slowWriter struct {
+	*httptest.ResponseRecorder
+	last string
+	wait time.Duration
+}
+
+func (writer *slowWriter) Write(data []byte) (int, error) {
+	if strings.Contains(string(data), writer.last) {
+		time.Sleep(writer.wait)
+	}
+	return writer.ResponseRecorder.Write(data)
+}
+
+// Guards against a stream that has arrived whole and is aborted because its deadline passes
+// while its last event is written.
+func TestWholeStreamIsCompleteAtTheDeadline(test *testing.T) {
+	cut := 0
+	for range 10 {
+		whole := newTarget(test, "g1", streams(3, "0\r\n\r\n"))
+		node := newNode(test, tableFixture{groups: []*target{whole}})
+		request := httptest.NewRequest(http.MethodPost, "/stream/1", strings.NewReader("x"))
+		request.Host = "host.example"
+		request.Header = http.Header{"Id": {"a1"}, "Secret": {"key"}, "Wait": {"100ms"}}
+		writer := &slowWriter{ResponseRecorder: httptest.NewRecorder(), last: "piece 3", wait: 150 * time.Millisecond}
+		func() {
+			defer func() {
+				if recover() != nil {
+					cut++
+				}
+			}()
+			node.forward.ServeHTTP(writer, request)
+		}()
+		require.Equal(test, events(3), writer.Body.String())
+	}
+	require.Zero(test, cut, "whole streams were aborted")
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -153,6 +153,13 @@
 	case <-changed:
 	case <-again:
 	case <-ctx.Done():
+		for _, call := range delivery.calls {
+			<-call.done
+			if _, whole := call.result.(completed); whole {
+				// All its events were delivered before the time was over.
+				return delivery.end(call)
+			}
+		}
 		delivery.awaitCalls()
 		delivery.giveUp("the time is over; " + delivery.search.reason)
 		return false
