--- a/forward/stall_test.go
+++ b/forward/stall_test.go
@@ -232,3 +232,28 @@
 	}
 	require.Zero(test, cut, "whole streams were aborted")
 }
+
+// Guards against a request under which two targets have ended and that is sent to another one
+// because the third is silent.
+func TestRequestThatEndedTwoTargetsIsNotRepeatedOnSilence(test *testing.T) {
+	var node *node
+	for index := range 2 {
+		var dying *target
+		dying = newTarget(test, fmt.Sprint("d", index), func(net.Conn, *http.Request) bool {
+			dying.listener.Close()
+			return false
+		})
+		if node == nil {
+			node = newNode(test, tableFixture{groups: []*target{dying}})
+		}
+		node.publish(test, tableFixture{groups: []*target{dying}})
+		_ = node.request(test, http.MethodPost, "/stream/1", "x")
+		require.Equal(test, 1, dying.count())
+	}
+	require.Len(test, node.tracker.TakeEndings(), 2)
+	silent := newTarget(test, "g1", silentStreams(4, 2, 1500*time.Millisecond, nil))
+	other := newTarget(test, "g2", silentStreams(4, 2, 1500*time.Millisecond, nil))
+	node.publish(test, tableFixture{groups: []*target{silent, other}})
+	_ = node.request(test, http.MethodPost, "/stream/1", "x")
+	require.Equal(test, 1, silent.count()+other.count(), "the request reached another target")
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -200,7 +200,7 @@
 func (delivery *delivery) suspect(call *groupCall) {
 	exchange := delivery.exchange
 	now := exchange.server.config.Now()
-	if !exchange.route.Repeatable() || !slices.Contains(delivery.calls, call) || !call.suspectedAt.IsZero() && delivery.seeking {
+	if !exchange.route.Repeatable() || !exchange.mayRepeat() || !slices.Contains(delivery.calls, call) || !call.suspectedAt.IsZero() && delivery.seeking {
 		return
 	}
 	call.suspectedAt = now
