engine: no cancel by a timer that was stopped

A timer that expires while the first piece arrives may run its function after stop, which has dropped the question whether the stream may be given up: the stream of a slow but sound engine without a substitute was cancelled.

TestExpiredWatchdogDoesNotCancelAfterStop failed before.

--- a/engine/generate.go
+++ b/engine/generate.go
@@ -151,10 +151,14 @@
 	// after which it is asked again.
 	mayGiveUp func() bool
 	first     time.Duration
+
+	// due is when the timer expires, zero while it is stopped. Its goroutine may begin
+	// before a stop and run after it.
+	due time.Time
 }
 
 func newWatchdog(cancel context.CancelCauseFunc, first time.Duration, mayGiveUp func() bool) *watchdog {
-	started := &watchdog{cancel: cancel, mayGiveUp: mayGiveUp, first: first}
+	started := &watchdog{cancel: cancel, mayGiveUp: mayGiveUp, first: first, due: time.Now().Add(first)}
 	started.mutex.Lock()
 	defer started.mutex.Unlock()
 	started.timer = time.AfterFunc(first, started.expire)
@@ -164,8 +168,11 @@
 func (watchdog *watchdog) expire() {
 	watchdog.mutex.Lock()
 	defer watchdog.mutex.Unlock()
+	if watchdog.due.IsZero() || time.Now().Before(watchdog.due) {
+		return
+	}
 	if watchdog.mayGiveUp != nil && !watchdog.mayGiveUp() {
-		watchdog.timer.Reset(watchdog.first)
+		watchdog.start(watchdog.first)
 		return
 	}
 	watchdog.cancel(errNoProgress)
@@ -176,10 +183,21 @@
 	watchdog.mutex.Lock()
 	defer watchdog.mutex.Unlock()
 	watchdog.mayGiveUp = nil
+	watchdog.due = time.Time{}
 	watchdog.timer.Stop()
 }
 
-func (watchdog *watchdog) reset(timeout time.Duration) { watchdog.timer.Reset(timeout) }
+func (watchdog *watchdog) reset(timeout time.Duration) {
+	watchdog.mutex.Lock()
+	defer watchdog.mutex.Unlock()
+	watchdog.start(timeout)
+}
+
+// start starts the timer. The caller holds the mutex.
+func (watchdog *watchdog) start(timeout time.Duration) {
+	watchdog.due = time.Now().Add(timeout)
+	watchdog.timer.Reset(timeout)
+}
 
 // Generate starts a stream at address, which has the form IP:port. Its error is
 // a *RefusedError or a *StreamError. The request's MaxTokens counts all pieces
