forward: end a silent plain request only for another runner

A request that its only runner worked on ended with 502 after 350 ms without a byte if new connections to the runner and to those of another service failed. No other runner was in the table, so that the answer was given up for nothing.

TestSilentCallOfLostServiceWithoutAnotherRunner: 502 before and on, 200 after. A runner in the table may still turn out to be unreachable.

--- a/forward/runner.go
+++ b/forward/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"lacewingspoke.org/lacewingspoke/route"
@@ -68,7 +69,11 @@
 	defer evidence.Close()
 	sentAt := server.config.Now()
 	if exchange.route.Repeatable() && exchange.mayReachAnother() {
-		attempt.to.silent = func() { cancel(errPathLost) }
+		attempt.to.silent = func() {
+			if exchange.hasOtherRunner() {
+				cancel(errPathLost)
+			}
+		}
 	}
 	response, err := attempt.send(ctx, exchange.remaining())
 	if err != nil {
@@ -104,6 +109,15 @@
 	return answered{}
 }
 
+// hasOtherRunner reports whether a runner that has not received the request is open to it.
+func (exchange *exchange) hasOtherRunner() bool {
+	tried := exchange.runners()
+	table := exchange.server.config.Publisher.Current()
+	return slices.ContainsFunc(table.Services(exchange.service.Name), func(target route.ServiceTarget) bool {
+		return target.Open && !tried[target.Instance()]
+	})
+}
+
 // isOwnResponse reports whether a response was produced by the target itself and
 // for this request. Success responses must carry the target's seal.
 func isOwnResponse(attempt string, response *http.Response, answer Answer) bool {
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -109,3 +109,30 @@
 		}
 	}
 }
+
+// Guards against a slow answer that is given up because its runner, which leaves, accepts no
+// connections any more, although no other runner takes the request.
+func TestSilentCallOfLostServiceWithoutAnotherRunner(test *testing.T) {
+	for _, withNode := range []bool{false, true} {
+		test.Run(fmt.Sprint("another node ", withNode), func(test *testing.T) {
+			arrived := make(chan struct{})
+			leaving := newTarget(test, "r1", func(conn net.Conn, request *http.Request) bool {
+				close(arrived)
+				time.Sleep(1500 * time.Millisecond)
+				return answer(conn, request, 200, "Seal: s\r\n", "whole")
+			})
+			fixture := tableFixture{once: []*target{closedTarget(test, "r2")}, idempotent: []*target{leaving}}
+			node := newNode(test, fixture)
+			if withNode {
+				node.connect(test, newNode(test, fixture))
+			}
+			got := make(chan reply, 1)
+			go func() { got <- node.request(test, http.MethodGet, "/idempotent/1", "") }()
+			<-arrived
+			leaving.listener.Close()
+			node.loseOnce(test)
+			last := <-got
+			require.Equal(test, 200, last.status, last.body)
+		})
+	}
+}
