route: suspect no stream whose next event waits for the caller

A stream whose caller reads slowly was sent to a second group when the other streams of its group stalled, although its next event had arrived.

TestHeldStreamOfStalledTargetIsNotSuspected: suspected once before, not after.

--- a/route/stall_detector.go
+++ b/route/stall_detector.go
@@ -171,7 +171,7 @@
 	for name, record := range detector.targets {
 		stalled := detector.stalled(record, now)
 		for stream := range record.streams {
-			if !stalled && !detector.overdue(stream, now) || now.Sub(stream.suspectedAt) < suspicionInterval {
+			if stream.held || !stalled && !detector.overdue(stream, now) || now.Sub(stream.suspectedAt) < suspicionInterval {
 				continue
 			}
 			stream.suspectedAt = now
@@ -195,7 +195,7 @@
 	if stream.started {
 		bound = detector.config.MaxEventGap
 	}
-	return !stream.held && now.Sub(stream.waitingSince) > bound
+	return now.Sub(stream.waitingSince) > bound
 }
 
 // stalled reports whether a stream has had no event for longer than its bound and
--- a/route/stall_detector_test.go
+++ b/route/stall_detector_test.go
@@ -111,3 +111,21 @@
 	require.Len(test, detector.SuspectStalled(now.Add(5400*time.Millisecond)), 1)
 	require.Equal(test, 1, suspected)
 }
+
+// Guards against a stream whose caller reads slowly and that is sent to another target because
+// the other streams of its target have stalled: its next event has arrived.
+func TestHeldStreamOfStalledTargetIsNotSuspected(test *testing.T) {
+	now := time.Now()
+	detector := NewStallDetector(StallDetectorConfig{MinEventGap: time.Millisecond, MinFirstEventGap: time.Second, MaxEventGap: time.Second})
+	suspected := map[string]int{}
+	begin := func(name string) *MonitoredStream {
+		stream := detector.Begin("g", time.Second, now, func() { suspected[name]++ })
+		stream.Event(now)
+		return stream
+	}
+	begin("waiting")
+	held := begin("held")
+	held.Hold()
+	require.NotEmpty(test, detector.SuspectStalled(now.Add(500*time.Millisecond)))
+	require.Equal(test, map[string]int{"waiting": 1}, suspected)
+}
