Tests give nodes no address that a forked process still has

Cause: a port is tried by listening on it and closing the listener. A process that is forked in between has the listener until it runs its program, which takes long on a busy machine.

--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -166,12 +166,23 @@
 	for range portCount {
 		ports.next++
 		address := net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: firstPort + ports.next%portCount}
-		listener, err := net.ListenTCP("tcp", &address)
-		if err != nil {
-			continue
+		if free, found := Unused(address.String()); found {
+			return free, nil
 		}
-		listener.Close()
-		return address.String(), nil
 	}
 	return "", errors.Errorf("find free port: all ports of the range are in use")
 }
+
+// Unused returns an address that is not in use, with a port that the system chooses if that
+// of the given address is 0. It returns false if the address is in use.
+func Unused(address string) (string, bool) {
+	// A process that is forked in between has the listener until it runs its program.
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", false
+	}
+	defer listener.Close()
+	return listener.Addr().String(), true
+}
