control: a new leader asks the placed members that it never saw listed

What callers saw: a member leaves the platform's list without a word, the nodes are stopped, and a node that started after the announcement had expired leads. If the member was rank 0, the streams of its group are aborted (12 or 13 of 24); if it was another one, they are cut and run again 0.7 to 1.4 s later, if there is still a place and a retry.

Cause: what a leader knows of members that responded after their announcements had expired is in its directory only. The directory of a node that started later lacks them. To the new leader they count as lost: it closes rank 0 with "cut", or releases the members of a rank 0 that still runs streams.

Change: a leader that has taken the placement record over asks the placed members that its directory does not contain at their recorded addresses, once under each fencing number. One that answers as the recorded incarnation and is in a group is adopted as a lapsed target whose grace period has ended, and asked and held as these are: rank 0 gets no new requests, others count as unlisted. Its service is the one whose engine has the group's model. Until the answers are in, for a second at most, the leader changes no placement and gives no order that ends a composition. An announcement always wins; one that was only found in an older copy of the platform does so no more than for a departed target. The record has no new field.

A member need not report the recorded epoch: between two compositions it still holds the earlier one, and closing rank 0 with "wait" needs it there.

Left: a member that the record no longer contains, because a change replaced it while its streams end, is not known to a node that started later.

--- a/control/lapsed.go
+++ b/control/lapsed.go
@@ -58,10 +58,7 @@
 			continue
 		}
 		if held {
-			report := answer.report
-			report.VM, report.Incarnation = answer.vm, answer.incarnation
-			report.Sequence, report.Running, report.Queued, report.FreeCache = 0, 0, 0, 0
-			changed = state.feed.directory.Hold(answer.vm, report, now.Add(lapsedHold)) || changed
+			changed = state.hold(now, answer) || changed
 		} else if dropped {
 			changed = state.feed.directory.Drop(now, answer.vm) || changed
 		}
@@ -72,6 +69,14 @@
 	}
 }
 
+// hold keeps a lapsed target that responded and reports whether the targets changed.
+func (state *state) hold(now time.Time, answer probeAnswer) bool {
+	report := answer.report
+	report.VM, report.Incarnation = answer.vm, answer.incarnation
+	report.Sequence, report.Running, report.Queued, report.FreeCache = 0, 0, 0, 0
+	return state.feed.directory.Hold(answer.vm, report, now.Add(lapsedHold))
+}
+
 // holdUnasked holds each rank 0 whose announcement has expired in a fabric domain that
 // this node begins to lead, until this node has asked it. It may run requests, which end
 // if its members leave.
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -26,6 +26,10 @@
 	// the domain: after it lost the lease, or in place of an unreachable leader.
 	withoutLease bool
 
+	// askedFence is the fencing number under which the placed members that are not in the
+	// directory were last asked.
+	askedFence uint64
+
 	// ctx is the context of the calls of this term. It is cancelled when the
 	// term ends.
 	ctx    context.Context
@@ -192,6 +196,7 @@
 		state.publishGrants(now, leadership, effect)
 	case group.PublishPlacement:
 		state.setPlacement(now, leadership.domain, effect.Revision, effect.Record)
+		state.askPlaced(now, leadership)
 	default:
 		panic(errors.Errorf("control: group effect %T is not handled", effect))
 	}
--- a/control/loop.go
+++ b/control/loop.go
@@ -210,6 +210,8 @@
 		state.handleDomainProbed(now, result)
 	case lapsedResult:
 		state.handleLapsedResult(now, result)
+	case placedResult:
+		state.handlePlacedResult(now, result)
 	case recheckResult:
 		state.handleRecheckResult(now, result)
 	case endingsReported:
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -27,6 +27,7 @@
 //	for _, target := range targets.Lapsed() {
 //		// ask the target, then call Hold or Drop
 //	}
+//	targets.Adopt(now, placed) // a target that lapsed before this node started, then Hold
 package directory
 
 import (
@@ -104,6 +105,9 @@
 	// it. No grace period ends during an outage of the platform.
 	deadline   time.Time
 	graceEnded bool
+
+	// adopted is true if this directory has not seen the target announced since it adopted it.
+	adopted bool
 }
 
 // A Directory is the set of announced targets. It is not safe for concurrent
@@ -198,6 +202,21 @@
 	return missing
 }
 
+// Adopt adds a target that other nodes have seen announced, but this directory does not
+// contain, as a lapsed one whose grace period has ended. It reports whether this incarnation
+// can be held. It changes no target that the directory contains.
+func (directory *Directory) Adopt(now time.Time, target Target) bool {
+	name := target.VM.Name
+	if lapsed, found := directory.lapsed[name]; found {
+		return lapsed.life() == target.life()
+	}
+	if _, found := directory.targets[name]; found {
+		return false
+	}
+	directory.lapsed[name] = LapsedTarget{Target: target, Since: now, deadline: now, graceEnded: true, adopted: true}
+	return true
+}
+
 // Hold keeps a lapsed target until the given time with a report that it gave when
 // it was asked. It reports whether the targets changed.
 func (directory *Directory) Hold(name string, report engine.Report, until time.Time) bool {
@@ -357,11 +376,12 @@
 
 // superseded reports whether the directory has later information than an announcement:
 // a later announcement of the same incarnation or a later incarnation, or that the target
-// has left and was only found in an older copy.
+// has left and was only found in an older copy. The heartbeat of an adopted target is not known.
 func (directory *Directory) superseded(target Target) bool {
 	life := target.life()
 	current, found := directory.targets[target.VM.Name]
-	if found && current.life() == life {
+	same := found && current.life() == life
+	if same && !directory.lapsed[target.VM.Name].adopted {
 		return target.Heartbeat < current.Heartbeat
 	}
 	if _, departed := directory.departed[life]; !departed {
@@ -371,7 +391,7 @@
 		directory.copied[life] = target.Heartbeat
 	}
 	heartbeat, copied := directory.copied[life]
-	return found || copied && target.Heartbeat <= heartbeat
+	return found && !same || copied && target.Heartbeat <= heartbeat
 }
 
 // remove removes a target whose announcement has ended, or marks it as missing if
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -206,3 +206,35 @@
 func announced(name string, heartbeat uint64) Target {
 	return Target{VM: kvstore.VM{Name: name, Incarnation: "first", State: kvstore.VMLive}, Service: "desk", Slots: 1, Heartbeat: heartbeat}
 }
+
+// Guards against a member that left before this node started and cannot be held, against one
+// that replaces an announced target, and against one that counts as announced when the platform
+// returns from an older copy.
+func TestAdoptedTargetIsHeldAsLapsed(test *testing.T) {
+	now := time.Unix(1000, 0)
+	directory := New(Config{LapseGrace: 2 * time.Second})
+	directory.Replace(now, []Target{engineTarget("listed")})
+	require.False(test, directory.Adopt(now, engineTarget("listed")))
+	require.True(test, directory.Adopt(now, engineTarget("a")))
+	require.Equal(test, []string{"listed"}, names(directory), "a target that was not asked is in use")
+	other := engineTarget("a")
+	other.VM.Incarnation = "2"
+	require.False(test, directory.Adopt(now, other))
+	report := engine.Report{VM: "a", Incarnation: "1", Group: "g", Epoch: 2}
+	require.True(test, directory.Hold("a", report, now.Add(time.Second)))
+	require.True(test, directory.GraceEnded("a"), "an adopted target has a grace period")
+	require.True(test, directory.Expire(now.Add(time.Second)))
+	require.Equal(test, []string{"listed"}, names(directory))
+
+	require.True(test, directory.Hold("a", report, now.Add(time.Minute)))
+	directory.BeginEra()
+	old := engineTarget("a")
+	old.Heartbeat = 5
+	directory.Replace(now.Add(2*time.Second), []Target{engineTarget("listed"), old})
+	require.True(test, directory.GraceEnded("a"), "an announcement of an older copy counts")
+	announced := old
+	announced.Heartbeat = 6
+	require.True(test, directory.Apply(now.Add(3*time.Second), []Target{announced}, nil))
+	require.False(test, directory.Held("a"))
+	require.Empty(test, directory.Lapsed())
+}
--- a/group/commit.go
+++ b/group/commit.go
@@ -181,6 +181,11 @@
 	leader.discardPending()
 }
 
+// collecting reports whether a new leader still collects reports.
+func (leader *Leader) collecting(now time.Time) bool {
+	return now.Before(leader.collectUntil) || now.Before(leader.awaitUntil)
+}
+
 func (leader *Leader) startLeading(now time.Time) {
 	leader.phase = phaseLeading
 	leader.planAt = now
--- a/group/effect.go
+++ b/group/effect.go
@@ -138,6 +138,11 @@
 // VMLeaving reports that an incarnation of a VM is leaving.
 type VMLeaving struct{ VM, Incarnation string }
 
+// AwaitMembers reports that members are being asked of which the leader has no report yet. Until
+// then, it changes no placement and gives no order that ends a composition. The zero time ends
+// the wait.
+type AwaitMembers struct{ Until time.Time }
+
 // Tick makes the leader act on the time that has passed.
 type Tick struct{}
 
@@ -159,6 +164,7 @@
 func (FolderAdopted) event()        {}
 func (OtherDomains) event()         {}
 func (VMLeaving) event()            {}
+func (AwaitMembers) event()         {}
 func (Tick) event()                 {}
 
 // An Effect is an action that the caller of Handle carries out for the leader.
--- a/group/leader.go
+++ b/group/leader.go
@@ -129,6 +129,10 @@
 	// it changes the placement.
 	collectUntil time.Time
 
+	// awaitUntil is the time until which it also waits for members that are being asked, see
+	// AwaitMembers.
+	awaitUntil time.Time
+
 	planAt    time.Time
 	plannedAt time.Time
 
@@ -259,6 +263,8 @@
 		leader.handleOtherDomains(now, event)
 	case VMLeaving:
 		leader.handleLeaving(event)
+	case AwaitMembers:
+		leader.awaitUntil = event.Until
 	case Tick:
 	default:
 		panic(fmt.Sprintf("group: unknown event %T", event))
--- a/group/lifecycle.go
+++ b/group/lifecycle.go
@@ -36,7 +36,7 @@
 	leader.dirty = false
 	leader.dropUnlisted()
 	unreachable := leader.domainUnreachable(now)
-	if now.Before(leader.collectUntil) || leader.policy.ReportInterval == 0 {
+	if leader.collecting(now) || leader.policy.ReportInterval == 0 {
 		return nil
 	}
 	next := leader.placement.clone()
--- a/group/open.go
+++ b/group/open.go
@@ -241,7 +241,7 @@
 	if !leader.strictestClass().OpenedByOrder || len(leader.groups) == 0 {
 		return nil
 	}
-	if leader.growing() || leader.plannedAt.Before(leader.collectUntil) {
+	if leader.growing() || leader.collecting(leader.plannedAt) {
 		return nil
 	}
 	spares := map[string]int{}
--- a/group/open_test.go
+++ b/group/open_test.go
@@ -384,6 +384,33 @@
 	}
 }
 
+// A member left the list before the new leader's node started, and its answer takes longer than
+// the leader collects reports. Guards against a leader that closes the group meanwhile, and
+// against one that goes on waiting when the wait is over or its bound has passed.
+func TestNewLeaderWaitsForMembersThatAreAsked(test *testing.T) {
+	for name, end := range map[string]func(domain *testDomain){
+		"answered": func(domain *testDomain) { domain.send(AwaitMembers{}) },
+		"bound":    func(domain *testDomain) { domain.runFor(2 * time.Second) },
+	} {
+		test.Run(name, func(test *testing.T) {
+			domain := newOpenedByOrderDomain(test, 9)
+			domain.waitFor(20*time.Second, domain.bothServing())
+			domain.runFor(time.Second)
+			rank0 := domain.openVM("large")
+			absent := domain.leader.Placement().Members(domain.engines[rank0].report.Group)[1]
+			domain.orders = nil
+			domain.engines[absent].dead = true
+			domain.list = slices.DeleteFunc(domain.list, func(vm kvstore.VM) bool { return vm.Name == absent })
+			domain.replaceLeader(openedByOrderFolder())
+			domain.send(AwaitMembers{Until: domain.now.Add(3 * time.Second)})
+			domain.runFor(2 * time.Second)
+			require.NotContains(test, domain.actions(rank0), engine.ActionClose, "the leader does not wait")
+			end(domain)
+			domain.waitFor(2*time.Second, func() bool { return slices.Contains(domain.actions(rank0), engine.ActionClose) })
+		})
+	}
+}
+
 // Guards against members that wait for an unlisted rank 0 that has ended while it ran
 // requests.
 func TestMembersOfEndedRank0DoNotWait(test *testing.T) {
--- a/group/order.go
+++ b/group/order.go
@@ -95,7 +95,7 @@
 	var effects []Effect
 	for _, name := range leader.memberNames() {
 		desired, found := leader.desiredOrderFor(now, name)
-		if !found || now.Before(leader.collectUntil) && leader.endsComposition(desired) {
+		if !found || leader.collecting(now) && leader.endsComposition(desired) {
 			continue
 		}
 		class := leader.orderClass(desired)
