Take no group apart whose silent member may go on

Cause: two probes without an answer, 200 ms, or one silent round for a target that had left the list, counted as the loss of a member. The leader released the other members or closed rank 0 with "cut" at once. A sound engine may be silent for a second and go on.

Change: a probe tells a target that has ended (its address refuses connections, or another incarnation answers) from one that is silent. For the former the leader acts at once. For the latter it still decides the repair, and the spare joins, but no order ends the composition until the VM has been silent for 1.5 s after its last report; if it answers again, rank 0 ends its streams with "wait". A lapsed target that is silent stays until its grace period or hold ends, and is asked again; silent targets are asked every 400 ms.

--- a/control/lapsed.go
+++ b/control/lapsed.go
@@ -42,7 +42,7 @@
 }
 
 // handleLapsedResult holds the members of groups that responded, and drops the targets
-// that did not and the held ones that have left their groups. A held rank 0 may be
+// that have ended and the held ones that have left their groups. A held rank 0 may be
 // leaving and receives no new requests after its grace period, but the leader has to see
 // it as long as it runs earlier ones: the other members must not leave before.
 func (state *state) handleLapsedResult(now time.Time, result lapsedResult) {
@@ -52,7 +52,9 @@
 	changed := false
 	for _, answer := range result.answers {
 		held := answer.responded && answer.report.Group != ""
-		dropped := !answer.responded || !held && state.feed.directory.Held(answer.vm)
+		// A target that is silent keeps its place until its grace period or hold ends, and is
+		// asked again.
+		dropped := answer.ended || answer.responded && !held && state.feed.directory.Held(answer.vm)
 		if answer.byOthers {
 			state.detach(now, answer.domain, []string{answer.vm})
 			continue
@@ -60,6 +62,9 @@
 		if held {
 			changed = state.hold(now, answer) || changed
 		} else if dropped {
+			if answer.ended {
+				state.recordEnded(now, answer.domain, answer.vm, answer.incarnation)
+			}
 			changed = state.feed.directory.Drop(now, answer.vm) || changed
 		}
 		state.logLapsed(answer, held, dropped)
@@ -133,6 +138,8 @@
 func (state *state) logLapsed(answer probeAnswer, held, dropped bool) {
 	decision := "removed after its grace period"
 	switch {
+	case !answer.responded && !dropped:
+		decision = "silent, kept until its grace period or hold ends"
 	case held && answer.report.Rank == 0:
 		decision = "kept in its group without new requests after its grace period"
 	case held:
--- a/control/probe.go
+++ b/control/probe.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"slices"
+	"syscall"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 
 	"lacewingspoke.org/lacewingspoke/directory"
@@ -22,6 +24,10 @@
 	// probeInterval limits the probes of a group that is slow but complete.
 	probeInterval = time.Second
 
+	// recheckInterval is short enough to find a target that was silent for a second before its
+	// group is taken apart.
+	recheckInterval = 400 * time.Millisecond
+
 	// probeStoreAge is the longest time since the last response of the store for
 	// which a failed probe counts. If the store has not responded for longer, the
 	// node itself may be disconnected.
@@ -34,8 +40,10 @@
 	domain string
 
 	// unresponsive holds the names of the members that did not respond, and byOthers those
-	// that responded to another node only.
+	// that responded to another node only. ended holds the incarnations of the unresponsive
+	// members that accept no connection.
 	unresponsive []string
+	ended        map[string]string
 	byOthers     []string
 
 	// answers are those of the members that responded.
@@ -153,17 +161,19 @@
 // group.
 func (state *state) probe(name, domain string, placement *group.Placement) {
 	var targets []probedTarget
+	incarnations := map[string]string{}
 	for _, vm := range placement.Members(name) {
 		if _, listed := state.feed.reports[vm]; !listed {
 			continue
 		}
 		assignment, _ := placement.Assignment(vm)
+		incarnations[vm] = assignment.Incarnation
 		targets = append(targets, probedTarget{vm: vm, address: assignment.Address})
 	}
 	others := state.targetsOutside(name, placement)
 	asked := state.askedNodes()
 	state.startWorker(func(ctx context.Context) message {
-		result := probeResult{group: name, domain: domain}
+		result := probeResult{group: name, domain: domain, ended: map[string]string{}}
 		result.noneReached = len(others) > 0
 		for _, probed := range state.probeAll(ctx, append(targets, others...), asked) {
 			if probed.responded || probed.byOthers {
@@ -179,6 +189,9 @@
 				result.byOthers = append(result.byOthers, probed.vm)
 			default:
 				result.unresponsive = append(result.unresponsive, probed.vm)
+				if probed.ended {
+					result.ended[probed.vm] = incarnations[probed.vm]
+				}
 			}
 		}
 		return result
@@ -217,6 +230,10 @@
 	responded bool
 	report    engine.Report
 
+	// ended is true if the target's address accepts no connection, or another incarnation
+	// responds. A target that does not respond otherwise may only be silent.
+	ended bool
+
 	// byOthers is true if the target did not respond to this node but to another one.
 	byOthers bool
 }
@@ -243,8 +260,7 @@
 		replies <- state.reachedByOthers(ctx, nodes, names)
 	}(ctx, replies)
 	repeated := askAll(ctx, silent, func(ctx context.Context, target probedTarget) probeAnswer {
-		report, responded := state.askReport(ctx, target, probeAttempts-1)
-		return probeAnswer{probedTarget: target, responded: responded, report: report}
+		return state.askReport(ctx, target, probeAttempts-1)
 	})
 	reached := <-replies
 	for _, answer := range repeated {
@@ -255,8 +271,7 @@
 }
 
 func (state *state) askOnce(ctx context.Context, target probedTarget) probeAnswer {
-	report, responded := state.askReport(ctx, target, 1)
-	return probeAnswer{probedTarget: target, responded: responded, report: report}
+	return state.askReport(ctx, target, 1)
 }
 
 // askAll asks each target at the same time.
@@ -272,27 +287,30 @@
 	return answers
 }
 
-// askReport returns the report of an engine. It returns false if the engine responds to
-// none of the attempts or is another incarnation.
-func (state *state) askReport(ctx context.Context, target probedTarget, attempts int) (engine.Report, bool) {
+// askReport asks an engine for its report.
+func (state *state) askReport(ctx context.Context, target probedTarget, attempts int) probeAnswer {
+	answer := probeAnswer{probedTarget: target}
 	for range attempts {
 		attempt, cancel := context.WithTimeout(ctx, probeTimeout)
 		report, err := state.config.Engines.Report(attempt, target.address)
 		cancel()
 		if err == nil {
-			same := target.incarnation == "" || report.Incarnation == "" || report.Incarnation == target.incarnation
-			return report, same
+			answer.report = report
+			answer.responded = target.incarnation == "" || report.Incarnation == "" || report.Incarnation == target.incarnation
+			answer.ended = !answer.responded
+			return answer
 		}
+		answer.ended = errors.Is(err, syscall.ECONNREFUSED)
 	}
-	return engine.Report{}, false
+	return answer
 }
 
 // recheckUnresponsive probes the unresponsive targets of the fabric domains that
-// this node leads once per probeInterval. Heartbeats that change nothing do not
+// this node leads once per recheckInterval. Heartbeats that change nothing do not
 // reach nodes that read the store through others, so the announcements alone do
 // not show that a paused target has resumed.
 func (state *state) recheckUnresponsive(now time.Time) {
-	if !state.feed.rechecks.due(now, probeInterval) {
+	if !state.feed.rechecks.due(now, recheckInterval) {
 		return
 	}
 	var targets []probedTarget
@@ -346,11 +364,22 @@
 			continue
 		}
 		state.feed.unresponsive[vm] = heartbeat
-		state.logger.Info("target did not respond to probe", zap.String("target", vm), zap.String("group", result.group), zap.Uint64("beat", heartbeat))
+		incarnation, ended := result.ended[vm]
+		if ended {
+			state.recordEnded(now, result.domain, vm, incarnation)
+		}
+		state.logger.Info("target did not respond to probe", zap.String("target", vm), zap.String("group", result.group), zap.Uint64("beat", heartbeat), zap.Bool("ended", ended))
 	}
 	state.applyTargets(now)
 }
 
+// recordEnded passes on to the leader of a fabric domain that a target has ended.
+func (state *state) recordEnded(now time.Time, domain, vm, incarnation string) {
+	if leadership, leads := state.leaderships[domain]; leads {
+		state.handleGroup(now, leadership, group.VMEnded{VM: vm, Incarnation: incarnation})
+	}
+}
+
 // responsive reports whether a target has announced itself since it last failed
 // to respond to a probe, if it ever did.
 func (feed *feedState) responsive(target directory.Target) bool {
--- a/group/effect.go
+++ b/group/effect.go
@@ -138,6 +138,9 @@
 // VMLeaving reports that an incarnation of a VM is leaving.
 type VMLeaving struct{ VM, Incarnation string }
 
+// VMEnded reports that an incarnation of a VM has ended: its address accepts no connection.
+type VMEnded struct{ VM, Incarnation string }
+
 // AwaitMembers reports that members are being asked of which the leader has no report yet. Until
 // then, it changes no placement and gives no order that ends a composition. The zero time ends
 // the wait.
@@ -165,6 +168,7 @@
 func (OtherDomains) event()         {}
 func (VMLeaving) event()            {}
 func (AwaitMembers) event()         {}
+func (VMEnded) event()              {}
 func (Tick) event()                 {}
 
 // An Effect is an action that the caller of Handle carries out for the leader.
--- a/group/leader.go
+++ b/group/leader.go
@@ -263,6 +263,8 @@
 		leader.handleOtherDomains(now, event)
 	case VMLeaving:
 		leader.handleLeaving(event)
+	case VMEnded:
+		leader.handleEnded(event)
 	case AwaitMembers:
 		leader.awaitUntil = event.Until
 	case Tick:
--- a/group/lifecycle.go
+++ b/group/lifecycle.go
@@ -34,7 +34,7 @@
 	leader.planAt = now.Add(leader.policy.ReportInterval)
 	leader.plannedAt = now
 	leader.dirty = false
-	leader.dropUnlisted()
+	leader.dropUnlisted(now)
 	unreachable := leader.domainUnreachable(now)
 	if leader.collecting(now) || leader.policy.ReportInterval == 0 {
 		return nil
--- a/group/member.go
+++ b/group/member.go
@@ -44,6 +44,9 @@
 	// it is present.
 	absentSince time.Time
 
+	// endedIncarnation is the last incarnation that is known to have ended.
+	endedIncarnation string
+
 	// leavingIncarnations are the incarnations known to be leaving, oldest first.
 	leavingIncarnations []string
 
@@ -94,6 +97,15 @@
 
 func (vm *member) live() bool { return vm.reported && vm.missingSince.IsZero() }
 
+// silenceHold is the time since the last report for which a VM may only be silent. A sound
+// engine may be silent for a second and go on with its requests.
+const silenceHold = 1500 * time.Millisecond
+
+// silent reports whether a VM that is missing may still be in its place and run requests.
+func (vm *member) silent(now time.Time) bool {
+	return vm.reported && !vm.missingSince.IsZero() && now.Sub(vm.missingSince) < silenceHold && vm.endedIncarnation != vm.report.Incarnation
+}
+
 func (vm *member) leaving() bool {
 	return slices.Contains(vm.leavingIncarnations, vm.incarnation())
 }
@@ -273,11 +285,18 @@
 	}
 }
 
-// dropUnlisted removes the VMs that are neither listed nor placed nor reporting.
-func (leader *Leader) dropUnlisted() {
+// handleEnded records that the incarnation of a known VM has ended.
+func (leader *Leader) handleEnded(event VMEnded) {
+	if vm, found := leader.members[event.VM]; found {
+		vm.endedIncarnation = event.Incarnation
+	}
+}
+
+// dropUnlisted removes the VMs that are neither listed nor placed nor reporting, nor silent.
+func (leader *Leader) dropUnlisted(now time.Time) {
 	for name, vm := range leader.members {
 		_, placed := leader.placement.Assignment(name)
-		if !vm.listed && !placed && !vm.live() && !vm.reading {
+		if !vm.listed && !placed && !vm.live() && !vm.reading && !vm.silent(now) {
 			delete(leader.members, name)
 			leader.sortedNames = nil
 		}
--- a/group/open.go
+++ b/group/open.go
@@ -59,25 +59,42 @@
 }
 
 // mayRelease reports whether a VM may leave its composition. Rank 0 does not
-// detect that a member leaves, so that a reachable rank 0 has to be closed first.
-// An unreachable rank 0 stalls when its members leave, and gives the group up.
-// Its members are released first, and join another group only when they are in
-// none any more.
-func (leader *Leader) mayRelease(vm *member) bool {
+// detect that a member leaves, so that a reachable rank 0 has to be closed first, and
+// one that may only be silent is waited for. A lost rank 0 stalls when its members
+// leave, and gives the group up. Its members are released first, and join another
+// group only when they are in none any more.
+func (leader *Leader) mayRelease(now time.Time, vm *member) bool {
 	if vm.report.Group == "" || !leader.strictestClass().OpenedByOrder {
 		return true
 	}
-	return !leader.active(compositionOf(vm.report))
+	key := compositionOf(vm.report)
+	return !leader.active(key) && !leader.silentRank0(now, key)
+}
+
+// silentRank0 reports whether rank 0 of a composition may only be silent, and accepted or
+// ran requests before.
+func (leader *Leader) silentRank0(now time.Time, key composition) bool {
+	for _, vm := range leader.members {
+		if !vm.live() && vm.report.Rank == 0 && compositionOf(vm.report) == key && admitting(vm.report.State) && vm.silent(now) {
+			return true
+		}
+	}
+	return false
 }
 
 // closeAction returns the order that closes the rank 0 of a composition: one that
-// lets the running requests end if all members are still in their places, else one
-// that aborts them, because a request cannot go on without a member.
-func (leader *Leader) closeAction(rank0 *member) engine.Action {
-	if leader.intact(rank0.report) {
-		return engine.ActionDrain
+// lets the running requests end if all members are still in their places, or one
+// that aborts them if a member is lost, because a request cannot go on without it. It
+// returns false while a member may only be silent.
+func (leader *Leader) closeAction(now time.Time, rank0 *member) (engine.Action, bool) {
+	switch live, silent, size := leader.ranksOf(now, rank0.report); {
+	case size > 0 && live == size:
+		return engine.ActionDrain, leader.notedByNodes(now, rank0)
+	case size > 0 && live+silent == size:
+		return "", false
+	default:
+		return engine.ActionClose, true
 	}
-	return engine.ActionClose
 }
 
 // notedByNodes reports whether every node has received the record according to which rank
@@ -89,21 +106,28 @@
 	return !now.Before(rank0.closeNoted)
 }
 
-// intact reports whether live VMs report all ranks of the composition of a report.
-func (leader *Leader) intact(report engine.Report) bool {
-	ranks := map[int]bool{}
+// ranksOf returns the numbers of the ranks of a report's composition that live VMs report,
+// and that VMs which may only be silent reported last, and the size of its groups.
+func (leader *Leader) ranksOf(now time.Time, report engine.Report) (live, silent, size int) {
+	liveRanks, silentRanks := map[int]bool{}, map[int]bool{}
 	for _, vm := range leader.members {
-		if vm.live() && compositionOf(vm.report) == compositionOf(report) {
-			ranks[vm.report.Rank] = true
+		switch {
+		case compositionOf(vm.report) != compositionOf(report):
+		case vm.live():
+			liveRanks[vm.report.Rank] = true
+		case vm.silent(now):
+			silentRanks[vm.report.Rank] = true
 		}
 	}
-	size := 0
+	for rank := range liveRanks {
+		delete(silentRanks, rank)
+	}
 	for _, spec := range leader.groups {
 		if spec.Model == report.Model {
 			size = spec.Size
 		}
 	}
-	return size > 0 && len(ranks) == size
+	return len(liveRanks), len(silentRanks), size
 }
 
 // mustClose reports whether the VM is an open rank 0 whose composition differs
--- a/group/open_test.go
+++ b/group/open_test.go
@@ -334,7 +334,9 @@
 					return []Decision{decision}
 				}
 				if lost {
+					incarnation := domain.engines[members[1]].report.Incarnation
 					domain.unlist(members[1])
+					domain.send(VMEnded{VM: members[1], Incarnation: incarnation})
 				}
 				domain.waitFor(3*time.Second, func() bool { return len(domain.actions(rank0)) > 0 })
 				require.Equal(test, action, domain.actions(rank0)[0])
--- a/group/order.go
+++ b/group/order.go
@@ -142,8 +142,9 @@
 	}
 	desired := desiredOrder{vm: vm, name: name, action: engine.ActionRelease}
 	if leader.mustClose(vm, name) {
-		desired.action = leader.closeAction(vm)
-		return desired, desired.action == engine.ActionClose || leader.notedByNodes(now, vm)
+		action, due := leader.closeAction(now, vm)
+		desired.action = action
+		return desired, due
 	}
 	vm.closeNoted = time.Time{}
 	assignment, placed := leader.placement.Assignment(name)
@@ -151,13 +152,13 @@
 		if leader.mayStage(now, vm) {
 			return leader.stageOrder(vm, name), true
 		}
-		return desired, (!vm.idle() || leader.acceptsOldOrders(vm)) && leader.mayRelease(vm)
+		return desired, (!vm.idle() || leader.acceptsOldOrders(vm)) && leader.mayRelease(now, vm)
 	}
 	group := leader.placement.groups[assignment.Group]
 	byOrder := leader.class(group.Spec).OpenedByOrder
 	otherGroup := vm.report.Group != "" && vm.report.Group != group.Name && !byOrder
 	if assignment.Incarnation != vm.report.Incarnation || otherGroup || group.State == StateReleased {
-		return desired, !vm.idle() && leader.mayRelease(vm)
+		return desired, !vm.idle() && leader.mayRelease(now, vm)
 	}
 	desired.group = group
 	desired.assignment = assignment
@@ -178,7 +179,7 @@
 	}
 	if vm.report.Group != "" && byOrder && !leader.confirmedClosed(compositionOf(vm.report)) {
 		desired = desiredOrder{vm: vm, name: name, action: engine.ActionRelease}
-		return desired, leader.mayRelease(vm)
+		return desired, leader.mayRelease(now, vm)
 	}
 	return desired, !leader.needsWeights(vm, group) || vm.permit.grantedFor(group)
 }
