--- a/control/feed.go
+++ b/control/feed.go
@@ -158,7 +158,7 @@
 	lapsedClosing   map[string]bool
 
 	// newlyLed holds the fabric domains that this node has begun to lead and whose lapsed
-	// targets it has not held yet.
+	// rank 0s it has not held yet.
 	newlyLed []string
 
 	// probedAt is when the members of each group were last probed.
--- a/entry/draft_relay.go
+++ b/entry/draft_relay.go
@@ -157,8 +157,9 @@
 	return false
 }
 
-// errReplaced ends an attempt without a piece for which another group is there.
-var errReplaced = errors.New("no piece within the first timeout, and another group is there")
+// errReplaced labels a retry of an attempt without a piece, because another group can take the
+// draft.
+var errReplaced = errors.New("no piece within the first timeout, and another group can take the draft")
 
 // mayRetry takes a token from the workspace's retry budget and counts the
 // decision.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -156,6 +156,10 @@
 // A candidate is a target that a request may be sent to.
 type candidate struct {
 	name string
+
+	// take takes a place of the target, if it names a limit. It returns false if another
+	// request has taken the last one.
+	take func() bool
 	try  func() attemptResult
 }
 
@@ -254,6 +258,17 @@
 		}
 		return exhausted{reason: reason}
 	}
+	for {
+		if step := search.choose(ctx, sent); step != nil {
+			return step
+		}
+	}
+}
+
+// choose chooses a target for a request that was sent a number of times. It returns nil if
+// another request has taken the last place of the target.
+func (search *search) choose(ctx context.Context, sent int) searchStep {
+	exchange := search.exchange
 	target, found := search.plan.next(search.excluded)
 	if !found && exchange.throughNodes && len(search.unreached) > 0 {
 		// All others have been tried. Another node may reach these.
@@ -278,6 +293,9 @@
 		}
 		exchange.retries = sent
 	}
+	if !target.take() {
+		return nil
+	}
 	return chosen{candidate: target}
 }
 
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -69,8 +69,7 @@
 	through      []string
 
 	// parts are the whole request and those parts of the prompt that other requests may
-	// have too. admission is the decision on them for the next
-	// attempt.
+	// have too. admission is the decision on them for the next attempt.
 	parts     []string
 	admission quarantine.Admission
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -353,8 +353,8 @@
 	gapMaxAge = time.Second
 )
 
-// watch periodically suspects the streams of targets that have stalled, and drops the state of targets that a new route table does not
-// contain.
+// watch periodically suspects the streams of targets that have stalled, and drops the state
+// of targets that a new route table does not contain.
 func (server *Server) watch(ctx context.Context) {
 	ticks := server.config.Timers.Every("streams", stallCheckInterval, 0)
 	defer ticks.Cancel()
--- a/forward/groupcall.go
+++ b/forward/groupcall.go
@@ -15,7 +15,7 @@
 )
 
 // A groupCall is one call to a group, which reads the events of a stream in a goroutine of
-// its own. The delivery that began it reads its messages.
+// its own. The delivery that began it reads its events.
 type groupCall struct {
 	delivery *delivery
 	attempt  *attempt
@@ -28,7 +28,7 @@
 	contentType string
 	lastEventID string
 
-	// suspectedAt is when the group or its target was last suspected, zero if it is not.
+	// suspectedAt is when the call was last suspected, zero if it is not.
 	// delivered is true once an event of the call was passed on.
 	suspectedAt time.Time
 	delivered   bool
@@ -108,7 +108,7 @@
 	select {
 	case call.delivery.suspicions <- call:
 	default:
-		// The delivery has others to handle. The suspicion is repeated.
+		// The channel is full. The suspicion is repeated.
 	}
 }
 
--- a/forward/runner.go
+++ b/forward/runner.go
@@ -27,6 +27,7 @@
 			target, found := exchange.pickRunner(excluded)
 			return candidate{
 				name: target.Name,
+				take: func() bool { return exchange.server.config.Limits.Take(target.ID(), exchange.server.config.Now()) },
 				try:  func() attemptResult { return exchange.tryRunner(ctx, target) },
 			}, found
 		},
@@ -40,20 +41,16 @@
 func (exchange *exchange) pickRunner(excluded map[string]bool) (route.ServiceTarget, bool) {
 	server := exchange.server
 	table := server.config.Publisher.Current()
-	for {
-		now := server.config.Now()
-		target, found := server.picker.PickService(table, exchange.service.Name, exchange.unavailable(excluded, table, now), now)
-		if !found {
-			return route.ServiceTarget{}, false
-		}
-		load := server.tracker.Load(target.Name, target.Load, time.Time{})
-		if target.Slots > 0 && load >= target.Slots*maxLoadPerSlot {
-			return route.ServiceTarget{}, false
-		}
-		if server.config.Limits.Take(target.ID(), now) {
-			return target, true
-		}
+	now := server.config.Now()
+	target, found := server.picker.PickService(table, exchange.service.Name, exchange.unavailable(excluded, table, now), now)
+	if !found {
+		return route.ServiceTarget{}, false
+	}
+	load := server.tracker.Load(target.Name, target.Load, time.Time{})
+	if target.Slots > 0 && load >= target.Slots*maxLoadPerSlot {
+		return route.ServiceTarget{}, false
 	}
+	return target, true
 }
 
 // tryRunner makes one attempt at a runner.
--- a/forward/stall_test.go
+++ b/forward/stall_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -257,3 +258,34 @@
 	_ = node.request(test, http.MethodPost, "/stream/1", "x")
 	require.Equal(test, 1, silent.count()+other.count(), "the request reached another target")
 }
+
+// Guards against a started stream without a retry that takes the places of a target with a
+// limit from other requests while it waits.
+func TestWaitingStreamTakesNoPlaces(test *testing.T) {
+	limited := newTarget(test, "g2", func(conn net.Conn, request *http.Request) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: s\r\nLimit: 5\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", request.Header.Get("Id"), len(event(1)), event(1))
+		return true
+	})
+	broken := newTarget(test, "g1", streams(3, ""))
+	served := map[int]int{}
+	for _, waiting := range []int{0, 3} {
+		node := newNode(test, tableFixture{groups: []*target{limited}, noRetries: true})
+		require.Equal(test, http.StatusOK, node.request(test, http.MethodPost, "/stream/1", "prompt").status)
+		node.publish(test, tableFixture{groups: []*target{broken}})
+		before := broken.count()
+		var streaming sync.WaitGroup
+		for range waiting {
+			streaming.Go(func() { node.request(test, http.MethodPost, "/stream/1", "prompt") })
+		}
+		require.Eventually(test, func() bool { return broken.count() >= before+waiting }, waitTimeout, waitTick)
+		node.publish(test, tableFixture{groups: []*target{limited}})
+		for began := time.Now(); time.Since(began) < 1500*time.Millisecond; time.Sleep(50 * time.Millisecond) {
+			if node.request(test, http.MethodPost, "/stream/1", "prompt").status == http.StatusOK {
+				served[waiting]++
+			}
+		}
+		streaming.Wait()
+	}
+	// The windows of the limit may begin at another moment.
+	require.GreaterOrEqual(test, served[3], served[0]-1, "served: %v", served)
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -100,10 +100,14 @@
 	delivery.search = newSearch(exchange, attemptPlan{
 		next: func(excluded map[string]bool) (candidate, bool) {
 			target, found := delivery.pickGroup(excluded)
-			return candidate{name: target.Name, try: func() attemptResult {
-				delivery.beginCall(ctx, target)
-				return nil
-			}}, found
+			return candidate{
+				name: target.Name,
+				take: func() bool { return exchange.server.config.Limits.Take(target.VM, exchange.server.config.Now()) },
+				try: func() attemptResult {
+					delivery.beginCall(ctx, target)
+					return nil
+				},
+			}, found
 		},
 		noTargetReason: exchange.noGroupReason,
 	})
@@ -327,22 +331,14 @@
 func (delivery *delivery) pickGroup(excluded map[string]bool) (route.GroupTarget, bool) {
 	exchange := delivery.exchange
 	server := exchange.server
-	for {
-		now := server.config.Now()
-		table := server.config.Publisher.Current()
-		unavailable := exchange.unavailable(delivery.unavailable(excluded, table, now), table, now)
-		target, found := server.picker.PickGroup(table, route.GroupRequest{Spec: exchange.caller.Model, Excluded: unavailable}, now)
-		if found && !delivery.headerSent && !exchange.meetsObjective(target, now) {
-			target, found = exchange.earliestGroup(table, unavailable, now)
-		}
-		if !found {
-			return route.GroupTarget{}, false
-		}
-		if server.config.Limits.Take(target.VM, now) {
-			return target, true
-		}
-		// Another request has taken the last place of the target.
+	now := server.config.Now()
+	table := server.config.Publisher.Current()
+	unavailable := exchange.unavailable(delivery.unavailable(excluded, table, now), table, now)
+	target, found := server.picker.PickGroup(table, route.GroupRequest{Spec: exchange.caller.Model, Excluded: unavailable}, now)
+	if found && !delivery.headerSent && !exchange.meetsObjective(target, now) {
+		target, found = exchange.earliestGroup(table, unavailable, now)
 	}
+	return target, found
 }
 
 // unavailable adds the groups that take no further call of this stream now to the excluded
--- a/forward/truncation_test.go
+++ b/forward/truncation_test.go
@@ -319,7 +319,7 @@
 // Guards against a stream that breaks off and waits for a change of the table, although a
 // group remains to which this node could not connect and another node can.
 func TestRelayedStreamGoesOnAtOnce(test *testing.T) {
-	const resumeTimeout = 1500 * time.Millisecond
+	const longestResume = 1500 * time.Millisecond
 	framed := framings(events(2), 30)["chunked"]
 	fixture := newCutFixture(test, framed.wire(), false, true)
 	for range 8 {
@@ -333,7 +333,7 @@
 		}
 		require.NoError(test, got.err)
 		require.Equal(test, events(3), got.body)
-		require.Less(test, time.Since(began), resumeTimeout)
+		require.Less(test, time.Since(began), longestResume)
 	}
 	require.Less(test, fixture.unreached, 4)
 	require.Positive(test, fixture.cut.count(), "no stream was cut off")
