--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -46,7 +46,8 @@
 	}()
 }
 
-func (clients *clients) request(to *node, method, host, path, key string, deadline time.Duration, header map[string]string, body []byte) int {
+// request sends a request and returns the status, 0 for none.
+func (clients *clients) request(to *node, method, host, path, key string, deadline time.Duration, header map[string]string, body []byte) (status int) {
 	attempt := fmt.Sprintf("%016x", 0xa000000000000000+clients.last.Add(1))
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
@@ -67,7 +68,7 @@
 	clients.sent[attempt] = sentRequest{attempt: attempt, node: to.name, method: method, host: host, path: path, key: key, at: time.Now()}
 	clients.mutex.Unlock()
 	clients.record.note("client sends %s to %s: %s %s%s key %q", attempt, to.name, method, host, path, key)
-	status, size, seal := 0, 0, ""
+	size, seal := 0, ""
 	response, err := clients.client.Do(request)
 	if err == nil {
 		var answer []byte
