--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -94,6 +94,14 @@
 	return found, known
 }
 
+// counts returns the numbers of answers by path and status, 0 for none. It is called after the
+// last request has ended.
+func (clients *clients) counts() map[string]map[int]int {
+	clients.mutex.Lock()
+	defer clients.mutex.Unlock()
+	return clients.statuses
+}
+
 func (clients *clients) summary() string {
 	clients.mutex.Lock()
 	defer clients.mutex.Unlock()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -43,6 +43,7 @@
 	"pools":   playPools,
 	"keys":    playKeys,
 	"drain":   playDrain,
+	"starved": playStarved,
 	"uploads": playUploads,
 }
 
