--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -64,7 +64,6 @@
 	done     chan struct{}
 	inFlight atomic.Int64
 	places   chan struct{}
-	lastRun  atomic.Int64
 
 	mutex      sync.Mutex
 	heartbeats uint64
@@ -207,11 +206,9 @@
 
 // ran records that the runner began to work on a request.
 func (runner *runner) ran(request *http.Request) {
-	now := time.Now()
-	runner.lastRun.Store(now.UnixNano())
 	runner.runs.add(run{
 		attempt: request.Header.Get("Attempt-Id"), runner: runner.id, service: runner.service, host: request.Host,
-		path: request.URL.Path, tenant: request.Header.Get("Tenant"), at: now,
+		path: request.URL.Path, tenant: request.Header.Get("Tenant"), at: time.Now(),
 	})
 	runner.record.note("runner %s (%s) runs %s: %s %s%s tenant %q", runner.id, runner.service, request.Header.Get("Attempt-Id"),
 		request.Method, request.Host, request.URL.Path, request.Header.Get("Tenant"))
@@ -264,10 +261,10 @@
 func (runner *runner) serveStream(writer http.ResponseWriter, request *http.Request) {
 	_, _ = io.Copy(io.Discard, request.Body)
 	runner.mutex.Lock()
-	state, rank, served := runner.groupState, runner.rank, runner.groupModel
+	group, state, rank, served := runner.group, runner.groupState, runner.rank, runner.groupModel
 	runner.mutex.Unlock()
 	switch {
-	case runner.group == "" || rank != 0 || state == "ready" || state == "joining" || served != request.Header.Get("Model"):
+	case group == "" || rank != 0 || state == "ready" || state == "joining" || served != request.Header.Get("Model"):
 		runner.refuse(writer, request, http.StatusMisdirectedRequest)
 		return
 	case state != "open":
