review: start a node again if one of its ports is taken

With 30 scripts at once, one of case 2 exited with 2: two nodes had chosen one port. The stand-in now sees that the process ends and takes other ports.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -112,14 +112,27 @@
 	}
 }
 
-// addNode starts a node.
+// maxStarts is how often a node is prepared and started: another program may take one of its
+// ports before it listens, and the process then ends at once.
+const maxStarts = 5
+
+// addNode starts a node and waits until it answers at its address for the health check.
 func (played *deployment) addNode(name, zone string) error {
-	added, err := newNode(played.record, played.folder, name, zone, played.store.address)
-	if err != nil {
-		return err
+	for range maxStarts {
+		added, err := newNode(played.record, played.folder, name, zone, played.store.address)
+		if err != nil {
+			return err
+		}
+		if err := added.start(); err != nil {
+			return err
+		}
+		if added.awaitListening() {
+			played.nodes = append(played.nodes, added)
+			return nil
+		}
+		added.kill()
 	}
-	played.nodes = append(played.nodes, added)
-	return added.start()
+	return fmt.Errorf("node %s does not start", name)
 }
 
 // awaitReady waits until all nodes are ready.
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -20,6 +20,9 @@
 	programPath  = "target/lacewingspoke"
 	templatePath = "deploy/node.ini.tmpl"
 	graceSeconds = "8"
+
+	// startTime is the longest time until a started process listens.
+	startTime = 5 * time.Second
 )
 
 // A node is a process of the system.
@@ -144,6 +147,32 @@
 	<-ended
 }
 
+// awaitListening waits until the process answers health checks. It returns false if the process
+// ends before.
+func (node *node) awaitListening() bool {
+	client := http.Client{Timeout: time.Second}
+	for deadline := time.Now().Add(startTime); time.Now().Before(deadline); {
+		select {
+		case <-node.ended:
+			return false
+		case <-time.After(100 * time.Millisecond):
+		}
+		response, err := client.Get("http://" + node.ready + "/ready")
+		if err != nil {
+			continue
+		}
+		response.Body.Close()
+		// A process whose port is taken has ended by now.
+		select {
+		case <-node.ended:
+			return false
+		case <-time.After(200 * time.Millisecond):
+			return true
+		}
+	}
+	return false
+}
+
 func (node *node) isReady() bool {
 	client := http.Client{Timeout: time.Second}
 	response, err := client.Get("http://" + node.ready + "/ready")
