Require a key after the last workspace is removed

Cause: catalog.New derived whether requests need a key from the number of workspaces, and the decoder had one value for a missing list and an empty one. Retries and requests for other nodes asked only about requests that had a workspace. An empty string among the keys admitted requests without a key.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -204,11 +204,16 @@
 
 // Config holds the content of a Catalog.
 type Config struct {
-	Version    uint64
-	Routes     []Route
-	Services   []Service
-	Workspaces []WorkspaceKeys
-	Limits     Limits
+	Version  uint64
+	Routes   []Route
+	Services []Service
+
+	// RequiresKey is true if requests on routes that are not public need the key of
+	// a workspace, also if there is none. A configuration with Workspaces requires
+	// keys in any case.
+	RequiresKey bool
+	Workspaces  []WorkspaceKeys
+	Limits      Limits
 }
 
 // A Catalog is one version of the configuration.
@@ -223,21 +228,20 @@
 	// workspaces holds the workspaces by the digests of their keys.
 	workspaces map[[sha256.Size]byte]Workspace
 
-	// keyed is true if the configuration has workspaces.
-	keyed  bool
-	limits Limits
+	requiresKey bool
+	limits      Limits
 }
 
 // New returns a Catalog. It returns an errors.NotValid error if a route has no
 // kind, no service or an unknown service.
 func New(config Config) (*Catalog, error) {
 	catalog := &Catalog{
-		version:    config.Version,
-		routes:     map[string][]Route{},
-		services:   map[string]Service{},
-		workspaces: map[[sha256.Size]byte]Workspace{},
-		keyed:      len(config.Workspaces) > 0,
-		limits:     config.Limits,
+		version:     config.Version,
+		routes:      map[string][]Route{},
+		services:    map[string]Service{},
+		workspaces:  map[[sha256.Size]byte]Workspace{},
+		requiresKey: config.RequiresKey || len(config.Workspaces) > 0,
+		limits:      config.Limits,
 	}
 	for _, service := range config.Services {
 		catalog.services[service.Name] = service
@@ -256,6 +260,10 @@
 	}
 	for _, entry := range config.Workspaces {
 		for _, key := range entry.Keys {
+			if key == "" {
+				// A request without a key has the same value.
+				continue
+			}
 			catalog.workspaces[sha256.Sum256([]byte(key))] = entry.Workspace
 		}
 	}
@@ -309,8 +317,8 @@
 	return Route{}, false
 }
 
-// RequiresKey reports whether requests on routes that are not public need a key.
-func (catalog *Catalog) RequiresKey() bool { return catalog.keyed }
+// RequiresKey reports whether requests on a route need the key of a workspace.
+func (catalog *Catalog) RequiresKey(route Route) bool { return catalog.requiresKey && !route.Public }
 
 // HasWorkspace reports whether a workspace has any key.
 func (catalog *Catalog) HasWorkspace(name string) bool {
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -44,7 +44,8 @@
 		_, found := catalog.Workspace(key)
 		require.False(test, found, key)
 	}
-	require.True(test, catalog.RequiresKey())
+	require.True(test, catalog.RequiresKey(Route{}))
+	require.False(test, catalog.RequiresKey(Route{Public: true}))
 }
 
 // Guards against requests that are not split in proportion to the weights.
--- a/forward/changes_test.go
+++ b/forward/changes_test.go
@@ -74,3 +74,32 @@
 		})
 	}
 }
+
+// Guards against a retry after a configuration that requires a key which the request does
+// not have: it was admitted by one without workspaces, or with a key that is gone.
+func TestRetryNeedsTheKeyOfTheConfigurationInForce(test *testing.T) {
+	for name, fixture := range map[string]struct {
+		before, after tableFixture
+		status        int
+	}{
+		"none was required":    {before: tableFixture{withoutWorkspaces: true}, status: http.StatusServiceUnavailable},
+		"last workspace gone":  {after: tableFixture{withoutWorkspaces: true, requiresKey: true}, status: http.StatusServiceUnavailable},
+		"none is required now": {after: tableFixture{withoutWorkspaces: true}, status: http.StatusOK},
+	} {
+		test.Run(name, func(test *testing.T) {
+			arrived, release := make(chan string, 1), make(chan struct{})
+			refused := held(arrived, release, answers(503, "Refused: 1\r\n", ""))
+			runners := []*target{newTarget(test, "r1", refused), newTarget(test, "r2", refused)}
+			before, after := fixture.before, fixture.after
+			before.once, after.once, after.generation = runners, runners, 2
+			node := newNode(test, before)
+			replies := node.begin(test, "/once/1")
+			<-arrived
+			sound := newTarget(test, "r3", answers(200, "Seal: s\r\n", "ok"))
+			after.once = []*target{sound}
+			node.publish(test, after)
+			close(release)
+			require.Equal(test, fixture.status, (<-replies[0]).status)
+		})
+	}
+}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -183,7 +183,7 @@
 		return false
 	}
 	exchange.service = service
-	if !current.RequiresKey() || matched.Public {
+	if !current.RequiresKey(matched) {
 		return true
 	}
 	if !fresh {
@@ -243,23 +243,24 @@
 }
 
 // mayStillRun reports whether the request may still be sent to a target: its
-// deadline lies ahead, and if it has a workspace, its key is in a configuration
-// that was recently confirmed to be the newest. One that may run only once must
-// also end in the grace of a stopping node.
+// deadline lies ahead, and if the configuration in force requires a key, the request
+// has the key of its workspace there and the configuration was recently confirmed to
+// be the newest. One that may run only once must also end in the grace of a stopping
+// node.
 func (exchange *exchange) mayStillRun() bool {
 	if exchange.remaining() <= 0 || !exchange.route.Repeatable() && !exchange.endsInGrace() {
 		return false
 	}
-	if exchange.workspace.Name == "" {
+	current := exchange.server.config.Publisher.Current().Catalog()
+	if !current.RequiresKey(exchange.route) {
 		return true
 	}
 	now := exchange.server.config.Now()
 	if now.Sub(exchange.server.config.Confirmed()) >= exchange.server.config.MaxConfirmedAge {
 		return false
 	}
-	current := exchange.server.config.Publisher.Current().Catalog()
-	_, found := current.Workspace(exchange.caller.Key)
-	return found
+	workspace, found := current.Workspace(exchange.caller.Key)
+	return found && workspace.Name == exchange.workspace.Name
 }
 
 func (exchange *exchange) urgency() int {
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -235,6 +235,10 @@
 	// withoutKey is true if the configuration does not have the key of requests.
 	withoutKey bool
 
+	// withoutWorkspaces is true if the configuration has no workspace. Requests need a key
+	// if requiresKey is true.
+	withoutWorkspaces, requiresKey bool
+
 	// askReached is the question whether other nodes reach a target, used by newNode only.
 	askReached func(ctx context.Context, address string, targets []string) ([]string, error)
 }
@@ -298,12 +302,17 @@
 	if fixture.withoutKey {
 		keys = []string{"another key"}
 	}
+	workspaces := []catalog.WorkspaceKeys{{Workspace: catalog.Workspace{Name: "one", Priority: -1}, Keys: keys}}
+	if fixture.withoutWorkspaces {
+		workspaces = nil
+	}
 	current, err := catalog.New(catalog.Config{
-		Version:    generation,
-		Services:   []catalog.Service{{Name: "once"}, {Name: "idempotent"}, {Name: "stream", Engine: &catalog.Engine{Slots: 4}}},
-		Routes:     routes,
-		Workspaces: []catalog.WorkspaceKeys{{Workspace: catalog.Workspace{Name: "one", Priority: -1}, Keys: keys}},
-		Limits:     catalog.Limits{MaxBodyBytes: maxBody},
+		Version:     generation,
+		Services:    []catalog.Service{{Name: "once"}, {Name: "idempotent"}, {Name: "stream", Engine: &catalog.Engine{Slots: 4}}},
+		Routes:      routes,
+		RequiresKey: fixture.requiresKey,
+		Workspaces:  workspaces,
+		Limits:      catalog.Limits{MaxBodyBytes: maxBody},
 	})
 	require.NoError(test, err)
 	config := route.TableConfig{Catalog: current, Generation: generation}
--- a/forward/relay_server.go
+++ b/forward/relay_server.go
@@ -169,7 +169,7 @@
 		return false
 	}
 	matched, found := current.Match(hostOf(relayed.message.Host), pathOf(relayed.message.URI))
-	if !found || relayed.message.Workspace != "" && !current.HasWorkspace(relayed.message.Workspace) {
+	if !found || current.RequiresKey(matched) && !current.HasWorkspace(relayed.message.Workspace) {
 		return false
 	}
 	for _, split := range matched.Splits {
--- a/forward/relay_test.go
+++ b/forward/relay_test.go
@@ -162,6 +162,9 @@
 		"later configuration without the route": func(other *node) {
 			other.publish(test, tableFixture{once: []*target{runner}, generation: 2, routes: []string{"idempotent", "stream"}})
 		},
+		"later configuration without workspaces, which requires a key": func(other *node) {
+			other.publish(test, tableFixture{once: []*target{runner}, generation: 2, withoutWorkspaces: true, requiresKey: true})
+		},
 		"node stops": func(other *node) { other.forward.Stop() },
 	} {
 		test.Run(name, func(test *testing.T) {
@@ -178,6 +181,19 @@
 	}
 }
 
+// Guards against a request that was admitted without a key and is sent for another node
+// whose later configuration requires one.
+func TestNodeSendsNoRequestWithoutTheKeyThatItRequires(test *testing.T) {
+	runner := newTarget(test, "r1", answers(200, "Seal: s\r\n", "ok"))
+	other := newNode(test, tableFixture{once: []*target{runner}, withoutWorkspaces: true})
+	cut := newNode(test, tableFixture{once: []*target{closedTarget(test, "r1")}, withoutWorkspaces: true})
+	cut.connect(test, other)
+	require.Equal(test, 200, cut.request(test, http.MethodPost, "/once/1", "x").status)
+	other.publish(test, tableFixture{once: []*target{runner}, generation: 2})
+	require.Equal(test, http.StatusServiceUnavailable, cut.request(test, http.MethodPost, "/once/1", "x").status)
+	require.Equal(test, 1, runner.count())
+}
+
 // Guards against targets that were not reached and use up the allowance of retries.
 func TestUnreachedTargetsDrawNoRetries(test *testing.T) {
 	runner := newTarget(test, "r3", answers(200, "Seal: s\r\n", "ok"))
