Send nothing to a service without weight

Callers: requests on a route whose weights were all 0 or missing went to the last service of its list.

Cause: Route.Choose fell through to the last split.

TestChooseTakesNoServiceWithoutWeight fails before for a route without weights.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -339,18 +339,24 @@
 }
 
 // Choose returns the name of the service for a request, given a random number
-// from 0 up to but not including 1.
+// from 0 up to but not including 1. It is empty if no service has a positive
+// weight.
 func (route Route) Choose(draw float64) string {
 	total := 0
 	for _, split := range route.Splits {
-		total += split.Weight
+		total += max(0, split.Weight)
 	}
 	remaining := draw * float64(total)
+	chosen := ""
 	for _, split := range route.Splits {
+		if split.Weight <= 0 {
+			continue
+		}
+		chosen = split.Service
 		remaining -= float64(split.Weight)
 		if remaining < 0 {
-			return split.Service
+			break
 		}
 	}
-	return route.Splits[len(route.Splits)-1].Service
+	return chosen
 }
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -48,6 +48,25 @@
 	require.False(test, catalog.RequiresKey(Route{Public: true}))
 }
 
+// Guards against requests that are sent to a service without a share of the route.
+func TestChooseTakesNoServiceWithoutWeight(test *testing.T) {
+	for name, fixture := range map[string]struct {
+		splits []Split
+		want   string
+	}{
+		"none has a weight": {splits: []Split{{Service: "a"}, {Service: "b"}}},
+		"last has none":     {splits: []Split{{Service: "a", Weight: 1}, {Service: "b"}}, want: "a"},
+		"first has none":    {splits: []Split{{Service: "a"}, {Service: "b", Weight: 1}}, want: "b"},
+		"negative":          {splits: []Split{{Service: "a", Weight: -3}, {Service: "b", Weight: 1}, {Service: "c", Weight: -1}}, want: "b"},
+	} {
+		test.Run(name, func(test *testing.T) {
+			for _, draw := range []float64{0, 0.5, 0.9999999} {
+				require.Equal(test, fixture.want, Route{Splits: fixture.splits}.Choose(draw))
+			}
+		})
+	}
+}
+
 // Guards against requests that are not split in proportion to the weights.
 func TestChooseFollowsTheWeights(test *testing.T) {
 	catalog, err := New(testConfig())
