Use the priority of the route for requests without a workspace

Callers: requests on public routes, and all requests of a configuration without workspaces, had the most urgent priority at their target.

Cause: the zero workspace has priority 0, which overrides the route's.

TestRequestWithoutWorkspaceHasThePriorityOfItsRoute fails before (0 in place of 3).

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -45,9 +45,11 @@
 	control    *http.ResponseController
 	receivedAt time.Time
 
-	caller    CallerHeaders
-	route     catalog.Route
-	service   catalog.Service
+	caller  CallerHeaders
+	route   catalog.Route
+	service catalog.Service
+
+	// workspace has neither name nor priority if the request needs no key.
 	workspace catalog.Workspace
 	table     *route.Table
 	body      []byte
@@ -97,6 +99,7 @@
 		request:    request,
 		control:    http.NewResponseController(writer),
 		receivedAt: server.config.Now(),
+		workspace:  catalog.Workspace{Priority: -1},
 	}
 }
 
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -293,6 +293,15 @@
 	require.Equal(test, 1, runner.count())
 }
 
+// Guards against a request without a workspace that is more urgent at the target than its
+// route.
+func TestRequestWithoutWorkspaceHasThePriorityOfItsRoute(test *testing.T) {
+	runner := newTarget(test, "r1", answers(200, "Seal: s\r\n", "ok"))
+	node := newNode(test, tableFixture{once: []*target{runner}, withoutWorkspaces: true, priority: 3})
+	require.Equal(test, 200, node.request(test, http.MethodPost, "/once/1", "x").status)
+	require.Equal(test, "3", runner.requests[0].Header.Get("Urgency"))
+}
+
 // Guards against accepting a key, or reporting a route as missing, by a
 // configuration that may have been replaced.
 func TestStaleConfigurationRefusesRequests(test *testing.T) {
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -49,6 +49,7 @@
 	outgoing.Set("Workspace", values.Workspace)
 	outgoing.Set("Wanted", values.Target)
 	outgoing.Set("After", values.ResumeAfter)
+	outgoing.Set("Urgency", strconv.Itoa(values.Urgency))
 	return outgoing
 }
 
@@ -221,6 +222,9 @@
 	routes     []string
 	noRetries  bool
 
+	// priority is that of all routes.
+	priority int
+
 	// gap is the longest pause for which a stream is on time.
 	gap time.Duration
 
@@ -288,7 +292,7 @@
 	routeTo := func(name string, kind catalog.Kind) catalog.Route {
 		return catalog.Route{
 			Name: name, Host: "host.example", Prefix: "/" + name + "/", Kind: kind, Timeout: 20 * time.Second, Objective: 100 * time.Millisecond, GapObjective: fixture.gap,
-			MaxAttempts: attempts, Resumable: !fixture.unresumable, Splits: []catalog.Split{{Service: name, Weight: 1}},
+			MaxAttempts: attempts, Priority: fixture.priority, Resumable: !fixture.unresumable, Splits: []catalog.Split{{Service: name, Weight: 1}},
 		}
 	}
 	generation := max(fixture.generation, 1)
