Bound first events only by objectives in use that can be met

Cause: Server.objective kept the strictest objective that any route had ever used for a model, and nothing dropped it.

Change: limit.Objectives bounds by the routes in the configuration in force that had a request lately. An objective that an idle group does not meet bounds nothing; an objective of 0 is none.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -93,6 +93,9 @@
 	return route.Kind == KindIdempotent || route.Kind == KindStream && route.Resumable
 }
 
+// Key identifies the route in all versions of the configuration.
+func (route Route) Key() string { return strings.ToLower(route.Host) + route.Prefix }
+
 // A Split is the share of a route's requests that is sent to one service, in
 // proportion to its weight.
 type Split struct {
@@ -222,6 +225,9 @@
 	routes   map[string][]Route
 	services map[string]Service
 
+	// objectives holds the objectives of the routes by their keys.
+	objectives map[string]time.Duration
+
 	// names holds the names of the services in order.
 	names []string
 
@@ -239,6 +245,7 @@
 		version:     config.Version,
 		routes:      map[string][]Route{},
 		services:    map[string]Service{},
+		objectives:  map[string]time.Duration{},
 		workspaces:  map[[sha256.Size]byte]Workspace{},
 		requiresKey: config.RequiresKey || len(config.Workspaces) > 0,
 		limits:      config.Limits,
@@ -254,6 +261,7 @@
 		}
 		host := strings.ToLower(route.Host)
 		catalog.routes[host] = append(catalog.routes[host], route)
+		catalog.objectives[route.Key()] = route.Objective
 	}
 	for _, routes := range catalog.routes {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
@@ -291,6 +299,10 @@
 // Limits returns the limits on callers' requests.
 func (catalog *Catalog) Limits() Limits { return catalog.limits }
 
+// Objectives returns the objectives of the routes by their keys, 0 for none. The
+// caller must not modify the map.
+func (catalog *Catalog) Objectives() map[string]time.Duration { return catalog.objectives }
+
 // Services returns the services, sorted by name.
 func (catalog *Catalog) Services() []Service {
 	services := make([]Service, 0, len(catalog.names))
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -237,6 +237,7 @@
 	picker        *route.Picker
 	stallDetector *route.StallDetector
 	forecast      *limit.Forecast
+	objectives    *limit.Objectives
 	cancel        context.CancelFunc
 	watchDone     chan error
 
@@ -252,10 +253,6 @@
 	relayed      int
 	relayedEnded chan struct{}
 
-	// objectives maps a model to the strictest objective of the routes that have
-	// been used for it.
-	objectives map[string]time.Duration
-
 	// leaving contains the targets that reported that they leave since the last call of
 	// TakeLeaving.
 	leaving []route.LeavingTarget
@@ -306,7 +303,7 @@
 	server := &Server{
 		requests:   httpserve.NewRequests(config.Now),
 		stalled:    map[string]bool{},
-		objectives: map[string]time.Duration{},
+		objectives: limit.NewObjectives(),
 		liveNodes:  1,
 		closures:   route.NewClosures(),
 		paths:      route.NewPaths(),
@@ -559,21 +556,6 @@
 	return allowed
 }
 
-// objective records own as the objective of a route that uses the model, and
-// returns the strictest objective recorded for the model. A pass of a group
-// serves the requests of all these routes, so a route with a looser objective
-// must not make the others miss theirs.
-func (server *Server) objective(model string, own time.Duration) time.Duration {
-	server.mutex.Lock()
-	defer server.mutex.Unlock()
-	strictest, found := server.objectives[model]
-	if !found || own > 0 && own < strictest {
-		server.objectives[model] = own
-		return own
-	}
-	return strictest
-}
-
 // otherNodesShare returns the fraction of the load that comes from other nodes,
 // assuming that all nodes send the same load.
 func (server *Server) otherNodesShare() float64 {
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -56,7 +56,13 @@
 func (testCodec) ParseAnswer(status int, header http.Header) forward.Answer {
 	limit, _ := strconv.ParseFloat(header.Get("Limit"), 64)
 	rest, _ := time.ParseDuration(header.Get("Rest"))
+	var load *forward.Load
+	var running, queued int
+	if count, _ := fmt.Sscanf(header.Get("Load"), "%d,%d", &running, &queued); count == 2 {
+		load = &forward.Load{Load: group.Load{Running: running, Queued: queued}}
+	}
 	return forward.Answer{
+		Load:         load,
 		Rest:         rest,
 		Leaving:      header.Get("Leaving") != "",
 		RequestLimit: limit, Attempt: header.Get("Id"), Refused: header.Get("Refused") != "", Sealed: header.Get("Seal") != "", Foreign: header.Get("Foreign") != "",
@@ -222,6 +228,11 @@
 	routes     []string
 	noRetries  bool
 
+	// objectives are those of more routes to the groups, by name, and step is the time of a
+	// step of their engines.
+	objectives map[string]time.Duration
+	step       time.Duration
+
 	// priority is that of all routes.
 	priority int
 
@@ -302,6 +313,11 @@
 			routes = append(routes, routeTo(name, kind))
 		}
 	}
+	for name, objective := range fixture.objectives {
+		added := routeTo("stream", catalog.KindStream)
+		added.Name, added.Prefix, added.Objective = name, "/"+name+"/", objective
+		routes = append(routes, added)
+	}
 	keys := []string{"key"}
 	if fixture.withoutKey {
 		keys = []string{"another key"}
@@ -312,7 +328,7 @@
 	}
 	current, err := catalog.New(catalog.Config{
 		Version:     generation,
-		Services:    []catalog.Service{{Name: "once"}, {Name: "idempotent"}, {Name: "stream", Engine: &catalog.Engine{Slots: 4}}},
+		Services:    []catalog.Service{{Name: "once"}, {Name: "idempotent"}, {Name: "stream", Engine: &catalog.Engine{Slots: 4, Step: fixture.step, MeanAnswerTokens: 20}}},
 		Routes:      routes,
 		RequiresKey: fixture.requiresKey,
 		Workspaces:  workspaces,
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -93,6 +93,7 @@
 // serveStream forwards a request to a serving group and streams the group's
 // events back to the caller.
 func (exchange *exchange) serveStream(ctx context.Context) {
+	exchange.server.objectives.Use(exchange.caller.Model, exchange.route.Key(), exchange.receivedAt)
 	delivery := &delivery{
 		exchange: exchange, lastEventID: exchange.caller.ResumeAfter, seeking: true,
 		events: make(chan callEvent), suspicions: make(chan *groupCall, maxCalls), pauses: map[string]resumePause{},
@@ -335,10 +336,14 @@
 	table := server.config.Publisher.Current()
 	unavailable := exchange.unavailable(delivery.unavailable(excluded, table, now), table, now)
 	target, found := server.picker.PickGroup(table, route.GroupRequest{Spec: exchange.caller.Model, Excluded: unavailable}, now)
-	if found && !delivery.headerSent && !exchange.meetsObjective(target, now) {
-		target, found = exchange.earliestGroup(table, unavailable, now)
+	if !found || delivery.headerSent {
+		return target, found
 	}
-	return target, found
+	bound := exchange.firstEventBound(now)
+	if exchange.predictFirstEvent(target, now) <= bound {
+		return target, true
+	}
+	return exchange.earliestGroup(table, unavailable, bound, now)
 }
 
 // unavailable adds the groups that take no further call of this stream now to the excluded
@@ -359,10 +364,17 @@
 	return extended
 }
 
-// meetsObjective reports whether a group is predicted to send the first event
-// within the objective.
-func (exchange *exchange) meetsObjective(target route.GroupTarget, now time.Time) bool {
-	return exchange.predictFirstEvent(target, now) <= exchange.server.objective(exchange.caller.Model, exchange.route.Objective)
+// firstEventBound returns the longest predicted time to the first event at which the request
+// is sent to a group. Without an objective that can be met, it is the time for which the
+// caller waits.
+func (exchange *exchange) firstEventBound(now time.Time) time.Duration {
+	server := exchange.server
+	routes := server.config.Publisher.Current().Catalog().Objectives()
+	idle := limit.IdleFirstEvent(exchange.pace())
+	if bound := server.objectives.Bound(exchange.caller.Model, routes, idle, now); bound > 0 {
+		return bound
+	}
+	return min(exchange.remaining(), exchange.patience())
 }
 
 // predictFirstEvent predicts the time to the first event at a group.
@@ -373,10 +385,10 @@
 }
 
 // earliestGroup returns the group with the earliest predicted first event among
-// those that meet the objective.
-func (exchange *exchange) earliestGroup(table *route.Table, excluded map[string]bool, now time.Time) (route.GroupTarget, bool) {
+// those whose prediction is within the bound.
+func (exchange *exchange) earliestGroup(table *route.Table, excluded map[string]bool, bound time.Duration, now time.Time) (route.GroupTarget, bool) {
 	var best route.GroupTarget
-	earliest := exchange.server.objective(exchange.caller.Model, exchange.route.Objective)
+	earliest := bound
 	found := false
 	for _, target := range table.Groups(exchange.caller.Model) {
 		if excluded[target.Name] || !target.Usable(now) || exchange.server.suspects.Avoided(target.Name, now) {
@@ -416,8 +428,8 @@
 		}
 		usable++
 	}
-	return fmt.Sprintf("%d serve, %d of them avoided, %d at their limit, %d resting, earliest first event in %v for an objective of %v",
-		usable, avoided, full, resting, earliest.Round(time.Millisecond), server.objective(exchange.caller.Model, exchange.route.Objective))
+	return fmt.Sprintf("%d serve, %d of them avoided, %d at their limit, %d resting, earliest first event in %v for a bound of %v",
+		usable, avoided, full, resting, earliest.Round(time.Millisecond), exchange.firstEventBound(now).Round(time.Millisecond))
 }
 
 // pace returns the speed of the engine for the request's model.
--- a/limit/forecast.go
+++ b/limit/forecast.go
@@ -210,6 +210,11 @@
 	return max(queued, passes+time.Duration(unread)*pace.ReadPerToken+pace.slotWait(load, gap))
 }
 
+// IdleFirstEvent predicts the time to the first event at a target without other requests.
+func IdleFirstEvent(pace Pace) time.Duration {
+	return time.Duration(currentPassFraction*float64(pace.Pass)) + pace.Pass + time.Duration(pace.MeanPromptTokens)*pace.ReadPerToken
+}
+
 // slotWait returns the expected time until a slot is free for a new request at
 // the given load. If all slots are in use, one becomes free each time that the
 // writing time of a response divided by the number of slots has passed.
