Let observed loads age

Callers: after a burst, a node refused every request to a service, or for a model, while all its targets were idle; one node never served again.

Cause: route.Tracker kept the last load of a target until its next answer. A node whose last answers all said that the targets are full sent nothing, and got no other answer. A runner was also refused as full if the first choice was full and another one had a place.

Change: a load counts in full for half of its age limit, then less and less. Full runners are left out of the choice. The reason of a refusal counts the runners that are full, limited and resting.

TestFullTargetsAreTriedAgain fails before for runners and groups.

--- a/forward/groupcall.go
+++ b/forward/groupcall.go
@@ -83,7 +83,7 @@
 	exchange := delivery.exchange
 	server := exchange.server
 	now := server.config.Now()
-	exchange.load = server.tracker.Load(target.Name, target.Load, target.LoadReportedAt())
+	exchange.load = server.tracker.Load(target.Name, target.Load, target.LoadReportedAt(), now)
 	exchange.predicted = exchange.predictFirstEvent(target, now)
 	ctx, cancel := context.WithCancelCause(ctx)
 	call := &groupCall{
--- a/forward/memory_test.go
+++ b/forward/memory_test.go
@@ -1,6 +1,7 @@
 package forward_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -34,3 +35,40 @@
 		})
 	}
 }
+
+// Guards against a node that refuses all requests because the last answer of each target said
+// that it is full: without a request it never gets another answer.
+func TestFullTargetsAreTriedAgain(test *testing.T) {
+	const servedWithin = 5 * time.Second
+	for path, script := range map[string]func(load string) func(target int) *target{
+		"/once/1": func(load string) func(int) *target {
+			return func(index int) *target {
+				return newTarget(test, fmt.Sprint("r", index), answers(200, "Seal: s\r\nLoad: "+load+"\r\n", "ok"))
+			}
+		},
+		"/usual/1": func(load string) func(int) *target {
+			return func(index int) *target {
+				return newTarget(test, fmt.Sprint("g", index), answers(200, "Seal: s\r\nContent-Type: text/event-stream\r\nLoad: "+load+"\r\n", events(1)))
+			}
+		},
+	} {
+		test.Run(path, func(test *testing.T) {
+			full := script("4,40")
+			fixture := tableFixture{objectives: map[string]time.Duration{"usual": 300 * time.Millisecond}, step: 50 * time.Millisecond}
+			targets := []*target{full(1), full(2), full(3)}
+			if path == "/once/1" {
+				fixture.once = targets
+			} else {
+				fixture.groups = targets
+			}
+			node := newNode(test, fixture)
+			for range 3 {
+				require.Equal(test, http.StatusOK, node.request(test, http.MethodPost, path, "x").status, "the others are not full")
+			}
+			require.Equal(test, http.StatusServiceUnavailable, node.request(test, http.MethodPost, path, "x").status)
+			require.Eventually(test, func() bool {
+				return node.request(test, http.MethodPost, path, "x").status == http.StatusOK
+			}, servedWithin, 100*time.Millisecond)
+		})
+	}
+}
--- a/forward/observe.go
+++ b/forward/observe.go
@@ -74,14 +74,24 @@
 	// name is that in the tracker, id that in the limits, instance identifies the
 	// incarnation, and life is that in the quarantine.
 	name, id, incarnation, instance, life string
+
+	// loadMaxAge is how long a load that it reports counts.
+	loadMaxAge time.Duration
 }
 
+const (
+	// runnerLoadMaxAge and groupLoadMaxAge exceed the time in which a full target serves
+	// all requests that it has.
+	runnerLoadMaxAge = time.Second
+	groupLoadMaxAge  = 4 * time.Second
+)
+
 func observedGroup(target route.GroupTarget) observedTarget {
-	return observedTarget{name: target.Name, id: target.VM, incarnation: target.Incarnation, instance: target.Instance(), life: target.Life()}
+	return observedTarget{name: target.Name, id: target.VM, incarnation: target.Incarnation, instance: target.Instance(), life: target.Life(), loadMaxAge: groupLoadMaxAge}
 }
 
 func observedRunner(target route.ServiceTarget) observedTarget {
-	return observedTarget{name: target.ID(), id: target.ID(), incarnation: target.Incarnation, instance: target.Instance(), life: target.ID()}
+	return observedTarget{name: target.ID(), id: target.ID(), incarnation: target.Incarnation, instance: target.Instance(), life: target.ID(), loadMaxAge: runnerLoadMaxAge}
 }
 
 // observeAnswer records what a target reports of itself in the answer to a request that was
@@ -89,7 +99,7 @@
 func (server *Server) observeAnswer(target observedTarget, attempt string, response *http.Response, answer Answer, sentAt time.Time) {
 	now := server.config.Now()
 	if answer.Load != nil {
-		server.tracker.Observe(target.name, answer.Load.Load, now)
+		server.tracker.Observe(target.name, answer.Load.Load, target.loadMaxAge, now)
 	}
 	if response.StatusCode == http.StatusMisdirectedRequest || !isOwnResponse(attempt, response, answer) {
 		return
--- a/forward/runner.go
+++ b/forward/runner.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"time"
@@ -31,32 +33,60 @@
 				try:  func() attemptResult { return exchange.tryRunner(ctx, target) },
 			}, found
 		},
-		noTargetReason: func() string { return "no runner has a place" },
+		noTargetReason: exchange.noRunnerReason,
 		giveUp:         func(reason string) { exchange.giveUp(reason, exchange.restEndsIn()+runnerRetryAfter) },
 	})
 }
 
-// pickRunner returns a runner that is not full, or false. A runner is full if
-// its slots and a short queue are in use.
+// pickRunner returns a runner that is not full, or false.
 func (exchange *exchange) pickRunner(excluded map[string]bool) (route.ServiceTarget, bool) {
 	server := exchange.server
 	table := server.config.Publisher.Current()
 	now := server.config.Now()
-	target, found := server.picker.PickService(table, exchange.service.Name, exchange.unavailable(excluded, table, now), now)
-	if !found {
-		return route.ServiceTarget{}, false
+	unavailable := exchange.unavailable(excluded, table, now)
+	if slices.ContainsFunc(table.Services(exchange.service.Name), func(target route.ServiceTarget) bool { return server.isFull(target, now) }) {
+		unavailable = maps.Clone(unavailable)
+		for _, target := range table.Services(exchange.service.Name) {
+			if server.isFull(target, now) {
+				unavailable[target.ID()] = true
+			}
+		}
 	}
-	load := server.tracker.Load(target.Name, target.Load, time.Time{})
-	if target.Slots > 0 && load >= target.Slots*maxLoadPerSlot {
-		return route.ServiceTarget{}, false
+	return server.picker.PickService(table, exchange.service.Name, unavailable, now)
+}
+
+// isFull reports whether the slots and the short queue of a runner are in use.
+func (server *Server) isFull(target route.ServiceTarget, now time.Time) bool {
+	return target.Slots > 0 && server.tracker.Load(target.ID(), target.Load, time.Time{}, now) >= target.Slots*maxLoadPerSlot
+}
+
+// noRunnerReason describes why no runner of the service was chosen.
+func (exchange *exchange) noRunnerReason() string {
+	server := exchange.server
+	now := server.config.Now()
+	open, full, limited, resting := 0, 0, 0, 0
+	for _, target := range server.config.Publisher.Current().Services(exchange.service.Name) {
+		if !target.Open {
+			continue
+		}
+		open++
+		_, closed := server.closures.Closed(target.Instance(), now)
+		switch {
+		case closed:
+			resting++
+		case server.config.Limits.Full(target.ID(), now):
+			limited++
+		case server.isFull(target, now):
+			full++
+		}
 	}
-	return target, true
+	return fmt.Sprintf("no runner has a place: %d open, %d full, %d at their limit, %d resting", open, full, limited, resting)
 }
 
 // tryRunner makes one attempt at a runner.
 func (exchange *exchange) tryRunner(ctx context.Context, target route.ServiceTarget) attemptResult {
 	server := exchange.server
-	ended := server.tracker.Start(target.Name, server.config.Now())
+	ended := server.tracker.Start(target.ID(), server.config.Now())
 	defer func() { ended(server.config.Now()) }()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -380,7 +380,7 @@
 // predictFirstEvent predicts the time to the first event at a group.
 func (exchange *exchange) predictFirstEvent(target route.GroupTarget, now time.Time) time.Duration {
 	server := exchange.server
-	load := server.tracker.Load(target.Name, target.Load, target.LoadReportedAt())
+	load := server.tracker.Load(target.Name, target.Load, target.LoadReportedAt(), now)
 	return server.forecast.PredictFirstEvent(target.Name, exchange.pace(), load, now)
 }
 
--- a/route/picker.go
+++ b/route/picker.go
@@ -110,7 +110,7 @@
 		if request.Excluded[target.Name] || !target.Usable(now) {
 			continue
 		}
-		load := picker.tracker.Load(target.Name, target.Load, target.LoadReportedAt())
+		load := picker.tracker.Load(target.Name, target.Load, target.LoadReportedAt(), now)
 		candidates = append(candidates, picker.newCandidate(index, target.Name, target.FailureDomain, load, now))
 	}
 	candidates = withoutSuspects(candidates)
@@ -177,7 +177,7 @@
 		if !target.Open || excluded[target.ID()] {
 			continue
 		}
-		load := picker.tracker.Load(target.ID(), target.Load, time.Time{})
+		load := picker.tracker.Load(target.ID(), target.Load, time.Time{}, now)
 		candidates = append(candidates, picker.newCandidate(index, target.ID(), target.FailureDomain, load, now))
 	}
 	candidates = withoutSuspects(candidates)
--- a/route/picker_test.go
+++ b/route/picker_test.go
@@ -58,21 +58,21 @@
 func TestTrackerCorrectsLoad(t *testing.T) {
 	tracker := route.NewTracker()
 	load := group.Load{Running: 3, Queued: 1}
-	require.Equal(t, 4, tracker.Load("a", load, now))
+	require.Equal(t, 4, tracker.Load("a", load, now, now))
 	early := tracker.Start("a", now.Add(-time.Second))
 	late := tracker.Start("a", now.Add(time.Second))
-	require.Equal(t, 5, tracker.Load("a", load, now), "the report does not include the late request")
+	require.Equal(t, 5, tracker.Load("a", load, now, now), "the report does not include the late request")
 	early(now.Add(2 * time.Second))
 	early(now.Add(3 * time.Second))
-	require.Equal(t, 4, tracker.Load("a", load, now), "the report includes the early request, which has ended")
+	require.Equal(t, 4, tracker.Load("a", load, now, now), "the report includes the early request, which has ended")
 	late(now.Add(3 * time.Second))
-	require.Equal(t, 3, tracker.Load("a", load, now))
-	require.Equal(t, 4, tracker.Load("a", load, now.Add(5*time.Second)), "a newer report includes all requests")
+	require.Equal(t, 3, tracker.Load("a", load, now, now))
+	require.Equal(t, 4, tracker.Load("a", load, now.Add(5*time.Second), now), "a newer report includes all requests")
 	for range 9 {
 		tracker.Start("a", now.Add(-time.Second))
 	}
-	require.Equal(t, 9, tracker.Load("a", load, now), "own requests are a lower bound")
-	require.Equal(t, 9, tracker.Load("a", load, time.Time{}))
+	require.Equal(t, 9, tracker.Load("a", load, now, now), "own requests are a lower bound")
+	require.Equal(t, 9, tracker.Load("a", load, time.Time{}, now))
 	tracker.Retain(nil)
 	require.Equal(t, 9, tracker.InFlight("a"))
 }
@@ -195,7 +195,7 @@
 		ended := tracker.Start(name, now)
 		defer ended(now.Add(time.Hour))
 	}
-	tracker.Observe("full", group.Load{Running: 26, Queued: 4}, now.Add(100*time.Millisecond))
+	tracker.Observe("full", group.Load{Running: 26, Queued: 4}, 4*time.Second, now.Add(100*time.Millisecond))
 	full, free := target("full", "d1", 0), target("free", "d1", 0)
 	full.LoadUnreported, free.LoadUnreported = true, true
 	for step := range 20 {
@@ -205,7 +205,7 @@
 		picked, found := picker.PickGroup(table(full, free), route.GroupRequest{Spec: "copy"}, at)
 		require.True(test, found)
 		require.Equal(test, "free", picked.Name)
-		require.Equal(test, 30, tracker.Load("full", full.Load, full.LoadReportedAt()))
+		require.Equal(test, 30, tracker.Load("full", full.Load, full.LoadReportedAt(), at))
 	}
 }
 
@@ -213,7 +213,7 @@
 // newer one.
 func TestOlderObservedLoadIsIgnored(test *testing.T) {
 	tracker := route.NewTracker()
-	tracker.Observe("g", group.Load{Running: 20}, now.Add(time.Second))
-	tracker.Observe("g", group.Load{Running: 3}, now)
-	require.Equal(test, 20, tracker.Load("g", group.Load{}, time.Time{}))
+	tracker.Observe("g", group.Load{Running: 20}, time.Minute, now.Add(time.Second))
+	tracker.Observe("g", group.Load{Running: 3}, time.Minute, now)
+	require.Equal(test, 20, tracker.Load("g", group.Load{}, time.Time{}, now.Add(time.Second)))
 }
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -25,9 +25,10 @@
 // there.
 type targetLoad struct {
 	// observed is the load in the response that was received from the target at
-	// observedAt.
+	// observedAt. It counts for maxAge.
 	observed   group.Load
 	observedAt time.Time
+	maxAge     time.Duration
 
 	// started holds the start times of the requests in progress by their sequence
 	// numbers.
@@ -61,9 +62,11 @@
 }
 
 // Observe records a load that was observed in a response of the target at now. It
-// is used until a newer load is observed or a newer report arrives. A load older
-// than the recorded one is ignored.
-func (tracker *Tracker) Observe(target string, load group.Load, now time.Time) {
+// is used until a newer load is observed, a newer report arrives or maxAge is over.
+// For half of maxAge it counts in full, then less and less: requests of other nodes
+// have ended meanwhile, and a node that waits for a lower load before it sends a
+// request would never observe one. A load older than the recorded one is ignored.
+func (tracker *Tracker) Observe(target string, load group.Load, maxAge time.Duration, now time.Time) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
 	record := tracker.targets[target]
@@ -74,9 +77,23 @@
 	if now.After(record.observedAt) {
 		record.observed = load
 		record.observedAt = now
+		record.maxAge = maxAge
 	}
 }
 
+// observedLoad returns the part of the observed load that counts at now.
+func (record *targetLoad) observedLoad(now time.Time) int {
+	load := record.observed.Running + record.observed.Queued
+	left := record.maxAge - now.Sub(record.observedAt)
+	switch {
+	case left <= 0:
+		return 0
+	case 2*left >= record.maxAge:
+		return load
+	}
+	return int(2 * int64(left) * int64(load) / int64(record.maxAge))
+}
+
 func (tracker *Tracker) finish(target string, number uint64, ended time.Time) {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
@@ -95,13 +112,13 @@
 	}
 }
 
-// Load returns the estimated load of a target: the load reported at reportedAt,
+// Load returns the estimated load of a target at now: the load reported at reportedAt,
 // or a load observed later, plus this node's requests that started after that
 // time, minus those that started before it and have finished since. The estimate
 // is at least the number of this node's requests in progress. A zero reportedAt
 // means that the time of the report is unknown; unless a load was observed, Load
 // then returns the larger of the reported load and that number.
-func (tracker *Tracker) Load(target string, load group.Load, reportedAt time.Time) int {
+func (tracker *Tracker) Load(target string, load group.Load, reportedAt, now time.Time) int {
 	reported := load.Running + load.Queued
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
@@ -112,7 +129,7 @@
 	own := len(record.started)
 	if record.observedAt.After(reportedAt) {
 		reportedAt = record.observedAt
-		reported = record.observed.Running + record.observed.Queued
+		reported = record.observedLoad(now)
 	}
 	if reportedAt.IsZero() {
 		return max(reported, own)
