Ignore the load in answers of other targets and to other requests

Callers: a target got too few or too many requests after an answer that was not its own, for example by the next runner at its address.

Cause: the load was recorded before the answer was known to be that of the target to this request, unlike its limit, rest and leave.

TestLoadOfAnotherAnswerIsIgnored fails before.

--- a/forward/memory_test.go
+++ b/forward/memory_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -72,3 +74,23 @@
 		})
 	}
 }
+
+// Guards against the load in an answer to another request, or of another target, that is taken
+// for that of the target that was called.
+func TestLoadOfAnotherAnswerIsIgnored(test *testing.T) {
+	for name, text := range map[string]string{
+		"another request": answerText("other", 400, "Load: 4,40\r\n", ""),
+		"another target":  answerText("a1", http.StatusMisdirectedRequest, "Refused: 1\r\nLoad: 4,40\r\n", ""),
+	} {
+		test.Run(name, func(test *testing.T) {
+			runner := newTarget(test, "r1", func(conn net.Conn, _ *http.Request) bool {
+				_, err := io.WriteString(conn, text)
+				return err == nil
+			})
+			node := newNode(test, tableFixture{once: []*target{runner}})
+			node.request(test, http.MethodPost, "/once/1", "x")
+			node.request(test, http.MethodPost, "/once/1", "x")
+			require.Equal(test, 2, runner.count())
+		})
+	}
+}
--- a/forward/observe.go
+++ b/forward/observe.go
@@ -98,12 +98,12 @@
 // sent at sentAt. The answer of another target or to another request is ignored.
 func (server *Server) observeAnswer(target observedTarget, attempt string, response *http.Response, answer Answer, sentAt time.Time) {
 	now := server.config.Now()
-	if answer.Load != nil {
-		server.tracker.Observe(target.name, answer.Load.Load, target.loadMaxAge, now)
-	}
 	if response.StatusCode == http.StatusMisdirectedRequest || !isOwnResponse(attempt, response, answer) {
 		return
 	}
+	if answer.Load != nil {
+		server.tracker.Observe(target.name, answer.Load.Load, target.loadMaxAge, now)
+	}
 	server.observeLimit(target.id, attempt, answer, sentAt)
 	server.observeLeaving(target, attempt, answer)
 	if answer.Rest > 0 {
