Form and choose groups by service and model

Cause: the name of a model was the key of what belongs to a service and a model: the folder's groups, the VMs that a leader forms them of, the sizes, the staging of weights, the routing table, the bounds on first events.

Change: VMs, the folder's groups and the routing table have a service, and the policy of a leader runs once for each. The service of a placed group is that of its members, so that the placement record keeps its form for nodes of earlier versions. The rates of loads of services that share the weight store are no longer added.

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -150,7 +150,7 @@
 	require.NoError(test, err)
 	for _, running := range cluster.nodes {
 		running.await(test, "closed group", func(table *route.Table) bool {
-			for _, target := range table.Groups("dedication") {
+			for _, target := range table.Groups("", "dedication") {
 				if target.Open {
 					return false
 				}
--- a/control/drain.go
+++ b/control/drain.go
@@ -117,9 +117,13 @@
 // the leaders.
 func (state *state) handleVMs(now time.Time, vms []kvstore.VM) {
 	state.pollingVMs = false
+	previous := state.vms
 	state.vms = map[string]kvstore.VM{}
 	for _, vm := range vms {
 		state.vms[vm.Name] = vm
+		if previous[vm.Name].Service != vm.Service {
+			state.invalidateTargets()
+		}
 		state.dropReplacedNotices(vm)
 		if vm.State == kvstore.VMLeaving {
 			state.markDraining(now, peer.Leaving{
--- a/control/feed.go
+++ b/control/feed.go
@@ -240,16 +240,21 @@
 
 // loadBounds returns, for all fabric domains together, the number of loads that
 // may begin in a LoadWindow and the number that can run at once without slowing
-// each other down.
+// each other down. The services share one weight store, so the lowest of their
+// bounds holds for all.
 func (state *state) loadBounds() (bound, parallel int) {
-	bound = state.config.Feed.LoadSlack
+	rate := math.Inf(1)
+	parallel = math.MaxInt32
 	for _, service := range state.feed.catalog.Services() {
 		if service.Engine != nil {
-			bound += int(service.Engine.LoadRate * state.config.Feed.LoadWindow.Seconds())
-			parallel += service.Engine.ParallelLoads
+			rate = min(rate, service.Engine.LoadRate)
+			parallel = min(parallel, service.Engine.ParallelLoads)
 		}
 	}
-	return bound, parallel
+	if math.IsInf(rate, 1) {
+		return state.config.Feed.LoadSlack, 0
+	}
+	return state.config.Feed.LoadSlack + int(rate*state.config.Feed.LoadWindow.Seconds()), parallel
 }
 
 // setSources makes the feed read the store through other nodes in a large
@@ -279,8 +284,8 @@
 	state.config.Feed.SetPause(pause)
 }
 
-// setGroups builds a folder with one group for each model of the configuration
-// and passes it to the leaders.
+// setGroups builds a folder with one group for each model of each service in the
+// configuration and passes it to the leaders.
 func (state *state) setGroups(now time.Time) {
 	class := folder.TargetClass{
 		Name:           feedTargetClass,
@@ -296,8 +301,9 @@
 		class.OpenTime = max(class.OpenTime, service.Engine.OpenTime)
 		for _, model := range service.Engine.Models {
 			groups = append(groups, folder.Group{
-				Name:        model.Name,
+				Name:        group.ServiceSpec(service.Name, model.Name),
 				Model:       model.Name,
+				Service:     service.Name,
 				Size:        model.Size,
 				Share:       int(math.Round(model.Share * shareUnits)),
 				Value:       1,
@@ -316,6 +322,7 @@
 			SpreadTime:     feedSpreadTime,
 		},
 	})
+	state.invalidateTargets()
 	for _, leadership := range state.leaderships {
 		state.handleGroup(now, leadership, state.folderEvent())
 	}
--- a/control/harness_test.go
+++ b/control/harness_test.go
@@ -458,7 +458,7 @@
 // granted returns the group of the test folder if it is open and holds a
 // current grant.
 func granted(table *route.Table) (route.GroupTarget, bool) {
-	for _, target := range table.Groups("dedication") {
+	for _, target := range table.Groups("", "dedication") {
 		if target.Open && target.Grant.Holds(target.Epoch, time.Now()) {
 			return target, true
 		}
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -361,15 +361,12 @@
 // fabric domains.
 func (state *state) otherDomains(now time.Time, name string) group.OtherDomains {
 	result := group.OtherDomains{Domains: state.domainSizes(name)}
-	if state.configuration.folder == nil {
-		return result
-	}
-	specs := state.configuration.folder.Groups()
+	specs := state.specs()
 	for other, domain := range state.domains {
 		if other == name || domain.placement == nil {
 			continue
 		}
-		result.Replicas = append(result.Replicas, group.Summarize(domain.placement, specs, state.openGroups(now, domain))...)
+		result.Replicas = append(result.Replicas, group.Summarize(domain.placement, specs, state.serviceOf, state.openGroups(now, domain))...)
 	}
 	return result
 }
--- a/control/placed.go
+++ b/control/placed.go
@@ -52,11 +52,12 @@
 }
 
 // absentMembers returns the placed members of a fabric domain that are not in the directory,
-// as the record describes them. The service is the one whose engine has the group's model.
+// as the record describes them. Their service is that of the other members, or the only one
+// whose engine has the group's model.
 func (state *state) absentMembers(domain string, placement *group.Placement) map[string]directory.Target {
 	absent := map[string]directory.Target{}
 	for _, placed := range placement.Groups() {
-		service, found := state.feed.serviceOf(placed.Model)
+		spec, found := group.SpecOf(placement, placed, state.specs(), state.serviceOf)
 		if !found {
 			continue
 		}
@@ -65,7 +66,7 @@
 			if _, known := state.feed.directory.Target(name); known || !assigned {
 				continue
 			}
-			absent[name] = directory.Target{Service: service, VM: kvstore.VM{
+			absent[name] = directory.Target{Service: spec.Service, VM: kvstore.VM{
 				Name: name, Address: assignment.Address, Incarnation: assignment.Incarnation,
 				FabricDomain: domain, FailureDomain: assignment.FailureDomain, State: kvstore.VMLive,
 			}}
@@ -74,24 +75,6 @@
 	return absent
 }
 
-// serviceOf returns the name of the service whose engine has a model.
-func (feed *feedState) serviceOf(model string) (string, bool) {
-	if feed.catalog == nil {
-		return "", false
-	}
-	for _, service := range feed.catalog.Services() {
-		if service.Engine == nil {
-			continue
-		}
-		for _, offered := range service.Engine.Models {
-			if offered.Name == model {
-				return service.Name, true
-			}
-		}
-	}
-	return "", false
-}
-
 // handlePlacedResult holds the placed members that responded as the recorded incarnation and
 // are in a group, as lapsed targets whose grace period has ended. The address of one that has
 // ended may belong to another target now.
--- a/control/table.go
+++ b/control/table.go
@@ -69,6 +69,10 @@
 		Epoch: placed.Epoch,
 		Open:  placed.State == group.StateReady,
 	}
+	if state.feeding() {
+		spec, _ := group.SpecOf(domain.placement, placed, state.specs(), state.serviceOf)
+		target.Spec, target.Service = placed.Model, spec.Service
+	}
 	for rank, vm := range domain.placement.Members(placed.Name) {
 		assignment, _ := domain.placement.Assignment(vm)
 		if rank == 0 {
@@ -84,6 +88,20 @@
 	return target
 }
 
+// specs returns the folder's groups, none before the first configuration.
+func (state *state) specs() []folder.Group {
+	if state.configuration.folder == nil {
+		return nil
+	}
+	return state.configuration.folder.Groups()
+}
+
+// serviceOf returns the service of a listed VM, and whether the VM is listed.
+func (state *state) serviceOf(vm string) (string, bool) {
+	listed, found := state.vms[vm]
+	return listed.Service, found
+}
+
 func (state *state) serviceTargets() []route.ServiceTarget {
 	if state.feeding() {
 		return state.feed.runners
--- a/control/target.go
+++ b/control/target.go
@@ -68,6 +68,7 @@
 		if state.feed.unlisted(target) {
 			target.VM.State = kvstore.VMUnlisted
 		}
+		target.VM.Service = target.Service
 		vms = append(vms, target.VM)
 		reports[target.VM.Name] = target.Report
 	}
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -171,7 +171,7 @@
 		load.Queued += reported.Queued
 	}
 	if target.Kind == folder.KindDraft {
-		for _, candidate := range table.Groups(target.Group) {
+		for _, candidate := range table.Groups("", target.Group) {
 			if candidate.Usable(now) {
 				add(candidate.Load)
 			}
--- a/entry/draft_relay.go
+++ b/entry/draft_relay.go
@@ -147,7 +147,7 @@
 		return false
 	}
 	now := relay.server.config.Now()
-	for _, other := range relay.server.config.Publisher.Current().Groups(relay.exchange.route.Group) {
+	for _, other := range relay.server.config.Publisher.Current().Groups("", relay.exchange.route.Group) {
 		if other.Name == target.Name || relay.excluded[other.Name] || !other.Usable(now) || relay.server.suspects.Avoided(other.Name, now) {
 			continue
 		}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -292,7 +292,7 @@
 	}
 	keep := map[string]bool{}
 	for _, spec := range table.Folder().Groups() {
-		for _, target := range table.Groups(spec.Name) {
+		for _, target := range table.Groups("", spec.Name) {
 			keep[target.Name] = true
 		}
 	}
--- a/entry/gate.go
+++ b/entry/gate.go
@@ -160,7 +160,7 @@
 	if target.Grant.Group == target.Name && target.Grant.Holds(attempt.epoch, now) {
 		return grantHolds
 	}
-	for _, other := range table.Groups(attempt.spec) {
+	for _, other := range table.Groups("", attempt.spec) {
 		if other.Name != attempt.group && other.Usable(now) {
 			return grantLost
 		}
--- a/folder/types.go
+++ b/folder/types.go
@@ -75,6 +75,10 @@
 	Model   string
 	Version string
 
+	// Service is the service whose VMs the replicas consist of, empty if VMs belong to
+	// none.
+	Service string
+
 	// Size is the number of VMs in each replica.
 	Size int
 
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -345,7 +345,7 @@
 	add("idempotent", fixture.idempotent)
 	for _, target := range fixture.groups {
 		config.Groups = append(config.Groups, route.GroupTarget{
-			Name: target.name, Spec: "m", Epoch: 1, VM: target.name, Address: target.address(), FailureDomain: "zone", Open: true,
+			Name: target.name, Service: "stream", Spec: "m", Epoch: 1, VM: target.name, Address: target.address(), FailureDomain: "zone", Open: true,
 			Grant: group.Grant{Group: target.name, Epoch: 1, ReportedAt: time.Now(), ValidUntil: time.Now().Add(time.Hour)},
 		})
 	}
--- a/forward/observe.go
+++ b/forward/observe.go
@@ -20,7 +20,7 @@
 		return excluded
 	}
 	extended := maps.Clone(excluded)
-	for _, target := range table.Groups(exchange.caller.Model) {
+	for _, target := range exchange.groups(table) {
 		if _, closed := server.closures.Closed(target.Instance(), now); closed || limits.Full(target.VM, now) {
 			extended[target.Name] = true
 		}
@@ -41,7 +41,7 @@
 	table := server.config.Publisher.Current()
 	var instances []string
 	if exchange.service.Engine != nil {
-		for _, target := range table.Groups(exchange.caller.Model) {
+		for _, target := range exchange.groups(table) {
 			if target.Usable(now) {
 				instances = append(instances, target.Instance())
 			}
--- a/forward/relay_server.go
+++ b/forward/relay_server.go
@@ -150,7 +150,7 @@
 	if message.Group != "" {
 		target, found := table.Group(message.Group)
 		relayed.target = observedGroup(target)
-		return target.Address, found && target.VM == message.Target && target.Epoch == message.Epoch && target.Usable(now)
+		return target.Address, found && target.Service == message.Service && target.VM == message.Target && target.Epoch == message.Epoch && target.Usable(now)
 	}
 	for _, target := range table.Services(message.Service) {
 		if target.ID() == message.Target {
--- a/forward/send.go
+++ b/forward/send.go
@@ -332,7 +332,7 @@
 func pathTargets(table *route.Table) []route.PathTarget {
 	var targets []route.PathTarget
 	for _, target := range table.AllGroups() {
-		targets = append(targets, route.PathTarget{ID: target.VM, Address: target.Address, FailureDomain: target.FailureDomain})
+		targets = append(targets, route.PathTarget{Service: target.Service, ID: target.VM, Address: target.Address, FailureDomain: target.FailureDomain})
 	}
 	for _, target := range table.AllServices() {
 		targets = append(targets, route.PathTarget{Service: target.Service, ID: target.ID(), Address: target.Address, FailureDomain: target.FailureDomain})
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"lacewingspoke.org/lacewingspoke/group"
 	"lacewingspoke.org/lacewingspoke/httpserve"
 	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/quarantine"
@@ -93,7 +94,7 @@
 // serveStream forwards a request to a serving group and streams the group's
 // events back to the caller.
 func (exchange *exchange) serveStream(ctx context.Context) {
-	exchange.server.objectives.Use(exchange.caller.Model, exchange.route.Key(), exchange.receivedAt)
+	exchange.server.objectives.Use(exchange.pool(), exchange.route.Key(), exchange.receivedAt)
 	delivery := &delivery{
 		exchange: exchange, lastEventID: exchange.caller.ResumeAfter, seeking: true,
 		events: make(chan callEvent), suspicions: make(chan *groupCall, maxCalls), pauses: map[string]resumePause{},
@@ -335,7 +336,7 @@
 	now := server.config.Now()
 	table := server.config.Publisher.Current()
 	unavailable := exchange.unavailable(delivery.unavailable(excluded, table, now), table, now)
-	target, found := server.picker.PickGroup(table, route.GroupRequest{Spec: exchange.caller.Model, Excluded: unavailable}, now)
+	target, found := server.picker.PickGroup(table, route.GroupRequest{Service: exchange.service.Name, Spec: exchange.caller.Model, Excluded: unavailable}, now)
 	if !found || delivery.headerSent {
 		return target, found
 	}
@@ -346,6 +347,16 @@
 	return exchange.earliestGroup(table, unavailable, bound, now)
 }
 
+// groups returns the groups that serve the request's model for its service.
+func (exchange *exchange) groups(table *route.Table) []route.GroupTarget {
+	return table.Groups(exchange.service.Name, exchange.caller.Model)
+}
+
+// pool is the name of these groups in the objectives.
+func (exchange *exchange) pool() string {
+	return group.ServiceSpec(exchange.service.Name, exchange.caller.Model)
+}
+
 // unavailable adds the groups that take no further call of this stream now to the excluded
 // ones.
 func (delivery *delivery) unavailable(excluded map[string]bool, table *route.Table, now time.Time) map[string]bool {
@@ -354,7 +365,7 @@
 		return excluded
 	}
 	extended, runners, another := maps.Clone(excluded), exchange.runners(), exchange.mayReachAnother()
-	for _, target := range table.Groups(exchange.caller.Model) {
+	for _, target := range exchange.groups(table) {
 		instance := target.Instance()
 		calling := slices.ContainsFunc(delivery.calls, func(call *groupCall) bool { return call.attempt.to.instance == instance })
 		if calling || !another && !runners[instance] || now.Before(delivery.pauses[instance].until) {
@@ -371,7 +382,7 @@
 	server := exchange.server
 	routes := server.config.Publisher.Current().Catalog().Objectives()
 	idle := limit.IdleFirstEvent(exchange.pace())
-	if bound := server.objectives.Bound(exchange.caller.Model, routes, idle, now); bound > 0 {
+	if bound := server.objectives.Bound(exchange.pool(), routes, idle, now); bound > 0 {
 		return bound
 	}
 	return min(exchange.remaining(), exchange.patience())
@@ -390,7 +401,7 @@
 	var best route.GroupTarget
 	earliest := bound
 	found := false
-	for _, target := range table.Groups(exchange.caller.Model) {
+	for _, target := range exchange.groups(table) {
 		if excluded[target.Name] || !target.Usable(now) || exchange.server.suspects.Avoided(target.Name, now) {
 			continue
 		}
@@ -411,7 +422,7 @@
 	now := server.config.Now()
 	usable, avoided, full, resting := 0, 0, 0, 0
 	earliest := time.Duration(0)
-	for _, target := range server.config.Publisher.Current().Groups(exchange.caller.Model) {
+	for _, target := range exchange.groups(server.config.Publisher.Current()) {
 		first := exchange.predictFirstEvent(target, now)
 		_, closed := server.closures.Closed(target.Instance(), now)
 		switch {
--- a/group/demand.go
+++ b/group/demand.go
@@ -113,8 +113,8 @@
 
 // Summarize counts the replicas of a placement record for the leaders of
 // other fabric domains. open holds the names of the groups with a current
-// grant that admit requests.
-func Summarize(placement *Placement, groups []folder.Group, open []string) []PlacedReplicas {
+// grant that admit requests, and serviceOf is that of SpecOf.
+func Summarize(placement *Placement, groups []folder.Group, serviceOf func(vm string) (string, bool), open []string) []PlacedReplicas {
 	counts := map[string]*PlacedReplicas{}
 	admits := map[string]bool{}
 	for _, name := range open {
@@ -124,16 +124,17 @@
 		if group.State == StateReleased {
 			continue
 		}
-		count, found := counts[group.Spec]
+		spec, known := SpecOf(placement, group, groups, serviceOf)
+		count, found := counts[spec.Name]
 		if !found {
-			count = &PlacedReplicas{Group: group.Spec, FabricDomain: placement.Domain(), FailureDomain: placement.failureDomain(group.Name)}
-			counts[group.Spec] = count
+			count = &PlacedReplicas{Group: spec.Name, FabricDomain: placement.Domain(), FailureDomain: placement.failureDomain(group.Name)}
+			counts[spec.Name] = count
 		}
 		count.Count++
 		if admits[group.Name] {
 			count.Ready++
 		}
-		if spec, found := findSpec(groups, group.Spec); found && outdated(group, spec) {
+		if known && outdated(group, spec) {
 			count.Outdated++
 		}
 	}
@@ -158,12 +159,13 @@
 	return group.Model != spec.Model || group.Version != spec.Version
 }
 
-// demands returns the demands of this domain from the configuration and the
-// replicas in all fabric domains.
-func (leader *Leader) demands(placement *Placement, groups []GroupStatus) []Demand {
+// demands returns the demands of this domain for the groups of one service from the
+// configuration and the replicas in all fabric domains. Those specs that are no longer in
+// the folder have 0 replicas.
+func (leader *Leader) demands(service string, specs []folder.Group, groups []GroupStatus) []Demand {
 	shares := leader.division()
 	var demands []Demand
-	for _, spec := range byValue(leader.specsWithRemoved(placement)) {
+	for _, spec := range byValue(specs) {
 		demand := Demand{
 			Group: spec,
 			Share: shares.own[spec.Name],
@@ -193,18 +195,17 @@
 		demands = append(demands, demand)
 	}
 	if leader.formsByShare() {
-		leader.fillDemands(demands, groups)
+		leader.fillDemands(service, demands, groups)
 	}
 	return demands
 }
 
-// specsWithRemoved returns the folder's groups and, with 0 replicas, those that
-// are placed but no longer in the folder.
-func (leader *Leader) specsWithRemoved(placement *Placement) []folder.Group {
-	specs := append([]folder.Group(nil), leader.groups...)
-	for _, group := range placement.Groups() {
-		if _, found := findSpec(specs, group.Spec); !found {
-			specs = append(specs, folder.Group{Name: group.Spec, Model: group.Model, Version: group.Version, Size: group.Size})
+// groupsOf returns the folder's groups that belong to a service.
+func (leader *Leader) groupsOf(service string) []folder.Group {
+	var specs []folder.Group
+	for _, spec := range leader.groups {
+		if spec.Service == service {
+			specs = append(specs, spec)
 		}
 	}
 	return specs
--- a/group/fill.go
+++ b/group/fill.go
@@ -73,12 +73,13 @@
 	return leader.plannedAt.Sub(leader.vmAddedAt) < leader.config.FormSettle
 }
 
-// fillDemands sets the demands of a domain that forms groups by share.
-func (leader *Leader) fillDemands(demands []Demand, groups []GroupStatus) {
+// fillDemands sets the demands for the groups of one service in a domain that forms groups by
+// share.
+func (leader *Leader) fillDemands(service string, demands []Demand, groups []GroupStatus) {
 	var input fillInput
 	inOtherDomains := map[string]int{}
 	for _, vm := range leader.members {
-		if vm.listed && vm.live() && !vm.leaving() {
+		if vm.vm.Service == service && vm.listed && vm.live() && !vm.leaving() {
 			input.vms++
 		}
 	}
--- a/group/lifecycle.go
+++ b/group/lifecycle.go
@@ -1,6 +1,10 @@
 package group
 
-import "time"
+import (
+	"time"
+
+	"lacewingspoke.org/lacewingspoke/folder"
+)
 
 // Intervals of the policy and thresholds for the loss of a whole domain.
 const (
@@ -45,8 +49,12 @@
 		changed = leader.updateStates(now, next)
 		changed = leader.updateUnlisted(next) || changed
 	}
-	input := leader.planInput(now, next, unreachable)
-	decisions := leader.config.Planner(input)
+	var decisions []Decision
+	allServing := true
+	for _, input := range leader.planInputs(now, next, unreachable) {
+		decisions = append(decisions, leader.config.Planner(input)...)
+		allServing = allServing && input.allServing()
+	}
 	for _, decision := range decisions {
 		leader.apply(next, decision)
 		changed = true
@@ -54,7 +62,7 @@
 	if changed {
 		return leader.write(next, decisions)
 	}
-	if !unreachable && input.allServing() {
+	if !unreachable && allServing {
 		leader.planAt = now.Add(idleFactor * leader.policy.ReportInterval)
 	}
 	return nil
@@ -207,7 +215,7 @@
 	if group.State != StateDraining || !leader.admissionStopped(now, group) {
 		return false
 	}
-	if leader.class(group.Spec).OpenedByOrder {
+	if leader.classOf(group).OpenedByOrder {
 		return !leader.active(composition{group: group.Name, epoch: group.Epoch})
 	}
 	admissionEnd := leader.drainingSince[group.Name].Add(leader.policy.SpreadTime)
@@ -223,7 +231,23 @@
 	return true
 }
 
-func (leader *Leader) planInput(now time.Time, next *Placement, unreachable bool) PlanInput {
+// planInputs returns an input of the policy for each service, as groups consist of VMs of
+// one service.
+func (leader *Leader) planInputs(now time.Time, next *Placement, unreachable bool) []PlanInput {
+	specs := map[string]folder.Group{}
+	for _, group := range next.Groups() {
+		specs[group.Name], _ = leader.specOf(next, group)
+	}
+	var inputs []PlanInput
+	for _, service := range leader.services(specs) {
+		inputs = append(inputs, leader.planInput(now, next, service, specs, unreachable))
+	}
+	return inputs
+}
+
+// planInput returns the input for one service. specs holds the folder's group of each placed
+// group.
+func (leader *Leader) planInput(now time.Time, next *Placement, service string, specs map[string]folder.Group, unreachable bool) PlanInput {
 	input := PlanInput{
 		Now:            now,
 		Domain:         leader.config.Domain,
@@ -236,12 +260,25 @@
 	}
 	median := leader.medianLatency()
 	for _, name := range leader.memberNames() {
-		input.VMs = append(input.VMs, leader.vmStatus(now, name, median))
+		if leader.members[name].vm.Service == service {
+			input.VMs = append(input.VMs, leader.vmStatus(now, name, median))
+		}
 	}
+	demanded := leader.groupsOf(service)
 	for _, group := range next.Groups() {
-		input.Groups = append(input.Groups, leader.groupStatus(now, group))
+		spec := specs[group.Name]
+		if spec.Service != service {
+			continue
+		}
+		status := leader.groupStatus(now, group)
+		status.Group.Spec = spec.Name
+		input.Groups = append(input.Groups, status)
+		if _, found := findSpec(demanded, spec.Name); !found {
+			spec.Replicas = 0
+			demanded = append(demanded, spec)
+		}
 	}
-	input.Demands = leader.demands(next, input.Groups)
+	input.Demands = leader.demands(service, demanded, input.Groups)
 	return input
 }
 
@@ -330,12 +367,12 @@
 		return
 	}
 	for rank, vm := range form.VMs {
-		if !next.assign(vm, leader.assignment(vm, form.Name, rank)) {
+		if known, listed := leader.members[vm]; listed && !takes(spec, known) || !next.assign(vm, leader.assignment(vm, form.Name, rank)) {
 			next.remove(form.Name)
 			return
 		}
 	}
-	next.compose(Group{Name: form.Name, Spec: spec.Name, Size: len(form.VMs), Model: spec.Model, Version: spec.Version})
+	next.compose(Group{Name: form.Name, Spec: recordedSpec(spec), Size: len(form.VMs), Model: spec.Model, Version: spec.Version})
 }
 
 func (leader *Leader) applyRepair(next *Placement, repair Repair) {
@@ -356,7 +393,7 @@
 	if group.Epoch > leader.placement.epoch {
 		return
 	}
-	if spec, found := findSpec(leader.groups, group.Spec); found && group.State == StateDraining {
+	if spec, found := leader.specOf(next, group); found && group.State == StateDraining {
 		group.Model = spec.Model
 		group.Version = spec.Version
 	}
--- a/group/open.go
+++ b/group/open.go
@@ -87,7 +87,7 @@
 // that aborts them if a member is lost, because a request cannot go on without it. It
 // returns false while a member may only be silent.
 func (leader *Leader) closeAction(now time.Time, rank0 *member) (engine.Action, bool) {
-	switch live, silent, size := leader.ranksOf(now, rank0.report); {
+	switch live, silent, size := leader.ranksOf(now, rank0); {
 	case size > 0 && live == size:
 		return engine.ActionDrain, leader.notedByNodes(now, rank0)
 	case size > 0 && live+silent == size:
@@ -106,9 +106,10 @@
 	return !now.Before(rank0.closeNoted)
 }
 
-// ranksOf returns the numbers of the ranks of a report's composition that live VMs report,
+// ranksOf returns the numbers of the ranks of a rank 0's composition that live VMs report,
 // and that VMs which may only be silent reported last, and the size of its groups.
-func (leader *Leader) ranksOf(now time.Time, report engine.Report) (live, silent, size int) {
+func (leader *Leader) ranksOf(now time.Time, rank0 *member) (live, silent, size int) {
+	report := rank0.report
 	liveRanks, silentRanks := map[int]bool{}, map[int]bool{}
 	for _, vm := range leader.members {
 		switch {
@@ -123,7 +124,7 @@
 		delete(silentRanks, rank)
 	}
 	for _, spec := range leader.groups {
-		if spec.Model == report.Model {
+		if spec.Model == report.Model && takes(spec, rank0) {
 			size = spec.Size
 		}
 	}
@@ -161,7 +162,7 @@
 
 // mustDrain reports whether a member of a draining group needs a drain order.
 func (leader *Leader) mustDrain(vm *member, group Group) bool {
-	if leader.class(group.Spec).OpenedByOrder {
+	if leader.classOf(group).OpenedByOrder {
 		return vm.report.Rank == 0 && vm.report.State == engine.StateOpen
 	}
 	return vm.report.State != engine.StateDraining
@@ -184,7 +185,7 @@
 // admits reports whether rank 0 accepts requests, or runs those that it has
 // accepted while the group drains.
 func (leader *Leader) admits(vm *member, group Group) bool {
-	if !leader.class(group.Spec).OpenedByOrder {
+	if !leader.classOf(group).OpenedByOrder {
 		return true
 	}
 	return vm.report.State == engine.StateOpen || group.State == StateDraining && vm.report.State == engine.StateDraining
@@ -254,7 +255,7 @@
 		vm:     vm,
 		name:   name,
 		action: engine.ActionStage,
-		group:  Group{Spec: spec.Name, Model: spec.Model, Version: spec.Version},
+		group:  Group{Spec: recordedSpec(spec), Model: spec.Model, Version: spec.Version},
 	}
 }
 
@@ -268,26 +269,27 @@
 	if leader.growing() || leader.collecting(leader.plannedAt) {
 		return nil
 	}
-	spares := map[string]int{}
-	placed := map[string]int{}
+	spares := map[weights]int{}
+	placed := map[weights]int{}
 	for name, vm := range leader.members {
+		service := vm.vm.Service
 		if assignment, found := leader.placement.Assignment(name); found {
 			model := leader.placement.groups[assignment.Group].Model
-			placed[model]++
+			placed[weights{service, model}]++
 			if !vm.live() {
 				// The repair of a rank without a live VM takes one of the spares.
-				spares[model]--
+				spares[weights{service, model}]--
 			}
 			continue
 		}
 		for _, model := range leader.warm(vm) {
-			spares[model]++
+			spares[weights{service, model}]++
 		}
 		if vm.staging != "" && len(vm.report.Staged) == 0 {
-			spares[vm.staging]++
+			spares[weights{service, vm.staging}]++
 		}
 		if spec := leader.stagedSpec(vm.permit.group); spec.Model != "" {
-			spares[spec.Model]++
+			spares[weights{service, spec.Model}]++
 		}
 	}
 	var needs []weightNeed
@@ -299,8 +301,11 @@
 		if vm.permit.group != "" || vm.isStaging(leader.plannedAt) {
 			continue
 		}
-		spec := leader.fewestSpares(spares, placed)
-		spares[spec.Model]++
+		spec, found := leader.fewestSpares(vm.vm.Service, spares, placed)
+		if !found {
+			continue
+		}
+		spares[weightsOf(spec)]++
 		needs = append(needs, stagingNeed(name, spec))
 	}
 	if len(needs) > 0 {
@@ -338,7 +343,7 @@
 			continue
 		}
 		for _, spec := range leader.groups {
-			if leader.mayStageSecond(vm, spec) {
+			if takes(spec, vm) && leader.mayStageSecond(vm, spec) {
 				need := stagingNeed(name, spec)
 				need.secondModel = true
 				needs = append(needs, need)
@@ -349,14 +354,24 @@
 	return needs
 }
 
-// fewestSpares returns the group whose model has the fewest spares in proportion
-// to its placed members.
-func (leader *Leader) fewestSpares(spares, placed map[string]int) folder.Group {
-	best := leader.groups[0]
-	for _, spec := range leader.groups[1:] {
-		if (spares[spec.Model]+1)*max(placed[best.Model], 1) < (spares[best.Model]+1)*max(placed[spec.Model], 1) {
+// weights are those of one model for the engines of one service.
+type weights struct{ service, model string }
+
+func weightsOf(spec folder.Group) weights { return weights{spec.Service, spec.Model} }
+
+// fewestSpares returns the group of a service whose model has the fewest spares in
+// proportion to its placed members, or false if the service has none.
+func (leader *Leader) fewestSpares(service string, spares, placed map[weights]int) (folder.Group, bool) {
+	specs := leader.groupsOf(service)
+	if len(specs) == 0 {
+		return folder.Group{}, false
+	}
+	best := specs[0]
+	for _, spec := range specs[1:] {
+		own, others := weightsOf(spec), weightsOf(best)
+		if (spares[own]+1)*max(placed[others], 1) < (spares[others]+1)*max(placed[own], 1) {
 			best = spec
 		}
 	}
-	return best
+	return best, true
 }
--- a/group/order.go
+++ b/group/order.go
@@ -74,12 +74,14 @@
 	return strictest
 }
 
-func (leader *Leader) class(spec string) folder.TargetClass {
-	for _, group := range leader.groups {
-		if group.Name != spec {
+// classOf returns the target class of a placed group, or that of a group whose weights are
+// staged. Groups of services that have one model are of one class.
+func (leader *Leader) classOf(group Group) folder.TargetClass {
+	for _, spec := range leader.groups {
+		if recordedSpec(spec) != group.Spec {
 			continue
 		}
-		if class, found := leader.classes[group.TargetClass]; found {
+		if class, found := leader.classes[spec.TargetClass]; found {
 			return class
 		}
 	}
@@ -130,7 +132,7 @@
 	if desired.group.Spec == "" {
 		return leader.strictestClass()
 	}
-	return leader.class(desired.group.Spec)
+	return leader.classOf(desired.group)
 }
 
 // desiredOrderFor compares the committed record with a VM's report. It returns
@@ -155,7 +157,7 @@
 		return desired, (!vm.idle() || leader.acceptsOldOrders(vm)) && leader.mayRelease(now, vm)
 	}
 	group := leader.placement.groups[assignment.Group]
-	byOrder := leader.class(group.Spec).OpenedByOrder
+	byOrder := leader.classOf(group).OpenedByOrder
 	otherGroup := vm.report.Group != "" && vm.report.Group != group.Name && !byOrder
 	if assignment.Incarnation != vm.report.Incarnation || otherGroup || group.State == StateReleased {
 		return desired, !vm.idle() && leader.mayRelease(now, vm)
@@ -409,7 +411,7 @@
 }
 
 func (leader *Leader) groupNeeds(group Group) []weightNeed {
-	spec, _ := findSpec(leader.groups, group.Spec)
+	spec, _ := leader.specOf(leader.placement, group)
 	var needs []weightNeed
 	for _, name := range leader.placement.Members(group.Name) {
 		vm, found := leader.members[name]
--- a/kvstore/store.go
+++ b/kvstore/store.go
@@ -140,6 +140,10 @@
 	FailureDomain string
 	Accelerators  int
 	State         VMState
+
+	// Service is the service that the engine on the VM belongs to, empty if VMs belong
+	// to none.
+	Service string
 }
 
 // A VMList reads the platform's list of VMs.
--- a/replay/simulation.go
+++ b/replay/simulation.go
@@ -282,7 +282,7 @@
 			Name: other.spec.Name, FailureDomain: other.spec.FailureDomain, VMs: other.countListed(simulation.elapsed),
 		})
 		placement := other.leader.Placement()
-		event.Replicas = append(event.Replicas, group.Summarize(placement, simulation.config.Trace.Groups, other.servingReplicas())...)
+		event.Replicas = append(event.Replicas, group.Summarize(placement, simulation.config.Trace.Groups, noServices, other.servingReplicas())...)
 	}
 	return event
 }
@@ -412,3 +412,6 @@
 		runner.disconnected = false
 	}
 }
+
+// noServices is group.SpecOf's service of a VM that belongs to none.
+func noServices(string) (string, bool) { return "", true }
--- a/route/history.go
+++ b/route/history.go
@@ -29,7 +29,7 @@
 }
 
 type prefixKey struct {
-	spec   string
+	spec   groupSpec
 	length int
 	sum    uint64
 }
@@ -49,7 +49,7 @@
 }
 
 // prefixKeys returns the keys of the prompt's prefixes, the longest first.
-func (history *History) prefixKeys(spec, prompt string) []prefixKey {
+func (history *History) prefixKeys(spec groupSpec, prompt string) []prefixKey {
 	keys := make([]prefixKey, 0, len(prefixLengths))
 	for index := len(prefixLengths) - 1; index >= 0; index-- {
 		length := prefixLengths[index]
--- a/route/paths.go
+++ b/route/paths.go
@@ -23,7 +23,7 @@
 
 // A PathTarget is a target to which a node opens connections.
 type PathTarget struct {
-	// Service is the name of its service, empty for the serving groups of all models.
+	// Service is the name of its service, empty for groups whose VMs belong to none.
 	Service       string
 	ID            string
 	Address       string
--- a/route/picker.go
+++ b/route/picker.go
@@ -92,9 +92,10 @@
 
 // A GroupRequest describes the group that a draft needs.
 type GroupRequest struct {
-	// Spec is the name of the group section in the operators' folder.
-	Spec   string
-	Prompt string
+	// Service and Spec are those of the group targets.
+	Service string
+	Spec    string
+	Prompt  string
 
 	// Excluded holds the names of groups that must not be selected, usually
 	// because they were tried.
@@ -104,7 +105,7 @@
 // PickGroup selects a group that is open and whose grant is valid at now. It
 // returns false if there is none.
 func (picker *Picker) PickGroup(table *Table, request GroupRequest, now time.Time) (GroupTarget, bool) {
-	targets := table.Groups(request.Spec)
+	targets := table.Groups(request.Service, request.Spec)
 	candidates := make([]candidate, 0, len(targets))
 	for index, target := range targets {
 		if request.Excluded[target.Name] || !target.Usable(now) {
@@ -129,7 +130,7 @@
 	if picker.history == nil {
 		return picker.pickLeastCost(candidates)
 	}
-	keys := picker.history.prefixKeys(request.Spec, request.Prompt)
+	keys := picker.history.prefixKeys(groupSpec{request.Service, request.Spec}, request.Prompt)
 	preferred := picker.history.lookup(keys)
 	for _, candidate := range candidates {
 		if targets[candidate.index].Name == preferred && picker.withinBound(candidate, candidates) {
--- a/route/picker_test.go
+++ b/route/picker_test.go
@@ -171,8 +171,8 @@
 	require.Equal(t, "a", pick(900*time.Millisecond), "both are suspects")
 	suspects.Succeeded("b")
 	again := table(target("a", "near", 0), target("b", "near", 50))
-	for index := range again.Groups("copy") {
-		again.Groups("copy")[index].Grant.ValidUntil = now.Add(time.Hour)
+	for index := range again.Groups("", "copy") {
+		again.Groups("", "copy")[index].Grant.ValidUntil = now.Add(time.Hour)
 	}
 	later := now.Add(1500 * time.Millisecond)
 	first, _ := picker.PickGroup(again, route.GroupRequest{Spec: "copy"}, later)
--- a/route/table.go
+++ b/route/table.go
@@ -16,7 +16,11 @@
 type GroupTarget struct {
 	Name string
 
-	// Spec is the name of the group section in the operators' folder.
+	// Service is the service that the members belong to, empty if VMs belong to none.
+	Service string
+
+	// Spec is the name of the group section in the operators' folder, or of the model of
+	// a service.
 	Spec  string
 	Epoch uint64
 
@@ -108,7 +112,7 @@
 	catalog    *catalog.Catalog
 	generation uint64
 	groups     []GroupTarget
-	bySpec     map[string][]GroupTarget
+	bySpec     map[groupSpec][]GroupTarget
 
 	// byName holds indexes into groups.
 	byName   map[string]int
@@ -137,20 +141,26 @@
 	return table
 }
 
+// A groupSpec identifies the groups among which a request can choose.
+type groupSpec struct{ service, spec string }
+
+func (target *GroupTarget) groupSpec() groupSpec { return groupSpec{target.Service, target.Spec} }
+
 // groupsBySpec counts the groups first to allocate each slice once: a table is
 // created for every frame of grants, and growing the slices would cause most of
 // its garbage.
-func groupsBySpec(groups []GroupTarget) map[string][]GroupTarget {
-	counts := map[string]int{}
+func groupsBySpec(groups []GroupTarget) map[groupSpec][]GroupTarget {
+	counts := map[groupSpec]int{}
 	for index := range groups {
-		counts[groups[index].Spec]++
+		counts[groups[index].groupSpec()]++
 	}
-	bySpec := make(map[string][]GroupTarget, len(counts))
+	bySpec := make(map[groupSpec][]GroupTarget, len(counts))
 	for spec, count := range counts {
 		bySpec[spec] = make([]GroupTarget, 0, count)
 	}
-	for _, target := range groups {
-		bySpec[target.Spec] = append(bySpec[target.Spec], target)
+	for index := range groups {
+		key := groups[index].groupSpec()
+		bySpec[key] = append(bySpec[key], groups[index])
 	}
 	return bySpec
 }
@@ -165,8 +175,11 @@
 // none.
 func (table *Table) Generation() uint64 { return table.generation }
 
-// Groups returns the serving groups of one group section in the folder.
-func (table *Table) Groups(spec string) []GroupTarget { return table.bySpec[spec] }
+// Groups returns the serving groups of one group section in the folder, whose service is
+// empty, or of one model of a service.
+func (table *Table) Groups(service, spec string) []GroupTarget {
+	return table.bySpec[groupSpec{service, spec}]
+}
 
 // AllGroups returns the serving groups of all models.
 func (table *Table) AllGroups() []GroupTarget { return table.groups }
