Release the groups of removed models

Callers: requests for the models that are left had fewer groups than the VMs allow after a model was removed from the configuration.

Cause: a domain that forms groups by share kept all placed groups that its VMs complete, also those of removed models. VMs that were warm for a removed model alone, or had a used load permit, never staged another one.

--- a/group/fill.go
+++ b/group/fill.go
@@ -74,7 +74,7 @@
 }
 
 // fillDemands sets the demands for the groups of one service in a domain that forms groups by
-// share.
+// share. The replicas of groups that are no longer in the folder are surplus.
 func (leader *Leader) fillDemands(service string, demands []Demand, groups []GroupStatus) {
 	var input fillInput
 	inOtherDomains := map[string]int{}
@@ -98,6 +98,9 @@
 	counts := input.keptReplicas()
 	for index := range demands {
 		demand := &demands[index]
+		if _, found := findSpec(leader.groups, demand.Group.Name); !found {
+			continue
+		}
 		demand.Share = counts[demand.Group.Name]
 		demand.Total = demand.Share + inOtherDomains[demand.Group.Name]
 		demand.Group.Replicas = demand.Total
--- a/group/open.go
+++ b/group/open.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"slices"
 	"time"
 
 	"lacewingspoke.org/lacewingspoke/engine"
@@ -218,9 +219,15 @@
 	return names
 }
 
-// stageable reports whether a VM is a spare without any weights.
+// stageable reports whether a VM is a spare without the weights of any group of the folder.
 func (leader *Leader) stageable(vm *member) bool {
-	return vm.idle() && vm.listed && !vm.leaving() && len(leader.warm(vm)) == 0 && leader.strictestClass().OpenedByOrder
+	return vm.idle() && vm.listed && !vm.leaving() && !leader.warmForAny(vm) && leader.strictestClass().OpenedByOrder
+}
+
+// warmForAny reports whether a VM joins any group of the folder without a load.
+func (leader *Leader) warmForAny(vm *member) bool {
+	warm := leader.warm(vm)
+	return slices.ContainsFunc(leader.groupsOf(vm.vm.Service), func(spec folder.Group) bool { return slices.Contains(warm, spec.Model) })
 }
 
 // mayStageSecond reports whether a member of a serving group may stage the weights
@@ -298,7 +305,7 @@
 		if _, found := leader.placement.Assignment(name); found || !leader.stageable(vm) {
 			continue
 		}
-		if vm.permit.group != "" || vm.isStaging(leader.plannedAt) {
+		if leader.awaitsStaging(vm) || vm.isStaging(leader.plannedAt) {
 			continue
 		}
 		spec, found := leader.fewestSpares(vm.vm.Service, spares, placed)
@@ -314,6 +321,12 @@
 	return leader.secondModelNeeds()
 }
 
+// awaitsStaging reports whether a VM in no group has requested a load permit or has one for
+// staging. One for a group that the VM is no longer placed in is of no use.
+func (leader *Leader) awaitsStaging(vm *member) bool {
+	return vm.permit.group != "" && !vm.permit.granted || leader.stagedSpec(vm.permit.group).Model != ""
+}
+
 // stagesSecondModel reports whether a VM's load permit is for a second model
 // besides that of the group in which the VM is placed.
 func (leader *Leader) stagesSecondModel(name string) bool {
