Bound the bytes of all bodies that a node holds

Callers: a node whose targets send bytes without end, or that gets many large uploads, exceeds its memory and is ended with all its requests.

Cause: each body had a bound, but nothing bounded all of them together. Bodies grew by copying, uploads were copied up to three times, and the runtime had no memory limit.

Change: limit.Bytes bounds the bytes of all requests and answers to an eighth of the memory, fair between targets and callers. The memory of the process is a setting and an option; the collector runs more often above three quarters of it. Heads of engines and services are bounded to 64 KiB.

--- a/cmd/lacewingspoke/node.go
+++ b/cmd/lacewingspoke/node.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -19,6 +20,16 @@
 	"lacewingspoke.org/lacewingspoke/settings"
 )
 
+const (
+	// memoryLimitRatio is the part of the process's memory from which on the garbage
+	// collector runs more often.
+	memoryLimitRatio = 0.75
+
+	// bodiesRatio is the part that the bodies of requests and answers may hold: with the
+	// garbage of as much again, and copies in the buffers of connections, they stay below half.
+	bodiesRatio = 0.125
+)
+
 // nodeCommand runs the daemon.
 type nodeCommand struct {
 	Settings string `long:"settings" env:"LACEWINGSPOKE_NODE_FILE" required:"yes" value-name:"FILE" description:"INI settings file of the node"`
@@ -26,6 +37,9 @@
 	// StopGrace is an option besides the setting, because nodes of earlier releases, which
 	// may be started with the same settings file, reject the key.
 	StopGrace time.Duration `long:"stop-grace" env:"LACEWINGSPOKE_STOP_GRACE" value-name:"DURATION" description:"time from SIGTERM until the platform ends the process; replaces stop-grace of the settings"`
+
+	// Memory is an option for the same reason.
+	Memory string `long:"memory" env:"LACEWINGSPOKE_MEMORY" value-name:"BYTES" description:"memory of the process, as 284MiB; replaces memory of the settings"`
 }
 
 func addNodeCommand(parser *flags.Parser) error {
@@ -50,6 +64,12 @@
 		}
 		return exitStatus(operator.ExitRejected)
 	}
+	if command.Memory != "" {
+		if err := loaded.SetMemory(command.Memory); err != nil {
+			fmt.Fprintln(os.Stderr, errors.Annotate(err, "option memory"))
+			return exitStatus(operator.ExitRejected)
+		}
+	}
 	sink := logline.New(logline.Config{Output: os.Stdout})
 	logger := sink.Logger().With(zap.String("node", loaded.Name()))
 	err := command.run(loaded, logger, signals, reloads)
@@ -60,6 +80,7 @@
 // run runs the daemon until a signal arrives or one of its components fails, and
 // then stops it gracefully.
 func (command *nodeCommand) run(loaded *settings.Settings, logger *zap.Logger, signals, reloads <-chan os.Signal) error {
+	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(loaded.Memory())))
 	var running *daemon
 	app := fx.New(
 		fx.Supply(loaded, logger),
--- a/cmd/lacewingspoke/sharedmodule.go
+++ b/cmd/lacewingspoke/sharedmodule.go
@@ -168,6 +168,7 @@
 		MaxConfirmedAge: time.Duration(freshnessRatio * float64(params.Settings.RevocationBound())),
 		Retries:         retryAllowance(params.Settings),
 		MinNodes:        params.Settings.MinNodes(),
+		MaxBodies:       int64(bodiesRatio * float64(params.Settings.Memory())),
 		Quarantine:      params.Tracker,
 		Limits:          params.Limits,
 		Logger:          params.Logger,
--- a/engine/generate.go
+++ b/engine/generate.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"lacewingspoke.org/lacewingspoke/httpsend"
 )
 
 const (
@@ -75,8 +77,9 @@
 	return &Generator{
 		config: config,
 		transport: &http.Transport{
-			DisableKeepAlives:  true,
-			DisableCompression: true,
+			DisableKeepAlives:      true,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: httpsend.MaxHeadBytes,
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				conn, err := config.Dial(ctx, network, address)
 				if err != nil {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/quarantine"
 )
 
@@ -27,6 +28,10 @@
 	through      string
 	direct       *directCall
 
+	// hold is what the answer, and the copy of the body for another node, hold of the bytes of
+	// all bodies.
+	hold *limit.Hold
+
 	// notConnected is true if no connection to the target could be established.
 	notConnected bool
 
@@ -59,6 +64,7 @@
 // begin adds an attempt at a target to those of the request.
 func (exchange *exchange) begin(name, life string, to destination) *attempt {
 	begun := &attempt{exchange: exchange, to: to, name: name, life: life, admission: exchange.admission, throughNodes: exchange.throughNodes}
+	begun.hold = exchange.server.bodies.Hold(to.id)
 	exchange.attempts = append(exchange.attempts, begun)
 	return begun
 }
@@ -112,8 +118,9 @@
 // the failure.
 func (attempt *attempt) failed(err error) attemptResult {
 	exchange := attempt.exchange
+	attempt.hold.Release()
 	left := exchange.request.Context().Err() != nil
-	if !left && !errors.Is(err, errNoPath) && !errors.Is(err, errOutOfTime) && !errors.Is(err, errClosed) {
+	if !left && !errors.Is(err, errNoRoom) && !errors.Is(err, errNoPath) && !errors.Is(err, errOutOfTime) && !errors.Is(err, errClosed) {
 		exchange.server.suspects.Failed(attempt.name, exchange.server.config.Now())
 	}
 	exchange.server.config.Logger.Info("attempt failed",
@@ -135,6 +142,14 @@
 	return unknown{reason: "target " + attempt.name + " gave no whole answer"}
 }
 
+// grow makes the attempt hold count bytes of all bodies, or returns false if the node has no
+// room for them.
+func (attempt *attempt) grow(ctx context.Context, count int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, roomWait)
+	defer cancel()
+	return attempt.hold.Grow(ctx, count)
+}
+
 // broken is failed for a response that broke off. It finds out whether the target has ended.
 func (attempt *attempt) broken(ctx context.Context, evidence *quarantine.Attempt, err error) attemptResult {
 	failure := &callError{cause: err, sent: true, outcome: outcomeOf(err)}
--- a/forward/client.go
+++ b/forward/client.go
@@ -15,6 +15,8 @@
 
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
+
+	"lacewingspoke.org/lacewingspoke/limit"
 )
 
 const (
@@ -30,6 +32,9 @@
 	// Keep-Alive timeout.
 	defaultIdleTimeout = 10 * time.Second
 
+	// headCopies is the number of times that the bytes of a head are held while it is parsed.
+	headCopies = 3
+
 	// idleTimeoutFactor is the fraction of the target's Keep-Alive timeout for
 	// which an idle connection is reused. Later the target may close the
 	// connection while a request is being sent on it.
@@ -92,7 +97,10 @@
 	// message returns the request as it is written. It is called right before that, after
 	// the connection is established, so that it can contain the remaining time. After an
 	// error nothing is sent.
-	message func() ([]byte, error)
+	message func() (message, error)
+
+	// hold is what the response holds of the bytes of all bodies.
+	hold *limit.Hold
 
 	// newConnection requires a new connection. If the target closes a reused
 	// connection while a request is being sent, it is unknown whether the
@@ -139,6 +147,11 @@
 	// readBudget is the number of bytes that may still be read for the part of the
 	// response that is expected.
 	readBudget int64
+
+	// head is the response whose head is read, nil at other times, and headBytes the number
+	// of its bytes so far.
+	head      *response
+	headBytes int64
 }
 
 // Read reads from the connection within the budget.
@@ -151,6 +164,12 @@
 	}
 	count, err := connection.Conn.Read(buffer)
 	connection.readBudget -= int64(count)
+	if connection.head != nil {
+		connection.headBytes += int64(count)
+		if connection.headBytes > freeBytes && !connection.head.grow(headCopies*connection.headBytes) {
+			return count, errNoRoom
+		}
+	}
 	return count, err
 }
 
@@ -170,6 +189,9 @@
 	// idleTimeout is how long the other end of the connection lets it be reused.
 	idleTimeout time.Duration
 
+	// hold is that of the call.
+	hold *limit.Hold
+
 	// relayed is true if another node has sent the request to the target. finished is
 	// called once at the end, and may be nil.
 	relayed  bool
@@ -190,7 +212,7 @@
 		return nil, &callError{cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = connection.SetDeadline(time.Unix(1, 0)) })
-	response := &response{client: client, conn: connection, stop: stop, ctx: ctx}
+	response := &response{client: client, conn: connection, stop: stop, ctx: ctx, hold: outgoing.hold}
 	if err := response.setTimeout(timeout); err != nil {
 		response.discard()
 		return nil, &callError{cause: err}
@@ -211,9 +233,9 @@
 
 // roundTrip sends the request and reads the head of the response. sent is true if the other
 // end may have received a part of the request.
-func (response *response) roundTrip(method string, message []byte) (sent bool, err error) {
+func (response *response) roundTrip(method string, request message) (sent bool, err error) {
 	connection := response.conn
-	written, writeErr := connection.Write(message)
+	written, writeErr := request.write(connection)
 	// On a reused connection, what can still be read may be an earlier answer.
 	if writeErr != nil && (written == 0 || !connection.opened) {
 		return written > 0, errors.Annotate(writeErr, "send request")
@@ -238,6 +260,8 @@
 // not valid.
 func (response *response) readHead(method string) error {
 	response.conn.readBudget = maxHeadBytes
+	response.conn.head, response.conn.headBytes = response, 0
+	defer func() { response.conn.head = nil }()
 	for {
 		answer, err := http.ReadResponse(response.conn.reader, &http.Request{Method: method})
 		switch {
@@ -317,10 +341,23 @@
 	return defaultIdleTimeout
 }
 
+// A message is a request as it is written. A large body is not copied.
+type message struct{ head, body []byte }
+
+// write writes the message and returns the number of bytes that were written.
+func (request message) write(writer io.Writer) (int, error) {
+	written, err := writer.Write(request.head)
+	if err != nil || len(request.body) == 0 {
+		return written, err
+	}
+	count, err := writer.Write(request.body)
+	return written + count, err
+}
+
 // requestMessage returns an HTTP request.
-func requestMessage(method, uri, host string, header http.Header, body []byte) []byte {
+func requestMessage(method, uri, host string, header http.Header, body []byte) message {
 	var buffer bytes.Buffer
-	buffer.Grow(len(body) + 1024)
+	buffer.Grow(min(len(body), freeBytes) + 1024)
 	buffer.WriteString(method + " " + uri + " HTTP/1.1\r\nHost: " + host + "\r\n")
 	// A write to a bytes.Buffer does not fail.
 	_ = header.Write(&buffer)
@@ -328,8 +365,11 @@
 		buffer.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
 	}
 	buffer.WriteString("\r\n")
+	if len(body) > freeBytes {
+		return message{head: buffer.Bytes(), body: body}
+	}
 	buffer.Write(body)
-	return buffer.Bytes()
+	return message{head: buffer.Bytes()}
 }
 
 // connectionKey identifies the connections to one target at one address. It
@@ -452,16 +492,21 @@
 
 func (client *client) close() { client.retain(nil) }
 
+// grow makes the response hold count bytes of all bodies, or returns false if the node has no
+// room for them.
+func (response *response) grow(count int64) bool {
+	ctx, cancel := context.WithTimeout(response.ctx, roomWait)
+	defer cancel()
+	return response.hold.Grow(ctx, count)
+}
+
 // readAll reads the body to its end. It returns an errors.QuotaLimitExceeded
-// error for a body of more than limit bytes.
+// error for a body of more than limit bytes, and errNoRoom if the node has no room for it.
 func (response *response) readAll(limit int64) ([]byte, error) {
 	response.expectBody(limit)
-	body, err := io.ReadAll(io.LimitReader(response.http.Body, limit+1))
+	body, err := readWhole(response.http.Body, response.http.ContentLength, limit, response.grow)
 	if err != nil {
 		return nil, errors.Annotate(response.cause(err), "read response body")
 	}
-	if int64(len(body)) > limit {
-		return nil, errors.QuotaLimitExceededf("response body larger than %d bytes", limit)
-	}
 	return body, nil
 }
--- a/forward/event.go
+++ b/forward/event.go
@@ -7,6 +7,8 @@
 	"strconv"
 
 	"github.com/juju/errors"
+
+	"lacewingspoke.org/lacewingspoke/limit"
 )
 
 // maxEventBytes bounds the size of one event of a stream.
@@ -38,10 +40,17 @@
 }
 
 // An eventReader splits a stream into complete events.
-type eventReader struct{ reader *bufio.Reader }
+type eventReader struct {
+	reader *bufio.Reader
+
+	// hold is what the event holds of the bytes of all bodies, and grow makes it larger or
+	// returns false.
+	hold *limit.Hold
+	grow func(size int64) bool
+}
 
-func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(body, readBufferBytes)}
+func newEventReader(body io.Reader, hold *limit.Hold, grow func(size int64) bool) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(body, readBufferBytes), hold: hold, grow: grow}
 }
 
 // errPartial is returned if a stream ends inside an event.
@@ -50,19 +59,19 @@
 // next returns the next complete event. It returns io.EOF if the stream ends
 // after a complete event, and errPartial if it ends inside one.
 func (events *eventReader) next() (event, error) {
+	events.hold.Release()
 	current := event{comment: true}
 	for {
-		line, err := events.reader.ReadBytes('\n')
-		current.bytes = append(current.bytes, line...)
+		start := len(current.bytes)
+		var err error
+		current.bytes, err = events.appendLine(current.bytes)
+		line := current.bytes[start:]
 		if err != nil {
 			if err == io.EOF && len(bytes.TrimSpace(current.bytes)) > 0 {
 				err = errPartial
 			}
 			return event{}, err
 		}
-		if len(current.bytes) > maxEventBytes {
-			return event{}, errors.QuotaLimitExceededf("stream event larger than %d bytes", maxEventBytes)
-		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
 			return current, nil
@@ -74,6 +83,24 @@
 	}
 }
 
+// appendLine appends the next line with its end to the bytes of an event.
+func (events *eventReader) appendLine(received []byte) ([]byte, error) {
+	for {
+		part, err := events.reader.ReadSlice('\n')
+		size := len(received) + len(part)
+		if size > maxEventBytes {
+			return received, errors.QuotaLimitExceededf("stream event larger than %d bytes", maxEventBytes)
+		}
+		if size > freeBytes && size > cap(received) && !events.grow(2*int64(size)) {
+			return received, errNoRoom
+		}
+		received = append(received, part...)
+		if err != bufio.ErrBufferFull {
+			return received, err
+		}
+	}
+}
+
 // buffered reports whether the whole next event has arrived after the last one that
 // next returned. A part of it does not count, because the rest may come late.
 func (events *eventReader) buffered() bool {
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -1,7 +1,7 @@
 package forward
 
 import (
-	"io"
+	"context"
 	"net"
 	"net/http"
 	"strconv"
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"lacewingspoke.org/lacewingspoke/catalog"
+	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/quarantine"
 	"lacewingspoke.org/lacewingspoke/route"
 )
@@ -54,6 +55,9 @@
 	table     *route.Table
 	body      []byte
 
+	// hold is what the body holds of the bytes of all bodies.
+	hold *limit.Hold
+
 	// deadline follows from the shorter of the caller's deadline and the route's
 	// timeout, or from defaultTimeout if there is neither.
 	deadline time.Time
@@ -100,6 +104,7 @@
 		control:    http.NewResponseController(writer),
 		receivedAt: server.config.Now(),
 		workspace:  catalog.Workspace{Priority: -1},
+		hold:       server.bodies.Hold("caller " + request.RemoteAddr),
 	}
 }
 
@@ -116,7 +121,7 @@
 		return
 	}
 	exchange.caller = caller
-	if !exchange.resolve(current) || !exchange.readBody(current.Limits().MaxBodyBytes) {
+	if !exchange.resolve(current) {
 		return
 	}
 	wait := exchange.route.Timeout
@@ -127,6 +132,10 @@
 		wait = defaultTimeout
 	}
 	exchange.deadline = exchange.receivedAt.Add(wait)
+	defer exchange.releaseHolds()
+	if !exchange.readBody(current.Limits().MaxBodyBytes) {
+		return
+	}
 	if !exchange.endsInGrace() {
 		exchange.refuse("node is stopping and may end before the request does", shortRetryAfter)
 		return
@@ -215,16 +224,41 @@
 }
 
 // readBody reads the body of the request to its end. If it cannot, or the body
-// is larger than limit, it sends an error response and returns false.
-func (exchange *exchange) readBody(limit int64) bool {
-	if limit <= 0 {
-		limit = defaultBodyBytes
+// is larger than bound, it sends an error response and returns false.
+func (exchange *exchange) readBody(bound int64) bool {
+	if bound <= 0 {
+		bound = defaultBodyBytes
+	}
+	length := exchange.request.ContentLength
+	// A caller that sends more than the bound is not read to the end.
+	body := http.MaxBytesReader(exchange.writer, exchange.request.Body, bound)
+	if length > bound {
+		exchange.fail(http.StatusRequestEntityTooLarge, "body is over its bound")
+		return false
+	}
+	if length > freeBytes && !exchange.grow(length) {
+		exchange.refuse(errNoRoom.Error(), shortRetryAfter)
+		return false
+	}
+	counts := length < 0 || length > freeBytes
+	if counts {
+		// A body that does not arrive must not keep the room from others.
+		_ = exchange.control.SetReadDeadline(time.Now().Add(exchange.remaining()))
 	}
 	stop := exchange.server.requests.OnEnd(func() { _ = exchange.control.SetReadDeadline(time.Now()) })
-	body, err := io.ReadAll(http.MaxBytesReader(exchange.writer, exchange.request.Body, limit))
+	received, err := readWhole(body, length, bound, exchange.grow)
 	stop()
+	if counts && err == nil {
+		_ = exchange.control.SetReadDeadline(time.Time{})
+	}
 	var large *http.MaxBytesError
 	switch {
+	case err != nil && exchange.remaining() <= 0 && !exchange.server.requests.Ended():
+		exchange.fail(http.StatusRequestTimeout, "body did not arrive in time")
+		return false
+	case errors.Is(err, errNoRoom):
+		exchange.refuse(errNoRoom.Error(), shortRetryAfter)
+		return false
 	case err != nil && exchange.server.requests.Ended():
 		exchange.refuse("node is stopping", shortRetryAfter)
 		return false
@@ -235,10 +269,26 @@
 		exchange.fail(http.StatusBadRequest, "body is not complete")
 		return false
 	}
-	exchange.body = body
+	exchange.body = received
 	return true
 }
 
+// grow makes the body hold count bytes of all bodies, or returns false if the node has no room
+// for them.
+func (exchange *exchange) grow(count int64) bool {
+	ctx, cancel := context.WithTimeout(exchange.request.Context(), min(roomWait, max(0, exchange.remaining())))
+	defer cancel()
+	return exchange.hold.Grow(ctx, count)
+}
+
+// releaseHolds releases what the bodies of the request and of its answers hold.
+func (exchange *exchange) releaseHolds() {
+	exchange.hold.Release()
+	for _, attempt := range exchange.attempts {
+		attempt.hold.Release()
+	}
+}
+
 // mayRepeat reports whether the parts allow a request that may have ended
 // its target to be sent to another one.
 func (exchange *exchange) mayRepeat() bool {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -206,6 +206,10 @@
 	// by. It applies while the node has not discovered the other nodes.
 	MinNodes int
 
+	// MaxBodies bounds the bytes of the bodies of all requests and answers that the server
+	// holds at a time, 0 for 32 MiB.
+	MaxBodies int64
+
 	// Limits keeps the requests to targets within the limits that they name. If it is
 	// nil, the server makes one for a single node.
 	Limits *limit.TargetLimits
@@ -226,6 +230,7 @@
 // A Server is the HTTP handler of callers' requests.
 type Server struct {
 	config        Config
+	bodies        *limit.Bytes
 	metrics       *metrics
 	client        *client
 	tracker       *route.Tracker
@@ -281,6 +286,9 @@
 	if config.Seed == 0 {
 		config.Seed = rand.Uint64()
 	}
+	if config.MaxBodies == 0 {
+		config.MaxBodies = defaultMaxBodies
+	}
 	if config.Limits == nil {
 		config.Limits = limit.NewTargetLimits("")
 	}
@@ -293,7 +301,8 @@
 	if config.Registerer == nil {
 		config.Registerer = prometheus.NewRegistry()
 	}
-	registered, err := newMetrics(config.Registerer, config.Limits)
+	bodies := limit.NewBytes(config.MaxBodies)
+	registered, err := newMetrics(config.Registerer, config.Limits, bodies)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -314,6 +323,7 @@
 			HistorySize:   -1,
 		}),
 		config:   config,
+		bodies:   bodies,
 		metrics:  registered,
 		client:   newClient(registered),
 		tracker:  tracker,
--- a/forward/forward_test.go
+++ b/forward/forward_test.go
@@ -362,6 +362,7 @@
 		"header lines":    {head, "Long: " + filler + "\r\n"},
 		"interim answers": {"", "HTTP/1.1 103 Early Hints\r\nLong: " + filler + "\r\n\r\n"},
 		"chunk extension": {chunked + "1;", filler},
+		"body":            {chunked, "400\r\n" + filler + "\r\n"},
 		"trailer":         {chunked + "0\r\n", "Long: " + filler + "\r\n"},
 		"event":           {chunked, "400\r\n" + filler + "\r\n"},
 		"event lines":     {chunked, "401\r\n" + filler + "\n\r\n"},
--- a/forward/groupcall.go
+++ b/forward/groupcall.go
@@ -212,7 +212,7 @@
 	if call.resumed && mediaType(response.http) != call.contentType {
 		return errNotTheStream
 	}
-	events := newEventReader(response.http.Body)
+	events := newEventReader(response.http.Body, response.hold, response.grow)
 	empty := true
 	for {
 		if err := response.setTimeout(call.timeout()); err != nil {
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -28,7 +28,7 @@
 // to the longest timeout.
 var durationBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8}
 
-func newMetrics(registerer prometheus.Registerer, limits *limit.TargetLimits) (*metrics, error) {
+func newMetrics(registerer prometheus.Registerer, limits *limit.TargetLimits, bodies *limit.Bytes) (*metrics, error) {
 	registered := &metrics{
 		requests: newCounterVec("requests_total", "Requests answered.", "kind", "outcome"),
 		attempts: newCounterVec("attempts_total", "Attempts at targets.", "kind", "result"),
@@ -52,9 +52,12 @@
 	limitedTargets := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: metricsPrefix + "limited_targets", Help: "Targets that name a limit of requests in their answers.",
 	}, func() float64 { return float64(limits.Limited()) })
+	heldBytes := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: metricsPrefix + "held_bytes", Help: "Bytes of the bodies of requests and answers that count towards their bound.",
+	}, func() float64 { return float64(bodies.Used()) })
 	collectors := []prometheus.Collector{
 		registered.requests, registered.attempts, registered.retries, registered.dials,
-		registered.resumed, registered.relayed, registered.lostServices, registered.rests, registered.duration, registered.firstEvent, limitedTargets,
+		registered.resumed, registered.relayed, registered.lostServices, registered.rests, registered.duration, registered.firstEvent, limitedTargets, heldBytes,
 	}
 	for _, collector := range collectors {
 		if err := registerer.Register(collector); err != nil {
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -13,6 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"lacewingspoke.org/lacewingspoke/fleet"
+	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/route"
 )
 
@@ -133,19 +134,20 @@
 
 // relay sends a call through a node and reads the head of the target's answer within the
 // timeout. Its error is a *callError.
-func (client *client) relay(ctx context.Context, address string, newConnection bool, message func() (relayedCall, error), timeout time.Duration) (*response, error) {
+func (client *client) relay(ctx context.Context, address string, newConnection bool, relayed func() (relayedCall, error), hold *limit.Hold, timeout time.Duration) (*response, error) {
 	response, err := client.do(ctx, call{
 		address:       address,
 		method:        http.MethodPost,
 		newConnection: newConnection,
-		message: func() ([]byte, error) {
-			relayed, err := message()
+		hold:          hold,
+		message: func() (message, error) {
+			content, err := relayed()
 			if err != nil {
-				return nil, err
+				return message{}, err
 			}
-			body, err := msgpack.Marshal(relayed)
+			body, err := msgpack.Marshal(content)
 			if err != nil {
-				return nil, errors.Trace(err)
+				return message{}, errors.Trace(err)
 			}
 			return requestMessage(http.MethodPost, RelayPath, address, http.Header{"Content-Type": {"application/msgpack"}}, body), nil
 		},
@@ -171,6 +173,7 @@
 	response.relayed = true
 	response.http = &http.Response{
 		StatusCode: head.Status, Status: http.StatusText(head.Status), Header: head.Header, Body: &relayedBody{hop: hop}, Close: hop.Close,
+		ContentLength: -1,
 	}
 	return response, nil
 }
--- a/forward/relay_server.go
+++ b/forward/relay_server.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 	"go.uber.org/zap"
 
+	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/quarantine"
 	"lacewingspoke.org/lacewingspoke/route"
 )
@@ -39,6 +40,11 @@
 	target  observedTarget
 	attempt string
 
+	// hold is what the message holds of the bytes of all bodies, and answerHold what the head
+	// of the answer does.
+	hold       *limit.Hold
+	answerHold *limit.Hold
+
 	// evidence tracks the request for its parts here as well: the node that took it may end
 	// before it has reported the end of a target.
 	evidence *quarantine.Attempt
@@ -55,6 +61,13 @@
 	}
 	defer server.endRelayed()
 	receivedAt := server.config.Now()
+	relayed.hold = server.bodies.Hold("node " + hostOf(request.RemoteAddr))
+	defer relayed.hold.Release()
+	if !relayed.takeRoom() {
+		_, _ = io.Copy(io.Discard, http.MaxBytesReader(writer, request.Body, maxRelayedBytes))
+		relayed.report(relayUnavailable, errNoRoom)
+		return
+	}
 	if err := msgpack.NewDecoder(http.MaxBytesReader(writer, request.Body, maxRelayedBytes)).Decode(&relayed.message); err != nil {
 		relayed.report(relayUnavailable, errors.Annotate(err, "decode relayed call"))
 		return
@@ -78,6 +91,17 @@
 	}
 }
 
+// takeRoom takes the room for the message, or returns false.
+func (relayed *relayedExchange) takeRoom() bool {
+	if size := relayed.request.ContentLength; size > freeBytes {
+		ctx, cancel := context.WithTimeout(relayed.request.Context(), roomWait)
+		defer cancel()
+		return relayed.hold.Grow(ctx, size)
+	}
+	// The other node sends the length.
+	return relayed.request.ContentLength >= 0
+}
+
 // admit sends the request unless one of its parts is in quarantine here.
 func (relayed *relayedExchange) admit(address string) {
 	server := relayed.server
@@ -189,6 +213,8 @@
 	server, target := relayed.server, relayed.message.Target
 	ended := server.tracker.Start(relayed.target.name, server.config.Now())
 	defer func() { ended(server.config.Now()) }()
+	relayed.answerHold = server.bodies.Hold(target)
+	defer relayed.answerHold.Release()
 	sentAt := server.config.Now()
 	response, err := server.client.do(ctx, relayed.newCall(address), relayed.remaining())
 	if errors.Is(err, errClosed) || errors.Is(err, errOutOfTime) {
@@ -213,23 +239,24 @@
 }
 
 func (relayed *relayedExchange) newCall(address string) call {
-	message := relayed.message
-	values := OutgoingValues{Target: message.Target, Workspace: message.Workspace, ResumeAfter: message.ResumeAfter, Urgency: message.Urgency}
+	content := relayed.message
+	values := OutgoingValues{Target: content.Target, Workspace: content.Workspace, ResumeAfter: content.ResumeAfter, Urgency: content.Urgency}
 	return call{
 		address:       address,
-		target:        message.Target,
-		method:        message.Method,
-		newConnection: message.NewConnection,
-		message: func() ([]byte, error) {
+		target:        content.Target,
+		method:        content.Method,
+		newConnection: content.NewConnection,
+		hold:          relayed.answerHold,
+		message: func() (message, error) {
 			values.Deadline = relayed.remaining()
 			if values.Deadline <= 0 {
-				return nil, errOutOfTime
+				return message{}, errOutOfTime
 			}
 			if _, closed := relayed.server.closures.Closed(relayed.target.instance, relayed.server.config.Now()); closed {
-				return nil, errClosed
+				return message{}, errClosed
 			}
-			header := relayed.server.config.Codec.Outgoing(message.Header, values)
-			return requestMessage(message.Method, message.URI, message.Host, header, message.Body), nil
+			header := relayed.server.config.Codec.Outgoing(content.Header, values)
+			return requestMessage(content.Method, content.URI, content.Host, header, content.Body), nil
 		},
 	}
 }
--- a/forward/send.go
+++ b/forward/send.go
@@ -178,7 +178,7 @@
 	server, to := attempt.exchange.server, attempt.to
 	call := server.direct.begin(to, server.config.Now())
 	attempt.direct = call
-	response, err := server.client.do(ctx, attempt.exchange.newCall(to), timeout)
+	response, err := server.client.do(ctx, attempt.newCall(), timeout)
 	if err == nil {
 		response.finished = call.end
 		call.received(server.config.Now())
@@ -187,7 +187,7 @@
 	}
 	call.end()
 	switch {
-	case ctx.Err() != nil, errors.Is(err, errOutOfTime), errors.Is(err, errClosed):
+	case ctx.Err() != nil, errors.Is(err, errOutOfTime), errors.Is(err, errClosed), errors.Is(err, errNoRoom):
 		// The attempt was given up, whatever the target did.
 	case !maySent(err):
 		attempt.notConnected = true
@@ -204,17 +204,19 @@
 	return errors.As(err, &failure) && failure.Timeout()
 }
 
-// newCall returns the call for a target. It may be used beside other goroutines.
-func (exchange *exchange) newCall(to destination) call {
+// newCall returns the call for the target.
+func (attempt *attempt) newCall() call {
+	exchange, to := attempt.exchange, attempt.to
 	return call{
+		hold:          attempt.hold,
 		address:       to.address,
 		target:        to.id,
 		method:        exchange.request.Method,
 		newConnection: !exchange.route.Repeatable(),
-		message: func() ([]byte, error) {
+		message: func() (message, error) {
 			header, err := exchange.outgoing(to)
 			if err != nil {
-				return nil, err
+				return message{}, err
 			}
 			return requestMessage(exchange.request.Method, exchange.request.RequestURI, exchange.request.Host, header, exchange.body), nil
 		},
@@ -247,6 +249,10 @@
 func (attempt *attempt) sendThroughNodes(ctx context.Context, timeout time.Duration) (*response, error) {
 	exchange, to := attempt.exchange, attempt.to
 	server := exchange.server
+	if size := int64(len(exchange.body)); size > freeBytes && !attempt.grow(ctx, size) {
+		// The message for the node is a copy.
+		return nil, &callError{cause: errNoRoom}
+	}
 	message := func() (relayedCall, error) {
 		header, err := exchange.outgoing(to)
 		if err != nil {
@@ -268,7 +274,7 @@
 			break
 		}
 		ended := server.nodes.tracker.Start(node.Name, now)
-		response, err := server.client.relay(ctx, node.Address, !exchange.route.Repeatable(), message, timeout)
+		response, err := server.client.relay(ctx, node.Address, !exchange.route.Repeatable(), message, attempt.hold, timeout)
 		outcome := outcomeOf(err)
 		server.metrics.relayed.WithLabelValues("sent", string(outcome)).Inc()
 		if err == nil {
--- a/httpsend/httpsend.go
+++ b/httpsend/httpsend.go
@@ -94,9 +94,9 @@
 	conns     *connSet
 }
 
-// maxHeadBytes bounds the header of a response. The default of net/http, 10 MB for
+// MaxHeadBytes bounds the header of a response. The default of net/http, 10 MB for
 // each connection, is too much for a VM with 184 MB.
-const maxHeadBytes = 64 << 10
+const MaxHeadBytes = 64 << 10
 
 // New returns a Client with the configuration.
 func New(config Config) *Client {
@@ -115,7 +115,7 @@
 		},
 		DisableCompression: true,
 
-		MaxResponseHeaderBytes: maxHeadBytes,
+		MaxResponseHeaderBytes: MaxHeadBytes,
 
 		MaxIdleConnsPerHost: config.IdlePerAddress,
 		IdleConnTimeout:     idleTimeout,
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -68,6 +68,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"hash"
 	"io"
 	"strconv"
 	"strings"
@@ -129,7 +130,12 @@
 // requests of one caller the same body with another prompt. prompt holds the parts of the
 // prompt, if it is not in the body.
 func RequestPart(caller, method, host, uri string, prompt []string, body []byte) string {
-	return requestPrefix + PartOf(append([]string{caller, method, host, uri, string(body)}, prompt...)...)
+	hash := sha256.New()
+	writeTexts(hash, caller, method, host, uri)
+	writeLength(hash, len(body))
+	_, _ = hash.Write(body)
+	writeTexts(hash, prompt...)
+	return requestPrefix + partName(hash)
 }
 
 // isRequest reports whether a part stands for a whole request.
@@ -164,13 +170,24 @@
 // PartOf returns the name of a part that is known by its texts.
 func PartOf(texts ...string) string {
 	hash := sha256.New()
+	writeTexts(hash, texts...)
+	return partName(hash)
+}
+
+// writeTexts writes texts with their lengths to a hash, which does not fail.
+func writeTexts(hash hash.Hash, texts ...string) {
 	for _, text := range texts {
-		// A write to a hash does not fail.
-		_, _ = io.WriteString(hash, strconv.Itoa(len(text))+" "+text)
+		writeLength(hash, len(text))
+		_, _ = io.WriteString(hash, text)
 	}
-	return hex.EncodeToString(hash.Sum(nil)[:16])
 }
 
+func writeLength(hash hash.Hash, length int) {
+	_, _ = io.WriteString(hash, strconv.Itoa(length)+" ")
+}
+
+func partName(hash hash.Hash) string { return hex.EncodeToString(hash.Sum(nil)[:16]) }
+
 // Encode returns the value of the record in the store.
 func (record Record) Encode() ([]byte, error) {
 	value, err := json.Marshal(record)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -296,3 +296,9 @@
 	require.True(test, request.Expired(requestLifetime+time.Second))
 	require.False(test, Record{Part: "part"}.Expired(1000*time.Hour))
 }
+
+// Guards against names of whole requests that nodes of earlier versions do not have: the body
+// is one of the texts.
+func TestRequestPartIsThatOfItsTexts(test *testing.T) {
+	require.Equal(test, requestPrefix+PartOf("caller", "POST", "host", "/uri", "body", "a", "b"), RequestPart("caller", "POST", "host", "/uri", []string{"a", "b"}, []byte("body")))
+}
--- a/service/report.go
+++ b/service/report.go
@@ -7,6 +7,8 @@
 	"net/http"
 
 	"github.com/juju/errors"
+
+	"lacewingspoke.org/lacewingspoke/httpsend"
 )
 
 // maxReportBytes is the maximum number of bytes of a report that are decoded.
@@ -34,7 +36,7 @@
 
 // NewReportClient returns a client that can request the report of any runner.
 func NewReportClient() *ReportClient {
-	return &ReportClient{httpClient: &http.Client{Transport: &http.Transport{}}}
+	return &ReportClient{httpClient: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: httpsend.MaxHeadBytes}}}
 }
 
 // Report requests the report of the runner at address, an IP:port. The context
--- a/service/service.go
+++ b/service/service.go
@@ -37,6 +37,7 @@
 
 	"github.com/juju/errors"
 
+	"lacewingspoke.org/lacewingspoke/httpsend"
 	"lacewingspoke.org/lacewingspoke/outcome"
 )
 
@@ -87,9 +88,10 @@
 
 func (client *Client) newTransport() *http.Transport {
 	return &http.Transport{
-		DisableCompression:  true,
-		IdleConnTimeout:     idleTimeout,
-		MaxIdleConnsPerHost: maxIdlePerRunner,
+		DisableCompression:     true,
+		IdleConnTimeout:        idleTimeout,
+		MaxIdleConnsPerHost:    maxIdlePerRunner,
+		MaxResponseHeaderBytes: httpsend.MaxHeadBytes,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := client.config.Dial(ctx, network, address)
 			if err != nil {
--- a/settings/field.go
+++ b/settings/field.go
@@ -66,6 +66,11 @@
 			return setNumber(&settings.processorShare, value, maxProcessors)
 		},
 	},
+	{
+		id:           fieldID{sectionNode, "memory"},
+		defaultValue: "256MiB",
+		set:          func(settings *Settings, value string) error { return setBytes(&settings.memory, value) },
+	},
 	{
 		id:       fieldID{sectionListen, "callers"},
 		required: true,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -9,6 +9,7 @@
 //	stop-notice    = 3s                  # time that the listener stays open after SIGTERM
 //	stop-grace     = 0s                  # time from SIGTERM until the platform ends the process; 0s for no limit
 //	processor-share = 1                  # cores that the node may use; larger nodes lead first
+//	memory         = 256MiB              # memory of the process
 //	bootstrap      = no                  # yes when the whole system starts for the first time
 //
 //	[listen]
@@ -81,6 +82,7 @@
 	stopNotice     time.Duration
 	stopGrace      time.Duration
 	processorShare float64
+	memory         int64
 	callersAddress string
 	peersAddress   string
 	adminAddress   string
@@ -169,6 +171,15 @@
 // FailureDomain returns the failure domain that the node runs in.
 func (settings *Settings) FailureDomain() string { return settings.failureDomain }
 
+// Memory returns the memory of the process in bytes.
+func (settings *Settings) Memory() int64 { return settings.memory }
+
+// SetMemory replaces the memory of the process, for example 284MiB. It returns an
+// errors.NotValid error for a malformed value.
+func (settings *Settings) SetMemory(value string) error {
+	return errors.Trace(setBytes(&settings.memory, value))
+}
+
 // ProcessorShare returns the number of cores that the node may use.
 func (settings *Settings) ProcessorShare() float64 { return settings.processorShare }
 
