Use a suspect group that is in time if all groups are suspects

Callers: a stream was refused although a group would have been in time, while all groups of the model had refused or failed a request just before.

Cause: if the first choice was predicted late, the search for the earliest group left all suspects out, unlike the picker.

TestSuspectInTimeIsUsedIfThereIsNoOtherGroup fails before (503).

--- a/forward/memory_test.go
+++ b/forward/memory_test.go
@@ -94,3 +94,32 @@
 		})
 	}
 }
+
+// Guards against a stream that is refused because its first choice is late, although another
+// group is in time: both have refused a request just before.
+func TestSuspectInTimeIsUsedIfThereIsNoOtherGroup(test *testing.T) {
+	const lateBy = 400 * time.Millisecond
+	held, release := make(chan string, 1), make(chan struct{})
+	script := func(load string) func(net.Conn, *http.Request) bool {
+		return func(conn net.Conn, request *http.Request) bool {
+			switch request.URL.Path {
+			case "/usual/refuse":
+				return answer(conn, request, http.StatusServiceUnavailable, "Refused: 1\r\nLoad: "+load+"\r\n", "")
+			case "/usual/hold":
+				held <- request.URL.Path
+				<-release
+			}
+			return streams(3, "0\r\n\r\n")(conn, request)
+		}
+	}
+	groups := []*target{newTarget(test, "g1", script("0,0")), newTarget(test, "g2", script("3,0"))}
+	node := newNode(test, tableFixture{groups: groups, objectives: map[string]time.Duration{"usual": 300 * time.Millisecond}, step: 50 * time.Millisecond})
+	require.Equal(test, http.StatusServiceUnavailable, node.request(test, http.MethodPost, "/usual/refuse", "x").status)
+	replies := node.begin(test, "/usual/hold")
+	<-held
+	time.Sleep(lateBy)
+	require.Equal(test, events(3), node.request(test, http.MethodPost, "/usual/1", "x").body)
+	require.Equal(test, 1, groups[0].count()-1, "the held request is not at the first group")
+	close(release)
+	require.Equal(test, events(3), (<-replies[0]).body)
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -396,15 +396,30 @@
 }
 
 // earliestGroup returns the group with the earliest predicted first event among
-// those whose prediction is within the bound.
+// those whose prediction is within the bound. Like the picker it returns a suspect only
+// if there is no other group.
 func (exchange *exchange) earliestGroup(table *route.Table, excluded map[string]bool, bound time.Duration, now time.Time) (route.GroupTarget, bool) {
+	var trusted, suspects []route.GroupTarget
+	for _, target := range exchange.groups(table) {
+		switch {
+		case excluded[target.Name] || !target.Usable(now):
+		case exchange.server.suspects.Avoided(target.Name, now):
+			suspects = append(suspects, target)
+		default:
+			trusted = append(trusted, target)
+		}
+	}
+	if len(trusted) == 0 {
+		trusted = suspects
+	}
+	return exchange.earliestOf(trusted, bound, now)
+}
+
+func (exchange *exchange) earliestOf(targets []route.GroupTarget, bound time.Duration, now time.Time) (route.GroupTarget, bool) {
 	var best route.GroupTarget
 	earliest := bound
 	found := false
-	for _, target := range exchange.groups(table) {
-		if excluded[target.Name] || !target.Usable(now) || exchange.server.suspects.Avoided(target.Name, now) {
-			continue
-		}
+	for _, target := range targets {
 		first := exchange.predictFirstEvent(target, now)
 		if first < earliest || !found && first == earliest {
 			best, earliest, found = target, first, true
