Suspect a target whose answer has no room

Callers: requests went on to a target whose answers are too large for the node while others had room.

Cause: a lack of room counted as a fault of the node's own, also for the answer of the target that takes more than its share. Only a request that was not sent for lack of room says nothing of the target.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -120,7 +120,7 @@
 	exchange := attempt.exchange
 	attempt.hold.Release()
 	left := exchange.request.Context().Err() != nil
-	if !left && !errors.Is(err, errNoRoom) && !errors.Is(err, errNoPath) && !errors.Is(err, errOutOfTime) && !errors.Is(err, errClosed) {
+	if !left && !isOwnFault(err) {
 		exchange.server.suspects.Failed(attempt.name, exchange.server.config.Now())
 	}
 	exchange.server.config.Logger.Info("attempt failed",
@@ -142,6 +142,13 @@
 	return unknown{reason: "target " + attempt.name + " gave no whole answer"}
 }
 
+// isOwnFault reports whether an attempt failed for a reason that is not the target's.
+func isOwnFault(err error) bool {
+	// An answer without room is far larger than those of other targets.
+	noRoom := errors.Is(err, errNoRoom) && !maySent(err)
+	return noRoom || errors.Is(err, errNoPath) || errors.Is(err, errOutOfTime) || errors.Is(err, errClosed)
+}
+
 // grow makes the attempt hold count bytes of all bodies, or returns false if the node has no
 // room for them.
 func (attempt *attempt) grow(ctx context.Context, count int64) bool {
--- a/forward/observe.go
+++ b/forward/observe.go
@@ -80,7 +80,7 @@
 }
 
 const (
-	// runnerLoadMaxAge and groupLoadMaxAge exceed the time in which a full target serves
+	// runnerLoadMaxAge and groupLoadMaxAge are about the time in which a full target serves
 	// all requests that it has.
 	runnerLoadMaxAge = time.Second
 	groupLoadMaxAge  = 4 * time.Second
