Keep the load permit of a stage order that is not sent

Callers: after a model was removed, VMs that could serve the others stayed unused for a minute.

The VM was staged again only after stageRetry.

Change: the permit is used, and the order counts, when it is sent. A trial that dropped the permit instead asked for the next one without end.

--- a/group/open.go
+++ b/group/open.go
@@ -253,11 +253,9 @@
 	return folder.Group{}
 }
 
+// stageOrder returns the order for which a VM has a load permit.
 func (leader *Leader) stageOrder(vm *member, name string) desiredOrder {
 	spec := leader.stagedSpec(vm.permit.group)
-	vm.staging = spec.Model
-	vm.stagedAt = leader.plannedAt
-	vm.permit = loadPermit{}
 	return desiredOrder{
 		vm:     vm,
 		name:   name,
--- a/group/order.go
+++ b/group/order.go
@@ -253,6 +253,11 @@
 
 func (leader *Leader) send(now time.Time, desired desiredOrder, class folder.TargetClass) Effect {
 	leader.orderCount++
+	if desired.action == engine.ActionStage {
+		desired.vm.staging = desired.group.Model
+		desired.vm.stagedAt = leader.plannedAt
+		desired.vm.permit = loadPermit{}
+	}
 	deadline := leader.orderDeadline(class)
 	order := leader.buildOrder(desired)
 	order.ID = fmt.Sprintf("%s/%d/%d", leader.writer(), leader.fence, leader.orderCount)
