--- a/group/regroup_test.go
+++ b/group/regroup_test.go
@@ -247,6 +247,35 @@
 	require.Empty(test, domain.leader.Staging(domain.now))
 }
 
+// Guards against an order to stage weights that counts as given, and uses up its load permit,
+// while another order keeps it from being sent.
+func TestStageOrderCountsWhenItIsSent(test *testing.T) {
+	domain := newOpenedByOrderDomain(test, 9)
+	domain.runFor(5 * time.Second)
+	var spare *member
+	for name, vm := range domain.leader.members {
+		if _, placed := domain.leader.placement.Assignment(name); !placed {
+			spare = vm
+		}
+	}
+	require.NotNil(test, spare)
+	spare.report.Staged, spare.lastModel, spare.staging = nil, "", ""
+	spec := domain.leader.groups[0]
+	permit := loadPermit{group: stagingPrefix + "/" + spec.Name, granted: true}
+	spare.permit = permit
+	spare.order = pendingOrder{id: "another", action: engine.ActionRelease}
+	require.Empty(test, domain.leader.sendOrders(domain.now))
+	require.Equal(test, permit, spare.permit)
+	require.Empty(test, spare.staging)
+
+	spare.order = pendingOrder{}
+	effects := domain.leader.sendOrders(domain.now)
+	require.Len(test, effects, 1)
+	require.Equal(test, engine.ActionStage, effects[0].(SendOrder).Order.Action)
+	require.Equal(test, spec.Model, spare.staging)
+	require.Equal(test, loadPermit{}, spare.permit)
+}
+
 // Guards against a new domain that forms groups out of proportion or leaves no
 // spares, and against groups that are chosen by the size that fits the first VMs,
 // before all VMs were added.
