--- a/limit/objectives.go
+++ b/limit/objectives.go
@@ -35,11 +35,27 @@
 	objectives.mutex.Lock()
 	defer objectives.mutex.Unlock()
 	if objectives.used[pool] == nil {
+		objectives.dropUnused(now)
 		objectives.used[pool] = map[string]time.Time{}
 	}
 	objectives.used[pool][route] = now
 }
 
+// dropUnused drops the pools without a request lately. Callers name the models, so that the
+// names have no bound.
+func (objectives *Objectives) dropUnused(now time.Time) {
+	for pool, routes := range objectives.used {
+		for route, usedAt := range routes {
+			if now.Sub(usedAt) > objectiveMemory {
+				delete(routes, route)
+			}
+		}
+		if len(routes) == 0 {
+			delete(objectives.used, pool)
+		}
+	}
+}
+
 // Bound returns the longest predicted time to the first event at which a request is sent
 // to a group of a pool, 0 for no bound. routes holds the objectives of the routes in the
 // configuration, 0 for none, and idle is that time at an idle group.
--- a/limit/objectives_test.go
+++ b/limit/objectives_test.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -41,3 +42,14 @@
 	require.Equal(test, 300*time.Millisecond, bound(now.Add(time.Millisecond)))
 	require.Zero(test, bound(now.Add(2*objectiveMemory)))
 }
+
+// Guards against memory that grows with the names of models that callers send.
+func TestObjectivesForgetUnusedPools(test *testing.T) {
+	objectives := NewObjectives()
+	now := time.Unix(1000, 0)
+	for index := range 1000 {
+		now = now.Add(objectiveMemory / 10)
+		objectives.Use(fmt.Sprint("pool-", index), "route", now)
+	}
+	require.LessOrEqual(test, len(objectives.used), 11)
+}
