Prove the service of a target right before a request is sent

Two paths left the service of a target in doubt. A placed group without a known member was taken for one of the only service with its model; its target is now closed. And the table may change between the choice of a target and the write of the request: the service is compared with the newest table right before the bytes go, for own requests and for those of other nodes.

TestTargetThatChangedItsServiceGetsNothing fails for groups and for plain runners if the check is taken out (1 and 2 requests arrived) and passes with it.

--- a/control/table.go
+++ b/control/table.go
@@ -70,8 +70,9 @@
 		Open:  placed.State == group.StateReady,
 	}
 	if state.feeding() {
-		spec, _ := group.SpecOf(domain.placement, placed, state.specs(), state.serviceOf)
-		target.Spec, target.Service = placed.Model, spec.Service
+		service, known := group.ServiceOf(domain.placement, placed, state.serviceOf)
+		target.Spec, target.Service = placed.Model, service
+		target.Open = target.Open && known
 	}
 	for rank, vm := range domain.placement.Members(placed.Name) {
 		assignment, _ := domain.placement.Assignment(vm)
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -254,6 +255,9 @@
 	// if requiresKey is true.
 	withoutWorkspaces, requiresKey bool
 
+	// groupService is the service of the groups, "stream" if it is empty.
+	groupService string
+
 	// askReached is the question whether other nodes reach a target, used by newNode only.
 	askReached func(ctx context.Context, address string, targets []string) ([]string, error)
 }
@@ -345,7 +349,7 @@
 	add("idempotent", fixture.idempotent)
 	for _, target := range fixture.groups {
 		config.Groups = append(config.Groups, route.GroupTarget{
-			Name: target.name, Service: "stream", Spec: "m", Epoch: 1, VM: target.name, Address: target.address(), FailureDomain: "zone", Open: true,
+			Name: target.name, Service: cmp.Or(fixture.groupService, "stream"), Spec: "m", Epoch: 1, VM: target.name, Address: target.address(), FailureDomain: "zone", Open: true,
 			Grant: group.Grant{Group: target.name, Epoch: 1, ReportedAt: time.Now(), ValidUntil: time.Now().Add(time.Hour)},
 		})
 	}
--- a/forward/relay_server.go
+++ b/forward/relay_server.go
@@ -255,6 +255,9 @@
 			if _, closed := relayed.server.closures.Closed(relayed.target.instance, relayed.server.config.Now()); closed {
 				return message{}, errClosed
 			}
+			if !relayed.server.belongs(destination{id: content.Target, group: content.Group}, content.Service) {
+				return message{}, errClosed
+			}
 			header := relayed.server.config.Codec.Outgoing(content.Header, values)
 			return requestMessage(content.Method, content.URI, content.Host, header, content.Body), nil
 		},
--- a/forward/relay_test.go
+++ b/forward/relay_test.go
@@ -194,6 +194,34 @@
 	require.Equal(test, 1, runner.count())
 }
 
+// Guards against requests that reach a target of another service, because the table changed
+// between the choice of the target and the moment at which the request is sent.
+func TestTargetThatChangedItsServiceGetsNothing(test *testing.T) {
+	group := newTarget(test, "g1", streams(1, "0\r\n\r\n"))
+	runner := newTarget(test, "r1", answers(200, "Seal: s\r\n", "ok"))
+	lost := closedTarget(test, "lost")
+	for path, before := range map[string]tableFixture{"/stream/1": {groups: []*target{lost, group}}, "/once/1": {once: []*target{lost, runner}}} {
+		test.Run(path, func(test *testing.T) {
+			node := newNode(test, before)
+			sent := -1
+			// The other node is asked after the target was chosen, if the lost one was tried first.
+			other := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+				node.publish(test, tableFixture{groups: []*target{group}, groupService: "once", idempotent: []*target{runner}})
+				sent = group.count() + runner.count()
+				writer.Header().Set("Relay-Outcome", "unavailable")
+				writer.WriteHeader(http.StatusServiceUnavailable)
+			}))
+			defer other.Close()
+			node.forward.SetNodes([]fleet.Node{{Name: "self", AdminAddress: "127.0.0.1:1"}, {Name: "other", AdminAddress: other.Listener.Addr().String(), FailureDomain: "zone"}})
+			for sent < 0 {
+				node.request(test, http.MethodPost, path, "x")
+			}
+			require.Equal(test, sent, group.count()+runner.count())
+			require.Equal(test, http.StatusServiceUnavailable, node.request(test, http.MethodPost, path, "x").status)
+		})
+	}
+}
+
 // Guards against targets that were not reached and use up the allowance of retries.
 func TestUnreachedTargetsDrawNoRetries(test *testing.T) {
 	runner := newTarget(test, "r3", answers(200, "Seal: s\r\n", "ok"))
--- a/forward/send.go
+++ b/forward/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -231,9 +232,23 @@
 	if _, closed := exchange.server.closures.Closed(to.instance, exchange.server.config.Now()); closed {
 		return nil, errClosed
 	}
+	if !exchange.server.belongs(to, exchange.service.Name) {
+		return nil, errClosed
+	}
 	return exchange.server.config.Codec.Outgoing(exchange.request.Header, exchange.outgoingValues(to)), nil
 }
 
+// belongs reports whether the newest table has the target for a service. The table may have
+// changed since the target was chosen.
+func (server *Server) belongs(to destination, service string) bool {
+	table := server.config.Publisher.Current()
+	if to.group != "" {
+		target, found := table.Group(to.group)
+		return found && target.Service == service && target.VM == to.id
+	}
+	return slices.ContainsFunc(table.Services(service), func(target route.ServiceTarget) bool { return target.ID() == to.id })
+}
+
 func (exchange *exchange) outgoingValues(to destination) OutgoingValues {
 	return OutgoingValues{
 		Target:      to.id,
--- a/group/spec.go
+++ b/group/spec.go
@@ -42,6 +42,13 @@
 	return removed, false
 }
 
+// ServiceOf returns the service of a placed group, and false if none of its members is known
+// or they belong to different services.
+func ServiceOf(placement *Placement, group Group, serviceOf func(vm string) (string, bool)) (string, bool) {
+	service, known, mixed := memberService(placement, group, serviceOf)
+	return service, known && !mixed
+}
+
 // memberService returns the service of the known members of a group, whether any member is
 // known, and whether they belong to different services.
 func memberService(placement *Placement, group Group, serviceOf func(vm string) (string, bool)) (service string, known, mixed bool) {
--- a/group/spec_test.go
+++ b/group/spec_test.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -46,6 +47,13 @@
 			})
 			require.Equal(test, fixture.want, got.Name)
 			require.Equal(test, fixture.found, found)
+			// A group may serve only if the service of its members is known.
+			service, known := ServiceOf(placement, placed, func(vm string) (string, bool) {
+				service, known := services[vm]
+				return service, known
+			})
+			require.Equal(test, strings.HasPrefix(name, "members") || strings.HasPrefix(name, "unknown"), !known)
+			require.True(test, !known || service == services[fixture.members[1]])
 		})
 	}
 }
