Weigh held prompts against the wait for each request

The picker sent a draft to the last group that had its prefix, up to a load of 1.25 times the mean plus 2, whatever the prefix saved: at answers of 2.5 s callers waited 288 ms on average to save 8 ms of reading.

route.Holdings records which target was sent which beginnings of prompts, bounded, with a belief that fades with age and with what the target has read since in relation to its memory, and that ends with its incarnation, epoch, VM, model or a broken attempt. The picker compares the group of the least load with the holders by a sum of times: wait, wait added for others, slowdown, reading, reading again what is displaced, distance. Nobody is sent to wait for a place for what is held. The read time, place time and places of native engines are observed.

It is on in entry. In forward it is on only for engines with catalog.Engine.KeepsPrompts, which platform never sets; without a prompt the choices are those before, draw by draw. CallerHeaders has the tokens of the parts for it (the codec test expects them now). The affinity test of the picker calls Sent, which records what PickGroup recorded before.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -121,6 +121,10 @@
 	// CacheTokens is the capacity of a group's cache in tokens.
 	CacheTokens int
 
+	// KeepsPrompts is true if a group keeps prompts after their requests in the free part
+	// of its cache, so that it need not read a beginning again.
+	KeepsPrompts bool
+
 	// Step is the time of a step, which generates one token for each running
 	// request. Each request adds SequenceStep and each 1,000 tokens of its
 	// context add ContextStep.
--- a/entry/draft_relay.go
+++ b/entry/draft_relay.go
@@ -32,6 +32,9 @@
 	attempts  int
 	result    outcome.Outcome
 
+	// prompt is what the group has to read.
+	prompt route.Prompt
+
 	// replaced is true if the latest attempt was given up before its first piece for
 	// another group, which mayContinue has allowed then.
 	replaced bool
@@ -48,6 +51,7 @@
 		sink:      answer,
 		assembler: outcome.NewAssembler(),
 		excluded:  map[string]bool{},
+		prompt:    route.NewTextPrompt(parsed.prompt),
 		result:    outcome.NotRun{Reason: "no group can serve the request", RetryAfter: time.Second},
 	}
 }
@@ -94,17 +98,22 @@
 	return relay.result
 }
 
-// recordResult records a success or a failure of the group in the suspects.
+// recordResult records a success or a failure of the group in the suspects, and that a group
+// which broke off or refused the draft may have lost what it held.
 // Three errors are not recorded as failures: the loss of a grant is already in
 // the table, a refusal results from an outdated table, and the disconnect of a
 // caller is not a fault of the group.
 func (relay *draftRelay) recordResult(ctx context.Context, target route.GroupTarget, err error) {
 	var broken *engine.StreamError
+	var refused *engine.RefusedError
 	switch {
 	case err == nil:
 		relay.server.suspects.Succeeded(target.Name)
+	case errors.As(err, &refused) && refused.Status != http.StatusBadRequest:
+		relay.server.picker.Forget(target.Name)
 	case errors.As(err, &broken) && ctx.Err() == nil:
 		relay.server.suspects.Failed(target.Name, relay.server.config.Now())
+		relay.server.picker.Forget(target.Name)
 	}
 }
 
@@ -187,11 +196,7 @@
 	for {
 		changed := relay.server.config.Publisher.Changed()
 		table := relay.server.config.Publisher.Current()
-		target, found := relay.server.picker.PickGroup(table, route.GroupRequest{
-			Spec:     relay.exchange.route.Group,
-			Prompt:   relay.draft.prompt,
-			Excluded: relay.excluded,
-		}, relay.server.config.Now())
+		target, found := relay.server.picker.PickGroup(table, relay.groupRequest(), relay.server.config.Now())
 		if found {
 			return target, true
 		}
@@ -204,6 +209,27 @@
 	}
 }
 
+// cacheUnitTokens is the number of tokens in the unit in which engines report their free
+// cache: a block of 64 bytes of a prompt.
+const cacheUnitTokens = 16
+
+// groupRequest returns the request for a group that was not tried.
+func (relay *draftRelay) groupRequest() route.GroupRequest {
+	return newGroupRequest(relay.exchange.route.Group, relay.prompt, relay.excluded)
+}
+
+func newGroupRequest(spec string, prompt route.Prompt, excluded map[string]bool) route.GroupRequest {
+	return route.GroupRequest{Spec: spec, Prompt: prompt, Pace: route.Pace{TokensPerCacheUnit: cacheUnitTokens}, Excluded: excluded}
+}
+
+// recordSent records that a group reads the prompt.
+func (relay *draftRelay) recordSent(target route.GroupTarget, now time.Time) *route.Reading {
+	reading := relay.server.picker.Sent(target, relay.groupRequest(), now)
+	relay.server.metrics.promptTokens.WithLabelValues("held").Add(float64(reading.Held()))
+	relay.server.metrics.promptTokens.WithLabelValues("unread").Add(float64(reading.Unread()))
+	return reading
+}
+
 // attempt makes one attempt at a group. The error is the reason for which the
 // attempt did not complete the answer.
 func (relay *draftRelay) attempt(ctx context.Context, target route.GroupTarget) (outcome.Outcome, error) {
@@ -213,7 +239,9 @@
 	defer relay.server.gate.unregister(registered)
 	tracked := relay.server.config.Quarantine.Begin(target.Life(), relay.draft.parts, relay.admission, func() { cancel(errQuarantined) })
 	defer tracked.Close()
-	finish := relay.server.tracker.Start(target.Name, relay.server.config.Now())
+	sentAt := relay.server.config.Now()
+	reading := relay.recordSent(target, sentAt)
+	finish := relay.server.tracker.Start(target.Name, sentAt)
 	defer func() { finish(relay.server.config.Now()) }()
 
 	attempt := outcome.NewAttempt(newAttemptID())
@@ -235,7 +263,7 @@
 	}
 	defer stream.Close()
 	attempt = attempt.Apply(outcome.Sent{})
-	if err := relay.copyPieces(attemptCtx, registered, tracked, stream); err != nil {
+	if err := relay.copyPieces(attemptCtx, registered, tracked, stream, reading); err != nil {
 		relay.checkTarget(attemptCtx, tracked, target, err)
 		err = cancelCauseOr(attemptCtx, err)
 		relay.cancelAttempt(target, attempt)
@@ -244,6 +272,7 @@
 		return attempt.Outcome(), err
 	}
 	relay.countAttempt("complete")
+	reading.Ended(relay.server.config.Now())
 	tracked.Completed(relay.server.config.Now())
 	return attempt.Apply(outcome.Answered{}).Outcome(), nil
 }
@@ -295,13 +324,17 @@
 }
 
 // copyPieces delivers the pieces of one stream. It returns nil when the answer is
-// complete and a grant has confirmed its end.
-func (relay *draftRelay) copyPieces(ctx context.Context, registered *groupAttempt, tracked *quarantine.Attempt, stream *engine.Stream) error {
-	for {
+// complete and a grant has confirmed its end. It records the arrival of the first piece in the
+// reading.
+func (relay *draftRelay) copyPieces(ctx context.Context, registered *groupAttempt, tracked *quarantine.Attempt, stream *engine.Stream, reading *route.Reading) error {
+	for first := true; ; first = false {
 		piece, err := stream.Next()
 		if err != nil {
 			return err
 		}
+		if first {
+			reading.FirstEventArrived(relay.server.config.Now())
+		}
 		tracked.EventArrived(relay.server.config.Now())
 		// Wait for the grant before Accept: an accepted piece counts as delivered
 		// and is not requested again by a later attempt.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -303,6 +303,7 @@
 	}
 	server.tracker.Retain(keep)
 	server.suspects.Retain(keep)
+	server.picker.Retain(keep)
 	server.admission.applyTable(table)
 }
 
@@ -348,6 +349,7 @@
 // without demand, with an empty list of workspaces.
 func (server *Server) SetUsage(others []limit.NodeUsage) {
 	server.admission.setOthers(others, server.config.Now())
+	server.picker.SetNodes(len(others) + 1)
 }
 
 // serve counts the request as in flight and refuses it if the server is
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -17,6 +17,7 @@
 	cutStreams       *prometheus.CounterVec
 	bookings         *prometheus.CounterVec
 	claimWrites      *prometheus.CounterVec
+	promptTokens     *prometheus.CounterVec
 	pieces           prometheus.Counter
 	cancels          prometheus.Counter
 	firstText        prometheus.Histogram
@@ -34,6 +35,7 @@
 		cutStreams:    newCounterVec("cut_streams_total", "Streams that were reset before their end.", "cause"),
 		bookings:      newCounterVec("bookings_total", "Requests with an idempotency key.", "result"),
 		claimWrites:   newCounterVec("claim_writes_total", "Completions and removals of claims.", "result"),
+		promptTokens:  newCounterVec("prompt_tokens_total", "Prompt tokens sent to groups, by whether the group was believed to hold them.", "believed"),
 		pieces:        prometheus.NewCounter(prometheus.CounterOpts{Name: metricsPrefix + "pieces_total", Help: "Pieces delivered."}),
 		cancels:       prometheus.NewCounter(prometheus.CounterOpts{Name: metricsPrefix + "cancels_total", Help: "Cancels sent to engines."}),
 		firstText: prometheus.NewHistogram(prometheus.HistogramOpts{
@@ -50,7 +52,7 @@
 	collectors := []prometheus.Collector{
 		registered.requests, registered.notAdmitted, registered.attempts, registered.retries, registered.resumptions,
 		registered.droppedPieces, registered.cutStreams, registered.bookings, registered.claimWrites, registered.pieces,
-		registered.cancels, registered.firstText, registered.confirmationWait,
+		registered.cancels, registered.promptTokens, registered.firstText, registered.confirmationWait,
 	}
 	for _, collector := range collectors {
 		if err := registerer.Register(collector); err != nil {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -122,6 +122,7 @@
 	left := exchange.request.Context().Err() != nil
 	if !left && !isOwnFault(err) {
 		exchange.server.suspects.Failed(attempt.name, exchange.server.config.Now())
+		exchange.server.picker.Forget(attempt.name)
 	}
 	exchange.server.config.Logger.Info("attempt failed",
 		zap.String("id", exchange.caller.Attempt), zap.String("target", attempt.name), zap.Bool("sent", maySent(err)), zap.Bool("began", attempt.began),
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -88,6 +88,10 @@
 	// share parts; the last one belongs to this request or to its session.
 	PromptParts []string
 
+	// PartTokens are the numbers of tokens of PromptParts, 0 for one that the headers do
+	// not specify.
+	PartTokens []int
+
 	// ResumeAfter is the id of the last event that the caller received in an
 	// earlier attempt.
 	ResumeAfter string
@@ -320,7 +324,7 @@
 		nodes: newNodes(route.PickerConfig{
 			FailureDomain: config.FailureDomain,
 			Source:        rand.NewPCG(config.Seed, config.Seed+2),
-			HistorySize:   -1,
+			HoldingsSize:  -1,
 		}),
 		config:   config,
 		bodies:   bodies,
@@ -335,7 +339,6 @@
 			Source:        rand.NewPCG(config.Seed, config.Seed),
 			Tracker:       tracker,
 			Suspects:      suspects,
-			HistorySize:   -1,
 		}),
 		stallDetector: route.NewStallDetector(route.StallDetectorConfig{MinEventGap: minEventGap, MinFirstEventGap: minFirstEventGap, MaxEventGap: minEventTimeout}),
 		forecast:      limit.NewForecast(limit.ForecastConfig{GapMaxAge: gapMaxAge}),
@@ -476,6 +479,7 @@
 	server.paths.SetTargets(pathTargets(table))
 	server.tracker.Retain(names)
 	server.suspects.Retain(names)
+	server.picker.Retain(names)
 	server.closures.Retain(instances, server.config.Now())
 	server.forecast.Retain(names)
 	server.config.Limits.Retain(limited, server.config.Now())
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -28,6 +28,9 @@
 	"lacewingspoke.org/lacewingspoke/timer"
 )
 
+// partTokens is the number of tokens of each part of a prompt.
+const partTokens = 1000
+
 // A testCodec is a Codec with a few header names of its own.
 type testCodec struct{}
 
@@ -39,7 +42,10 @@
 	if err != nil {
 		wait = 2 * time.Second
 	}
-	return forward.CallerHeaders{Attempt: header.Get("Id"), Key: header.Get("Secret"), Model: "m", Deadline: wait}, nil
+	return forward.CallerHeaders{
+		Attempt: header.Get("Id"), Key: header.Get("Secret"), Model: "m", Deadline: wait,
+		PromptParts: header.Values("Part"), PartTokens: slices.Repeat([]int{partTokens}, len(header.Values("Part"))),
+	}, nil
 }
 
 func (testCodec) Outgoing(header http.Header, values forward.OutgoingValues) http.Header {
@@ -258,6 +264,9 @@
 	// groupService is the service of the groups, "stream" if it is empty.
 	groupService string
 
+	// keepsPrompts is true if the engines keep prompts, of which they read 10,000 tokens/s.
+	keepsPrompts bool
+
 	// askReached is the question whether other nodes reach a target, used by newNode only.
 	askReached func(ctx context.Context, address string, targets []string) ([]string, error)
 }
@@ -332,7 +341,7 @@
 	}
 	current, err := catalog.New(catalog.Config{
 		Version:     generation,
-		Services:    []catalog.Service{{Name: "once"}, {Name: "idempotent"}, {Name: "stream", Engine: &catalog.Engine{Slots: 4, Step: fixture.step, MeanAnswerTokens: 20}}},
+		Services:    []catalog.Service{{Name: "once"}, {Name: "idempotent"}, {Name: "stream", Engine: &catalog.Engine{Slots: 4, Step: fixture.step, MeanAnswerTokens: 20, KeepsPrompts: fixture.keepsPrompts, ReadRate: 10000}}},
 		Routes:      routes,
 		RequiresKey: fixture.requiresKey,
 		Workspaces:  workspaces,
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -336,7 +336,7 @@
 	now := server.config.Now()
 	table := server.config.Publisher.Current()
 	unavailable := exchange.unavailable(delivery.unavailable(excluded, table, now), table, now)
-	target, found := server.picker.PickGroup(table, route.GroupRequest{Service: exchange.service.Name, Spec: exchange.caller.Model, Excluded: unavailable}, now)
+	target, found := server.picker.PickGroup(table, exchange.groupRequest(unavailable), now)
 	if !found || delivery.headerSent {
 		return target, found
 	}
--- a/route/example_test.go
+++ b/route/example_test.go
@@ -26,7 +26,7 @@
 		Source:        rand.NewPCG(1, 1),
 		Tracker:       route.NewTracker(),
 	})
-	chosen, found := picker.PickGroup(table, route.GroupRequest{Spec: "letters", Prompt: "Dear"}, now)
+	chosen, found := picker.PickGroup(table, route.GroupRequest{Spec: "letters", Prompt: route.NewTextPrompt("Dear")}, now)
 	fmt.Println(chosen.Name, found)
 	// Output: complete true
 }
--- a/route/picker.go
+++ b/route/picker.go
@@ -7,16 +7,12 @@
 )
 
 const (
-	// defaultLoadFactor allows a preferred group a load of 25 % above the mean.
-	defaultLoadFactor = 1.25
-
 	// defaultDistanceCost is the load by which a target in the node's own failure
 	// domain may exceed one in another domain and still be selected.
 	defaultDistanceCost = 2
 
-	// loadSlack is added to the load bound of a preferred group. Without it, one
-	// request would exceed the bound while the mean load is near zero.
-	loadSlack = 2
+	// distanceTime is the time that a request to another failure domain takes longer.
+	distanceTime = 2 * time.Millisecond
 )
 
 // PickerConfig configures a Picker.
@@ -36,13 +32,9 @@
 	// successes and failures. With nil no target is avoided.
 	Suspects *Suspects
 
-	// HistorySize bounds the recorded prefixes, 0 for the default. A negative
-	// size disables prefix affinity.
-	HistorySize int
-
-	// LoadFactor bounds the load of a preferred group relative to the mean load,
-	// 0 for the default 1.25.
-	LoadFactor float64
+	// HoldingsSize bounds the recorded prefixes of prompts, 0 for the default. With a
+	// negative size none are recorded.
+	HoldingsSize int
 
 	// DistanceCost is the load by which a target in the node's own failure domain
 	// may exceed one in another domain, 0 for the default 2, negative for none.
@@ -50,15 +42,15 @@
 }
 
 // A Picker selects the target of each attempt: the one with the lower load of
-// two random candidates, with preferences for the group that probably has the
-// prompt's prefix cached and for the node's own failure domain. It is safe for
-// concurrent use.
+// two random candidates, with a preference for the node's own failure domain, or a
+// group that holds a part of the prompt if that saves more time than the load there
+// costs. It is safe for concurrent use.
 type Picker struct {
 	failureDomain string
 	tracker       *Tracker
 	suspects      *Suspects
-	history       *History
-	loadFactor    float64
+	holdings      *Holdings
+	paces         *paceObserver
 	distanceCost  int
 
 	mutex  sync.Mutex
@@ -71,21 +63,18 @@
 		failureDomain: config.FailureDomain,
 		tracker:       config.Tracker,
 		suspects:      config.Suspects,
-		loadFactor:    config.LoadFactor,
+		paces:         newPaceObserver(),
 		distanceCost:  config.DistanceCost,
 		random:        rand.New(config.Source),
 	}
-	if picker.loadFactor <= 0 {
-		picker.loadFactor = defaultLoadFactor
-	}
 	if picker.distanceCost == 0 {
 		picker.distanceCost = defaultDistanceCost
 	}
 	if picker.distanceCost < 0 {
 		picker.distanceCost = 0
 	}
-	if config.HistorySize >= 0 {
-		picker.history = NewHistory(config.HistorySize)
+	if config.HoldingsSize >= 0 {
+		picker.holdings = NewHoldings(config.HoldingsSize)
 	}
 	return picker
 }
@@ -95,7 +84,12 @@
 	// Service and Spec are those of the group targets.
 	Service string
 	Spec    string
-	Prompt  string
+
+	// Prompt is what the group has to read. With the zero Prompt no group is preferred for
+	// what it holds. Pace is what is known of the groups' speed; the picker fills in the
+	// rest from the requests that it has observed.
+	Prompt Prompt
+	Pace   Pace
 
 	// Excluded holds the names of groups that must not be selected, usually
 	// because they were tried.
@@ -105,41 +99,183 @@
 // PickGroup selects a group that is open and whose grant is valid at now. It
 // returns false if there is none.
 func (picker *Picker) PickGroup(table *Table, request GroupRequest, now time.Time) (GroupTarget, bool) {
+	placement := picker.PlaceGroup(table, request, now)
+	if placement.Found {
+		picker.markChosen(placement.Target.Name, now)
+	}
+	return placement.Target, placement.Found
+}
+
+// A GroupPlacement is the decision on the group of a request, with its reasons.
+type GroupPlacement struct {
+	// Target is the selected group, if Found.
+	Target GroupTarget
+	Found  bool
+
+	// Candidates are all groups of the model.
+	Candidates []GroupCandidate
+}
+
+// A GroupCandidate is a group as the decision has weighed it. Target is in the table.
+type GroupCandidate struct {
+	Target    *GroupTarget
+	Exclusion Exclusion
+	Load      int
+	Near      bool
+
+	// Held is the number of tokens of the prompt that the group is believed to hold. Full
+	// is true if a request would wait there for a place. Time is the sum by which the groups
+	// that hold a part of the prompt are compared with the one of the least load.
+	Held int
+	Full bool
+	Time time.Duration
+}
+
+// An Exclusion is why a group does not receive a request, empty if it may.
+type Exclusion string
+
+// The exclusions by the picker itself. Those by the request's own reasons, in
+// GroupRequest.Excluded, count as ExcludedByRequest.
+const (
+	ExcludedByRequest Exclusion = "excluded"
+	ExcludedClosed    Exclusion = "not-open"
+	ExcludedGrant     Exclusion = "no-grant"
+	ExcludedSuspect   Exclusion = "suspect"
+)
+
+// PlaceGroup decides like PickGroup. It changes nothing but the state of the source of
+// randomness.
+func (picker *Picker) PlaceGroup(table *Table, request GroupRequest, now time.Time) GroupPlacement {
 	targets := table.Groups(request.Service, request.Spec)
+	placement := GroupPlacement{Candidates: make([]GroupCandidate, len(targets))}
 	candidates := make([]candidate, 0, len(targets))
-	for index, target := range targets {
-		if request.Excluded[target.Name] || !target.Usable(now) {
+	for index := range targets {
+		target := &targets[index]
+		placement.Candidates[index] = GroupCandidate{Target: target, Exclusion: target.exclusion(request.Excluded, now)}
+		if placement.Candidates[index].Exclusion != "" {
 			continue
 		}
 		load := picker.tracker.Load(target.Name, target.Load, target.LoadReportedAt(), now)
 		candidates = append(candidates, picker.newCandidate(index, target.Name, target.FailureDomain, load, now))
 	}
-	candidates = withoutSuspects(candidates)
-	if len(candidates) == 0 {
-		return GroupTarget{}, false
+	trusted := withoutSuspects(candidates)
+	for _, candidate := range candidates {
+		weighed := &placement.Candidates[candidate.index]
+		weighed.Load, weighed.Near = candidate.load, candidate.near
+		if candidate.suspect && len(trusted) < len(candidates) {
+			weighed.Exclusion = ExcludedSuspect
+		}
 	}
-	chosen := targets[picker.chooseGroup(targets, candidates, request).index]
-	picker.markChosen(chosen.Name, now)
-	return chosen, true
+	if len(trusted) == 0 {
+		return placement
+	}
+	chosen := picker.pickLeastCost(trusted).index
+	if holder, found := picker.betterHolder(placement.Candidates, chosen, request, now); found {
+		chosen = holder
+	}
+	placement.Target, placement.Found = targets[chosen], true
+	return placement
 }
 
-// chooseGroup selects the group that the longest recorded prefix of the prompt was
-// sent to, unless its load exceeds the bound. Otherwise it selects a group by cost
-// and records it for the prompt's prefixes.
-func (picker *Picker) chooseGroup(targets []GroupTarget, candidates []candidate, request GroupRequest) candidate {
-	if picker.history == nil {
-		return picker.pickLeastCost(candidates)
+// exclusion returns why the group itself cannot receive a request.
+func (target *GroupTarget) exclusion(excluded map[string]bool, now time.Time) Exclusion {
+	switch {
+	case excluded[target.Name]:
+		return ExcludedByRequest
+	case !target.Open:
+		return ExcludedClosed
+	case !target.Usable(now):
+		return ExcludedGrant
 	}
-	keys := picker.history.prefixKeys(groupSpec{request.Service, request.Spec}, request.Prompt)
-	preferred := picker.history.lookup(keys)
-	for _, candidate := range candidates {
-		if targets[candidate.index].Name == preferred && picker.withinBound(candidate, candidates) {
-			return candidate
+	return ""
+}
+
+// betterHolder returns a candidate that holds a part of the prompt and takes less time by
+// that than the one of the least load. It answers many requests with the same beginning: they
+// go to its holder until the load there costs more than reading the beginning elsewhere,
+// where it is held from then on. A group at which a request would wait for a place is not
+// preferred to one at which it would not, whatever it holds.
+func (picker *Picker) betterHolder(candidates []GroupCandidate, least int, request GroupRequest, now time.Time) (int, bool) {
+	if picker.holdings == nil {
+		return 0, false
+	}
+	held := picker.holdings.held(request.Prompt, now)
+	if len(held) == 0 {
+		return 0, false
+	}
+	spec := groupSpec{request.Service, request.Spec}
+	picker.paces.report(spec, candidates)
+	pace := picker.paces.complete(spec, request.Pace)
+	best := least
+	picker.weigh(&candidates[least], held, request, pace)
+	for index := range candidates {
+		weighed := &candidates[index]
+		if index == least || weighed.Exclusion != "" || held[weighed.Target.Name] == nil {
+			continue
+		}
+		picker.weigh(weighed, held, request, pace)
+		if weighed.Held == 0 || weighed.Full && !candidates[least].Full {
+			continue
+		}
+		if weighed.Time < candidates[best].Time {
+			best = index
 		}
 	}
-	chosen := picker.pickLeastCost(candidates)
-	picker.history.record(keys, targets[chosen.index].Name)
-	return chosen
+	return best, best != least
+}
+
+// weigh sets what the group holds and its time: the wait for a place, the wait that the
+// request adds for others, the slowdown by the requests in progress, the time to read what
+// the group does not hold, the time to read again what that displaces, and the distance.
+func (picker *Picker) weigh(weighed *GroupCandidate, held map[string][]heldPrefix, request GroupRequest, pace Pace) {
+	target := weighed.Target
+	room := target.room(pace)
+	weighed.Held = believedTokens(target, held[target.Name], room)
+	weighed.Full = target.full(weighed.Load, pace)
+	unread := pace.readTime(request.Prompt.Tokens() - weighed.Held)
+	again := time.Duration(float64(unread) * picker.holdings.displaced(target, room))
+	weighed.Time = pace.placeWait(weighed.Load) + pace.addedWait(weighed.Load, unread) + pace.slowdown(weighed.Load) + unread + again
+	if !weighed.Near {
+		weighed.Time += distanceTime
+	}
+}
+
+// Sent records that a group is sent a request. Call it before Tracker.Start.
+func (picker *Picker) Sent(target GroupTarget, request GroupRequest, now time.Time) *Reading {
+	reading := &Reading{paces: picker.paces, spec: target.groupSpec(), sentAt: now, tokens: request.Prompt.Tokens()}
+	if picker.holdings == nil || len(request.Prompt.prefixes) == 0 {
+		return reading
+	}
+	pace := picker.paces.complete(reading.spec, request.Pace)
+	reading.waits = target.full(picker.tracker.Load(target.Name, target.Load, target.LoadReportedAt(), now), pace)
+	reading.held = picker.holdings.sent(&target, request.Prompt, target.room(pace), now)
+	return reading
+}
+
+// full reports whether a request waits for a place at a group with a load.
+func (target *GroupTarget) full(load int, pace Pace) bool {
+	return load >= pace.Slots || !target.LoadUnreported && target.Load.Queued > 0
+}
+
+// Forget records that a group may have lost what it held.
+func (picker *Picker) Forget(target string) {
+	if picker.holdings != nil {
+		picker.holdings.Forget(target)
+	}
+}
+
+// SetNodes sets the number of nodes that send requests to the targets, this one included.
+func (picker *Picker) SetNodes(nodes int) {
+	if picker.holdings != nil {
+		picker.holdings.SetNodes(nodes)
+	}
+}
+
+// Retain forgets what targets held that keep does not contain.
+func (picker *Picker) Retain(keep map[string]bool) {
+	if picker.holdings != nil {
+		picker.holdings.Retain(keep)
+	}
 }
 
 // withoutSuspects returns the candidates that are not suspects, or all candidates
@@ -213,17 +349,6 @@
 	return candidate{index: index, load: load, cost: cost, near: near, suspect: suspect}
 }
 
-// withinBound reports whether the load of a preferred candidate is within the
-// bound relative to the mean load.
-func (picker *Picker) withinBound(preferred candidate, candidates []candidate) bool {
-	total := 0
-	for _, candidate := range candidates {
-		total += candidate.load
-	}
-	mean := float64(total) / float64(len(candidates))
-	return float64(preferred.load) <= mean*picker.loadFactor+loadSlack
-}
-
 // pickLeastCost selects the candidate with the least cost among two random
 // candidates of the node's own failure domain and two of the other domains. With
 // many domains, two random candidates of all would rarely include a near one.
--- a/route/picker_test.go
+++ b/route/picker_test.go
@@ -17,7 +17,7 @@
 
 func newPicker(change func(*route.PickerConfig)) (*route.Picker, *route.Tracker) {
 	tracker := route.NewTracker()
-	config := route.PickerConfig{FailureDomain: "near", Source: rand.NewPCG(1, 2), Tracker: tracker, HistorySize: -1}
+	config := route.PickerConfig{FailureDomain: "near", Source: rand.NewPCG(1, 2), Tracker: tracker, HoldingsSize: -1}
 	if change != nil {
 		change(&config)
 	}
@@ -122,18 +122,21 @@
 // Guards against prompts with a common prefix that are sent to different groups,
 // and against a preference that overloads its group.
 func TestPickerPrefersGroupWithCachedPrefix(t *testing.T) {
-	picker, tracker := newPicker(func(config *route.PickerConfig) { config.HistorySize = 100 })
+	picker, tracker := newPicker(func(config *route.PickerConfig) { config.HoldingsSize = 100 })
 	var targets []route.GroupTarget
 	for index := range 6 {
 		targets = append(targets, target(fmt.Sprint(index), "near", 0))
 	}
 	snapshot := table(targets...)
 	shared := strings.Repeat("system prompt ", 40)
-	pick := func(suffix string) string {
-		chosen, found := picker.PickGroup(snapshot, route.GroupRequest{Spec: "copy", Prompt: shared + suffix}, now)
+	send := func(prompt string) string {
+		request := route.GroupRequest{Spec: "copy", Prompt: route.NewTextPrompt(prompt)}
+		chosen, found := picker.PickGroup(snapshot, request, now)
 		require.True(t, found)
+		picker.Sent(chosen, request, now)
 		return chosen.Name
 	}
+	pick := func(suffix string) string { return send(shared + suffix) }
 	first := pick("first")
 	for index := range 20 {
 		require.Equal(t, first, pick(fmt.Sprint(index)))
@@ -145,11 +148,9 @@
 	require.NotEqual(t, first, second)
 	require.Equal(t, second, pick("the preference moved"))
 	for index := range 1000 {
-		_, _ = picker.PickGroup(snapshot, route.GroupRequest{Spec: "copy", Prompt: strings.Repeat(fmt.Sprint(index), 64)}, now)
+		send(strings.Repeat(fmt.Sprint(index), 64))
 	}
-	short, found := picker.PickGroup(snapshot, route.GroupRequest{Spec: "copy", Prompt: "short"}, now)
-	require.True(t, found)
-	require.NotEmpty(t, short.Name)
+	require.NotEmpty(t, send("short"))
 }
 
 // Guards against an unreachable target that every request tries, against one that
--- a/route/route.go
+++ b/route/route.go
@@ -7,10 +7,11 @@
 //
 // A Picker selects one of the groups that are open and have a valid grant. It
 // compares two random candidates by their reported load, which a Tracker corrects
-// for the node's own requests that the report does not include yet. It prefers
-// the group that probably has the prompt's prefix cached, unless the load of that
-// group exceeds a bound, and the node's own failure domain, unless the load there
-// is higher by more than a fixed cost. Suspects excludes targets that failed
+// for the node's own requests that the report does not include yet, and prefers
+// the node's own failure domain, unless the load there is higher by more than a
+// fixed cost. A group that Holdings believe to hold a beginning of the prompt is
+// selected instead if reading it elsewhere takes longer than the load costs, see
+// GroupCandidate. Suspects excludes targets that failed
 // recently. A StallDetector detects targets all of whose streams have stalled,
 // which happens when an engine has lost a member.
 //
@@ -24,6 +25,6 @@
 //		Source:        rand.NewPCG(1, 2),
 //		Tracker:       tracker,
 //	})
-//	request := route.GroupRequest{Spec: "letters", Prompt: prompt}
+//	request := route.GroupRequest{Spec: "letters", Prompt: route.NewTextPrompt(prompt)}
 //	target, found := picker.PickGroup(publisher.Current(), request, now)
 package route
