--- a/entry/held_test.go
+++ b/entry/held_test.go
@@ -3,38 +3,62 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"lacewingspoke.org/lacewingspoke/engine"
+	"lacewingspoke.org/lacewingspoke/entry"
 	"lacewingspoke.org/lacewingspoke/route"
 )
 
-// readTime is the time in which an engine of readOnce reads the shared beginning.
+// readTime is the time in which an engine reads the shared beginning.
 const readTime = 50 * time.Millisecond
 
+// A readingClock is a clock that runs only while engines read, so that the observed read times do
+// not depend on the machine.
+type readingClock struct {
+	start time.Time
+	read  atomic.Int64
+}
+
+func newReadingHarness(test *testing.T) (*harness, *readingClock) {
+	clock := &readingClock{start: time.Now()}
+	return newHarness(test, func(config *entry.Config) { config.Now = clock.now }), clock
+}
+
+func (clock *readingClock) now() time.Time { return clock.start.Add(time.Duration(clock.read.Load())) }
+
 // readOnce returns the script of an engine that holds the beginning after the first draft.
-func readOnce() func(context.Context, engine.Generate, func(engine.Piece)) {
+func (clock *readingClock) readOnce() func(context.Context, engine.Generate, func(engine.Piece)) {
 	var read sync.Once
 	return func(_ context.Context, request engine.Generate, send func(engine.Piece)) {
-		read.Do(func() { time.Sleep(readTime) })
+		read.Do(func() { clock.read.Add(int64(readTime)) })
 		sendPieces(request, request.ResumeIndex, request.MaxTokens, send)
 		sendDone(request, send)
 	}
 }
 
+// requestDraft requests a draft with a deadline that does not pass while the clock stands.
+func requestDraft(test *testing.T, harness *harness, prompt string) {
+	body := fmt.Sprintf(`{"model":"m","prompt":%q,"max_tokens":2,"stream":true}`, prompt)
+	got := harness.do(http.MethodPost, "/v1/completions", body, map[string]string{"Lacewingspoke-Deadline": "5m"})
+	require.Equal(test, "complete", got.outcome())
+}
+
 // Guards against drafts with a shared beginning that several engines read, and against a
 // preference that outlives the epoch in which the engine held it.
 func TestDraftsGoToTheHolderOfTheirBeginning(test *testing.T) {
-	harness := newHarness(test, nil)
+	harness, clock := newReadingHarness(test)
 	engines := map[string]*fakeEngine{}
 	for _, name := range []string{"copy-1", "copy-2", "copy-3", "copy-4"} {
 		engines[name] = newFakeEngine(test)
-		engines[name].emit = readOnce()
+		engines[name].emit = clock.readOnce()
 		harness.addGroup(name, engines[name], longGrant)
 	}
 	harness.keepRenewing("copy-1", "copy-2", "copy-3", "copy-4")
@@ -45,7 +69,7 @@
 			before[name] = len(fake.received())
 		}
 		for number := from; number < to; number++ {
-			require.Equal(test, "complete", harness.draft(shared+fmt.Sprint(number), 2, true).outcome())
+			requestDraft(test, harness, shared+fmt.Sprint(number))
 		}
 		for name, fake := range engines {
 			if count := len(fake.received()) - before[name]; count > 0 {
