Explain where a request would go now

Operators had no way to see why a request went elsewhere than expected, or was refused, other than to send one and read the logs.

lacewingspoke explain asks a node at POST /v1/explain. The node runs the decision of a request without its effects: PickGroup and PickService, delivery.pickGroup and exchange.pickRunner are now their placement, which returns its reasons if asked, and the mark of a probe. Tracker.Judge is Admit without the use of a permit, Queue.StartsAtOnce the condition of Offer. Both front doors answer: entry for the operators' folder, forward for the users' platform. Nodes of earlier releases answer 404, which the command names; an unknown route or workspace is 400.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -25,6 +25,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"lacewingspoke.org/lacewingspoke/explanation"
 	"lacewingspoke.org/lacewingspoke/forward"
 	"lacewingspoke.org/lacewingspoke/mirror"
 )
@@ -200,6 +201,10 @@
 	// reaches. It is optional.
 	Reached func(ctx context.Context, targets []string) ([]string, error)
 
+	// Explain returns where a request would go now, at ExplainPath. It returns an
+	// errors.NotValid error for an unknown route or workspace. It is optional.
+	Explain func(question explanation.Question) (explanation.Answer, error)
+
 	// Relay sends requests to targets for other nodes, at forward.RelayPath. It is
 	// optional.
 	Relay http.Handler
@@ -217,6 +222,7 @@
 	takeDecision func(ctx context.Context, record []byte) error
 	partAges     func(parts []string) map[string]time.Duration
 	reached      func(ctx context.Context, targets []string) ([]string, error)
+	explain      func(question explanation.Question) (explanation.Answer, error)
 	router       *mux.Router
 }
 
@@ -229,6 +235,7 @@
 		takeDecision: config.TakeDecision,
 		partAges:     config.PartAges,
 		reached:      config.Reached,
+		explain:      config.Explain,
 		router:       mux.NewRouter(),
 	}
 	server.router.Handle("/metrics", promhttp.HandlerFor(config.Gatherer, promhttp.HandlerOpts{})).Methods(http.MethodGet)
@@ -249,6 +256,9 @@
 	if config.Reached != nil {
 		server.router.HandleFunc(ReachedPath, server.serveReached).Methods(http.MethodPost)
 	}
+	if config.Explain != nil {
+		server.router.HandleFunc(ExplainPath, server.serveExplain).Methods(http.MethodPost)
+	}
 	if config.Relay != nil {
 		server.router.Handle(forward.RelayPath, config.Relay).Methods(http.MethodPost)
 	}
@@ -401,7 +411,11 @@
 
 // decodeBody decodes a request body of at most MaxRequestBytes.
 func decodeBody(writer http.ResponseWriter, request *http.Request, body any) error {
-	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, MaxRequestBytes))
+	return decodeBodyOf(writer, request, MaxRequestBytes, body)
+}
+
+func decodeBodyOf(writer http.ResponseWriter, request *http.Request, bound int64, body any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, bound))
 	decoder.DisallowUnknownFields()
 	return errors.Trace(decoder.Decode(body))
 }
--- a/cmd/lacewingspoke/main.go
+++ b/cmd/lacewingspoke/main.go
@@ -18,6 +18,7 @@
 //	lacewingspoke audit 2
 //	lacewingspoke archive DIR --reason 'space'
 //	lacewingspoke drain vm-7 --reason 'bad disk'
+//	lacewingspoke explain --path /v1/completions --workspace farul
 //	lacewingspoke booking settle --workspace farul --key key-1 --outcome not-run --reason 'no receipt'
 //
 // Exit code 0 means success, 1 a failure or wrong usage, 2 input with faults,
@@ -62,6 +63,7 @@
 		addArchiveCommand,
 		addDrainCommand,
 		addReleaseCommand,
+		addExplainCommand,
 		addBookingCommand,
 	} {
 		if err := add(parser); err != nil {
--- a/cmd/lacewingspoke/module.go
+++ b/cmd/lacewingspoke/module.go
@@ -192,6 +192,7 @@
 	Registry   *prometheus.Registry
 	Mirror     *mirror.Mirror  `optional:"true"`
 	Forward    *forward.Server `optional:"true"`
+	Entry      *entry.Server   `optional:"true"`
 }
 
 func newAdmin(params adminParams) *admin.Server {
@@ -206,6 +207,10 @@
 	}
 	if params.Forward != nil {
 		config.Relay = http.HandlerFunc(params.Forward.ServeRelayed)
+		config.Explain = params.Forward.Explain
+	}
+	if params.Entry != nil {
+		config.Explain = params.Entry.Explain
 	}
 	return admin.New(config)
 }
--- a/cmd/lacewingspoke/session_test.go
+++ b/cmd/lacewingspoke/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -20,6 +21,7 @@
 
 	"lacewingspoke.org/lacewingspoke/admin"
 	"lacewingspoke.org/lacewingspoke/booking"
+	"lacewingspoke.org/lacewingspoke/explanation"
 	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/generation"
 	"lacewingspoke.org/lacewingspoke/kvstore"
@@ -182,7 +184,11 @@
 	session := sessionOf(ts)
 	node := &nodeStandin{name: arguments[0], session: session}
 	session.nodes[node.name] = node
-	server := httptest.NewServer(admin.New(admin.Config{Node: node, Gatherer: prometheus.NewRegistry()}).Handler())
+	config := admin.Config{Node: node, Gatherer: prometheus.NewRegistry()}
+	if !strings.HasPrefix(node.name, "earlier-") {
+		config.Explain = node.explain
+	}
+	server := httptest.NewServer(admin.New(config).Handler())
 	ts.Defer(server.Close)
 	record, err := json.Marshal(fleet.Node{
 		Name: node.name, Incarnation: "1", FailureDomain: "constanta-port", AdminAddress: server.Listener.Addr().String(),
@@ -237,6 +243,26 @@
 	return admin.DrainResult{Recorded: true, Peers: 5}, nil
 }
 
+// explain answers a question about the only route. Nodes of earlier releases have no such path.
+func (node *nodeStandin) explain(question explanation.Question) (explanation.Answer, error) {
+	if question.Path != "/v1/completions" {
+		return explanation.Answer{}, errors.NotValidf("no route matches: path %q", question.Path)
+	}
+	answer := explanation.Answer{
+		Node: node.name, Route: "drafts", Workspace: question.Workspace, Model: "letters",
+		Candidates: []explanation.Candidate{
+			{Name: "letters-1", VM: "vm-1", FailureDomain: "constanta-port", Near: true, Load: 3, LoadAgeMillis: 120, HeldTokens: 800, ForecastMillis: 200, WeighedMicros: 90000},
+			{Name: "letters-2", VM: "vm-2", FailureDomain: "mamaia-north", Excluded: "no-grant", LoadAgeMillis: -1},
+		},
+	}
+	tokens := 0
+	for _, part := range question.Parts {
+		tokens += part.Tokens
+	}
+	answer.Send("letters-1", fmt.Sprintf("holds %d tokens", tokens))
+	return answer, nil
+}
+
 // Release implements admin.Node.
 func (node *nodeStandin) Release(_ context.Context, request admin.ReleaseRequest) (admin.ReleaseResult, error) {
 	if request.Part != "5c1e07a2" {
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -231,6 +231,15 @@
 	return admission.queue.Usage()
 }
 
+// startsAtOnce reports whether a new request on a route would be admitted without a wait, and
+// the number of waiting requests of all workspaces.
+func (admission *admission) startsAtOnce(target folder.Route, table *route.Table) (bool, int) {
+	admission.mutex.Lock()
+	defer admission.mutex.Unlock()
+	admission.applyFolder(table)
+	return admission.queue.StartsAtOnce(target.Workspace, poolName(target)), admission.queue.Waiting()
+}
+
 // retry takes a token from the workspace's retry budget. It returns false if the
 // budget is exhausted.
 func (admission *admission) retry(workspace string) bool {
--- a/entry/draft_relay.go
+++ b/entry/draft_relay.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"lacewingspoke.org/lacewingspoke/engine"
+	"lacewingspoke.org/lacewingspoke/folder"
 	"lacewingspoke.org/lacewingspoke/httpsend"
 	"lacewingspoke.org/lacewingspoke/outcome"
 	"lacewingspoke.org/lacewingspoke/quarantine"
@@ -215,11 +216,11 @@
 
 // groupRequest returns the request for a group that was not tried.
 func (relay *draftRelay) groupRequest() route.GroupRequest {
-	return newGroupRequest(relay.exchange.route.Group, relay.prompt, relay.excluded)
+	return newGroupRequest(relay.exchange.route, relay.prompt, relay.excluded)
 }
 
-func newGroupRequest(spec string, prompt route.Prompt, excluded map[string]bool) route.GroupRequest {
-	return route.GroupRequest{Spec: spec, Prompt: prompt, Pace: route.Pace{TokensPerCacheUnit: cacheUnitTokens}, Excluded: excluded}
+func newGroupRequest(target folder.Route, prompt route.Prompt, excluded map[string]bool) route.GroupRequest {
+	return route.GroupRequest{Spec: target.Group, Prompt: prompt, Pace: route.Pace{TokensPerCacheUnit: cacheUnitTokens}, Excluded: excluded}
 }
 
 // recordSent records that a group reads the prompt.
--- a/entry/held_test.go
+++ b/entry/held_test.go
@@ -10,10 +10,12 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 
 	"lacewingspoke.org/lacewingspoke/engine"
 	"lacewingspoke.org/lacewingspoke/entry"
+	"lacewingspoke.org/lacewingspoke/explanation"
 	"lacewingspoke.org/lacewingspoke/route"
 )
 
@@ -87,3 +89,48 @@
 	// No engine holds the beginning now. One reads it and gets the others.
 	require.Len(test, readers(8, 16), 1)
 }
+
+// Guards against an explanation that differs from the decision on a draft, that sends something
+// or that changes where the next draft goes.
+func TestExplanationOfADraft(test *testing.T) {
+	harness, clock := newReadingHarness(test)
+	question := explanation.Question{Path: "/v1/completions", Workspace: "zarnesti", Prompt: strings.Repeat("be kind ", 4096)}
+	waiting, err := harness.server.Explain(question)
+	require.NoError(test, err)
+	require.Equal(test, explanation.VerdictWait, waiting.Verdict)
+	engines := map[string]*fakeEngine{}
+	for _, name := range []string{"copy-1", "copy-2", "copy-3"} {
+		engines[name] = newFakeEngine(test)
+		engines[name].emit = clock.readOnce()
+		harness.addGroup(name, engines[name], longGrant)
+	}
+	harness.keepRenewing("copy-1", "copy-2")
+	harness.renew("copy-3", -time.Second)
+	requestDraft(test, harness, question.Prompt)
+	holder := "copy-1"
+	if len(engines[holder].received()) == 0 {
+		holder = "copy-2"
+	}
+	for range 5 {
+		answer, err := harness.server.Explain(question)
+		require.NoError(test, err)
+		require.Equal(test, holder, answer.Target)
+		for _, candidate := range answer.Candidates {
+			switch candidate.Name {
+			case "copy-3":
+				require.Equal(test, "no-grant", candidate.Excluded)
+			case holder:
+				require.InDelta(test, answer.PromptTokens, candidate.HeldTokens, 1)
+			}
+		}
+	}
+	require.Len(test, engines[holder].received(), 1)
+	for text, asked := range map[string]explanation.Question{
+		"unknown workspace": {Path: "/v1/completions", Workspace: "other"},
+		"no route":          {Path: "/other", Workspace: "zarnesti"},
+	} {
+		_, err := harness.server.Explain(asked)
+		require.ErrorIs(test, err, errors.NotValid)
+		require.ErrorContains(test, err, text)
+	}
+}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -88,6 +88,9 @@
 	predicted time.Duration
 	load      int
 
+	// explained is true for a request that is not sent: its placement has reasons.
+	explained bool
+
 	// longestPause is the longest time between two events sent to the caller.
 	longestPause time.Duration
 
--- a/forward/held.go
+++ b/forward/held.go
@@ -9,7 +9,7 @@
 // groupRequest returns the request for a group that is not excluded. Only where the
 // configuration says that engines keep prompts, what they hold is weighed.
 func (exchange *exchange) groupRequest(excluded map[string]bool) route.GroupRequest {
-	request := route.GroupRequest{Service: exchange.service.Name, Spec: exchange.caller.Model, Excluded: excluded}
+	request := route.GroupRequest{Service: exchange.service.Name, Spec: exchange.caller.Model, Excluded: excluded, Reasons: exchange.explained}
 	engine := exchange.service.Engine
 	if engine == nil || !engine.KeepsPrompts {
 		return request
--- a/forward/observe.go
+++ b/forward/observe.go
@@ -15,18 +15,17 @@
 // that they name or because they rest, to the excluded ones.
 func (exchange *exchange) unavailable(excluded map[string]bool, table *route.Table, now time.Time) map[string]bool {
 	server := exchange.server
-	limits := server.config.Limits
-	if limits.Limited() == 0 && server.closures.Empty() {
+	if server.config.Limits.Limited() == 0 && server.closures.Empty() {
 		return excluded
 	}
 	extended := maps.Clone(excluded)
 	for _, target := range exchange.groups(table) {
-		if _, closed := server.closures.Closed(target.Instance(), now); closed || limits.Full(target.VM, now) {
+		if server.unavailability(target.Instance(), target.VM, now) != "" {
 			extended[target.Name] = true
 		}
 	}
 	for _, target := range table.Services(exchange.service.Name) {
-		if _, closed := server.closures.Closed(target.Instance(), now); closed || limits.Full(target.ID(), now) {
+		if server.unavailability(target.Instance(), target.ID(), now) != "" {
 			extended[target.ID()] = true
 		}
 	}
--- a/forward/runner.go
+++ b/forward/runner.go
@@ -43,6 +43,16 @@
 	server := exchange.server
 	table := server.config.Publisher.Current()
 	now := server.config.Now()
+	placed := exchange.placeRunner(excluded, table, now)
+	if placed.Found {
+		server.picker.MarkChosen(placed.Target.ID(), now)
+	}
+	return placed.Target, placed.Found
+}
+
+// placeRunner decides on a runner that is not full.
+func (exchange *exchange) placeRunner(excluded map[string]bool, table *route.Table, now time.Time) route.ServicePlacement {
+	server := exchange.server
 	unavailable := exchange.unavailable(excluded, table, now)
 	if slices.ContainsFunc(table.Services(exchange.service.Name), func(target route.ServiceTarget) bool { return server.isFull(target, now) }) {
 		unavailable = maps.Clone(unavailable)
@@ -52,7 +62,7 @@
 			}
 		}
 	}
-	return server.picker.PickService(table, exchange.service.Name, unavailable, now)
+	return server.picker.PlaceService(table, route.ServiceRequest{Service: exchange.service.Name, Excluded: unavailable, Reasons: exchange.explained}, now)
 }
 
 // isFull reports whether the slots and the short queue of a runner are in use.
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -335,16 +335,14 @@
 	server := exchange.server
 	now := server.config.Now()
 	table := server.config.Publisher.Current()
-	unavailable := exchange.unavailable(delivery.unavailable(excluded, table, now), table, now)
-	target, found := server.picker.PickGroup(table, exchange.groupRequest(unavailable), now)
-	if !found || delivery.headerSent {
-		return target, found
+	placed := delivery.placeGroup(excluded, table, now)
+	if placed.Found {
+		server.picker.MarkChosen(placed.Target.Name, now)
 	}
-	bound := exchange.firstEventBound(now)
-	if exchange.predictFirstEvent(target, now) <= bound {
-		return target, true
+	if !placed.Found || delivery.headerSent {
+		return placed.Target, placed.Found
 	}
-	return exchange.earliestGroup(table, unavailable, bound, now)
+	return exchange.withinBound(placed, table, now)
 }
 
 // groups returns the groups that serve the request's model for its service.
@@ -548,8 +546,7 @@
 // that the caller does not take it for complete.
 func (delivery *delivery) giveUp(reason string) {
 	if !delivery.headerSent {
-		delay := limit.RetryDelay(delivery.exchange.remaining(), delivery.exchange.server.randomFraction())
-		delivery.exchange.giveUp(reason, delivery.exchange.restEndsIn()+delay)
+		delivery.exchange.giveUp(reason, delivery.exchange.restEndsIn()+delivery.exchange.refusalDelay())
 		return
 	}
 	exchange := delivery.exchange
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -158,7 +158,7 @@
 		return []Effect{Refuse{ID: request.ID, Cause: RefuseDeadline, RetryAfter: minRetryAfter}}
 	}
 	effects := queue.purge(now, nil)
-	if queue.hasRoom(state) && queue.poolHasRoom(request.Pool) && !queue.hasWaiting(state, request.Pool) {
+	if queue.startsAtOnce(state, request.Pool) {
 		return append(effects, queue.start(state, request, now))
 	}
 	wait := queue.expectedWait(state, request)
@@ -177,6 +177,16 @@
 	return queue.dispatch(now, effects)
 }
 
+// StartsAtOnce reports whether a new request of a workspace would be admitted without a wait.
+func (queue *Queue) StartsAtOnce(workspace, pool string) bool {
+	state := queue.workspaces[workspace]
+	return state != nil && !state.removed && queue.startsAtOnce(state, pool)
+}
+
+func (queue *Queue) startsAtOnce(state *workspaceState, pool string) bool {
+	return queue.hasRoom(state) && queue.poolHasRoom(pool) && !queue.hasWaiting(state, pool)
+}
+
 // Finish ends an admitted request and returns the effects on other requests.
 func (queue *Queue) Finish(id uint64, now time.Time) []Effect {
 	running, found := queue.running[id]
--- a/operator/drain.go
+++ b/operator/drain.go
@@ -37,10 +37,20 @@
 // tryNodes makes a call to one node after the other until one succeeds or rejects the
 // call as malformed.
 func (operator *Operator) tryNodes(ctx context.Context, call func(address string) error) ExitCode {
+	return operator.tryAddresses(operator.knownNodes(ctx), call)
+}
+
+// knownNodes returns the admin addresses of all nodes that are known.
+func (operator *Operator) knownNodes(ctx context.Context) []string {
 	addresses, err := operator.nodeAddresses(ctx)
 	if err != nil {
 		operator.warn("nodes in the store are not known: %v", err)
 	}
+	return addresses
+}
+
+// tryAddresses is tryNodes for the nodes at addresses.
+func (operator *Operator) tryAddresses(addresses []string, call func(address string) error) ExitCode {
 	code := ExitFailed
 	for _, address := range addresses {
 		err := call(address)
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -149,21 +149,35 @@
 func (tracker *Tracker) Admit(parts []string, now time.Time) Admission {
 	tracker.mutex.Lock()
 	defer tracker.mutex.Unlock()
-	if len(tracker.quarantined) == 0 {
-		return Admission{}
+	admission := tracker.judge(parts, now)
+	if admission.refused != "" {
+		tracker.wanted[admission.refused] = true
 	}
+	delete(tracker.permits, admission.probe)
+	return admission
+}
+
+// Judge returns what Admit would, without using up the permit of a probe.
+func (tracker *Tracker) Judge(parts []string, now time.Time) Admission {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	return tracker.judge(parts, now)
+}
+
+func (tracker *Tracker) judge(parts []string, now time.Time) Admission {
 	admission := Admission{}
+	if len(tracker.quarantined) == 0 {
+		return admission
+	}
 	for _, part := range firstParts(parts) {
 		if !tracker.quarantined[part] {
 			continue
 		}
 		if admission.probe != "" || !now.Before(tracker.permits[part]) {
-			tracker.wanted[part] = true
 			return Admission{refused: part}
 		}
 		admission.probe = part
 	}
-	delete(tracker.permits, admission.probe)
 	return admission
 }
 
--- a/route/holdings_test.go
+++ b/route/holdings_test.go
@@ -201,7 +201,7 @@
 		load group.Load
 		want int
 	}{{group.Load{Running: 3}, assumedSlots}, {group.Load{Running: 8, Queued: 2}, 8}, {group.Load{Running: 9}, 9}, {group.Load{}, 9}} {
-		observer.report(spec, []GroupCandidate{{Target: &GroupTarget{Load: step.load}}})
+		observer.report(spec, []GroupTarget{{Load: step.load}})
 		require.Equal(test, step.want, observer.complete(spec, Pace{}).Slots)
 	}
 }
--- a/route/pace.go
+++ b/route/pace.go
@@ -134,13 +134,13 @@
 
 // report takes the number of places from the reports of the groups. One at which requests wait
 // has as many as it runs; any has as many.
-func (observer *paceObserver) report(spec groupSpec, candidates []GroupCandidate) {
+func (observer *paceObserver) report(spec groupSpec, targets []GroupTarget) {
 	observer.mutex.Lock()
 	defer observer.mutex.Unlock()
 	pace := observer.pace(spec)
-	for _, candidate := range candidates {
-		load := candidate.Target.Load
-		if candidate.Target.LoadUnreported || load.Running == 0 {
+	for index := range targets {
+		load := targets[index].Load
+		if targets[index].LoadUnreported || load.Running == 0 {
 			continue
 		}
 		if load.Queued > 0 || load.Running > pace.slots {
--- a/route/picker.go
+++ b/route/picker.go
@@ -94,6 +94,9 @@
 	// Excluded holds the names of groups that must not be selected, usually
 	// because they were tried.
 	Excluded map[string]bool
+
+	// Reasons is true if the placement is to contain all candidates.
+	Reasons bool
 }
 
 // PickGroup selects a group that is open and whose grant is valid at now. It
@@ -101,7 +104,7 @@
 func (picker *Picker) PickGroup(table *Table, request GroupRequest, now time.Time) (GroupTarget, bool) {
 	placement := picker.PlaceGroup(table, request, now)
 	if placement.Found {
-		picker.markChosen(placement.Target.Name, now)
+		picker.MarkChosen(placement.Target.Name, now)
 	}
 	return placement.Target, placement.Found
 }
@@ -112,10 +115,24 @@
 	Target GroupTarget
 	Found  bool
 
-	// Candidates are all groups of the model.
+	// Candidates are all groups of the model, if the request asks for reasons.
 	Candidates []GroupCandidate
+
+	// holder is true if the target was selected for what it holds.
+	holder bool
+}
+
+// Reason describes why the target was selected.
+func (placement GroupPlacement) Reason() string {
+	if placement.holder {
+		return "holds a part of the prompt, which saves more time than its load costs"
+	}
+	return reasonLeastLoad
 }
 
+// reasonLeastLoad describes the selection by pickLeastCost.
+const reasonLeastLoad = "the least load of two random targets in each of the own and the other failure domains"
+
 // A GroupCandidate is a group as the decision has weighed it. Target is in the table.
 type GroupCandidate struct {
 	Target    *GroupTarget
@@ -131,61 +148,59 @@
 	Time time.Duration
 }
 
-// An Exclusion is why a group does not receive a request, empty if it may.
-type Exclusion string
-
-// The exclusions by the picker itself. Those by the request's own reasons, in
-// GroupRequest.Excluded, count as ExcludedByRequest.
-const (
-	ExcludedByRequest Exclusion = "excluded"
-	ExcludedClosed    Exclusion = "not-open"
-	ExcludedGrant     Exclusion = "no-grant"
-	ExcludedSuspect   Exclusion = "suspect"
-)
-
 // PlaceGroup decides like PickGroup. It changes nothing but the state of the source of
 // randomness.
 func (picker *Picker) PlaceGroup(table *Table, request GroupRequest, now time.Time) GroupPlacement {
 	targets := table.Groups(request.Service, request.Spec)
-	placement := GroupPlacement{Candidates: make([]GroupCandidate, len(targets))}
+	var placement GroupPlacement
+	if request.Reasons {
+		placement.Candidates = make([]GroupCandidate, len(targets))
+	}
 	candidates := make([]candidate, 0, len(targets))
 	for index := range targets {
 		target := &targets[index]
-		placement.Candidates[index] = GroupCandidate{Target: target, Exclusion: target.exclusion(request.Excluded, now)}
-		if placement.Candidates[index].Exclusion != "" {
+		exclusion := target.exclusion(request.Excluded, now)
+		if request.Reasons {
+			placement.Candidates[index] = GroupCandidate{Target: target, Exclusion: exclusion}
+		}
+		if exclusion != "" {
 			continue
 		}
 		load := picker.tracker.Load(target.Name, target.Load, target.LoadReportedAt(), now)
 		candidates = append(candidates, picker.newCandidate(index, target.Name, target.FailureDomain, load, now))
 	}
 	trusted := withoutSuspects(candidates)
-	for _, candidate := range candidates {
-		weighed := &placement.Candidates[candidate.index]
-		weighed.Load, weighed.Near = candidate.load, candidate.near
-		if candidate.suspect && len(trusted) < len(candidates) {
-			weighed.Exclusion = ExcludedSuspect
+	if request.Reasons {
+		for _, candidate := range candidates {
+			placement.Candidates[candidate.index].see(candidate, len(trusted) < len(candidates))
 		}
 	}
 	if len(trusted) == 0 {
 		return placement
 	}
-	chosen := picker.pickLeastCost(trusted).index
-	if holder, found := picker.betterHolder(placement.Candidates, chosen, request, now); found {
-		chosen = holder
-	}
-	placement.Target, placement.Found = targets[chosen], true
+	least := picker.pickLeastCost(trusted).index
+	chosen, found := picker.betterHolder(targets, trusted, placement.Candidates, least, request, now)
+	placement.Target, placement.Found, placement.holder = targets[chosen], true, found
 	return placement
 }
 
+// see records a candidate. Suspects are excluded if there are others.
+func (weighed *GroupCandidate) see(seen candidate, trusted bool) {
+	weighed.Load, weighed.Near = seen.load, seen.near
+	if seen.suspect && trusted {
+		weighed.Exclusion = ExcludedSuspect
+	}
+}
+
 // exclusion returns why the group itself cannot receive a request.
 func (target *GroupTarget) exclusion(excluded map[string]bool, now time.Time) Exclusion {
 	switch {
-	case excluded[target.Name]:
-		return ExcludedByRequest
 	case !target.Open:
 		return ExcludedClosed
 	case !target.Usable(now):
 		return ExcludedGrant
+	case excluded[target.Name]:
+		return ExcludedByRequest
 	}
 	return ""
 }
@@ -195,33 +210,43 @@
 // go to its holder until the load there costs more than reading the beginning elsewhere,
 // where it is held from then on. A group at which a request would wait for a place is not
 // preferred to one at which it would not, whatever it holds.
-func (picker *Picker) betterHolder(candidates []GroupCandidate, least int, request GroupRequest, now time.Time) (int, bool) {
+func (picker *Picker) betterHolder(targets []GroupTarget, trusted []candidate, reasons []GroupCandidate, least int, request GroupRequest, now time.Time) (int, bool) {
 	if picker.holdings == nil {
-		return 0, false
+		return least, false
 	}
 	held := picker.holdings.held(request.Prompt, now)
 	if len(held) == 0 {
-		return 0, false
+		return least, false
 	}
 	spec := groupSpec{request.Service, request.Spec}
-	picker.paces.report(spec, candidates)
+	picker.paces.report(spec, targets)
 	pace := picker.paces.complete(spec, request.Pace)
-	best := least
-	picker.weigh(&candidates[least], held, request, pace)
-	for index := range candidates {
-		weighed := &candidates[index]
-		if index == least || weighed.Exclusion != "" || held[weighed.Target.Name] == nil {
-			continue
+	weigh := func(seen candidate) GroupCandidate {
+		weighed := GroupCandidate{Target: &targets[seen.index], Load: seen.load, Near: seen.near}
+		picker.weigh(&weighed, held, request, pace)
+		if reasons != nil {
+			reasons[seen.index] = weighed
+		}
+		return weighed
+	}
+	var best GroupCandidate
+	for _, seen := range trusted {
+		if seen.index == least {
+			best = weigh(seen)
 		}
-		picker.weigh(weighed, held, request, pace)
-		if weighed.Held == 0 || weighed.Full && !candidates[least].Full {
+	}
+	leastFull, chosen := best.Full, least
+	for _, seen := range trusted {
+		if seen.index == least || held[targets[seen.index].Name] == nil {
 			continue
 		}
-		if weighed.Time < candidates[best].Time {
-			best = index
+		weighed := weigh(seen)
+		if weighed.Held == 0 || weighed.Full && !leastFull || weighed.Time >= best.Time {
+			continue
 		}
+		best, chosen = weighed, seen.index
 	}
-	return best, best != least
+	return chosen, chosen != least
 }
 
 // weigh sets what the group holds and its time: the wait for a place, the wait that the
@@ -293,8 +318,9 @@
 	return trusted
 }
 
-// markChosen records in the suspects that a target was selected for a request.
-func (picker *Picker) markChosen(target string, now time.Time) {
+// MarkChosen records in the suspects that a target was selected for a request. PickGroup and
+// PickService call it.
+func (picker *Picker) MarkChosen(target string, now time.Time) {
 	if picker.suspects != nil {
 		picker.suspects.startProbe(target, now)
 	}
@@ -308,22 +334,86 @@
 // PickService selects an open runner of a service. It returns false if there is
 // none.
 func (picker *Picker) PickService(table *Table, service string, excluded map[string]bool, now time.Time) (ServiceTarget, bool) {
-	targets := table.Services(service)
+	placement := picker.PlaceService(table, ServiceRequest{Service: service, Excluded: excluded}, now)
+	if placement.Found {
+		picker.MarkChosen(placement.Target.ID(), now)
+	}
+	return placement.Target, placement.Found
+}
+
+// A ServiceRequest describes the runner that a request needs.
+type ServiceRequest struct {
+	Service string
+
+	// Excluded holds the identifiers of runners that must not be selected.
+	Excluded map[string]bool
+
+	// Reasons is true if the placement is to contain all candidates.
+	Reasons bool
+}
+
+// A ServicePlacement is the decision on the runner of a request, with its reasons.
+type ServicePlacement struct {
+	// Target is the selected runner, if Found.
+	Target ServiceTarget
+	Found  bool
+
+	// Candidates are all runners of the service, if the request asks for reasons.
+	Candidates []ServiceCandidate
+}
+
+// Reason describes why the target was selected.
+func (placement ServicePlacement) Reason() string { return reasonLeastLoad }
+
+// A ServiceCandidate is a runner as the decision has seen it. Target is in the table.
+type ServiceCandidate struct {
+	Target    *ServiceTarget
+	Exclusion Exclusion
+}
+
+// PlaceService decides like PickService. It changes nothing but the state of the source of
+// randomness.
+func (picker *Picker) PlaceService(table *Table, request ServiceRequest, now time.Time) ServicePlacement {
+	targets := table.Services(request.Service)
+	var placement ServicePlacement
+	if request.Reasons {
+		placement.Candidates = make([]ServiceCandidate, len(targets))
+	}
 	candidates := make([]candidate, 0, len(targets))
-	for index, target := range targets {
-		if !target.Open || excluded[target.ID()] {
+	for index := range targets {
+		target := &targets[index]
+		exclusion := target.exclusion(request.Excluded)
+		if request.Reasons {
+			placement.Candidates[index] = ServiceCandidate{Target: target, Exclusion: exclusion}
+		}
+		if exclusion != "" {
 			continue
 		}
 		load := picker.tracker.Load(target.ID(), target.Load, time.Time{}, now)
 		candidates = append(candidates, picker.newCandidate(index, target.ID(), target.FailureDomain, load, now))
 	}
-	candidates = withoutSuspects(candidates)
-	if len(candidates) == 0 {
-		return ServiceTarget{}, false
+	trusted := withoutSuspects(candidates)
+	for _, candidate := range candidates {
+		if request.Reasons && candidate.suspect && len(trusted) < len(candidates) {
+			placement.Candidates[candidate.index].Exclusion = ExcludedSuspect
+		}
+	}
+	if len(trusted) == 0 {
+		return placement
+	}
+	placement.Target, placement.Found = targets[picker.pickLeastCost(trusted).index], true
+	return placement
+}
+
+// exclusion returns why the runner itself cannot receive a request.
+func (target *ServiceTarget) exclusion(excluded map[string]bool) Exclusion {
+	switch {
+	case !target.Open:
+		return ExcludedClosed
+	case excluded[target.ID()]:
+		return ExcludedByRequest
 	}
-	chosen := targets[picker.pickLeastCost(candidates).index]
-	picker.markChosen(chosen.ID(), now)
-	return chosen, true
+	return ""
 }
 
 // A candidate is a usable target. Its cost is its load plus the distance cost of a
--- a/route/tracker.go
+++ b/route/tracker.go
@@ -137,6 +137,16 @@
 	return max(reported+record.changeSince(reportedAt), own)
 }
 
+// LoadAge returns the age of the report that Load begins with, false if there is none.
+func (tracker *Tracker) LoadAge(target string, reportedAt, now time.Time) (time.Duration, bool) {
+	tracker.mutex.Lock()
+	defer tracker.mutex.Unlock()
+	if record := tracker.targets[target]; record != nil && record.observedAt.After(reportedAt) {
+		reportedAt = record.observedAt
+	}
+	return now.Sub(reportedAt), !reportedAt.IsZero()
+}
+
 // changeSince returns the change of the target's load by this node's requests
 // since a report, and drops the finished requests that the report already
 // reflects.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -188,3 +188,4 @@
   exit 1
 fi
 bin/lacewingspoke status
+bin/lacewingspoke explain --path /v1/completions --workspace farul
