Call the store again as soon as it returns from an outage

Each loop of a node has a backoff of its own: the lease waits up to 15 s, the watches of placement records up to 5 s, the list of nodes up to 7.5 s. The leases of the six leaders, which the store had kept, ran out after the return while their nodes slept, so that other nodes led at 29.3 to 29.8 s; nodes that had started meanwhile had no placement records.

Change: when the feed resumes after an outage of a second or more, the control thread wakes its watches and passes fleet.StoreReturned, which makes the lease, the node's record, the list of nodes and failed reads and claims due: at once on nodes that lead a domain, spread at the rate of all renewals on the others. A leader whose lease has run out in the outage requests the next one at once and claims its domains without waiting for its rank.

--- a/control/feed.go
+++ b/control/feed.go
@@ -135,6 +135,7 @@
 // feedState is the state of a node that follows a feed.
 type feedState struct {
 	directory *directory.Directory
+	outage    outage
 	reports   map[string]engine.Report
 
 	runners []route.ServiceTarget
@@ -194,16 +195,18 @@
 func (state *state) feeding() bool { return state.config.Feed.Events != nil }
 
 func (state *state) handleFeed(now time.Time, event FeedEvent) {
-	changed := false
+	changed, listed := false, false
 	switch event := event.(type) {
 	case TargetsListed:
 		state.storeReachedAt = now
+		listed = true
 		if event.Copied {
 			state.feed.directory.BeginEra()
 		}
 		changed = state.feed.directory.Replace(now, event.Targets)
 	case TargetsChanged:
 		state.storeReachedAt = now
+		listed = true
 		composition := state.feed.directory.Composition()
 		changed = state.feed.directory.Apply(now, event.Put, event.Removed)
 		if changed && state.feed.directory.Composition() == composition && state.feed.inUse(event.Put) {
@@ -215,6 +218,7 @@
 		state.adoptCatalog(now, event.Catalog)
 	case FeedInterrupted:
 		state.feed.directory.BeginOutage()
+		state.feed.outage.begin(now)
 		state.metrics.storeFailures.Inc()
 	default:
 		panic(errors.Errorf("control: feed event %T is not handled", event))
@@ -222,6 +226,9 @@
 	if changed || state.feed.anyRecovered() {
 		state.applyTargets(now)
 	}
+	if listed {
+		state.endOutage(now)
+	}
 }
 
 // adoptCatalog puts a configuration into force if it is newer than the current
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -10,6 +10,7 @@
 	commits         prometheus.Counter
 	orders          *prometheus.CounterVec
 	storeFailures   prometheus.Counter
+	storeReturns    prometheus.Counter
 	serviceFailures prometheus.Counter
 	staleFrames     prometheus.Counter
 	unknownFrames   prometheus.Counter
@@ -29,6 +30,7 @@
 		ledDomains:      gauge("led_domains", "Fabric domains that this node leads."),
 		commits:         counter("placement_commits_total", "Writes of placement records."),
 		storeFailures:   counter("watch_failures_total", "Watches of the store that failed."),
+		storeReturns:    counter("store_returns_total", "Outages of the store of at least a second that ended."),
 		serviceFailures: counter("service_report_failures_total", "Service runners that did not report in time."),
 		staleFrames:     counter("stale_frames_total", "Frames with an old version or fencing number."),
 		unknownFrames:   counter("unknown_frames_total", "Frames of a kind that is not handled."),
@@ -46,7 +48,7 @@
 		registerer.MustRegister(collected.generation, collected.storeBehind, collected.ledDomains,
 			collected.commits, collected.orders, collected.storeFailures, collected.serviceFailures,
 			collected.staleFrames, collected.unknownFrames, collected.badRecords, collected.conflicts, collected.targetChanges,
-			collected.endings, collected.quarantined)
+			collected.endings, collected.quarantined, collected.storeReturns)
 	}
 	return collected
 }
--- a/control/state.go
+++ b/control/state.go
@@ -57,7 +57,11 @@
 	lastVersion uint64
 
 	// stopWatch ends the watches of the store; nil while there are none.
-	stopWatch       context.CancelFunc
+	stopWatch context.CancelFunc
+
+	// storeReturned wakes the watches that wait after failures when the store answers again.
+	storeReturned *notification
+
 	pollingVMs      bool
 	pollingServices map[string]bool
 	storeReachedAt  time.Time
@@ -125,6 +129,7 @@
 		quarantine:      newQuarantineState(config.Quarantine),
 		records:         newSharedRecords(),
 		versions:        fleet.NewVersions(),
+		storeReturned:   newNotification(),
 		pollingServices: map[string]bool{},
 	}
 }
--- a/control/watch.go
+++ b/control/watch.go
@@ -59,6 +59,8 @@
 			results: state.controller.results,
 			pause:   state.watchPause(),
 			random:  rand.New(rand.NewPCG(state.config.Random.Uint64(), state.config.Random.Uint64())),
+
+			storeReturned: state.storeReturned,
 		}
 		state.pendingWorkers++
 		go func(ctx context.Context, results chan<- message) {
@@ -80,18 +82,22 @@
 	// pause is the delay between two watch calls, which batches changes; 0 means
 	// none.
 	pause time.Duration
+
+	// storeReturned ends the wait after a failure.
+	storeReturned *notification
 }
 
 // run lists the prefix and then watches it until the context ends. After a
 // failure it starts again with a listing.
 func (watcher *watcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
+		returned := watcher.storeReturned.next()
 		err := watcher.follow(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		watcher.send(ctx, watchFailed{err: err})
-		watcher.wait(ctx)
+		watcher.wait(ctx, returned)
 	}
 }
 
@@ -139,11 +145,20 @@
 	}
 }
 
-func (watcher *watcher) wait(ctx context.Context) {
+// wait waits after a failure, at most until the store has returned since the failed call
+// began. The load: a node that starts in an outage of seconds has no placement records, and
+// serves nobody until this watch lists them.
+func (watcher *watcher) wait(ctx context.Context, returned <-chan struct{}) {
 	delay := min(watchRetry<<min(watcher.failures, 8), watchRetryMax)
 	watcher.failures++
 	delay += time.Duration(watcher.random.Int64N(int64(watchRetryJitter)))
-	pause(ctx, watcher.timers, delay)
+	alarm := watcher.timers.After("pause", delay, 0)
+	defer alarm.Cancel()
+	select {
+	case <-alarm.C():
+	case <-returned:
+	case <-ctx.Done():
+	}
 }
 
 func (state *state) handleListed(now time.Time, result keysListed) {
--- a/fleet/event.go
+++ b/fleet/event.go
@@ -98,6 +98,10 @@
 	Reached bool
 }
 
+// StoreReturned reports that the store answers this node again after an outage. Calls that
+// wait after failures become due.
+type StoreReturned struct{}
+
 // Stopping begins a graceful stop: the node releases the domains that it leads
 // and claims no others.
 type Stopping struct{}
@@ -122,5 +126,6 @@
 func (LinkOpened) event()       {}
 func (LinkClosed) event()       {}
 func (DomainReached) event()    {}
+func (StoreReturned) event()    {}
 func (Stopping) event()         {}
 func (Stopped) event()          {}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -262,6 +262,8 @@
 		fleet.applyLeaderRead(now, event)
 	case DomainReached:
 		fleet.setDetached(event.Domain, !event.Reached)
+	case StoreReturned:
+		fleet.resumeCalls(now)
 	case Stopping:
 		fleet.beginStop()
 	case Stopped:
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -314,6 +314,49 @@
 	assert.InDelta(t, nodes/2, early, 15)
 }
 
+// outageOfLeader returns the fleet of leadingFleet after an outage of the store of 9 s, longer than
+// the lease.
+func outageOfLeader(t *testing.T, now time.Time) (*Fleet, time.Time) {
+	fleet := leadingFleet(t, 1, now)
+	fleet.Handle(now, LeaseRenewFailed{Lease: "l"})
+	for at := now; at.Before(now.Add(9 * time.Second)); at = at.Add(250 * time.Millisecond) {
+		for _, effect := range fleet.Handle(at, Tick{}) {
+			if renewal, ok := effect.(RenewLease); ok {
+				fleet.Handle(at, LeaseRenewFailed(renewal))
+			}
+		}
+	}
+	return fleet, now.Add(9 * time.Second)
+}
+
+// Guards against a leader that sleeps in a backoff while its lease, which the store kept,
+// runs out after an outage (mvua trouble-3: leaders 3 s after the return).
+func TestLeaderRenewsAtOnceWhenTheStoreReturns(t *testing.T) {
+	fleet, returned := outageOfLeader(t, time.Now())
+	require.NotContains(t, fleet.Handle(returned, Tick{}), RenewLease{Lease: "l"}, "the outage has no backoff")
+	require.Contains(t, fleet.Handle(returned, StoreReturned{}), RenewLease{Lease: "l"})
+	effects := fleet.Handle(returned, LeaseRenewed{Lease: "l", Sent: returned})
+	require.IsType(t, LeadershipHeld{}, effects[0])
+}
+
+// Guards against a leader that waits for its rank and for the spread of all grants when its
+// lease ran out during an outage.
+func TestLeaderClaimsAgainAtOnceWhenItsLeaseRanOut(t *testing.T) {
+	fleet, returned := outageOfLeader(t, time.Now())
+	fleet.Handle(returned, KeysChanged{Revision: 4, Entries: []kvstore.Entry{
+		{Key: NodeKey("b"), Value: []byte(`{"name":"b","incarnation":"1","processor-share":1}`), Revision: 4},
+	}})
+	rank, _ := fleet.Rank("d")
+	require.Equal(t, 1, rank)
+	fleet.Handle(returned, StoreReturned{})
+	effects := fleet.Handle(returned, LeaseMissing{Lease: "l"})
+	require.IsType(t, GrantLease{}, effects[len(effects)-1])
+	fleet.Handle(returned, LeaseGranted{Lease: "m", TTL: 9 * time.Second, Sent: returned})
+	fleet.Handle(returned, NodeWritten{Lease: "m", Outcome: kvstore.Written{Revision: 5}})
+	effects = fleet.Handle(returned, LeaderRead{Domain: "d"})
+	require.IsType(t, ClaimDomain{}, effects[len(effects)-1])
+}
+
 // Half of the nodes lose the store. They lead no domain after their leases
 // expire, and the nodes that still reach the store lead every domain.
 func TestNodesWithoutStoreLoseTheirDomains(t *testing.T) {
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -77,6 +77,10 @@
 	// Results that contain the key at that or an earlier revision are ignored.
 	releasedRevision uint64
 
+	// lapsed is set while this node was the domain's last leader and lost the key with its
+	// lease.
+	lapsed bool
+
 	claiming    bool
 	reading     bool
 	failures    int
@@ -177,6 +181,7 @@
 	domain.revision = entry.Revision
 	domain.releasedBy = ""
 	domain.failures = 0
+	domain.lapsed = false
 	if !fleet.isOwnKey(leader, entry.Lease) {
 		fleet.endLeadership(domain)
 		return
@@ -380,8 +385,12 @@
 }
 
 // claimRank returns this node's rank without counting the candidate that
-// released the domain, because that one does not claim it again.
+// released the domain, because that one does not claim it again. The last leader, if it only
+// lost its lease, ranks first: it has the reports and the order counts of the VMs.
 func (fleet *Fleet) claimRank(domain *domain) int {
+	if domain.lapsed {
+		return 0
+	}
 	member, found := fleet.members[domain.releasedBy]
 	if !found || member.self || !member.recorded {
 		return domain.rank
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"lacewingspoke.org/lacewingspoke/kvstore"
@@ -40,6 +41,9 @@
 	nextCallAt  time.Time
 	nextWriteAt time.Time
 
+	// returned is set after the store returned from an outage, until the lease is renewed.
+	returned bool
+
 	// unconfirmed is set after the store returned from an older copy, until the copy
 	// shows that it has the lease.
 	unconfirmed bool
@@ -63,8 +67,12 @@
 // renewInterval returns the time between renewals at the current size of the
 // fleet.
 func (fleet *Fleet) renewInterval() time.Duration {
-	spread := time.Duration(len(fleet.members)) * time.Second / time.Duration(fleet.config.RenewalsPerSecond)
-	return max(fleet.config.LeaseMinimum/renewalsPerLease, spread)
+	return max(fleet.config.LeaseMinimum/renewalsPerLease, fleet.renewalSpread())
+}
+
+// renewalSpread returns the time in which all nodes may send one renewal each.
+func (fleet *Fleet) renewalSpread() time.Duration {
+	return time.Duration(len(fleet.members)) * time.Second / time.Duration(fleet.config.RenewalsPerSecond)
 }
 
 func (fleet *Fleet) applyLeaseEvent(now time.Time, event Event) {
@@ -113,6 +121,7 @@
 	lease := &fleet.lease
 	lease.renewing = false
 	lease.failures = 0
+	lease.returned = false
 	if lease.unconfirmed || sent.Before(fleet.eraBeganAt) {
 		// The copy may not have the renewal.
 		lease.nextCallAt = now
@@ -146,10 +155,61 @@
 // loseLease resets the lease and ends the leadership of all domains whose keys
 // were attached to it. The next grant is delayed randomly by up to a renewal
 // interval, so that nodes that all lost their leases in an outage do not request
-// new ones at once.
+// new ones at once. After an outage the few that led a domain request theirs at once. They
+// claim it again without waiting for their rank.
 func (fleet *Fleet) loseLease(now time.Time) {
+	wait := fleet.randomBetween(0, fleet.renewInterval())
+	for _, domain := range fleet.sortedDomains {
+		if !domain.ownsKey {
+			continue
+		}
+		domain.lapsed = true
+		if fleet.lease.returned {
+			wait = 0
+		}
+	}
 	fleet.endAllLeadership()
-	fleet.lease = lease{nextCallAt: now.Add(fleet.randomBetween(0, fleet.renewInterval()))}
+	fleet.lease = lease{nextCallAt: now.Add(wait)}
+}
+
+// resumeCalls makes the calls due that wait after failures. The load: an outage of seconds
+// leaves each node in a backoff of up to 15 s, in which the leases of sound leaders run out
+// after the return, so that nobody repairs the groups that lost members meanwhile. Leaders
+// call at once; the others spread their calls at the rate of all renewals.
+func (fleet *Fleet) resumeCalls(now time.Time) {
+	at := now
+	if !fleet.ownsAnyKey() {
+		at = now.Add(fleet.randomBetween(0, max(1, fleet.renewalSpread())))
+	}
+	lease := &fleet.lease
+	if lease.failures > 0 {
+		lease.failures = 0
+		lease.returned = true
+		lease.nextCallAt = earlier(lease.nextCallAt, at)
+	}
+	lease.nextWriteAt = earlier(lease.nextWriteAt, at)
+	if !fleet.nodesListed {
+		fleet.listFailures = 0
+		fleet.nextListAt = earlier(fleet.nextListAt, at)
+	}
+	for _, domain := range fleet.sortedDomains {
+		if domain.failures > 0 {
+			domain.failures = 0
+			domain.nextReadAt = earlier(domain.nextReadAt, at)
+			domain.nextClaimAt = earlier(domain.nextClaimAt, at)
+		}
+	}
+}
+
+func (fleet *Fleet) ownsAnyKey() bool {
+	return slices.ContainsFunc(fleet.sortedDomains, func(domain *domain) bool { return domain.ownsKey })
+}
+
+func earlier(one, other time.Time) time.Time {
+	if other.Before(one) {
+		return other
+	}
+	return one
 }
 
 // eraOf returns the era of the store that an event shows, 0 if it shows none.
