Read sources that lost the store again soon after its return

Cause: in an outage of the store its readers answer 503 to the nodes that read through them. These excluded them with a backoff that doubles up to 16 s, and called the store themselves every 2 s.

Change: while its own calls to the store fail, a node reads a source that answers but has lost the store every 250 ms.

--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -617,6 +617,33 @@
 	require.LessOrEqual(test, attempts, 7, "attempts in 18 seconds")
 }
 
+// The store is away for eight seconds. Guards against followers that sleep in a growing backoff
+// after it has returned to their source, which kept nodes from serving for up to 1.2 s (mvua
+// trouble-3), and against ones that call the store itself more often for it.
+func TestFollowersResumeSoonAfterTheirSource(test *testing.T) {
+	store, clock := newTestStore(), newTestClock()
+	source := newTestMirror(test, store, clock)
+	listing, err := source.List(test.Context(), "servers/")
+	require.NoError(test, err)
+	follower := newTestMirror(test, store, clock)
+	follower.SetSources([]string{serve(test, source.Handler())})
+	store.setDown(true)
+	for range 80 {
+		_, _ = source.Watch(test.Context(), "servers/", listing.Revision, 0)
+		_, _ = follower.Watch(test.Context(), "servers/", listing.Revision, 0)
+		clock.advance(100 * time.Millisecond)
+	}
+	store.setDown(false)
+	_, err = source.Watch(test.Context(), "servers/", listing.Revision, 0)
+	require.NoError(test, err)
+	calls := store.callCount()
+	require.LessOrEqual(test, calls, 80+6, "the follower calls the store")
+	clock.advance(returnInterval)
+	_, err = follower.Watch(test.Context(), "servers/", listing.Revision, 0)
+	require.NoError(test, err)
+	require.Equal(test, calls, store.callCount())
+}
+
 // All nodes of a large fleet start at once, and the sources are not ready yet.
 // Guards against followers that never use a target again that they saw leave before the
 // store returned from an older copy: the write that shows that it is alive changes nothing.
--- a/mirror/serve.go
+++ b/mirror/serve.go
@@ -58,7 +58,8 @@
 }
 
 // readSource sends a read request to a source once. It returns an errors.NotValid
-// error if the source no longer has all changes after the requested revision.
+// error if the source no longer has all changes after the requested revision, and an
+// errors.NotYetAvailable error if it has lost the store.
 func (mirror *Mirror) readSource(ctx context.Context, address string, request readRequest) (reply, error) {
 	query := url.Values{queryPrefix: {request.prefix}}
 	if !request.list {
@@ -80,6 +81,8 @@
 	case http.StatusOK:
 	case http.StatusGone:
 		return reply{}, errors.NotValidf("read of changes from source: revision %d of %s", request.after, request.prefix)
+	case http.StatusServiceUnavailable:
+		return reply{}, errors.NotYetAvailablef("read from source without the store, status %d:", answer.Status)
 	default:
 		return reply{}, errors.Errorf("read from source: status %d", answer.Status)
 	}
--- a/mirror/source.go
+++ b/mirror/source.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
 	"go.uber.org/zap"
 )
 
@@ -25,6 +26,11 @@
 	minSourceBackoff = 500 * time.Millisecond
 	maxSourceBackoff = 16 * time.Second
 
+	// returnInterval is the time between two reads of a source that answers but has lost the
+	// store, while this node's own calls to the store fail as well. The source returns with the
+	// store, not with time, and a read of it costs the store nothing.
+	returnInterval = 250 * time.Millisecond
+
 	// startTime is how long a node that has just got its sources waits for them
 	// before it reads the store itself, and startRetry is the time between two
 	// requests. After a power failure the sources start at the same time as their
@@ -41,6 +47,16 @@
 type sourceFailure struct {
 	retryAt time.Time
 	backoff time.Duration
+
+	// withoutStore is true if the source answered that it has lost the store. triedAt is when
+	// the last request to it failed.
+	withoutStore bool
+	triedAt      time.Time
+}
+
+// mayHaveReturned reports whether a source that had lost the store is due to be read again.
+func (failure sourceFailure) mayHaveReturned(now time.Time) bool {
+	return failure.withoutStore && !now.Before(failure.triedAt.Add(returnInterval))
 }
 
 // SetSources replaces the nodes to read through, given by their admin addresses,
@@ -69,8 +85,10 @@
 }
 
 // availableSource returns the source to read from: the one that answered last, or
-// the first one that is not excluded after a failure. It returns false if there is
-// none.
+// the first one that is not excluded after a failure. While this node cannot reach the store
+// either, a source that lost it is not excluded for long: in an outage of seconds the growing
+// backoff would keep all nodes from serving for seconds after the return. It returns false if
+// there is none.
 func (mirror *Mirror) availableSource() (string, bool) {
 	mirror.mutex.Lock()
 	defer mirror.mutex.Unlock()
@@ -83,6 +101,11 @@
 			return address, true
 		}
 	}
+	for _, address := range mirror.sources {
+		if mirror.storeFailed && mirror.failures[address].mayHaveReturned(now) {
+			return address, true
+		}
+	}
 	return "", false
 }
 
@@ -127,7 +150,9 @@
 	defer mirror.mutex.Unlock()
 	now := mirror.config.Now()
 	failure, failing := mirror.failures[address]
+	failure.withoutStore, failure.triedAt = errors.Is(err, errors.NotYetAvailable), now
 	if failing && now.Before(failure.retryAt) {
+		mirror.failures[address] = failure
 		return
 	}
 	if !failing {
