Keep adopted targets for the grace period of an outage

Cause: in an outage in which all announcements run out, a new leader that had started meanwhile adopted the placed members as targets whose grace period had ended. Rank 0 of such a target counts as lost, so that the leader replaced the heads of sound groups before their announcements were back.

Change: a target adopted within ReturnGrace of an outage keeps its place, with new requests from this node, until that time is over, as in the directories of the other nodes.

--- a/directory/directory.go
+++ b/directory/directory.go
@@ -203,8 +203,9 @@
 }
 
 // Adopt adds a target that other nodes have seen announced, but this directory does not
-// contain, as a lapsed one whose grace period has ended. It reports whether this incarnation
-// can be held. It changes no target that the directory contains.
+// contain, as a lapsed one whose grace period has ended, or ends ReturnGrace after the last
+// outage: its announcement may have expired in the outage and is then renewed. It reports
+// whether this incarnation can be held. It changes no target that the directory contains.
 func (directory *Directory) Adopt(now time.Time, target Target) bool {
 	name := target.VM.Name
 	if lapsed, found := directory.lapsed[name]; found {
@@ -213,7 +214,8 @@
 	if _, found := directory.targets[name]; found {
 		return false
 	}
-	directory.lapsed[name] = LapsedTarget{Target: target, Since: now, deadline: now, graceEnded: true, adopted: true}
+	deadline := directory.returnDeadline(now)
+	directory.lapsed[name] = LapsedTarget{Target: target, Since: now, deadline: deadline, graceEnded: !now.Before(deadline), adopted: true}
 	return true
 }
 
@@ -421,16 +423,22 @@
 	if target.VM.State == kvstore.VMLeaving {
 		return now
 	}
-	deadline := now
-	if !directory.outageEnded.IsZero() {
-		deadline = directory.outageEnded.Add(directory.config.ReturnGrace)
-	}
+	deadline := directory.returnDeadline(now)
 	if lapse := now.Add(directory.config.LapseGrace); target.VM.FabricDomain != "" && lapse.After(deadline) {
 		deadline = lapse
 	}
 	return deadline
 }
 
+// returnDeadline returns the end of the time for which targets are kept after the last outage,
+// or now without one.
+func (directory *Directory) returnDeadline(now time.Time) time.Time {
+	if directory.outageEnded.IsZero() {
+		return now
+	}
+	return directory.outageEnded.Add(directory.config.ReturnGrace)
+}
+
 // setTarget adds or replaces a target and reports whether it differs from the
 // previous one.
 func (directory *Directory) setTarget(target Target) bool {
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -238,3 +238,18 @@
 	require.False(test, directory.Held("a"))
 	require.Empty(test, directory.Lapsed())
 }
+
+// All announcements expire in an outage, and a node that started in it becomes a leader. Guards
+// against one that replaces each rank 0 that serves, before its announcement is back.
+func TestAdoptedTargetKeepsTheGraceOfAnOutage(test *testing.T) {
+	now := time.Unix(1000, 0)
+	directory := New(Config{ReturnGrace: 2300 * time.Millisecond})
+	directory.BeginOutage()
+	directory.Replace(now, nil)
+	adopted := now.Add(500 * time.Millisecond)
+	require.True(test, directory.Adopt(adopted, engineTarget("a")))
+	directory.Hold("a", engine.Report{VM: "a"}, now.Add(time.Hour))
+	require.False(test, directory.GraceEnded("a"))
+	directory.Expire(now.Add(2300 * time.Millisecond))
+	require.True(test, directory.GraceEnded("a"), "a target that does not return receives requests for ever")
+}
