--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -76,8 +76,8 @@
 	// SettleNear and SettleFar are how long a node claims no domain after its
 	// record was first written, because better-ranked nodes may be starting at
 	// the same time. SettleNear applies to domains in the node's own failure
-	// domain, SettleFar to the others, and to all domains on a node that started in an outage of
-	// the store; 0 means DefaultSettleNear and DefaultSettleFar.
+	// domain, SettleFar to the others; 0 means DefaultSettleNear and
+	// DefaultSettleFar.
 	SettleNear time.Duration
 	SettleFar  time.Duration
 
@@ -148,10 +148,6 @@
 	// recordWrittenAt is when this node's record was first written.
 	recordWrittenAt time.Time
 
-	// startedInOutage is set on a node that the store did not answer before it returned from an
-	// outage. The nodes that ran all the while have seen more of the domains.
-	startedInOutage bool
-
 	watching bool
 	stopping bool
 	stopped  bool
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -378,7 +378,7 @@
 
 func (fleet *Fleet) settleTimePassed(now time.Time, domain *domain) bool {
 	settle := fleet.config.SettleFar
-	if domain.failureDomain == fleet.self.FailureDomain && !fleet.startedInOutage {
+	if domain.failureDomain == fleet.self.FailureDomain {
 		settle = fleet.config.SettleNear
 	}
 	return !now.Before(fleet.recordWrittenAt.Add(settle))
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -177,7 +177,6 @@
 // after the return, so that nobody repairs the groups that lost members meanwhile. Leaders
 // call at once; the others spread their calls at the rate of all renewals.
 func (fleet *Fleet) resumeCalls(now time.Time) {
-	fleet.startedInOutage = fleet.startedInOutage || fleet.recordWrittenAt.IsZero()
 	at := now
 	if !fleet.ownsAnyKey() {
 		at = now.Add(fleet.randomBetween(0, max(1, fleet.renewalSpread())))
