Bound what callers make a node hold, from the accepted connection on

httpserve now counts connections, decoded heads (before net/http decodes them) and bodies, in a room for each listener that follows from the memory and descriptors of the node. When room is short, the connection that holds most and progresses least ends (limit.FirstToYield), never one whose request may have been passed on. The entry front door takes the room for its bodies as forward does. An exhausted process no longer ends because the peers' listener can't accept.

--- a/cmd/lacewingspoke/daemon.go
+++ b/cmd/lacewingspoke/daemon.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
@@ -24,6 +25,14 @@
 	// readHeaderTimeout bounds the time in which a caller must send its header.
 	readHeaderTimeout = 10 * time.Second
 
+	// bodyTimeout bounds the time without a byte of a body. It is above the deadlines of
+	// ordinary requests.
+	bodyTimeout = 10 * time.Second
+
+	// maxHeaderLines is above the number of lines of a head of 16,384 bytes, each with a name
+	// and a colon.
+	maxHeaderLines = 8192
+
 	// idleTimeout is how long a connection without a request stays open at least.
 	idleTimeout = time.Minute
 
@@ -88,6 +97,7 @@
 	CallerServer callerServer
 	Feed         *platform.Feed `optional:"true"`
 	Admin        *admin.Server
+	Registry     *prometheus.Registry
 	Lifecycle    fx.Lifecycle
 }
 
@@ -100,27 +110,60 @@
 		controller:   params.Controller,
 		callerServer: params.CallerServer,
 		feed:         params.Feed,
-		callers:      newHTTPServer("callers", params.CallerServer, params, params.CallerServer.IdleLimit),
-		admin:        newHTTPServer("admin", params.Admin.Handler(), params, nil),
+		callers:      newHTTPServer("callers", params.CallerServer, params, callersRoom, params.CallerServer),
+		admin:        newHTTPServer("admin", params.Admin.Handler(), params, adminRoom, nil),
 		serverErrors: make(chan error, 3),
 	}
 	if params.Settings.ReadyAddress() != "" {
-		running.ready = newHTTPServer("ready", params.Admin.ReadyHandler(), params, nil)
+		running.ready = newHTTPServer("ready", params.Admin.ReadyHandler(), params, readyRoom, nil)
 	}
 	params.Lifecycle.Append(fx.Hook{OnStart: running.start, OnStop: running.stop})
+	for _, server := range []*httpserve.Server{running.callers, running.admin, running.ready} {
+		if server != nil {
+			params.Registry.MustRegister(server.Collectors()...)
+		}
+	}
 	return running
 }
 
-func newHTTPServer(name string, handler http.Handler, params daemonParams, idleLimit func() time.Duration) *httpserve.Server {
-	return httpserve.New(httpserve.Config{
+// A roomShare is the room of a listener: shares of the memory for connections and for heads, and
+// of the descriptors.
+type roomShare struct{ connections, heads, descriptors float64 }
+
+// The rooms of the listeners. Together with the bodies and answers (bodiesRatio) they are below
+// half of the memory, which leaves as much for the rest of the node and for what is not collected
+// yet, and they leave a quarter of the descriptors for targets, the store and files.
+var (
+	callersRoom = roomShare{connections: 3.0 / 16, heads: 3.0 / 32, descriptors: 7.0 / 16}
+	adminRoom   = roomShare{connections: 1.0 / 16, heads: 1.0 / 64, descriptors: 1.0 / 8}
+	readyRoom   = roomShare{connections: 1.0 / 64, heads: 1.0 / 128, descriptors: 1.0 / 32}
+)
+
+// peersDescriptors is the share of the descriptors for connections of nodes that have not
+// introduced themselves.
+const peersDescriptors = 1.0 / 32
+
+func (share roomShare) config(loaded *settings.Settings) httpserve.RoomConfig {
+	memory, descriptors := float64(loaded.Memory()), float64(loaded.Descriptors())
+	return httpserve.NewRoomConfig(int64(share.connections*memory), int64(share.heads*memory), int(share.descriptors*descriptors))
+}
+
+func newHTTPServer(name string, handler http.Handler, params daemonParams, room roomShare, limits callerServer) *httpserve.Server {
+	config := httpserve.Config{
 		Name:           name,
 		Handler:        handler,
 		HeaderTimeout:  readHeaderTimeout,
+		BodyTimeout:    bodyTimeout,
 		IdleTimeout:    idleTimeout,
-		IdleLimit:      idleLimit,
+		MaxHeaderLines: maxHeaderLines,
+		Room:           room.config(params.Settings),
 		MaxHeaderBytes: int(params.Settings.MaxHeader()),
 		Logger:         params.Logger,
-	})
+	}
+	if limits != nil {
+		config.IdleLimit, config.HeadLimit = limits.IdleLimit, limits.HeadLimit
+	}
+	return httpserve.New(config)
 }
 
 // start opens the listeners for callers, operators and the health check before
--- a/cmd/lacewingspoke/daemon_test.go
+++ b/cmd/lacewingspoke/daemon_test.go
@@ -34,6 +34,8 @@
 
 func (server stoppingServer) IdleLimit() time.Duration { return 0 }
 
+func (server stoppingServer) HeadLimit() int { return 0 }
+
 func (server stoppingServer) Reload(*settings.Settings) {}
 
 // Guards against requests that get no answer at the end of the grace because the stop waits
--- a/cmd/lacewingspoke/module.go
+++ b/cmd/lacewingspoke/module.go
@@ -96,6 +96,7 @@
 		Incarnation:   string(run),
 		FailureDomain: loaded.FailureDomain(),
 		Listen:        loaded.PeersAddress(),
+		MaxHandshakes: max(1, int(peersDescriptors*float64(loaded.Descriptors()))),
 		Logger:        logger,
 		Registerer:    registry,
 	})
@@ -127,6 +128,7 @@
 		Node:           params.Settings.Name(),
 		FailureDomain:  params.Settings.FailureDomain(),
 		MaxBodyBytes:   params.Settings.MaxBody(),
+		MaxBodies:      int64(bodiesRatio * float64(params.Settings.Memory())),
 		MaxAnswerBytes: int(params.Settings.MaxAnswer()),
 		Capacity:       params.Settings.MaxInFlight(),
 		QueueLimit:     params.Settings.MaxQueue(),
@@ -248,6 +250,10 @@
 	// for no limit.
 	IdleLimit() time.Duration
 
+	// HeadLimit returns the bound of a request's head by the configuration in force, 0 for
+	// none.
+	HeadLimit() int
+
 	// Reload applies the settings that can change while the node runs.
 	Reload(changed *settings.Settings)
 }
@@ -265,6 +271,9 @@
 // IdleLimit returns 0: the operators' folder has no such limit.
 func (entryCallerServer) IdleLimit() time.Duration { return 0 }
 
+// HeadLimit returns 0: the limit is a setting.
+func (entryCallerServer) HeadLimit() int { return 0 }
+
 // Reload does nothing: the limits on callers come from the operators' folder, not
 // from the settings file.
 func (entryCallerServer) Reload(*settings.Settings) {}
--- a/cmd/lacewingspoke/node.go
+++ b/cmd/lacewingspoke/node.go
@@ -14,6 +14,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"lacewingspoke.org/lacewingspoke/logline"
 	"lacewingspoke.org/lacewingspoke/operator"
@@ -28,6 +29,9 @@
 	// bodiesRatio is the part that the bodies of requests and answers may hold: with the
 	// garbage of as much again, and copies in the buffers of connections, they stay below half.
 	bodiesRatio = 0.125
+
+	// maxDescriptors is above what a node uses, and bounds an unlimited number.
+	maxDescriptors = 1 << 16
 )
 
 // nodeCommand runs the daemon.
@@ -40,6 +44,8 @@
 
 	// Memory is an option for the same reason.
 	Memory string `long:"memory" env:"LACEWINGSPOKE_MEMORY" value-name:"BYTES" description:"memory of the process, as 284MiB; replaces memory of the settings"`
+
+	Descriptors int `long:"descriptors" env:"LACEWINGSPOKE_DESCRIPTORS" value-name:"COUNT" description:"file descriptors that the process may open; the limit of the process if it is 0 or higher"`
 }
 
 func addNodeCommand(parser *flags.Parser) error {
@@ -70,6 +76,7 @@
 			return exitStatus(operator.ExitRejected)
 		}
 	}
+	loaded.SetDescriptors(descriptorLimit(command.Descriptors))
 	sink := logline.New(logline.Config{Output: os.Stdout})
 	logger := sink.Logger().With(zap.String("node", loaded.Name()))
 	err := command.run(loaded, logger, signals, reloads)
@@ -77,6 +84,20 @@
 	return errors.Trace(err)
 }
 
+// descriptorLimit returns the number of descriptors that the process may open: the lower one of
+// its limit and of the option, if that is set.
+func descriptorLimit(option int) int {
+	count := maxDescriptors
+	var limits unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limits); err == nil && limits.Cur < maxDescriptors {
+		count = int(limits.Cur)
+	}
+	if option > 0 {
+		count = min(count, option)
+	}
+	return count
+}
+
 // run runs the daemon until a signal arrives or one of its components fails, and
 // then stops it gracefully.
 func (command *nodeCommand) run(loaded *settings.Settings, logger *zap.Logger, signals, reloads <-chan os.Signal) error {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -79,6 +79,7 @@
 	defaultCapacity        = 1024
 	defaultQueueLimit      = 1024
 	defaultMaxBodyBytes    = 1 << 20
+	defaultMaxBodies       = 32 << 20
 	defaultMaxAnswerBytes  = 1 << 20
 	defaultMaxAttempts     = 8
 	defaultWriteTimeout    = 10 * time.Second
@@ -115,6 +116,10 @@
 	// MaxBodyBytes bounds a request's body, default 1 MiB.
 	MaxBodyBytes int64
 
+	// MaxBodies bounds the bytes of the bodies of all requests that the server holds at a
+	// time, default 32 MiB.
+	MaxBodies int64
+
 	// MaxAnswerBytes bounds the text of a draft, default 1 MiB.
 	MaxAnswerBytes int
 
@@ -176,6 +181,9 @@
 	if config.MaxBodyBytes <= 0 {
 		config.MaxBodyBytes = defaultMaxBodyBytes
 	}
+	if config.MaxBodies <= 0 {
+		config.MaxBodies = defaultMaxBodies
+	}
 	if config.Seed == 0 {
 		config.Seed = rand.Uint64()
 	}
@@ -215,6 +223,7 @@
 	admission *admission
 	gate      *grantGate
 	leases    *claimLeases
+	bodies    *limit.Bytes
 
 	// requests bounds the requests of a stopping node.
 	requests *httpserve.Requests
@@ -261,6 +270,7 @@
 		admission: newAdmission(config),
 		gate:      newGrantGate(config.Publisher, config.Now),
 		leases:    newClaimLeases(config),
+		bodies:    limit.NewBytes(config.MaxBodies),
 		ctx:       ctx,
 		cancel:    cancel,
 		watchDone: make(chan struct{}),
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -5,7 +5,6 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"net/http"
 	"path"
 	"slices"
@@ -17,6 +16,7 @@
 	"github.com/juju/errors"
 
 	"lacewingspoke.org/lacewingspoke/folder"
+	"lacewingspoke.org/lacewingspoke/httpserve"
 	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/outcome"
 	"lacewingspoke.org/lacewingspoke/route"
@@ -40,6 +40,10 @@
 // caller must accept within one write timeout.
 const writeChunkBytes = 64 << 10
 
+// bodyRoomWait is how long the reading of a body pauses while the node holds as many bytes as it
+// may.
+const bodyRoomWait = 250 * time.Millisecond
+
 // An exchange is one request of a caller and its response.
 type exchange struct {
 	server     *Server
@@ -52,6 +56,9 @@
 	route     folder.Route
 	priority  int
 	deadline  time.Time
+
+	// hold is what the body holds of the bytes of all bodies.
+	hold *limit.Hold
 }
 
 func newExchange(server *Server, writer http.ResponseWriter, request *http.Request) *exchange {
@@ -61,6 +68,7 @@
 		request:    request,
 		controller: http.NewResponseController(writer),
 		started:    server.config.Now(),
+		hold:       server.bodies.Hold(request.RemoteAddr),
 	}
 	// Clear the write deadline that the previous request on this connection set:
 	// it may have passed while the connection was idle.
@@ -214,6 +222,7 @@
 		return
 	}
 	defer exchange.server.admission.release(admissionID)
+	defer exchange.hold.Release()
 	body, status, err := exchange.readBody()
 	if err != nil {
 		exchange.refuse(status, outcome.NotRun{Reason: err.Error()})
@@ -254,7 +263,9 @@
 	requests := exchange.server.requests
 	stop := requests.OnEnd(func() { _ = exchange.controller.SetReadDeadline(time.Now()) })
 	reader := http.MaxBytesReader(exchange.writer, exchange.request.Body, config.MaxBodyBytes)
-	body, err := io.ReadAll(reader)
+	body, err := httpserve.ReadWhole(reader, exchange.request.ContentLength, config.MaxBodyBytes, func(size int64) bool {
+		return httpserve.GrowBody(exchange.request, exchange.hold, size, bodyRoomWait)
+	})
 	stop()
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -263,8 +274,10 @@
 		// it sends the refusal.
 		_ = exchange.controller.SetReadDeadline(time.Time{})
 		return body, 0, nil
-	case errors.As(err, &tooLarge):
-		return nil, http.StatusRequestEntityTooLarge, errors.Errorf("body is longer than %d bytes", tooLarge.Limit)
+	case errors.As(err, &tooLarge), errors.Is(err, errors.QuotaLimitExceeded):
+		return nil, http.StatusRequestEntityTooLarge, errors.Errorf("body is longer than %d bytes", config.MaxBodyBytes)
+	case errors.Is(err, httpserve.ErrNoRoom):
+		return nil, http.StatusServiceUnavailable, err
 	case requests.Ended():
 		return nil, http.StatusServiceUnavailable, errors.New("node is stopping")
 	default:
--- a/forward/client.go
+++ b/forward/client.go
@@ -16,6 +16,7 @@
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
 
+	"lacewingspoke.org/lacewingspoke/httpserve"
 	"lacewingspoke.org/lacewingspoke/limit"
 )
 
@@ -504,7 +505,7 @@
 // error for a body of more than limit bytes, and errNoRoom if the node has no room for it.
 func (response *response) readAll(limit int64) ([]byte, error) {
 	response.expectBody(limit)
-	body, err := readWhole(response.http.Body, response.http.ContentLength, limit, response.grow)
+	body, err := httpserve.ReadWhole(response.http.Body, response.http.ContentLength, limit, response.grow)
 	if err != nil {
 		return nil, errors.Annotate(response.cause(err), "read response body")
 	}
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"strconv"
@@ -12,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"lacewingspoke.org/lacewingspoke/catalog"
+	"lacewingspoke.org/lacewingspoke/httpserve"
 	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/quarantine"
 	"lacewingspoke.org/lacewingspoke/route"
@@ -240,20 +240,19 @@
 		exchange.refuse(errNoRoom.Error(), shortRetryAfter)
 		return false
 	}
-	counts := length < 0 || length > freeBytes
-	if counts {
+	if length != 0 {
 		// A body that does not arrive must not keep the room from others.
 		_ = exchange.control.SetReadDeadline(time.Now().Add(exchange.remaining()))
 	}
 	stop := exchange.server.requests.OnEnd(func() { _ = exchange.control.SetReadDeadline(time.Now()) })
-	received, err := readWhole(body, length, bound, exchange.grow)
+	received, err := httpserve.ReadWhole(body, length, bound, exchange.grow)
 	stop()
-	if counts && err == nil {
+	if length != 0 && err == nil {
 		_ = exchange.control.SetReadDeadline(time.Time{})
 	}
 	var large *http.MaxBytesError
 	switch {
-	case err != nil && exchange.remaining() <= 0 && !exchange.server.requests.Ended():
+	case errors.Is(err, httpserve.ErrBodyStalled), err != nil && exchange.remaining() <= 0 && !exchange.server.requests.Ended():
 		exchange.fail(http.StatusRequestTimeout, "body did not arrive in time")
 		return false
 	case errors.Is(err, errNoRoom):
@@ -276,9 +275,7 @@
 // grow makes the body hold count bytes of all bodies, or returns false if the node has no room
 // for them.
 func (exchange *exchange) grow(count int64) bool {
-	ctx, cancel := context.WithTimeout(exchange.request.Context(), min(roomWait, max(0, exchange.remaining())))
-	defer cancel()
-	return exchange.hold.Grow(ctx, count)
+	return httpserve.GrowBody(exchange.request, exchange.hold, count, min(roomWait, exchange.remaining()))
 }
 
 // releaseHolds releases what the bodies of the request and of its answers hold.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -506,6 +506,16 @@
 	return current.Limits().IdleTimeout
 }
 
+// HeadLimit returns the bound of a request's head by the configuration in force, 0 if there is
+// none.
+func (server *Server) HeadLimit() int {
+	current := server.config.Publisher.Current().Catalog()
+	if current == nil {
+		return 0
+	}
+	return current.Limits().MaxHeaderBytes
+}
+
 // RequestReceived reports whether the server has received a request.
 func (server *Server) RequestReceived() bool { return server.requestReceived.Load() }
 
--- a/httpserve/connection.go
+++ b/httpserve/connection.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"syscall"
@@ -11,8 +12,14 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
+
+	"lacewingspoke.org/lacewingspoke/limit"
 )
 
+// backgroundBytes is the size of the Reads with which net/http waits, while a handler runs, for
+// the caller to leave. Other Reads have larger buffers.
+const backgroundBytes = 1
+
 // state is the state of a connection.
 type state int
 
@@ -21,14 +28,22 @@
 	stateNew state = iota
 	stateIdle
 
-	// stateReading connections have had a byte of a request whose handler has not begun, or
-	// the handler has ended and the answer is being written.
+	// stateReading connections have had a byte of a request whose handler has not begun.
 	stateReading
 
-	// stateServing connections have a request whose handler runs.
+	// stateServing connections have a request whose handler runs, stateBody ones a handler
+	// that waits for the body.
 	stateServing
+	stateBody
+
+	// stateAnswered connections have had a handler that has ended: the answer is written, and
+	// the rest of its request is discarded.
+	stateAnswered
 )
 
+// handled reports whether a handler runs.
+func (state state) handled() bool { return state == stateServing || state == stateBody }
+
 // withoutRequest reports whether no byte of a request has been read.
 func (state state) withoutRequest() bool { return state == stateNew || state == stateIdle }
 
@@ -44,6 +59,31 @@
 	mutex sync.Mutex
 	state state
 
+	// since is the time at which the present step began: the wait for a request, its head, its
+	// body, or the discarding of the rest.
+	since time.Time
+
+	// head counts the head of the present request, heads and bodies are what the connection
+	// holds of the room for heads and of that for bodies.
+	head   headMeter
+	heads  int64
+	bodies int64
+
+	// length is the length of the present request's body, -1 if it is unknown. The goroutine of
+	// the connection uses it.
+	length int64
+
+	// bodyDeadline is when a body that makes no progress ends.
+	bodyDeadline time.Time
+
+	// yielding is true if the connection closes for others, unless its request has got on
+	// meanwhile.
+	yielding bool
+
+	// lingers is true if the connection is closed by a timer, so that the caller gets the last
+	// answer although it has sent more than was read.
+	lingers bool
+
 	// readDeadline is the one that net/http has set. While interrupted is true, the connection has
 	// another one, with which it ends.
 	readDeadline time.Time
@@ -58,29 +98,84 @@
 // Read implements net.Conn.
 func (connection *connection) Read(buffer []byte) (int, error) {
 	for {
+		connection.beginRead(len(buffer))
 		count, err := connection.Conn.Read(buffer)
 		if count > 0 {
-			connection.received()
+			if refusal := connection.received(buffer[:count]); refusal != nil {
+				return 0, refusal
+			}
 			return count, err
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return count, err
 		}
 		count, err, again := connection.afterDeadline(buffer, err)
+		if errors.Is(err, ErrNoRoom) && connection.currentState() == stateReading {
+			connection.write(refusalNoRoom)
+		}
 		if !again {
 			return count, err
 		}
 	}
 }
 
-// received records that bytes were read: of a request, or of the next one while a handler
-// runs.
-func (connection *connection) received() {
+// beginRead sets the deadline for the next part of a body.
+func (connection *connection) beginRead(size int) {
+	timeout := connection.server.config.BodyTimeout
+	if timeout == 0 || size == backgroundBytes {
+		return
+	}
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
+	if connection.state != stateBody || connection.yielding {
+		return
+	}
+	connection.bodyDeadline = time.Now().Add(timeout)
+	if connection.readDeadline.IsZero() || connection.bodyDeadline.Before(connection.readDeadline) {
+		_ = connection.Conn.SetReadDeadline(connection.bodyDeadline)
+	}
+}
+
+// received records bytes that were read: of a request, or of the next one while a handler runs.
+// It returns an error if the head of the request is over a bound or finds no room. The caller
+// has then got a refusal.
+func (connection *connection) received(data []byte) error {
+	connection.mutex.Lock()
 	if connection.state.withoutRequest() {
 		connection.setState(stateReading)
 	}
+	connection.head.add(data)
+	if connection.state != stateReading {
+		connection.mutex.Unlock()
+		return nil
+	}
+	refusal := connection.server.checkHead(&connection.head)
+	held, cost := connection.heads, max(0, connection.head.cost()-freeBytes)
+	connection.mutex.Unlock()
+	if refusal == nil && !connection.server.takeHeads(connection, held, cost) {
+		refusal = &refusalNoRoom
+	}
+	if refusal != nil {
+		return connection.refuse(*refusal)
+	}
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	connection.heads = max(held, cost)
+	return nil
+}
+
+// refuse answers a request whose head is not read to its end. It returns an error of Read on
+// which net/http closes the connection without an answer of its own.
+func (connection *connection) refuse(refusal refusal) error {
+	connection.server.room.record(refusal.cause, connection.RemoteAddr().String())
+	connection.write(refusal)
+	connection.linger()
+	return &net.OpError{Op: "read", Net: "tcp", Err: errRefused}
+}
+
+func (connection *connection) write(refusal refusal) {
+	_ = connection.Conn.SetWriteDeadline(time.Now().Add(refusalTime))
+	_, _ = io.WriteString(connection.Conn, refusal.answer())
 }
 
 // afterDeadline returns the result of a Read that ended with a deadline, or true if the
@@ -88,15 +183,26 @@
 func (connection *connection) afterDeadline(buffer []byte, deadline error) (int, error, bool) {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	if !connection.interrupted {
-		return 0, deadline, !connection.expired()
-	}
-	count := connection.readArrived(buffer)
-	if count == 0 {
-		return 0, io.EOF, false
+	switch {
+	case connection.interrupted:
+		count := connection.readArrived(buffer)
+		if count == 0 {
+			return 0, io.EOF, false
+		}
+		connection.head.add(buffer[:count])
+		connection.setState(stateReading)
+		return count, nil, false
+	case len(buffer) == backgroundBytes && !connection.expired():
+		// An error would cancel the present request, which may have been passed on.
+		connection.yielding = false
+		_ = connection.Conn.SetReadDeadline(connection.readDeadline)
+		return 0, nil, true
+	case connection.yielding:
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: ErrNoRoom}, false
+	case connection.state == stateBody && !connection.bodyDeadline.IsZero() && !time.Now().Before(connection.bodyDeadline):
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: ErrBodyStalled}, false
 	}
-	connection.setState(stateReading)
-	return count, nil, false
+	return 0, deadline, !connection.expired()
 }
 
 // expired reports whether the deadline of net/http has passed. Otherwise the one that ended
@@ -134,12 +240,12 @@
 // interruptIdle makes a pending or the next Read of a connection without a request return
 // while the server ends.
 func (connection *connection) interruptIdle() {
-	if connection.interrupted || !connection.state.withoutRequest() || !connection.server.ending.Load() {
+	if connection.interrupted || !connection.state.withoutRequest() || !connection.yielding && !connection.server.ending.Load() {
 		return
 	}
 	connection.interrupted = true
 	deadline := time.Now()
-	if connection.state == stateNew {
+	if connection.state == stateNew && !connection.yielding {
 		deadline = deadline.Add(firstRequestTime)
 	}
 	_ = connection.Conn.SetReadDeadline(deadline)
@@ -149,8 +255,9 @@
 // begun.
 func (connection *connection) setState(next state) {
 	connection.state = next
+	connection.since = time.Now()
 	if connection.interrupted && !next.withoutRequest() {
-		connection.interrupted = false
+		connection.interrupted, connection.yielding = false, false
 		_ = connection.Conn.SetReadDeadline(connection.readDeadline)
 	}
 	connection.interruptIdle()
@@ -169,7 +276,7 @@
 	}
 	connection.awaiting = connection.state == stateIdle
 	connection.interruptIdle()
-	if connection.interrupted {
+	if connection.interrupted || connection.yielding && connection.state == stateBody {
 		return nil
 	}
 	return connection.Conn.SetReadDeadline(deadline)
@@ -195,16 +302,171 @@
 	connection.setState(next)
 }
 
-func (connection *connection) beginHandler() { connection.change(stateServing) }
+func (connection *connection) beginHandler() {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	connection.head.endHead()
+	connection.setState(stateServing)
+	connection.stay()
+}
 
-func (connection *connection) endHandler() { connection.change(stateReading) }
+// stay makes a connection that was closing for others go on.
+func (connection *connection) stay() {
+	if connection.yielding {
+		connection.yielding = false
+		_ = connection.Conn.SetReadDeadline(connection.readDeadline)
+	}
+}
+
+func (connection *connection) endHandler() {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	connection.bodies = 0
+	connection.setState(stateAnswered)
+}
 
-func (connection *connection) becomeIdle() { connection.change(stateIdle) }
+// becomeIdle ends a request. It returns false if what was read ahead of the next one finds no
+// room.
+func (connection *connection) becomeIdle() bool {
+	connection.mutex.Lock()
+	connection.head = connection.head.next(connection.length)
+	held, cost := connection.heads, max(0, connection.head.cost()-freeBytes)
+	connection.heads = min(held, cost)
+	connection.setState(stateIdle)
+	connection.mutex.Unlock()
+	connection.server.room.release(held - min(held, cost))
+	if cost <= held {
+		return true
+	}
+	if !connection.server.takeHeads(connection, held, cost) {
+		connection.server.room.record(causeHeads, connection.RemoteAddr().String())
+		return false
+	}
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	connection.heads = cost
+	return true
+}
+
+// beginBody begins to wait for a part of a request's body. The time since the handler began
+// counts for all parts.
+func (connection *connection) beginBody() {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	since := connection.since
+	connection.setState(stateBody)
+	connection.since = since
+}
+
+// endBody ends the wait. From then on the request may be passed on, and the connection closes
+// for no other.
+func (connection *connection) endBody() {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	since := connection.since
+	connection.setState(stateServing)
+	connection.since = since
+	if !connection.bodyDeadline.IsZero() {
+		connection.bodyDeadline = time.Time{}
+		_ = connection.Conn.SetReadDeadline(connection.readDeadline)
+	}
+	connection.stay()
+}
+
+// dropHeads returns what the connection holds of the room for heads when it closes.
+func (connection *connection) dropHeads() int64 {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	heads := connection.heads
+	connection.heads = 0
+	return heads
+}
+
+// setBody records what the body of the present request holds.
+func (connection *connection) setBody(count int64) {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	connection.bodies = count
+}
+
+// holding returns what the connection holds, in all and of a share, and whether it may close
+// for others.
+func (connection *connection) holding(share share, now time.Time) (limit.Holding, int64, bool) {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	config := connection.server.config
+	holding := limit.Holding{Bytes: ConnectionBytes + connection.heads + connection.bodies, Elapsed: now.Sub(connection.since), Allowed: config.HeaderTimeout}
+	switch connection.state {
+	case stateIdle:
+		holding.Allowed = config.IdleTimeout
+	case stateBody:
+		holding.Allowed = config.BodyTimeout
+	case stateAnswered:
+		holding.Allowed = discardTime
+	}
+	size := int64(ConnectionBytes)
+	switch share {
+	case shareHeads:
+		size = connection.heads
+	case shareBodies:
+		size = connection.bodies
+	}
+	return holding, size, size > 0 && !connection.yielding && connection.mayYield()
+}
+
+// mayYield reports whether no request of the connection has been read whole, or all have been
+// answered.
+func (connection *connection) mayYield() bool {
+	return connection.state != stateServing && (connection.state != stateReading || !connection.head.ended)
+}
+
+// yield makes the connection close for another one. It returns false if its request has got on
+// too far.
+func (connection *connection) yield() bool {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	if !connection.mayYield() {
+		return false
+	}
+	connection.yielding = true
+	if connection.state.withoutRequest() {
+		connection.interruptIdle()
+	} else {
+		_ = connection.Conn.SetReadDeadline(time.Now())
+	}
+	return true
+}
+
+// yields reports whether the connection closes for another one.
+func (connection *connection) yields() bool {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	return connection.yielding
+}
 
 // CloseWrite closes the sending side. net/http calls it before it closes a connection whose
-// request it has not read to its end.
+// request it has not read to its end, and would then keep the connection, with all that it
+// holds, for half a second. It panics so that net/http closes the connection at once: just the
+// socket lingers.
 func (connection *connection) CloseWrite() error {
-	return connection.Conn.(*net.TCPConn).CloseWrite()
+	connection.linger()
+	panic(http.ErrAbortHandler)
+}
+
+// linger closes the sending side, and the socket when the caller has had time to read the last
+// answer: closing it with unread bytes resets it. A connection that closes for others does not
+// linger.
+func (connection *connection) linger() {
+	if connection.yields() || connection.Conn.(*net.TCPConn).CloseWrite() != nil || !connection.server.room.beginLinger() {
+		return
+	}
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	connection.lingers = true
+	time.AfterFunc(lingerTime, func() {
+		_ = connection.Conn.Close()
+		connection.server.room.endLinger()
+	})
 }
 
 // SetLinger is that of net.TCPConn. Abort calls it.
@@ -216,9 +478,18 @@
 // answer.
 func (connection *connection) Close() error {
 	connection.server.remove(connection)
-	if connection.currentState() == stateServing {
+	if connection.currentState().handled() {
 		connection.server.config.Logger.Warn("connection closed with a request in progress",
 			zap.String("server", connection.server.config.Name), zap.Stringer("from", connection.RemoteAddr()))
 	}
+	if connection.lingering() {
+		return nil
+	}
 	return connection.Conn.Close()
 }
+
+func (connection *connection) lingering() bool {
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	return connection.lingers
+}
--- /dev/null
+++ b/httpserve/head.go
@@ -0,0 +1,111 @@
+package httpserve
+
+import (
+	"bytes"
+	"math"
+)
+
+const (
+	// byteCost, lineCost and elementCost are what a head holds in its decoded form for each
+	// byte, line and element of a list: strings, entries of maps, and their copies for a
+	// target.
+	byteCost    = 4
+	lineCost    = 256
+	elementCost = 64
+
+	// headSlack is how many bytes beyond the limit of a head are read: what net/http adds to
+	// the limit, and what it reads of a body together with the head.
+	headSlack = 8 << 10
+
+	// maxEmptyBytes bounds the empty lines before a request, as in net/http.
+	maxEmptyBytes = 4
+)
+
+// A headMeter counts what the head of a request holds when it is decoded. It does not decode
+// anything: where the head ends is for net/http to say, and the meter only must not miss it.
+type headMeter struct {
+	bytes    int
+	lines    int
+	elements int
+
+	// emptyBytes are those of empty lines before the first other line.
+	emptyBytes int
+
+	// lineBytes are those of the current line, carriageReturn is true if it is just one.
+	lineBytes      int
+	carriageReturn bool
+
+	// unaligned is true until the next end of a line if bytes of the head were read with the
+	// request before: that line may not be empty. The end of the head may then be missed.
+	unaligned bool
+
+	ended bool
+
+	// bodyBytes are the bytes after the head, and tail is a meter of those in the last call
+	// of add: what net/http may have in its buffer when the request ends.
+	bodyBytes int64
+	tail      *headMeter
+}
+
+// add counts the next bytes that are read.
+func (meter *headMeter) add(data []byte) {
+	for len(data) > 0 && !meter.ended {
+		end := bytes.IndexByte(data, '\n')
+		if end < 0 {
+			meter.addPart(data)
+			return
+		}
+		meter.addPart(data[:end])
+		meter.endLine()
+		data = data[end+1:]
+	}
+	if meter.ended {
+		meter.bodyBytes += int64(len(data))
+		meter.tail = &headMeter{bytes: len(data), lines: bytes.Count(data, []byte("\n")), elements: bytes.Count(data, []byte(","))}
+	}
+}
+
+// addPart counts a part of a line, without its end.
+func (meter *headMeter) addPart(part []byte) {
+	meter.bytes += len(part)
+	meter.elements += bytes.Count(part, []byte(","))
+	meter.carriageReturn = meter.lineBytes == 0 && len(part) == 1 && part[0] == '\r' || meter.carriageReturn && len(part) == 0
+	meter.lineBytes += len(part)
+}
+
+func (meter *headMeter) endLine() {
+	empty := meter.lineBytes == 0 || meter.carriageReturn
+	meter.bytes++
+	switch {
+	case !empty || meter.unaligned:
+		meter.lines++
+		meter.unaligned = false
+	case meter.lines == 0:
+		meter.emptyBytes += meter.lineBytes + 1
+	default:
+		meter.ended = true
+	}
+	meter.lineBytes, meter.carriageReturn = 0, false
+}
+
+// endHead ends the head when net/http has decoded it.
+func (meter *headMeter) endHead() {
+	if !meter.ended {
+		tail := *meter
+		meter.ended, meter.bodyBytes, meter.tail = true, math.MaxInt32, &tail
+	}
+}
+
+// cost returns the bytes that the head holds so far when it is decoded.
+func (meter *headMeter) cost() int64 {
+	return byteCost*int64(meter.bytes) + lineCost*int64(meter.lines) + elementCost*int64(meter.elements)
+}
+
+// next returns the meter of the next request on the connection. length is that of the body,
+// -1 if it is unknown.
+func (meter *headMeter) next(length int64) headMeter {
+	if meter.tail == nil || length >= 0 && meter.bodyBytes <= length {
+		return headMeter{}
+	}
+	return headMeter{bytes: meter.tail.bytes, lines: meter.tail.lines, elements: meter.tail.elements, unaligned: true}
+}
--- a/httpserve/httpserve.go
+++ b/httpserve/httpserve.go
@@ -74,12 +74,22 @@
 	Name    string
 	Handler http.Handler
 
-	// MaxHeaderBytes bounds the head of a request, HeaderTimeout the time in which it must
-	// arrive, and IdleTimeout the time that a connection without a request stays open.
+	// MaxHeaderBytes and MaxHeaderLines bound the head of a request, HeaderTimeout the time in
+	// which it must arrive, and IdleTimeout the time that a connection without a request stays
+	// open. BodyTimeout bounds the time without a byte of a body that a handler reads.
 	MaxHeaderBytes int
+	MaxHeaderLines int
 	HeaderTimeout  time.Duration
+	BodyTimeout    time.Duration
 	IdleTimeout    time.Duration
 
+	// HeadLimit returns a lower bound than MaxHeaderBytes that is in force, 0 for none. It may
+	// be nil.
+	HeadLimit func() int
+
+	// Room bounds what all connections together make the node hold.
+	Room RoomConfig
+
 	// IdleLimit returns the time for which callers may use a connection without a request
 	// again. If that is longer than IdleTimeout, connections stay open for it. It may be nil.
 	IdleLimit func() time.Duration
@@ -91,6 +101,7 @@
 type Server struct {
 	config Config
 	http   *http.Server
+	room   *room
 
 	// announced is true after AnnounceEnd, ending after End.
 	announced atomic.Bool
@@ -112,7 +123,7 @@
 	if config.Logger == nil {
 		config.Logger = zap.NewNop()
 	}
-	server := &Server{config: config, accepting: make(chan struct{}), connections: map[*connection]bool{}}
+	server := &Server{config: config, room: newRoom(config), accepting: make(chan struct{}), connections: map[*connection]bool{}}
 	server.http = &http.Server{
 		Handler:           http.HandlerFunc(server.serve),
 		ReadHeaderTimeout: config.HeaderTimeout,
@@ -123,8 +134,10 @@
 			return context.WithValue(ctx, connectionKey{}, accepted)
 		},
 		ConnState: func(accepted net.Conn, state http.ConnState) {
-			if state == http.StateIdle {
-				accepted.(*connection).becomeIdle()
+			if state == http.StateIdle && !accepted.(*connection).becomeIdle() {
+				// net/http would decode the next request from its buffer. It closes the
+				// connection instead.
+				panic(http.ErrAbortHandler)
 			}
 		},
 	}
@@ -168,6 +181,10 @@
 	connection := request.Context().Value(connectionKey{}).(*connection)
 	connection.beginHandler()
 	defer connection.endHandler()
+	connection.length = request.ContentLength
+	if request.Body != http.NoBody {
+		request.Body = &body{ReadCloser: request.Body, connection: connection}
+	}
 	if server.announced.Load() {
 		writer.Header().Set("Connection", "close")
 	}
@@ -247,9 +264,9 @@
 		switch open.currentState() {
 		case stateNew, stateIdle:
 			counts.Idle++
-		case stateReading:
+		case stateReading, stateAnswered:
 			counts.Reading++
-		case stateServing:
+		case stateServing, stateBody:
 			counts.Serving++
 		}
 	}
@@ -267,6 +284,13 @@
 	return open
 }
 
+// count returns the number of open connections.
+func (server *Server) count() int {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	return len(server.connections)
+}
+
 // awaitEmpty returns a channel that is closed when no connection is left.
 func (server *Server) awaitEmpty() <-chan struct{} {
 	server.mutex.Lock()
@@ -283,7 +307,7 @@
 }
 
 func (server *Server) add(accepted net.Conn) *connection {
-	added := &connection{Conn: accepted, server: server}
+	added := &connection{Conn: accepted, server: server, since: time.Now()}
 	server.mutex.Lock()
 	defer server.mutex.Unlock()
 	server.connections[added] = true
@@ -297,6 +321,7 @@
 		return
 	}
 	delete(server.connections, closed)
+	server.room.release(closed.dropHeads())
 	if len(server.connections) == 0 && server.empty != nil {
 		close(server.empty)
 		server.empty = nil
@@ -312,14 +337,21 @@
 // Accept implements net.Listener. It returns net.ErrClosed when no connection waits while
 // the server ends.
 func (listener *trackingListener) Accept() (net.Conn, error) {
-	accepted, err := listener.Listener.Accept()
-	if err != nil && listener.server.ending.Load() {
-		return nil, net.ErrClosed
-	}
-	if err != nil {
-		return nil, err
+	for {
+		accepted, err := listener.Listener.Accept()
+		if err != nil && listener.server.ending.Load() {
+			return nil, net.ErrClosed
+		}
+		if err != nil {
+			return nil, err
+		}
+		if !listener.server.admit() {
+			listener.server.room.record(causeConnections, accepted.RemoteAddr().String())
+			_ = accepted.Close()
+			continue
+		}
+		added := listener.server.add(accepted)
+		added.end()
+		return added, nil
 	}
-	added := listener.server.add(accepted)
-	added.end()
-	return added, nil
 }
--- a/limit/bytes.go
+++ b/limit/bytes.go
@@ -91,6 +91,18 @@
 	return true
 }
 
+// Missing returns how many bytes of others must be released before the hold can have count
+// bytes, 0 if it can have them now.
+func (hold *Hold) Missing(count int64) int64 {
+	bytes, more := hold.bytes, count-hold.count
+	if more <= 0 {
+		return 0
+	}
+	bytes.mutex.Lock()
+	defer bytes.mutex.Unlock()
+	return max(0, bytes.owners[hold.owner]+more-(bytes.bound-bytes.used-more))
+}
+
 // Release releases all bytes. The hold may be used again.
 func (hold *Hold) Release() {
 	if hold.count > 0 {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -30,6 +31,10 @@
 	// on which the mesh listens.
 	Advertise string
 
+	// MaxHandshakes bounds the accepted connections on which the other node has not introduced
+	// itself; 0 means DefaultMaxHandshakes.
+	MaxHandshakes int
+
 	// MaxFrameBytes bounds the size of a frame; 0 means DefaultMaxFrameBytes.
 	MaxFrameBytes int
 
@@ -56,6 +61,9 @@
 
 // The defaults of a Config.
 const (
+	// DefaultMaxHandshakes is above the number of nodes that dial at once after an outage.
+	DefaultMaxHandshakes = 256
+
 	// DefaultMaxFrameBytes is enough for a configuration body of 1 MiB.
 	DefaultMaxFrameBytes     = 1<<20 + 64<<10
 	DefaultHeartbeatInterval = 250 * time.Millisecond
@@ -96,6 +104,9 @@
 	done       chan error
 	generation atomic.Uint64
 
+	// handshakes is the number of accepted connections whose handshake has not ended.
+	handshakes atomic.Int64
+
 	// tasks counts the goroutines of the dialers and of accepted connections.
 	tasks sync.WaitGroup
 
@@ -146,6 +157,9 @@
 }
 
 func setDefaults(config *Config) {
+	if config.MaxHandshakes == 0 {
+		config.MaxHandshakes = DefaultMaxHandshakes
+	}
 	if config.MaxFrameBytes == 0 {
 		config.MaxFrameBytes = DefaultMaxFrameBytes
 	}
@@ -303,25 +317,50 @@
 	return packet{kind: kindOf(frame), subject: subjectOf(frame), data: data}, true
 }
 
+// acceptPause is the pause after a connection could not be accepted because the process has no
+// descriptor left. Others come free within milliseconds.
+const acceptPause = 50 * time.Millisecond
+
 func (mesh *Mesh) accept(ctx context.Context) error {
 	for {
 		conn, err := mesh.listener.Accept()
-		if err != nil && ctx.Err() != nil {
+		switch {
+		case err != nil && ctx.Err() != nil:
 			return nil
-		}
-		if err != nil {
+		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ECONNABORTED), errors.Is(err, syscall.ENOBUFS), errors.Is(err, syscall.ENOMEM):
+			mesh.logger.Warn("a connection of another node was not accepted", zap.Error(err))
+			mesh.pause(ctx, acceptPause)
+			continue
+		case err != nil:
 			return errors.Annotate(err, "accept peer connection")
 		}
+		if mesh.handshakes.Add(1) > int64(mesh.config.MaxHandshakes) {
+			mesh.handshakes.Add(-1)
+			conn.Close()
+			continue
+		}
 		mesh.tasks.Go(func() { mesh.serve(ctx, conn, nil) })
 	}
 }
 
+func (mesh *Mesh) pause(ctx context.Context, duration time.Duration) {
+	delay := mesh.timer.After("accept pause", duration, 0)
+	defer delay.Cancel()
+	select {
+	case <-delay.C():
+	case <-ctx.Done():
+	}
+}
+
 // serve exchanges hellos on a connection and serves the link until it ends.
 // The target is nil for an accepted connection. It reports whether a link was
 // established.
 func (mesh *Mesh) serve(ctx context.Context, conn net.Conn, target *Target) bool {
 	defer conn.Close()
 	link, err := mesh.handshake(ctx, conn, target)
+	if target == nil {
+		mesh.handshakes.Add(-1)
+	}
 	if err != nil {
 		mesh.metrics.closed.WithLabelValues(string(reasonOf(err))).Inc()
 		mesh.logger.Debug("handshake with peer failed", zap.Stringer("address", conn.RemoteAddr()), zap.Error(err))
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -68,6 +68,9 @@
 	"lacewingspoke.org/lacewingspoke/inifile"
 )
 
+// defaultDescriptors is the usual limit of a process.
+const defaultDescriptors = 1024
+
 // maxCount is an upper bound of counts that only catches typing errors.
 const maxCount = 1_000_000
 
@@ -83,6 +86,7 @@
 	stopGrace      time.Duration
 	processorShare float64
 	memory         int64
+	descriptors    int
 	callersAddress string
 	peersAddress   string
 	adminAddress   string
@@ -180,6 +184,14 @@
 	return errors.Trace(setBytes(&settings.memory, value))
 }
 
+// Descriptors returns the number of file descriptors that the process may open,
+// defaultDescriptors if it was not set.
+func (settings *Settings) Descriptors() int { return settings.descriptors }
+
+// SetDescriptors sets the number of file descriptors that the process may open. There is no key
+// for it: the platform gives it to the process.
+func (settings *Settings) SetDescriptors(count int) { settings.descriptors = count }
+
 // ProcessorShare returns the number of cores that the node may use.
 func (settings *Settings) ProcessorShare() float64 { return settings.processorShare }
 
@@ -252,7 +264,7 @@
 // name of the file. The settings are nil when there are problems.
 func Parse(name string, data []byte) (*Settings, []Problem) {
 	document, problems := inifile.Parse(name, data)
-	parser := &parser{name: name, settings: &Settings{values: map[fieldID]string{}}, problems: problems, lines: map[fieldID]int{}}
+	parser := &parser{name: name, settings: &Settings{descriptors: defaultDescriptors, values: map[fieldID]string{}}, problems: problems, lines: map[fieldID]int{}}
 	for _, section := range document.Sections() {
 		parser.addSection(section)
 	}
