--- a/settings/settings.go
+++ b/settings/settings.go
@@ -68,6 +68,9 @@
 	"lacewingspoke.org/lacewingspoke/inifile"
 )
 
+// defaultDescriptors is the usual limit of a process.
+const defaultDescriptors = 1024
+
 // maxCount is an upper bound of counts that only catches typing errors.
 const maxCount = 1_000_000
 
@@ -84,6 +87,7 @@
 	processorShare float64
 	memory         int64
 	evacuation     time.Duration
+	descriptors    int
 	callersAddress string
 	peersAddress   string
 	adminAddress   string
@@ -198,6 +202,14 @@
 // unsetMillis is a number of milliseconds that a template renders without its number.
 const unsetMillis = "ms"
 
+// Descriptors returns the number of file descriptors that the process may open,
+// defaultDescriptors if it was not set.
+func (settings *Settings) Descriptors() int { return settings.descriptors }
+
+// SetDescriptors sets the number of file descriptors that the process may open. There is no key
+// for it: the platform gives it to the process.
+func (settings *Settings) SetDescriptors(count int) { settings.descriptors = count }
+
 // ProcessorShare returns the number of cores that the node may use.
 func (settings *Settings) ProcessorShare() float64 { return settings.processorShare }
 
@@ -270,7 +282,7 @@
 // name of the file. The settings are nil when there are problems.
 func Parse(name string, data []byte) (*Settings, []Problem) {
 	document, problems := inifile.Parse(name, data)
-	parser := &parser{name: name, settings: &Settings{values: map[fieldID]string{}}, problems: problems, lines: map[fieldID]int{}}
+	parser := &parser{name: name, settings: &Settings{descriptors: defaultDescriptors, values: map[fieldID]string{}}, problems: problems, lines: map[fieldID]int{}}
 	for _, section := range document.Sections() {
 		parser.addSection(section)
 	}
