--- a/cmd/lacewingspoke/node.go
+++ b/cmd/lacewingspoke/node.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"strconv"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
