trafficsync: exchange counts of traffic over the admin address

Cause: the sums of package traffic need posts between nodes and hubs. Rates of pools follow a second, so that a burst of three seconds shows in them. The daemon does not use it yet.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -27,6 +27,7 @@
 
 	"lacewingspoke.org/lacewingspoke/forward"
 	"lacewingspoke.org/lacewingspoke/mirror"
+	"lacewingspoke.org/lacewingspoke/trafficsync"
 )
 
 // A status request whose query parameter QueryGroups is GroupsNo receives a
@@ -207,6 +208,10 @@
 	// Mirror serves other nodes that read the store through this node. It is
 	// optional.
 	Mirror http.Handler
+
+	// Traffic receives the counts of traffic of other nodes, at trafficsync.Path. It is
+	// optional.
+	Traffic http.Handler
 }
 
 // A Server is the admin interface of one node.
@@ -255,6 +260,9 @@
 	if config.Mirror != nil {
 		server.router.Handle(mirror.Path, config.Mirror).Methods(http.MethodGet)
 	}
+	if config.Traffic != nil {
+		server.router.Handle(trafficsync.Path, config.Traffic).Methods(http.MethodPost)
+	}
 	return server
 }
 
--- a/control/feed.go
+++ b/control/feed.go
@@ -13,6 +13,7 @@
 	"lacewingspoke.org/lacewingspoke/catalog"
 	"lacewingspoke.org/lacewingspoke/directory"
 	"lacewingspoke.org/lacewingspoke/engine"
+	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/folder"
 	"lacewingspoke.org/lacewingspoke/group"
 	"lacewingspoke.org/lacewingspoke/limit"
@@ -64,6 +65,10 @@
 	// read. It is nil if the store is always read directly.
 	SetSources func(addresses []string)
 
+	// SetHubs sets the nodes that add up the counts of traffic, for each failure domain and
+	// this node's own first, and the number of nodes. It may be nil.
+	SetHubs func(domains [][]fleet.Node, nodes int)
+
 	// ReportStalled reports to the node at an admin address, which leads the group's
 	// fabric domain, that the streams of the group have stalled. It may be nil.
 	ReportStalled func(ctx context.Context, address, group string) error
--- a/control/limits.go
+++ b/control/limits.go
@@ -94,4 +94,7 @@
 	}
 	state.config.Traffic.SetNodes(nodes)
 	state.config.Limits.SetNodes(names, now)
+	if state.config.Feed.SetHubs != nil {
+		state.config.Feed.SetHubs(state.fleet.Hubs(now), len(nodes))
+	}
 }
--- a/fleet/topology.go
+++ b/fleet/topology.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -143,6 +144,36 @@
 	return addresses
 }
 
+// hubCandidates is the number of nodes of a failure domain that may add up the counts of
+// traffic: one that does, and two that take its place.
+const hubCandidates = 3
+
+// Hubs returns, for each failure domain, the nodes that may add up the counts of traffic of
+// its members, the preferred one first, and this node's own failure domain first. They are
+// ranked like the readers. It returns none in a fleet of at most FullMeshNodes, or that does
+// not read the store through other nodes: there a node sees enough of each group's load in
+// the answers to its own requests.
+func (fleet *Fleet) Hubs(now time.Time) [][]Node {
+	if !fleet.nodesListed || !fleet.Mirroring(now) || len(fleet.members) <= FullMeshNodes {
+		return nil
+	}
+	byFailureDomain := map[string][]Node{}
+	for _, member := range fleet.rankReaders() {
+		name := member.node.FailureDomain
+		if len(byFailureDomain[name]) < hubCandidates {
+			byFailureDomain[name] = append(byFailureDomain[name], member.node)
+		}
+	}
+	own := fleet.self.FailureDomain
+	domains := [][]Node{byFailureDomain[own]}
+	for _, name := range slices.Sorted(maps.Keys(byFailureDomain)) {
+		if name != own {
+			domains = append(domains, byFailureDomain[name])
+		}
+	}
+	return domains
+}
+
 // Readers returns the nodes that read the store for the others, or would in a larger
 // fleet: two in different failure domains, if there are any.
 func (fleet *Fleet) Readers() []Node {
--- a/traffic/hub.go
+++ b/traffic/hub.go
@@ -29,6 +29,9 @@
 	// nodes until its lease ends, and a node of an earlier release answers no post.
 	minBackoff = 500 * time.Millisecond
 	maxBackoff = 8 * time.Second
+
+	// intervalSlack is above the jitter of the calls of Due and below the time between them.
+	intervalSlack = 20 * time.Millisecond
 )
 
 // A Post is a message that is to be sent to a node.
@@ -64,7 +67,7 @@
 	if len(exchange.domains) == 0 || now.Before(exchange.nextAt) {
 		return nil
 	}
-	exchange.nextAt = now.Add(exchange.interval)
+	exchange.nextAt = now.Add(exchange.interval - intervalSlack)
 	near, found := exchange.firstHub(exchange.domains[0], now)
 	first := found && near.Node == exchange.config.Node
 	hasMembers := !exchange.memberAt.IsZero() && now.Sub(exchange.memberAt) <= exchange.maxAge()
--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -53,8 +53,9 @@
 	// posts may be lost.
 	ageIntervals = 3
 
-	// Window is the time constant of the rates in PoolUse.
-	Window = 3 * time.Second
+	// Window is the time constant of the rates in PoolUse. A burst of requests must show in
+	// it within a second, and a node counts few of them.
+	Window = time.Second
 
 	// firstEventAge is how long an observed first event counts in GroupUse.FirstEvent. It is
 	// about half of the time in which a response is written.
@@ -181,6 +182,27 @@
 	return use.withMean(), age, true
 }
 
+// Pool returns what callers ask of one pool at all nodes, this one included, and the time that
+// it takes until nodes see each other's requests. It returns false if there is no sum, or none
+// that is fresh.
+func (exchange *Exchange) Pool(name string, now time.Time) (PoolUse, time.Duration, bool) {
+	exchange.mutex.Lock()
+	defer exchange.mutex.Unlock()
+	sums, age, fresh := exchange.others(now)
+	if !fresh {
+		return PoolUse{}, 0, false
+	}
+	own := exchange.pool(name, now)
+	use := PoolUse{Pool: name, Arrivals: own.arrivals, Refused: own.refused, Worked: own.worked}
+	for _, sum := range sums {
+		others := sum.pools[name]
+		use.Arrivals += others.Arrivals
+		use.Refused += others.Refused
+		use.Worked += others.Worked
+	}
+	return use, age + exchange.interval, true
+}
+
 // Pools returns what callers ask of each pool at all nodes, this one included, and its age.
 // It returns false if there is no sum, or none that is fresh.
 func (exchange *Exchange) Pools(now time.Time) ([]PoolUse, time.Duration, bool) {
