Forecast and choice of groups by the requests of all nodes

Change: where the counts of the other nodes are fresh, limit.Forecast takes the requests in progress and the unread prompts of all nodes, and limit.Spread deals the expected requests over the groups that are in time so that they end with equal loads; what is beyond their room is refused. A correction for each pool follows the lower part of the differences between predicted and observed first events, is bounded and fades. A histogram has the errors of the predictions. Calls of PredictFirstEvent and Begin in tests got the new arguments.

--- a/cmd/lacewingspoke/daemon.go
+++ b/cmd/lacewingspoke/daemon.go
@@ -18,6 +18,7 @@
 	"lacewingspoke.org/lacewingspoke/platform"
 	"lacewingspoke.org/lacewingspoke/settings"
 	"lacewingspoke.org/lacewingspoke/timer"
+	"lacewingspoke.org/lacewingspoke/trafficsync"
 )
 
 const (
@@ -65,10 +66,13 @@
 	// the controller then polls them.
 	feed *platform.Feed
 
+	// traffic is nil if the nodes exchange no counts of traffic.
+	traffic *trafficsync.Link
+
 	// stopGrace is the option of that name, 0 if the setting holds.
 	stopGrace time.Duration
 
-	// cancel stops the feed, the timers, the mesh and the control thread.
+	// cancel stops the feed, the timers, the mesh, the traffic counts and the control thread.
 	cancel context.CancelFunc
 
 	// serverErrors receives the result of each HTTP server when it ends: nil
@@ -86,7 +90,8 @@
 	Mesh         *peer.Mesh
 	Controller   *control.Controller
 	CallerServer callerServer
-	Feed         *platform.Feed `optional:"true"`
+	Feed         *platform.Feed    `optional:"true"`
+	Traffic      *trafficsync.Link `optional:"true"`
 	Admin        *admin.Server
 	Lifecycle    fx.Lifecycle
 }
@@ -100,6 +105,7 @@
 		controller:   params.Controller,
 		callerServer: params.CallerServer,
 		feed:         params.Feed,
+		traffic:      params.Traffic,
 		callers:      newHTTPServer("callers", params.CallerServer, params, params.CallerServer.IdleLimit),
 		admin:        newHTTPServer("admin", params.Admin.Handler(), params, nil),
 		serverErrors: make(chan error, 3),
@@ -151,6 +157,9 @@
 	if daemon.feed != nil {
 		go daemon.feed.Run(ctx)
 	}
+	if daemon.traffic != nil {
+		go daemon.traffic.Run(ctx)
+	}
 	go daemon.timers.Run(ctx)
 	go daemon.mesh.Run(ctx)
 	go daemon.controller.Run(ctx)
@@ -294,6 +303,13 @@
 			daemon.logger.Warn("the feed has not ended")
 		}
 	}
+	if daemon.traffic != nil {
+		select {
+		case <-daemon.traffic.Done():
+		case <-ctx.Done():
+			daemon.logger.Warn("the exchange of traffic counts has not ended")
+		}
+	}
 }
 
 // withGrace returns a context that ends when a share of the grace has passed. A grace of 0
--- a/cmd/lacewingspoke/module.go
+++ b/cmd/lacewingspoke/module.go
@@ -29,6 +29,7 @@
 	"lacewingspoke.org/lacewingspoke/service"
 	"lacewingspoke.org/lacewingspoke/settings"
 	"lacewingspoke.org/lacewingspoke/timer"
+	"lacewingspoke.org/lacewingspoke/trafficsync"
 )
 
 // nodeModule builds the components that every node has.
@@ -190,8 +191,9 @@
 
 	Controller *control.Controller
 	Registry   *prometheus.Registry
-	Mirror     *mirror.Mirror  `optional:"true"`
-	Forward    *forward.Server `optional:"true"`
+	Mirror     *mirror.Mirror    `optional:"true"`
+	Forward    *forward.Server   `optional:"true"`
+	Traffic    *trafficsync.Link `optional:"true"`
 }
 
 func newAdmin(params adminParams) *admin.Server {
@@ -204,6 +206,9 @@
 		config.Reached = params.Controller.Reached
 		config.Mirror = params.Mirror.Handler()
 	}
+	if params.Traffic != nil {
+		config.Traffic = params.Traffic.Handler()
+	}
 	if params.Forward != nil {
 		config.Relay = http.HandlerFunc(params.Forward.ServeRelayed)
 	}
--- a/cmd/lacewingspoke/sharedmodule.go
+++ b/cmd/lacewingspoke/sharedmodule.go
@@ -22,6 +22,8 @@
 	"lacewingspoke.org/lacewingspoke/route"
 	"lacewingspoke.org/lacewingspoke/settings"
 	"lacewingspoke.org/lacewingspoke/timer"
+	"lacewingspoke.org/lacewingspoke/traffic"
+	"lacewingspoke.org/lacewingspoke/trafficsync"
 )
 
 // sharedModule builds the components of a node on a platform whose store is
@@ -32,6 +34,8 @@
 	newStoreClient,
 	newMirror,
 	newFeed,
+	newTraffic,
+	newTrafficLink,
 	newForward,
 	newForwardCallerServer,
 	newFeedController,
@@ -139,6 +143,30 @@
 	return client.mirrored.Watch(ctx, prefix, after, wait)
 }
 
+func newTraffic(loaded *settings.Settings) *traffic.Exchange {
+	return traffic.New(traffic.Config{Node: loaded.Name()})
+}
+
+func newTrafficLink(exchange *traffic.Exchange, clock *timer.BootClock, timers *timer.Service, logger *zap.Logger, registry *prometheus.Registry) (*trafficsync.Link, error) {
+	link, err := trafficsync.New(trafficsync.Config{Exchange: exchange, Now: clock.Now, Timers: timers, Logger: logger, Registerer: registry})
+	return link, errors.Trace(err)
+}
+
+// setHubs returns a function that passes on which nodes add up the counts of traffic.
+func setHubs(exchange *traffic.Exchange) func(domains [][]fleet.Node, nodes int) {
+	return func(domains [][]fleet.Node, nodes int) {
+		ranked := make([][]traffic.Hub, 0, len(domains))
+		for _, domain := range domains {
+			var hubs []traffic.Hub
+			for _, node := range domain {
+				hubs = append(hubs, traffic.Hub{Node: node.Name, Address: node.AdminAddress})
+			}
+			ranked = append(ranked, hubs)
+		}
+		exchange.SetHubs(ranked, nodes)
+	}
+}
+
 // forwardParams are the dependencies of the forward server.
 type forwardParams struct {
 	fx.In
@@ -149,6 +177,7 @@
 	Tracker   *quarantine.Tracker
 	Limits    *limit.TargetLimits
 	Calls     nodeCalls
+	Traffic   *traffic.Exchange
 	Clock     *timer.BootClock
 	Timers    *timer.Service
 	Logger    *zap.Logger
@@ -171,6 +200,7 @@
 		MaxBodies:       int64(bodiesRatio * float64(params.Settings.Memory())),
 		Quarantine:      params.Tracker,
 		Limits:          params.Limits,
+		Traffic:         params.Traffic,
 		Logger:          params.Logger,
 		Registerer:      params.Registry,
 	})
@@ -213,6 +243,7 @@
 	Mesh        *peer.Mesh
 	Forward     *forward.Server
 	Calls       nodeCalls
+	Exchange    *traffic.Exchange
 	Quarantine  *quarantine.Tracker
 	Limits      *limit.TargetLimits
 	Publisher   *route.Publisher
@@ -238,6 +269,7 @@
 			Events:        params.Feed.Events(),
 			SetPause:      params.Feed.SetPause,
 			SetSources:    params.Mirror.SetSources,
+			SetHubs:       setHubs(params.Exchange),
 			ReportStalled: params.Calls.ReportStalled,
 			ReturnGrace:   returnGrace,
 			LapseGrace:    params.Settings.DrainBound() / lapseGraceDivisor,
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -46,6 +46,10 @@
 	control    *http.ResponseController
 	receivedAt time.Time
 
+	// draw decides by chance where the request goes, see limit.Spread. It stays the same, so
+	// that asking again and again does not raise the chance to be sent.
+	draw float64
+
 	caller  CallerHeaders
 	route   catalog.Route
 	service catalog.Service
@@ -103,6 +107,7 @@
 		request:    request,
 		control:    http.NewResponseController(writer),
 		receivedAt: server.config.Now(),
+		draw:       server.randomFraction(),
 		workspace:  catalog.Workspace{Priority: -1},
 		hold:       server.bodies.Hold("caller " + request.RemoteAddr),
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -65,6 +65,7 @@
 	"lacewingspoke.org/lacewingspoke/quarantine"
 	"lacewingspoke.org/lacewingspoke/route"
 	"lacewingspoke.org/lacewingspoke/timer"
+	"lacewingspoke.org/lacewingspoke/traffic"
 )
 
 // CallerHeaders holds the values of a caller's request headers.
@@ -214,6 +215,10 @@
 	// nil, the server makes one for a single node.
 	Limits *limit.TargetLimits
 
+	// Traffic counts the requests of this node and has the sums of the others. If it is nil,
+	// the server makes one of its own, which no other node's counts reach.
+	Traffic *traffic.Exchange
+
 	// Quarantine keeps requests with parts that end targets from them. If it is nil,
 	// the server makes one of its own, which no other node's decisions reach.
 	Quarantine *quarantine.Tracker
@@ -292,6 +297,9 @@
 	if config.Limits == nil {
 		config.Limits = limit.NewTargetLimits("")
 	}
+	if config.Traffic == nil {
+		config.Traffic = traffic.New(traffic.Config{Node: config.Node})
+	}
 	if config.Quarantine == nil {
 		config.Quarantine = quarantine.NewTracker()
 	}
@@ -335,7 +343,11 @@
 			Source:        rand.NewPCG(config.Seed, config.Seed),
 			Tracker:       tracker,
 			Suspects:      suspects,
-			HistorySize:   -1,
+			OtherNodes: func(group string, now time.Time) (int, bool) {
+				use, _, fresh := config.Traffic.Group(group, now)
+				return use.Running, fresh
+			},
+			HistorySize: -1,
 		}),
 		stallDetector: route.NewStallDetector(route.StallDetectorConfig{MinEventGap: minEventGap, MinFirstEventGap: minFirstEventGap, MaxEventGap: minEventTimeout}),
 		forecast:      limit.NewForecast(limit.ForecastConfig{GapMaxAge: gapMaxAge}),
--- a/forward/groupcall.go
+++ b/forward/groupcall.go
@@ -12,6 +12,7 @@
 	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/quarantine"
 	"lacewingspoke.org/lacewingspoke/route"
+	"lacewingspoke.org/lacewingspoke/traffic"
 )
 
 // A groupCall is one call to a group, which reads the events of a stream in a goroutine of
@@ -41,9 +42,15 @@
 	failure     *http.Response
 	failureBody []byte
 
+	// beganAt is when the call began, and predicted the time to its first event that was
+	// predicted then.
+	beganAt   time.Time
+	predicted time.Duration
+
 	// The goroutine's own state.
 	stream      *route.MonitoredStream
 	pending     *limit.PendingRequest
+	use         *traffic.Use
 	evidence    *quarantine.Attempt
 	lastEventAt time.Time
 }
@@ -83,8 +90,9 @@
 	exchange := delivery.exchange
 	server := exchange.server
 	now := server.config.Now()
-	exchange.load = server.tracker.Load(target.Name, target.Load, target.LoadReportedAt(), now)
-	exchange.predicted = exchange.predictFirstEvent(target, now)
+	exchange.load = server.picker.GroupLoad(target, now)
+	prediction := exchange.predict(target, now)
+	exchange.predicted = prediction.FirstEvent
 	ctx, cancel := context.WithCancelCause(ctx)
 	call := &groupCall{
 		delivery: delivery, target: target, cancel: cancel, done: make(chan struct{}),
@@ -98,7 +106,10 @@
 	call.evidence = server.config.Quarantine.Begin(call.attempt.life, exchange.parts, call.attempt.admission, func() { cancel(errQuarantined) })
 	firstGap := max(firstEventTimeoutFactor*exchange.route.Objective, minEventTimeout)
 	call.stream = server.stallDetector.Begin(target.Name, firstGap, now, call.suspect)
-	call.pending = server.forecast.Begin(target.Name, exchange.caller.PromptTokens, now)
+	call.predicted = prediction.FirstEvent
+	call.pending = server.forecast.Begin(target.Name, exchange.pool(), exchange.caller.PromptTokens, prediction, now)
+	call.use = server.config.Traffic.Begin(exchange.pool(), target.Name, exchange.caller.PromptTokens, now)
+	call.beganAt = now
 	delivery.calls = append(delivery.calls, call)
 	go call.run(ctx, server.tracker.Start(target.Name, now))
 }
@@ -120,6 +131,7 @@
 	defer call.evidence.Close()
 	defer call.stream.End()
 	defer call.pending.End()
+	defer func() { call.use.End(call.delivery.exchange.server.config.Now()) }()
 	call.forward(ctx)
 	if call.ended(ctx) {
 		call.result = nil
@@ -273,6 +285,8 @@
 	}
 	if call.lastEventAt.IsZero() {
 		call.pending.FirstEventArrived(now)
+		call.use.FirstEvent(now)
+		server.metrics.predictionError.Observe((call.predicted - now.Sub(call.beganAt)).Seconds())
 	} else {
 		server.forecast.RecordGap(call.target.Name, now.Sub(call.lastEventAt), now)
 	}
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -22,8 +22,15 @@
 
 	duration   *prometheus.HistogramVec
 	firstEvent prometheus.Histogram
+
+	// predictionError is negative for first events that came later than predicted.
+	predictionError prometheus.Histogram
 }
 
+// errorBuckets range, in seconds, from first events that came a second late to ones that came
+// as much early.
+var errorBuckets = []float64{-1, -0.4, -0.2, -0.1, -0.05, -0.02, 0, 0.02, 0.05, 0.1, 0.2, 0.4, 1}
+
 // durationBuckets range, in seconds, from the response time of a plain service
 // to the longest timeout.
 var durationBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8}
@@ -49,6 +56,9 @@
 			Name: metricsPrefix + "first_event_seconds", Help: "Time from a request to the first event of its stream.", Buckets: durationBuckets,
 		}),
 	}
+	registered.predictionError = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: metricsPrefix + "first_event_prediction_error_seconds", Help: "Predicted time to a first event minus the observed one.", Buckets: errorBuckets,
+	})
 	limitedTargets := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: metricsPrefix + "limited_targets", Help: "Targets that name a limit of requests in their answers.",
 	}, func() float64 { return float64(limits.Limited()) })
@@ -57,7 +67,7 @@
 	}, func() float64 { return float64(bodies.Used()) })
 	collectors := []prometheus.Collector{
 		registered.requests, registered.attempts, registered.retries, registered.dials,
-		registered.resumed, registered.relayed, registered.lostServices, registered.rests, registered.duration, registered.firstEvent, limitedTargets, heldBytes,
+		registered.resumed, registered.relayed, registered.lostServices, registered.rests, registered.duration, registered.firstEvent, registered.predictionError, limitedTargets, heldBytes,
 	}
 	for _, collector := range collectors {
 		if err := registerer.Register(collector); err != nil {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -95,6 +95,12 @@
 // events back to the caller.
 func (exchange *exchange) serveStream(ctx context.Context) {
 	exchange.server.objectives.Use(exchange.pool(), exchange.route.Key(), exchange.receivedAt)
+	exchange.server.config.Traffic.Arrived(exchange.pool(), exchange.receivedAt)
+	defer func() {
+		if len(exchange.attempts) == 0 {
+			exchange.server.config.Traffic.Refused(exchange.pool(), exchange.server.config.Now())
+		}
+	}()
 	delivery := &delivery{
 		exchange: exchange, lastEventID: exchange.caller.ResumeAfter, seeking: true,
 		events: make(chan callEvent), suspicions: make(chan *groupCall, maxCalls), pauses: map[string]resumePause{},
@@ -336,6 +342,9 @@
 	now := server.config.Now()
 	table := server.config.Publisher.Current()
 	unavailable := exchange.unavailable(delivery.unavailable(excluded, table, now), table, now)
+	if use, horizon, known := server.config.Traffic.Pool(exchange.pool(), now); known && !delivery.headerSent {
+		return exchange.spread(table, unavailable, use.Arrivals, horizon, now)
+	}
 	target, found := server.picker.PickGroup(table, route.GroupRequest{Service: exchange.service.Name, Spec: exchange.caller.Model, Excluded: unavailable}, now)
 	if !found || delivery.headerSent {
 		return target, found
@@ -381,7 +390,7 @@
 func (exchange *exchange) firstEventBound(now time.Time) time.Duration {
 	server := exchange.server
 	routes := server.config.Publisher.Current().Catalog().Objectives()
-	idle := limit.IdleFirstEvent(exchange.pace())
+	idle := limit.IdleFirstEvent(exchange.pace()) + server.forecast.Correction(exchange.pool(), now)
 	if bound := server.objectives.Bound(exchange.pool(), routes, idle, now); bound > 0 {
 		return bound
 	}
@@ -390,15 +399,58 @@
 
 // predictFirstEvent predicts the time to the first event at a group.
 func (exchange *exchange) predictFirstEvent(target route.GroupTarget, now time.Time) time.Duration {
+	return exchange.predict(target, now).FirstEvent
+}
+
+func (exchange *exchange) predict(target route.GroupTarget, now time.Time) limit.Prediction {
 	server := exchange.server
-	load := server.tracker.Load(target.Name, target.Load, target.LoadReportedAt(), now)
-	return server.forecast.PredictFirstEvent(target.Name, exchange.pace(), load, now)
+	use, _, known := server.config.Traffic.Group(target.Name, now)
+	others := limit.OtherNodes{
+		Known: known, Waiting: use.Waiting, UnreadTokens: use.UnreadTokens,
+	}
+	return server.forecast.PredictFirstEvent(target.Name, exchange.pool(), exchange.pace(), server.picker.GroupLoad(target, now), others, now)
 }
 
+// spread returns a group that is predicted to be in time, by the requests of all nodes and those
+// that are expected within the horizon. It returns false if there is none, or none for this
+// one of the requests.
+func (exchange *exchange) spread(table *route.Table, excluded map[string]bool, arrivals float64, horizon time.Duration, now time.Time) (route.GroupTarget, bool) {
+	server := exchange.server
+	bound, pace := exchange.firstEventBound(now), exchange.pace()
+	targets := exchange.trustedGroups(table, excluded, now)
+	places := make([]limit.Place, len(targets))
+	for index, target := range targets {
+		load := server.picker.GroupLoad(target, now)
+		places[index] = limit.Place{
+			Room: pace.Room(load, exchange.predictFirstEvent(target, now), bound, horizon),
+			Left: pace.Left(load, horizon),
+		}
+		if target.FailureDomain != server.config.FailureDomain {
+			places[index].Left += farCost
+		}
+	}
+	index, found := limit.Spread(places, arrivals*horizon.Seconds(), exchange.draw)
+	if !found {
+		return route.GroupTarget{}, false
+	}
+	server.picker.MarkChosen(targets[index].Name, now)
+	return targets[index], true
+}
+
+// farCost is the load by which a group of this node's failure domain may exceed another one
+// and still get more requests, as in route.PickerConfig.
+const farCost = 2
+
 // earliestGroup returns the group with the earliest predicted first event among
 // those whose prediction is within the bound. Like the picker it returns a suspect only
 // if there is no other group.
 func (exchange *exchange) earliestGroup(table *route.Table, excluded map[string]bool, bound time.Duration, now time.Time) (route.GroupTarget, bool) {
+	return exchange.earliestOf(exchange.trustedGroups(table, excluded, now), bound, now)
+}
+
+// trustedGroups returns the groups that may be chosen, or the suspects among them if there are
+// no others.
+func (exchange *exchange) trustedGroups(table *route.Table, excluded map[string]bool, now time.Time) []route.GroupTarget {
 	var trusted, suspects []route.GroupTarget
 	for _, target := range exchange.groups(table) {
 		switch {
@@ -412,7 +464,7 @@
 	if len(trusted) == 0 {
 		trusted = suspects
 	}
-	return exchange.earliestOf(trusted, bound, now)
+	return trusted
 }
 
 func (exchange *exchange) earliestOf(targets []route.GroupTarget, bound time.Duration, now time.Time) (route.GroupTarget, bool) {
--- a/limit/forecast.go
+++ b/limit/forecast.go
@@ -51,15 +51,42 @@
 // lost. A group that accepts every request lengthens its passes until all
 // events are late, while a group that refuses the requests that would be late
 // keeps the others on time. If responses are long, the slots are full before
-// the passes grow. Then requests of all nodes queue at the engine, and the
-// waits of this node's own requests are used to estimate the queue.
+// the passes grow. Then requests of all nodes queue at the engine. The queue follows from the
+// requests that all nodes have in progress there (OtherNodes). Where these are not known, it
+// is estimated from the waits of this node's own requests.
+//
+// What first events take in addition, which no field of the pace contains, is measured for
+// each pool and added (correction).
 //
 // It is safe for concurrent use.
 type Forecast struct {
 	config ForecastConfig
 
-	mutex   sync.Mutex
-	targets map[string]*targetState
+	mutex       sync.Mutex
+	targets     map[string]*targetState
+	corrections map[string]*correction
+}
+
+// OtherNodes is what the other nodes together have in progress at a target.
+type OtherNodes struct {
+	// Known is false if the sum is missing or too old. The other fields then do not count.
+	Known bool
+
+	// Waiting is the number of requests without a first event, and UnreadTokens the tokens of
+	// their prompts.
+	Waiting      int
+	UnreadTokens int
+}
+
+// A Prediction is the predicted time to a first event.
+type Prediction struct {
+	FirstEvent time.Duration
+
+	// modelled is the part that follows from the pace of the engine and its load. measures is
+	// true if what differs from it shows a cost that the pace does not contain: no queue is
+	// part of the prediction.
+	modelled time.Duration
+	measures bool
 }
 
 type targetState struct {
@@ -81,7 +108,9 @@
 type PendingRequest struct {
 	forecast     *Forecast
 	target       string
+	pool         string
 	promptTokens int
+	prediction   Prediction
 	sentAt       time.Time
 }
 
@@ -106,7 +135,7 @@
 
 // NewForecast returns a forecast without recorded targets.
 func NewForecast(config ForecastConfig) *Forecast {
-	return &Forecast{config: config, targets: map[string]*targetState{}}
+	return &Forecast{config: config, targets: map[string]*targetState{}, corrections: map[string]*correction{}}
 }
 
 func (forecast *Forecast) state(target string) *targetState {
@@ -132,10 +161,10 @@
 	state.gapAt = now
 }
 
-// Begin records a request that is sent to a target now. The caller must call
-// FirstEventArrived or End on the result.
-func (forecast *Forecast) Begin(target string, tokens int, now time.Time) *PendingRequest {
-	request := &PendingRequest{forecast: forecast, target: target, promptTokens: tokens, sentAt: now}
+// Begin records a request of a pool that is sent to a target now, with its prediction. The
+// caller must call FirstEventArrived or End on the result.
+func (forecast *Forecast) Begin(target, pool string, tokens int, prediction Prediction, now time.Time) *PendingRequest {
+	request := &PendingRequest{forecast: forecast, target: target, pool: pool, promptTokens: tokens, prediction: prediction, sentAt: now}
 	forecast.mutex.Lock()
 	defer forecast.mutex.Unlock()
 	state := forecast.state(target)
@@ -152,6 +181,9 @@
 	if state := request.remove(); state != nil {
 		state.lastWait = now.Sub(request.sentAt)
 		state.lastWaitAt = now
+		if request.prediction.measures {
+			forecast.observe(request.pool, state.lastWait-request.prediction.modelled, now)
+		}
 	}
 }
 
@@ -178,36 +210,70 @@
 // observedWait estimates the current wait at the target from this node's
 // requests. It is the longer of two: the age of the oldest request without an
 // event, and the last wait that ended, whose weight decreases to zero over
-// waitMaxAge.
-func (state *targetState) observedWait(now time.Time) time.Duration {
+// waitMaxAge. The latter does not count if the requests of the other nodes are known: they
+// show sooner that a queue has ended.
+func (state *targetState) observedWait(now time.Time, othersKnown bool) time.Duration {
 	longest := time.Duration(0)
 	for request := range state.pending {
 		longest = max(longest, now.Sub(request.sentAt))
 	}
-	if left := waitMaxAge - now.Sub(state.lastWaitAt); left > 0 && left <= waitMaxAge {
+	if left := waitMaxAge - now.Sub(state.lastWaitAt); !othersKnown && left > 0 && left <= waitMaxAge {
 		longest = max(longest, time.Duration(float64(state.lastWait)*float64(left)/float64(waitMaxAge)))
 	}
 	return longest
 }
 
-// PredictFirstEvent predicts the time to the first event of a request that is
-// sent now to a target with the given load, in requests.
-func (forecast *Forecast) PredictFirstEvent(target string, pace Pace, load int, now time.Time) time.Duration {
+// PredictFirstEvent predicts the time to the first event of a request of a pool that is
+// sent now to a target with the given load, in requests of all nodes.
+func (forecast *Forecast) PredictFirstEvent(target, pool string, pace Pace, load int, others OtherNodes, now time.Time) Prediction {
 	forecast.mutex.Lock()
 	defer forecast.mutex.Unlock()
 	gap := pace.Pass
 	unread := pace.MeanPromptTokens
 	queued := time.Duration(0)
+	waiting, waitingTokens := 0, 0
+	if others.Known {
+		waiting, waitingTokens = others.Waiting, others.UnreadTokens
+	}
 	if state := forecast.targets[target]; state != nil {
-		unread += state.unreadTokens
-		queued = state.observedWait(now)
+		waiting += len(state.pending)
+		waitingTokens += state.unreadTokens
+		queued = state.observedWait(now, others.Known)
 		if now.Sub(state.gapAt) <= forecast.config.GapMaxAge {
 			gap = max(gap, state.averageGap)
 		}
 	}
-	others := time.Duration(pace.OtherNodesShare * float64(gap-pace.Pass))
-	passes := time.Duration(currentPassFraction*float64(gap)) + pace.Pass + others
-	return max(queued, passes+time.Duration(unread)*pace.ReadPerToken+pace.slotWait(load, gap))
+	passes := time.Duration(currentPassFraction*float64(gap)) + pace.Pass
+	slotWait := pace.slotWait(load, gap)
+	if others.Known {
+		unread += pace.admittedTokens(waitingTokens, waiting, load)
+		slotWait = pace.fullSlotWait(load, gap)
+	} else {
+		unread += waitingTokens
+		passes += time.Duration(pace.OtherNodesShare * float64(gap-pace.Pass))
+	}
+	modelled := passes + time.Duration(unread)*pace.ReadPerToken + slotWait
+	predicted := modelled + forecast.correction(pool, now)
+	return Prediction{FirstEvent: max(queued, predicted), modelled: modelled, measures: slotWait == 0}
+}
+
+// admittedTokens returns the tokens of those of the waiting requests that have a slot. The
+// prompts of the others are read when slots become free, which the wait for these contains.
+func (pace Pace) admittedTokens(tokens, waiting, load int) int {
+	if pace.Slots == 0 || load <= pace.Slots || waiting == 0 {
+		return tokens
+	}
+	return tokens * max(0, waiting-(load-pace.Slots)) / waiting
+}
+
+// fullSlotWait is slotWait for a target whose passes this node may not have measured: each
+// request that gets a slot also lengthens the passes by the time in which its prompt is read.
+func (pace Pace) fullSlotWait(load int, gap time.Duration) time.Duration {
+	if pace.Slots == 0 || load < pace.Slots {
+		return 0
+	}
+	perSlot := time.Duration(pace.Events)*pace.Pass/time.Duration(pace.Slots) + time.Duration(pace.MeanPromptTokens)*pace.ReadPerToken
+	return max(pace.slotWait(load, gap), time.Duration(load-pace.Slots+1)*perSlot)
 }
 
 // IdleFirstEvent predicts the time to the first event at a target without other requests.
--- a/limit/forecast_test.go
+++ b/limit/forecast_test.go
@@ -38,11 +38,11 @@
 		end := now.Add(pass)
 		for ; next.Before(end); next = next.Add(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second))) {
 			offered++
-			if admit && forecast.PredictFirstEvent("group", enginePace, 0, next) > objective {
+			if admit && forecast.PredictFirstEvent("group", "pool", enginePace, 0, OtherNodes{}, next).FirstEvent > objective {
 				continue
 			}
 			accepted++
-			waiting = append(waiting, &stream{arrived: next, left: events, pending: forecast.Begin("group", prompt, next)})
+			waiting = append(waiting, &stream{arrived: next, left: events, pending: forecast.Begin("group", "pool", prompt, Prediction{}, next)})
 		}
 		unfinished := writing[:0]
 		for _, stream := range writing {
@@ -98,10 +98,10 @@
 	forecast := NewForecast(ForecastConfig{GapMaxAge: time.Second})
 	now := time.Unix(1000, 0)
 	forecast.RecordGap("group", 2*time.Second, now)
-	require.Greater(test, forecast.PredictFirstEvent("group", enginePace, 0, now), time.Second)
-	require.Less(test, forecast.PredictFirstEvent("group", enginePace, 0, now.Add(1100*time.Millisecond)), 200*time.Millisecond)
+	require.Greater(test, forecast.PredictFirstEvent("group", "pool", enginePace, 0, OtherNodes{}, now).FirstEvent, time.Second)
+	require.Less(test, forecast.PredictFirstEvent("group", "pool", enginePace, 0, OtherNodes{}, now.Add(1100*time.Millisecond)).FirstEvent, 200*time.Millisecond)
 	forecast.RecordGap("group", 50*time.Millisecond, now.Add(1200*time.Millisecond))
-	require.Less(test, forecast.PredictFirstEvent("group", enginePace, 0, now.Add(1200*time.Millisecond)), 200*time.Millisecond)
+	require.Less(test, forecast.PredictFirstEvent("group", "pool", enginePace, 0, OtherNodes{}, now.Add(1200*time.Millisecond)).FirstEvent, 200*time.Millisecond)
 }
 
 // Guards against a forecast that ignores this node's own requests until their
@@ -109,12 +109,12 @@
 func TestForecastCountsUnreadPrompts(test *testing.T) {
 	forecast := NewForecast(ForecastConfig{GapMaxAge: time.Second})
 	now := time.Unix(1000, 0)
-	empty := forecast.PredictFirstEvent("group", enginePace, 0, now)
-	pending := forecast.Begin("group", 50700, now)
-	require.InDelta(test, (empty + time.Second).Seconds(), forecast.PredictFirstEvent("group", enginePace, 0, now).Seconds(), 0.01)
+	empty := forecast.PredictFirstEvent("group", "pool", enginePace, 0, OtherNodes{}, now).FirstEvent
+	pending := forecast.Begin("group", "pool", 50700, Prediction{}, now)
+	require.InDelta(test, (empty + time.Second).Seconds(), forecast.PredictFirstEvent("group", "pool", enginePace, 0, OtherNodes{}, now).FirstEvent.Seconds(), 0.01)
 	pending.End()
 	pending.End()
-	require.Equal(test, empty, forecast.PredictFirstEvent("group", enginePace, 0, now))
+	require.Equal(test, empty, forecast.PredictFirstEvent("group", "pool", enginePace, 0, OtherNodes{}, now).FirstEvent)
 }
 
 // Guards against refusals while a slot becomes free in time, and against a
@@ -125,9 +125,9 @@
 	now := time.Unix(1000, 0)
 	pace := Pace{Pass: 25 * time.Millisecond, ReadPerToken: time.Second / 84500, MeanPromptTokens: 700, Slots: 26, Events: 32}
 	const objective = 200 * time.Millisecond
-	require.Less(test, forecast.PredictFirstEvent("group", pace, 25, now), 60*time.Millisecond)
-	require.Less(test, forecast.PredictFirstEvent("group", pace, 27, now), objective)
-	require.Greater(test, forecast.PredictFirstEvent("group", pace, 32, now), objective)
+	require.Less(test, forecast.PredictFirstEvent("group", "pool", pace, 25, OtherNodes{}, now).FirstEvent, 60*time.Millisecond)
+	require.Less(test, forecast.PredictFirstEvent("group", "pool", pace, 27, OtherNodes{}, now).FirstEvent, objective)
+	require.Greater(test, forecast.PredictFirstEvent("group", "pool", pace, 32, OtherNodes{}, now).FirstEvent, objective)
 }
 
 // simulateNodes simulates one engine whose slots are full before its passes
@@ -162,9 +162,9 @@
 		for ; next.Before(end); next = next.Add(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second))) {
 			offered++
 			node := random.IntN(nodes)
-			if forecasts[node].PredictFirstEvent("group", pace, own[node]+others[node], next) <= objective {
+			if forecasts[node].PredictFirstEvent("group", "pool", pace, own[node]+others[node], OtherNodes{}, next).FirstEvent <= objective {
 				own[node]++
-				waiting = append(waiting, &stream{node: node, arrived: next, left: events, pending: forecasts[node].Begin("group", prompt, next)})
+				waiting = append(waiting, &stream{node: node, arrived: next, left: events, pending: forecasts[node].Begin("group", "pool", prompt, Prediction{}, next)})
 			}
 		}
 		for _, stream := range writing {
--- a/route/picker.go
+++ b/route/picker.go
@@ -32,6 +32,11 @@
 	// their start and end.
 	Tracker *Tracker
 
+	// OtherNodes returns the number of requests that all other nodes have in progress at a
+	// group, or false if it is not known. It takes the place of reported loads. It may be
+	// nil.
+	OtherNodes func(group string, now time.Time) (int, bool)
+
 	// Suspects holds the targets to avoid. The user of the picker records
 	// successes and failures. With nil no target is avoided.
 	Suspects *Suspects
@@ -57,6 +62,7 @@
 	failureDomain string
 	tracker       *Tracker
 	suspects      *Suspects
+	otherNodes    func(group string, now time.Time) (int, bool)
 	history       *History
 	loadFactor    float64
 	distanceCost  int
@@ -71,6 +77,7 @@
 		failureDomain: config.FailureDomain,
 		tracker:       config.Tracker,
 		suspects:      config.Suspects,
+		otherNodes:    config.OtherNodes,
 		loadFactor:    config.LoadFactor,
 		distanceCost:  config.DistanceCost,
 		random:        rand.New(config.Source),
@@ -111,18 +118,28 @@
 		if request.Excluded[target.Name] || !target.Usable(now) {
 			continue
 		}
-		load := picker.tracker.Load(target.Name, target.Load, target.LoadReportedAt(), now)
-		candidates = append(candidates, picker.newCandidate(index, target.Name, target.FailureDomain, load, now))
+		candidates = append(candidates, picker.newCandidate(index, target.Name, target.FailureDomain, picker.GroupLoad(target, now), now))
 	}
 	candidates = withoutSuspects(candidates)
 	if len(candidates) == 0 {
 		return GroupTarget{}, false
 	}
 	chosen := targets[picker.chooseGroup(targets, candidates, request).index]
-	picker.markChosen(chosen.Name, now)
+	picker.MarkChosen(chosen.Name, now)
 	return chosen, true
 }
 
+// GroupLoad returns the number of requests at a group: those of this node and the other nodes
+// if the latter are known, else the estimate of the tracker.
+func (picker *Picker) GroupLoad(target GroupTarget, now time.Time) int {
+	if picker.otherNodes != nil {
+		if others, known := picker.otherNodes(target.Name, now); known {
+			return others + picker.tracker.InFlight(target.Name)
+		}
+	}
+	return picker.tracker.Load(target.Name, target.Load, target.LoadReportedAt(), now)
+}
+
 // chooseGroup selects the group that the longest recorded prefix of the prompt was
 // sent to, unless its load exceeds the bound. Otherwise it selects a group by cost
 // and records it for the prompt's prefixes.
@@ -157,8 +174,8 @@
 	return trusted
 }
 
-// markChosen records in the suspects that a target was selected for a request.
-func (picker *Picker) markChosen(target string, now time.Time) {
+// MarkChosen records in the suspects that a target was selected for a request.
+func (picker *Picker) MarkChosen(target string, now time.Time) {
 	if picker.suspects != nil {
 		picker.suspects.startProbe(target, now)
 	}
@@ -186,7 +203,7 @@
 		return ServiceTarget{}, false
 	}
 	chosen := targets[picker.pickLeastCost(candidates).index]
-	picker.markChosen(chosen.ID(), now)
+	picker.MarkChosen(chosen.ID(), now)
 	return chosen, true
 }
 
