Stall detector: count the silence of a target without events from its first stream

Change: it begins with the first stream. The decision whether a target is stalled compares it besides the silence of a stream, which is never longer, so no decision changes; nothing else uses the value. Test: route TestSilenceOfATargetWithoutEventsCountsFromItsFirstStream.

--- a/route/stall_detector.go
+++ b/route/stall_detector.go
@@ -50,7 +50,8 @@
 type targetStreams struct {
 	streams map[*MonitoredStream]bool
 
-	// lastEvent is the time of the latest event of any stream. meanGap is the
+	// lastEvent is the time of the latest event of any stream, or of the start of the first
+	// stream while there was none. meanGap is the
 	// moving average of the time between two events of a stream.
 	lastEvent time.Time
 	meanGap   time.Duration
@@ -92,7 +93,7 @@
 	defer detector.mutex.Unlock()
 	record := detector.targets[target]
 	if record == nil {
-		record = &targetStreams{streams: map[*MonitoredStream]bool{}}
+		record = &targetStreams{streams: map[*MonitoredStream]bool{}, lastEvent: now}
 		detector.targets[target] = record
 	}
 	record.streams[stream] = true
@@ -156,7 +157,7 @@
 	Name string
 
 	// Streams is the number of its streams, and Silence the time since the latest event of
-	// any of them.
+	// any of them, or since the first of them began.
 	Streams int
 	Silence time.Duration
 }
--- a/route/stall_detector_test.go
+++ b/route/stall_detector_test.go
@@ -34,6 +34,17 @@
 	require.Equal(test, 3, cancelled)
 }
 
+// Guards against a silence of 9223372036854 ms, which was logged for targets none of whose
+// streams had an event: it was counted from a time that was never set.
+func TestSilenceOfATargetWithoutEventsCountsFromItsFirstStream(test *testing.T) {
+	detector := newTestStallDetector()
+	now := time.Unix(1000, 0)
+	detector.Begin("group", time.Hour, now, func() {})
+	detector.Begin("group", time.Hour, now.Add(800*time.Millisecond), func() {})
+	require.Empty(test, detector.SuspectStalled(now.Add(900*time.Millisecond)))
+	require.Equal(test, []StalledTarget{{Name: "group", Streams: 2, Silence: 950 * time.Millisecond}}, detector.SuspectStalled(now.Add(950*time.Millisecond)))
+}
+
 // Guards against a target that is reported as stalled because one of its streams
 // has no events.
 func TestOneStalledStreamDoesNotCancelOthers(test *testing.T) {
