Ask placed members while the store is away

Cause: no order ends the composition of a member that is only silent until it has been silent for 1.5 s.

Change: while the store is away, the leader, also one whose lease has run out, asks the placed members of its domains once a second and remembers since when each has been silent, unless none of the domain answers. After the return it passes that on for the members that it misses (group.VMSilent).

--- a/control/loop.go
+++ b/control/loop.go
@@ -210,6 +210,8 @@
 		state.handleDomainProbed(now, result)
 	case lapsedResult:
 		state.handleLapsedResult(now, result)
+	case outageResult:
+		state.handleOutageResult(result)
 	case placedResult:
 		state.handlePlacedResult(now, result)
 	case recheckResult:
@@ -260,6 +262,7 @@
 	if state.feeding() {
 		state.probeStalledGroups(now)
 		state.checkDetached(now)
+		state.askInOutage(now)
 		state.recordLeavingTargets(now)
 	}
 	for _, leadership := range state.leaderships {
--- a/control/outage.go
+++ b/control/outage.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -20,11 +21,23 @@
 	// last one of at least outageMinimum ended.
 	began time.Time
 	ended time.Time
+
+	// asking are the rounds of questions in an outage, and silent the members that have not
+	// answered in it.
+	asking probeRound
+	silent map[string]silence
+}
+
+// A silence is the time since which an incarnation of a target has answered no question.
+type silence struct {
+	incarnation string
+	since       time.Time
 }
 
 func (outage *outage) begin(now time.Time) {
 	if outage.began.IsZero() {
 		outage.began = now
+		outage.silent = map[string]silence{}
 	}
 }
 
@@ -47,6 +60,62 @@
 	return !outage.ended.IsZero() && now.Sub(outage.ended) <= bound
 }
 
+// outageAskInterval is the time between two rounds of questions in an outage. Two rounds show
+// that a target has been silent for longer than a sound one may be.
+const outageAskInterval = time.Second
+
+// outageResult holds the answers of the placed members of the led fabric domains in an outage.
+type outageResult struct {
+	asked   time.Time
+	answers []probeAnswer
+}
+
+func (outageResult) message() {}
+
+// askInOutage asks the placed members of the fabric domains that this node leads, or led until
+// its lease ended, while the store is away. It decides nothing yet. The load: members that end
+// in an outage of seconds are lost when it is over, but a leader that asks them only then has to
+// wait as long as a sound member may be silent before it ends their compositions.
+func (state *state) askInOutage(now time.Time) {
+	outage := &state.feed.outage
+	if !outage.inProgress() || now.Sub(outage.began) < outageMinimum || !outage.asking.due(now, outageAskInterval) {
+		return
+	}
+	var targets []probedTarget
+	for _, leadership := range state.leaderships {
+		targets = append(targets, state.listedMembers(leadership.leader.Placement())...)
+	}
+	if len(targets) == 0 {
+		return
+	}
+	outage.asking = probeRound{running: true, beganAt: now}
+	state.startWorker(func(ctx context.Context) message {
+		return outageResult{asked: now, answers: askAll(ctx, targets, func(ctx context.Context, target probedTarget) probeAnswer {
+			return state.askReport(ctx, target, probeAttempts)
+		})}
+	})
+}
+
+// handleOutageResult records since when each member has been silent. In a domain of which none
+// answers, this node may have lost its way to the targets.
+func (state *state) handleOutageResult(result outageResult) {
+	outage := &state.feed.outage
+	outage.asking.running = false
+	reached := map[string]bool{}
+	for _, answer := range result.answers {
+		reached[answer.domain] = reached[answer.domain] || answer.responded
+	}
+	for _, answer := range result.answers {
+		known, silent := outage.silent[answer.vm]
+		switch {
+		case answer.responded || !reached[answer.domain]:
+			delete(outage.silent, answer.vm)
+		case !silent || known.incarnation != answer.incarnation:
+			outage.silent[answer.vm] = silence{incarnation: answer.incarnation, since: result.asked}
+		}
+	}
+}
+
 // endOutage makes the calls to the store due that wait in a backoff, once the feed has shown
 // that the store answers again.
 func (state *state) endOutage(now time.Time) {
--- a/control/outage_test.go
+++ b/control/outage_test.go
@@ -71,3 +71,25 @@
 	state.handleFeed(ended.Add(time.Second), listed)
 	require.Equal(test, ended, state.feed.outage.ended)
 }
+
+// Guards against members that count as silent although they answered again, or because this
+// node reached nobody, and against a silence that is counted anew with each question.
+func TestSilenceInAnOutage(test *testing.T) {
+	now := time.Now()
+	state := newTestFeed(test, now)
+	state.handleFeed(now, FeedInterrupted{Err: errors.New("down")})
+	a, b := newProbedTarget(testMember("a", 0).VM), newProbedTarget(testMember("b", 1).VM)
+	ask := func(after time.Duration, aResponds, bResponds bool) {
+		state.handleOutageResult(outageResult{asked: now.Add(after), answers: []probeAnswer{
+			{probedTarget: a, responded: aResponds}, {probedTarget: b, responded: bResponds},
+		}})
+	}
+	ask(time.Second, true, false)
+	ask(2*time.Second, true, false)
+	require.Equal(test, map[string]silence{"b": {incarnation: "1", since: now.Add(time.Second)}}, state.feed.outage.silent)
+	ask(3*time.Second, false, false)
+	require.Empty(test, state.feed.outage.silent)
+	ask(4*time.Second, true, false)
+	ask(5*time.Second, true, true)
+	require.Empty(test, state.feed.outage.silent)
+}
--- a/control/placed.go
+++ b/control/placed.go
@@ -133,10 +133,13 @@
 			zap.Bool("responds", answer.responded), zap.String("reported-incarnation", answer.report.Incarnation),
 			zap.String("group", answer.report.Group), zap.Uint64("epoch", answer.report.Epoch), zap.Int("rank", answer.report.Rank), zap.Bool("held", held))
 	}
-	changed = state.missSilent(now, result, silent) || changed
-	if changed {
+	missed := state.missSilent(now, result, silent)
+	if changed || missed {
 		state.applyTargets(now)
 	}
+	if missed {
+		state.reportSilence(now, leadership, silent)
+	}
 	state.recordLeavingAnswers(now, result.answers)
 	if leadership, found := state.leaderships[result.domain]; found {
 		state.handleGroup(now, leadership, group.AwaitMembers{})
@@ -157,3 +160,13 @@
 	}
 	return true
 }
+
+// reportSilence passes on to the leader since when missing members have been silent, if they
+// were asked during the outage.
+func (state *state) reportSilence(now time.Time, leadership *leadership, silent []probeAnswer) {
+	for _, answer := range silent {
+		if known, asked := state.feed.outage.silent[answer.vm]; asked && known.incarnation == answer.incarnation {
+			state.handleGroup(now, leadership, group.VMSilent{VM: answer.vm, Incarnation: answer.incarnation, Since: known.since})
+		}
+	}
+}
--- a/group/effect.go
+++ b/group/effect.go
@@ -141,6 +141,13 @@
 // VMEnded reports that an incarnation of a VM has ended: its address accepts no connection.
 type VMEnded struct{ VM, Incarnation string }
 
+// VMSilent reports that an incarnation of a VM has answered none of the questions since a time,
+// of which more than one was asked.
+type VMSilent struct {
+	VM, Incarnation string
+	Since           time.Time
+}
+
 // AwaitMembers reports that members are being asked of which the leader has no report yet. Until
 // then, it changes no placement and gives no order that ends a composition. The zero time ends
 // the wait.
@@ -169,6 +176,7 @@
 func (VMLeaving) event()            {}
 func (AwaitMembers) event()         {}
 func (VMEnded) event()              {}
+func (VMSilent) event()             {}
 func (Tick) event()                 {}
 
 // An Effect is an action that the caller of Handle carries out for the leader.
--- a/group/leader.go
+++ b/group/leader.go
@@ -265,6 +265,8 @@
 		leader.handleLeaving(event)
 	case VMEnded:
 		leader.handleEnded(event)
+	case VMSilent:
+		leader.handleSilent(event)
 	case AwaitMembers:
 		leader.awaitUntil = event.Until
 	case Tick:
--- a/group/member.go
+++ b/group/member.go
@@ -44,6 +44,10 @@
 	// it is present.
 	absentSince time.Time
 
+	// silentSince is since when the VM has not answered questions, zero if it is not known. The
+	// next report ends it.
+	silentSince time.Time
+
 	// endedIncarnation is the last incarnation that is known to have ended.
 	endedIncarnation string
 
@@ -103,7 +107,11 @@
 
 // silent reports whether a VM that is missing may still be in its place and run requests.
 func (vm *member) silent(now time.Time) bool {
-	return vm.reported && !vm.missingSince.IsZero() && now.Sub(vm.missingSince) < silenceHold && vm.endedIncarnation != vm.report.Incarnation
+	since := vm.missingSince
+	if !vm.silentSince.IsZero() {
+		since = earlier(since, vm.silentSince)
+	}
+	return vm.reported && !vm.missingSince.IsZero() && now.Sub(since) < silenceHold && vm.endedIncarnation != vm.report.Incarnation
 }
 
 func (vm *member) leaving() bool {
@@ -153,6 +161,7 @@
 	vm.sentAt = read.Sent
 	vm.askedAt = time.Time{}
 	vm.missingSince = time.Time{}
+	vm.silentSince = time.Time{}
 	vm.recordLatency(now.Sub(read.Sent))
 }
 
@@ -285,6 +294,13 @@
 	}
 }
 
+// handleSilent records since when the incarnation of a known VM has been silent.
+func (leader *Leader) handleSilent(event VMSilent) {
+	if vm, found := leader.members[event.VM]; found && vm.reported && vm.report.Incarnation == event.Incarnation {
+		vm.silentSince = event.Since
+	}
+}
+
 // handleEnded records that the incarnation of a known VM has ended.
 func (leader *Leader) handleEnded(event VMEnded) {
 	if vm, found := leader.members[event.VM]; found {
--- a/group/silence_test.go
+++ b/group/silence_test.go
@@ -52,3 +52,24 @@
 		}
 	}
 }
+
+// A member was silent all through an outage of the store. Guards against a leader that waits
+// once more, after the return, as long as a sound member may be silent.
+func TestMemberThatWasSilentInAnOutageIsNotWaitedFor(test *testing.T) {
+	for _, asked := range []bool{false, true} {
+		domain := newOpenedByOrderDomain(test, 9)
+		domain.waitFor(20*time.Second, domain.bothServing())
+		rank0 := domain.openVM("large")
+		lost := domain.leader.Placement().Members(domain.engines[rank0].report.Group)[1]
+		incarnation := domain.engines[lost].report.Incarnation
+		domain.runFor(5 * time.Second)
+		domain.orders = nil
+		domain.unlist(lost)
+		if asked {
+			domain.send(VMSilent{VM: lost, Incarnation: incarnation, Since: domain.now.Add(-silenceHold)})
+		}
+		domain.runFor(time.Second)
+		closes := slices.ContainsFunc(domain.orders, func(order SendOrder) bool { return order.VM == rank0 && order.Order.Action == engine.ActionClose })
+		require.Equal(test, asked, closes)
+	}
+}
