--- a/forward/groupcall.go
+++ b/forward/groupcall.go
@@ -93,6 +93,7 @@
 	exchange.load = server.picker.GroupLoad(target, now)
 	prediction := exchange.predict(target, now)
 	exchange.predicted = prediction.FirstEvent
+	server.picker.Sent(target, exchange.groupRequest(nil), now)
 	ctx, cancel := context.WithCancelCause(ctx)
 	call := &groupCall{
 		delivery: delivery, target: target, cancel: cancel, done: make(chan struct{}),
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -345,7 +345,7 @@
 	if use, horizon, known := server.config.Traffic.Pool(exchange.pool(), now); known && !delivery.headerSent {
 		return exchange.spread(table, unavailable, use.Arrivals, horizon, now)
 	}
-	target, found := server.picker.PickGroup(table, route.GroupRequest{Service: exchange.service.Name, Spec: exchange.caller.Model, Excluded: unavailable}, now)
+	target, found := server.picker.PickGroup(table, exchange.groupRequest(unavailable), now)
 	if !found || delivery.headerSent {
 		return target, found
 	}
