--- a/admin/admin.go
+++ b/admin/admin.go
@@ -28,6 +28,7 @@
 	"lacewingspoke.org/lacewingspoke/explanation"
 	"lacewingspoke.org/lacewingspoke/forward"
 	"lacewingspoke.org/lacewingspoke/mirror"
+	"lacewingspoke.org/lacewingspoke/trafficsync"
 )
 
 // A status request whose query parameter QueryGroups is GroupsNo receives a
@@ -77,6 +78,20 @@
 
 	// Quarantined are the parts of requests in quarantine.
 	Quarantined []string `json:"quarantined"`
+
+	// Evacuated are the failure domains to whose targets the operators want no requests.
+	Evacuated []EvacuationStatus `json:"evacuated,omitempty"`
+}
+
+// EvacuationStatus is the status of an evacuated failure domain.
+type EvacuationStatus struct {
+	FailureDomain string `json:"failure-domain"`
+
+	// Stopped is true once the node sends no new requests there.
+	Stopped bool `json:"stopped"`
+
+	// InProgress is the number of requests of the node that are in progress there.
+	InProgress int `json:"in-progress"`
 }
 
 // PeerStatus is the status of a peer to which the node is connected.
@@ -212,6 +227,10 @@
 	// Mirror serves other nodes that read the store through this node. It is
 	// optional.
 	Mirror http.Handler
+
+	// Traffic receives the counts of traffic of other nodes, at trafficsync.Path. It is
+	// optional.
+	Traffic http.Handler
 }
 
 // A Server is the admin interface of one node.
@@ -265,6 +284,9 @@
 	if config.Mirror != nil {
 		server.router.Handle(mirror.Path, config.Mirror).Methods(http.MethodGet)
 	}
+	if config.Traffic != nil {
+		server.router.Handle(trafficsync.Path, config.Traffic).Methods(http.MethodPost)
+	}
 	return server
 }
 
--- a/cmd/lacewingspoke/sharedmodule.go
+++ b/cmd/lacewingspoke/sharedmodule.go
@@ -22,6 +22,8 @@
 	"lacewingspoke.org/lacewingspoke/route"
 	"lacewingspoke.org/lacewingspoke/settings"
 	"lacewingspoke.org/lacewingspoke/timer"
+	"lacewingspoke.org/lacewingspoke/traffic"
+	"lacewingspoke.org/lacewingspoke/trafficsync"
 )
 
 // sharedModule builds the components of a node on a platform whose store is
@@ -32,6 +34,8 @@
 	newStoreClient,
 	newMirror,
 	newFeed,
+	newTraffic,
+	newTrafficLink,
 	newForward,
 	newForwardCallerServer,
 	newFeedController,
@@ -77,7 +81,10 @@
 	sharedClaimStep = 250 * time.Millisecond
 
 	// sharedSettleNear and sharedSettleFar allow for the start of all nodes
-	// together, whose start times differ by 300 ms.
+	// together, whose start times differ by 300 ms. A node that starts later leaves all
+	// domains to others for sharedSettleFar: after an outage in which all leases ran out, the
+	// leaders of before claim theirs 0.1 to 0.3 s after a node that has just started could, and
+	// only they have seen the VMs whose announcements ran out as well.
 	sharedSettleNear = 100 * time.Millisecond
 	sharedSettleFar  = 900 * time.Millisecond
 )
@@ -119,7 +126,7 @@
 }
 
 func newFeed(loaded *settings.Settings, mirrored *mirror.Mirror, clock *timer.BootClock, logger *zap.Logger) *platform.Feed {
-	return platform.NewFeed(platform.FeedConfig{Client: mirrored, Revocation: loaded.RevocationBound(), Clock: clock.Now, Logger: logger})
+	return platform.NewFeed(platform.FeedConfig{Client: mirrored, Revocation: loaded.RevocationBound(), Evacuations: loaded.Evacuation() > 0, Clock: clock.Now, Logger: logger})
 }
 
 // mirroredPlatform lists and watches keys through the mirror and sends all other
@@ -139,6 +146,30 @@
 	return client.mirrored.Watch(ctx, prefix, after, wait)
 }
 
+func newTraffic(loaded *settings.Settings) *traffic.Exchange {
+	return traffic.New(traffic.Config{Node: loaded.Name()})
+}
+
+func newTrafficLink(exchange *traffic.Exchange, clock *timer.BootClock, timers *timer.Service, logger *zap.Logger, registry *prometheus.Registry) (*trafficsync.Link, error) {
+	link, err := trafficsync.New(trafficsync.Config{Exchange: exchange, Now: clock.Now, Timers: timers, Logger: logger, Registerer: registry})
+	return link, errors.Trace(err)
+}
+
+// setHubs returns a function that passes on which nodes add up the counts of traffic.
+func setHubs(exchange *traffic.Exchange) func(domains [][]fleet.Node, nodes int) {
+	return func(domains [][]fleet.Node, nodes int) {
+		ranked := make([][]traffic.Hub, 0, len(domains))
+		for _, domain := range domains {
+			var hubs []traffic.Hub
+			for _, node := range domain {
+				hubs = append(hubs, traffic.Hub{Node: node.Name, Address: node.AdminAddress})
+			}
+			ranked = append(ranked, hubs)
+		}
+		exchange.SetHubs(ranked, nodes)
+	}
+}
+
 // forwardParams are the dependencies of the forward server.
 type forwardParams struct {
 	fx.In
@@ -149,6 +180,7 @@
 	Tracker   *quarantine.Tracker
 	Limits    *limit.TargetLimits
 	Calls     nodeCalls
+	Traffic   *traffic.Exchange
 	Clock     *timer.BootClock
 	Timers    *timer.Service
 	Logger    *zap.Logger
@@ -171,6 +203,7 @@
 		MaxBodies:       int64(bodiesRatio * float64(params.Settings.Memory())),
 		Quarantine:      params.Tracker,
 		Limits:          params.Limits,
+		Traffic:         params.Traffic,
 		Logger:          params.Logger,
 		Registerer:      params.Registry,
 	})
@@ -213,6 +246,7 @@
 	Mesh        *peer.Mesh
 	Forward     *forward.Server
 	Calls       nodeCalls
+	Exchange    *traffic.Exchange
 	Quarantine  *quarantine.Tracker
 	Limits      *limit.TargetLimits
 	Publisher   *route.Publisher
@@ -232,18 +266,21 @@
 		LeaseMinimum:      sharedLeaseMinimum,
 		RenewalsPerSecond: sharedRenewalsPerSecond,
 		ClaimStep:         sharedClaimStep,
-		SettleNear:        sharedSettleNear,
+		SettleNear:        settleNear(params.Settings),
 		SettleFar:         sharedSettleFar,
 		Feed: control.FeedConfig{
 			Events:        params.Feed.Events(),
 			SetPause:      params.Feed.SetPause,
 			SetSources:    params.Mirror.SetSources,
+			SetHubs:       setHubs(params.Exchange),
 			ReportStalled: params.Calls.ReportStalled,
 			ReturnGrace:   returnGrace,
 			LapseGrace:    params.Settings.DrainBound() / lapseGraceDivisor,
 			LoadWindow:    params.Settings.LoadWindow(),
 			LoadSlack:     loadSlack,
 			Bootstrap:     params.Settings.Bootstrap(),
+			Evacuation:    params.Settings.Evacuation(),
+			InProgress:    params.Forward.InProgress,
 		},
 		Limits:        params.Limits,
 		Quarantine:    params.Quarantine,
@@ -266,6 +303,13 @@
 	return controller, errors.Trace(err)
 }
 
+func settleNear(loaded *settings.Settings) time.Duration {
+	if loaded.Bootstrap() {
+		return sharedSettleNear
+	}
+	return sharedSettleFar
+}
+
 // announcedServices is the control.Services of a node with a feed, which receives
 // the reports of service runners through the feed.
 type announcedServices struct{}
--- a/control/feed.go
+++ b/control/feed.go
@@ -13,6 +13,7 @@
 	"lacewingspoke.org/lacewingspoke/catalog"
 	"lacewingspoke.org/lacewingspoke/directory"
 	"lacewingspoke.org/lacewingspoke/engine"
+	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/folder"
 	"lacewingspoke.org/lacewingspoke/group"
 	"lacewingspoke.org/lacewingspoke/limit"
@@ -21,7 +22,7 @@
 
 // A FeedEvent is an event of a platform that publishes the reports of its
 // targets and the configuration in its store. It is TargetsListed,
-// TargetsChanged, ConfigurationRead or FeedInterrupted.
+// TargetsChanged, ConfigurationRead, EvacuationsRead or FeedInterrupted.
 type FeedEvent interface{ feedEvent() }
 
 // TargetsListed is the complete list of targets.
@@ -42,12 +43,16 @@
 // ConfigurationRead is the platform's configuration.
 type ConfigurationRead struct{ Catalog *catalog.Catalog }
 
+// EvacuationsRead holds all failure domains to whose targets the operators want no requests.
+type EvacuationsRead struct{ Evacuations []catalog.Evacuation }
+
 // FeedInterrupted reports that a call to the platform failed.
 type FeedInterrupted struct{ Err error }
 
 func (TargetsListed) feedEvent()     {}
 func (TargetsChanged) feedEvent()    {}
 func (ConfigurationRead) feedEvent() {}
+func (EvacuationsRead) feedEvent()   {}
 func (FeedInterrupted) feedEvent()   {}
 
 // FeedConfig connects a node to a feed and holds the bounds that apply to it.
@@ -64,6 +69,10 @@
 	// read. It is nil if the store is always read directly.
 	SetSources func(addresses []string)
 
+	// SetHubs sets the nodes that add up the counts of traffic, for each failure domain and
+	// this node's own first, and the number of nodes. It may be nil.
+	SetHubs func(domains [][]fleet.Node, nodes int)
+
 	// ReportStalled reports to the node at an admin address, which leads the group's
 	// fabric domain, that the streams of the group have stalled. It may be nil.
 	ReportStalled func(ctx context.Context, address, group string) error
@@ -81,6 +90,14 @@
 	LoadWindow time.Duration
 	LoadSlack  int
 
+	// Evacuation is the time within which an evacuation of a failure domain has to take
+	// effect.
+	Evacuation time.Duration
+
+	// InProgress returns the number of requests of this node that are in progress at the
+	// targets of a failure domain. It may be nil.
+	InProgress func(failureDomain string) int
+
 	// Bootstrap removes the bound on loads until the first request of a caller.
 	// It is set on nodes that start while the whole system is started for the
 	// first time.
@@ -135,12 +152,19 @@
 // feedState is the state of a node that follows a feed.
 type feedState struct {
 	directory *directory.Directory
+	outage    outage
 	reports   map[string]engine.Report
 
 	runners []route.ServiceTarget
 	catalog *catalog.Catalog
-	loads   *limit.LoadLimiter
-	orders  *orderCounts
+
+	// evacuations are the evacuated failure domains, each with the time from which its
+	// targets receive no requests. nextStop is the first of these times that lies ahead.
+	evacuations []route.Evacuation
+	nextStop    time.Time
+
+	loads  *limit.LoadLimiter
+	orders *orderCounts
 
 	// unresponsive holds the targets that did not respond to a probe, each with
 	// the heartbeat of its last announcement. A target with a later heartbeat
@@ -194,16 +218,18 @@
 func (state *state) feeding() bool { return state.config.Feed.Events != nil }
 
 func (state *state) handleFeed(now time.Time, event FeedEvent) {
-	changed := false
+	changed, listed := false, false
 	switch event := event.(type) {
 	case TargetsListed:
 		state.storeReachedAt = now
+		listed = true
 		if event.Copied {
 			state.feed.directory.BeginEra()
 		}
 		changed = state.feed.directory.Replace(now, event.Targets)
 	case TargetsChanged:
 		state.storeReachedAt = now
+		listed = true
 		composition := state.feed.directory.Composition()
 		changed = state.feed.directory.Apply(now, event.Put, event.Removed)
 		if changed && state.feed.directory.Composition() == composition && state.feed.inUse(event.Put) {
@@ -213,8 +239,12 @@
 	case ConfigurationRead:
 		state.storeReachedAt = now
 		state.adoptCatalog(now, event.Catalog)
+	case EvacuationsRead:
+		state.storeReachedAt = now
+		state.setEvacuations(now, event.Evacuations)
 	case FeedInterrupted:
 		state.feed.directory.BeginOutage()
+		state.feed.outage.begin(now)
 		state.metrics.storeFailures.Inc()
 	default:
 		panic(errors.Errorf("control: feed event %T is not handled", event))
@@ -222,6 +252,9 @@
 	if changed || state.feed.anyRecovered() {
 		state.applyTargets(now)
 	}
+	if listed {
+		state.endOutage(now)
+	}
 }
 
 // adoptCatalog puts a configuration into force if it is newer than the current
--- a/forward/explain.go
+++ b/forward/explain.go
@@ -13,31 +13,48 @@
 	"lacewingspoke.org/lacewingspoke/route"
 )
 
-// A groupPlacement is the decision of the picker on the group of a stream, with the groups that
-// take no call of it now.
-type groupPlacement struct {
-	route.GroupPlacement
-	unavailable map[string]bool
+// A groupDecision is the decision on the group of the next call of a stream, with its reasons.
+type groupDecision struct {
+	target route.GroupTarget
+	found  bool
+	reason string
+
+	// preferred is the group that was selected without regard to the forecast, whose probe
+	// begins if it is a suspect. It is empty if there is none.
+	preferred string
+
+	// candidates are all groups of the model, if the request asks for reasons.
+	candidates []route.GroupCandidate
 }
 
-// placeGroup decides on the group of the next call, without regard to the forecast.
-func (delivery *delivery) placeGroup(excluded map[string]bool, table *route.Table, now time.Time) groupPlacement {
+// decideGroup decides on the group of the next call. If the requests of all nodes are known, they
+// decide; else the load that this node has observed. Where engines keep prompts, that load and
+// what groups hold decide in both cases.
+func (delivery *delivery) decideGroup(excluded map[string]bool, table *route.Table, now time.Time) groupDecision {
 	exchange := delivery.exchange
+	server := exchange.server
 	unavailable := exchange.unavailable(delivery.unavailable(excluded, table, now), table, now)
-	return groupPlacement{
-		GroupPlacement: exchange.server.picker.PlaceGroup(table, exchange.groupRequest(unavailable), now),
-		unavailable:    unavailable,
+	if use, horizon, known := server.config.Traffic.Pool(exchange.pool(), now); known && !delivery.headerSent && !exchange.keepsPrompts() {
+		decision := groupDecision{reason: "its share of the requests of all nodes"}
+		decision.target, decision.found = exchange.spread(table, unavailable, use.Arrivals, horizon, now)
+		decision.preferred = decision.target.Name
+		if exchange.explained {
+			decision.candidates = server.picker.PlaceGroup(table, exchange.groupRequest(unavailable), now).Candidates
+		}
+		return decision
+	}
+	placed := server.picker.PlaceGroup(table, exchange.groupRequest(unavailable), now)
+	decision := groupDecision{target: placed.Target, found: placed.Found, reason: placed.Reason(), preferred: placed.Target.Name, candidates: placed.Candidates}
+	if !placed.Found || delivery.headerSent {
+		return decision
 	}
-}
-
-// withinBound returns the placed group, or the one with the earliest predicted first event, if
-// the prediction is within the bound.
-func (exchange *exchange) withinBound(placed groupPlacement, table *route.Table, now time.Time) (route.GroupTarget, bool) {
 	bound := exchange.firstEventBound(now)
 	if exchange.predictFirstEvent(placed.Target, now) <= bound {
-		return placed.Target, true
+		return decision
 	}
-	return exchange.earliestGroup(table, placed.unavailable, bound, now)
+	decision.reason = "the earliest first event, because that of the group with the least load would be late"
+	decision.target, decision.found = exchange.earliestGroup(table, unavailable, bound, now)
+	return decision
 }
 
 // refusalDelay returns the Retry-After of a stream that is refused, besides the rests of its
@@ -102,7 +119,7 @@
 		return nil, errors.NewNotValid(nil, fmt.Sprintf("question without a workspace: route %s requires a key", matched.Name))
 	}
 	exchange := &exchange{
-		server: server, table: table, explained: true, receivedAt: server.config.Now(), route: matched, service: service,
+		server: server, table: table, explained: true, receivedAt: server.config.Now(), draw: server.randomFraction(), route: matched, service: service,
 		workspace: catalog.Workspace{Name: question.Workspace, Priority: -1},
 		caller:    CallerHeaders{Model: question.Model, PromptTokens: question.Tokens},
 	}
@@ -125,26 +142,19 @@
 // explainStream adds the decision on the group of a stream.
 func (exchange *exchange) explainStream(answer *explanation.Answer, now time.Time) {
 	delivery := &delivery{exchange: exchange}
-	placed := delivery.placeGroup(map[string]bool{}, exchange.table, now)
+	decision := delivery.decideGroup(map[string]bool{}, exchange.table, now)
 	bound := exchange.firstEventBound(now)
 	answer.Model = exchange.caller.Model
 	answer.BoundMillis = bound.Milliseconds()
 	answer.PromptTokens = exchange.groupRequest(nil).Prompt.Tokens()
-	for _, candidate := range placed.Candidates {
+	for _, candidate := range decision.candidates {
 		answer.Candidates = append(answer.Candidates, exchange.explainGroup(candidate, bound, now))
 	}
-	target, found := placed.Target, placed.Found
-	if found {
-		target, found = exchange.withinBound(placed, exchange.table, now)
-	}
-	switch {
-	case !found:
+	if !decision.found {
 		answer.Refuse(exchange.noGroupReason(), exchange.restEndsIn()+exchange.refusalDelay())
-	case target.Name != placed.Target.Name:
-		answer.Send(target.Name, "the earliest first event; "+placed.Target.Name+" has the least load, but its first event would be late")
-	default:
-		answer.Send(target.Name, placed.Reason())
+		return
 	}
+	answer.Send(decision.target.Name, decision.reason)
 }
 
 func (exchange *exchange) explainGroup(candidate route.GroupCandidate, bound time.Duration, now time.Time) explanation.Candidate {
@@ -152,15 +162,20 @@
 	forecast := exchange.predictFirstEvent(*target, now)
 	excluded := candidate.Exclusion
 	switch {
+	case excluded == route.ExcludedClosed && exchange.table.Evacuated(target.FailureDomain, now):
+		excluded = route.ExcludedEvacuated
 	case excluded == route.ExcludedByRequest:
 		excluded = server.unavailability(target.Instance(), target.VM, now)
 	case excluded == "" && forecast > bound:
 		excluded = route.ExcludedLate
 	}
-	age, known := server.tracker.LoadAge(target.Name, target.LoadReportedAt(), now)
+	_, age, known := server.config.Traffic.Group(target.Name, now)
+	if !known {
+		age, known = server.tracker.LoadAge(target.Name, target.LoadReportedAt(), now)
+	}
 	return explanation.Candidate{
 		Name: target.Name, VM: target.VM, FailureDomain: target.FailureDomain, Near: target.FailureDomain == server.config.FailureDomain,
-		Excluded: string(excluded), Load: server.tracker.Load(target.Name, target.Load, target.LoadReportedAt(), now),
+		Excluded: string(excluded), Load: server.picker.GroupLoad(*target, now),
 		LoadAgeMillis: explanation.Milliseconds(age, known), HeldTokens: candidate.Held,
 		ForecastMillis: forecast.Milliseconds(), WeighedMicros: candidate.Time.Microseconds(),
 	}
@@ -173,7 +188,7 @@
 		answer.Candidates = append(answer.Candidates, exchange.explainCandidate(candidate, now))
 	}
 	if !placed.Found {
-		answer.Refuse(exchange.noRunnerReason(), exchange.restEndsIn()+runnerRetryAfter)
+		answer.Refuse(exchange.noRunnerReason(), exchange.restEndsIn()+exchange.runnerRetryDelay())
 		return
 	}
 	answer.Send(placed.Target.Name, placed.Reason())
@@ -182,7 +197,12 @@
 func (exchange *exchange) explainCandidate(candidate route.ServiceCandidate, now time.Time) explanation.Candidate {
 	server, target := exchange.server, candidate.Target
 	excluded := candidate.Exclusion
-	if excluded == route.ExcludedByRequest {
+	switch excluded {
+	case route.ExcludedClosed:
+		if exchange.table.Evacuated(target.FailureDomain, now) {
+			excluded = route.ExcludedEvacuated
+		}
+	case route.ExcludedByRequest:
 		excluded = server.unavailability(target.Instance(), target.ID(), now)
 		if excluded == "" && server.isFull(*target, now) {
 			excluded = route.ExcludedFull
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -65,6 +65,7 @@
 	"lacewingspoke.org/lacewingspoke/quarantine"
 	"lacewingspoke.org/lacewingspoke/route"
 	"lacewingspoke.org/lacewingspoke/timer"
+	"lacewingspoke.org/lacewingspoke/traffic"
 )
 
 // CallerHeaders holds the values of a caller's request headers.
@@ -218,6 +219,10 @@
 	// nil, the server makes one for a single node.
 	Limits *limit.TargetLimits
 
+	// Traffic counts the requests of this node and has the sums of the others. If it is nil,
+	// the server makes one of its own, which no other node's counts reach.
+	Traffic *traffic.Exchange
+
 	// Quarantine keeps requests with parts that end targets from them. If it is nil,
 	// the server makes one of its own, which no other node's decisions reach.
 	Quarantine *quarantine.Tracker
@@ -296,6 +301,9 @@
 	if config.Limits == nil {
 		config.Limits = limit.NewTargetLimits("")
 	}
+	if config.Traffic == nil {
+		config.Traffic = traffic.New(traffic.Config{Node: config.Node})
+	}
 	if config.Quarantine == nil {
 		config.Quarantine = quarantine.NewTracker()
 	}
@@ -339,6 +347,10 @@
 			Source:        rand.NewPCG(config.Seed, config.Seed),
 			Tracker:       tracker,
 			Suspects:      suspects,
+			OtherNodes: func(group string, now time.Time) (int, bool) {
+				use, _, fresh := config.Traffic.Group(group, now)
+				return use.Running, fresh
+			},
 		}),
 		stallDetector: route.NewStallDetector(route.StallDetectorConfig{MinEventGap: minEventGap, MinFirstEventGap: minFirstEventGap, MaxEventGap: minEventTimeout}),
 		forecast:      limit.NewForecast(limit.ForecastConfig{GapMaxAge: gapMaxAge}),
@@ -510,6 +522,16 @@
 	return current.Limits().IdleTimeout
 }
 
+// HeadLimit returns the bound of a request's head by the configuration in force, 0 if there is
+// none.
+func (server *Server) HeadLimit() int {
+	current := server.config.Publisher.Current().Catalog()
+	if current == nil {
+		return 0
+	}
+	return current.Limits().MaxHeaderBytes
+}
+
 // RequestReceived reports whether the server has received a request.
 func (server *Server) RequestReceived() bool { return server.requestReceived.Load() }
 
@@ -525,6 +547,24 @@
 // an unknown outcome.
 func (server *Server) EndRequests() { server.requests.End() }
 
+// InProgress returns the number of requests of this node that are in progress at the targets
+// of a failure domain.
+func (server *Server) InProgress(failureDomain string) int {
+	count := 0
+	table := server.config.Publisher.Current()
+	for _, target := range table.AllGroups() {
+		if target.FailureDomain == failureDomain {
+			count += server.tracker.InFlight(target.Name)
+		}
+	}
+	for _, target := range table.AllServices() {
+		if target.FailureDomain == failureDomain {
+			count += server.tracker.InFlight(target.ID())
+		}
+	}
+	return count
+}
+
 // Close stops the server's goroutine and closes the idle connections to targets.
 func (server *Server) Close() {
 	server.requests.End()
--- a/forward/held.go
+++ b/forward/held.go
@@ -10,16 +10,21 @@
 // configuration says that engines keep prompts, what they hold is weighed.
 func (exchange *exchange) groupRequest(excluded map[string]bool) route.GroupRequest {
 	request := route.GroupRequest{Service: exchange.service.Name, Spec: exchange.caller.Model, Excluded: excluded, Reasons: exchange.explained}
-	engine := exchange.service.Engine
-	if engine == nil || !engine.KeepsPrompts {
+	if !exchange.keepsPrompts() {
 		return request
 	}
+	engine := exchange.service.Engine
 	pace := exchange.pace()
 	request.Prompt = route.NewPartsPrompt(exchange.caller.promptParts())
 	request.Pace = route.Pace{ReadPerToken: pace.ReadPerToken, PlaceTime: pace.Pass * time.Duration(pace.Events), Slots: pace.Slots, Room: engine.CacheTokens}
 	return request
 }
 
+// keepsPrompts reports whether the engines of the request keep prompts.
+func (exchange *exchange) keepsPrompts() bool {
+	return exchange.service.Engine != nil && exchange.service.Engine.KeepsPrompts
+}
+
 // promptParts returns the parts of the prompt with their tokens. The last part belongs to the
 // request or to its session.
 func (caller CallerHeaders) promptParts() []route.PromptPart {
--- a/forward/send.go
+++ b/forward/send.go
@@ -55,6 +55,8 @@
 	group string
 	epoch uint64
 
+	failureDomain string
+
 	resumeAfter string
 
 	// silent is called, perhaps more than once, while the target is silent and this node has
@@ -229,7 +231,7 @@
 	if !exchange.mayStillRun() {
 		return nil, errOutOfTime
 	}
-	if _, closed := exchange.server.closures.Closed(to.instance, exchange.server.config.Now()); closed {
+	if exchange.server.closedTo(to.instance, to.failureDomain) {
 		return nil, errClosed
 	}
 	if !exchange.server.belongs(to, exchange.service.Name) {
@@ -249,6 +251,14 @@
 	return slices.ContainsFunc(table.Services(service), func(target route.ServiceTarget) bool { return target.ID() == to.id })
 }
 
+// closedTo reports, right before a request is sent, whether the target takes none of this
+// node: it may have closed itself, or its failure domain been evacuated, since it was chosen.
+func (server *Server) closedTo(instance, failureDomain string) bool {
+	now := server.config.Now()
+	_, closed := server.closures.Closed(instance, now)
+	return closed || server.config.Publisher.Current().Evacuated(failureDomain, now)
+}
+
 func (exchange *exchange) outgoingValues(to destination) OutgoingValues {
 	return OutgoingValues{
 		Target:      to.id,
--- a/route/exclusion.go
+++ b/route/exclusion.go
@@ -22,6 +22,9 @@
 
 // The exclusions by the user of the picker.
 const (
+	// ExcludedEvacuated is that of targets in an evacuated failure domain, which are not open.
+	ExcludedEvacuated Exclusion = "evacuated"
+
 	ExcludedLeaving Exclusion = "leaving"
 	ExcludedResting Exclusion = "resting"
 
--- a/route/picker.go
+++ b/route/picker.go
@@ -28,6 +28,11 @@
 	// their start and end.
 	Tracker *Tracker
 
+	// OtherNodes returns the number of requests that all other nodes have in progress at a
+	// group, or false if it is not known. It takes the place of reported loads. It may be
+	// nil.
+	OtherNodes func(group string, now time.Time) (int, bool)
+
 	// Suspects holds the targets to avoid. The user of the picker records
 	// successes and failures. With nil no target is avoided.
 	Suspects *Suspects
@@ -49,6 +54,7 @@
 	failureDomain string
 	tracker       *Tracker
 	suspects      *Suspects
+	otherNodes    func(group string, now time.Time) (int, bool)
 	holdings      *Holdings
 	paces         *paceObserver
 	distanceCost  int
@@ -63,6 +69,7 @@
 		failureDomain: config.FailureDomain,
 		tracker:       config.Tracker,
 		suspects:      config.Suspects,
+		otherNodes:    config.OtherNodes,
 		paces:         newPaceObserver(),
 		distanceCost:  config.DistanceCost,
 		random:        rand.New(config.Source),
@@ -166,8 +173,7 @@
 		if exclusion != "" {
 			continue
 		}
-		load := picker.tracker.Load(target.Name, target.Load, target.LoadReportedAt(), now)
-		candidates = append(candidates, picker.newCandidate(index, target.Name, target.FailureDomain, load, now))
+		candidates = append(candidates, picker.newCandidate(index, target.Name, target.FailureDomain, picker.GroupLoad(*target, now), now))
 	}
 	trusted := withoutSuspects(candidates)
 	if request.Reasons {
@@ -192,6 +198,17 @@
 	}
 }
 
+// GroupLoad returns the number of requests at a group: those of this node and the other nodes
+// if the latter are known, else the estimate of the tracker.
+func (picker *Picker) GroupLoad(target GroupTarget, now time.Time) int {
+	if picker.otherNodes != nil {
+		if others, known := picker.otherNodes(target.Name, now); known {
+			return others + picker.tracker.InFlight(target.Name)
+		}
+	}
+	return picker.tracker.Load(target.Name, target.Load, target.LoadReportedAt(), now)
+}
+
 // exclusion returns why the group itself cannot receive a request.
 func (target *GroupTarget) exclusion(excluded map[string]bool, now time.Time) Exclusion {
 	switch {
@@ -272,7 +289,7 @@
 		return reading
 	}
 	pace := picker.paces.complete(reading.spec, request.Pace)
-	reading.waits = target.full(picker.tracker.Load(target.Name, target.Load, target.LoadReportedAt(), now), pace)
+	reading.waits = target.full(picker.GroupLoad(target, now), pace)
 	reading.held = picker.holdings.sent(&target, request.Prompt, target.room(pace), now)
 	return reading
 }
