--- a/fleet/topology_test.go
+++ b/fleet/topology_test.go
@@ -269,11 +269,23 @@
 	}
 	sources := map[string][]string{}
 	served := map[string]int{}
+	hubsOf := map[string][]Node{}
 	for index := range nodes {
 		fleet := newFleet(index)
 		require.Empty(t, fleet.Sources(time.Unix(1, 0)), "a node has sources before the first listing")
 		fleet.Handle(time.Unix(1, 0), listing)
 		require.True(t, fleet.Watching())
+		hubs := fleet.Hubs(time.Unix(1, 0))
+		require.Len(t, hubs, domains)
+		require.Equal(t, fmt.Sprint("fd-", index%domains), hubs[0][0].FailureDomain, "the own failure domain is not the first")
+		for _, ranked := range hubs {
+			require.Len(t, ranked, hubCandidates)
+			domain := ranked[0].FailureDomain
+			if known := hubsOf[domain]; known != nil {
+				require.Equal(t, known, ranked, "nodes rank the hubs of a failure domain differently")
+			}
+			hubsOf[domain] = ranked
+		}
 		read := fleet.Sources(time.Unix(1, 0))
 		sources[fmt.Sprint("admin-", index)] = read
 		for _, source := range read {
@@ -328,6 +340,9 @@
 	small := newFleet(0)
 	small.Handle(time.Unix(1, 0), KeysListed{Prefix: NodePrefix, Revision: 1, Entries: listing.Entries[:MirrorNodes-1]})
 	require.Empty(t, small.Sources(time.Unix(1, 0)))
+	small.Handle(time.Unix(2, 0), KeysListed{Prefix: NodePrefix, Revision: 2, Entries: listing.Entries[:FullMeshNodes]})
+	require.NotEmpty(t, small.Sources(time.Unix(2, 0)))
+	require.Empty(t, small.Hubs(time.Unix(2, 0)), "a small fleet exchanges counts")
 
 	// Nodes that cannot reach the store lose their records. The others must not all
 	// begin to read the store.
--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -50,6 +50,10 @@
 	// that asking again and again does not raise the chance to be sent.
 	draw float64
 
+	// withoutRoom is true if groups are in time but have no room for this one of the expected
+	// requests.
+	withoutRoom bool
+
 	caller  CallerHeaders
 	route   catalog.Route
 	service catalog.Service
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -25,6 +25,7 @@
 	"lacewingspoke.org/lacewingspoke/quarantine"
 	"lacewingspoke.org/lacewingspoke/route"
 	"lacewingspoke.org/lacewingspoke/timer"
+	"lacewingspoke.org/lacewingspoke/traffic"
 )
 
 // A testCodec is a Codec with a few header names of its own.
@@ -254,6 +255,9 @@
 	// if requiresKey is true.
 	withoutWorkspaces, requiresKey bool
 
+	// traffic has the counts of other nodes, used by newNode only.
+	traffic *traffic.Exchange
+
 	// askReached is the question whether other nodes reach a target, used by newNode only.
 	askReached func(ctx context.Context, address string, targets []string) ([]string, error)
 }
@@ -272,7 +276,7 @@
 	}
 	server, err := forward.New(forward.Config{
 		Publisher: started.publisher, Codec: testCodec{}, FailureDomain: "zone", Now: time.Now, Timers: timers, Seed: 1,
-		Quarantine: started.tracker,
+		Quarantine: started.tracker, Traffic: fixture.traffic,
 		Confirmed: func() time.Time {
 			started.mutex.Lock()
 			defer started.mutex.Unlock()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -430,6 +430,7 @@
 		}
 	}
 	index, found := limit.Spread(places, arrivals*horizon.Seconds(), exchange.draw)
+	exchange.withoutRoom = !found && slices.ContainsFunc(places, func(place limit.Place) bool { return place.Room > 0 })
 	if !found {
 		return route.GroupTarget{}, false
 	}
@@ -481,7 +482,12 @@
 }
 
 // noGroupReason describes why no group of the model was chosen.
-func (exchange *exchange) noGroupReason() string { return "no group has a place: " + exchange.places() }
+func (exchange *exchange) noGroupReason() string {
+	if exchange.withoutRoom {
+		return "the groups have no room for all expected requests: " + exchange.places()
+	}
+	return "no group has a place: " + exchange.places()
+}
 
 // places describes the groups of the model.
 func (exchange *exchange) places() string {
--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -46,7 +46,7 @@
 	// nodes. In a larger one it grows in proportion up to MaxInterval: each node then sends a
 	// smaller part of the requests, and the answers name more groups.
 	Interval      = 200 * time.Millisecond
-	MaxInterval   = 500 * time.Millisecond
+	MaxInterval   = 750 * time.Millisecond
 	intervalNodes = 200
 
 	// ageIntervals is the age, in intervals, at which counts end that were not renewed: two
