Keep what all nodes send to a cold target below its rate

A target that has just started, or whose failure domain was taken back, tolerates few requests a second and ends under more. Nobody counted what all nodes together send there: when a domain returns, all its targets are empty and every node prefers them.

limit.ColdTargets divides the rate of the configuration into whole permits, dealt among the live nodes by rendezvous rank. Coldness comes from the announcements, and is assumed after a domain was taken back. The permit is taken with the target and used right before the write, on the node that took the request and on one that sends it for another.

Harnesses of forward's and control's tests get a field for the cold targets; no test changed.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -108,6 +108,11 @@
 	Name           string
 	MaxConnections int
 
+	// ColdTime is how long a target is cold after its start, and ColdRate the number of
+	// requests a second that it tolerates meanwhile, 0 for no bound.
+	ColdTime time.Duration
+	ColdRate float64
+
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
--- a/cmd/lacewingspoke/sharedmodule.go
+++ b/cmd/lacewingspoke/sharedmodule.go
@@ -33,6 +33,7 @@
 	newMirror,
 	newFeed,
 	newForward,
+	newColdTargets,
 	newForwardCallerServer,
 	newFeedController,
 )
@@ -148,6 +149,7 @@
 	Feed      *platform.Feed
 	Tracker   *quarantine.Tracker
 	Limits    *limit.TargetLimits
+	Cold      *limit.ColdTargets
 	Calls     nodeCalls
 	Clock     *timer.BootClock
 	Timers    *timer.Service
@@ -171,6 +173,7 @@
 		MaxBodies:       int64(bodiesRatio * float64(params.Settings.Memory())),
 		Quarantine:      params.Tracker,
 		Limits:          params.Limits,
+		Cold:            params.Cold,
 		Logger:          params.Logger,
 		Registerer:      params.Registry,
 	})
@@ -180,6 +183,10 @@
 	return server, nil
 }
 
+func newColdTargets(loaded *settings.Settings) *limit.ColdTargets {
+	return limit.NewColdTargets(limit.ColdTargetsConfig{Node: loaded.Name(), MinNodes: loaded.MinNodes()})
+}
+
 func retryAllowance(loaded *settings.Settings) limit.RetryAllowanceConfig {
 	return limit.RetryAllowanceConfig{
 		Window: loaded.RetryWindow(),
@@ -215,6 +222,7 @@
 	Calls       nodeCalls
 	Quarantine  *quarantine.Tracker
 	Limits      *limit.TargetLimits
+	Cold        *limit.ColdTargets
 	Publisher   *route.Publisher
 	Timers      *timer.Service
 	Logger      *zap.Logger
@@ -248,6 +256,7 @@
 			InProgress:    params.Forward.InProgress,
 		},
 		Limits:        params.Limits,
+		Cold:          params.Cold,
 		Quarantine:    params.Quarantine,
 		ReportEndings: params.Calls.ReportEndings,
 		AskParts:      params.Calls.AskParts,
--- a/control/control.go
+++ b/control/control.go
@@ -158,6 +158,9 @@
 	// Limits holds the limits that targets name.
 	Limits *limit.TargetLimits
 
+	// Cold bounds the requests to cold targets.
+	Cold *limit.ColdTargets
+
 	// Quarantine tracks the requests at this node. ReportEndings and AskParts call other
 	// nodes at their admin addresses; AskParts returns how long ago each part was last
 	// sound there. Without them the node decides nothing. They may be nil.
@@ -235,6 +238,9 @@
 	if config.Limits == nil {
 		config.Limits = limit.NewTargetLimits(config.Name)
 	}
+	if config.Cold == nil {
+		config.Cold = limit.NewColdTargets(limit.ColdTargetsConfig{Node: config.Name})
+	}
 	if config.Quarantine == nil {
 		config.Quarantine = quarantine.NewTracker()
 	}
--- a/control/evacuation.go
+++ b/control/evacuation.go
@@ -46,6 +46,7 @@
 	for _, known := range state.feed.evacuations {
 		if !slices.Contains(evacuations, known) {
 			state.logger.Info("failure domain taken back", zap.String("failure-domain", known.FailureDomain), zap.Int("in-progress", state.inProgress(known.FailureDomain)))
+			state.assumeCold(now, known.FailureDomain)
 		}
 	}
 	state.feed.evacuations = evacuations
--- a/control/evacuation_test.go
+++ b/control/evacuation_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"lacewingspoke.org/lacewingspoke/catalog"
+	"lacewingspoke.org/lacewingspoke/directory"
 )
 
 // Guards against requests to an evacuated domain after its bound, at once where the node
@@ -44,3 +45,33 @@
 	evacuate(now, time.Time{}, "z")
 	require.False(test, serves(state, now), "a node that starts in the middle sends nothing")
 }
+
+// Guards against targets that are flooded when their domain is taken back, against announced
+// coldness that has no effect because the configuration came later, and against a bound where
+// the service names none.
+func TestTargetsAreColdWhenAnnouncedOrTakenBack(test *testing.T) {
+	now := time.Now()
+	state, _ := newTestState(test)
+	state.config.Feed.Events = make(chan FeedEvent)
+	announced, warm, unbounded := testMember("a", 0), testMember("b", 1), testMember("c", 1)
+	announced.Cold, unbounded.Cold = 2*time.Second, 2*time.Second
+	unbounded.Service = "other"
+	state.handleFeed(now, TargetsListed{Targets: []directory.Target{announced, warm, unbounded}})
+	decoded, err := catalog.New(catalog.Config{Version: 1, Services: []catalog.Service{
+		{Name: "s", ColdTime: 3 * time.Second, ColdRate: 1, Engine: &catalog.Engine{Models: []catalog.Model{{Name: "m", Size: 2, Share: 1}}}}, {Name: "other"},
+	}})
+	require.NoError(test, err)
+	state.handleFeed(now, ConfigurationRead{Catalog: decoded})
+	full := func(name string) bool { return state.config.Cold.Full(name, now) }
+	require.True(test, full("a"), "the node is not listed yet and has no permits")
+	require.False(test, full("b") || full("c"))
+	state.handleFeed(now, EvacuationsRead{Evacuations: []catalog.Evacuation{{FailureDomain: "z"}}})
+	state.handleFeed(now, EvacuationsRead{})
+	require.True(test, full("b"))
+	require.False(test, full("c"))
+	warm.Cold = time.Hour
+	state.handleFeed(now, TargetsChanged{Put: []directory.Target{warm}})
+	now = now.Add(time.Minute)
+	require.True(test, full("b"), "it has become cold again")
+	require.False(test, full("a"))
+}
--- a/control/feed.go
+++ b/control/feed.go
@@ -220,8 +220,10 @@
 			state.feed.directory.BeginEra()
 		}
 		changed = state.feed.directory.Replace(now, event.Targets)
+		state.observeCold(now, event.Targets)
 	case TargetsChanged:
 		state.storeReachedAt = now
+		state.observeCold(now, event.Put)
 		composition := state.feed.directory.Composition()
 		changed = state.feed.directory.Apply(now, event.Put, event.Removed)
 		if changed && state.feed.directory.Composition() == composition && state.feed.inUse(event.Put) {
@@ -251,7 +253,12 @@
 	if state.feed.catalog != nil && offered.Version() <= state.feed.catalog.Version() {
 		return
 	}
+	first := state.feed.catalog == nil
 	state.feed.catalog = offered
+	if first {
+		// Without a configuration the bound of the listed targets was not known.
+		state.observeCold(now, state.feed.directory.Targets())
+	}
 	state.configuration.adoptedAt = now
 	state.metrics.generation.Set(float64(offered.Version()))
 	state.logger.Info("configuration in force", zap.Uint64("generation", offered.Version()), zap.String("source", "store"))
--- a/control/limits.go
+++ b/control/limits.go
@@ -94,4 +94,5 @@
 	}
 	state.config.Traffic.SetNodes(nodes)
 	state.config.Limits.SetNodes(names, now)
+	state.setColdNodes(now, names)
 }
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -19,6 +19,7 @@
 	endings         prometheus.Counter
 	quarantined     prometheus.Gauge
 	evacuated       prometheus.Gauge
+	coldTargets     prometheus.Counter
 }
 
 const metricsPrefix = "lacewingspoke_control_"
@@ -37,6 +38,7 @@
 		targetChanges:   counter("target_changes_total", "Changed and removed reports of targets."),
 		endings:         counter("target_endings_total", "Targets that ended under requests of this node."),
 		quarantined:     gauge("quarantined_parts", "Parts of prompts in quarantine."),
+		coldTargets:     counter("cold_targets_total", "Times that a target has become cold."),
 		evacuated:       gauge("evacuated_failure_domains", "Failure domains that the operators have evacuated."),
 		conflicts:       counter("generation_conflicts_total", "Offers of another configuration with the generation in force."),
 	}
@@ -48,7 +50,7 @@
 		registerer.MustRegister(collected.generation, collected.storeBehind, collected.ledDomains,
 			collected.commits, collected.orders, collected.storeFailures, collected.serviceFailures,
 			collected.staleFrames, collected.unknownFrames, collected.badRecords, collected.conflicts, collected.targetChanges,
-			collected.endings, collected.quarantined, collected.evacuated)
+			collected.endings, collected.quarantined, collected.evacuated, collected.coldTargets)
 	}
 	return collected
 }
--- a/control/state_test.go
+++ b/control/state_test.go
@@ -85,6 +85,7 @@
 		Name: "one", Incarnation: "1", Mesh: record, Platform: record, Engines: record,
 		Traffic:   noTraffic{},
 		Limits:    limit.NewTargetLimits("one"),
+		Cold:      limit.NewColdTargets(limit.ColdTargetsConfig{Node: "one"}),
 		Publisher: route.NewPublisher(),
 		Timers:    timer.New(timer.Config{}),
 		Logger:    zaptest.NewLogger(test),
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -50,6 +50,10 @@
 	// Slots is the number of requests that the target runs at once.
 	Slots int
 
+	// Cold is how long the target stays cold after the announcement, at most: the time that
+	// the announcement took to arrive is not known. It is 0 for a target that is not cold.
+	Cold time.Duration
+
 	// Report is the engine's report of its group. It is empty for a runner of a
 	// plain service.
 	Report engine.Report
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -32,6 +32,9 @@
 	// all bodies.
 	hold *limit.Hold
 
+	// permitted is true once the attempt has used a permit of its target.
+	permitted bool
+
 	// notConnected is true if no connection to the target could be established.
 	notConnected bool
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -214,6 +214,10 @@
 	// nil, the server makes one for a single node.
 	Limits *limit.TargetLimits
 
+	// Cold keeps the requests to cold targets within their bounds. If it is nil, the server
+	// makes one without cold targets.
+	Cold *limit.ColdTargets
+
 	// Quarantine keeps requests with parts that end targets from them. If it is nil,
 	// the server makes one of its own, which no other node's decisions reach.
 	Quarantine *quarantine.Tracker
@@ -292,6 +296,9 @@
 	if config.Limits == nil {
 		config.Limits = limit.NewTargetLimits("")
 	}
+	if config.Cold == nil {
+		config.Cold = limit.NewColdTargets(limit.ColdTargetsConfig{})
+	}
 	if config.Quarantine == nil {
 		config.Quarantine = quarantine.NewTracker()
 	}
@@ -302,7 +309,7 @@
 		config.Registerer = prometheus.NewRegistry()
 	}
 	bodies := limit.NewBytes(config.MaxBodies)
-	registered, err := newMetrics(config.Registerer, config.Limits, bodies)
+	registered, err := newMetrics(config, bodies)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -479,6 +486,7 @@
 	server.closures.Retain(instances, server.config.Now())
 	server.forecast.Retain(names)
 	server.config.Limits.Retain(limited, server.config.Now())
+	server.config.Cold.Retain(limited, server.config.Now())
 	server.client.retain(connections)
 }
 
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -254,6 +254,9 @@
 	// if requiresKey is true.
 	withoutWorkspaces, requiresKey bool
 
+	// cold are the cold targets, used by newNode only.
+	cold *limit.ColdTargets
+
 	// askReached is the question whether other nodes reach a target, used by newNode only.
 	askReached func(ctx context.Context, address string, targets []string) ([]string, error)
 }
@@ -272,7 +275,7 @@
 	}
 	server, err := forward.New(forward.Config{
 		Publisher: started.publisher, Codec: testCodec{}, FailureDomain: "zone", Now: time.Now, Timers: timers, Seed: 1,
-		Quarantine: started.tracker,
+		Quarantine: started.tracker, Cold: fixture.cold,
 		Confirmed: func() time.Time {
 			started.mutex.Lock()
 			defer started.mutex.Unlock()
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -19,6 +19,7 @@
 
 	lostServices prometheus.Counter
 	rests        prometheus.Counter
+	coldRefused  prometheus.Counter
 
 	duration   *prometheus.HistogramVec
 	firstEvent prometheus.Histogram
@@ -28,7 +29,7 @@
 // to the longest timeout.
 var durationBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1, 2, 4, 8}
 
-func newMetrics(registerer prometheus.Registerer, limits *limit.TargetLimits, bodies *limit.Bytes) (*metrics, error) {
+func newMetrics(config Config, bodies *limit.Bytes) (*metrics, error) {
 	registered := &metrics{
 		requests: newCounterVec("requests_total", "Requests answered.", "kind", "outcome"),
 		attempts: newCounterVec("attempts_total", "Attempts at targets.", "kind", "result"),
@@ -41,6 +42,9 @@
 		rests: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: metricsPrefix + "rests_total", Help: "Answers in which a target asked for a rest.",
 		}),
+		coldRefused: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: metricsPrefix + "cold_refused_total", Help: "Requests that were not written to a chosen target because it had become cold.",
+		}),
 		resumed: newCounterVec("resumed_total", "Started streams that moved to another group, were kept after a stall, or were aborted.", "result"),
 		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: metricsPrefix + "duration_seconds", Help: "Time from a request to the end of its answer.", Buckets: durationBuckets,
@@ -51,16 +55,19 @@
 	}
 	limitedTargets := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: metricsPrefix + "limited_targets", Help: "Targets that name a limit of requests in their answers.",
-	}, func() float64 { return float64(limits.Limited()) })
+	}, func() float64 { return float64(config.Limits.Limited()) })
+	coldTargets := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: metricsPrefix + "cold_targets", Help: "Targets that are cold or in their slow start.",
+	}, func() float64 { return float64(config.Cold.Bounded(config.Now())) })
 	heldBytes := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: metricsPrefix + "held_bytes", Help: "Bytes of the bodies of requests and answers that count towards their bound.",
 	}, func() float64 { return float64(bodies.Used()) })
 	collectors := []prometheus.Collector{
 		registered.requests, registered.attempts, registered.retries, registered.dials,
-		registered.resumed, registered.relayed, registered.lostServices, registered.rests, registered.duration, registered.firstEvent, limitedTargets, heldBytes,
+		registered.resumed, registered.relayed, registered.lostServices, registered.rests, registered.duration, registered.firstEvent, limitedTargets, coldTargets, registered.coldRefused, heldBytes,
 	}
 	for _, collector := range collectors {
-		if err := registerer.Register(collector); err != nil {
+		if err := config.Registerer.Register(collector); err != nil {
 			return nil, errors.Trace(err)
 		}
 	}
--- a/forward/observe.go
+++ b/forward/observe.go
@@ -15,24 +15,46 @@
 // that they name or because they rest, to the excluded ones.
 func (exchange *exchange) unavailable(excluded map[string]bool, table *route.Table, now time.Time) map[string]bool {
 	server := exchange.server
-	limits := server.config.Limits
-	if limits.Limited() == 0 && server.closures.Empty() {
+	if server.config.Limits.Limited() == 0 && server.closures.Empty() && server.config.Cold.Bounded(now) == 0 {
 		return excluded
 	}
 	extended := maps.Clone(excluded)
 	for _, target := range exchange.groups(table) {
-		if _, closed := server.closures.Closed(target.Instance(), now); closed || limits.Full(target.VM, now) {
+		if _, closed := server.closures.Closed(target.Instance(), now); closed || server.full(target.VM, now) {
 			extended[target.Name] = true
 		}
 	}
 	for _, target := range table.Services(exchange.service.Name) {
-		if _, closed := server.closures.Closed(target.Instance(), now); closed || limits.Full(target.ID(), now) {
+		if _, closed := server.closures.Closed(target.Instance(), now); closed || server.full(target.ID(), now) {
 			extended[target.ID()] = true
 		}
 	}
 	return extended
 }
 
+// full reports whether a target takes no request of this node now because of the limit that it
+// names or because it is cold.
+func (server *Server) full(id string, now time.Time) bool {
+	return server.config.Limits.Full(id, now) || server.config.Cold.Full(id, now)
+}
+
+// take takes a place of a target that names a limit or is cold. It returns false if there is
+// none.
+func (server *Server) take(id string) bool {
+	now := server.config.Now()
+	return server.config.Limits.Take(id, now) && server.config.Cold.Take(id, now)
+}
+
+// mayWrite reports, right before a request is written, whether a target that has become cold
+// still takes it.
+func (server *Server) mayWrite(id string) bool {
+	if server.config.Cold.Send(id, server.config.Now()) {
+		return true
+	}
+	server.metrics.coldRefused.Inc()
+	return false
+}
+
 // restEndsIn returns the time until the first target takes requests again if all targets
 // that could serve the request rest, and otherwise 0.
 func (exchange *exchange) restEndsIn() time.Duration {
--- a/forward/relay_server.go
+++ b/forward/relay_server.go
@@ -252,7 +252,7 @@
 			if values.Deadline <= 0 {
 				return message{}, errOutOfTime
 			}
-			if relayed.server.closedTo(relayed.target.instance, relayed.target.failureDomain) {
+			if relayed.server.closedTo(relayed.target.instance, relayed.target.failureDomain) || !relayed.server.mayWrite(content.Target) {
 				return message{}, errClosed
 			}
 			header := relayed.server.config.Codec.Outgoing(content.Header, values)
--- a/forward/runner.go
+++ b/forward/runner.go
@@ -30,7 +30,7 @@
 			target, found := exchange.pickRunner(excluded)
 			return candidate{
 				name: target.Name,
-				take: func() bool { return exchange.server.config.Limits.Take(target.ID(), exchange.server.config.Now()) },
+				take: func() bool { return exchange.server.take(target.ID()) },
 				try:  func() attemptResult { return exchange.tryRunner(ctx, target) },
 			}, found
 		},
@@ -88,7 +88,7 @@
 		switch {
 		case closed:
 			resting++
-		case server.config.Limits.Full(target.ID(), now):
+		case server.full(target.ID(), now):
 			limited++
 		case server.isFull(target, now):
 			full++
--- a/forward/send.go
+++ b/forward/send.go
@@ -216,7 +216,7 @@
 		method:        exchange.request.Method,
 		newConnection: !exchange.route.Repeatable(),
 		message: func() (message, error) {
-			header, err := exchange.outgoing(to)
+			header, err := attempt.outgoing()
 			if err != nil {
 				return message{}, err
 			}
@@ -225,14 +225,20 @@
 	}
 }
 
-// outgoing returns the headers for a target, with the time that remains now.
-func (exchange *exchange) outgoing(to destination) (http.Header, error) {
+// outgoing returns the headers for the target, with the time that remains now. The attempt uses
+// its permit for a cold target with the first call, also if it tries several nodes.
+func (attempt *attempt) outgoing() (http.Header, error) {
+	exchange, to := attempt.exchange, attempt.to
 	if !exchange.mayStillRun() {
 		return nil, errOutOfTime
 	}
 	if exchange.server.closedTo(to.instance, to.failureDomain) {
 		return nil, errClosed
 	}
+	attempt.permitted = attempt.permitted || exchange.server.mayWrite(to.id)
+	if !attempt.permitted {
+		return nil, errClosed
+	}
 	return exchange.server.config.Codec.Outgoing(exchange.request.Header, exchange.outgoingValues(to)), nil
 }
 
@@ -264,7 +270,7 @@
 		return nil, &callError{cause: errNoRoom}
 	}
 	message := func() (relayedCall, error) {
-		header, err := exchange.outgoing(to)
+		header, err := attempt.outgoing()
 		if err != nil {
 			return relayedCall{}, err
 		}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -104,7 +104,7 @@
 			target, found := delivery.pickGroup(excluded)
 			return candidate{
 				name: target.Name,
-				take: func() bool { return exchange.server.config.Limits.Take(target.VM, exchange.server.config.Now()) },
+				take: func() bool { return exchange.server.take(target.VM) },
 				try: func() attemptResult {
 					delivery.beginCall(ctx, target)
 					return nil
@@ -447,7 +447,7 @@
 			resting++
 		case server.suspects.Avoided(target.Name, now):
 			avoided++
-		case server.config.Limits.Full(target.VM, now):
+		case server.full(target.VM, now):
 			full++
 		case earliest == 0 || first < earliest:
 			earliest = first
