--- a/cmd/lacewingspoke/sharedmodule.go
+++ b/cmd/lacewingspoke/sharedmodule.go
@@ -37,6 +37,7 @@
 	newTraffic,
 	newTrafficLink,
 	newForward,
+	newColdTargets,
 	newForwardCallerServer,
 	newFeedController,
 )
@@ -179,6 +180,7 @@
 	Feed      *platform.Feed
 	Tracker   *quarantine.Tracker
 	Limits    *limit.TargetLimits
+	Cold      *limit.ColdTargets
 	Calls     nodeCalls
 	Traffic   *traffic.Exchange
 	Clock     *timer.BootClock
@@ -204,6 +206,7 @@
 		Quarantine:      params.Tracker,
 		Limits:          params.Limits,
 		Traffic:         params.Traffic,
+		Cold:            params.Cold,
 		Logger:          params.Logger,
 		Registerer:      params.Registry,
 	})
@@ -213,6 +216,10 @@
 	return server, nil
 }
 
+func newColdTargets(loaded *settings.Settings) *limit.ColdTargets {
+	return limit.NewColdTargets(limit.ColdTargetsConfig{Node: loaded.Name(), MinNodes: loaded.MinNodes()})
+}
+
 func retryAllowance(loaded *settings.Settings) limit.RetryAllowanceConfig {
 	return limit.RetryAllowanceConfig{
 		Window: loaded.RetryWindow(),
@@ -249,6 +256,7 @@
 	Exchange    *traffic.Exchange
 	Quarantine  *quarantine.Tracker
 	Limits      *limit.TargetLimits
+	Cold        *limit.ColdTargets
 	Publisher   *route.Publisher
 	Timers      *timer.Service
 	Logger      *zap.Logger
@@ -283,6 +291,7 @@
 			InProgress:    params.Forward.InProgress,
 		},
 		Limits:        params.Limits,
+		Cold:          params.Cold,
 		Quarantine:    params.Quarantine,
 		ReportEndings: params.Calls.ReportEndings,
 		AskParts:      params.Calls.AskParts,
--- a/control/limits.go
+++ b/control/limits.go
@@ -97,4 +97,5 @@
 	if state.config.Feed.SetHubs != nil {
 		state.config.Feed.SetHubs(state.fleet.Hubs(now), len(nodes))
 	}
+	state.setColdNodes(now, names)
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -223,6 +223,10 @@
 	// the server makes one of its own, which no other node's counts reach.
 	Traffic *traffic.Exchange
 
+	// Cold keeps the requests to cold targets within their bounds. If it is nil, the server
+	// makes one without cold targets.
+	Cold *limit.ColdTargets
+
 	// Quarantine keeps requests with parts that end targets from them. If it is nil,
 	// the server makes one of its own, which no other node's decisions reach.
 	Quarantine *quarantine.Tracker
@@ -304,6 +308,9 @@
 	if config.Traffic == nil {
 		config.Traffic = traffic.New(traffic.Config{Node: config.Node})
 	}
+	if config.Cold == nil {
+		config.Cold = limit.NewColdTargets(limit.ColdTargetsConfig{})
+	}
 	if config.Quarantine == nil {
 		config.Quarantine = quarantine.NewTracker()
 	}
@@ -314,7 +321,7 @@
 		config.Registerer = prometheus.NewRegistry()
 	}
 	bodies := limit.NewBytes(config.MaxBodies)
-	registered, err := newMetrics(config.Registerer, config.Limits, bodies)
+	registered, err := newMetrics(config, bodies)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -495,6 +502,7 @@
 	server.closures.Retain(instances, server.config.Now())
 	server.forecast.Retain(names)
 	server.config.Limits.Retain(limited, server.config.Now())
+	server.config.Cold.Retain(limited, server.config.Now())
 	server.client.retain(connections)
 }
 
