--- a/forward/explain.go
+++ b/forward/explain.go
@@ -73,6 +73,8 @@
 		return route.ExcludedResting
 	case server.config.Limits.Full(id, now):
 		return route.ExcludedLimit
+	case server.config.Cold.Full(id, now):
+		return route.ExcludedCold
 	}
 	return ""
 }
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -26,6 +26,7 @@
 	"lacewingspoke.org/lacewingspoke/quarantine"
 	"lacewingspoke.org/lacewingspoke/route"
 	"lacewingspoke.org/lacewingspoke/timer"
+	"lacewingspoke.org/lacewingspoke/traffic"
 )
 
 // partTokens is the number of tokens of each part of a prompt.
@@ -267,6 +268,12 @@
 	// keepsPrompts is true if the engines keep prompts, of which they read 10,000 tokens/s.
 	keepsPrompts bool
 
+	// traffic has the counts of other nodes, used by newNode only.
+	traffic *traffic.Exchange
+
+	// cold are the cold targets, used by newNode only.
+	cold *limit.ColdTargets
+
 	// askReached is the question whether other nodes reach a target, used by newNode only.
 	askReached func(ctx context.Context, address string, targets []string) ([]string, error)
 }
@@ -285,7 +292,7 @@
 	}
 	server, err := forward.New(forward.Config{
 		Publisher: started.publisher, Codec: testCodec{}, FailureDomain: "zone", Now: time.Now, Timers: timers, Seed: 1,
-		Quarantine: started.tracker,
+		Quarantine: started.tracker, Traffic: fixture.traffic, Cold: fixture.cold,
 		Confirmed: func() time.Time {
 			started.mutex.Lock()
 			defer started.mutex.Unlock()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -110,7 +110,7 @@
 			target, found := delivery.pickGroup(excluded)
 			return candidate{
 				name: target.Name,
-				take: func() bool { return exchange.server.config.Limits.Take(target.VM, exchange.server.config.Now()) },
+				take: func() bool { return exchange.server.take(target.VM) },
 				try: func() attemptResult {
 					delivery.beginCall(ctx, target)
 					return nil
@@ -422,6 +422,7 @@
 		}
 	}
 	index, found := limit.Spread(places, arrivals*horizon.Seconds(), exchange.draw)
+	exchange.withoutRoom = !found && slices.ContainsFunc(places, func(place limit.Place) bool { return place.Room > 0 })
 	if !found {
 		return route.GroupTarget{}, false
 	}
@@ -472,7 +473,12 @@
 }
 
 // noGroupReason describes why no group of the model was chosen.
-func (exchange *exchange) noGroupReason() string { return "no group has a place: " + exchange.places() }
+func (exchange *exchange) noGroupReason() string {
+	if exchange.withoutRoom {
+		return "the groups have no room for all expected requests: " + exchange.places()
+	}
+	return "no group has a place: " + exchange.places()
+}
 
 // places describes the groups of the model.
 func (exchange *exchange) places() string {
@@ -490,7 +496,7 @@
 			resting++
 		case server.suspects.Avoided(target.Name, now):
 			avoided++
-		case server.config.Limits.Full(target.VM, now):
+		case server.full(target.VM, now):
 			full++
 		case earliest == 0 || first < earliest:
 			earliest = first
--- a/route/exclusion.go
+++ b/route/exclusion.go
@@ -28,8 +28,10 @@
 	ExcludedLeaving Exclusion = "leaving"
 	ExcludedResting Exclusion = "resting"
 
-	// ExcludedLimit is that of targets at the limit of requests that they name.
+	// ExcludedLimit is that of targets at the limit of requests that they name, ExcludedCold
+	// that of targets which have just started and have all the requests that they may.
 	ExcludedLimit Exclusion = "limit"
+	ExcludedCold  Exclusion = "cold"
 
 	// ExcludedFull is that of targets without a place, ExcludedLate that of groups whose
 	// first event is predicted after the bound.
