Delete the leader keys of an earlier process of the node

Cause: a leader that is stopped while the store is away cannot release its domains.

Change: a node that reads a leader key of its own name and another incarnation deletes it, on the condition of its revision.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -358,6 +358,21 @@
 	require.IsType(t, ClaimDomain{}, effects[len(effects)-1])
 }
 
+// A leader is replaced by a new process while the store is away. Guards against a domain that
+// nobody leads until the lease of the process before has run out (own day: 3 s).
+func TestKeyOfAnEarlierProcessIsDeleted(t *testing.T) {
+	now := time.Now()
+	fleet := New(Config{Name: "a", Incarnation: "2", Random: newSimulation(1).random})
+	fleet.Handle(now, DomainsListed{Domains: []Domain{{Name: "d"}}})
+	key := kvstore.Entry{Key: LeaderKey("d"), Value: []byte(`{"node":"a","incarnation":"1"}`), Revision: 3, Lease: "l"}
+	listed := KeysListed{Prefix: DomainPrefix, Revision: 3, Entries: []kvstore.Entry{key}}
+	deleted := ReleaseDomain{Domain: "d", Key: key.Key, Revision: 3}
+	require.Contains(t, fleet.Handle(now, listed), deleted)
+	require.NotContains(t, fleet.Handle(now, listed), deleted, "deleted twice")
+	key.Value, key.Revision = []byte(`{"node":"b","incarnation":"1"}`), 4
+	require.Empty(t, fleet.Handle(now, KeysChanged{Revision: 4, Entries: []kvstore.Entry{key}}), "the key of another node is deleted")
+}
+
 // Half of the nodes lose the store. They lead no domain after their leases
 // expire, and the nodes that still reach the store lead every domain.
 func TestNodesWithoutStoreLoseTheirDomains(t *testing.T) {
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -184,6 +184,7 @@
 	domain.lapsed = false
 	if !fleet.isOwnKey(leader, entry.Lease) {
 		fleet.endLeadership(domain)
+		fleet.releasePredecessor(domain)
 		return
 	}
 	domain.ownsKey = true
@@ -192,6 +193,19 @@
 	}
 }
 
+// releasePredecessor deletes the leader key of an earlier process of this node, which could not
+// when it stopped in an outage of the store: its lease would keep the domain without a leader
+// for its whole time after the return. If that process still runs, it leads until it sees the
+// deletion, as a leader whose lease was lost does; the fencing numbers hold against it.
+func (fleet *Fleet) releasePredecessor(domain *domain) {
+	if domain.leader.Node != fleet.self.Name || domain.leader.Incarnation == fleet.self.Incarnation {
+		return
+	}
+	domain.releasedRevision = domain.revision
+	domain.keyState = leaderKeyUnknown
+	fleet.emit(ReleaseDomain{Domain: domain.name, Key: LeaderKey(domain.name), Revision: domain.revision})
+}
+
 func (fleet *Fleet) isOwnKey(leader Leader, lease string) bool {
 	return leader == fleet.ownLeader() && lease != "" && lease == fleet.lease.id
 }
