Deal as many permits of cold targets as the deployment allows

Callers' connections are spread unevenly over the nodes, so that about a third of the permits of a cold target is not used although others have requests for it. The overage of the deployment's rule comes as an option (LACEWINGSPOKE_COLD_OVERAGE), and that many permits are dealt; without it the rate is the bound as before. No target gets more than are dealt.

--- a/cmd/lacewingspoke/node.go
+++ b/cmd/lacewingspoke/node.go
@@ -43,6 +43,9 @@
 
 	// Evacuation is no setting for the same reason. Platforms render an absent bound as "ms".
 	Evacuation string `long:"evacuation" env:"LACEWINGSPOKE_EVACUATION" value-name:"DURATION" description:"time within which the evacuation of a failure domain has to take effect, as 5000ms; without it, failure domains are not evacuated"`
+
+	// ColdOverage is no setting for the same reason.
+	ColdOverage string `long:"cold-overage" env:"LACEWINGSPOKE_COLD_OVERAGE" value-name:"NUMBER" description:"requests that a cold target may get in a second at most, in units of the rate that it tolerates, as 1.5; without it, its rate is the bound"`
 }
 
 func addNodeCommand(parser *flags.Parser) error {
@@ -77,6 +80,10 @@
 		fmt.Fprintln(os.Stderr, errors.Annotate(err, "option evacuation"))
 		return exitStatus(operator.ExitRejected)
 	}
+	if err := loaded.SetColdOverage(command.ColdOverage); err != nil {
+		fmt.Fprintln(os.Stderr, errors.Annotate(err, "option cold-overage"))
+		return exitStatus(operator.ExitRejected)
+	}
 	sink := logline.New(logline.Config{Output: os.Stdout})
 	logger := sink.Logger().With(zap.String("node", loaded.Name()))
 	err := command.run(loaded, logger, signals, reloads)
--- a/cmd/lacewingspoke/sharedmodule.go
+++ b/cmd/lacewingspoke/sharedmodule.go
@@ -184,7 +184,7 @@
 }
 
 func newColdTargets(loaded *settings.Settings) *limit.ColdTargets {
-	return limit.NewColdTargets(limit.ColdTargetsConfig{Node: loaded.Name(), MinNodes: loaded.MinNodes()})
+	return limit.NewColdTargets(limit.ColdTargetsConfig{Node: loaded.Name(), MinNodes: loaded.MinNodes(), Overage: loaded.ColdOverage()})
 }
 
 func retryAllowance(loaded *settings.Settings) limit.RetryAllowanceConfig {
--- a/limit/coldtargets.go
+++ b/limit/coldtargets.go
@@ -50,6 +50,7 @@
 type ColdTargets struct {
 	node     string
 	minNodes int
+	overage  float64
 
 	mutex sync.Mutex
 
@@ -67,6 +68,7 @@
 
 // A coldTarget is a target that is cold or in its slow start.
 type coldTarget struct {
+	// rate is the number of permits that are dealt until the target is no longer cold.
 	rate   float64
 	until  time.Time
 	usedAt time.Time
@@ -89,6 +91,12 @@
 	// Node is the name of this node.
 	Node string
 
+	// Overage is the number of permits that are dealt, in units of the rate, 0 for 1. Some are
+	// not used, because callers' connections are spread unevenly over the nodes: with one and
+	// a half times the rate, a burst uses about the rate. No target ever gets more than are
+	// dealt.
+	Overage float64
+
 	// MinNodes is the smallest number of nodes among which permits are dealt. It applies
 	// while this node has not discovered the others.
 	MinNodes int
@@ -96,7 +104,7 @@
 
 // NewColdTargets returns a record without cold targets.
 func NewColdTargets(config ColdTargetsConfig) *ColdTargets {
-	return &ColdTargets{node: config.Node, minNodes: config.MinNodes, seen: map[string]time.Time{}, targets: map[string]*coldTarget{}}
+	return &ColdTargets{node: config.Node, minNodes: config.MinNodes, overage: max(config.Overage, 1), seen: map[string]time.Time{}, targets: map[string]*coldTarget{}}
 }
 
 // SetNodes sets the names of the live nodes, as a list of now contains them.
@@ -153,7 +161,7 @@
 	}
 	target.usedAt = now
 	if until.After(target.until) {
-		target.rate, target.until = rate, until
+		target.rate, target.until = rate*cold.overage, until
 	}
 	return first
 }
--- a/limit/coldtargets_test.go
+++ b/limit/coldtargets_test.go
@@ -206,6 +206,13 @@
 	now := time.Unix(1000, 0)
 	node := NewColdTargets(ColdTargetsConfig{Node: "a"})
 	node.SetNodes([]string{"a"}, now.Add(-joinTime))
+	more := NewColdTargets(ColdTargetsConfig{Node: "a", Overage: 1.5})
+	more.SetNodes([]string{"a"}, now.Add(-joinTime))
+	more.SetCold("t", 2, now.Add(time.Hour), now)
+	for range 3 {
+		require.True(test, more.Take("t", now))
+	}
+	require.False(test, more.Take("t", now), "the overage is the bound")
 	require.True(test, node.Take("t", now))
 	require.True(test, node.Take("t", now))
 	node.SetCold("t", 1, now.Add(time.Hour), now)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -84,6 +84,7 @@
 	processorShare float64
 	memory         int64
 	evacuation     time.Duration
+	coldOverage    float64
 	callersAddress string
 	peersAddress   string
 	adminAddress   string
@@ -195,6 +196,20 @@
 	return errors.Trace(setDuration(&settings.evacuation, value, 0))
 }
 
+// ColdOverage returns how many requests a cold target may get in a second at most, in units of
+// the rate that it tolerates, 0 if that is not set.
+func (settings *Settings) ColdOverage() float64 { return settings.coldOverage }
+
+// SetColdOverage sets the number that ColdOverage returns, from 0 to maxRatio. An empty value,
+// as deployments that have no such bound render it, changes nothing. It returns an
+// errors.NotValid error for a malformed value.
+func (settings *Settings) SetColdOverage(value string) error {
+	if value == "" {
+		return nil
+	}
+	return errors.Trace(setNumber(&settings.coldOverage, value, maxRatio))
+}
+
 // unsetMillis is a number of milliseconds that a template renders without its number.
 const unsetMillis = "ms"
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -129,3 +130,21 @@
 		assert.Equal(t, "node.ini:12: "+want, problems[0].String())
 	}
 }
+
+// Guards against a node that does not start, or evacuates nothing, because of how a platform
+// renders bounds that a deployment has or does not have.
+func TestBoundsOfOptions(test *testing.T) {
+	for value, want := range map[string]time.Duration{"": 0, "ms": 0, "5000ms": 5 * time.Second} {
+		loaded := &settings.Settings{}
+		require.NoError(test, loaded.SetEvacuation(value))
+		require.Equal(test, want, loaded.Evacuation())
+	}
+	for value, want := range map[string]float64{"": 0, "1.5": 1.5} {
+		loaded := &settings.Settings{}
+		require.NoError(test, loaded.SetColdOverage(value))
+		require.Equal(test, want, loaded.ColdOverage())
+	}
+	loaded := &settings.Settings{}
+	require.ErrorIs(test, loaded.SetEvacuation("soon"), errors.NotValid)
+	require.ErrorIs(test, loaded.SetColdOverage("NaN"), errors.NotValid)
+}
