--- a/cmd/lacewingspoke/node.go
+++ b/cmd/lacewingspoke/node.go
@@ -52,6 +52,9 @@
 
 	// Descriptors is empty where the platform names no limit.
 	Descriptors string `long:"descriptors" env:"LACEWINGSPOKE_DESCRIPTORS" value-name:"COUNT" description:"file descriptors that the process may open; the limit of the process if it is empty, 0 or higher"`
+
+	// ColdOverage is no setting for the same reason.
+	ColdOverage string `long:"cold-overage" env:"LACEWINGSPOKE_COLD_OVERAGE" value-name:"NUMBER" description:"requests that a cold target may get in a second at most, in units of the rate that it tolerates, as 1.5; without it, its rate is the bound"`
 }
 
 func addNodeCommand(parser *flags.Parser) error {
@@ -92,6 +95,10 @@
 		return exitStatus(operator.ExitRejected)
 	}
 	loaded.SetDescriptors(descriptorLimit(descriptors))
+	if err := loaded.SetColdOverage(command.ColdOverage); err != nil {
+		fmt.Fprintln(os.Stderr, errors.Annotate(err, "option cold-overage"))
+		return exitStatus(operator.ExitRejected)
+	}
 	sink := logline.New(logline.Config{Output: os.Stdout})
 	logger := sink.Logger().With(zap.String("node", loaded.Name()))
 	err = command.run(loaded, logger, signals, reloads)
