--- /dev/null
+++ b/group/split.go
@@ -0,0 +1,441 @@
+package group
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"lacewingspoke.org/lacewingspoke/folder"
+)
+
+// DemandObserved carries what callers ask of the pools, the groups of one model of a
+// service, in the whole fleet. Leaders need not receive the same values at the same time.
+type DemandObserved struct{ Pools []PoolDemand }
+
+// A PoolDemand is the demand for the replicas of one of the folder's groups.
+type PoolDemand struct {
+	// Spec is the name of the folder's group.
+	Spec string
+
+	// Arrivals is the mean number of requests per second.
+	Arrivals float64
+
+	// Least and Most are the lowest and the highest work lately, in replicas that are busy
+	// all the time. See DemandTracker.
+	Least, Most float64
+}
+
+func (DemandObserved) event() {}
+
+// Bounds of the conversion of replicas.
+const (
+	// lateGrowth is the power of its load with which the late requests of a pool grow. The
+	// wait for a place is short up to about half of the load and long from nine tenths on.
+	lateGrowth = 6
+
+	// conversionGain is the ratio of the late requests before and after a conversion below
+	// which it is not worth the downtime of the converted replicas.
+	conversionGain = 1.5
+
+	// maxDonorLoad is the highest load of the pool that gives up replicas, after it has given
+	// them up and has lost one more. The other replicas still serve all requests then.
+	maxDonorLoad = 0.85
+
+	// minPoolReplicas is the number of replicas that a pool with requests keeps, in two
+	// failure domains, so that the loss of one does not end its service.
+	minPoolReplicas = 2
+
+	// convertedMembers is the smallest part of the VMs of converted replicas that must serve the
+	// other model without a load.
+	convertedMembers = 0.75
+
+	// conversionSettle is the time without a change of the replicas of all fabric domains
+	// before the next conversion begins. It is longer than a conversion takes and than the
+	// requests need to spread over the new replicas.
+	conversionSettle = 4 * time.Second
+
+	// conversionTurn is the time for which a fabric domain leaves a conversion to each domain
+	// that is before it in the order.
+	conversionTurn = 3 * time.Second
+
+	// conversionEnd is the time after which a conversion that has not formed its replicas no
+	// longer keeps the freed VMs for them.
+	conversionEnd = 15 * time.Second
+
+	// workShareUnits is the sum of the shares by work. It is above that of the folder's shares,
+	// so that a pool with little work has one.
+	workShareUnits = 100_000
+
+	// demandMemory is the age at which an observed demand no longer counts.
+	demandMemory = 10 * time.Second
+)
+
+// A poolState is a pool in all fabric domains.
+type poolState struct {
+	spec   folder.Group
+	demand PoolDemand
+
+	// placed and ready are the numbers of replicas, and domains those of each fabric domain.
+	placed, ready int
+	domains       []poolDomain
+}
+
+// A poolDomain is the part of a pool in one fabric domain.
+type poolDomain struct {
+	name, failureDomain string
+	placed, ready       int
+}
+
+// A Conversion is a number of replicas of From that a fabric domain gives up, and the number
+// of replicas of To that their VMs form.
+type Conversion struct {
+	From, To     string
+	Gives, Gains int
+}
+
+// splitInput is the input of the decision how many groups of each model there should be. The
+// pools are those of one service, which all take VMs of the same kind.
+type splitInput struct {
+	domain string
+	pools  []poolState
+}
+
+// convert returns the conversion that lowers the number of late requests most, and the fabric
+// domains that can carry it out, the one whose turn is first before the others. It returns
+// false if none is worth its cost.
+//
+// The load that it answers: two models have as many VMs each, by their shares, but one of them
+// receives 10 times the requests, so that its groups are full while those of the other are
+// idle. Waves and bursts of a few seconds must not move groups, so that the pool that gives up
+// replicas is judged by the most work lately, and the one that gains them by the least.
+func (input splitInput) convert() (Conversion, []string, bool) {
+	var best Conversion
+	var turns []string
+	bestRatio := conversionGain
+	for _, donor := range input.pools {
+		for _, recipient := range input.pools {
+			if donor.spec.Name == recipient.spec.Name || donor.spec.Size < 1 || recipient.spec.Size < 1 {
+				continue
+			}
+			conversion := conversionOf(donor.spec, recipient.spec)
+			before := donor.late(donor.demand.Most, 0) + recipient.late(recipient.demand.Least, 0)
+			after := donor.late(donor.demand.Most, -conversion.Gives) + recipient.late(recipient.demand.Least, conversion.Gains)
+			if before <= bestRatio*after || !donor.spares(conversion.Gives) {
+				continue
+			}
+			order := donor.turns(conversion.Gives)
+			if len(order) == 0 {
+				continue
+			}
+			best, turns, bestRatio = conversion, order, before/after
+		}
+	}
+	return best, turns, len(turns) > 0
+}
+
+// conversionOf returns the smallest conversion between two groups of the folder.
+func conversionOf(from, to folder.Group) Conversion {
+	gives := (to.Size + from.Size - 1) / from.Size
+	return Conversion{From: from.Name, To: to.Name, Gives: gives, Gains: gives * from.Size / to.Size}
+}
+
+// late estimates the number of late requests per second of a pool with some replicas more. One
+// replica counts as lost: at most times one of them is being repaired.
+func (pool poolState) late(work float64, more int) float64 {
+	return pool.demand.Arrivals * math.Pow(work/float64(max(pool.ready+more-1, 1)), lateGrowth)
+}
+
+// spares reports whether the pool serves its requests also without some of its replicas.
+func (pool poolState) spares(gives int) bool {
+	left := pool.ready - gives
+	if left < minPoolReplicas || left < pool.placed-gives-pool.placed/spareDivisor {
+		return false
+	}
+	return pool.demand.Most <= maxDonorLoad*float64(left-1)
+}
+
+// turns returns the fabric domains that may give up replicas, in the order of their turns:
+// first those in the failure domain with the most replicas, and there those with the most.
+func (pool poolState) turns(gives int) []string {
+	inFailureDomain := map[string]int{}
+	for _, domain := range pool.domains {
+		inFailureDomain[domain.failureDomain] += domain.placed
+	}
+	var able []poolDomain
+	for _, domain := range pool.domains {
+		if domain.placed >= gives && pool.staysSpread(inFailureDomain, domain.failureDomain, gives) {
+			able = append(able, domain)
+		}
+	}
+	slices.SortFunc(able, func(one, other poolDomain) int {
+		return cmp.Or(
+			cmp.Compare(inFailureDomain[other.failureDomain], inFailureDomain[one.failureDomain]),
+			cmp.Compare(other.placed, one.placed),
+			cmp.Compare(one.name, other.name),
+		)
+	})
+	names := make([]string, 0, len(able))
+	for _, domain := range able {
+		names = append(names, domain.name)
+	}
+	return names
+}
+
+// staysSpread reports whether the pool stays in as many failure domains as minPoolReplicas, or
+// in all in which it is.
+func (pool poolState) staysSpread(inFailureDomain map[string]int, from string, gives int) bool {
+	before, left := 0, 0
+	for name, count := range inFailureDomain {
+		if count > 0 {
+			before++
+		}
+		if name == from {
+			count -= gives
+		}
+		if count > 0 {
+			left++
+		}
+	}
+	return left >= min(before, minPoolReplicas)
+}
+
+// A conversionState is the conversion that a leader carries out.
+type conversionState struct {
+	conversion Conversion
+	began      time.Time
+
+	// groups are the replicas that are given up.
+	groups []string
+
+	// goal is the number of replicas of To in the domain when it has ended.
+	goal int
+}
+
+// splitState is the observed demand and what a leader does about it.
+type splitState struct {
+	demand     map[string]PoolDemand
+	observedAt time.Time
+	services   map[string]*serviceSplit
+}
+
+// serviceSplit is the split between the groups of one service.
+type serviceSplit struct {
+	// counts are the replicas in all fabric domains by group of the folder, and changedAt is
+	// when they last changed.
+	counts    map[string]int
+	changedAt time.Time
+
+	// offered is the conversion that has been worth its cost since offeredAt.
+	offered   Conversion
+	offeredAt time.Time
+
+	// current is the conversion in progress, or nil.
+	current *conversionState
+}
+
+// handleDemand records the observed demand.
+func (leader *Leader) handleDemand(now time.Time, event DemandObserved) {
+	leader.split.demand = map[string]PoolDemand{}
+	for _, pool := range event.Pools {
+		leader.split.demand[pool.Spec] = pool
+	}
+	leader.split.observedAt = now
+}
+
+// observesDemand reports whether the demand for the groups of a service is known.
+func (leader *Leader) observesDemand(now time.Time, demands []Demand) bool {
+	if leader.split.observedAt.IsZero() || now.Sub(leader.split.observedAt) > demandMemory {
+		return false
+	}
+	pools := 0
+	for _, demand := range demands {
+		if leader.split.demand[demand.Group.Name].Most > 0 {
+			pools++
+		}
+	}
+	return pools > 1
+}
+
+// splitDemands changes the demands of one service by the observed demand: replicas are formed
+// where they are busiest in place of by their shares, and those of a conversion are surplus.
+func (leader *Leader) splitDemands(now time.Time, service string, demands []Demand, groups []GroupStatus) {
+	if leader.split.services == nil {
+		leader.split.services = map[string]*serviceSplit{}
+	}
+	split, found := leader.split.services[service]
+	if !found {
+		split = &serviceSplit{}
+		leader.split.services[service] = split
+	}
+	split.endConversion(now, groups)
+	if leader.observesDemand(now, demands) {
+		leader.shareByWork(demands)
+		if split.current == nil && !leader.growing() {
+			leader.beginConversion(now, split, demands, groups)
+		}
+	}
+	if split.current == nil {
+		return
+	}
+	for index := range demands {
+		if demand := &demands[index]; demand.Group.Name == split.current.conversion.From {
+			split.current.surplus(demand, groups)
+		}
+	}
+}
+
+// surplus takes the replicas that are given up out of the domain's share.
+func (current *conversionState) surplus(demand *Demand, groups []GroupStatus) {
+	demand.Full = true
+	for _, status := range groups {
+		if slices.Contains(current.groups, status.Group.Name) && status.Group.State != StateReleased {
+			demand.Share--
+			demand.Total--
+			demand.Group.Replicas--
+			demand.Converts = append(demand.Converts, status.Group.Name)
+		}
+	}
+}
+
+// shareByWork replaces the shares of the folder by the observed work, so that VMs are compared
+// by how busy the groups are.
+func (leader *Leader) shareByWork(demands []Demand) {
+	vms := func(demand Demand) float64 {
+		pool := leader.split.demand[demand.Group.Name]
+		return float64(demand.Group.Size) * (pool.Least + pool.Most) / 2
+	}
+	total := 0.0
+	for _, demand := range demands {
+		total += vms(demand)
+	}
+	for index := range demands {
+		demands[index].Group.Share = max(1, int(math.Round(vms(demands[index])/total*workShareUnits)))
+	}
+}
+
+// endConversion ends the conversion when its replicas serve, and when it takes too long.
+func (split *serviceSplit) endConversion(now time.Time, groups []GroupStatus) {
+	if split.current == nil {
+		return
+	}
+	formed, remaining := 0, 0
+	for _, status := range groups {
+		if status.Group.Spec == split.current.conversion.To && status.Complete && status.Group.State == StateReady {
+			formed++
+		}
+		if slices.Contains(split.current.groups, status.Group.Name) && status.Group.State != StateReleased {
+			remaining++
+		}
+	}
+	if remaining == 0 && formed >= split.current.goal || now.Sub(split.current.began) > conversionEnd {
+		split.current = nil
+	}
+}
+
+// beginConversion begins a conversion if one is worth its cost, it is the turn of this domain,
+// and nothing is being repaired or converted.
+func (leader *Leader) beginConversion(now time.Time, split *serviceSplit, demands []Demand, groups []GroupStatus) {
+	input := splitInput{domain: leader.config.Domain}
+	counts := map[string]int{}
+	for _, demand := range demands {
+		if _, found := findSpec(leader.groups, demand.Group.Name); !found {
+			return
+		}
+		pool := leader.poolState(demand, groups)
+		counts[demand.Group.Name] = pool.placed
+		if pool.demand.Most > 0 {
+			input.pools = append(input.pools, pool)
+		}
+	}
+	if !maps.Equal(counts, split.counts) {
+		split.counts = counts
+		split.changedAt = now
+	}
+	conversion, turns, found := input.convert()
+	if conversion != split.offered {
+		split.offered = conversion
+		split.offeredAt = now
+	}
+	turn := slices.Index(turns, leader.config.Domain)
+	settled := now.Sub(split.changedAt) >= conversionSettle && now.Sub(split.offeredAt) >= time.Duration(turn)*conversionTurn
+	if !found || turn < 0 || !settled {
+		return
+	}
+	if chosen, able := leader.convertible(conversion, groups); able {
+		split.current = &conversionState{
+			conversion: conversion, began: now, groups: chosen,
+			goal: ownReplicas(conversion.To, groups) + conversion.Gains,
+		}
+	}
+}
+
+// ownReplicas counts the replicas of a group of the folder in this domain.
+func ownReplicas(spec string, groups []GroupStatus) int {
+	count := 0
+	for _, status := range groups {
+		if status.Group.Spec == spec && status.Group.State != StateReleased {
+			count++
+		}
+	}
+	return count
+}
+
+// poolState returns the replicas of a demand's group in all fabric domains.
+func (leader *Leader) poolState(demand Demand, groups []GroupStatus) poolState {
+	pool := poolState{spec: demand.Group, demand: leader.split.demand[demand.Group.Name], placed: demand.Placed, ready: demand.Ready}
+	own := poolDomain{name: leader.config.Domain, failureDomain: leader.failureDomain()}
+	own.placed = ownReplicas(demand.Group.Name, groups)
+	pool.domains = append(pool.domains, own)
+	for _, other := range leader.otherDomains.Replicas {
+		if other.Group == demand.Group.Name {
+			pool.domains = append(pool.domains, poolDomain{name: other.FabricDomain, failureDomain: other.FailureDomain, placed: other.Count, ready: other.Ready})
+		}
+	}
+	return pool
+}
+
+func (leader *Leader) failureDomain() string {
+	for _, name := range leader.memberNames() {
+		if vm := leader.members[name]; vm.listed {
+			return vm.vm.FailureDomain
+		}
+	}
+	return ""
+}
+
+// convertible returns the replicas that a conversion gives up: those with the fewest requests.
+// It returns false while a group of the domain is being repaired or stopped, and if too few
+// of the VMs serve the other model without a load.
+func (leader *Leader) convertible(conversion Conversion, groups []GroupStatus) ([]string, bool) {
+	to, found := findSpec(leader.groups, conversion.To)
+	if !found {
+		return nil, false
+	}
+	var donors []GroupStatus
+	for _, status := range groups {
+		if status.Group.State != StateReady || !status.Complete {
+			return nil, false
+		}
+		if status.Group.Spec == conversion.From {
+			donors = append(donors, status)
+		}
+	}
+	if len(donors) < conversion.Gives {
+		return nil, false
+	}
+	slices.SortStableFunc(donors, func(one, other GroupStatus) int { return cmp.Compare(one.Load, other.Load) })
+	var names []string
+	vms, warm := 0, 0
+	for _, status := range donors[:conversion.Gives] {
+		names = append(names, status.Group.Name)
+		for _, member := range status.Members {
+			vms++
+			if vm, known := leader.members[member]; known && slices.Contains(leader.warm(vm), to.Model) {
+				warm++
+			}
+		}
+	}
+	return names, warm >= to.Size && float64(warm) >= convertedMembers*float64(vms)
+}
