--- a/control/loop.go
+++ b/control/loop.go
@@ -264,5 +264,6 @@
 	}
 	for _, leadership := range state.leaderships {
 		state.handleGroup(now, leadership, group.Tick{})
+		state.logSplits(leadership)
 	}
 }
--- a/group/split.go
+++ b/group/split.go
@@ -222,6 +222,8 @@
 
 // serviceSplit is the split between the groups of one service.
 type serviceSplit struct {
+	service string
+
 	// counts are the replicas in all fabric domains by group of the folder, and changedAt is
 	// when they last changed.
 	counts    map[string]int
@@ -233,6 +235,49 @@
 
 	// current is the conversion in progress, or nil.
 	current *conversionState
+
+	// status is what was last decided.
+	status SplitStatus
+}
+
+// A SplitStatus is what a leader has decided about the groups of one service, for logs and
+// metrics.
+type SplitStatus struct {
+	Service    string
+	Conversion Conversion
+
+	// Wait is why the conversion does not begin yet, empty for one in progress.
+	Wait string
+
+	// Pools are the inputs.
+	Pools []SplitPool
+}
+
+// A SplitPool is one pool of a SplitStatus.
+type SplitPool struct {
+	Demand        PoolDemand
+	Placed, Ready int
+}
+
+// Reasons why a conversion does not begin.
+const (
+	waitNone     = "none-needed"
+	waitTurn     = "turn"
+	waitSettling = "settling"
+	waitRepairs  = "repairs"
+	waitWeights  = "weights"
+)
+
+// Splits returns what the leader has last decided for each service whose demand is observed.
+func (leader *Leader) Splits() []SplitStatus {
+	var statuses []SplitStatus
+	for _, split := range leader.split.services {
+		if len(split.status.Pools) > 0 {
+			statuses = append(statuses, split.status)
+		}
+	}
+	slices.SortFunc(statuses, func(one, other SplitStatus) int { return cmp.Compare(one.Service, other.Service) })
+	return statuses
 }
 
 // handleDemand records the observed demand.
@@ -266,7 +311,7 @@
 	}
 	split, found := leader.split.services[service]
 	if !found {
-		split = &serviceSplit{}
+		split = &serviceSplit{service: service}
 		leader.split.services[service] = split
 	}
 	split.endConversion(now, groups)
@@ -358,17 +403,62 @@
 		split.offered = conversion
 		split.offeredAt = now
 	}
+	split.status = SplitStatus{Service: split.service, Conversion: conversion}
+	for _, pool := range input.pools {
+		split.status.Pools = append(split.status.Pools, SplitPool{Demand: pool.demand, Placed: pool.placed, Ready: pool.ready})
+	}
 	turn := slices.Index(turns, leader.config.Domain)
-	settled := now.Sub(split.changedAt) >= conversionSettle && now.Sub(split.offeredAt) >= time.Duration(turn)*conversionTurn
-	if !found || turn < 0 || !settled {
+	switch {
+	case !found:
+		split.status.Wait = waitNone
+	case now.Sub(split.changedAt) < conversionSettle:
+		split.status.Wait = waitSettling
+	case turn < 0 || now.Sub(split.offeredAt) < time.Duration(turn)*conversionTurn:
+		split.status.Wait = waitTurn
+	default:
+		leader.startConversion(now, split, conversion, groups)
+	}
+}
+
+// startConversion chooses the replicas that are given up: those with the fewest requests. It
+// does not while a group of the domain is being repaired or stopped, and if too few of the VMs
+// serve the other model without a load.
+func (leader *Leader) startConversion(now time.Time, split *serviceSplit, conversion Conversion, groups []GroupStatus) {
+	var donors []GroupStatus
+	for _, status := range groups {
+		if status.Group.State != StateReady || !status.Complete {
+			split.status.Wait = waitRepairs
+			return
+		}
+		if status.Group.Spec == conversion.From {
+			donors = append(donors, status)
+		}
+	}
+	slices.SortStableFunc(donors, func(one, other GroupStatus) int { return cmp.Compare(one.Load, other.Load) })
+	if len(donors) < conversion.Gives || !leader.holdWeights(donors[:conversion.Gives], conversion.To) {
+		split.status.Wait = waitWeights
 		return
 	}
-	if chosen, able := leader.convertible(conversion, groups); able {
-		split.current = &conversionState{
-			conversion: conversion, began: now, groups: chosen,
-			goal: ownReplicas(conversion.To, groups) + conversion.Gains,
+	split.current = &conversionState{conversion: conversion, began: now, goal: ownReplicas(conversion.To, groups) + conversion.Gains}
+	for _, status := range donors[:conversion.Gives] {
+		split.current.groups = append(split.current.groups, status.Group.Name)
+	}
+}
+
+// holdWeights reports whether enough members of some replicas serve another model without a
+// load.
+func (leader *Leader) holdWeights(donors []GroupStatus, to string) bool {
+	spec, _ := findSpec(leader.groups, to)
+	vms, warm := 0, 0
+	for _, status := range donors {
+		for _, member := range status.Members {
+			vms++
+			if vm, known := leader.members[member]; known && slices.Contains(leader.warm(vm), spec.Model) {
+				warm++
+			}
 		}
 	}
+	return warm >= spec.Size && float64(warm) >= convertedMembers*float64(vms)
 }
 
 // ownReplicas counts the replicas of a group of the folder in this domain.
@@ -404,38 +494,3 @@
 	}
 	return ""
 }
-
-// convertible returns the replicas that a conversion gives up: those with the fewest requests.
-// It returns false while a group of the domain is being repaired or stopped, and if too few
-// of the VMs serve the other model without a load.
-func (leader *Leader) convertible(conversion Conversion, groups []GroupStatus) ([]string, bool) {
-	to, found := findSpec(leader.groups, conversion.To)
-	if !found {
-		return nil, false
-	}
-	var donors []GroupStatus
-	for _, status := range groups {
-		if status.Group.State != StateReady || !status.Complete {
-			return nil, false
-		}
-		if status.Group.Spec == conversion.From {
-			donors = append(donors, status)
-		}
-	}
-	if len(donors) < conversion.Gives {
-		return nil, false
-	}
-	slices.SortStableFunc(donors, func(one, other GroupStatus) int { return cmp.Compare(one.Load, other.Load) })
-	var names []string
-	vms, warm := 0, 0
-	for _, status := range donors[:conversion.Gives] {
-		names = append(names, status.Group.Name)
-		for _, member := range status.Members {
-			vms++
-			if vm, known := leader.members[member]; known && slices.Contains(leader.warm(vm), to.Model) {
-				warm++
-			}
-		}
-	}
-	return names, warm >= to.Size && float64(warm) >= convertedMembers*float64(vms)
-}
