--- a/group/split.go
+++ b/group/split.go
@@ -97,42 +97,45 @@
 
 // splitInput is the input of the decision how many groups of each model there should be. The
 // pools are those of one service, which all take VMs of the same kind.
-type splitInput struct {
-	domain string
-	pools  []poolState
+type splitInput struct{ pools []poolState }
+
+// A splitPlan is the conversions that bring the pools to the best split.
+type splitPlan struct {
+	conversion Conversion
+
+	// domains are the fabric domains in the order of their turns. The first steps of them
+	// carry out one conversion each.
+	domains []string
+	steps   int
 }
 
-// convert returns the conversion that lowers the number of late requests most, and the fabric
-// domains that can carry it out, the one whose turn is first before the others. It returns
-// false if none is worth its cost.
+// plan returns the conversions that lower the number of late requests most, step by step. It
+// has no steps if none is worth its cost.
 //
 // The load that it answers: two models have as many VMs each, by their shares, but one of them
 // receives 10 times the requests, so that its groups are full while those of the other are
 // idle. Waves and bursts of a few seconds must not move groups, so that the pool that gives up
 // replicas is judged by the most work lately, and the one that gains them by the least.
-func (input splitInput) convert() (Conversion, []string, bool) {
-	var best Conversion
-	var turns []string
+func (input splitInput) plan() splitPlan {
+	var best splitPlan
 	bestRatio := conversionGain
-	for _, donor := range input.pools {
-		for _, recipient := range input.pools {
-			if donor.spec.Name == recipient.spec.Name || donor.spec.Size < 1 || recipient.spec.Size < 1 {
+	for from, donor := range input.pools {
+		for to, recipient := range input.pools {
+			if from == to || donor.spec.Size < 1 || recipient.spec.Size < 1 || donor.repairing() {
 				continue
 			}
-			conversion := conversionOf(donor.spec, recipient.spec)
-			before := donor.late(donor.demand.Most, 0) + recipient.late(recipient.demand.Least, 0)
-			after := donor.late(donor.demand.Most, -conversion.Gives) + recipient.late(recipient.demand.Least, conversion.Gains)
-			if before <= bestRatio*after || !donor.spares(conversion.Gives) {
-				continue
+			plan := splitPlan{conversion: conversionOf(donor.spec, recipient.spec)}
+			if ratio := plan.gain(donor, recipient, 0); ratio > bestRatio {
+				bestRatio = ratio
+				best = plan
+				best.choose(donor, recipient)
 			}
-			order := donor.turns(conversion.Gives)
-			if len(order) == 0 {
-				continue
-			}
-			best, turns, bestRatio = conversion, order, before/after
 		}
 	}
-	return best, turns, len(turns) > 0
+	if best.steps > len(best.domains) {
+		best.steps = len(best.domains)
+	}
+	return best
 }
 
 // conversionOf returns the smallest conversion between two groups of the folder.
@@ -141,51 +144,73 @@
 	return Conversion{From: from.Name, To: to.Name, Gives: gives, Gains: gives * from.Size / to.Size}
 }
 
-// late estimates the number of late requests per second of a pool with some replicas more. One
-// replica counts as lost: at most times one of them is being repaired.
-func (pool poolState) late(work float64, more int) float64 {
-	return pool.demand.Arrivals * math.Pow(work/float64(max(pool.ready+more-1, 1)), lateGrowth)
+// gain returns the ratio of the late requests before and after one more conversion, 0 if the
+// pool that gives up replicas then no longer serves all of its requests.
+func (plan splitPlan) gain(donor, recipient poolState, done int) float64 {
+	conversion := plan.conversion
+	left := donor.placed - (done+1)*conversion.Gives
+	if left < minPoolReplicas || donor.demand.Most > maxDonorLoad*float64(left-1) {
+		return 0
+	}
+	gained := recipient.placed + done*conversion.Gains
+	before := donor.late(donor.demand.Most, left+conversion.Gives) + recipient.late(recipient.demand.Least, gained)
+	after := donor.late(donor.demand.Most, left) + recipient.late(recipient.demand.Least, gained+conversion.Gains)
+	return before / after
 }
 
-// spares reports whether the pool serves its requests also without some of its replicas.
-func (pool poolState) spares(gives int) bool {
-	left := pool.ready - gives
-	if left < minPoolReplicas || left < pool.placed-gives-pool.placed/spareDivisor {
-		return false
+// choose sets the number of steps and the order of the domains.
+func (plan *splitPlan) choose(donor, recipient poolState) {
+	for plan.gain(donor, recipient, plan.steps) > conversionGain {
+		plan.steps++
+	}
+	domains := slices.Clone(donor.domains)
+	for {
+		index := nextDonor(domains, plan.conversion.Gives)
+		if index < 0 {
+			return
+		}
+		plan.domains = append(plan.domains, domains[index].name)
+		domains[index].placed -= plan.conversion.Gives
 	}
-	return pool.demand.Most <= maxDonorLoad*float64(left-1)
 }
 
-// turns returns the fabric domains that may give up replicas, in the order of their turns:
-// first those in the failure domain with the most replicas, and there those with the most.
-func (pool poolState) turns(gives int) []string {
+// late estimates the number of late requests per second of a pool with some replicas. One of
+// them counts as lost: mostly one is being repaired.
+func (pool poolState) late(work float64, replicas int) float64 {
+	return pool.demand.Arrivals * math.Pow(work/float64(max(replicas-1, 1)), lateGrowth)
+}
+
+// repairing reports whether so many replicas are being repaired that none may be given up.
+func (pool poolState) repairing() bool {
+	return pool.placed-pool.ready > max(1, pool.placed/spareDivisor)
+}
+
+// nextDonor returns the index of the fabric domain that gives up replicas next, or -1 if none
+// can: one in the failure domain with the most replicas, and there the one with the most.
+func nextDonor(domains []poolDomain, gives int) int {
 	inFailureDomain := map[string]int{}
-	for _, domain := range pool.domains {
+	for _, domain := range domains {
 		inFailureDomain[domain.failureDomain] += domain.placed
 	}
-	var able []poolDomain
-	for _, domain := range pool.domains {
-		if domain.placed >= gives && pool.staysSpread(inFailureDomain, domain.failureDomain, gives) {
-			able = append(able, domain)
+	best := -1
+	for index, domain := range domains {
+		if domain.placed < gives || !staysSpread(inFailureDomain, domain.failureDomain, gives) {
+			continue
+		}
+		if best < 0 || cmp.Or(
+			cmp.Compare(inFailureDomain[domain.failureDomain], inFailureDomain[domains[best].failureDomain]),
+			cmp.Compare(domain.placed, domains[best].placed),
+			cmp.Compare(domains[best].name, domain.name),
+		) > 0 {
+			best = index
 		}
 	}
-	slices.SortFunc(able, func(one, other poolDomain) int {
-		return cmp.Or(
-			cmp.Compare(inFailureDomain[other.failureDomain], inFailureDomain[one.failureDomain]),
-			cmp.Compare(other.placed, one.placed),
-			cmp.Compare(one.name, other.name),
-		)
-	})
-	names := make([]string, 0, len(able))
-	for _, domain := range able {
-		names = append(names, domain.name)
-	}
-	return names
+	return best
 }
 
 // staysSpread reports whether the pool stays in as many failure domains as minPoolReplicas, or
 // in all in which it is.
-func (pool poolState) staysSpread(inFailureDomain map[string]int, from string, gives int) bool {
+func staysSpread(inFailureDomain map[string]int, from string, gives int) bool {
 	before, left := 0, 0
 	for name, count := range inFailureDomain {
 		if count > 0 {
@@ -246,6 +271,9 @@
 	Service    string
 	Conversion Conversion
 
+	// Steps is the number of conversions to the best split.
+	Steps int
+
 	// Wait is why the conversion does not begin yet, empty for one in progress.
 	Wait string
 
@@ -382,7 +410,7 @@
 // beginConversion begins a conversion if one is worth its cost, it is the turn of this domain,
 // and nothing is being repaired or converted.
 func (leader *Leader) beginConversion(now time.Time, split *serviceSplit, demands []Demand, groups []GroupStatus) {
-	input := splitInput{domain: leader.config.Domain}
+	var input splitInput
 	counts := map[string]int{}
 	for _, demand := range demands {
 		if _, found := findSpec(leader.groups, demand.Group.Name); !found {
@@ -398,25 +426,28 @@
 		split.counts = counts
 		split.changedAt = now
 	}
-	conversion, turns, found := input.convert()
-	if conversion != split.offered {
-		split.offered = conversion
+	plan := input.plan()
+	if plan.steps == 0 {
+		plan = splitPlan{}
+	}
+	if plan.conversion != split.offered {
+		split.offered = plan.conversion
 		split.offeredAt = now
 	}
-	split.status = SplitStatus{Service: split.service, Conversion: conversion}
+	split.status = SplitStatus{Service: split.service, Conversion: plan.conversion, Steps: plan.steps}
 	for _, pool := range input.pools {
 		split.status.Pools = append(split.status.Pools, SplitPool{Demand: pool.demand, Placed: pool.placed, Ready: pool.ready})
 	}
-	turn := slices.Index(turns, leader.config.Domain)
+	turn := slices.Index(plan.domains, leader.config.Domain)
 	switch {
-	case !found:
+	case plan.steps == 0:
 		split.status.Wait = waitNone
 	case now.Sub(split.changedAt) < conversionSettle:
 		split.status.Wait = waitSettling
-	case turn < 0 || now.Sub(split.offeredAt) < time.Duration(turn)*conversionTurn:
+	case turn < 0 || now.Sub(split.offeredAt) < time.Duration(turn-plan.steps+1)*conversionTurn:
 		split.status.Wait = waitTurn
 	default:
-		leader.startConversion(now, split, conversion, groups)
+		leader.startConversion(now, split, plan.conversion, groups)
 	}
 }
 
