--- a/control/split.go
+++ b/control/split.go
@@ -21,7 +21,7 @@
 		state.logger.Info("split of the groups", zap.String("domain", leadership.domain), zap.String("service", status.Service),
 			zap.String("from", status.Conversion.From), zap.String("to", status.Conversion.To),
 			zap.Int("steps", status.Steps), zap.Int("gives", status.Conversion.Gives), zap.Int("gains", status.Conversion.Gains),
-			zap.String("wait", status.Wait), zap.String("pools", fmt.Sprintf("%+v", status.Pools)))
+			zap.String("wait", status.Wait), zap.Int("warm", status.Warm), zap.String("pools", fmt.Sprintf("%+v", status.Pools)))
 	}
 }
 
--- a/group/split.go
+++ b/group/split.go
@@ -277,6 +277,10 @@
 	// Wait is why the conversion does not begin yet, empty for one in progress.
 	Wait string
 
+	// Warm is the number of the VMs of the chosen replicas that serve the other model without
+	// a load.
+	Warm int
+
 	// Pools are the inputs.
 	Pools []SplitPool
 }
@@ -466,7 +470,7 @@
 		}
 	}
 	slices.SortStableFunc(donors, func(one, other GroupStatus) int { return cmp.Compare(one.Load, other.Load) })
-	if len(donors) < conversion.Gives || !leader.holdWeights(donors[:conversion.Gives], conversion.To) {
+	if len(donors) < conversion.Gives || !leader.holdWeights(split, donors[:conversion.Gives], conversion.To) {
 		split.status.Wait = waitWeights
 		return
 	}
@@ -478,7 +482,7 @@
 
 // holdWeights reports whether enough members of some replicas serve another model without a
 // load.
-func (leader *Leader) holdWeights(donors []GroupStatus, to string) bool {
+func (leader *Leader) holdWeights(split *serviceSplit, donors []GroupStatus, to string) bool {
 	spec, _ := findSpec(leader.groups, to)
 	vms, warm := 0, 0
 	for _, status := range donors {
@@ -489,6 +493,7 @@
 			}
 		}
 	}
+	split.status.Warm = warm
 	return warm >= spec.Size && float64(warm) >= convertedMembers*float64(vms)
 }
 
