--- a/control/feed.go
+++ b/control/feed.go
@@ -76,6 +76,10 @@
 	// announcement expired, see directory.Config.
 	LapseGrace time.Duration
 
+	// FollowDemand forms groups of the models by what callers ask, in place of by the shares
+	// of the configuration alone.
+	FollowDemand bool
+
 	// LoadWindow and LoadSlack bound the loads from the weight store: at most
 	// the engine's rate times LoadWindow, plus LoadSlack, in any LoadWindow.
 	LoadWindow time.Duration
@@ -164,6 +168,9 @@
 	// probedAt is when the members of each group were last probed.
 	probedAt map[string]time.Time
 
+	// demandAt is when the demand was last passed to the leaders.
+	demandAt time.Time
+
 	// detached holds the fabric domains whose targets this node does not reach although
 	// other nodes do, and ledChecks those that it leads while it may not reach targets,
 	// each with the probes of its targets.
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -370,7 +370,11 @@
 		if other == name || domain.placement == nil {
 			continue
 		}
-		result.Replicas = append(result.Replicas, group.Summarize(domain.placement, specs, state.serviceOf, state.openGroups(now, domain))...)
+		counts := group.Summarize(domain.placement, specs, state.serviceOf, state.openGroups(now, domain))
+		if state.config.Feed.FollowDemand {
+			group.CountStaged(counts, domain.placement, specs, state.serviceOf, state.stagedOn)
+		}
+		result.Replicas = append(result.Replicas, counts...)
 	}
 	return result
 }
--- a/control/split.go
+++ b/control/split.go
@@ -9,6 +9,26 @@
 	"lacewingspoke.org/lacewingspoke/group"
 )
 
+// demandInterval is the time between two observations of the demand.
+const demandInterval = time.Second
+
+// stagedOn returns the models whose weights are on the host of a VM.
+func (state *state) stagedOn(vm string) []string { return state.feed.reports[vm].Staged }
+
+// tickDemand passes the observed demand and the replicas of the other fabric domains to the
+// leader of each led one.
+func (state *state) tickDemand(now time.Time) {
+	if !state.config.Feed.FollowDemand || !state.feeding() || now.Sub(state.feed.demandAt) < demandInterval || !state.config.Traffic.RequestReceived() {
+		return
+	}
+	state.feed.demandAt = now
+	state.updateOtherDomains(now)
+	for _, leadership := range state.leaderships {
+		state.handleGroup(now, leadership, state.observedDemand())
+		state.logSplits(leadership)
+	}
+}
+
 // logSplits logs what the leader of a fabric domain decides about the groups of each service,
 // when the decision changes.
 func (state *state) logSplits(leadership *leadership) {
@@ -25,5 +45,4 @@
 	}
 }
 
-var _ = time.Second
-var _ group.Event
+func (state *state) observedDemand() group.DemandObserved { return group.DemandObserved{} }
--- a/group/split.go
+++ b/group/split.go
@@ -86,6 +86,9 @@
 type poolDomain struct {
 	name, failureDomain string
 	placed, ready       int
+
+	// staged is the number of replicas whose members mostly hold the weights of another model.
+	staged int
 }
 
 // A Conversion is a number of replicas of From that a fabric domain gives up, and the number
@@ -171,6 +174,7 @@
 		}
 		plan.domains = append(plan.domains, domains[index].name)
 		domains[index].placed -= plan.conversion.Gives
+		domains[index].staged -= plan.conversion.Gives
 	}
 }
 
@@ -186,7 +190,8 @@
 }
 
 // nextDonor returns the index of the fabric domain that gives up replicas next, or -1 if none
-// can: one in the failure domain with the most replicas, and there the one with the most.
+// can: one whose replicas hold the weights of another model before the others, then one in the
+// failure domain with the most replicas, and there the one with the most.
 func nextDonor(domains []poolDomain, gives int) int {
 	inFailureDomain := map[string]int{}
 	for _, domain := range domains {
@@ -198,6 +203,7 @@
 			continue
 		}
 		if best < 0 || cmp.Or(
+			cmp.Compare(min(domain.staged, gives), min(domains[best].staged, gives)),
 			cmp.Compare(inFailureDomain[domain.failureDomain], inFailureDomain[domains[best].failureDomain]),
 			cmp.Compare(domain.placed, domains[best].placed),
 			cmp.Compare(domains[best].name, domain.name),
@@ -513,15 +519,57 @@
 	pool := poolState{spec: demand.Group, demand: leader.split.demand[demand.Group.Name], placed: demand.Placed, ready: demand.Ready}
 	own := poolDomain{name: leader.config.Domain, failureDomain: leader.failureDomain()}
 	own.placed = ownReplicas(demand.Group.Name, groups)
+	for _, status := range groups {
+		if status.Group.Spec == demand.Group.Name && status.Complete && status.Group.State == StateReady && leader.holdsOther(status) {
+			own.staged++
+		}
+	}
 	pool.domains = append(pool.domains, own)
 	for _, other := range leader.otherDomains.Replicas {
 		if other.Group == demand.Group.Name {
-			pool.domains = append(pool.domains, poolDomain{name: other.FabricDomain, failureDomain: other.FailureDomain, placed: other.Count, ready: other.Ready})
+			pool.domains = append(pool.domains, poolDomain{name: other.FabricDomain, failureDomain: other.FailureDomain, placed: other.Count, ready: other.Ready, staged: other.Staged})
 		}
 	}
 	return pool
 }
 
+// holdsOther reports whether most members of a replica serve another model without a load.
+func (leader *Leader) holdsOther(status GroupStatus) bool {
+	return holdOther(status.Members, status.Group.Model, func(name string) []string {
+		if vm, found := leader.members[name]; found {
+			return vm.report.Staged
+		}
+		return nil
+	})
+}
+
+// holdOther reports whether most members hold the weights of another model than their own.
+func holdOther(members []string, model string, staged func(vm string) []string) bool {
+	count := 0
+	for _, name := range members {
+		if slices.ContainsFunc(staged(name), func(held string) bool { return held != model }) {
+			count++
+		}
+	}
+	return float64(count) >= convertedMembers*float64(len(members))
+}
+
+// CountStaged sets Staged in the counts of a domain's replicas. staged returns the models whose
+// weights are on the host of a VM.
+func CountStaged(counts []PlacedReplicas, placement *Placement, groups []folder.Group, serviceOf func(vm string) (string, bool), staged func(vm string) []string) {
+	for _, group := range placement.Groups() {
+		if group.State != StateReady || !holdOther(placement.Members(group.Name), group.Model, staged) {
+			continue
+		}
+		spec, _ := SpecOf(placement, group, groups, serviceOf)
+		for index := range counts {
+			if counts[index].Group == spec.Name {
+				counts[index].Staged++
+			}
+		}
+	}
+}
+
 func (leader *Leader) failureDomain() string {
 	for _, name := range leader.memberNames() {
 		if vm := leader.members[name]; vm.listed {
