--- a/control/leadership.go
+++ b/control/leadership.go
@@ -372,7 +372,7 @@
 		}
 		counts := group.Summarize(domain.placement, specs, state.serviceOf, state.openGroups(now, domain))
 		if state.config.Feed.FollowDemand {
-			group.CountStaged(counts, domain.placement, specs, state.serviceOf, state.stagedOn)
+			group.CountConvertible(counts, domain.placement, specs, state.serviceOf, state.stagedOn)
 		}
 		result.Replicas = append(result.Replicas, counts...)
 	}
--- a/group/split.go
+++ b/group/split.go
@@ -78,14 +78,15 @@
 	demand PoolDemand
 
 	// placed and ready are the numbers of replicas, and domains those of each fabric domain.
-	placed, ready int
+	// placed does not contain the draining ones.
+	placed, ready, draining int
 	domains       []poolDomain
 }
 
 // A poolDomain is the part of a pool in one fabric domain.
 type poolDomain struct {
 	name, failureDomain string
-	placed, ready       int
+	placed              int
 
 	// staged is the number of replicas whose members mostly hold the weights of another model.
 	staged int
@@ -141,6 +142,18 @@
 	return best
 }
 
+// expect adds the replicas that the VMs of draining ones will form to the pools that have none
+// that drain, so that the leaders do not convert for the same need again.
+func (input splitInput) expect(drainingVMs int) {
+	for index := range input.pools {
+		pool := &input.pools[index]
+		if pool.draining == 0 && pool.spec.Size > 0 {
+			pool.placed += drainingVMs / pool.spec.Size
+			pool.ready += drainingVMs / pool.spec.Size
+		}
+	}
+}
+
 // conversionOf returns the smallest conversion between two groups of the folder.
 func conversionOf(from, to folder.Group) Conversion {
 	gives := (to.Size + from.Size - 1) / from.Size
@@ -421,12 +434,14 @@
 // and nothing is being repaired or converted.
 func (leader *Leader) beginConversion(now time.Time, split *serviceSplit, demands []Demand, groups []GroupStatus) {
 	var input splitInput
+	draining := 0
 	counts := map[string]int{}
 	for _, demand := range demands {
 		if _, found := findSpec(leader.groups, demand.Group.Name); !found {
 			return
 		}
 		pool := leader.poolState(demand, groups)
+		draining += pool.draining * pool.spec.Size
 		counts[demand.Group.Name] = pool.placed
 		if pool.demand.Most > 0 {
 			input.pools = append(input.pools, pool)
@@ -436,6 +451,7 @@
 		split.counts = counts
 		split.changedAt = now
 	}
+	input.expect(draining)
 	plan := input.plan()
 	if plan.steps == 0 {
 		plan = splitPlan{}
@@ -518,18 +534,31 @@
 func (leader *Leader) poolState(demand Demand, groups []GroupStatus) poolState {
 	pool := poolState{spec: demand.Group, demand: leader.split.demand[demand.Group.Name], placed: demand.Placed, ready: demand.Ready}
 	own := poolDomain{name: leader.config.Domain, failureDomain: leader.failureDomain()}
-	own.placed = ownReplicas(demand.Group.Name, groups)
 	for _, status := range groups {
-		if status.Group.Spec == demand.Group.Name && status.Complete && status.Group.State == StateReady && leader.holdsOther(status) {
-			own.staged++
+		if status.Group.Spec != demand.Group.Name {
+			continue
+		}
+		switch {
+		case status.Group.State == StateReleased:
+		case status.Group.State == StateDraining:
+			pool.draining++
+		default:
+			own.placed++
+			if status.Complete && status.Group.State == StateReady && leader.holdsOther(status) {
+				own.staged++
+			}
 		}
 	}
 	pool.domains = append(pool.domains, own)
 	for _, other := range leader.otherDomains.Replicas {
 		if other.Group == demand.Group.Name {
-			pool.domains = append(pool.domains, poolDomain{name: other.FabricDomain, failureDomain: other.FailureDomain, placed: other.Count, ready: other.Ready, staged: other.Staged})
+			pool.draining += other.Draining
+			pool.domains = append(pool.domains, poolDomain{
+				name: other.FabricDomain, failureDomain: other.FailureDomain, placed: other.Count - other.Draining, staged: other.Staged,
+			})
 		}
 	}
+	pool.placed -= pool.draining
 	return pool
 }
 
@@ -554,18 +583,18 @@
 	return float64(count) >= convertedMembers*float64(len(members))
 }
 
-// CountStaged sets Staged in the counts of a domain's replicas. staged returns the models whose
-// weights are on the host of a VM.
-func CountStaged(counts []PlacedReplicas, placement *Placement, groups []folder.Group, serviceOf func(vm string) (string, bool), staged func(vm string) []string) {
+// CountConvertible sets Draining and Staged in the counts of a domain's replicas. staged returns
+// the models whose weights are on the host of a VM.
+func CountConvertible(counts []PlacedReplicas, placement *Placement, groups []folder.Group, serviceOf func(vm string) (string, bool), staged func(vm string) []string) {
 	for _, group := range placement.Groups() {
-		if group.State != StateReady || !holdOther(placement.Members(group.Name), group.Model, staged) {
-			continue
-		}
 		spec, _ := SpecOf(placement, group, groups, serviceOf)
-		for index := range counts {
-			if counts[index].Group == spec.Name {
-				counts[index].Staged++
-			}
+		index := slices.IndexFunc(counts, func(count PlacedReplicas) bool { return count.Group == spec.Name })
+		switch {
+		case index < 0:
+		case group.State == StateDraining:
+			counts[index].Draining++
+		case group.State == StateReady && holdOther(placement.Members(group.Name), group.Model, staged):
+			counts[index].Staged++
 		}
 	}
 }
