--- a/control/leadership.go
+++ b/control/leadership.go
@@ -371,7 +371,7 @@
 			continue
 		}
 		counts := group.Summarize(domain.placement, specs, state.serviceOf, state.openGroups(now, domain))
-		if state.config.Feed.FollowDemand {
+		if state.config.Feed.Pools != nil {
 			group.CountConvertible(counts, domain.placement, specs, state.serviceOf, state.stagedOn)
 		}
 		result.Replicas = append(result.Replicas, counts...)
--- a/control/split.go
+++ b/control/split.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"lacewingspoke.org/lacewingspoke/catalog"
 	"lacewingspoke.org/lacewingspoke/group"
 )
 
@@ -15,20 +16,78 @@
 // stagedOn returns the models whose weights are on the host of a VM.
 func (state *state) stagedOn(vm string) []string { return state.feed.reports[vm].Staged }
 
-// tickDemand passes the observed demand and the replicas of the other fabric domains to the
-// leader of each led one.
+// A PoolUse is what callers ask of a model of a service, see group.ServiceSpec.
+type PoolUse struct {
+	Pool string
+
+	// Arrivals and Refused are requests per second, Running is the mean number of those that
+	// are at groups.
+	Arrivals, Refused, Running float64
+}
+
+// tickDemand observes the demand and passes it, with the replicas of the other fabric domains,
+// to the leader of each led one.
 func (state *state) tickDemand(now time.Time) {
-	if !state.config.Feed.FollowDemand || !state.feeding() || now.Sub(state.feed.demandAt) < demandInterval || !state.config.Traffic.RequestReceived() {
+	if state.config.Feed.Pools == nil || state.feed.catalog == nil || now.Sub(state.feed.demandAt) < demandInterval {
 		return
 	}
 	state.feed.demandAt = now
+	pools, known := state.config.Feed.Pools(now)
+	if !known || len(pools) == 0 {
+		return
+	}
+	state.feed.demand.Observe(now, state.poolLoads(now, pools))
+	observed, known := state.feed.demand.Demand(now)
+	if !known || len(state.leaderships) == 0 {
+		return
+	}
 	state.updateOtherDomains(now)
 	for _, leadership := range state.leaderships {
-		state.handleGroup(now, leadership, state.observedDemand())
+		state.handleGroup(now, leadership, observed)
 		state.logSplits(leadership)
 	}
 }
 
+// poolLoads returns the loads of the pools that the configuration has. Callers name the models,
+// so that others may be counted.
+func (state *state) poolLoads(now time.Time, pools []PoolUse) []group.PoolLoad {
+	replicas := map[string]int{}
+	for _, domain := range state.domains {
+		if domain.placement == nil {
+			continue
+		}
+		for _, count := range group.Summarize(domain.placement, state.specs(), state.serviceOf, state.openGroups(now, domain)) {
+			replicas[count.Group] += count.Ready
+		}
+	}
+	var loads []group.PoolLoad
+	for _, service := range state.feed.catalog.Services() {
+		if service.Engine == nil {
+			continue
+		}
+		for _, model := range service.Engine.Models {
+			load := group.PoolLoad{Spec: group.ServiceSpec(service.Name, model.Name), Pace: replicaPace(service.Engine, model)}
+			load.Replicas = replicas[load.Spec]
+			for _, pool := range pools {
+				if pool.Pool == load.Spec {
+					load.Arrivals, load.Refused, load.Running = pool.Arrivals, pool.Refused, pool.Running
+				}
+			}
+			loads = append(loads, load)
+		}
+	}
+	return loads
+}
+
+func replicaPace(profile *catalog.Engine, model catalog.Model) group.ReplicaPace {
+	scale := func(duration time.Duration) time.Duration { return time.Duration(float64(duration) * model.Pace) }
+	pace := group.ReplicaPace{Slots: profile.Slots, Step: scale(profile.Step), SequenceStep: scale(profile.SequenceStep)}
+	if profile.ReadRate > 0 {
+		pace.PromptTime = scale(time.Duration(float64(profile.MeanPromptTokens) / profile.ReadRate * float64(time.Second)))
+	}
+	return pace
+}
+
 // logSplits logs what the leader of a fabric domain decides about the groups of each service,
 // when the decision changes.
 func (state *state) logSplits(leadership *leadership) {
@@ -44,5 +103,3 @@
 			zap.String("wait", status.Wait), zap.Int("warm", status.Warm), zap.String("pools", fmt.Sprintf("%+v", status.Pools)))
 	}
 }
-
-func (state *state) observedDemand() group.DemandObserved { return group.DemandObserved{} }
--- a/group/split.go
+++ b/group/split.go
@@ -39,6 +39,10 @@
 	// which it is not worth the downtime of the converted replicas.
 	conversionGain = 1.5
 
+	// minRecipientLoad is the load of a pool below which it needs no more replicas: its requests
+	// wait for places only briefly.
+	minRecipientLoad = 0.5
+
 	// maxDonorLoad is the highest load of the pool that gives up replicas, after it has given
 	// them up and has lost one more. The other replicas still serve all requests then.
 	maxDonorLoad = 0.85
@@ -80,7 +84,7 @@
 	// placed and ready are the numbers of replicas, and domains those of each fabric domain.
 	// placed does not contain the draining ones.
 	placed, ready, draining int
-	domains       []poolDomain
+	domains                 []poolDomain
 }
 
 // A poolDomain is the part of a pool in one fabric domain.
@@ -160,8 +164,9 @@
 	return Conversion{From: from.Name, To: to.Name, Gives: gives, Gains: gives * from.Size / to.Size}
 }
 
-// gain returns the ratio of the late requests before and after one more conversion, 0 if the
-// pool that gives up replicas then no longer serves all of its requests.
+// gain returns the ratio of the late requests before and after one more conversion. It is 0 if
+// the pool that gives up replicas then no longer serves all of its requests, and if the other
+// one needs none.
 func (plan splitPlan) gain(donor, recipient poolState, done int) float64 {
 	conversion := plan.conversion
 	left := donor.placed - (done+1)*conversion.Gives
@@ -169,6 +174,9 @@
 		return 0
 	}
 	gained := recipient.placed + done*conversion.Gains
+	if recipient.demand.Least < minRecipientLoad*float64(gained-1) {
+		return 0
+	}
 	before := donor.late(donor.demand.Most, left+conversion.Gives) + recipient.late(recipient.demand.Least, gained)
 	after := donor.late(donor.demand.Most, left) + recipient.late(recipient.demand.Least, gained+conversion.Gains)
 	return before / after
@@ -342,16 +350,10 @@
 
 // observesDemand reports whether the demand for the groups of a service is known.
 func (leader *Leader) observesDemand(now time.Time, demands []Demand) bool {
-	if leader.split.observedAt.IsZero() || now.Sub(leader.split.observedAt) > demandMemory {
+	if len(demands) < 2 || leader.split.observedAt.IsZero() || now.Sub(leader.split.observedAt) > demandMemory {
 		return false
 	}
-	pools := 0
-	for _, demand := range demands {
-		if leader.split.demand[demand.Group.Name].Most > 0 {
-			pools++
-		}
-	}
-	return pools > 1
+	return slices.ContainsFunc(demands, func(demand Demand) bool { return leader.split.demand[demand.Group.Name].Most > 0 })
 }
 
 // splitDemands changes the demands of one service by the observed demand: replicas are formed
@@ -443,9 +445,7 @@
 		pool := leader.poolState(demand, groups)
 		draining += pool.draining * pool.spec.Size
 		counts[demand.Group.Name] = pool.placed
-		if pool.demand.Most > 0 {
-			input.pools = append(input.pools, pool)
-		}
+		input.pools = append(input.pools, pool)
 	}
 	if !maps.Equal(counts, split.counts) {
 		split.counts = counts
