--- a/traffic/sum.go
+++ b/traffic/sum.go
@@ -9,8 +9,6 @@
 
 // A Message is what a node posts to a hub, or the answer of the hub.
 type Message struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	// Node is the name of the sender.
 	Node string
 
--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -70,8 +70,6 @@
 
 // GroupUse is what one node has in progress at a group, or several nodes together.
 type GroupUse struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Group string
 
 	// Running is the number of requests that were sent there and have not ended. Waiting is
@@ -89,8 +87,6 @@
 // PoolUse is what callers ask of a pool at one node, or at several together, lately: with a
 // time constant of Window. A pool is a model of a service, see group.ServiceSpec.
 type PoolUse struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Pool string
 
 	// Arrivals are the requests a second, Refused those of them that were refused without an
