--- a/cmd/lacewingspoke/sharedmodule.go
+++ b/cmd/lacewingspoke/sharedmodule.go
@@ -22,6 +22,7 @@
 	"lacewingspoke.org/lacewingspoke/route"
 	"lacewingspoke.org/lacewingspoke/settings"
 	"lacewingspoke.org/lacewingspoke/timer"
+	"lacewingspoke.org/lacewingspoke/traffic"
 )
 
 // sharedModule builds the components of a node on a platform whose store is
@@ -213,6 +214,8 @@
 	Mesh        *peer.Mesh
 	Forward     *forward.Server
 	Calls       nodeCalls
+	Exchange    *traffic.Exchange `optional:"true"`
+	Follow      followDemand
 	Quarantine  *quarantine.Tracker
 	Limits      *limit.TargetLimits
 	Publisher   *route.Publisher
@@ -241,6 +244,7 @@
 			ReportStalled: params.Calls.ReportStalled,
 			ReturnGrace:   returnGrace,
 			LapseGrace:    params.Settings.DrainBound() / lapseGraceDivisor,
+			Pools:         poolUses(params.Exchange, params.Follow),
 			LoadWindow:    params.Settings.LoadWindow(),
 			LoadSlack:     loadSlack,
 			Bootstrap:     params.Settings.Bootstrap(),
@@ -285,3 +289,19 @@
 
 // SetUsage ignores the demand.
 func (forwardTraffic) SetUsage([]peer.Usage) {}
+
+// poolUses returns a function that returns what callers ask of the pools in the whole fleet, or
+// nil if groups are not to follow it.
+func poolUses(exchange *traffic.Exchange, follow followDemand) func(now time.Time) ([]control.PoolUse, bool) {
+	if exchange == nil || !bool(follow) {
+		return nil
+	}
+	return func(now time.Time) ([]control.PoolUse, bool) {
+		uses, _, known := exchange.Pools(now)
+		pools := make([]control.PoolUse, 0, len(uses))
+		for _, use := range uses {
+			pools = append(pools, control.PoolUse{Pool: use.Pool, Arrivals: use.Arrivals, Refused: use.Refused, Running: use.Worked})
+		}
+		return pools, known
+	}
+}
