--- a/group/demandtracker.go
+++ b/group/demandtracker.go
@@ -20,7 +20,7 @@
 
 	// firstMemory is the time of observation that is enough after the first start of a fleet.
 	// Nothing is known before, and the members still hold the weights of a second model.
-	firstMemory = 2 * time.Second
+	firstMemory = time.Second
 
 	// maxReading bounds the part of the time in which a replica reads prompts.
 	maxReading = 0.9
@@ -146,6 +146,7 @@
 				pools[spec] = pool
 			}
 			pool.Most = max(pool.Most, work)
+			pool.Mean += work
 			pool.Arrivals += sample.arrivals[spec]
 			counts[spec]++
 			if now.Sub(sample.at) <= leastMemory && (pool.Least < 0 || work < pool.Least) {
@@ -156,6 +157,7 @@
 	var observed DemandObserved
 	for spec, pool := range pools {
 		pool.Arrivals /= float64(counts[spec])
+		pool.Mean /= float64(counts[spec])
 		pool.Least = max(pool.Least, 0)
 		observed.Pools = append(observed.Pools, *pool)
 	}
--- a/group/split.go
+++ b/group/split.go
@@ -22,9 +22,9 @@
 	// Arrivals is the mean number of requests per second.
 	Arrivals float64
 
-	// Least and Most are the lowest and the highest work lately, in replicas that are busy
-	// all the time. See DemandTracker.
-	Least, Most float64
+	// Least, Mean and Most are the work lately, in replicas that are busy all the time. See
+	// DemandTracker.
+	Least, Mean, Most float64
 }
 
 func (DemandObserved) event() {}
@@ -37,7 +37,7 @@
 
 	// conversionGain is the ratio of the late requests before and after a conversion below
 	// which it is not worth the downtime of the converted replicas.
-	conversionGain = 1.5
+	conversionGain = 1.2
 
 	// minRecipientLoad is the load of a pool below which it needs no more replicas: its requests
 	// wait for places only briefly.
@@ -58,7 +58,11 @@
 	// conversionSettle is the time without a change of the replicas of all fabric domains
 	// before the next conversion begins. It is longer than a conversion takes and than the
 	// requests need to spread over the new replicas.
-	conversionSettle = 4 * time.Second
+	conversionSettle = 3 * time.Second
+
+	// takeoverSettle is the same time for a leader that has seen no change yet. The replicas of
+	// a conversion that another one began are formed meanwhile.
+	takeoverSettle = 1500 * time.Millisecond
 
 	// conversionTurn is the time for which a fabric domain leaves a conversion to each domain
 	// that is before it in the order.
@@ -123,7 +127,8 @@
 // The load that it answers: two models have as many VMs each, by their shares, but one of them
 // receives 10 times the requests, so that its groups are full while those of the other are
 // idle. Waves and bursts of a few seconds must not move groups, so that the pool that gives up
-// replicas is judged by the most work lately, and the one that gains them by the least.
+// replicas is judged by its mean work over more than a wave and must serve the most of it, and
+// the one that gains them by its least work over more than a burst.
 func (input splitInput) plan() splitPlan {
 	var best splitPlan
 	bestRatio := conversionGain
@@ -177,8 +182,8 @@
 	if recipient.demand.Least < minRecipientLoad*float64(gained-1) {
 		return 0
 	}
-	before := donor.late(donor.demand.Most, left+conversion.Gives) + recipient.late(recipient.demand.Least, gained)
-	after := donor.late(donor.demand.Most, left) + recipient.late(recipient.demand.Least, gained+conversion.Gains)
+	before := donor.late(donor.demand.Mean, left+conversion.Gives) + recipient.late(recipient.demand.Least, gained)
+	after := donor.late(donor.demand.Mean, left) + recipient.late(recipient.demand.Least, gained+conversion.Gains)
 	return before / after
 }
 
@@ -276,10 +281,10 @@
 type serviceSplit struct {
 	service string
 
-	// counts are the replicas in all fabric domains by group of the folder, and changedAt is
-	// when they last changed.
+	// counts are the replicas in all fabric domains by group of the folder, and settledAt is
+	// when the next conversion may begin after their last change.
 	counts    map[string]int
-	changedAt time.Time
+	settledAt time.Time
 
 	// offered is the conversion that has been worth its cost since offeredAt.
 	offered   Conversion
@@ -401,8 +406,7 @@
 // by how busy the groups are.
 func (leader *Leader) shareByWork(demands []Demand) {
 	vms := func(demand Demand) float64 {
-		pool := leader.split.demand[demand.Group.Name]
-		return float64(demand.Group.Size) * (pool.Least + pool.Most) / 2
+		return float64(demand.Group.Size) * leader.split.demand[demand.Group.Name].Mean
 	}
 	total := 0.0
 	for _, demand := range demands {
@@ -448,8 +452,11 @@
 		input.pools = append(input.pools, pool)
 	}
 	if !maps.Equal(counts, split.counts) {
+		split.settledAt = now.Add(conversionSettle)
+		if split.counts == nil {
+			split.settledAt = now.Add(takeoverSettle)
+		}
 		split.counts = counts
-		split.changedAt = now
 	}
 	input.expect(draining)
 	plan := input.plan()
@@ -468,7 +475,7 @@
 	switch {
 	case plan.steps == 0:
 		split.status.Wait = waitNone
-	case now.Sub(split.changedAt) < conversionSettle:
+	case now.Before(split.settledAt):
 		split.status.Wait = waitSettling
 	case turn < 0 || now.Sub(split.offeredAt) < time.Duration(turn-plan.steps+1)*conversionTurn:
 		split.status.Wait = waitTurn
