--- a/cmd/lacewingspoke/sharedmodule.go
+++ b/cmd/lacewingspoke/sharedmodule.go
@@ -330,7 +330,7 @@
 		uses, _, known := exchange.Pools(now)
 		pools := make([]control.PoolUse, 0, len(uses))
 		for _, use := range uses {
-			pools = append(pools, control.PoolUse{Pool: use.Pool, Arrivals: use.Arrivals, Refused: use.Refused, Running: use.Worked})
+			pools = append(pools, control.PoolUse{Pool: use.Pool, Arrivals: use.Arrivals, Refused: use.Refused, Running: use.Worked, PromptTokens: use.PromptTokens})
 		}
 		return pools, known
 	}
--- a/control/split.go
+++ b/control/split.go
@@ -23,6 +23,9 @@
 	// Arrivals and Refused are requests per second, Running is the mean number of those that
 	// are at groups.
 	Arrivals, Refused, Running float64
+
+	// PromptTokens are those of the prompts that are sent to groups in a second.
+	PromptTokens float64
 }
 
 // tickDemand observes the demand and passes it, with the replicas of the other fabric domains,
@@ -70,7 +73,7 @@
 			load.Replicas = replicas[load.Spec]
 			for _, pool := range pools {
 				if pool.Pool == load.Spec {
-					load.Arrivals, load.Refused, load.Running = pool.Arrivals, pool.Refused, pool.Running
+					load.Arrivals, load.Refused, load.Running, load.PromptTokens = pool.Arrivals, pool.Refused, pool.Running, pool.PromptTokens
 				}
 			}
 			loads = append(loads, load)
@@ -82,8 +85,8 @@
 func replicaPace(profile *catalog.Engine, model catalog.Model) group.ReplicaPace {
 	scale := func(duration time.Duration) time.Duration { return time.Duration(float64(duration) * model.Pace) }
 	pace := group.ReplicaPace{Slots: profile.Slots, Step: scale(profile.Step), SequenceStep: scale(profile.SequenceStep)}
-	if profile.ReadRate > 0 {
-		pace.PromptTime = scale(time.Duration(float64(profile.MeanPromptTokens) / profile.ReadRate * float64(time.Second)))
+	if model.Pace > 0 {
+		pace.ReadRate = profile.ReadRate / model.Pace
 	}
 	return pace
 }
--- a/group/demandtracker.go
+++ b/group/demandtracker.go
@@ -38,8 +38,8 @@
 	Step         time.Duration
 	SequenceStep time.Duration
 
-	// PromptTime is the time in which it reads a usual prompt.
-	PromptTime time.Duration
+	// ReadRate is the number of prompt tokens that it reads in a second.
+	ReadRate float64
 }
 
 func (pace ReplicaPace) step(requests float64) float64 {
@@ -55,19 +55,21 @@
 	// were sent to replicas and have not ended.
 	Arrivals, Refused, Running float64
 
+	// PromptTokens are those of the prompts that are sent to replicas in a second.
+	PromptTokens float64
+
 	// Replicas is the number of replicas that serve them.
 	Replicas int
 	Pace     ReplicaPace
 }
 
 // work returns the number of replicas that the load would keep busy all the time. A replica
-// reads prompts in the part of the time that follows from the arrivals. In the rest it makes
+// reads prompts in the part of the time that follows from their tokens. In the rest it makes
 // steps for the running requests, which take longer the more there are.
 func (load PoolLoad) work() float64 {
 	replicas := float64(max(load.Replicas, 1))
 	slots := float64(max(load.Pace.Slots, 1))
-	served := max(load.Arrivals-load.Refused, 0)
-	reading := min(served/replicas*load.Pace.PromptTime.Seconds(), maxReading)
+	reading := min(load.PromptTokens/replicas/max(load.Pace.ReadRate, 1), maxReading)
 	running := load.Running / replicas
 	work := reading
 	if step := load.Pace.step(min(running, slots)); step > 0 {
@@ -75,7 +77,7 @@
 	}
 	factor := 1.0
 	if load.Refused > 0 {
-		factor = min(load.Arrivals/max(served, load.Arrivals/maxRefusedFactor), maxRefusedFactor)
+		factor = min(load.Arrivals/max(load.Arrivals-load.Refused, 1), maxRefusedFactor)
 	}
 	return replicas * work * factor
 }
--- a/group/split_test.go
+++ b/group/split_test.go
@@ -18,9 +18,9 @@
 	smallSpec = folder.Group{Name: "s/small", Model: "small", Service: "s", Size: 4, Share: 500}
 )
 
-func quotePace(pace float64, prompt float64) ReplicaPace {
+func quotePace(pace float64) ReplicaPace {
 	scale := func(millis float64) time.Duration { return time.Duration(millis * pace * float64(time.Millisecond)) }
-	return ReplicaPace{Slots: 30, Step: scale(5.95), SequenceStep: scale(0.0445), PromptTime: scale(prompt / 50.7)}
+	return ReplicaPace{Slots: 30, Step: scale(5.95), SequenceStep: scale(0.0445), ReadRate: 50_700 / pace}
 }
 
 // A fleetModel is the replicas of the two models in the fabric domains of three failure domains.
@@ -42,8 +42,8 @@
 // group holds a place for 0.9 s, one to a small group for 1 s.
 func (fleet *fleetModel) loads(large, small float64) []PoolLoad {
 	return []PoolLoad{
-		{Spec: largeSpec.Name, Arrivals: large, Running: large * 0.9, Replicas: fleet.total(fleet.large), Pace: quotePace(1, 1640)},
-		{Spec: smallSpec.Name, Arrivals: small, Running: small, Replicas: fleet.total(fleet.small), Pace: quotePace(0.6, 674)},
+		{Spec: largeSpec.Name, Arrivals: large, Running: large * 0.9, PromptTokens: large * 1640, Replicas: fleet.total(fleet.large), Pace: quotePace(1)},
+		{Spec: smallSpec.Name, Arrivals: small, Running: small, PromptTokens: small * 674, Replicas: fleet.total(fleet.small), Pace: quotePace(0.6)},
 	}
 }
 
