--- a/control/feed.go
+++ b/control/feed.go
@@ -85,6 +85,11 @@
 	// announcement expired, see directory.Config.
 	LapseGrace time.Duration
 
+	// Pools returns what callers ask of each model of a service in the whole fleet, or false if
+	// that is not known. If it is nil, groups are formed by the shares of the configuration
+	// alone.
+	Pools func(now time.Time) ([]PoolUse, bool)
+
 	// LoadWindow and LoadSlack bound the loads from the weight store: at most
 	// the engine's rate times LoadWindow, plus LoadSlack, in any LoadWindow.
 	LoadWindow time.Duration
@@ -188,6 +193,10 @@
 	// probedAt is when the members of each group were last probed.
 	probedAt map[string]time.Time
 
+	// demand is the observed demand, and demandAt when it was last observed.
+	demand   *group.DemandTracker
+	demandAt time.Time
+
 	// detached holds the fabric domains whose targets this node does not reach although
 	// other nodes do, and ledChecks those that it leads while it may not reach targets,
 	// each with the probes of its targets.
@@ -207,6 +216,7 @@
 
 		lapsedDecisions: map[string]string{},
 		lapsedClosing:   map[string]bool{},
+		demand:          group.NewDemandTracker(config.Bootstrap),
 		loads: limit.NewLoadLimiter(limit.LoadLimiterConfig{
 			Window:      limit.WindowConfig{Length: config.LoadWindow, Bound: config.LoadSlack},
 			ReportDelay: loadReportDelay,
@@ -387,15 +397,24 @@
 	return state.config.Feed.Bootstrap && !state.config.Traffic.RequestReceived()
 }
 
-// permitLoad permits a load of weights or returns how long to wait. The rate
+// coldPreloadRetry is the pause after a refused preload before the first request, when a load
+// takes about a second.
+const coldPreloadRetry = 100 * time.Millisecond
+
+// permitLoad permits a load of weights or returns how long to wait. Before the first request
+// only preloads are bounded, by what the weight store works on at once: all of them together
+// take as long, but those that begin first have ended when the requests come. The rate
 // and the number of parallel loads of the weight store are divided evenly
 // among the fabric domains, and this node may use the parts of those it leads.
 func (state *state) permitLoad(now time.Time, request group.AcquireWeights) group.Event {
+	bound, parallel := state.loadBounds()
+	led, domains := len(state.leaderships), max(1, len(state.domainSizes("")))
 	if state.coldStart() {
+		if request.Preload && parallel > 0 && len(state.loadingVMs(now)) >= max(1, parallel*led/domains) {
+			return group.WeightsRefused{VM: request.VM, Retry: coldPreloadRetry}
+		}
 		return group.WeightsAcquired{VM: request.VM}
 	}
-	bound, parallel := state.loadBounds()
-	led, domains := len(state.leaderships), max(1, len(state.domainSizes("")))
 	state.feed.loads.SetBounds(bound*led/domains, max(1, parallel*led/domains))
 	if wait := state.feed.loads.Take(now, request.VM, request.Preload, state.loadingVMs(now)); wait > 0 {
 		return group.WeightsRefused{VM: request.VM, Retry: wait}
--- a/control/loop.go
+++ b/control/loop.go
@@ -265,6 +265,7 @@
 		state.checkDetached(now)
 		state.askInOutage(now)
 		state.recordLeavingTargets(now)
+		state.tickDemand(now)
 	}
 	for _, leadership := range state.leaderships {
 		state.handleGroup(now, leadership, group.Tick{})
--- a/httpserve/connection.go
+++ b/httpserve/connection.go
@@ -296,12 +296,6 @@
 	return connection.state
 }
 
-func (connection *connection) change(next state) {
-	connection.mutex.Lock()
-	defer connection.mutex.Unlock()
-	connection.setState(next)
-}
-
 func (connection *connection) beginHandler() {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
