--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -9,25 +9,26 @@
 //
 // # Counting once
 //
-// A receiver keeps one record for each sender, the latest one, and drops it after MaxAge
-// without another. A sender is either a member, whose record holds its own counts, or a hub,
+// A receiver keeps one record for each sender, the latest one, and drops it after three
+// intervals without another. A sender is either a member, whose record holds its own counts, or a hub,
 // whose record holds its own counts and those of its members. A hub passes on to other hubs
 // only what it has received from members. A node that changes its hub is counted by both for
-// MaxAge at most, and one that has left for MaxAge.
+// that time at most, and one that has left is counted for that time.
 //
 // # Hubs
 //
 // Hubs are the first of the nodes ranked by SetHubs that answer. A node that is ahead of all
 // answering ones in its failure domain is a hub, and so is every node that a member has posted
-// to: nodes that see different members of the fleet may choose different hubs. A new hub gives no sum for an Interval, in which its members post. A node without a
-// hub has no sum.
+// to: nodes that see different members of the fleet may choose different hubs. A new hub gives no sum
+// for an interval, in which its members post. A node without a hub has no sum, and one of less
+// than half of the nodes counts as none.
 //
 // # Usage
 //
 // The package performs no I/O. Package trafficsync sends the posts and serves them.
 //
 //	exchange := traffic.New(traffic.Config{Node: "edge-1"})
-//	exchange.SetHubs(ranked, now)
+//	exchange.SetHubs(ranked, nodes)
 //	use := exchange.Begin("llm/m1", "m1-7", promptTokens, now)
 //	use.FirstEvent(now)
 //	use.End(now)
