--- a/group/split.go
+++ b/group/split.go
@@ -290,6 +290,9 @@
 	offered   Conversion
 	offeredAt time.Time
 
+	// byWork is set when shares follow the observed work.
+	byWork bool
+
 	// current is the conversion in progress, or nil.
 	current *conversionState
 
@@ -374,7 +377,9 @@
 	}
 	split.endConversion(now, groups)
 	if leader.observesDemand(now, demands) {
-		leader.shareByWork(demands)
+		if leader.shareByWork(split, demands) {
+			setWorkShares(leader.split.demand, demands)
+		}
 		if split.current == nil && !leader.growing() {
 			leader.beginConversion(now, split, demands, groups)
 		}
@@ -402,12 +407,23 @@
 	}
 }
 
-// shareByWork replaces the shares of the folder by the observed work, so that VMs are compared
-// by how busy the groups are.
-func (leader *Leader) shareByWork(demands []Demand) {
-	vms := func(demand Demand) float64 {
-		return float64(demand.Group.Size) * leader.split.demand[demand.Group.Name].Mean
+// shareByWork reports whether the shares of the folder are replaced by the observed work: from
+// when one pool was clearly busier than another. Before, a difference may be chance.
+func (leader *Leader) shareByWork(split *serviceSplit, demands []Demand) bool {
+	lowest, highest := math.Inf(1), 0.0
+	for _, demand := range demands {
+		pool, replicas := leader.split.demand[demand.Group.Name], float64(max(demand.Placed, 1))
+		lowest = min(lowest, pool.Most/replicas)
+		highest = max(highest, pool.Least/replicas)
 	}
+	split.byWork = split.byWork || highest > lowest
+	return split.byWork
+}
+
+// setWorkShares replaces the shares of the folder by the observed work, so that VMs are compared
+// by how busy the groups are.
+func setWorkShares(observed map[string]PoolDemand, demands []Demand) {
+	vms := func(demand Demand) float64 { return float64(demand.Group.Size) * observed[demand.Group.Name].Mean }
 	total := 0.0
 	for _, demand := range demands {
 		total += vms(demand)
