Keep a connection that ends for others from waiting for its body again

A refused body was read on before the refusal was sent: net/http discards the rest of a request first, and the deadline had been taken back. An error of Read now ends all later Reads of the request, and the rest of a body that no handler reads has a second.

--- a/httpserve/connection.go
+++ b/httpserve/connection.go
@@ -80,6 +80,9 @@
 	// meanwhile.
 	yielding bool
 
+	// failure is the error with which a Read ended the request, and every later one ends.
+	failure error
+
 	// lingers is true if the connection is closed by a timer, so that the caller gets the last
 	// answer although it has sent more than was read.
 	lingers bool
@@ -98,7 +101,9 @@
 // Read implements net.Conn.
 func (connection *connection) Read(buffer []byte) (int, error) {
 	for {
-		connection.beginRead(len(buffer))
+		if err := connection.beginRead(len(buffer)); err != nil {
+			return 0, err
+		}
 		count, err := connection.Conn.Read(buffer)
 		if count > 0 {
 			if refusal := connection.received(buffer[:count]); refusal != nil {
@@ -119,21 +124,27 @@
 	}
 }
 
-// beginRead sets the deadline for the next part of a body.
-func (connection *connection) beginRead(size int) {
-	timeout := connection.server.config.BodyTimeout
-	if timeout == 0 || size == backgroundBytes {
-		return
-	}
+// beginRead sets the deadline for the next part of a body, or for the rest of one that no handler
+// reads. It returns the error of an earlier Read that ended the request.
+func (connection *connection) beginRead(size int) error {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	if connection.state != stateBody || connection.yielding {
-		return
+	if connection.failure != nil || size == backgroundBytes || connection.yielding {
+		return connection.failure
+	}
+	timeout := connection.server.config.BodyTimeout
+	switch {
+	case connection.state == stateBody && timeout > 0:
+		connection.bodyDeadline = time.Now().Add(timeout)
+	case connection.state == stateAnswered:
+		connection.bodyDeadline = connection.since.Add(discardTime)
+	default:
+		return nil
 	}
-	connection.bodyDeadline = time.Now().Add(timeout)
 	if connection.readDeadline.IsZero() || connection.bodyDeadline.Before(connection.readDeadline) {
 		_ = connection.Conn.SetReadDeadline(connection.bodyDeadline)
 	}
+	return nil
 }
 
 // received records bytes that were read: of a request, or of the next one while a handler runs.
@@ -170,7 +181,9 @@
 	connection.server.room.record(refusal.cause, connection.RemoteAddr().String())
 	connection.write(refusal)
 	connection.linger()
-	return &net.OpError{Op: "read", Net: "tcp", Err: errRefused}
+	connection.mutex.Lock()
+	defer connection.mutex.Unlock()
+	return connection.fail(errRefused)
 }
 
 func (connection *connection) write(refusal refusal) {
@@ -198,13 +211,24 @@
 		_ = connection.Conn.SetReadDeadline(connection.readDeadline)
 		return 0, nil, true
 	case connection.yielding:
-		return 0, &net.OpError{Op: "read", Net: "tcp", Err: ErrNoRoom}, false
-	case connection.state == stateBody && !connection.bodyDeadline.IsZero() && !time.Now().Before(connection.bodyDeadline):
-		return 0, &net.OpError{Op: "read", Net: "tcp", Err: ErrBodyStalled}, false
+		return 0, connection.fail(ErrNoRoom), false
+	case connection.bodyEnded():
+		return 0, connection.fail(ErrBodyStalled), false
 	}
 	return 0, deadline, !connection.expired()
 }
 
+// fail returns the error of this and of every later Read.
+func (connection *connection) fail(cause error) error {
+	connection.failure = &net.OpError{Op: "read", Net: "tcp", Err: cause}
+	return connection.failure
+}
+
+// bodyEnded reports whether a body, or the rest of one, has not arrived in time.
+func (connection *connection) bodyEnded() bool {
+	return (connection.state == stateBody || connection.state == stateAnswered) && !connection.bodyDeadline.IsZero() && !time.Now().Before(connection.bodyDeadline)
+}
+
 // expired reports whether the deadline of net/http has passed. Otherwise the one that ended
 // a Read was replaced meanwhile.
 func (connection *connection) expired() bool {
@@ -296,12 +320,6 @@
 	return connection.state
 }
 
-func (connection *connection) change(next state) {
-	connection.mutex.Lock()
-	defer connection.mutex.Unlock()
-	connection.setState(next)
-}
-
 func (connection *connection) beginHandler() {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
@@ -312,7 +330,7 @@
 
 // stay makes a connection that was closing for others go on.
 func (connection *connection) stay() {
-	if connection.yielding {
+	if connection.yielding && connection.failure == nil {
 		connection.yielding = false
 		_ = connection.Conn.SetReadDeadline(connection.readDeadline)
 	}
@@ -321,7 +339,7 @@
 func (connection *connection) endHandler() {
 	connection.mutex.Lock()
 	defer connection.mutex.Unlock()
-	connection.bodies = 0
+	connection.bodies, connection.bodyDeadline = 0, time.Time{}
 	connection.setState(stateAnswered)
 }
 
@@ -331,7 +349,7 @@
 	connection.mutex.Lock()
 	connection.head = connection.head.next(connection.length)
 	held, cost := connection.heads, max(0, connection.head.cost()-freeBytes)
-	connection.heads = min(held, cost)
+	connection.heads, connection.bodyDeadline = min(held, cost), time.Time{}
 	connection.setState(stateIdle)
 	connection.mutex.Unlock()
 	connection.server.room.release(held - min(held, cost))
--- a/httpserve/httpserve.go
+++ b/httpserve/httpserve.go
@@ -26,6 +26,15 @@
 // A handler bounds its requests with Requests: late in a stop it refuses those that may not
 // end in time, and at the end it answers those that are left.
 //
+// # Clients out of control
+//
+// A Server owns what its connections make the process hold: their number, the decoded heads of
+// requests, which net/http would decode in any number and with any number of lines, and how long
+// bodies may stand still. A handler takes the room for bodies with GrowBody. When room is short,
+// the connection that holds most and progresses least ends (limit.FirstToYield): without a
+// request silently, in a head or a body with a refusal, and never once a handler has the whole
+// request. See docs/design/clients.md.
+//
 // # Responses that cannot be completed
 //
 // Abort ends a handler whose response has begun, so that no caller takes it for complete.
