Count the arrivals of configured models only

Cause: callers name the models, and each name became a pool in the counts of traffic. A fleet without hubs never drops them, so that a node grows with each name. With hubs, a caller that sends a few thousand names fills the messages: beyond 4,096 pools the others are left out, beyond 256 KB all posts fail, and no node of the fleet has sums.

Change: only models of the service's configuration are counted.

Result: forward TestModelsThatTheConfigurationLacksAreNotCounted fails without the change (two pools) and passes with it.

--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -44,7 +44,7 @@
 		wait = 2 * time.Second
 	}
 	return forward.CallerHeaders{
-		Attempt: header.Get("Id"), Key: header.Get("Secret"), Model: "m", Deadline: wait,
+		Attempt: header.Get("Id"), Key: header.Get("Secret"), Model: cmp.Or(header.Get("Model"), "m"), Deadline: wait,
 		PromptParts: header.Values("Part"), PartTokens: slices.Repeat([]int{partTokens}, len(header.Values("Part"))),
 	}, nil
 }
@@ -348,7 +348,7 @@
 	}
 	current, err := catalog.New(catalog.Config{
 		Version:     generation,
-		Services:    []catalog.Service{{Name: "once"}, {Name: "idempotent"}, {Name: "stream", Engine: &catalog.Engine{Slots: 4, Step: fixture.step, MeanAnswerTokens: 20, KeepsPrompts: fixture.keepsPrompts, ReadRate: 10000}}},
+		Services:    []catalog.Service{{Name: "once"}, {Name: "idempotent"}, {Name: "stream", Engine: &catalog.Engine{Slots: 4, Step: fixture.step, MeanAnswerTokens: 20, KeepsPrompts: fixture.keepsPrompts, ReadRate: 10000, Models: []catalog.Model{{Name: "m"}}}}},
 		Routes:      routes,
 		RequiresKey: fixture.requiresKey,
 		Workspaces:  workspaces,
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -95,12 +95,15 @@
 // events back to the caller.
 func (exchange *exchange) serveStream(ctx context.Context) {
 	exchange.server.objectives.Use(exchange.pool(), exchange.route.Key(), exchange.receivedAt)
-	exchange.server.config.Traffic.Arrived(exchange.pool(), exchange.receivedAt)
-	defer func() {
-		if len(exchange.attempts) == 0 {
-			exchange.server.config.Traffic.Refused(exchange.pool(), exchange.server.config.Now())
-		}
-	}()
+	// Callers name the models, so that other names have no bound. Every node would receive them.
+	if _, configured := exchange.service.Engine.Model(exchange.caller.Model); configured {
+		exchange.server.config.Traffic.Arrived(exchange.pool(), exchange.receivedAt)
+		defer func() {
+			if len(exchange.attempts) == 0 {
+				exchange.server.config.Traffic.Refused(exchange.pool(), exchange.server.config.Now())
+			}
+		}()
+	}
 	delivery := &delivery{
 		exchange: exchange, lastEventID: exchange.caller.ResumeAfter, seeking: true,
 		events: make(chan callEvent), suspicions: make(chan *groupCall, maxCalls), pauses: map[string]resumePause{},
--- a/forward/traffic_test.go
+++ b/forward/traffic_test.go
@@ -45,3 +45,19 @@
 	require.Equal(test, http.StatusServiceUnavailable, refused.status)
 	require.Equal(test, 10, fixture.groups[0].count()+fixture.groups[1].count())
 }
+
+// Guards against counts of pools that only callers name: they have no bound, and fill the
+// messages between nodes.
+func TestModelsThatTheConfigurationLacksAreNotCounted(test *testing.T) {
+	fixture := tableFixture{groups: []*target{newTarget(test, "g1", streams(1, "0\r\n\r\n"))}, traffic: withOthers()}
+	node := newNode(test, fixture)
+	for _, model := range []string{"m", "other"} {
+		request := node.newRequest(test, http.MethodPost, "/stream/1", "x")
+		request.Header.Set("Model", model)
+		node.send(request)
+	}
+	pools, _, known := fixture.traffic.Pools(time.Now())
+	require.True(test, known)
+	require.Len(test, pools, 1)
+	require.Equal(test, "stream/m", pools[0].Pool)
+}
