Drop the counts of ended groups in a fleet without hubs

Cause: the counts of a node's groups and pools are dropped where its message is made. A fleet of few nodes, or without readers, makes none, so that a node keeps up to 32 first events of each group that it ever sent a request to.

Change: they are dropped at the same interval without hubs.

Result: traffic TestEndedGroupsAreDroppedWithoutHubs fails without the change and passes with it (go test -race ./traffic ./trafficsync pass).

--- a/traffic/hub.go
+++ b/traffic/hub.go
@@ -64,10 +64,15 @@
 	exchange.mutex.Lock()
 	defer exchange.mutex.Unlock()
 	exchange.drop(now)
-	if len(exchange.domains) == 0 || now.Before(exchange.nextAt) {
+	if now.Before(exchange.nextAt) {
 		return nil
 	}
 	exchange.nextAt = now.Add(exchange.interval - intervalSlack)
+	if len(exchange.domains) == 0 {
+		// Drops the counts of groups and pools that have ended.
+		exchange.ownMessage(now)
+		return nil
+	}
 	near, found := exchange.firstHub(exchange.domains[0], now)
 	first := found && near.Node == exchange.config.Node
 	hasMembers := !exchange.memberAt.IsZero() && now.Sub(exchange.memberAt) <= exchange.maxAge()
--- a/traffic/traffic_test.go
+++ b/traffic/traffic_test.go
@@ -167,6 +167,24 @@
 	require.False(test, fresh)
 }
 
+// Guards against counts that a node of a small fleet keeps for all groups that it ever had.
+func TestEndedGroupsAreDroppedWithoutHubs(test *testing.T) {
+	now := time.Unix(1000, 0)
+	exchange := New(Config{Node: "a"})
+	for group := range 100 {
+		exchange.Begin("pool", fmt.Sprint(group), 100, now).End(now)
+	}
+	running := exchange.Begin("pool", "running", 100, now)
+	now = now.Add(time.Minute)
+	require.Empty(test, exchange.Due(now))
+	require.Len(test, exchange.groups, 1)
+	running.End(now)
+	now = now.Add(time.Minute)
+	require.Empty(test, exchange.Due(now))
+	require.Empty(test, exchange.groups)
+	require.Empty(test, exchange.pools)
+}
+
 func TestNodesThatRankDifferentlyCountOnce(test *testing.T) {
 	fleet := newFleet(1, 8)
 	stray := Hub{Node: "0/06", Address: "0/06"}
