Short Retry-After for a service without runners

Cause: runnerRetryDelay returned the delay of an evacuated service for one that has no runners in the table, also without evacuations: 0.3 s to a third of the caller's time in place of 60 ms while runners restart.

Change: the long delay holds only if the service has runners and all of them are evacuated.

Result: forward TestCallersOfAServiceWithoutRunnersReturnSoon fails without the change and passes with it.

--- a/forward/evacuation_test.go
+++ b/forward/evacuation_test.go
@@ -59,6 +59,14 @@
 	}
 }
 
+// Guards against callers that wait as for an evacuated failure domain while their service has no
+// runners, for example in their restart.
+func TestCallersOfAServiceWithoutRunnersReturnSoon(test *testing.T) {
+	got := newNode(test, tableFixture{}).request(test, http.MethodPost, "/once/1", "x")
+	require.Equal(test, http.StatusServiceUnavailable, got.status)
+	require.Equal(test, "0.06", got.header.Get("Retry-After"))
+}
+
 // Guards against a stream that is cut when its failure domain is evacuated, and against one
 // that is resumed there after its group broke off.
 func TestStreamsInProgressOutliveTheEvacuation(test *testing.T) {
--- a/forward/runner.go
+++ b/forward/runner.go
@@ -44,10 +44,12 @@
 func (exchange *exchange) runnerRetryDelay() time.Duration {
 	server := exchange.server
 	table := server.config.Publisher.Current()
-	for _, target := range table.Services(exchange.service.Name) {
-		if !table.Evacuated(target.FailureDomain, server.config.Now()) {
-			return runnerRetryAfter
-		}
+	targets := table.Services(exchange.service.Name)
+	open := func(target route.ServiceTarget) bool {
+		return !table.Evacuated(target.FailureDomain, server.config.Now())
+	}
+	if len(targets) == 0 || slices.ContainsFunc(targets, open) {
+		return runnerRetryAfter
 	}
 	return limit.RetryDelay(exchange.remaining(), server.randomFraction())
 }
