Ignore listings of evacuations older than the set

Change: Evacuations keeps the revision of the set and ignores what is older. The calls of Change in the existing test get a revision.

Result: catalog TestOlderListingEndsNoEvacuation passes; go test ./catalog and ./platform -run Evacuations pass.

--- a/catalog/evacuation.go
+++ b/catalog/evacuation.go
@@ -33,10 +33,10 @@
 	// stay in the set.
 	doubtful map[string]time.Time
 
-	// era is that of the last listing, 0 before the first one, and readAt a time at which the
+	// revision is that of the set, 0 before the first listing, and readAt a time at which the
 	// store is known to have held the set.
-	era    uint64
-	readAt time.Time
+	revision uint64
+	readAt   time.Time
 }
 
 // NewEvacuations returns an empty set.
@@ -45,11 +45,13 @@
 }
 
 // List replaces the set with a complete listing of the store at a revision, which the store
-// is known to have had at readAt.
+// is known to have had at readAt. A listing older than the set has no effect: a node that
+// reads through another one than before may get one.
 func (evacuations *Evacuations) List(now, readAt time.Time, revision uint64, domains []string) {
-	era := kvstore.Era(revision)
-	copied := evacuations.era != 0 && era > evacuations.era
-	evacuations.era = era
+	if revision < evacuations.revision {
+		return
+	}
+	copied := evacuations.revision != 0 && kvstore.Era(revision) > kvstore.Era(evacuations.revision)
 	for domain := range evacuations.domains {
 		if _, doubtful := evacuations.doubtful[domain]; copied && !doubtful {
 			evacuations.doubtful[domain] = now.Add(rewriteTime)
@@ -59,12 +61,16 @@
 		_, doubtful := evacuations.doubtful[domain]
 		return !doubtful && !slices.Contains(domains, domain)
 	})
-	evacuations.Change(now, readAt, domains, nil)
+	evacuations.Change(now, readAt, revision, domains, nil)
 }
 
-// Change updates the set with changes in the store, which is known to have had them, or to
-// have had no others, at readAt.
-func (evacuations *Evacuations) Change(now, readAt time.Time, put, removed []string) {
+// Change updates the set with changes in the store up to a revision, which is known to have
+// had them, or to have had no others, at readAt. Changes older than the set have no effect.
+func (evacuations *Evacuations) Change(now, readAt time.Time, revision uint64, put, removed []string) {
+	if revision < evacuations.revision {
+		return
+	}
+	evacuations.revision = revision
 	for _, domain := range removed {
 		delete(evacuations.doubtful, domain)
 		delete(evacuations.domains, domain)
--- a/catalog/evacuation_test.go
+++ b/catalog/evacuation_test.go
@@ -24,12 +24,12 @@
 	require.True(test, started.All()[0].Before.IsZero())
 	following := NewEvacuations()
 	following.List(now, now, revisionOf(test, 1, 10), nil)
-	following.Change(now.Add(time.Second), now.Add(time.Second), nil, nil)
+	following.Change(now.Add(time.Second), now.Add(time.Second), revisionOf(test, 1, 10), nil, nil)
 	following.List(now.Add(9*time.Second), now.Add(9*time.Second), revisionOf(test, 1, 20), []string{"a", "b"})
 	require.Equal(test, []Evacuation{{"a", now.Add(time.Second)}, {"b", now.Add(time.Second)}}, following.All())
 	// A domain that is taken back and evacuated again is a new one.
-	following.Change(now.Add(10*time.Second), now.Add(10*time.Second), nil, []string{"a"})
-	following.Change(now.Add(11*time.Second), now.Add(11*time.Second), []string{"a"}, nil)
+	following.Change(now.Add(10*time.Second), now.Add(10*time.Second), revisionOf(test, 1, 21), nil, []string{"a"})
+	following.Change(now.Add(11*time.Second), now.Add(11*time.Second), revisionOf(test, 1, 22), []string{"a"}, nil)
 	require.Equal(test, now.Add(10*time.Second), following.All()[0].Before)
 }
 
@@ -41,10 +41,24 @@
 	evacuations.List(now, now, revisionOf(test, 1, 10), []string{"a", "b", "c"})
 	evacuations.List(now, now, revisionOf(test, 2, 5), []string{"a"})
 	require.Equal(test, []string{"a", "b", "c"}, domainsOf(evacuations))
-	evacuations.Change(now, now, []string{"b"}, nil)
+	evacuations.Change(now, now, revisionOf(test, 2, 6), []string{"b"}, nil)
 	later := now.Add(rewriteTime)
 	evacuations.List(later, later, revisionOf(test, 2, 9), []string{"a", "b"})
 	require.Equal(test, []string{"a", "b"}, domainsOf(evacuations))
 	evacuations.List(later, later, revisionOf(test, 2, 12), nil)
 	require.Empty(test, domainsOf(evacuations))
 }
+
+// Guards against an evacuation that ends, and later begins again with a new bound, because a
+// node lists the keys through one that has not received it yet.
+func TestOlderListingEndsNoEvacuation(test *testing.T) {
+	now := time.Unix(1000, 0)
+	evacuations := NewEvacuations()
+	evacuations.List(now, now, revisionOf(test, 1, 10), nil)
+	evacuations.Change(now, now, revisionOf(test, 1, 12), []string{"a"}, nil)
+	evacuations.List(now, now, revisionOf(test, 1, 9), nil)
+	evacuations.Change(now, now, revisionOf(test, 1, 11), nil, []string{"a"})
+	require.Equal(test, []Evacuation{{"a", now}}, evacuations.All())
+	evacuations.Change(now, now, revisionOf(test, 1, 13), nil, []string{"a"})
+	require.Empty(test, evacuations.All())
+}
