Use the permit of a cold target only for a request that is written

Cause: a node that sends a request on for another one used a permit before it found that its newest table lacks the target for the service. The permit was taken from another request for a second.

Change: the permit is the last check before the write, as in forward/send.go.

Result: go test ./forward -run Cold passes; no test of its own.

--- a/forward/relay_server.go
+++ b/forward/relay_server.go
@@ -252,10 +252,10 @@
 			if values.Deadline <= 0 {
 				return message{}, errOutOfTime
 			}
-			if relayed.server.closedTo(relayed.target.instance, relayed.target.failureDomain) || !relayed.server.mayWrite(content.Target) {
+			if relayed.server.closedTo(relayed.target.instance, relayed.target.failureDomain) {
 				return message{}, errClosed
 			}
-			if !relayed.server.belongs(destination{id: content.Target, group: content.Group}, content.Service) {
+			if !relayed.server.belongs(destination{id: content.Target, group: content.Group}, content.Service) || !relayed.server.mayWrite(content.Target) {
 				return message{}, errClosed
 			}
 			header := relayed.server.config.Codec.Outgoing(content.Header, values)
