Look for ended traffic records only when one may have ended

Cause: each request asks for the sum of the others some times for each group, and each sum went through all records twice: at a hub with 104 members one sum took 3.1 us, so that choosing among 28 groups took about 0.26 ms of a node.

Change: the exchange keeps the time up to which no record ends and that of the oldest record of a hub.

--- a/traffic/hub.go
+++ b/traffic/hub.go
@@ -48,8 +48,10 @@
 	defer exchange.mutex.Unlock()
 	exchange.domains, exchange.nodes = domains, nodes
 	exchange.interval = min(MaxInterval, Interval*time.Duration(max(nodes, intervalNodes))/intervalNodes)
+	exchange.endsAt = time.Time{}
 	if len(domains) == 0 {
 		clear(exchange.records)
+		exchange.hubsChanged = true
 		exchange.members, exchange.hubs, exchange.answered = newSum(), newSum(), newSum()
 		exchange.answeredAt, exchange.hubSince = time.Time{}, time.Time{}
 	}
@@ -212,9 +214,14 @@
 			return
 		}
 		exchange.sumOf(known.message).apply(known.message, -1)
+		exchange.hubsChanged = exchange.hubsChanged || known.message.Hub
 	}
 	exchange.records[message.Node] = record{message: message, at: at}
 	exchange.sumOf(message).apply(message, 1)
+	exchange.hubsChanged = exchange.hubsChanged || message.Hub
+	if ends := at.Add(exchange.maxAge()); ends.Before(exchange.endsAt) {
+		exchange.endsAt = ends
+	}
 }
 
 func (exchange *Exchange) sumOf(message Message) *sum {
@@ -226,21 +233,34 @@
 
 // drop drops the records that were not renewed.
 func (exchange *Exchange) drop(now time.Time) {
+	if !now.After(exchange.endsAt) {
+		return
+	}
+	exchange.endsAt = now.Add(exchange.maxAge())
 	for node, known := range exchange.records {
-		if now.Sub(known.at) > exchange.maxAge() {
+		ends := known.at.Add(exchange.maxAge())
+		if now.After(ends) {
 			exchange.sumOf(known.message).apply(known.message, -1)
+			exchange.hubsChanged = exchange.hubsChanged || known.message.Hub
 			delete(exchange.records, node)
+		} else if ends.Before(exchange.endsAt) {
+			exchange.endsAt = ends
 		}
 	}
 }
 
 // oldestHub returns the age of the oldest record of a hub.
 func (exchange *Exchange) oldestHub(now time.Time) time.Duration {
-	oldest := time.Duration(0)
-	for _, known := range exchange.records {
-		if known.message.Hub {
-			oldest = max(oldest, now.Sub(known.at))
+	if exchange.hubsChanged {
+		exchange.hubsChanged, exchange.hubAt = false, time.Time{}
+		for _, known := range exchange.records {
+			if known.message.Hub && (exchange.hubAt.IsZero() || known.at.Before(exchange.hubAt)) {
+				exchange.hubAt = known.at
+			}
 		}
 	}
-	return oldest
+	if exchange.hubAt.IsZero() {
+		return 0
+	}
+	return max(0, now.Sub(exchange.hubAt))
 }
--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -139,6 +139,13 @@
 	members sum
 	hubs    sum
 
+	// endsAt is a time up to which no record ends, and hubAt when the oldest record of a hub
+	// was received, zero if there is none. hubAt holds unless hubsChanged is set. Each request
+	// asks for some hundred sums, and a hub has a record of each node of its failure domain.
+	endsAt      time.Time
+	hubAt       time.Time
+	hubsChanged bool
+
 	// answered is the last answer of this node's hub, the sum of the others at answeredAt.
 	answered   sum
 	answeredAt time.Time
--- a/traffic/traffic_test.go
+++ b/traffic/traffic_test.go
@@ -167,6 +167,30 @@
 	require.False(test, fresh)
 }
 
+// Guards against records that outlive their age because the interval has become shorter, or
+// because another one was renewed.
+func TestRecordsEndAtTheirAge(test *testing.T) {
+	now := time.Unix(1000, 0)
+	exchange := New(Config{Node: "a"})
+	hubs := [][]Hub{{{Node: "a", Address: "a"}}}
+	exchange.SetHubs(hubs, 5)
+	exchange.Due(now)
+	now = now.Add(time.Second)
+	exchange.SetHubs(hubs, 10*intervalNodes)
+	for _, name := range []string{"b", "c"} {
+		exchange.Receive(Message{Node: name, Nodes: 1, Groups: []GroupUse{{Group: "group", Running: 1}}}, now)
+	}
+	exchange.SetHubs(hubs, 2)
+	running := func(after time.Duration) int {
+		use, _, _ := exchange.Group("group", now.Add(after))
+		return use.Running
+	}
+	require.Equal(test, 2, running(ageIntervals*Interval))
+	exchange.Receive(Message{Node: "b", Nodes: 1, Groups: []GroupUse{{Group: "group", Running: 1}}}, now.Add(Interval))
+	require.Equal(test, 1, running(ageIntervals*Interval+1))
+	require.Zero(test, running((ageIntervals+1)*Interval+1))
+}
+
 // Guards against counts that a node of a small fleet keeps for all groups that it ever had.
 func TestEndedGroupsAreDroppedWithoutHubs(test *testing.T) {
 	now := time.Unix(1000, 0)
