--- a/control/evacuation_test.go
+++ b/control/evacuation_test.go
@@ -11,7 +11,7 @@
 )
 
 // Guards against requests to an evacuated domain after its bound, at once where the node
-// cannot know since when the evacuation is in force, against groups that are given up
+// has no earlier reading without the evacuation, against groups that are given up
 // meanwhile, and against a domain that stays closed after it was taken back.
 func TestEvacuatedDomainIsClosedWithinItsBound(test *testing.T) {
 	now := time.Now()
--- a/forward/cold_test.go
+++ b/forward/cold_test.go
@@ -37,7 +37,7 @@
 				require.Equal(test, http.StatusOK, node.request(test, http.MethodPost, path, "x").status)
 			}
 			require.LessOrEqual(test, cold.count(), rate)
-			// The node that has lost its way to the target has a permit, the other one has not.
+			// The node that does not reach the target has a permit, the other one has not.
 			relay := newNode(test, tableFixture{idempotent: []*target{cold}, groups: []*target{cold}, cold: record})
 			record.Take("cold", time.Now())
 			require.False(test, record.Take("cold", time.Now()))
--- a/limit/coldtargets.go
+++ b/limit/coldtargets.go
@@ -12,7 +12,7 @@
 	coldWindow = 1050 * time.Millisecond
 
 	// nodeMemory is how long a node that is no longer listed keeps its part of the permits.
-	// It may still send: its lease ended because it lost its way to the store. It is above
+	// It may still send: its lease ended because it lost contact to the store. It is above
 	// the time for which such a node sends requests with keys.
 	nodeMemory = 10 * time.Second
 
@@ -42,7 +42,7 @@
 // The rate is divided into whole permits, each for one request in any coldWindow. They are
 // dealt to the live nodes in an order that each node computes for itself, so that no message
 // is needed. With more nodes than permits most nodes have none for a target, and some for
-// another. A node that has ended takes its permits with it until nodeMemory has passed; one
+// another. The permits of a node that has ended are unused until nodeMemory has passed; one
 // that has not been in a fresh list for listMaxAge, or has just joined, has none. Lists of
 // nodes that differ for a while differ by such nodes only.
 //
--- a/limit/spread.go
+++ b/limit/spread.go
@@ -51,8 +51,8 @@
 // their new loads have reached them: 83 nodes sent one group some 170 requests in 250 ms while
 // the others were late. Spread deals the expected requests so that all targets have the same
 // load in the end, each within its room. Requests beyond all rooms get no target. Each
-// node decides by draw, a random number in [0, 1) of the request, so that no word between
-// the nodes is needed.
+// node decides by draw, a random number in [0, 1) of the request, so that no message
+// between the nodes is needed.
 //
 // It returns the index of a place, or false if the request is beyond the rooms.
 func Spread(places []Place, expected, draw float64) (int, bool) {
