Leader: a rank 0 that was ordered to open may admit requests

Cause: confirmedClosed and active judged a rank 0 by its last report. Between an open order and the report that shows it, a lost member's repair let the others join another composition while rank 0 was opening (rule TWO).

--- a/group/open.go
+++ b/group/open.go
@@ -49,14 +49,21 @@
 // requests.
 func (leader *Leader) active(key composition) bool {
 	rank0 := leader.rank0Of(key)
-	return rank0 != nil && admitting(rank0.report.State)
+	return rank0 != nil && rank0.mayAdmit()
+}
+
+// mayAdmit reports whether a rank 0 accepts requests or may run some, also while its report does
+// not show yet that it was ordered to open.
+func (vm *member) mayAdmit() bool {
+	opening := vm.order.action == engine.ActionOpen && !vm.reportCoversOrder()
+	return admitting(vm.report.State) || opening
 }
 
 // confirmedClosed reports whether rank 0 of a composition is live and neither
 // accepts nor runs requests. An unreachable rank 0 may still be open.
 func (leader *Leader) confirmedClosed(key composition) bool {
 	rank0 := leader.rank0Of(key)
-	return rank0 != nil && !admitting(rank0.report.State)
+	return rank0 != nil && !rank0.mayAdmit()
 }
 
 // mayRelease reports whether a VM may leave its composition. Rank 0 does not
