Second models: members of the largest groups first, and a bound before the first request

Cause: before the first request all members staged a second model at once; 192 loads at a weight store that works on 27 end together, after the first request.

Change: preloads before the first request are bounded by what the weight store works on at once, and members of the largest groups come first.

--- a/control/feed.go
+++ b/control/feed.go
@@ -352,15 +352,24 @@
 	return state.config.Feed.Bootstrap && !state.config.Traffic.RequestReceived()
 }
 
-// permitLoad permits a load of weights or returns how long to wait. The rate
+// coldPreloadRetry is the pause after a refused preload before the first request, when a load
+// takes about a second.
+const coldPreloadRetry = 100 * time.Millisecond
+
+// permitLoad permits a load of weights or returns how long to wait. Before the first request
+// only preloads are bounded, by what the weight store works on at once: all of them together
+// take as long, but those that begin first have ended when the requests come. The rate
 // and the number of parallel loads of the weight store are divided evenly
 // among the fabric domains, and this node may use the parts of those it leads.
 func (state *state) permitLoad(now time.Time, request group.AcquireWeights) group.Event {
+	bound, parallel := state.loadBounds()
+	led, domains := len(state.leaderships), max(1, len(state.domainSizes("")))
 	if state.coldStart() {
+		if request.Preload && parallel > 0 && len(state.loadingVMs(now)) >= max(1, parallel*led/domains) {
+			return group.WeightsRefused{VM: request.VM, Retry: coldPreloadRetry}
+		}
 		return group.WeightsAcquired{VM: request.VM}
 	}
-	bound, parallel := state.loadBounds()
-	led, domains := len(state.leaderships), max(1, len(state.domainSizes("")))
 	state.feed.loads.SetBounds(bound*led/domains, max(1, parallel*led/domains))
 	if wait := state.feed.loads.Take(now, request.VM, request.Preload, state.loadingVMs(now)); wait > 0 {
 		return group.WeightsRefused{VM: request.VM, Retry: wait}
--- a/group/open.go
+++ b/group/open.go
@@ -1,6 +1,7 @@
 package group
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -345,12 +346,14 @@
 }
 
 // secondModelNeeds returns the members of serving groups that may stage the
-// weights of a second model. They come after all spares.
+// weights of a second model, those of the largest groups first: the loss of one of their
+// members leaves the most others unused. They come after all spares.
 func (leader *Leader) secondModelNeeds() []weightNeed {
 	if leader.plannedAt.Before(leader.secondModelAt) {
 		return nil
 	}
 	var needs []weightNeed
+	sizes := map[string]int{}
 	for _, name := range leader.memberNames() {
 		vm := leader.members[name]
 		assignment, placed := leader.placement.Assignment(name)
@@ -365,10 +368,12 @@
 				need := stagingNeed(name, spec)
 				need.secondModel = true
 				needs = append(needs, need)
+				sizes[name] = leader.placement.groups[assignment.Group].Size
 				break
 			}
 		}
 	}
+	slices.SortStableFunc(needs, func(one, other weightNeed) int { return cmp.Compare(sizes[other.vm], sizes[one.vm]) })
 	return needs
 }
 
