--- a/traffic/counts.go
+++ b/traffic/counts.go
@@ -35,9 +35,9 @@
 
 // poolCounts are this node's own counts of a pool, which decay with Window.
 type poolCounts struct {
-	arrivals, refused, worked float64
-	running                   int
-	at                        time.Time
+	arrivals, refused, worked, promptTokens float64
+	running                                 int
+	at                                      time.Time
 }
 
 // minPoolUse is the rate below which a pool without requests is forgotten.
@@ -48,6 +48,7 @@
 	left := math.Exp(-max(0, now.Sub(counts.at).Seconds()) / Window.Seconds())
 	counts.arrivals *= left
 	counts.refused *= left
+	counts.promptTokens *= left
 	counts.worked = counts.worked*left + float64(counts.running)*(1-left)
 	counts.at = now
 }
@@ -98,7 +99,9 @@
 	counts.running++
 	counts.waiting++
 	counts.unreadTokens += promptTokens
-	exchange.pool(pool, now).running++
+	inPool := exchange.pool(pool, now)
+	inPool.running++
+	inPool.promptTokens += float64(promptTokens) / Window.Seconds()
 	return &Use{exchange: exchange, pool: pool, group: group, promptTokens: promptTokens, sentAt: now, waiting: true}
 }
 
@@ -159,7 +162,7 @@
 			continue
 		}
 		if len(message.Pools) < MaxNames {
-			message.Pools = append(message.Pools, PoolUse{Pool: name, Arrivals: counts.arrivals, Refused: counts.refused, Worked: counts.worked})
+			message.Pools = append(message.Pools, PoolUse{Pool: name, Arrivals: counts.arrivals, Refused: counts.refused, Worked: counts.worked, PromptTokens: counts.promptTokens})
 		}
 	}
 	return message
--- a/traffic/sum.go
+++ b/traffic/sum.go
@@ -106,6 +106,7 @@
 	changed.Arrivals = max(0, changed.Arrivals+factor*use.Arrivals)
 	changed.Refused = max(0, changed.Refused+factor*use.Refused)
 	changed.Worked = max(0, changed.Worked+factor*use.Worked)
+	changed.PromptTokens = max(0, changed.PromptTokens+factor*use.PromptTokens)
 	if changed.Arrivals+changed.Worked < minPoolUse/2 {
 		delete(total.pools, use.Pool)
 		return
@@ -137,7 +138,7 @@
 	message.Age = max(0, message.Age)
 	message.Groups = slices.DeleteFunc(message.Groups, func(use GroupUse) bool { return !use.valid() })
 	message.Pools = slices.DeleteFunc(message.Pools, func(use PoolUse) bool {
-		return !(min(use.Arrivals, use.Refused, use.Worked) >= 0 && max(use.Arrivals, use.Refused, use.Worked) <= maxRunning)
+		return !(min(use.Arrivals, use.Refused, use.Worked, use.PromptTokens) >= 0 && max(use.Arrivals, use.Refused, use.Worked) <= maxRunning && use.PromptTokens <= maxTokens)
 	})
 	return message
 }
--- a/traffic/traffic.go
+++ b/traffic/traffic.go
@@ -97,6 +97,9 @@
 
 	// Worked is the mean number of requests that hold a place at a group.
 	Worked float64
+
+	// PromptTokens are the tokens of the prompts that are sent to groups a second.
+	PromptTokens float64
 }
 
 // Config is the configuration of an Exchange.
@@ -193,12 +196,13 @@
 		return PoolUse{}, 0, false
 	}
 	own := exchange.pool(name, now)
-	use := PoolUse{Pool: name, Arrivals: own.arrivals, Refused: own.refused, Worked: own.worked}
+	use := PoolUse{Pool: name, Arrivals: own.arrivals, Refused: own.refused, Worked: own.worked, PromptTokens: own.promptTokens}
 	for _, sum := range sums {
 		others := sum.pools[name]
 		use.Arrivals += others.Arrivals
 		use.Refused += others.Refused
 		use.Worked += others.Worked
+		use.PromptTokens += others.PromptTokens
 	}
 	return use, age + exchange.interval, true
 }
