group: conversions of groups by the observed demand

Change: DemandTracker keeps the work of each pool, splitInput.plan decides which domain gives up how many groups for which model, the leader drains them and forms the others out of their VMs without loads.

--- a/group/decision.go
+++ b/group/decision.go
@@ -65,11 +65,14 @@
 	DrainLeaving
 	DrainSurplus
 	DrainStraggler
+
+	// DrainConverted means that the VMs are needed for groups of another model.
+	DrainConverted
 )
 
 // String returns the reason as it is logged.
 func (reason DrainReason) String() string {
-	return [...]string{"", "version", "leaving", "surplus", "straggler"}[reason]
+	return [...]string{"", "version", "leaving", "surplus", "straggler", "converted"}[reason]
 }
 
 // Release ends a drained group whose replica is no longer needed.
--- a/group/demand.go
+++ b/group/demand.go
@@ -27,6 +27,11 @@
 	// Keep is the minimum of replicas that serve during a planned stop.
 	Keep int
 
+	// Converts are the replicas that the domain gives up so that their VMs form replicas of
+	// another group, and Full is set as long as no other replica takes their place.
+	Converts []string
+	Full     bool
+
 	// Turn is set when this domain may stop a replica for a new version. The
 	// domains with outdated replicas take turns in the order of their names.
 	Turn bool
@@ -196,6 +201,7 @@
 	}
 	if leader.formsByShare() {
 		leader.fillDemands(service, demands, groups)
+		leader.splitDemands(leader.plannedAt, service, demands, groups)
 	}
 	return demands
 }
--- a/group/effect.go
+++ b/group/effect.go
@@ -130,6 +130,11 @@
 	// Ready is the number of replicas with a current grant that admit requests.
 	Ready int
 
+	// Draining is the number of replicas that are being stopped, and Staged that of those
+	// whose members mostly hold the weights of another model besides. See CountConvertible.
+	Draining int
+	Staged   int
+
 	// Outdated is the number of replicas at another model or version than the
 	// folder's. They await a planned stop.
 	Outdated int
--- a/group/leader.go
+++ b/group/leader.go
@@ -146,6 +146,9 @@
 	drainingSince map[string]time.Time
 	published     publication
 
+	// split is the observed demand and what the leader does about it.
+	split splitState
+
 	// vmAddedAt is when a VM was last added to the domain.
 	vmAddedAt time.Time
 }
@@ -182,7 +185,7 @@
 		return leader.readReports(now)
 	}
 	switch event.(type) {
-	case Tick, LeaseHeld, VMsListed, OtherDomains, ReportFailed:
+	case Tick, LeaseHeld, VMsListed, OtherDomains, ReportFailed, DemandObserved:
 	default:
 		leader.dirty = true
 	}
@@ -265,6 +268,8 @@
 		leader.handleLeaving(event)
 	case VMEnded:
 		leader.handleEnded(event)
+	case DemandObserved:
+		leader.handleDemand(now, event)
 	case AwaitMembers:
 		leader.awaitUntil = event.Until
 	case Tick:
--- a/group/plan.go
+++ b/group/plan.go
@@ -129,6 +129,7 @@
 	}
 	planner := newPlanner(input)
 	planner.finishDrained()
+	planner.convert()
 	planner.releaseSurplus()
 	planner.repair()
 	if input.ByShare {
--- a/group/regroup.go
+++ b/group/regroup.go
@@ -227,7 +227,7 @@
 	found := false
 	for _, demand := range planner.input.Demands {
 		size := demand.Group.Size
-		if size < 1 || size > room || demand.Group.Share < 1 || len(planner.candidates(demand.Group.Model)) < size {
+		if size < 1 || size > room || demand.Group.Share < 1 || demand.Full || len(planner.candidates(demand.Group.Model)) < size {
 			continue
 		}
 		if !found || planner.moreUnderserved(demand, best, formed) {
--- a/group/stop.go
+++ b/group/stop.go
@@ -1,5 +1,7 @@
 package group
 
+import "slices"
+
 func (planner *planner) hasSurplus(spec string) bool {
 	demand := planner.demand(spec)
 	return demand.Placed > demand.Group.Replicas && planner.placedReplicas(spec) > demand.Share
@@ -65,6 +67,18 @@
 	}
 }
 
+// convert drains the replicas whose VMs are to form groups of another model.
+func (planner *planner) convert() {
+	for _, demand := range planner.input.Demands {
+		for _, status := range planner.input.Groups {
+			name := status.Group.Name
+			if slices.Contains(demand.Converts, name) && status.Group.State == StateReady && !planner.changed[name] {
+				planner.decide(name, Drain{Group: name, Reason: DrainConverted})
+			}
+		}
+	}
+}
+
 // releaseSurplus removes one replica of a group that has too many: an incomplete
 // one immediately, else the least loaded one after draining. An incomplete replica
 // above the domain's share is also given up when its members have been missing for
@@ -73,6 +87,9 @@
 func (planner *planner) releaseSurplus() {
 	for _, demand := range planner.input.Demands {
 		spec := demand.Group.Name
+		if len(demand.Converts) > 0 {
+			continue
+		}
 		planner.moveSurplus(demand)
 		if !planner.hasSurplus(spec) || planner.hasDraining(spec) {
 			continue
