--- a/cmd/lacewingspoke/node.go
+++ b/cmd/lacewingspoke/node.go
@@ -38,6 +38,9 @@
 	// may be started with the same settings file, reject the key.
 	StopGrace time.Duration `long:"stop-grace" env:"LACEWINGSPOKE_STOP_GRACE" value-name:"DURATION" description:"time from SIGTERM until the platform ends the process; replaces stop-grace of the settings"`
 
+	// FollowDemand is an option for the same reason.
+	FollowDemand bool `long:"follow-demand" env:"LACEWINGSPOKE_FOLLOW_DEMAND" description:"form the serving groups of the models by what callers ask, in place of by the shares of the configuration alone"`
+
 	// Memory is an option for the same reason.
 	Memory string `long:"memory" env:"LACEWINGSPOKE_MEMORY" value-name:"BYTES" description:"memory of the process, as 284MiB; replaces memory of the settings"`
 }
@@ -77,13 +80,16 @@
 	return errors.Trace(err)
 }
 
+// followDemand is the option of that name.
+type followDemand bool
+
 // run runs the daemon until a signal arrives or one of its components fails, and
 // then stops it gracefully.
 func (command *nodeCommand) run(loaded *settings.Settings, logger *zap.Logger, signals, reloads <-chan os.Signal) error {
 	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(loaded.Memory())))
 	var running *daemon
 	app := fx.New(
-		fx.Supply(loaded, logger),
+		fx.Supply(loaded, logger, followDemand(command.FollowDemand)),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		nodeModule,
 		storeModule(loaded),
--- a/cmd/lacewingspoke/sharedmodule.go
+++ b/cmd/lacewingspoke/sharedmodule.go
@@ -244,6 +244,7 @@
 	Forward     *forward.Server
 	Calls       nodeCalls
 	Exchange    *traffic.Exchange
+	Follow      followDemand
 	Quarantine  *quarantine.Tracker
 	Limits      *limit.TargetLimits
 	Publisher   *route.Publisher
@@ -273,6 +274,7 @@
 			ReportStalled: params.Calls.ReportStalled,
 			ReturnGrace:   returnGrace,
 			LapseGrace:    params.Settings.DrainBound() / lapseGraceDivisor,
+			Pools:         poolUses(params.Exchange, params.Follow),
 			LoadWindow:    params.Settings.LoadWindow(),
 			LoadSlack:     loadSlack,
 			Bootstrap:     params.Settings.Bootstrap(),
@@ -317,3 +319,19 @@
 
 // SetUsage ignores the demand.
 func (forwardTraffic) SetUsage([]peer.Usage) {}
+
+// poolUses returns a function that returns what callers ask of the pools in the whole fleet, or
+// nil if groups are not to follow it.
+func poolUses(exchange *traffic.Exchange, follow followDemand) func(now time.Time) ([]control.PoolUse, bool) {
+	if exchange == nil || !bool(follow) {
+		return nil
+	}
+	return func(now time.Time) ([]control.PoolUse, bool) {
+		uses, _, known := exchange.Pools(now)
+		pools := make([]control.PoolUse, 0, len(uses))
+		for _, use := range uses {
+			pools = append(pools, control.PoolUse{Pool: use.Pool, Arrivals: use.Arrivals, Refused: use.Refused, Running: use.Worked, PromptTokens: use.PromptTokens})
+		}
+		return pools, known
+	}
+}
--- a/control/feed.go
+++ b/control/feed.go
@@ -81,6 +81,11 @@
 	// announcement expired, see directory.Config.
 	LapseGrace time.Duration
 
+	// Pools returns what callers ask of each model of a service in the whole fleet, or false if
+	// that is not known. If it is nil, groups are formed by the shares of the configuration
+	// alone.
+	Pools func(now time.Time) ([]PoolUse, bool)
+
 	// LoadWindow and LoadSlack bound the loads from the weight store: at most
 	// the engine's rate times LoadWindow, plus LoadSlack, in any LoadWindow.
 	LoadWindow time.Duration
@@ -169,6 +174,10 @@
 	// probedAt is when the members of each group were last probed.
 	probedAt map[string]time.Time
 
+	// demand is the observed demand, and demandAt when it was last observed.
+	demand   *group.DemandTracker
+	demandAt time.Time
+
 	// detached holds the fabric domains whose targets this node does not reach although
 	// other nodes do, and ledChecks those that it leads while it may not reach targets,
 	// each with the probes of its targets.
@@ -188,6 +197,7 @@
 
 		lapsedDecisions: map[string]string{},
 		lapsedClosing:   map[string]bool{},
+		demand:          group.NewDemandTracker(config.Bootstrap),
 		loads: limit.NewLoadLimiter(limit.LoadLimiterConfig{
 			Window:      limit.WindowConfig{Length: config.LoadWindow, Bound: config.LoadSlack},
 			ReportDelay: loadReportDelay,
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -30,6 +30,9 @@
 	// directory were last asked.
 	askedFence uint64
 
+	// splits holds what was last logged about the split of each service.
+	splits map[string]string
+
 	// ctx is the context of the calls of this term. It is cancelled when the
 	// term ends.
 	ctx    context.Context
@@ -63,6 +66,7 @@
 		domain: name,
 		term:   state.lastTerm,
 		leader: group.NewLeader(state.leaderConfig(name)),
+		splits: map[string]string{},
 		ctx:    ctx,
 		cancel: cancel,
 	}
@@ -366,7 +370,11 @@
 		if other == name || domain.placement == nil {
 			continue
 		}
-		result.Replicas = append(result.Replicas, group.Summarize(domain.placement, specs, state.serviceOf, state.openGroups(now, domain))...)
+		counts := group.Summarize(domain.placement, specs, state.serviceOf, state.openGroups(now, domain))
+		if state.config.Feed.Pools != nil {
+			group.CountConvertible(counts, domain.placement, specs, state.serviceOf, state.stagedOn)
+		}
+		result.Replicas = append(result.Replicas, counts...)
 	}
 	return result
 }
--- a/control/loop.go
+++ b/control/loop.go
@@ -261,6 +261,7 @@
 		state.probeStalledGroups(now)
 		state.checkDetached(now)
 		state.recordLeavingTargets(now)
+		state.tickDemand(now)
 	}
 	for _, leadership := range state.leaderships {
 		state.handleGroup(now, leadership, group.Tick{})
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -18,6 +18,9 @@
 	targetChanges   prometheus.Counter
 	endings         prometheus.Counter
 	quarantined     prometheus.Gauge
+	poolReplicas    *prometheus.GaugeVec
+	poolWork        *prometheus.GaugeVec
+	conversions     prometheus.Counter
 }
 
 const metricsPrefix = "lacewingspoke_control_"
@@ -42,7 +45,17 @@
 		Name: metricsPrefix + "orders_total",
 		Help: "Orders to engines by action.",
 	}, []string{"action"})
+	collected.poolReplicas = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: metricsPrefix + "pool_replicas",
+		Help: "Groups of a model in all fabric domains by state: placed, ready, target. At leaders.",
+	}, []string{"pool", "state"})
+	collected.poolWork = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: metricsPrefix + "pool_work",
+		Help: "Mean work of a model, in groups that are busy all the time. At leaders.",
+	}, []string{"pool"})
+	collected.conversions = counter("conversions_total", "Conversions of groups to another model that this node began.")
 	if registerer != nil {
+		registerer.MustRegister(collected.poolReplicas, collected.poolWork, collected.conversions)
 		registerer.MustRegister(collected.generation, collected.storeBehind, collected.ledDomains,
 			collected.commits, collected.orders, collected.storeFailures, collected.serviceFailures,
 			collected.staleFrames, collected.unknownFrames, collected.badRecords, collected.conflicts, collected.targetChanges,
