--- a/control/split.go
+++ b/control/split.go
@@ -44,8 +44,8 @@
 	if !known || len(state.leaderships) == 0 {
 		return
 	}
-	state.updateOtherDomains(now)
-	for _, leadership := range state.leaderships {
+	for name, leadership := range state.leaderships {
+		observed.Replicas = state.otherDomains(now, name).Replicas
 		state.handleGroup(now, leadership, observed)
 		state.logSplits(leadership)
 	}
@@ -95,14 +95,37 @@
 // when the decision changes.
 func (state *state) logSplits(leadership *leadership) {
 	for _, status := range leadership.leader.Splits() {
+		state.metrics.recordSplit(status)
 		line := fmt.Sprintf("%+v %d %s", status.Conversion, status.Steps, status.Wait)
 		if leadership.splits[status.Service] == line {
 			continue
 		}
 		leadership.splits[status.Service] = line
+		if status.Wait == "" {
+			state.metrics.conversions.Inc()
+		}
 		state.logger.Info("split of the groups", zap.String("domain", leadership.domain), zap.String("service", status.Service),
 			zap.String("from", status.Conversion.From), zap.String("to", status.Conversion.To),
 			zap.Int("steps", status.Steps), zap.Int("gives", status.Conversion.Gives), zap.Int("gains", status.Conversion.Gains),
 			zap.String("wait", status.Wait), zap.Int("warm", status.Warm), zap.String("pools", fmt.Sprintf("%+v", status.Pools)))
 	}
 }
+
+// recordSplit sets the metrics of the pools of one service.
+func (metrics *metrics) recordSplit(status group.SplitStatus) {
+	for _, pool := range status.Pools {
+		target := pool.Placed
+		switch pool.Demand.Spec {
+		case "":
+			continue
+		case status.Conversion.From:
+			target -= status.Steps * status.Conversion.Gives
+		case status.Conversion.To:
+			target += status.Steps * status.Conversion.Gains
+		}
+		metrics.poolReplicas.WithLabelValues(pool.Demand.Spec, "placed").Set(float64(pool.Placed))
+		metrics.poolReplicas.WithLabelValues(pool.Demand.Spec, "ready").Set(float64(pool.Ready))
+		metrics.poolReplicas.WithLabelValues(pool.Demand.Spec, "target").Set(float64(target))
+		metrics.poolWork.WithLabelValues(pool.Demand.Spec).Set(pool.Demand.Mean)
+	}
+}
--- a/group/convert_test.go
+++ b/group/convert_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"lacewingspoke.org/lacewingspoke/engine"
 )
@@ -66,6 +67,7 @@
 func (domain *testDomain) observe(seconds int, demand DemandObserved) {
 	for range seconds {
 		domain.send(largeElsewhere())
+		demand.Replicas = largeElsewhere().Replicas
 		domain.send(demand)
 		domain.runFor(time.Second)
 	}
@@ -139,7 +141,9 @@
 	began := domain.now
 	for domain.drains() == 0 && domain.now.Sub(began) < 20*time.Second {
 		domain.send(others)
-		domain.send(smallIsBusy())
+		demand := smallIsBusy()
+		demand.Replicas = others.Replicas
+		domain.send(demand)
 		domain.runFor(500 * time.Millisecond)
 	}
 	require.Positive(test, domain.drains())
@@ -169,3 +173,35 @@
 	domain.runFor(3 * time.Second)
 	require.GreaterOrEqual(test, domain.openGroups("large")*4+domain.openGroups("small")*3, conversionVMs-conversionVMs/spareDivisor-3)
 }
+
+// Guards against orders that break a group while demand changes at random, members are lost and
+// return, and leaders hand over: the test domain fails if a member leaves a group whose rank 0 is
+// open or closing.
+func TestConversionInvariants(test *testing.T) {
+	drains := 0
+	rapid.Check(test, func(t *rapid.T) {
+		domain := newOpenedByOrderDomain(test, conversionVMs)
+		domain.waitFor(20*time.Second, domain.bothServing())
+		for range rapid.IntRange(4, 10).Draw(t, "steps") {
+			domain.stageBoth()
+			work := func(name string) PoolDemand {
+				least := rapid.Float64Range(0, 4).Draw(t, name)
+				return PoolDemand{Spec: name, Arrivals: 10 * least, Least: least, Mean: least, Most: least * 1.2}
+			}
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0:
+				domain.replaceLeader(openedByOrderFolder())
+			case 1:
+				for name, runner := range domain.engines {
+					if runner.report.Rank == 1 && !runner.dead {
+						domain.restart(name, runner.report.Incarnation+"+")
+						break
+					}
+				}
+			}
+			domain.observe(rapid.IntRange(2, 6).Draw(t, "seconds"), DemandObserved{Pools: []PoolDemand{work("large"), work("small")}})
+		}
+		drains += domain.drains()
+	})
+	require.Positive(test, drains, "no conversion was checked")
+}
--- a/group/split.go
+++ b/group/split.go
@@ -12,7 +12,12 @@
 
 // DemandObserved carries what callers ask of the pools, the groups of one model of a
 // service, in the whole fleet. Leaders need not receive the same values at the same time.
-type DemandObserved struct{ Pools []PoolDemand }
+type DemandObserved struct {
+	Pools []PoolDemand
+
+	// Replicas are those of the other fabric domains, as in OtherDomains but of the present.
+	Replicas []PlacedReplicas
+}
 
 // A PoolDemand is the demand for the replicas of one of the folder's groups.
 type PoolDemand struct {
@@ -273,6 +278,7 @@
 // splitState is the observed demand and what a leader does about it.
 type splitState struct {
 	demand     map[string]PoolDemand
+	others     []PlacedReplicas
 	observedAt time.Time
 	services   map[string]*serviceSplit
 }
@@ -353,6 +359,7 @@
 	for _, pool := range event.Pools {
 		leader.split.demand[pool.Spec] = pool
 	}
+	leader.split.others = event.Replicas
 	leader.split.observedAt = now
 }
 
@@ -555,7 +562,7 @@
 
 // poolState returns the replicas of a demand's group in all fabric domains.
 func (leader *Leader) poolState(demand Demand, groups []GroupStatus) poolState {
-	pool := poolState{spec: demand.Group, demand: leader.split.demand[demand.Group.Name], placed: demand.Placed, ready: demand.Ready}
+	pool := poolState{spec: demand.Group, demand: leader.split.demand[demand.Group.Name]}
 	own := poolDomain{name: leader.config.Domain, failureDomain: leader.failureDomain()}
 	for _, status := range groups {
 		if status.Group.Spec != demand.Group.Name {
@@ -567,21 +574,28 @@
 			pool.draining++
 		default:
 			own.placed++
-			if status.Complete && status.Group.State == StateReady && leader.holdsOther(status) {
+			if !status.Complete || status.Group.State != StateReady {
+				continue
+			}
+			pool.ready++
+			if leader.holdsOther(status) {
 				own.staged++
 			}
 		}
 	}
 	pool.domains = append(pool.domains, own)
-	for _, other := range leader.otherDomains.Replicas {
+	for _, other := range leader.split.others {
 		if other.Group == demand.Group.Name {
+			pool.ready += other.Ready
 			pool.draining += other.Draining
 			pool.domains = append(pool.domains, poolDomain{
 				name: other.FabricDomain, failureDomain: other.FailureDomain, placed: other.Count - other.Draining, staged: other.Staged,
 			})
 		}
 	}
-	pool.placed -= pool.draining
+	for _, domain := range pool.domains {
+		pool.placed += domain.placed
+	}
 	return pool
 }
 
