Begin no conversion of groups while a failure domain is evacuated

Found in review: the replicas of an evacuated failure domain stay formed and counted as ready, so that a pool could give up replicas although a third of what it has serves nobody. group TestLeaderDoesNotConvert fails without it.

--- a/control/split.go
+++ b/control/split.go
@@ -46,6 +46,7 @@
 	}
 	for name, leadership := range state.leaderships {
 		observed.Replicas = state.otherDomains(now, name).Replicas
+		observed.Evacuated = len(state.feed.evacuations) > 0
 		state.handleGroup(now, leadership, observed)
 		state.logSplits(leadership)
 	}
--- a/group/convert_test.go
+++ b/group/convert_test.go
@@ -115,6 +115,11 @@
 			demand.Pools[0].Arrivals, demand.Pools[0].Least, demand.Pools[0].Mean, demand.Pools[0].Most = 100, 3, 3, 3
 			return demand
 		},
+		"a failure domain is evacuated": func(*testDomain) DemandObserved {
+			demand := smallIsBusy()
+			demand.Evacuated = true
+			return demand
+		},
 		"members hold one model": func(domain *testDomain) DemandObserved {
 			for _, runner := range domain.engines {
 				runner.report.Staged = []string{runner.report.Model}
--- a/group/split.go
+++ b/group/split.go
@@ -17,6 +17,10 @@
 
 	// Replicas are those of the other fabric domains, as in OtherDomains but of the present.
 	Replicas []PlacedReplicas
+
+	// Evacuated is true while a failure domain receives no requests: its replicas count as
+	// ready, but serve nobody, so that no conversion begins.
+	Evacuated bool
 }
 
 // A PoolDemand is the demand for the replicas of one of the folder's groups.
@@ -279,6 +283,7 @@
 type splitState struct {
 	demand     map[string]PoolDemand
 	others     []PlacedReplicas
+	evacuated  bool
 	observedAt time.Time
 	services   map[string]*serviceSplit
 }
@@ -339,6 +344,8 @@
 	waitSettling = "settling"
 	waitRepairs  = "repairs"
 	waitWeights  = "weights"
+
+	waitEvacuation = "evacuation"
 )
 
 // Splits returns what the leader has last decided for each service whose demand is observed.
@@ -360,6 +367,7 @@
 		leader.split.demand[pool.Spec] = pool
 	}
 	leader.split.others = event.Replicas
+	leader.split.evacuated = event.Evacuated
 	leader.split.observedAt = now
 }
 
@@ -498,6 +506,8 @@
 	switch {
 	case plan.steps == 0:
 		split.status.Wait = waitNone
+	case leader.split.evacuated:
+		split.status.Wait = waitEvacuation
 	case now.Before(split.settledAt):
 		split.status.Wait = waitSettling
 	case turn < 0 || now.Sub(split.offeredAt) < time.Duration(turn-plan.steps+1)*conversionTurn:
