Decide on requests to groups in limit.Admission

Cause: no decision compares kinds of request or workspaces that compete for the same groups. Change: shares of a contended pool's capacity by flow, room kept for better ranks, returns spread by what was refused.

--- a/forward/groupcall.go
+++ b/forward/groupcall.go
@@ -85,6 +85,7 @@
 	now := server.config.Now()
 	exchange.load = server.tracker.Load(target.Name, target.Load, target.LoadReportedAt(), now)
 	exchange.predicted = exchange.predictFirstEvent(target, now)
+	exchange.ticket.Sent(now)
 	ctx, cancel := context.WithCancelCause(ctx)
 	call := &groupCall{
 		delivery: delivery, target: target, cancel: cancel, done: make(chan struct{}),
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -16,6 +16,7 @@
 	dials    *prometheus.CounterVec
 	resumed  *prometheus.CounterVec
 	relayed  *prometheus.CounterVec
+	verdicts *prometheus.CounterVec
 
 	lostServices prometheus.Counter
 	rests        prometheus.Counter
@@ -35,6 +36,7 @@
 		retries:  newCounterVec("retries_total", "Retries by decision.", "decision"),
 		dials:    newCounterVec("connections_total", "Connections to targets.", "result"),
 		relayed:  newCounterVec("relayed_total", "Requests sent to targets for other nodes or by them.", "direction", "outcome"),
+		verdicts: newCounterVec("admission_verdicts_total", "Decisions on requests to groups, by pool and reason.", "pool", "verdict", "reason"),
 		lostServices: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: metricsPrefix + "lost_services_total", Help: "Times that this node has lost the targets of a service.",
 		}),
@@ -57,7 +59,7 @@
 	}, func() float64 { return float64(bodies.Used()) })
 	collectors := []prometheus.Collector{
 		registered.requests, registered.attempts, registered.retries, registered.dials,
-		registered.resumed, registered.relayed, registered.lostServices, registered.rests, registered.duration, registered.firstEvent, limitedTargets, heldBytes,
+		registered.resumed, registered.relayed, registered.verdicts, registered.lostServices, registered.rests, registered.duration, registered.firstEvent, limitedTargets, heldBytes,
 	}
 	for _, collector := range collectors {
 		if err := registerer.Register(collector); err != nil {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -137,7 +137,11 @@
 func (delivery *delivery) await(ctx context.Context, changed <-chan struct{}) bool {
 	var again <-chan time.Time
 	if delivery.seeking {
-		alarm := delivery.exchange.server.config.Timers.After("resume", resumeStep, 0)
+		step := resumeStep
+		if wait, found := delivery.exchange.waitsForPlace(); found {
+			step = min(step, wait)
+		}
+		alarm := delivery.exchange.server.config.Timers.After("resume", step, 0)
 		defer alarm.Cancel()
 		again = alarm.C()
 	} else {
@@ -187,7 +191,8 @@
 		exchange.refuse(step.reason, quarantine.RetryAfter)
 		return false
 	case noTarget:
-		reason, final = step.reason, !delivery.headerSent
+		_, waits := exchange.waitsForPlace()
+		reason, final = step.reason, !delivery.headerSent && !waits
 	case exhausted:
 		reason = step.reason
 	default:
@@ -337,14 +342,11 @@
 	table := server.config.Publisher.Current()
 	unavailable := exchange.unavailable(delivery.unavailable(excluded, table, now), table, now)
 	target, found := server.picker.PickGroup(table, route.GroupRequest{Service: exchange.service.Name, Spec: exchange.caller.Model, Excluded: unavailable}, now)
+	exchange.verdict = nil
 	if !found || delivery.headerSent {
 		return target, found
 	}
-	bound := exchange.firstEventBound(now)
-	if exchange.predictFirstEvent(target, now) <= bound {
-		return target, true
-	}
-	return exchange.earliestGroup(table, unavailable, bound, now)
+	return exchange.admit(target, table, unavailable, now)
 }
 
 // groups returns the groups that serve the request's model for its service.
@@ -395,39 +397,6 @@
 	return server.forecast.PredictFirstEvent(target.Name, exchange.pace(), load, now)
 }
 
-// earliestGroup returns the group with the earliest predicted first event among
-// those whose prediction is within the bound. Like the picker it returns a suspect only
-// if there is no other group.
-func (exchange *exchange) earliestGroup(table *route.Table, excluded map[string]bool, bound time.Duration, now time.Time) (route.GroupTarget, bool) {
-	var trusted, suspects []route.GroupTarget
-	for _, target := range exchange.groups(table) {
-		switch {
-		case excluded[target.Name] || !target.Usable(now):
-		case exchange.server.suspects.Avoided(target.Name, now):
-			suspects = append(suspects, target)
-		default:
-			trusted = append(trusted, target)
-		}
-	}
-	if len(trusted) == 0 {
-		trusted = suspects
-	}
-	return exchange.earliestOf(trusted, bound, now)
-}
-
-func (exchange *exchange) earliestOf(targets []route.GroupTarget, bound time.Duration, now time.Time) (route.GroupTarget, bool) {
-	var best route.GroupTarget
-	earliest := bound
-	found := false
-	for _, target := range targets {
-		first := exchange.predictFirstEvent(target, now)
-		if first < earliest || !found && first == earliest {
-			best, earliest, found = target, first, true
-		}
-	}
-	return best, found
-}
-
 // noGroupReason describes why no group of the model was chosen.
 func (exchange *exchange) noGroupReason() string { return "no group has a place: " + exchange.places() }
 
@@ -548,8 +517,7 @@
 // that the caller does not take it for complete.
 func (delivery *delivery) giveUp(reason string) {
 	if !delivery.headerSent {
-		delay := limit.RetryDelay(delivery.exchange.remaining(), delivery.exchange.server.randomFraction())
-		delivery.exchange.giveUp(reason, delivery.exchange.restEndsIn()+delay)
+		delivery.exchange.giveUp(reason, delivery.exchange.restEndsIn()+delivery.exchange.refusalDelay())
 		return
 	}
 	exchange := delivery.exchange
