--- a/limit/admission.go
+++ b/limit/admission.go
@@ -24,6 +24,10 @@
 	// demand that a node sees varies.
 	leastShare = 0.35
 
+	// leastPart is the part of the capacity that is divided so at most. The rest keeps small
+	// flows whole beside one with many times its usual demand.
+	leastPart = 0.5
+
 	// largestReserve is the largest part of the bound that is kept for requests of better rank.
 	largestReserve = 0.5
 
@@ -32,6 +36,9 @@
 	// could be in time.
 	heldFraction = 0.125
 
+	// minWait keeps a waiting request from repeated decisions at nearly the same moment.
+	minWait = time.Millisecond
+
 	// fullMemory is how long a pool counts as full without another look, about a pass.
 	fullMemory = 50 * time.Millisecond
 
@@ -40,6 +47,11 @@
 	// differ by about 0.15.
 	returnedFraction = 0.8
 
+	// returnedPart is the part of a flow's places up to which callers that came back precede the
+	// new ones. The objective of most of them has passed: with all places, nobody would be
+	// served in time at twice the capacity.
+	returnedPart = 0.5
+
 	// largeSize is the size, in multiples of the pool's mean, from which a request goes to the
 	// group with the earliest first event: its answer takes longest to write, so a slow group
 	// would not end it by its deadline.
@@ -111,6 +123,9 @@
 	// refusal, sent what was sent to groups, and refused what was refused.
 	demand, returned, sent, refused average
 
+	// sentReturned is the part of sent of callers that came back.
+	sentReturned average
+
 	// share is the part of the pool's capacity, valid during one decision.
 	share float64
 }
@@ -120,7 +135,15 @@
 // expected returns the work within the flow's share that is expected, of callers that came back
 // and of all.
 func (flow *demandFlow) expected() (returned, all float64) {
-	return min(flow.returned.value, flow.share), min(flow.demand.value, flow.share)
+	if flow.returnedFirst() {
+		returned = min(flow.returned.value, returnedPart*flow.share)
+	}
+	return returned, min(flow.demand.value, flow.share)
+}
+
+// returnedFirst reports whether callers that came back precede the new ones of the flow.
+func (flow *demandFlow) returnedFirst() bool {
+	return flow.sentReturned.value <= returnedPart*flow.sent.value
 }
 
 // outstanding returns the work that was refused lately and may come back.
@@ -361,6 +384,7 @@
 		flow.demand.decay(now)
 		flow.returned.decay(now)
 		flow.sent.decay(now)
+		flow.sentReturned.decay(now)
 		flow.refused.decay(now)
 		capacity += flow.sent.value
 		demand += flow.demand.value
@@ -368,7 +392,7 @@
 	if demand == 0 {
 		return capacity
 	}
-	floor := min(leastShare, capacity/demand)
+	floor := min(leastShare, leastPart*capacity/demand)
 	byUrgency := map[int]map[string][]*demandFlow{}
 	for _, flow := range pool.flows {
 		flow.share = floor * flow.demand.value
@@ -454,7 +478,7 @@
 // rankOf returns the rank of a ticket after the division.
 func (pool *admissionPool) rankOf(ticket *AdmissionTicket, now time.Time) rank {
 	own := pool.flow(ticket, now)
-	return rank{overShare: own.overShare(), urgency: ticket.request.Urgency, fresh: !ticket.returned}
+	return rank{overShare: own.overShare(), urgency: ticket.request.Urgency, fresh: !ticket.returned || !own.returnedFirst()}
 }
 
 // workBefore returns the work of better ranks, counted by a function that returns that of a
@@ -539,9 +563,9 @@
 		return pool.send(ticket, earliest, ticket.reason())
 	}
 	pool.contendedAt = now
-	if need := earliest.FirstEvent - acceptable; ticket.mayWait(need, earliest.FirstEvent, left, now) && (pool.waiting[ticket] || len(pool.waiting) < maxWaiting) {
+	if need := max(earliest.FirstEvent-acceptable, minWait); ticket.mayWait(need, earliest.FirstEvent, left, now) && (pool.waiting[ticket] || len(pool.waiting) < maxWaiting) {
 		pool.waiting[ticket] = true
-		return WaitForPlace{For: max(need, time.Millisecond)}
+		return WaitForPlace{For: need}
 	}
 	delete(pool.waiting, ticket)
 	if until := now.Add(min(earliest.FirstEvent-acceptable, fullMemory)); until.After(pool.fullUntil) || ticket.rank.compare(pool.fullRank) < 0 {
@@ -615,8 +639,11 @@
 	defer admission.mutex.Unlock()
 	if !ticket.sent {
 		ticket.sent = true
-		pool := admission.pool(ticket, now)
-		pool.flow(ticket, now).sent.add(ticket.request.Work, now)
+		own := admission.pool(ticket, now).flow(ticket, now)
+		own.sent.add(ticket.request.Work, now)
+		if ticket.returned {
+			own.sentReturned.add(ticket.request.Work, now)
+		}
 	}
 }
 
