--- a/limit/admission.go
+++ b/limit/admission.go
@@ -246,6 +246,11 @@
 
 	// Candidates are the groups that could take the request now, the preferred one first.
 	Candidates iter.Seq[AdmissionCandidate]
+
+	// Dealt is true if the places were dealt among the requests of all nodes by their
+	// Position, and Candidates are what that left for this one. Then no room is kept for
+	// better ranks a second time.
+	Dealt bool
 }
 
 // An AdmissionVerdict is SendNow, WaitForPlace or RefuseNow.
@@ -506,7 +511,7 @@
 	}
 	capacity := pool.divide(now)
 	ticket.rank = pool.rankOf(ticket, now)
-	if capacity > 0 {
+	if capacity > 0 && !outlook.Dealt {
 		before := pool.workBefore(ticket.rank, (*demandFlow).expected)
 		// The deviation of the arrivals grows with the root of their number.
 		reserve := largestReserve * math.Sqrt(min(1, before/capacity))
@@ -556,6 +561,10 @@
 		}
 	}
 	switch {
+	case !found && outlook.Dealt:
+		delete(pool.waiting, ticket)
+		pool.contendedAt = now
+		return RefuseNow{reason: ticket.reason()}
 	case !found:
 		delete(pool.waiting, ticket)
 		return RefuseNow{reason: "no group"}
@@ -617,6 +626,67 @@
 	return ticket.returned || held+first <= ticket.request.Objective
 }
 
+// Position returns the place of the request, in [0, 1), in the order of all requests that
+// compete for the places of its pool now: draw, a random number in [0, 1), in calm, and
+// otherwise behind the demand of better ranks.
+func (ticket *AdmissionTicket) Position(draw float64, now time.Time) float64 {
+	admission := ticket.admission
+	admission.mutex.Lock()
+	defer admission.mutex.Unlock()
+	pool := admission.pool(ticket, now)
+	if !pool.contended(now) {
+		return draw
+	}
+	pool.divide(now)
+	ticket.rank = pool.rankOf(ticket, now)
+	before, equal, all := 0.0, 0.0, 0.0
+	for _, flow := range pool.flows {
+		for _, part := range flow.parts() {
+			order := part.rank.compare(ticket.rank)
+			switch {
+			case order < 0:
+				before += part.work
+			case order == 0:
+				equal += part.work
+			}
+			all += part.work
+		}
+	}
+	if all == 0 {
+		return draw
+	}
+	return min((before+draw*equal)/all, lastPosition)
+}
+
+// lastPosition keeps positions below 1.
+const lastPosition = 1 - 1e-9
+
+// A rankedWork is the part of a flow's demand that has a rank.
+type rankedWork struct {
+	rank rank
+	work float64
+}
+
+// parts divides the demand of the flow by rank.
+func (flow *demandFlow) parts() [4]rankedWork {
+	within := min(flow.demand.value, flow.share)
+	returned := min(flow.returned.value, flow.demand.value)
+	first := 0.0
+	if flow.demand.value > 0 {
+		first = within * returned / flow.demand.value
+	}
+	later := returned - first
+	if !flow.returnedFirst() {
+		first, later = 0, 0
+	}
+	return [4]rankedWork{
+		{rank{false, flow.urgency, false}, first},
+		{rank{false, flow.urgency, true}, within - first},
+		{rank{true, flow.urgency, false}, later},
+		{rank{true, flow.urgency, true}, flow.demand.value - within - later},
+	}
+}
+
 // Full reports whether the request would be refused, without another look at the groups. It
 // answers callers that repeat at once: their requests cost no more than their heads.
 func (ticket *AdmissionTicket) Full(now time.Time) bool {
