--- a/limit/admission.go
+++ b/limit/admission.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"iter"
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -31,6 +32,11 @@
 	// largestReserve is the largest part of the bound that is kept for requests of better rank.
 	largestReserve = 0.5
 
+	// returnedReserve is that part for callers that came back. It is small: a node that has
+	// refused some would otherwise leave its new callers' places to other nodes, which serve
+	// callers of the same rank.
+	returnedReserve = 0.1
+
 	// heldFraction is the part of its objective for which a request may wait at this node. A
 	// request that is refused later than that has lost the time in which another attempt
 	// could be in time.
@@ -81,11 +87,12 @@
 // its capacity (the work that was sent lately) is divided: each flow gets leastShare of its
 // demand, the rest goes to the most urgent flows first, and among equally urgent ones in
 // max-min fair shares, by route and within it by workspace. A flow is within its share until
-// the work that it has sent exceeds it. The order of rank is: within the share before over it,
-// then by urgency, then callers that came back after a refusal before new ones. A request is
-// sent only if the group's predicted first event leaves room, a part of the bound, for the
-// demand of better ranks. So a better rank finds a place, and what it does not use
-// serves the others.
+// the work that it has sent exceeds it. The order of rank is: routes within their share before
+// those over it, then workspaces likewise, then by urgency, then callers that came back after a
+// refusal before new ones. A request is sent only if the group's predicted first event leaves
+// room, a part of the bound, for the requests of better ranks, or, if the places are dealt
+// among the requests of all nodes, by its Position in that order. So a better rank finds a
+// place, and what it does not use serves the others.
 //
 // An answer after the objective is better for a caller than none, but must not make others
 // late: the bound on the predicted first event stays the same for it.
@@ -102,6 +109,11 @@
 	waiting map[*AdmissionTicket]bool
 	usedAt  time.Time
 
+	// ranks holds the requests of each rank while the pool was contended, and sent those that
+	// were sent to groups.
+	ranks map[rank]*rankDemand
+	sent  average
+
 	// contendedAt is when a request last lacked a place. Until fullUntil no request of fullRank
 	// or behind it gets one.
 	contendedAt time.Time
@@ -112,6 +124,16 @@
 	patience map[string]*decayingMax
 }
 
+func newAdmissionPool() *admissionPool {
+	return &admissionPool{
+		flows: map[flowKey]*demandFlow{}, waiting: map[*AdmissionTicket]bool{},
+		ranks: map[rank]*rankDemand{}, patience: map[string]*decayingMax{},
+	}
+}
+
+// A rankDemand counts the requests of a rank that arrived and those that were refused.
+type rankDemand struct{ arrived, refused average }
+
 type flowKey struct{ route, workspace string }
 
 // A demandFlow holds the work of the requests of one workspace on one route, in places.
@@ -119,26 +141,14 @@
 	key     flowKey
 	urgency int
 
-	// demand is the work of all requests, returned that of callers that came back after a
-	// refusal, sent what was sent to groups, and refused what was refused.
-	demand, returned, sent, refused average
+	// demand is the work of all requests, sent what was sent to groups, and sentReturned the
+	// part of it of callers that came back after a refusal.
+	demand, sent, sentReturned average
 
-	// sentReturned is the part of sent of callers that came back.
-	sentReturned average
-
-	// share is the part of the pool's capacity, valid during one decision.
-	share float64
-}
-
-func (flow *demandFlow) overShare() bool { return flow.sent.value >= flow.share }
-
-// expected returns the work within the flow's share that is expected, of callers that came back
-// and of all.
-func (flow *demandFlow) expected() (returned, all float64) {
-	if flow.returnedFirst() {
-		returned = min(flow.returned.value, returnedPart*flow.share)
-	}
-	return returned, min(flow.demand.value, flow.share)
+	// share is the part of the pool's capacity and routeOver is true if the route has sent more
+	// than its share, both at the last division.
+	share     float64
+	routeOver bool
 }
 
 // returnedFirst reports whether callers that came back precede the new ones of the flow.
@@ -146,18 +156,15 @@
 	return flow.sentReturned.value <= returnedPart*flow.sent.value
 }
 
-// outstanding returns the work that was refused lately and may come back.
-func (flow *demandFlow) outstanding() (returned, all float64) { return 0, flow.refused.value }
-
-// An average is an exponentially decaying rate of work.
+// An average is an exponentially decaying rate.
 type average struct {
 	value float64
 	at    time.Time
 }
 
-func (average *average) add(work time.Duration, now time.Time) {
+func (average *average) add(amount float64, now time.Time) {
 	average.decay(now)
-	average.value += work.Seconds() / demandTimeConstant.Seconds()
+	average.value += amount / demandTimeConstant.Seconds()
 }
 
 func (average *average) decay(now time.Time) {
@@ -182,14 +189,16 @@
 
 // A rank orders the requests of a pool.
 type rank struct {
-	overShare bool
+	routeOver bool
+	flowOver  bool
 	urgency   int
 	fresh     bool
 }
 
 // compare returns a negative number if the rank precedes the other one.
 func (first rank) compare(second rank) int {
-	return cmp.Or(compareBool(first.overShare, second.overShare), cmp.Compare(first.urgency, second.urgency), compareBool(first.fresh, second.fresh))
+	return cmp.Or(compareBool(first.routeOver, second.routeOver), compareBool(first.flowOver, second.flowOver),
+		cmp.Compare(first.urgency, second.urgency), compareBool(first.fresh, second.fresh))
 }
 
 func compareBool(first, second bool) int {
@@ -300,7 +309,10 @@
 	returned bool
 	sent     bool
 
-	// rank and share are those of the last decision, allowed is its bound.
+	// ranked is true once the request counts towards the demand of its rank.
+	ranked bool
+
+	// rank is that of the last decision, allowed its bound.
 	rank    rank
 	allowed time.Duration
 }
@@ -315,11 +327,7 @@
 	defer admission.mutex.Unlock()
 	pool := admission.pool(ticket, now)
 	ticket.returned = pool.hasReturned(request, now)
-	own := pool.flow(ticket, now)
-	own.demand.add(request.Work, now)
-	if ticket.returned {
-		own.returned.add(request.Work, now)
-	}
+	pool.flow(ticket, now).demand.add(request.Work.Seconds(), now)
 	return ticket
 }
 
@@ -382,20 +390,18 @@
 	return !pool.contendedAt.IsZero() && now.Sub(pool.contendedAt) <= contentionMemory
 }
 
-// divide sets the shares of all flows and returns the capacity.
-func (pool *admissionPool) divide(now time.Time) float64 {
+// divide sets the shares of all flows.
+func (pool *admissionPool) divide(now time.Time) {
 	capacity, demand := 0.0, 0.0
 	for _, flow := range pool.flows {
 		flow.demand.decay(now)
-		flow.returned.decay(now)
 		flow.sent.decay(now)
 		flow.sentReturned.decay(now)
-		flow.refused.decay(now)
 		capacity += flow.sent.value
 		demand += flow.demand.value
 	}
 	if demand == 0 {
-		return capacity
+		return
 	}
 	floor := min(leastShare, leastPart*capacity/demand)
 	byUrgency := map[int]map[string][]*demandFlow{}
@@ -407,25 +413,15 @@
 		byUrgency[flow.urgency][flow.key.route] = append(byUrgency[flow.urgency][flow.key.route], flow)
 	}
 	left := capacity - floor*demand
-	urgencies := make([]int, 0, len(byUrgency))
-	for urgency := range byUrgency {
-		urgencies = append(urgencies, urgency)
-	}
-	slices.Sort(urgencies)
-	for _, urgency := range urgencies {
+	for _, urgency := range slices.Sorted(maps.Keys(byUrgency)) {
 		left = divideAmongRoutes(left, byUrgency[urgency])
 	}
-	return capacity
 }
 
 // divideAmongRoutes raises the shares of equally urgent flows by max-min fair parts of an
 // amount, by route and within it by workspace. It returns what is left.
 func divideAmongRoutes(amount float64, routes map[string][]*demandFlow) float64 {
-	names := make([]string, 0, len(routes))
-	for name := range routes {
-		names = append(names, name)
-	}
-	slices.Sort(names)
+	names := slices.Sorted(maps.Keys(routes))
 	wanted := make([]float64, len(names))
 	held := make([]float64, len(names))
 	for index, name := range names {
@@ -437,12 +433,14 @@
 	granted := fillEvenly(amount, held, wanted)
 	for index, name := range names {
 		flows := routes[name]
-		flowWanted, flowHeld := make([]float64, len(flows)), make([]float64, len(flows))
+		flowWanted, flowHeld, sent := make([]float64, len(flows)), make([]float64, len(flows)), 0.0
 		for position, flow := range flows {
 			flowWanted[position], flowHeld[position] = flow.demand.value, flow.share
+			sent += flow.sent.value
 		}
 		for position, share := range fillEvenly(granted[index]-held[index], flowHeld, flowWanted) {
 			flows[position].share = share
+			flows[position].routeOver = sent >= granted[index]
 		}
 		amount -= granted[index] - held[index]
 	}
@@ -480,28 +478,55 @@
 	return result
 }
 
-// rankOf returns the rank of a ticket after the division.
-func (pool *admissionPool) rankOf(ticket *AdmissionTicket, now time.Time) rank {
-	own := pool.flow(ticket, now)
-	return rank{overShare: own.overShare(), urgency: ticket.request.Urgency, fresh: !ticket.returned || !own.returnedFirst()}
+// rankNow sets the rank of the ticket by a new division, and counts it once.
+func (pool *admissionPool) rankNow(ticket *AdmissionTicket, now time.Time) {
+	pool.divide(now)
+	flow := pool.flow(ticket, now)
+	ticket.rank = rank{
+		routeOver: flow.routeOver, flowOver: flow.sent.value >= flow.share,
+		urgency: ticket.request.Urgency, fresh: !ticket.returned || !flow.returnedFirst(),
+	}
+	if !ticket.ranked {
+		ticket.ranked = true
+		pool.demandOf(ticket.rank, now).arrived.add(1, now)
+	}
 }
 
-// workBefore returns the work of better ranks, counted by a function that returns that of a
-// flow's callers that came back, and of all.
-func (pool *admissionPool) workBefore(own rank, count func(*demandFlow) (returned, all float64)) float64 {
-	sum := 0.0
-	for _, flow := range pool.flows {
-		returned, all := count(flow)
-		switch {
-		case rank{flow.overShare(), flow.urgency, true}.compare(own) < 0:
-			sum += all
-		case rank{flow.overShare(), flow.urgency, false}.compare(own) < 0:
-			sum += returned
+// demandOf returns the demand of a rank. It drops ranks without any.
+func (pool *admissionPool) demandOf(own rank, now time.Time) *rankDemand {
+	found := pool.ranks[own]
+	if found == nil {
+		for other, demand := range pool.ranks {
+			if now.Sub(demand.arrived.at) > objectiveMemory {
+				delete(pool.ranks, other)
+			}
+		}
+		found = &rankDemand{}
+		pool.ranks[own] = found
+	}
+	return found
+}
+
+// requestsBefore returns the requests a second of the ranks before one, of that rank itself and
+// of all.
+func (pool *admissionPool) requestsBefore(own rank, count func(*rankDemand) *average, now time.Time) (before, equal, all float64) {
+	for other, demand := range pool.ranks {
+		requests := count(demand)
+		requests.decay(now)
+		switch order := other.compare(own); {
+		case order < 0:
+			before += requests.value
+		case order == 0:
+			equal += requests.value
 		}
+		all += requests.value
 	}
-	return sum
+	return before, equal, all
 }
 
+func (demand *rankDemand) arrivals() *average { return &demand.arrived }
+func (demand *rankDemand) refusals() *average { return &demand.refused }
+
 // allow sets the rank of the ticket and the bound on the predicted first event for it.
 func (pool *admissionPool) allow(ticket *AdmissionTicket, outlook Outlook, now time.Time) {
 	ticket.rank = rank{urgency: ticket.request.Urgency, fresh: !ticket.returned}
@@ -509,17 +534,23 @@
 	if !pool.contended(now) {
 		return
 	}
-	capacity := pool.divide(now)
-	ticket.rank = pool.rankOf(ticket, now)
-	if capacity > 0 && !outlook.Dealt {
-		before := pool.workBefore(ticket.rank, (*demandFlow).expected)
-		// The deviation of the arrivals grows with the root of their number.
-		reserve := largestReserve * math.Sqrt(min(1, before/capacity))
-		if pool.waitsBefore(ticket) {
-			reserve = largestReserve
-		}
-		ticket.allowed = time.Duration((1 - reserve) * float64(outlook.Bound))
+	pool.rankNow(ticket, now)
+	pool.sent.decay(now)
+	if outlook.Dealt || pool.sent.value == 0 {
+		return
+	}
+	returned := ticket.rank
+	returned.fresh = false
+	before, came, _ := pool.requestsBefore(returned, (*rankDemand).arrivals, now)
+	// The deviation of the arrivals grows with the root of their number.
+	reserve := largestReserve * math.Sqrt(min(1, before/pool.sent.value))
+	if ticket.rank.fresh {
+		reserve = max(reserve, returnedReserve*math.Sqrt(min(1, (before+came)/pool.sent.value)))
+	}
+	if pool.waitsBefore(ticket) {
+		reserve = largestReserve
 	}
+	ticket.allowed = time.Duration((1 - reserve) * float64(outlook.Bound))
 	ticket.allowed = min(outlook.Bound, max(ticket.allowed, time.Duration(idleFactor*float64(outlook.Idle))))
 }
 
@@ -591,7 +622,7 @@
 	pool := admission.pools[ticket.request.Pool]
 	if pool == nil {
 		admission.dropUnused(now)
-		pool = &admissionPool{flows: map[flowKey]*demandFlow{}, waiting: map[*AdmissionTicket]bool{}, patience: map[string]*decayingMax{}}
+		pool = newAdmissionPool()
 		admission.pools[ticket.request.Pool] = pool
 	}
 	pool.usedAt = now
@@ -606,10 +637,14 @@
 // reason describes the rank of the ticket.
 func (ticket *AdmissionTicket) reason() string {
 	switch {
-	case ticket.rank.overShare && ticket.returned:
-		return "over its share, returned"
-	case ticket.rank.overShare:
-		return "over its share"
+	case ticket.rank.routeOver && ticket.returned:
+		return "route over its share, returned"
+	case ticket.rank.routeOver:
+		return "route over its share"
+	case ticket.rank.flowOver && ticket.returned:
+		return "workspace over its share, returned"
+	case ticket.rank.flowOver:
+		return "workspace over its share"
 	case ticket.returned:
 		return "returned"
 	}
@@ -637,56 +672,14 @@
 	if !pool.contended(now) {
 		return draw
 	}
-	pool.divide(now)
-	ticket.rank = pool.rankOf(ticket, now)
-	before, equal, all := 0.0, 0.0, 0.0
-	for _, flow := range pool.flows {
-		for _, part := range flow.parts() {
-			order := part.rank.compare(ticket.rank)
-			switch {
-			case order < 0:
-				before += part.work
-			case order == 0:
-				equal += part.work
-			}
-			all += part.work
-		}
-	}
-	if all == 0 {
-		return draw
-	}
+	pool.rankNow(ticket, now)
+	before, equal, all := pool.requestsBefore(ticket.rank, (*rankDemand).arrivals, now)
 	return min((before+draw*equal)/all, lastPosition)
 }
 
 // lastPosition keeps positions below 1.
 const lastPosition = 1 - 1e-9
 
-// A rankedWork is the part of a flow's demand that has a rank.
-type rankedWork struct {
-	rank rank
-	work float64
-}
-
-// parts divides the demand of the flow by rank.
-func (flow *demandFlow) parts() [4]rankedWork {
-	within := min(flow.demand.value, flow.share)
-	returned := min(flow.returned.value, flow.demand.value)
-	first := 0.0
-	if flow.demand.value > 0 {
-		first = within * returned / flow.demand.value
-	}
-	later := returned - first
-	if !flow.returnedFirst() {
-		first, later = 0, 0
-	}
-	return [4]rankedWork{
-		{rank{false, flow.urgency, false}, first},
-		{rank{false, flow.urgency, true}, within - first},
-		{rank{true, flow.urgency, false}, later},
-		{rank{true, flow.urgency, true}, flow.demand.value - within - later},
-	}
-}
-
 // Full reports whether the request would be refused, without another look at the groups. It
 // answers callers that repeat at once: their requests cost no more than their heads.
 func (ticket *AdmissionTicket) Full(now time.Time) bool {
@@ -697,8 +690,7 @@
 	if pool == nil || !now.Before(pool.fullUntil) {
 		return false
 	}
-	pool.divide(now)
-	ticket.rank = pool.rankOf(ticket, now)
+	pool.rankNow(ticket, now)
 	return pool.fullRank.compare(ticket.rank) <= 0
 }
 
@@ -709,10 +701,12 @@
 	defer admission.mutex.Unlock()
 	if !ticket.sent {
 		ticket.sent = true
-		own := admission.pool(ticket, now).flow(ticket, now)
-		own.sent.add(ticket.request.Work, now)
+		pool := admission.pool(ticket, now)
+		pool.sent.add(1, now)
+		own, work := pool.flow(ticket, now), ticket.request.Work.Seconds()
+		own.sent.add(work, now)
 		if ticket.returned {
-			own.sentReturned.add(ticket.request.Work, now)
+			own.sentReturned.add(work, now)
 		}
 	}
 }
@@ -736,27 +730,24 @@
 // caller is to return. left is the time until its deadline, and draw a random number in [0, 1).
 //
 // Places come free one after the other, for better ranks first: the returns are spread over the
-// time in which the work that was refused lately gets places, after that of better ranks.
+// time in which the requests that were refused lately get places, after those of better ranks.
 // Without knowledge of either they are spread over the whole time that callers follow.
 func (ticket *AdmissionTicket) RetryAfter(left time.Duration, draw float64, now time.Time) time.Duration {
 	admission := ticket.admission
 	admission.mutex.Lock()
 	defer admission.mutex.Unlock()
 	pool := admission.pool(ticket, now)
-	capacity := pool.divide(now)
-	ahead := pool.workBefore(ticket.rank, (*demandFlow).outstanding)
-	pool.flow(ticket, now).refused.add(ticket.request.Work, now)
-	behind := ticket.rank
-	behind.fresh, behind.urgency = true, behind.urgency+1
-	until := max(ahead, pool.workBefore(behind, (*demandFlow).outstanding))
+	pool.sent.decay(now)
+	ahead, equal, _ := pool.requestsBefore(ticket.rank, (*rankDemand).refusals, now)
+	pool.demandOf(ticket.rank, now).refused.add(1, now)
 	longest := max(minRetryDelay, left/maxDelayDivisor)
-	if capacity == 0 || ahead == 0 && until == 0 {
+	if pool.sent.value == 0 || ahead+equal == 0 {
 		return RetryDelay(left, draw)
 	}
-	place := func(work float64) time.Duration {
-		return min(longest, minRetryDelay+time.Duration(work/capacity*float64(demandTimeConstant)))
+	place := func(requests float64) time.Duration {
+		return min(longest, minRetryDelay+time.Duration(requests/pool.sent.value*float64(demandTimeConstant)))
 	}
-	from, to := place(ahead), place(until)
+	from, to := place(ahead), place(ahead+equal)
 	if to-from < minRetryDelay {
 		from, to = max(minRetryDelay, to-minRetryDelay), min(longest, to+minRetryDelay)
 	}
