--- a/limit/admission.go
+++ b/limit/admission.go
@@ -35,7 +35,7 @@
 	// returnedReserve is that part for callers that came back. It is small: a node that has
 	// refused some would otherwise leave its new callers' places to other nodes, which serve
 	// callers of the same rank.
-	returnedReserve = 0.1
+	returnedReserve = 0.05
 
 	// heldFraction is the part of its objective for which a request may wait at this node. A
 	// request that is refused later than that has lost the time in which another attempt
