--- a/limit/admission.go
+++ b/limit/admission.go
@@ -257,8 +257,7 @@
 	Candidates iter.Seq[AdmissionCandidate]
 
 	// Dealt is true if the places were dealt among the requests of all nodes by their
-	// Position, and Candidates are what that left for this one. Then no room is kept for
-	// better ranks a second time.
+	// Position, and Candidates are what that left for this one.
 	Dealt bool
 }
 
@@ -536,7 +535,7 @@
 	}
 	pool.rankNow(ticket, now)
 	pool.sent.decay(now)
-	if outlook.Dealt || pool.sent.value == 0 {
+	if pool.sent.value == 0 {
 		return
 	}
 	returned := ticket.rank
@@ -661,6 +660,14 @@
 	return ticket.returned || held+first <= ticket.request.Objective
 }
 
+// Allow returns the bound on the predicted first event for the request.
+func (ticket *AdmissionTicket) Allow(outlook Outlook, now time.Time) time.Duration {
+	ticket.admission.mutex.Lock()
+	defer ticket.admission.mutex.Unlock()
+	ticket.admission.pool(ticket, now).allow(ticket, outlook, now)
+	return ticket.allowed
+}
+
 // Position returns the place of the request, in [0, 1), in the order of all requests that
 // compete for the places of its pool now: draw, a random number in [0, 1), in calm, and
 // otherwise behind the demand of better ranks.
