--- a/limit/admission.go
+++ b/limit/admission.go
@@ -20,6 +20,11 @@
 	// taken by it.
 	demandTimeConstant = 3 * time.Second
 
+	// fullExcess is the part by which demand exceeds the capacity from which the whole reserve
+	// is kept. A pool that refuses a few requests still serves nearly all, and would refuse
+	// more for the sake of room that it rarely needs.
+	fullExcess = 0.1
+
 	// leastShare is the part of its demand that each flow gets before the more urgent ones get
 	// the rest. It lies above a quarter, below which callers count as starved, because the
 	// demand that a node sees varies.
@@ -114,6 +119,9 @@
 	ranks map[rank]*rankDemand
 	sent  average
 
+	// excess is the part by which demand exceeded the capacity at the last division.
+	excess float64
+
 	// contendedAt is when a request last lacked a place. Until fullUntil no request of fullRank
 	// or behind it gets one.
 	contendedAt time.Time
@@ -399,9 +407,13 @@
 		capacity += flow.sent.value
 		demand += flow.demand.value
 	}
+	pool.excess = 0
 	if demand == 0 {
 		return
 	}
+	if capacity > 0 {
+		pool.excess = max(0, demand/capacity-1)
+	}
 	floor := min(leastShare, leastPart*capacity/demand)
 	byUrgency := map[int]map[string][]*demandFlow{}
 	for _, flow := range pool.flows {
@@ -546,6 +558,7 @@
 	if ticket.rank.fresh {
 		reserve = max(reserve, returnedReserve*math.Sqrt(min(1, (before+came)/pool.sent.value)))
 	}
+	reserve *= min(1, pool.excess/fullExcess)
 	if pool.waitsBefore(ticket) {
 		reserve = largestReserve
 	}
