--- a/limit/admission.go
+++ b/limit/admission.go
@@ -553,6 +553,10 @@
 	returned := ticket.rank
 	returned.fresh = false
 	before, came, _ := pool.requestsBefore(returned, (*rankDemand).arrivals, now)
+	if len(pool.flows) == 1 {
+		// The better ranks are earlier ones of the same flow.
+		before = 0
+	}
 	// The deviation of the arrivals grows with the root of their number.
 	reserve := largestReserve * math.Sqrt(min(1, before/pool.sent.value))
 	if ticket.rank.fresh {
