--- a/admin/admin.go
+++ b/admin/admin.go
@@ -25,8 +25,10 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"lacewingspoke.org/lacewingspoke/explanation"
 	"lacewingspoke.org/lacewingspoke/forward"
 	"lacewingspoke.org/lacewingspoke/mirror"
+	"lacewingspoke.org/lacewingspoke/trafficsync"
 )
 
 // A status request whose query parameter QueryGroups is GroupsNo receives a
@@ -76,6 +78,20 @@
 
 	// Quarantined are the parts of requests in quarantine.
 	Quarantined []string `json:"quarantined"`
+
+	// Evacuated are the failure domains to whose targets the operators want no requests.
+	Evacuated []EvacuationStatus `json:"evacuated,omitempty"`
+}
+
+// EvacuationStatus is the status of an evacuated failure domain.
+type EvacuationStatus struct {
+	FailureDomain string `json:"failure-domain"`
+
+	// Stopped is true once the node sends no new requests there.
+	Stopped bool `json:"stopped"`
+
+	// InProgress is the number of requests of the node that are in progress there.
+	InProgress int `json:"in-progress"`
 }
 
 // PeerStatus is the status of a peer to which the node is connected.
@@ -200,6 +216,10 @@
 	// reaches. It is optional.
 	Reached func(ctx context.Context, targets []string) ([]string, error)
 
+	// Explain returns where a request would go now, at ExplainPath. It returns an
+	// errors.NotValid error for an unknown route or workspace. It is optional.
+	Explain func(question explanation.Question) (explanation.Answer, error)
+
 	// Relay sends requests to targets for other nodes, at forward.RelayPath. It is
 	// optional.
 	Relay http.Handler
@@ -207,6 +227,10 @@
 	// Mirror serves other nodes that read the store through this node. It is
 	// optional.
 	Mirror http.Handler
+
+	// Traffic receives the counts of traffic of other nodes, at trafficsync.Path. It is
+	// optional.
+	Traffic http.Handler
 }
 
 // A Server is the admin interface of one node.
@@ -217,6 +241,7 @@
 	takeDecision func(ctx context.Context, record []byte) error
 	partAges     func(parts []string) map[string]time.Duration
 	reached      func(ctx context.Context, targets []string) ([]string, error)
+	explain      func(question explanation.Question) (explanation.Answer, error)
 	router       *mux.Router
 }
 
@@ -229,6 +254,7 @@
 		takeDecision: config.TakeDecision,
 		partAges:     config.PartAges,
 		reached:      config.Reached,
+		explain:      config.Explain,
 		router:       mux.NewRouter(),
 	}
 	server.router.Handle("/metrics", promhttp.HandlerFor(config.Gatherer, promhttp.HandlerOpts{})).Methods(http.MethodGet)
@@ -249,12 +275,18 @@
 	if config.Reached != nil {
 		server.router.HandleFunc(ReachedPath, server.serveReached).Methods(http.MethodPost)
 	}
+	if config.Explain != nil {
+		server.router.HandleFunc(ExplainPath, server.serveExplain).Methods(http.MethodPost)
+	}
 	if config.Relay != nil {
 		server.router.Handle(forward.RelayPath, config.Relay).Methods(http.MethodPost)
 	}
 	if config.Mirror != nil {
 		server.router.Handle(mirror.Path, config.Mirror).Methods(http.MethodGet)
 	}
+	if config.Traffic != nil {
+		server.router.Handle(trafficsync.Path, config.Traffic).Methods(http.MethodPost)
+	}
 	return server
 }
 
@@ -401,7 +433,11 @@
 
 // decodeBody decodes a request body of at most MaxRequestBytes.
 func decodeBody(writer http.ResponseWriter, request *http.Request, body any) error {
-	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, MaxRequestBytes))
+	return decodeBodyOf(writer, request, MaxRequestBytes, body)
+}
+
+func decodeBodyOf(writer http.ResponseWriter, request *http.Request, bound int64, body any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(writer, request.Body, bound))
 	decoder.DisallowUnknownFields()
 	return errors.Trace(decoder.Decode(body))
 }
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -108,6 +108,11 @@
 	Name           string
 	MaxConnections int
 
+	// ColdTime is how long a target is cold after its start, and ColdRate the number of
+	// requests a second that it tolerates meanwhile, 0 for no bound.
+	ColdTime time.Duration
+	ColdRate float64
+
 	// Engine is nil for a plain service.
 	Engine *Engine
 }
@@ -121,6 +126,10 @@
 	// CacheTokens is the capacity of a group's cache in tokens.
 	CacheTokens int
 
+	// KeepsPrompts is true if a group keeps prompts after their requests in the free part
+	// of its cache, so that it need not read a beginning again.
+	KeepsPrompts bool
+
 	// Step is the time of a step, which generates one token for each running
 	// request. Each request adds SequenceStep and each 1,000 tokens of its
 	// context add ContextStep.
--- a/cmd/lacewingspoke/daemon.go
+++ b/cmd/lacewingspoke/daemon.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
@@ -18,12 +19,21 @@
 	"lacewingspoke.org/lacewingspoke/platform"
 	"lacewingspoke.org/lacewingspoke/settings"
 	"lacewingspoke.org/lacewingspoke/timer"
+	"lacewingspoke.org/lacewingspoke/trafficsync"
 )
 
 const (
 	// readHeaderTimeout bounds the time in which a caller must send its header.
 	readHeaderTimeout = 10 * time.Second
 
+	// bodyTimeout bounds the time without a byte of a body. It is above the deadlines of
+	// ordinary requests.
+	bodyTimeout = 10 * time.Second
+
+	// maxHeaderLines is above the number of lines of a head of 16,384 bytes, each with a name
+	// and a colon.
+	maxHeaderLines = 8192
+
 	// idleTimeout is how long a connection without a request stays open at least.
 	idleTimeout = time.Minute
 
@@ -65,10 +75,13 @@
 	// the controller then polls them.
 	feed *platform.Feed
 
+	// traffic is nil if the nodes exchange no counts of traffic.
+	traffic *trafficsync.Link
+
 	// stopGrace is the option of that name, 0 if the setting holds.
 	stopGrace time.Duration
 
-	// cancel stops the feed, the timers, the mesh and the control thread.
+	// cancel stops the feed, the timers, the mesh, the traffic counts and the control thread.
 	cancel context.CancelFunc
 
 	// serverErrors receives the result of each HTTP server when it ends: nil
@@ -86,8 +99,10 @@
 	Mesh         *peer.Mesh
 	Controller   *control.Controller
 	CallerServer callerServer
-	Feed         *platform.Feed `optional:"true"`
+	Feed         *platform.Feed    `optional:"true"`
+	Traffic      *trafficsync.Link `optional:"true"`
 	Admin        *admin.Server
+	Registry     *prometheus.Registry
 	Lifecycle    fx.Lifecycle
 }
 
@@ -100,27 +115,63 @@
 		controller:   params.Controller,
 		callerServer: params.CallerServer,
 		feed:         params.Feed,
-		callers:      newHTTPServer("callers", params.CallerServer, params, params.CallerServer.IdleLimit),
-		admin:        newHTTPServer("admin", params.Admin.Handler(), params, nil),
+		traffic:      params.Traffic,
+		callers:      newHTTPServer("callers", params.CallerServer, params, callersRoom, params.CallerServer),
+		admin:        newHTTPServer("admin", params.Admin.Handler(), params, adminRoom, nil),
 		serverErrors: make(chan error, 3),
 	}
 	if params.Settings.ReadyAddress() != "" {
-		running.ready = newHTTPServer("ready", params.Admin.ReadyHandler(), params, nil)
+		running.ready = newHTTPServer("ready", params.Admin.ReadyHandler(), params, readyRoom, nil)
 	}
 	params.Lifecycle.Append(fx.Hook{OnStart: running.start, OnStop: running.stop})
+	for _, server := range []*httpserve.Server{running.callers, running.admin, running.ready} {
+		if server != nil {
+			params.Registry.MustRegister(server.Collectors()...)
+		}
+	}
 	return running
 }
 
-func newHTTPServer(name string, handler http.Handler, params daemonParams, idleLimit func() time.Duration) *httpserve.Server {
-	return httpserve.New(httpserve.Config{
+// A roomShare is the room of a listener: shares of the memory for connections and for heads, and
+// of the descriptors.
+type roomShare struct{ connections, heads, descriptors float64 }
+
+// The rooms of the listeners. Together with the bodies and answers (bodiesRatio) they are below
+// three fifths of the memory, which leaves the rest for the node itself and for what is not
+// collected yet, and with sockets that linger they leave a third of the descriptors for targets,
+// the store and files. The admin interface has enough for the nodes of a failure domain of 100
+// that read the store through one of 184 MB, with four calls each.
+var (
+	callersRoom = roomShare{connections: 3.0 / 16, heads: 3.0 / 32, descriptors: 3.0 / 8}
+	adminRoom   = roomShare{connections: 1.0 / 8, heads: 1.0 / 64, descriptors: 3.0 / 16}
+	readyRoom   = roomShare{connections: 1.0 / 64, heads: 1.0 / 128, descriptors: 1.0 / 64}
+)
+
+// peersDescriptors is the share of the descriptors for connections of nodes that have not
+// introduced themselves.
+const peersDescriptors = 1.0 / 64
+
+func (share roomShare) config(loaded *settings.Settings) httpserve.RoomConfig {
+	memory, descriptors := float64(loaded.Memory()), float64(loaded.Descriptors())
+	return httpserve.NewRoomConfig(int64(share.connections*memory), int64(share.heads*memory), int(share.descriptors*descriptors))
+}
+
+func newHTTPServer(name string, handler http.Handler, params daemonParams, room roomShare, limits callerServer) *httpserve.Server {
+	config := httpserve.Config{
 		Name:           name,
 		Handler:        handler,
 		HeaderTimeout:  readHeaderTimeout,
+		BodyTimeout:    bodyTimeout,
 		IdleTimeout:    idleTimeout,
-		IdleLimit:      idleLimit,
+		MaxHeaderLines: maxHeaderLines,
+		Room:           room.config(params.Settings),
 		MaxHeaderBytes: int(params.Settings.MaxHeader()),
 		Logger:         params.Logger,
-	})
+	}
+	if limits != nil {
+		config.IdleLimit, config.HeadLimit = limits.IdleLimit, limits.HeadLimit
+	}
+	return httpserve.New(config)
 }
 
 // start opens the listeners for callers, operators and the health check before
@@ -151,6 +202,9 @@
 	if daemon.feed != nil {
 		go daemon.feed.Run(ctx)
 	}
+	if daemon.traffic != nil {
+		go daemon.traffic.Run(ctx)
+	}
 	go daemon.timers.Run(ctx)
 	go daemon.mesh.Run(ctx)
 	go daemon.controller.Run(ctx)
@@ -294,6 +348,13 @@
 			daemon.logger.Warn("the feed has not ended")
 		}
 	}
+	if daemon.traffic != nil {
+		select {
+		case <-daemon.traffic.Done():
+		case <-ctx.Done():
+			daemon.logger.Warn("the exchange of traffic counts has not ended")
+		}
+	}
 }
 
 // withGrace returns a context that ends when a share of the grace has passed. A grace of 0
--- a/cmd/lacewingspoke/module.go
+++ b/cmd/lacewingspoke/module.go
@@ -29,6 +29,7 @@
 	"lacewingspoke.org/lacewingspoke/service"
 	"lacewingspoke.org/lacewingspoke/settings"
 	"lacewingspoke.org/lacewingspoke/timer"
+	"lacewingspoke.org/lacewingspoke/trafficsync"
 )
 
 // nodeModule builds the components that every node has.
@@ -96,6 +97,7 @@
 		Incarnation:   string(run),
 		FailureDomain: loaded.FailureDomain(),
 		Listen:        loaded.PeersAddress(),
+		MaxHandshakes: max(1, int(peersDescriptors*float64(loaded.Descriptors()))),
 		Logger:        logger,
 		Registerer:    registry,
 	})
@@ -127,6 +129,7 @@
 		Node:           params.Settings.Name(),
 		FailureDomain:  params.Settings.FailureDomain(),
 		MaxBodyBytes:   params.Settings.MaxBody(),
+		MaxBodies:      int64(bodiesRatio * float64(params.Settings.Memory())),
 		MaxAnswerBytes: int(params.Settings.MaxAnswer()),
 		Capacity:       params.Settings.MaxInFlight(),
 		QueueLimit:     params.Settings.MaxQueue(),
@@ -190,8 +193,10 @@
 
 	Controller *control.Controller
 	Registry   *prometheus.Registry
-	Mirror     *mirror.Mirror  `optional:"true"`
-	Forward    *forward.Server `optional:"true"`
+	Mirror     *mirror.Mirror    `optional:"true"`
+	Forward    *forward.Server   `optional:"true"`
+	Traffic    *trafficsync.Link `optional:"true"`
+	Entry      *entry.Server     `optional:"true"`
 }
 
 func newAdmin(params adminParams) *admin.Server {
@@ -204,8 +209,15 @@
 		config.Reached = params.Controller.Reached
 		config.Mirror = params.Mirror.Handler()
 	}
+	if params.Traffic != nil {
+		config.Traffic = params.Traffic.Handler()
+	}
 	if params.Forward != nil {
 		config.Relay = http.HandlerFunc(params.Forward.ServeRelayed)
+		config.Explain = params.Forward.Explain
+	}
+	if params.Entry != nil {
+		config.Explain = params.Entry.Explain
 	}
 	return admin.New(config)
 }
@@ -248,6 +260,10 @@
 	// for no limit.
 	IdleLimit() time.Duration
 
+	// HeadLimit returns the bound of a request's head by the configuration in force, 0 for
+	// none.
+	HeadLimit() int
+
 	// Reload applies the settings that can change while the node runs.
 	Reload(changed *settings.Settings)
 }
@@ -265,6 +281,9 @@
 // IdleLimit returns 0: the operators' folder has no such limit.
 func (entryCallerServer) IdleLimit() time.Duration { return 0 }
 
+// HeadLimit returns 0: the limit is a setting.
+func (entryCallerServer) HeadLimit() int { return 0 }
+
 // Reload does nothing: the limits on callers come from the operators' folder, not
 // from the settings file.
 func (entryCallerServer) Reload(*settings.Settings) {}
--- a/cmd/lacewingspoke/sharedmodule.go
+++ b/cmd/lacewingspoke/sharedmodule.go
@@ -22,6 +22,8 @@
 	"lacewingspoke.org/lacewingspoke/route"
 	"lacewingspoke.org/lacewingspoke/settings"
 	"lacewingspoke.org/lacewingspoke/timer"
+	"lacewingspoke.org/lacewingspoke/traffic"
+	"lacewingspoke.org/lacewingspoke/trafficsync"
 )
 
 // sharedModule builds the components of a node on a platform whose store is
@@ -32,7 +34,10 @@
 	newStoreClient,
 	newMirror,
 	newFeed,
+	newTraffic,
+	newTrafficLink,
 	newForward,
+	newColdTargets,
 	newForwardCallerServer,
 	newFeedController,
 )
@@ -77,7 +82,10 @@
 	sharedClaimStep = 250 * time.Millisecond
 
 	// sharedSettleNear and sharedSettleFar allow for the start of all nodes
-	// together, whose start times differ by 300 ms.
+	// together, whose start times differ by 300 ms. A node that starts later leaves all
+	// domains to others for sharedSettleFar: after an outage in which all leases ran out, the
+	// leaders of before claim theirs 0.1 to 0.3 s after a node that has just started could, and
+	// only they have seen the VMs whose announcements ran out as well.
 	sharedSettleNear = 100 * time.Millisecond
 	sharedSettleFar  = 900 * time.Millisecond
 )
@@ -119,7 +127,7 @@
 }
 
 func newFeed(loaded *settings.Settings, mirrored *mirror.Mirror, clock *timer.BootClock, logger *zap.Logger) *platform.Feed {
-	return platform.NewFeed(platform.FeedConfig{Client: mirrored, Revocation: loaded.RevocationBound(), Clock: clock.Now, Logger: logger})
+	return platform.NewFeed(platform.FeedConfig{Client: mirrored, Revocation: loaded.RevocationBound(), Evacuations: loaded.Evacuation() > 0, Clock: clock.Now, Logger: logger})
 }
 
 // mirroredPlatform lists and watches keys through the mirror and sends all other
@@ -139,6 +147,30 @@
 	return client.mirrored.Watch(ctx, prefix, after, wait)
 }
 
+func newTraffic(loaded *settings.Settings) *traffic.Exchange {
+	return traffic.New(traffic.Config{Node: loaded.Name()})
+}
+
+func newTrafficLink(exchange *traffic.Exchange, clock *timer.BootClock, timers *timer.Service, logger *zap.Logger, registry *prometheus.Registry) (*trafficsync.Link, error) {
+	link, err := trafficsync.New(trafficsync.Config{Exchange: exchange, Now: clock.Now, Timers: timers, Logger: logger, Registerer: registry})
+	return link, errors.Trace(err)
+}
+
+// setHubs returns a function that passes on which nodes add up the counts of traffic.
+func setHubs(exchange *traffic.Exchange) func(domains [][]fleet.Node, nodes int) {
+	return func(domains [][]fleet.Node, nodes int) {
+		ranked := make([][]traffic.Hub, 0, len(domains))
+		for _, domain := range domains {
+			var hubs []traffic.Hub
+			for _, node := range domain {
+				hubs = append(hubs, traffic.Hub{Node: node.Name, Address: node.AdminAddress})
+			}
+			ranked = append(ranked, hubs)
+		}
+		exchange.SetHubs(ranked, nodes)
+	}
+}
+
 // forwardParams are the dependencies of the forward server.
 type forwardParams struct {
 	fx.In
@@ -148,7 +180,9 @@
 	Feed      *platform.Feed
 	Tracker   *quarantine.Tracker
 	Limits    *limit.TargetLimits
+	Cold      *limit.ColdTargets
 	Calls     nodeCalls
+	Traffic   *traffic.Exchange
 	Clock     *timer.BootClock
 	Timers    *timer.Service
 	Logger    *zap.Logger
@@ -171,6 +205,8 @@
 		MaxBodies:       int64(bodiesRatio * float64(params.Settings.Memory())),
 		Quarantine:      params.Tracker,
 		Limits:          params.Limits,
+		Traffic:         params.Traffic,
+		Cold:            params.Cold,
 		Logger:          params.Logger,
 		Registerer:      params.Registry,
 	})
@@ -180,6 +216,10 @@
 	return server, nil
 }
 
+func newColdTargets(loaded *settings.Settings) *limit.ColdTargets {
+	return limit.NewColdTargets(limit.ColdTargetsConfig{Node: loaded.Name(), MinNodes: loaded.MinNodes(), Overage: loaded.ColdOverage()})
+}
+
 func retryAllowance(loaded *settings.Settings) limit.RetryAllowanceConfig {
 	return limit.RetryAllowanceConfig{
 		Window: loaded.RetryWindow(),
@@ -213,8 +253,11 @@
 	Mesh        *peer.Mesh
 	Forward     *forward.Server
 	Calls       nodeCalls
+	Exchange    *traffic.Exchange
+	Follow      followDemand
 	Quarantine  *quarantine.Tracker
 	Limits      *limit.TargetLimits
+	Cold        *limit.ColdTargets
 	Publisher   *route.Publisher
 	Timers      *timer.Service
 	Logger      *zap.Logger
@@ -232,20 +275,25 @@
 		LeaseMinimum:      sharedLeaseMinimum,
 		RenewalsPerSecond: sharedRenewalsPerSecond,
 		ClaimStep:         sharedClaimStep,
-		SettleNear:        sharedSettleNear,
+		SettleNear:        settleNear(params.Settings),
 		SettleFar:         sharedSettleFar,
 		Feed: control.FeedConfig{
 			Events:        params.Feed.Events(),
 			SetPause:      params.Feed.SetPause,
 			SetSources:    params.Mirror.SetSources,
+			SetHubs:       setHubs(params.Exchange),
 			ReportStalled: params.Calls.ReportStalled,
 			ReturnGrace:   returnGrace,
 			LapseGrace:    params.Settings.DrainBound() / lapseGraceDivisor,
+			Pools:         poolUses(params.Exchange, params.Follow),
 			LoadWindow:    params.Settings.LoadWindow(),
 			LoadSlack:     loadSlack,
 			Bootstrap:     params.Settings.Bootstrap(),
+			Evacuation:    params.Settings.Evacuation(),
+			InProgress:    params.Forward.InProgress,
 		},
 		Limits:        params.Limits,
+		Cold:          params.Cold,
 		Quarantine:    params.Quarantine,
 		ReportEndings: params.Calls.ReportEndings,
 		AskParts:      params.Calls.AskParts,
@@ -266,6 +314,13 @@
 	return controller, errors.Trace(err)
 }
 
+func settleNear(loaded *settings.Settings) time.Duration {
+	if loaded.Bootstrap() {
+		return sharedSettleNear
+	}
+	return sharedSettleFar
+}
+
 // announcedServices is the control.Services of a node with a feed, which receives
 // the reports of service runners through the feed.
 type announcedServices struct{}
@@ -285,3 +340,19 @@
 
 // SetUsage ignores the demand.
 func (forwardTraffic) SetUsage([]peer.Usage) {}
+
+// poolUses returns a function that returns what callers ask of the pools in the whole fleet, or
+// nil if groups are not to follow it.
+func poolUses(exchange *traffic.Exchange, follow followDemand) func(now time.Time) ([]control.PoolUse, bool) {
+	if exchange == nil || !bool(follow) {
+		return nil
+	}
+	return func(now time.Time) ([]control.PoolUse, bool) {
+		uses, _, known := exchange.Pools(now)
+		pools := make([]control.PoolUse, 0, len(uses))
+		for _, use := range uses {
+			pools = append(pools, control.PoolUse{Pool: use.Pool, Arrivals: use.Arrivals, Refused: use.Refused, Running: use.Worked, PromptTokens: use.PromptTokens})
+		}
+		return pools, known
+	}
+}
--- a/control/feed.go
+++ b/control/feed.go
@@ -13,6 +13,7 @@
 	"lacewingspoke.org/lacewingspoke/catalog"
 	"lacewingspoke.org/lacewingspoke/directory"
 	"lacewingspoke.org/lacewingspoke/engine"
+	"lacewingspoke.org/lacewingspoke/fleet"
 	"lacewingspoke.org/lacewingspoke/folder"
 	"lacewingspoke.org/lacewingspoke/group"
 	"lacewingspoke.org/lacewingspoke/limit"
@@ -21,7 +22,7 @@
 
 // A FeedEvent is an event of a platform that publishes the reports of its
 // targets and the configuration in its store. It is TargetsListed,
-// TargetsChanged, ConfigurationRead or FeedInterrupted.
+// TargetsChanged, ConfigurationRead, EvacuationsRead or FeedInterrupted.
 type FeedEvent interface{ feedEvent() }
 
 // TargetsListed is the complete list of targets.
@@ -42,12 +43,16 @@
 // ConfigurationRead is the platform's configuration.
 type ConfigurationRead struct{ Catalog *catalog.Catalog }
 
+// EvacuationsRead holds all failure domains to whose targets the operators want no requests.
+type EvacuationsRead struct{ Evacuations []catalog.Evacuation }
+
 // FeedInterrupted reports that a call to the platform failed.
 type FeedInterrupted struct{ Err error }
 
 func (TargetsListed) feedEvent()     {}
 func (TargetsChanged) feedEvent()    {}
 func (ConfigurationRead) feedEvent() {}
+func (EvacuationsRead) feedEvent()   {}
 func (FeedInterrupted) feedEvent()   {}
 
 // FeedConfig connects a node to a feed and holds the bounds that apply to it.
@@ -64,6 +69,10 @@
 	// read. It is nil if the store is always read directly.
 	SetSources func(addresses []string)
 
+	// SetHubs sets the nodes that add up the counts of traffic, for each failure domain and
+	// this node's own first, and the number of nodes. It may be nil.
+	SetHubs func(domains [][]fleet.Node, nodes int)
+
 	// ReportStalled reports to the node at an admin address, which leads the group's
 	// fabric domain, that the streams of the group have stalled. It may be nil.
 	ReportStalled func(ctx context.Context, address, group string) error
@@ -76,11 +85,24 @@
 	// announcement expired, see directory.Config.
 	LapseGrace time.Duration
 
+	// Pools returns what callers ask of each model of a service in the whole fleet, or false if
+	// that is not known. If it is nil, groups are formed by the shares of the configuration
+	// alone.
+	Pools func(now time.Time) ([]PoolUse, bool)
+
 	// LoadWindow and LoadSlack bound the loads from the weight store: at most
 	// the engine's rate times LoadWindow, plus LoadSlack, in any LoadWindow.
 	LoadWindow time.Duration
 	LoadSlack  int
 
+	// Evacuation is the time within which an evacuation of a failure domain has to take
+	// effect.
+	Evacuation time.Duration
+
+	// InProgress returns the number of requests of this node that are in progress at the
+	// targets of a failure domain. It may be nil.
+	InProgress func(failureDomain string) int
+
 	// Bootstrap removes the bound on loads until the first request of a caller.
 	// It is set on nodes that start while the whole system is started for the
 	// first time.
@@ -135,12 +157,19 @@
 // feedState is the state of a node that follows a feed.
 type feedState struct {
 	directory *directory.Directory
+	outage    outage
 	reports   map[string]engine.Report
 
 	runners []route.ServiceTarget
 	catalog *catalog.Catalog
-	loads   *limit.LoadLimiter
-	orders  *orderCounts
+
+	// evacuations are the evacuated failure domains, each with the time from which its
+	// targets receive no requests. nextStop is the first of these times that lies ahead.
+	evacuations []route.Evacuation
+	nextStop    time.Time
+
+	loads  *limit.LoadLimiter
+	orders *orderCounts
 
 	// unresponsive holds the targets that did not respond to a probe, each with
 	// the heartbeat of its last announcement. A target with a later heartbeat
@@ -164,6 +193,10 @@
 	// probedAt is when the members of each group were last probed.
 	probedAt map[string]time.Time
 
+	// demand is the observed demand, and demandAt when it was last observed.
+	demand   *group.DemandTracker
+	demandAt time.Time
+
 	// detached holds the fabric domains whose targets this node does not reach although
 	// other nodes do, and ledChecks those that it leads while it may not reach targets,
 	// each with the probes of its targets.
@@ -183,6 +216,7 @@
 
 		lapsedDecisions: map[string]string{},
 		lapsedClosing:   map[string]bool{},
+		demand:          group.NewDemandTracker(config.Bootstrap),
 		loads: limit.NewLoadLimiter(limit.LoadLimiterConfig{
 			Window:      limit.WindowConfig{Length: config.LoadWindow, Bound: config.LoadSlack},
 			ReportDelay: loadReportDelay,
@@ -194,16 +228,20 @@
 func (state *state) feeding() bool { return state.config.Feed.Events != nil }
 
 func (state *state) handleFeed(now time.Time, event FeedEvent) {
-	changed := false
+	changed, listed := false, false
 	switch event := event.(type) {
 	case TargetsListed:
 		state.storeReachedAt = now
+		listed = true
 		if event.Copied {
 			state.feed.directory.BeginEra()
 		}
 		changed = state.feed.directory.Replace(now, event.Targets)
+		state.observeCold(now, event.Targets)
 	case TargetsChanged:
 		state.storeReachedAt = now
+		listed = true
+		state.observeCold(now, event.Put)
 		composition := state.feed.directory.Composition()
 		changed = state.feed.directory.Apply(now, event.Put, event.Removed)
 		if changed && state.feed.directory.Composition() == composition && state.feed.inUse(event.Put) {
@@ -213,8 +251,12 @@
 	case ConfigurationRead:
 		state.storeReachedAt = now
 		state.adoptCatalog(now, event.Catalog)
+	case EvacuationsRead:
+		state.storeReachedAt = now
+		state.setEvacuations(now, event.Evacuations)
 	case FeedInterrupted:
 		state.feed.directory.BeginOutage()
+		state.feed.outage.begin(now)
 		state.metrics.storeFailures.Inc()
 	default:
 		panic(errors.Errorf("control: feed event %T is not handled", event))
@@ -222,6 +264,9 @@
 	if changed || state.feed.anyRecovered() {
 		state.applyTargets(now)
 	}
+	if listed {
+		state.endOutage(now)
+	}
 }
 
 // adoptCatalog puts a configuration into force if it is newer than the current
@@ -230,7 +275,12 @@
 	if state.feed.catalog != nil && offered.Version() <= state.feed.catalog.Version() {
 		return
 	}
+	first := state.feed.catalog == nil
 	state.feed.catalog = offered
+	if first {
+		// Without a configuration the bound of the listed targets was not known.
+		state.observeCold(now, state.feed.directory.Targets())
+	}
 	state.configuration.adoptedAt = now
 	state.metrics.generation.Set(float64(offered.Version()))
 	state.logger.Info("configuration in force", zap.Uint64("generation", offered.Version()), zap.String("source", "store"))
@@ -347,15 +397,24 @@
 	return state.config.Feed.Bootstrap && !state.config.Traffic.RequestReceived()
 }
 
-// permitLoad permits a load of weights or returns how long to wait. The rate
+// coldPreloadRetry is the pause after a refused preload before the first request, when a load
+// takes about a second.
+const coldPreloadRetry = 100 * time.Millisecond
+
+// permitLoad permits a load of weights or returns how long to wait. Before the first request
+// only preloads are bounded, by what the weight store works on at once: all of them together
+// take as long, but those that begin first have ended when the requests come. The rate
 // and the number of parallel loads of the weight store are divided evenly
 // among the fabric domains, and this node may use the parts of those it leads.
 func (state *state) permitLoad(now time.Time, request group.AcquireWeights) group.Event {
+	bound, parallel := state.loadBounds()
+	led, domains := len(state.leaderships), max(1, len(state.domainSizes("")))
 	if state.coldStart() {
+		if request.Preload && parallel > 0 && len(state.loadingVMs(now)) >= max(1, parallel*led/domains) {
+			return group.WeightsRefused{VM: request.VM, Retry: coldPreloadRetry}
+		}
 		return group.WeightsAcquired{VM: request.VM}
 	}
-	bound, parallel := state.loadBounds()
-	led, domains := len(state.leaderships), max(1, len(state.domainSizes("")))
 	state.feed.loads.SetBounds(bound*led/domains, max(1, parallel*led/domains))
 	if wait := state.feed.loads.Take(now, request.VM, request.Preload, state.loadingVMs(now)); wait > 0 {
 		return group.WeightsRefused{VM: request.VM, Retry: wait}
--- a/control/loop.go
+++ b/control/loop.go
@@ -110,6 +110,7 @@
 		state.tickLeaders(state.now())
 		state.tickQuarantine(state.now())
 		state.tellLimits(state.now())
+		state.stopEvacuated(state.now())
 	case <-tickers.vms.C():
 		state.pollVMs()
 	case <-tickers.head.C():
@@ -210,6 +211,8 @@
 		state.handleDomainProbed(now, result)
 	case lapsedResult:
 		state.handleLapsedResult(now, result)
+	case outageResult:
+		state.handleOutageResult(result)
 	case placedResult:
 		state.handlePlacedResult(now, result)
 	case recheckResult:
@@ -260,7 +263,9 @@
 	if state.feeding() {
 		state.probeStalledGroups(now)
 		state.checkDetached(now)
+		state.askInOutage(now)
 		state.recordLeavingTargets(now)
+		state.tickDemand(now)
 	}
 	for _, leadership := range state.leaderships {
 		state.handleGroup(now, leadership, group.Tick{})
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -10,6 +10,7 @@
 	commits         prometheus.Counter
 	orders          *prometheus.CounterVec
 	storeFailures   prometheus.Counter
+	storeReturns    prometheus.Counter
 	serviceFailures prometheus.Counter
 	staleFrames     prometheus.Counter
 	unknownFrames   prometheus.Counter
@@ -18,6 +19,8 @@
 	targetChanges   prometheus.Counter
 	endings         prometheus.Counter
 	quarantined     prometheus.Gauge
+	evacuated       prometheus.Gauge
+	coldTargets     prometheus.Counter
 }
 
 const metricsPrefix = "lacewingspoke_control_"
@@ -29,6 +32,7 @@
 		ledDomains:      gauge("led_domains", "Fabric domains that this node leads."),
 		commits:         counter("placement_commits_total", "Writes of placement records."),
 		storeFailures:   counter("watch_failures_total", "Watches of the store that failed."),
+		storeReturns:    counter("store_returns_total", "Outages of the store of at least a second that ended."),
 		serviceFailures: counter("service_report_failures_total", "Service runners that did not report in time."),
 		staleFrames:     counter("stale_frames_total", "Frames with an old version or fencing number."),
 		unknownFrames:   counter("unknown_frames_total", "Frames of a kind that is not handled."),
@@ -36,6 +40,8 @@
 		targetChanges:   counter("target_changes_total", "Changed and removed reports of targets."),
 		endings:         counter("target_endings_total", "Targets that ended under requests of this node."),
 		quarantined:     gauge("quarantined_parts", "Parts of prompts in quarantine."),
+		coldTargets:     counter("cold_targets_total", "Times that a target has become cold."),
+		evacuated:       gauge("evacuated_failure_domains", "Failure domains that the operators have evacuated."),
 		conflicts:       counter("generation_conflicts_total", "Offers of another configuration with the generation in force."),
 	}
 	collected.orders = prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -46,7 +52,7 @@
 		registerer.MustRegister(collected.generation, collected.storeBehind, collected.ledDomains,
 			collected.commits, collected.orders, collected.storeFailures, collected.serviceFailures,
 			collected.staleFrames, collected.unknownFrames, collected.badRecords, collected.conflicts, collected.targetChanges,
-			collected.endings, collected.quarantined)
+			collected.endings, collected.quarantined, collected.storeReturns, collected.evacuated, collected.coldTargets)
 	}
 	return collected
 }
--- a/control/table.go
+++ b/control/table.go
@@ -27,6 +27,8 @@
 		Generation: generation,
 		Groups:     state.groupTargets(),
 		Services:   state.serviceTargets(),
+		Evacuated:  state.feed.evacuations,
+		At:         state.now(),
 	}))
 }
 
@@ -70,8 +72,9 @@
 		Open:  placed.State == group.StateReady,
 	}
 	if state.feeding() {
-		spec, _ := group.SpecOf(domain.placement, placed, state.specs(), state.serviceOf)
-		target.Spec, target.Service = placed.Model, spec.Service
+		service, known := group.ServiceOf(domain.placement, placed, state.serviceOf)
+		target.Spec, target.Service = placed.Model, service
+		target.Open = target.Open && known
 	}
 	for rank, vm := range domain.placement.Members(placed.Name) {
 		assignment, _ := domain.placement.Assignment(vm)
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -77,6 +77,10 @@
 	// Results that contain the key at that or an earlier revision are ignored.
 	releasedRevision uint64
 
+	// lapsed is set while this node was the domain's last leader and lost the key with its
+	// lease.
+	lapsed bool
+
 	claiming    bool
 	reading     bool
 	failures    int
@@ -177,8 +181,10 @@
 	domain.revision = entry.Revision
 	domain.releasedBy = ""
 	domain.failures = 0
+	domain.lapsed = false
 	if !fleet.isOwnKey(leader, entry.Lease) {
 		fleet.endLeadership(domain)
+		fleet.releasePredecessor(domain)
 		return
 	}
 	domain.ownsKey = true
@@ -187,6 +193,19 @@
 	}
 }
 
+// releasePredecessor deletes the leader key of an earlier process of this node, which could not
+// when it stopped in an outage of the store: its lease would keep the domain without a leader
+// for its whole time after the return. If that process still runs, it leads until it sees the
+// deletion, as a leader whose lease was lost does; the fencing numbers hold against it.
+func (fleet *Fleet) releasePredecessor(domain *domain) {
+	if domain.leader.Node != fleet.self.Name || domain.leader.Incarnation == fleet.self.Incarnation {
+		return
+	}
+	domain.releasedRevision = domain.revision
+	domain.keyState = leaderKeyUnknown
+	fleet.emit(ReleaseDomain{Domain: domain.name, Key: LeaderKey(domain.name), Revision: domain.revision})
+}
+
 func (fleet *Fleet) isOwnKey(leader Leader, lease string) bool {
 	return leader == fleet.ownLeader() && lease != "" && lease == fleet.lease.id
 }
@@ -380,8 +399,12 @@
 }
 
 // claimRank returns this node's rank without counting the candidate that
-// released the domain, because that one does not claim it again.
+// released the domain, because that one does not claim it again. The last leader, if it only
+// lost its lease, ranks first: it has the reports and the order counts of the VMs.
 func (fleet *Fleet) claimRank(domain *domain) int {
+	if domain.lapsed {
+		return 0
+	}
 	member, found := fleet.members[domain.releasedBy]
 	if !found || member.self || !member.recorded {
 		return domain.rank
--- a/forward/admit.go
+++ b/forward/admit.go
@@ -48,10 +48,8 @@
 // admit decides on a request that no caller has an event of. The preferred group is that of
 // the picker. It returns the group to which the request is to be sent, or false.
 func (exchange *exchange) admit(preferred route.GroupTarget, table *route.Table, excluded map[string]bool, now time.Time) (route.GroupTarget, bool) {
-	outlook := limit.Outlook{
-		Bound: exchange.firstEventBound(now), Idle: limit.IdleFirstEvent(exchange.pace()),
-		Candidates: exchange.candidates(preferred, table, excluded, now),
-	}
+	outlook := exchange.outlook(now)
+	outlook.Candidates = exchange.candidates(preferred, table, excluded, now)
 	switch verdict := exchange.decide(outlook, now).(type) {
 	case limit.SendNow:
 		if verdict.Group == preferred.Name {
@@ -63,6 +61,42 @@
 	}
 }
 
+// admitDealt decides on a request for which the deal of the places among the requests of all
+// nodes has left a group, or none. It reports whether the request is to be sent there.
+func (exchange *exchange) admitDealt(dealt route.GroupTarget, found bool, now time.Time) bool {
+	outlook := exchange.outlook(now)
+	outlook.Dealt = true
+	outlook.Candidates = func(yield func(limit.AdmissionCandidate) bool) {
+		if found {
+			yield(exchange.candidateOf(dealt, now))
+		}
+	}
+	_, send := exchange.decide(outlook, now).(limit.SendNow)
+	return send
+}
+
+// outlook returns what is expected of the groups, without candidates.
+func (exchange *exchange) outlook(now time.Time) limit.Outlook {
+	idle := limit.IdleFirstEvent(exchange.pace()) + exchange.server.forecast.Correction(exchange.pool(), now)
+	return limit.Outlook{Bound: exchange.firstEventBound(now), Idle: idle}
+}
+
+// allowedBound returns the bound on the predicted first event for the request.
+func (exchange *exchange) allowedBound(now time.Time) time.Duration {
+	if exchange.ticket == nil {
+		return exchange.firstEventBound(now)
+	}
+	return exchange.ticket.Allow(exchange.outlook(now), now)
+}
+
+// position returns the place of the request among those of all nodes.
+func (exchange *exchange) position(now time.Time) float64 {
+	if exchange.ticket == nil {
+		return exchange.draw
+	}
+	return exchange.ticket.Position(exchange.draw, now)
+}
+
 func (exchange *exchange) decide(outlook limit.Outlook, now time.Time) limit.AdmissionVerdict {
 	exchange.verdict = exchange.ticket.Decide(outlook, now)
 	switch exchange.verdict.(type) {
@@ -112,7 +146,7 @@
 
 func (exchange *exchange) candidateOf(target route.GroupTarget, now time.Time) limit.AdmissionCandidate {
 	slots := exchange.pace().Slots
-	load := exchange.server.tracker.Load(target.Name, target.Load, target.LoadReportedAt(), now)
+	load := exchange.server.picker.GroupLoad(target, now)
 	return limit.AdmissionCandidate{Group: target.Name, FirstEvent: exchange.predictFirstEvent(target, now), HalfFree: 2*load < slots}
 }
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -32,6 +32,9 @@
 	// all bodies.
 	hold *limit.Hold
 
+	// permitted is true once the attempt has used a permit of its target.
+	permitted bool
+
 	// notConnected is true if no connection to the target could be established.
 	notConnected bool
 
@@ -122,6 +125,7 @@
 	left := exchange.request.Context().Err() != nil
 	if !left && !isOwnFault(err) {
 		exchange.server.suspects.Failed(attempt.name, exchange.server.config.Now())
+		exchange.server.picker.Forget(attempt.name)
 	}
 	exchange.server.config.Logger.Info("attempt failed",
 		zap.String("id", exchange.caller.Attempt), zap.String("target", attempt.name), zap.Bool("sent", maySent(err)), zap.Bool("began", attempt.began),
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -65,6 +65,7 @@
 	"lacewingspoke.org/lacewingspoke/quarantine"
 	"lacewingspoke.org/lacewingspoke/route"
 	"lacewingspoke.org/lacewingspoke/timer"
+	"lacewingspoke.org/lacewingspoke/traffic"
 )
 
 // CallerHeaders holds the values of a caller's request headers.
@@ -88,6 +89,10 @@
 	// share parts; the last one belongs to this request or to its session.
 	PromptParts []string
 
+	// PartTokens are the numbers of tokens of PromptParts, 0 for one that the headers do
+	// not specify.
+	PartTokens []int
+
 	// ResumeAfter is the id of the last event that the caller received in an
 	// earlier attempt.
 	ResumeAfter string
@@ -214,6 +219,14 @@
 	// nil, the server makes one for a single node.
 	Limits *limit.TargetLimits
 
+	// Traffic counts the requests of this node and has the sums of the others. If it is nil,
+	// the server makes one of its own, which no other node's counts reach.
+	Traffic *traffic.Exchange
+
+	// Cold keeps the requests to cold targets within their bounds. If it is nil, the server
+	// makes one without cold targets.
+	Cold *limit.ColdTargets
+
 	// Quarantine keeps requests with parts that end targets from them. If it is nil,
 	// the server makes one of its own, which no other node's decisions reach.
 	Quarantine *quarantine.Tracker
@@ -293,6 +306,12 @@
 	if config.Limits == nil {
 		config.Limits = limit.NewTargetLimits("")
 	}
+	if config.Traffic == nil {
+		config.Traffic = traffic.New(traffic.Config{Node: config.Node})
+	}
+	if config.Cold == nil {
+		config.Cold = limit.NewColdTargets(limit.ColdTargetsConfig{})
+	}
 	if config.Quarantine == nil {
 		config.Quarantine = quarantine.NewTracker()
 	}
@@ -303,7 +322,7 @@
 		config.Registerer = prometheus.NewRegistry()
 	}
 	bodies := limit.NewBytes(config.MaxBodies)
-	registered, err := newMetrics(config.Registerer, config.Limits, bodies)
+	registered, err := newMetrics(config, bodies)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -322,7 +341,7 @@
 		nodes: newNodes(route.PickerConfig{
 			FailureDomain: config.FailureDomain,
 			Source:        rand.NewPCG(config.Seed, config.Seed+2),
-			HistorySize:   -1,
+			HoldingsSize:  -1,
 		}),
 		config:   config,
 		bodies:   bodies,
@@ -337,7 +356,10 @@
 			Source:        rand.NewPCG(config.Seed, config.Seed),
 			Tracker:       tracker,
 			Suspects:      suspects,
-			HistorySize:   -1,
+			OtherNodes: func(group string, now time.Time) (int, bool) {
+				use, _, fresh := config.Traffic.Group(group, now)
+				return use.Running, fresh
+			},
 		}),
 		stallDetector: route.NewStallDetector(route.StallDetectorConfig{MinEventGap: minEventGap, MinFirstEventGap: minFirstEventGap, MaxEventGap: minEventTimeout}),
 		forecast:      limit.NewForecast(limit.ForecastConfig{GapMaxAge: gapMaxAge}),
@@ -478,9 +500,11 @@
 	server.paths.SetTargets(pathTargets(table))
 	server.tracker.Retain(names)
 	server.suspects.Retain(names)
+	server.picker.Retain(names)
 	server.closures.Retain(instances, server.config.Now())
 	server.forecast.Retain(names)
 	server.config.Limits.Retain(limited, server.config.Now())
+	server.config.Cold.Retain(limited, server.config.Now())
 	server.client.retain(connections)
 }
 
@@ -508,6 +532,16 @@
 	return current.Limits().IdleTimeout
 }
 
+// HeadLimit returns the bound of a request's head by the configuration in force, 0 if there is
+// none.
+func (server *Server) HeadLimit() int {
+	current := server.config.Publisher.Current().Catalog()
+	if current == nil {
+		return 0
+	}
+	return current.Limits().MaxHeaderBytes
+}
+
 // RequestReceived reports whether the server has received a request.
 func (server *Server) RequestReceived() bool { return server.requestReceived.Load() }
 
@@ -523,6 +557,24 @@
 // an unknown outcome.
 func (server *Server) EndRequests() { server.requests.End() }
 
+// InProgress returns the number of requests of this node that are in progress at the targets
+// of a failure domain.
+func (server *Server) InProgress(failureDomain string) int {
+	count := 0
+	table := server.config.Publisher.Current()
+	for _, target := range table.AllGroups() {
+		if target.FailureDomain == failureDomain {
+			count += server.tracker.InFlight(target.Name)
+		}
+	}
+	for _, target := range table.AllServices() {
+		if target.FailureDomain == failureDomain {
+			count += server.tracker.InFlight(target.ID())
+		}
+	}
+	return count
+}
+
 // Close stops the server's goroutine and closes the idle connections to targets.
 func (server *Server) Close() {
 	server.requests.End()
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -25,8 +26,12 @@
 	"lacewingspoke.org/lacewingspoke/quarantine"
 	"lacewingspoke.org/lacewingspoke/route"
 	"lacewingspoke.org/lacewingspoke/timer"
+	"lacewingspoke.org/lacewingspoke/traffic"
 )
 
+// partTokens is the number of tokens of each part of a prompt.
+const partTokens = 1000
+
 // A testCodec is a Codec with a few header names of its own.
 type testCodec struct{}
 
@@ -38,7 +43,10 @@
 	if err != nil {
 		wait = 2 * time.Second
 	}
-	return forward.CallerHeaders{Attempt: header.Get("Id"), Key: header.Get("Secret"), Model: "m", Deadline: wait}, nil
+	return forward.CallerHeaders{
+		Attempt: header.Get("Id"), Key: header.Get("Secret"), Model: "m", Deadline: wait,
+		PromptParts: header.Values("Part"), PartTokens: slices.Repeat([]int{partTokens}, len(header.Values("Part"))),
+	}, nil
 }
 
 func (testCodec) Outgoing(header http.Header, values forward.OutgoingValues) http.Header {
@@ -254,6 +262,18 @@
 	// if requiresKey is true.
 	withoutWorkspaces, requiresKey bool
 
+	// groupService is the service of the groups, "stream" if it is empty.
+	groupService string
+
+	// keepsPrompts is true if the engines keep prompts, of which they read 10,000 tokens/s.
+	keepsPrompts bool
+
+	// traffic has the counts of other nodes, used by newNode only.
+	traffic *traffic.Exchange
+
+	// cold are the cold targets, used by newNode only.
+	cold *limit.ColdTargets
+
 	// askReached is the question whether other nodes reach a target, used by newNode only.
 	askReached func(ctx context.Context, address string, targets []string) ([]string, error)
 }
@@ -272,7 +292,7 @@
 	}
 	server, err := forward.New(forward.Config{
 		Publisher: started.publisher, Codec: testCodec{}, FailureDomain: "zone", Now: time.Now, Timers: timers, Seed: 1,
-		Quarantine: started.tracker,
+		Quarantine: started.tracker, Traffic: fixture.traffic, Cold: fixture.cold,
 		Confirmed: func() time.Time {
 			started.mutex.Lock()
 			defer started.mutex.Unlock()
@@ -328,7 +348,7 @@
 	}
 	current, err := catalog.New(catalog.Config{
 		Version:     generation,
-		Services:    []catalog.Service{{Name: "once"}, {Name: "idempotent"}, {Name: "stream", Engine: &catalog.Engine{Slots: 4, Step: fixture.step, MeanAnswerTokens: 20}}},
+		Services:    []catalog.Service{{Name: "once"}, {Name: "idempotent"}, {Name: "stream", Engine: &catalog.Engine{Slots: 4, Step: fixture.step, MeanAnswerTokens: 20, KeepsPrompts: fixture.keepsPrompts, ReadRate: 10000}}},
 		Routes:      routes,
 		RequiresKey: fixture.requiresKey,
 		Workspaces:  workspaces,
@@ -345,7 +365,7 @@
 	add("idempotent", fixture.idempotent)
 	for _, target := range fixture.groups {
 		config.Groups = append(config.Groups, route.GroupTarget{
-			Name: target.name, Service: "stream", Spec: "m", Epoch: 1, VM: target.name, Address: target.address(), FailureDomain: "zone", Open: true,
+			Name: target.name, Service: cmp.Or(fixture.groupService, "stream"), Spec: "m", Epoch: 1, VM: target.name, Address: target.address(), FailureDomain: "zone", Open: true,
 			Grant: group.Grant{Group: target.name, Epoch: 1, ReportedAt: time.Now(), ValidUntil: time.Now().Add(time.Hour)},
 		})
 	}
--- a/forward/relay_server.go
+++ b/forward/relay_server.go
@@ -252,7 +252,10 @@
 			if values.Deadline <= 0 {
 				return message{}, errOutOfTime
 			}
-			if _, closed := relayed.server.closures.Closed(relayed.target.instance, relayed.server.config.Now()); closed {
+			if relayed.server.closedTo(relayed.target.instance, relayed.target.failureDomain) || !relayed.server.mayWrite(content.Target) {
+				return message{}, errClosed
+			}
+			if !relayed.server.belongs(destination{id: content.Target, group: content.Group}, content.Service) {
 				return message{}, errClosed
 			}
 			header := relayed.server.config.Codec.Outgoing(content.Header, values)
--- a/forward/runner.go
+++ b/forward/runner.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/route"
 )
 
@@ -29,20 +30,43 @@
 			target, found := exchange.pickRunner(excluded)
 			return candidate{
 				name: target.Name,
-				take: func() bool { return exchange.server.config.Limits.Take(target.ID(), exchange.server.config.Now()) },
+				take: func() bool { return exchange.server.take(target.ID()) },
 				try:  func() attemptResult { return exchange.tryRunner(ctx, target) },
 			}, found
 		},
 		noTargetReason: exchange.noRunnerReason,
-		giveUp:         func(reason string) { exchange.giveUp(reason, exchange.restEndsIn()+runnerRetryAfter) },
+		giveUp:         func(reason string) { exchange.giveUp(reason, exchange.restEndsIn()+exchange.runnerRetryDelay()) },
 	})
 }
 
+// runnerRetryDelay returns the wait before a caller retries a request that no runner took. An
+// evacuated runner takes none for seconds; a full one does after its next answer.
+func (exchange *exchange) runnerRetryDelay() time.Duration {
+	server := exchange.server
+	table := server.config.Publisher.Current()
+	for _, target := range table.Services(exchange.service.Name) {
+		if !table.Evacuated(target.FailureDomain, server.config.Now()) {
+			return runnerRetryAfter
+		}
+	}
+	return limit.RetryDelay(exchange.remaining(), server.randomFraction())
+}
+
 // pickRunner returns a runner that is not full, or false.
 func (exchange *exchange) pickRunner(excluded map[string]bool) (route.ServiceTarget, bool) {
 	server := exchange.server
 	table := server.config.Publisher.Current()
 	now := server.config.Now()
+	placed := exchange.placeRunner(excluded, table, now)
+	if placed.Found {
+		server.picker.MarkChosen(placed.Target.ID(), now)
+	}
+	return placed.Target, placed.Found
+}
+
+// placeRunner decides on a runner that is not full.
+func (exchange *exchange) placeRunner(excluded map[string]bool, table *route.Table, now time.Time) route.ServicePlacement {
+	server := exchange.server
 	unavailable := exchange.unavailable(excluded, table, now)
 	if slices.ContainsFunc(table.Services(exchange.service.Name), func(target route.ServiceTarget) bool { return server.isFull(target, now) }) {
 		unavailable = maps.Clone(unavailable)
@@ -52,7 +76,7 @@
 			}
 		}
 	}
-	return server.picker.PickService(table, exchange.service.Name, unavailable, now)
+	return server.picker.PlaceService(table, route.ServiceRequest{Service: exchange.service.Name, Excluded: unavailable, Reasons: exchange.explained}, now)
 }
 
 // isFull reports whether the slots and the short queue of a runner are in use.
@@ -74,7 +98,7 @@
 		switch {
 		case closed:
 			resting++
-		case server.config.Limits.Full(target.ID(), now):
+		case server.full(target.ID(), now):
 			limited++
 		case server.isFull(target, now):
 			full++
@@ -90,7 +114,7 @@
 	defer func() { ended(server.config.Now()) }()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	to := destination{id: target.ID(), instance: target.Instance(), address: target.Address}
+	to := destination{id: target.ID(), instance: target.Instance(), address: target.Address, failureDomain: target.FailureDomain}
 	attempt := exchange.begin(target.Name, target.ID(), to)
 	evidence := server.config.Quarantine.Begin(attempt.life, exchange.parts, attempt.admission, func() { cancel(errQuarantined) })
 	defer evidence.Close()
--- a/forward/send.go
+++ b/forward/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,6 +55,8 @@
 	group string
 	epoch uint64
 
+	failureDomain string
+
 	resumeAfter string
 
 	// silent is called, perhaps more than once, while the target is silent and this node has
@@ -214,7 +217,7 @@
 		method:        exchange.request.Method,
 		newConnection: !exchange.route.Repeatable(),
 		message: func() (message, error) {
-			header, err := exchange.outgoing(to)
+			header, err := attempt.outgoing()
 			if err != nil {
 				return message{}, err
 			}
@@ -223,17 +226,45 @@
 	}
 }
 
-// outgoing returns the headers for a target, with the time that remains now.
-func (exchange *exchange) outgoing(to destination) (http.Header, error) {
+// outgoing returns the headers for the target, with the time that remains now. The attempt uses
+// its permit for a cold target with the first call, also if it tries several nodes.
+func (attempt *attempt) outgoing() (http.Header, error) {
+	exchange, to := attempt.exchange, attempt.to
 	if !exchange.mayStillRun() {
 		return nil, errOutOfTime
 	}
-	if _, closed := exchange.server.closures.Closed(to.instance, exchange.server.config.Now()); closed {
+	if exchange.server.closedTo(to.instance, to.failureDomain) {
+		return nil, errClosed
+	}
+	if !exchange.server.belongs(to, exchange.service.Name) {
+		return nil, errClosed
+	}
+	attempt.permitted = attempt.permitted || exchange.server.mayWrite(to.id)
+	if !attempt.permitted {
 		return nil, errClosed
 	}
 	return exchange.server.config.Codec.Outgoing(exchange.request.Header, exchange.outgoingValues(to)), nil
 }
 
+// belongs reports whether the newest table has the target for a service. The table may have
+// changed since the target was chosen.
+func (server *Server) belongs(to destination, service string) bool {
+	table := server.config.Publisher.Current()
+	if to.group != "" {
+		target, found := table.Group(to.group)
+		return found && target.Service == service && target.VM == to.id
+	}
+	return slices.ContainsFunc(table.Services(service), func(target route.ServiceTarget) bool { return target.ID() == to.id })
+}
+
+// closedTo reports, right before a request is sent, whether the target takes none of this
+// node: it may have closed itself, or its failure domain been evacuated, since it was chosen.
+func (server *Server) closedTo(instance, failureDomain string) bool {
+	now := server.config.Now()
+	_, closed := server.closures.Closed(instance, now)
+	return closed || server.config.Publisher.Current().Evacuated(failureDomain, now)
+}
+
 func (exchange *exchange) outgoingValues(to destination) OutgoingValues {
 	return OutgoingValues{
 		Target:      to.id,
@@ -254,7 +285,7 @@
 		return nil, &callError{cause: errNoRoom}
 	}
 	message := func() (relayedCall, error) {
-		header, err := exchange.outgoing(to)
+		header, err := attempt.outgoing()
 		if err != nil {
 			return relayedCall{}, err
 		}
--- a/group/effect.go
+++ b/group/effect.go
@@ -130,6 +130,11 @@
 	// Ready is the number of replicas with a current grant that admit requests.
 	Ready int
 
+	// Draining is the number of replicas that are being stopped, and Staged that of those
+	// whose members mostly hold the weights of another model besides. See CountConvertible.
+	Draining int
+	Staged   int
+
 	// Outdated is the number of replicas at another model or version than the
 	// folder's. They await a planned stop.
 	Outdated int
@@ -141,6 +146,13 @@
 // VMEnded reports that an incarnation of a VM has ended: its address accepts no connection.
 type VMEnded struct{ VM, Incarnation string }
 
+// VMSilent reports that an incarnation of a VM has answered none of the questions since a time,
+// of which more than one was asked.
+type VMSilent struct {
+	VM, Incarnation string
+	Since           time.Time
+}
+
 // AwaitMembers reports that members are being asked of which the leader has no report yet. Until
 // then, it changes no placement and gives no order that ends a composition. The zero time ends
 // the wait.
@@ -169,6 +181,7 @@
 func (VMLeaving) event()            {}
 func (AwaitMembers) event()         {}
 func (VMEnded) event()              {}
+func (VMSilent) event()             {}
 func (Tick) event()                 {}
 
 // An Effect is an action that the caller of Handle carries out for the leader.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -68,6 +68,9 @@
 	"lacewingspoke.org/lacewingspoke/inifile"
 )
 
+// defaultDescriptors is the usual limit of a process.
+const defaultDescriptors = 1024
+
 // maxCount is an upper bound of counts that only catches typing errors.
 const maxCount = 1_000_000
 
@@ -83,6 +86,9 @@
 	stopGrace      time.Duration
 	processorShare float64
 	memory         int64
+	evacuation     time.Duration
+	descriptors    int
+	coldOverage    float64
 	callersAddress string
 	peersAddress   string
 	adminAddress   string
@@ -180,6 +186,45 @@
 	return errors.Trace(setBytes(&settings.memory, value))
 }
 
+// Evacuation returns the time within which the evacuation of a failure domain has to take
+// effect, 0 if failure domains are not evacuated.
+func (settings *Settings) Evacuation() time.Duration { return settings.evacuation }
+
+// SetEvacuation sets the time within which an evacuation has to take effect, for example
+// 5000ms. Without a number, as deployments that have no such bound render it, failure
+// domains are not evacuated. It returns an errors.NotValid error for a malformed value.
+func (settings *Settings) SetEvacuation(value string) error {
+	if value == "" || value == unsetMillis {
+		return nil
+	}
+	return errors.Trace(setDuration(&settings.evacuation, value, 0))
+}
+
+// ColdOverage returns how many requests a cold target may get in a second at most, in units of
+// the rate that it tolerates, 0 if that is not set.
+func (settings *Settings) ColdOverage() float64 { return settings.coldOverage }
+
+// SetColdOverage sets the number that ColdOverage returns, from 0 to maxRatio. An empty value,
+// as deployments that have no such bound render it, changes nothing. It returns an
+// errors.NotValid error for a malformed value.
+func (settings *Settings) SetColdOverage(value string) error {
+	if value == "" {
+		return nil
+	}
+	return errors.Trace(setNumber(&settings.coldOverage, value, maxRatio))
+}
+
+// unsetMillis is a number of milliseconds that a template renders without its number.
+const unsetMillis = "ms"
+
+// Descriptors returns the number of file descriptors that the process may open,
+// defaultDescriptors if it was not set.
+func (settings *Settings) Descriptors() int { return settings.descriptors }
+
+// SetDescriptors sets the number of file descriptors that the process may open. There is no key
+// for it: the platform gives it to the process.
+func (settings *Settings) SetDescriptors(count int) { settings.descriptors = count }
+
 // ProcessorShare returns the number of cores that the node may use.
 func (settings *Settings) ProcessorShare() float64 { return settings.processorShare }
 
@@ -252,7 +297,7 @@
 // name of the file. The settings are nil when there are problems.
 func Parse(name string, data []byte) (*Settings, []Problem) {
 	document, problems := inifile.Parse(name, data)
-	parser := &parser{name: name, settings: &Settings{values: map[fieldID]string{}}, problems: problems, lines: map[fieldID]int{}}
+	parser := &parser{name: name, settings: &Settings{descriptors: defaultDescriptors, values: map[fieldID]string{}}, problems: problems, lines: map[fieldID]int{}}
 	for _, section := range document.Sections() {
 		parser.addSection(section)
 	}
