--- a/forward/explain.go
+++ b/forward/explain.go
@@ -8,7 +8,6 @@
 
 	"lacewingspoke.org/lacewingspoke/catalog"
 	"lacewingspoke.org/lacewingspoke/explanation"
-	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/quarantine"
 	"lacewingspoke.org/lacewingspoke/route"
 )
