--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -96,11 +96,6 @@
 	predicted time.Duration
 	load      int
 
-	// ticket is the admission of a request to groups, nil for another one, and verdict the
-	// last decision on it.
-	ticket  *limit.AdmissionTicket
-	verdict limit.AdmissionVerdict
-
 	// explained is true for a request that is not sent: its placement has reasons.
 	explained bool
 
@@ -150,10 +145,6 @@
 	}
 	exchange.deadline = exchange.receivedAt.Add(wait)
 	defer exchange.releaseHolds()
-	if exchange.service.Engine != nil && !exchange.arrive() {
-		return
-	}
-	defer exchange.leave()
 	if !exchange.readBody(current.Limits().MaxBodyBytes) {
 		return
 	}
@@ -428,7 +419,6 @@
 		zap.Duration("pause", exchange.longestPause),
 		zap.Duration("predicted", exchange.predicted),
 		zap.Int("load", exchange.load),
-		zap.Any("admission", exchange.admissionInputs()),
 		zap.Uint64("generation", version),
 		zap.Duration("confirmed-ago", exchange.configAge))
 }
--- a/forward/explain.go
+++ b/forward/explain.go
@@ -8,6 +8,7 @@
 
 	"lacewingspoke.org/lacewingspoke/catalog"
 	"lacewingspoke.org/lacewingspoke/explanation"
+	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/quarantine"
 	"lacewingspoke.org/lacewingspoke/route"
 )
@@ -36,9 +37,6 @@
 	if use, horizon, known := server.config.Traffic.Pool(exchange.pool(), now); known && !delivery.headerSent && !exchange.keepsPrompts() {
 		decision := groupDecision{reason: "its share of the requests of all nodes"}
 		decision.target, decision.found = exchange.spread(table, unavailable, use.Arrivals, horizon, now)
-		if exchange.ticket != nil {
-			decision.found = exchange.admitDealt(decision.target, decision.found, now)
-		}
 		decision.preferred = decision.target.Name
 		if exchange.explained {
 			decision.candidates = server.picker.PlaceGroup(table, exchange.groupRequest(unavailable), now).Candidates
@@ -50,10 +48,6 @@
 	if !placed.Found || delivery.headerSent {
 		return decision
 	}
-	if exchange.ticket != nil {
-		decision.target, decision.found = exchange.admit(placed.Target, table, unavailable, now)
-		return decision
-	}
 	bound := exchange.firstEventBound(now)
 	if exchange.predictFirstEvent(placed.Target, now) <= bound {
 		return decision
@@ -63,6 +57,12 @@
 	return decision
 }
 
+// refusalDelay returns the Retry-After of a stream that is refused, besides the rests of its
+// targets.
+func (exchange *exchange) refusalDelay() time.Duration {
+	return limit.RetryDelay(exchange.remaining(), exchange.server.randomFraction())
+}
+
 // unavailability returns why a target takes no request of this node now, empty if it may.
 func (server *Server) unavailability(instance, id string, now time.Time) route.Exclusion {
 	_, closed := server.closures.Closed(instance, now)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -256,7 +256,6 @@
 	stallDetector *route.StallDetector
 	forecast      *limit.Forecast
 	objectives    *limit.Objectives
-	admission     *limit.Admission
 	cancel        context.CancelFunc
 	watchDone     chan error
 
@@ -333,7 +332,6 @@
 		requests:   httpserve.NewRequests(config.Now),
 		stalled:    map[string]bool{},
 		objectives: limit.NewObjectives(),
-		admission:  limit.NewAdmission(),
 		liveNodes:  1,
 		closures:   route.NewClosures(),
 		paths:      route.NewPaths(),
--- a/forward/groupcall.go
+++ b/forward/groupcall.go
@@ -94,7 +94,6 @@
 	prediction := exchange.predict(target, now)
 	exchange.predicted = prediction.FirstEvent
 	server.picker.Sent(target, exchange.groupRequest(nil), now)
-	exchange.ticket.Sent(now)
 	ctx, cancel := context.WithCancelCause(ctx)
 	call := &groupCall{
 		delivery: delivery, target: target, cancel: cancel, done: make(chan struct{}),
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -146,11 +146,7 @@
 func (delivery *delivery) await(ctx context.Context, changed <-chan struct{}) bool {
 	var again <-chan time.Time
 	if delivery.seeking {
-		step := resumeStep
-		if wait, found := delivery.exchange.waitsForPlace(); found {
-			step = min(step, wait)
-		}
-		alarm := delivery.exchange.server.config.Timers.After("resume", step, 0)
+		alarm := delivery.exchange.server.config.Timers.After("resume", resumeStep, 0)
 		defer alarm.Cancel()
 		again = alarm.C()
 	} else {
@@ -200,8 +196,7 @@
 		exchange.refuse(step.reason, quarantine.RetryAfter)
 		return false
 	case noTarget:
-		_, waits := exchange.waitsForPlace()
-		reason, final = step.reason, !delivery.headerSent && !waits
+		reason, final = step.reason, !delivery.headerSent
 	case exhausted:
 		reason = step.reason
 	default:
@@ -349,7 +344,6 @@
 	server := exchange.server
 	now := server.config.Now()
 	table := server.config.Publisher.Current()
-	exchange.verdict = nil
 	decision := delivery.decideGroup(excluded, table, now)
 	if decision.preferred != "" {
 		server.picker.MarkChosen(decision.preferred, now)
@@ -417,7 +411,7 @@
 // one of the requests.
 func (exchange *exchange) spread(table *route.Table, excluded map[string]bool, arrivals float64, horizon time.Duration, now time.Time) (route.GroupTarget, bool) {
 	server := exchange.server
-	bound, pace := exchange.allowedBound(now), exchange.pace()
+	bound, pace := exchange.firstEventBound(now), exchange.pace()
 	targets := exchange.trustedGroups(table, excluded, now)
 	places := make([]limit.Place, len(targets))
 	for index, target := range targets {
@@ -430,7 +424,7 @@
 			places[index].Left += farCost
 		}
 	}
-	index, found := limit.Spread(places, arrivals*horizon.Seconds(), exchange.position(now))
+	index, found := limit.Spread(places, arrivals*horizon.Seconds(), exchange.draw)
 	exchange.withoutRoom = !found && slices.ContainsFunc(places, func(place limit.Place) bool { return place.Room > 0 })
 	if !found {
 		return route.GroupTarget{}, false
