httpserve: leave net/http its own request body

Callers that were refused without their body being read got the refusal only after 256 KiB of a larger body had arrived, or never if they stopped sending; ones with "Expect: 100-continue" were asked for the body first. Cause: the body that closes its connection for others replaced the one of the request that net/http decides by. The handler gets a copy of the request now.

TestRefusalDoesNotWaitForABody failed before (i/o timeout after 10 s) and passes.

--- a/httpserve/httpserve.go
+++ b/httpserve/httpserve.go
@@ -192,7 +192,10 @@
 	defer connection.endHandler()
 	connection.length = request.ContentLength
 	if request.Body != http.NoBody {
-		request.Body = &body{ReadCloser: request.Body, connection: connection}
+		reading := &body{ReadCloser: request.Body, connection: connection}
+		// The type of the original's body decides how net/http ends the request.
+		request = request.WithContext(request.Context())
+		request.Body = reading
 	}
 	if server.announced.Load() {
 		writer.Header().Set("Connection", "close")
--- a/httpserve/httpserve_test.go
+++ b/httpserve/httpserve_test.go
@@ -475,3 +475,19 @@
 		require.NoError(test, <-server.end())
 	}
 }
+
+// Guards against a refusal that waits for a body which the handler does not read: net/http sends
+// it at once if the body is large, or if the caller waits for "100 Continue".
+func TestRefusalDoesNotWaitForABody(test *testing.T) {
+	server := startHandler(test, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	for _, framing := range []string{"Content-Length: 1000000", "Content-Length: 5\r\nExpect: 100-continue"} {
+		caller := server.dial()
+		caller.write("POST / HTTP/1.1\r\nHost: test\r\n" + framing + "\r\n\r\n")
+		answer, err := http.ReadResponse(caller.reader, nil)
+		require.NoError(test, err, framing)
+		assert.Equal(test, http.StatusServiceUnavailable, answer.StatusCode, framing)
+		assert.True(test, answer.Close, framing)
+	}
+}
