--- a/httpserve/connection.go
+++ b/httpserve/connection.go
@@ -115,7 +115,10 @@
 			return count, err
 		}
 		count, err, again := connection.afterDeadline(buffer, err)
-		if errors.Is(err, ErrNoRoom) && connection.currentState() == stateReading {
+		switch {
+		case errors.Is(err, ErrBodyStalled):
+			connection.server.room.record(causeBodyStalled, connection.RemoteAddr().String())
+		case errors.Is(err, ErrNoRoom) && connection.currentState() == stateReading:
 			connection.write(refusalNoRoom)
 		}
 		if !again {
--- a/httpserve/httpserve_test.go
+++ b/httpserve/httpserve_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -41,13 +42,18 @@
 
 // startHandler returns a fixture with another handler, its own if that is nil.
 func startHandler(test *testing.T, handler http.Handler) *fixture {
+	return startConfig(test, httpserve.Config{Name: "test", Handler: handler, HeaderTimeout: waitBound, IdleTimeout: waitBound})
+}
+
+// startConfig returns a fixture with another configuration. Its handler may be nil.
+func startConfig(test *testing.T, config httpserve.Config) *fixture {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(test, err)
 	started := &fixture{test: test, address: listener.Addr().String(), ended: make(chan error, 1)}
-	if handler == nil {
-		handler = started
+	if config.Handler == nil {
+		config.Handler = started
 	}
-	started.Server = httpserve.New(httpserve.Config{Name: "test", Handler: handler, HeaderTimeout: waitBound, IdleTimeout: waitBound})
+	started.Server = httpserve.New(config)
 	go func() { started.ended <- started.Serve(context.Background(), listener) }()
 	test.Cleanup(func() { _ = started.Close() })
 	return started
@@ -491,3 +497,27 @@
 		assert.True(test, answer.Close, framing)
 	}
 }
+
+// Guards against a body that makes no progress, read by the handler or discarded after it, that
+// ends without being counted.
+func TestStalledBodyIsCounted(test *testing.T) {
+	for _, reads := range []bool{true, false} {
+		server := startConfig(test, httpserve.Config{
+			Name: "test", HeaderTimeout: waitBound, IdleTimeout: waitBound, BodyTimeout: 10 * waitTick,
+			Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+				if reads {
+					_, err := io.ReadAll(request.Body)
+					assert.ErrorIs(test, err, httpserve.ErrBodyStalled)
+				}
+				writer.WriteHeader(http.StatusRequestTimeout)
+			}),
+		})
+		caller := server.dial()
+		caller.write(strings.TrimSuffix(request("body"), "y"))
+		answer, err := http.ReadResponse(caller.reader, nil)
+		require.NoError(test, err)
+		assert.True(test, answer.Close)
+		server.awaitCounts(func(counts httpserve.Connections) bool { return counts == httpserve.Connections{} })
+		assert.GreaterOrEqual(test, testutil.ToFloat64(server.Collectors()[0]), 1.0)
+	}
+}
