fleet: keep the leader key of the process that replaces this one

A process that still runs when the next one of its node has claimed a domain, because it ends its last requests, took that process's key for one of an earlier process and deleted it: each claim lost its key, and the domain had no leader until the older process had ended. Incarnations have no order, but a key that is newer than the first listing is not an earlier process's.

TestKeyOfAnEarlierProcessIsDeleted failed before with its new step and passes.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -135,6 +135,9 @@
 	era        uint64
 	eraBeganAt time.Time
 
+	// startRevision is the store's revision at the first listing of any keys.
+	startRevision uint64
+
 	// nodesListed is set after the first listing of the nodes. listPending is
 	// set while a ListNodes effect is unanswered.
 	nodesListed  bool
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -371,6 +371,8 @@
 	require.NotContains(t, fleet.Handle(now, listed), deleted, "deleted twice")
 	key.Value, key.Revision = []byte(`{"node":"b","incarnation":"1"}`), 4
 	require.Empty(t, fleet.Handle(now, KeysChanged{Revision: 4, Entries: []kvstore.Entry{key}}), "the key of another node is deleted")
+	key.Value, key.Revision = []byte(`{"node":"a","incarnation":"3"}`), 5
+	require.Empty(t, fleet.Handle(now, KeysChanged{Revision: 5, Entries: []kvstore.Entry{key}}), "the key of the process that replaces this one is deleted")
 }
 
 // Half of the nodes lose the store. They lead no domain after their leases
--- a/fleet/leader.go
+++ b/fleet/leader.go
@@ -196,9 +196,10 @@
 // releasePredecessor deletes the leader key of an earlier process of this node, which could not
 // when it stopped in an outage of the store: its lease would keep the domain without a leader
 // for its whole time after the return. If that process still runs, it leads until it sees the
-// deletion, as a leader whose lease was lost does; the fencing numbers hold against it.
+// deletion, as a leader whose lease was lost does; the fencing numbers hold against it. It does
+// not delete the key of the process that replaces it: that one is written after its start.
 func (fleet *Fleet) releasePredecessor(domain *domain) {
-	if domain.leader.Node != fleet.self.Name || domain.leader.Incarnation == fleet.self.Incarnation {
+	if domain.leader.Node != fleet.self.Name || domain.leader.Incarnation == fleet.self.Incarnation || domain.revision > fleet.startRevision {
 		return
 	}
 	domain.releasedRevision = domain.revision
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -30,6 +30,9 @@
 }
 
 func (fleet *Fleet) applyListing(now time.Time, event KeysListed) {
+	if fleet.startRevision == 0 {
+		fleet.startRevision = event.Revision
+	}
 	switch {
 	case strings.HasPrefix(NodePrefix, event.Prefix):
 		fleet.applyNodeListing(now, event)
