httpserve: keep the deadline of a connection that yields with the beginning of a head

net/http sets the deadline of a head after the first bytes of a request on a kept connection. If the connection had been chosen to close for others just before, that deadline replaced the one that ends it: it counted as closing, so that others waited for its room, and stayed for up to the header timeout.

TestDeadlineOfAHeadDoesNotKeepAConnectionThatYields failed before (the read did not end within 20 s) and passes.

--- a/httpserve/connection.go
+++ b/httpserve/connection.go
@@ -303,7 +303,7 @@
 	}
 	connection.awaiting = connection.state == stateIdle
 	connection.interruptIdle()
-	if connection.interrupted || connection.yielding && connection.state == stateBody {
+	if connection.interrupted || connection.yielding && (connection.state == stateReading || connection.state == stateBody) {
 		return nil
 	}
 	return connection.Conn.SetReadDeadline(deadline)
--- /dev/null
+++ b/httpserve/connection_test.go
@@ -0,0 +1,31 @@
+package httpserve
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// newTestConnection returns a connection of a server in a state. Its caller sends nothing.
+func newTestConnection(test *testing.T, state state) *connection {
+	accepted, caller := net.Pipe()
+	test.Cleanup(func() {
+		accepted.Close()
+		caller.Close()
+	})
+	added := New(Config{Name: "test"}).add(accepted)
+	added.state = state
+	return added
+}
+
+// Guards against a connection that counts as closing for others and stays open for the whole time
+// of a head, because net/http sets its deadline after the first byte.
+func TestDeadlineOfAHeadDoesNotKeepAConnectionThatYields(test *testing.T) {
+	reading := newTestConnection(test, stateReading)
+	require.True(test, reading.yield())
+	require.NoError(test, reading.SetReadDeadline(time.Now().Add(time.Minute)))
+	_, err := reading.Read(make([]byte, 16))
+	require.ErrorIs(test, err, ErrNoRoom)
+}
