httpserve: let the read that net/http aborts after a handler time out

If a connection that is answered was chosen to close for others while net/http aborted its pending read, or if more than discardTime had passed since the handler because its caller read the answer slowly, that read failed with ErrNoRoom or ErrBodyStalled. net/http takes any error but a timeout for the end of the caller and cancels the context of the connection, and all later reads failed: the kept connection closed after a request that was complete.

TestAbortedReadTimesOut failed before in both cases and passes.

--- a/httpserve/connection.go
+++ b/httpserve/connection.go
@@ -213,6 +213,8 @@
 		connection.yielding = false
 		_ = connection.Conn.SetReadDeadline(connection.readDeadline)
 		return 0, nil, true
+	case len(buffer) == backgroundBytes:
+		return 0, deadline, false
 	case connection.yielding:
 		return 0, connection.fail(ErrNoRoom), false
 	case connection.bodyEnded():
--- a/httpserve/connection_test.go
+++ b/httpserve/connection_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -29,3 +30,19 @@
 	_, err := reading.Read(make([]byte, 16))
 	require.ErrorIs(test, err, ErrNoRoom)
 }
+
+// Guards against the end of the context of a connection's next request: net/http ends it if the
+// read that it aborts after a handler fails with anything else than a timeout.
+func TestAbortedReadTimesOut(test *testing.T) {
+	for _, yields := range []bool{false, true} {
+		answered := newTestConnection(test, stateAnswered)
+		answered.bodyDeadline = time.Unix(1, 0)
+		require.NoError(test, answered.SetReadDeadline(time.Unix(1, 0)))
+		if yields {
+			require.True(test, answered.yield())
+		}
+		_, err := answered.Read(make([]byte, backgroundBytes))
+		require.ErrorIs(test, err, os.ErrDeadlineExceeded)
+		require.NoError(test, answered.failure)
+	}
+}
