admin: bound the bodies of requests that the node holds

600 callers that sent bodies of 250 KiB to /v1/traffic or /v1/explain and stopped short of their end took a node with a memory of 160 MiB to 256 and 175 MiB: the connections of the admin interface are bounded for 40 KiB each, and nothing counted the buffers of its handlers. They are read under limit.Bytes like those of callers, with 1/32 of the memory.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -15,6 +15,7 @@
 package admin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -27,6 +28,7 @@
 
 	"lacewingspoke.org/lacewingspoke/explanation"
 	"lacewingspoke.org/lacewingspoke/forward"
+	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/mirror"
 	"lacewingspoke.org/lacewingspoke/trafficsync"
 )
@@ -231,6 +233,10 @@
 	// Traffic receives the counts of traffic of other nodes, at trafficsync.Path. It is
 	// optional.
 	Traffic http.Handler
+
+	// MaxBodies bounds the bytes of the bodies of all requests that the server holds at a time,
+	// 0 means DefaultMaxBodies.
+	MaxBodies int64
 }
 
 // A Server is the admin interface of one node.
@@ -243,6 +249,7 @@
 	reached      func(ctx context.Context, targets []string) ([]string, error)
 	explain      func(question explanation.Question) (explanation.Answer, error)
 	router       *mux.Router
+	bodies       *limit.Bytes
 }
 
 // New returns a server for the node in config.
@@ -256,7 +263,9 @@
 		reached:      config.Reached,
 		explain:      config.Explain,
 		router:       mux.NewRouter(),
+		bodies:       limit.NewBytes(cmp.Or(config.MaxBodies, DefaultMaxBodies)),
 	}
+	server.router.Use(server.boundBodies)
 	server.router.Handle("/metrics", promhttp.HandlerFor(config.Gatherer, promhttp.HandlerOpts{})).Methods(http.MethodGet)
 	server.router.HandleFunc("/healthz", server.serveHealth).Methods(http.MethodGet)
 	server.router.HandleFunc("/v1/status", server.serveStatus).Methods(http.MethodGet)
--- a/cmd/lacewingspoke/daemon.go
+++ b/cmd/lacewingspoke/daemon.go
@@ -136,8 +136,8 @@
 // of the descriptors.
 type roomShare struct{ connections, heads, descriptors float64 }
 
-// The rooms of the listeners. Together with the bodies and answers (bodiesRatio) they are below
-// three fifths of the memory, which leaves the rest for the node itself and for what is not
+// The rooms of the listeners. Together with the bodies and answers (bodiesRatio, adminBodiesRatio) they
+// are about three fifths of the memory, which leaves the rest for the node itself and for what is not
 // collected yet, and with sockets that linger they leave a third of the descriptors for targets,
 // the store and files. The admin interface has enough for the nodes of a failure domain of 100
 // that read the store through one of 184 MB, with four calls each.
--- a/cmd/lacewingspoke/module.go
+++ b/cmd/lacewingspoke/module.go
@@ -191,6 +191,7 @@
 type adminParams struct {
 	fx.In
 
+	Settings   *settings.Settings
 	Controller *control.Controller
 	Registry   *prometheus.Registry
 	Mirror     *mirror.Mirror    `optional:"true"`
@@ -203,6 +204,7 @@
 	config := admin.Config{
 		Node: params.Controller, Gatherer: params.Registry, TakeEndings: params.Controller.TakeEndings, PartAges: params.Controller.PartAges,
 		TakeDecision: params.Controller.TakeDecision,
+		MaxBodies:    int64(adminBodiesRatio * float64(params.Settings.Memory())),
 	}
 	if params.Mirror != nil {
 		config.GroupStalled = params.Controller.GroupStalled
--- a/cmd/lacewingspoke/node.go
+++ b/cmd/lacewingspoke/node.go
@@ -32,6 +32,10 @@
 	// garbage of as much again, and copies in the buffers of connections, they stay below half.
 	bodiesRatio = 0.125
 
+	// adminBodiesRatio is the part that the bodies of requests to the admin interface may hold.
+	// Their decoded form takes as much again.
+	adminBodiesRatio = 1.0 / 32
+
 	// maxDescriptors is above what a node uses, and bounds an unlimited number.
 	maxDescriptors = 1 << 16
 )
