httpserve: do not count the data of a body in chunks as the next head

What is read together with the end of a body counts as read ahead of the next request. Only what follows the last chunk counts.

TestChunksDoNotCountAsAHead failed before (18 bytes and 5 lines of a next head) and passes.

--- a/httpserve/head.go
+++ b/httpserve/head.go
@@ -45,8 +45,15 @@
 	// of add: what net/http may have in its buffer when the request ends.
 	bodyBytes int64
 	tail      *headMeter
+
+	// chunksTail is a meter of those of them after the last chunk, nil if they do not contain it.
+	chunksTail *headMeter
 }
 
+// lastChunk ends a body in chunks without trailers, after the data of another chunk. The first one
+// in a read ends the body, or is a part of its data.
+var lastChunk = []byte("\r\n0\r\n\r\n")
+
 // add counts the next bytes that are read.
 func (meter *headMeter) add(data []byte) {
 	for len(data) > 0 && !meter.ended {
@@ -61,10 +68,17 @@
 	}
 	if meter.ended {
 		meter.bodyBytes += int64(len(data))
-		meter.tail = &headMeter{bytes: len(data), lines: bytes.Count(data, []byte("\n")), elements: bytes.Count(data, []byte(","))}
+		meter.tail, meter.chunksTail = newTail(data), nil
+		if _, rest, found := bytes.Cut(data, lastChunk); found {
+			meter.chunksTail = newTail(rest)
+		}
 	}
 }
 
+func newTail(data []byte) *headMeter {
+	return &headMeter{bytes: len(data), lines: bytes.Count(data, []byte("\n")), elements: bytes.Count(data, []byte(","))}
+}
+
 // addPart counts a part of a line, without its end.
 func (meter *headMeter) addPart(part []byte) {
 	meter.bytes += len(part)
@@ -107,5 +121,9 @@
 	if meter.tail == nil || length >= 0 && meter.bodyBytes <= length {
 		return headMeter{}
 	}
-	return headMeter{bytes: meter.tail.bytes, lines: meter.tail.lines, elements: meter.tail.elements, unaligned: true}
+	tail := meter.tail
+	if length < 0 && meter.chunksTail != nil {
+		tail = meter.chunksTail
+	}
+	return headMeter{bytes: tail.bytes, lines: tail.lines, elements: tail.elements, unaligned: tail.bytes > 0}
 }
--- a/httpserve/head_test.go
+++ b/httpserve/head_test.go
@@ -52,7 +52,7 @@
 			parts.add(rest[:size])
 			rest = rest[size:]
 		}
-		whole.tail, parts.tail = nil, nil
+		whole.tail, parts.tail, whole.chunksTail, parts.chunksTail = nil, nil, nil, nil
 		require.Equal(test, whole, parts)
 	})
 }
@@ -87,3 +87,15 @@
 	next.endHead()
 	require.Equal(test, 3, next.next(0).lines)
 }
+
+// Guards against the data of a body in chunks that counts as the head of a next request: an idle
+// connection then holds room for heads.
+func TestChunksDoNotCountAsAHead(test *testing.T) {
+	meter := headMeter{}
+	meter.add([]byte("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n8\r\n1,2,3\n,4\r\n0\r\n\r\n"))
+	require.Equal(test, headMeter{}, meter.next(-1))
+	meter.add([]byte("1\r\nx\r\n0\r\n\r\nGET / HTTP/1.1\r\na: b,c\r\n\r\n"))
+	next := meter.next(-1)
+	require.Equal(test, 3, next.lines)
+	require.Equal(test, 1, next.elements)
+}
