httpserve: count a head read ahead although another byte was read after it

net/http reads a byte while a handler runs. A single byte now adds to the count, up to the size of the buffer.

TestByteReadInAHandlerAddsToWhatWasReadAhead failed before and passes.

--- a/httpserve/head.go
+++ b/httpserve/head.go
@@ -17,6 +17,9 @@
 	// the limit, and what it reads of a body together with the head.
 	headSlack = 8 << 10
 
+	// bufferBytes is the size of the buffer of net/http for a connection.
+	bufferBytes = 4 << 10
+
 	// maxEmptyBytes bounds the empty lines before a request, as in net/http.
 	maxEmptyBytes = 4
 )
@@ -42,7 +45,8 @@
 	ended bool
 
 	// bodyBytes are the bytes after the head, and tail is a meter of those in the last call
-	// of add: what net/http may have in its buffer when the request ends.
+	// of add, with the single ones that follow: what net/http may have in its buffer when the
+	// request ends.
 	bodyBytes int64
 	tail      *headMeter
 
@@ -66,17 +70,35 @@
 		meter.endLine()
 		data = data[end+1:]
 	}
-	if meter.ended {
+	if meter.ended && len(data) > 0 {
 		meter.bodyBytes += int64(len(data))
-		meter.tail, meter.chunksTail = newTail(data), nil
-		if _, rest, found := bytes.Cut(data, lastChunk); found {
-			meter.chunksTail = newTail(rest)
+		meter.addTail(data)
+	}
+}
+
+// addTail counts bytes after the head. A single one is mostly what net/http reads while a handler
+// runs, besides those that it has in its buffer.
+func (meter *headMeter) addTail(data []byte) {
+	if len(data) == backgroundBytes && meter.tail != nil && meter.tail.bytes < bufferBytes {
+		meter.tail.grow(data)
+		if meter.chunksTail != nil {
+			meter.chunksTail.grow(data)
 		}
+		return
+	}
+	meter.tail, meter.chunksTail = &headMeter{}, nil
+	meter.tail.grow(data)
+	if _, rest, found := bytes.Cut(data, lastChunk); found {
+		meter.chunksTail = &headMeter{}
+		meter.chunksTail.grow(rest)
 	}
 }
 
-func newTail(data []byte) *headMeter {
-	return &headMeter{bytes: len(data), lines: bytes.Count(data, []byte("\n")), elements: bytes.Count(data, []byte(","))}
+// grow counts bytes without looking for the end of a head.
+func (meter *headMeter) grow(data []byte) {
+	meter.bytes += len(data)
+	meter.lines += bytes.Count(data, []byte("\n"))
+	meter.elements += bytes.Count(data, []byte(","))
 }
 
 // addPart counts a part of a line, without its end.
--- a/httpserve/head_test.go
+++ b/httpserve/head_test.go
@@ -99,3 +99,14 @@
 	require.Equal(test, 3, next.lines)
 	require.Equal(test, 1, next.elements)
 }
+
+// Guards against a head in the buffer of net/http that is not counted because another byte was
+// read while the handler of the request before ran.
+func TestByteReadInAHandlerAddsToWhatWasReadAhead(test *testing.T) {
+	meter := headMeter{}
+	meter.add([]byte("POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\nxGET / HTTP/1.1\r\na: b,c\r\n"))
+	meter.add([]byte("\n"))
+	next := meter.next(1)
+	require.Equal(test, 3, next.lines)
+	require.Equal(test, 1, next.elements)
+}
