--- a/httpserve/connection.go
+++ b/httpserve/connection.go
@@ -115,7 +115,10 @@
 			return count, err
 		}
 		count, err, again := connection.afterDeadline(buffer, err)
-		if errors.Is(err, ErrNoRoom) && connection.currentState() == stateReading {
+		switch {
+		case errors.Is(err, ErrBodyStalled):
+			connection.server.room.record(causeBodyStalled, connection.RemoteAddr().String())
+		case errors.Is(err, ErrNoRoom) && connection.currentState() == stateReading:
 			connection.write(refusalNoRoom)
 		}
 		if !again {
@@ -210,6 +213,8 @@
 		connection.yielding = false
 		_ = connection.Conn.SetReadDeadline(connection.readDeadline)
 		return 0, nil, true
+	case len(buffer) == backgroundBytes:
+		return 0, deadline, false
 	case connection.yielding:
 		return 0, connection.fail(ErrNoRoom), false
 	case connection.bodyEnded():
@@ -300,7 +305,7 @@
 	}
 	connection.awaiting = connection.state == stateIdle
 	connection.interruptIdle()
-	if connection.interrupted || connection.yielding && connection.state == stateBody {
+	if connection.interrupted || connection.yielding && (connection.state == stateReading || connection.state == stateBody) {
 		return nil
 	}
 	return connection.Conn.SetReadDeadline(deadline)
--- a/httpserve/head.go
+++ b/httpserve/head.go
@@ -17,6 +17,9 @@
 	// the limit, and what it reads of a body together with the head.
 	headSlack = 8 << 10
 
+	// bufferBytes is the size of the buffer of net/http for a connection.
+	bufferBytes = 4 << 10
+
 	// maxEmptyBytes bounds the empty lines before a request, as in net/http.
 	maxEmptyBytes = 4
 )
@@ -42,11 +45,19 @@
 	ended bool
 
 	// bodyBytes are the bytes after the head, and tail is a meter of those in the last call
-	// of add: what net/http may have in its buffer when the request ends.
+	// of add, with the single ones that follow: what net/http may have in its buffer when the
+	// request ends.
 	bodyBytes int64
 	tail      *headMeter
+
+	// chunksTail is a meter of those of them after the last chunk, nil if they do not contain it.
+	chunksTail *headMeter
 }
 
+// lastChunk ends a body in chunks without trailers, after the data of another chunk. The first one
+// in a read ends the body, or is a part of its data.
+var lastChunk = []byte("\r\n0\r\n\r\n")
+
 // add counts the next bytes that are read.
 func (meter *headMeter) add(data []byte) {
 	for len(data) > 0 && !meter.ended {
@@ -59,12 +70,37 @@
 		meter.endLine()
 		data = data[end+1:]
 	}
-	if meter.ended {
+	if meter.ended && len(data) > 0 {
 		meter.bodyBytes += int64(len(data))
-		meter.tail = &headMeter{bytes: len(data), lines: bytes.Count(data, []byte("\n")), elements: bytes.Count(data, []byte(","))}
+		meter.addTail(data)
 	}
 }
 
+// addTail counts bytes after the head. A single one is mostly what net/http reads while a handler
+// runs, besides those that it has in its buffer.
+func (meter *headMeter) addTail(data []byte) {
+	if len(data) == backgroundBytes && meter.tail != nil && meter.tail.bytes < bufferBytes {
+		meter.tail.grow(data)
+		if meter.chunksTail != nil {
+			meter.chunksTail.grow(data)
+		}
+		return
+	}
+	meter.tail, meter.chunksTail = &headMeter{}, nil
+	meter.tail.grow(data)
+	if _, rest, found := bytes.Cut(data, lastChunk); found {
+		meter.chunksTail = &headMeter{}
+		meter.chunksTail.grow(rest)
+	}
+}
+
+// grow counts bytes without looking for the end of a head.
+func (meter *headMeter) grow(data []byte) {
+	meter.bytes += len(data)
+	meter.lines += bytes.Count(data, []byte("\n"))
+	meter.elements += bytes.Count(data, []byte(","))
+}
+
 // addPart counts a part of a line, without its end.
 func (meter *headMeter) addPart(part []byte) {
 	meter.bytes += len(part)
@@ -107,5 +143,9 @@
 	if meter.tail == nil || length >= 0 && meter.bodyBytes <= length {
 		return headMeter{}
 	}
-	return headMeter{bytes: meter.tail.bytes, lines: meter.tail.lines, elements: meter.tail.elements, unaligned: true}
+	tail := meter.tail
+	if length < 0 && meter.chunksTail != nil {
+		tail = meter.chunksTail
+	}
+	return headMeter{bytes: tail.bytes, lines: tail.lines, elements: tail.elements, unaligned: tail.bytes > 0}
 }
--- a/httpserve/httpserve_test.go
+++ b/httpserve/httpserve_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -41,13 +42,18 @@
 
 // startHandler returns a fixture with another handler, its own if that is nil.
 func startHandler(test *testing.T, handler http.Handler) *fixture {
+	return startConfig(test, httpserve.Config{Name: "test", Handler: handler, HeaderTimeout: waitBound, IdleTimeout: waitBound})
+}
+
+// startConfig returns a fixture with another configuration. Its handler may be nil.
+func startConfig(test *testing.T, config httpserve.Config) *fixture {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(test, err)
 	started := &fixture{test: test, address: listener.Addr().String(), ended: make(chan error, 1)}
-	if handler == nil {
-		handler = started
+	if config.Handler == nil {
+		config.Handler = started
 	}
-	started.Server = httpserve.New(httpserve.Config{Name: "test", Handler: handler, HeaderTimeout: waitBound, IdleTimeout: waitBound})
+	started.Server = httpserve.New(config)
 	go func() { started.ended <- started.Serve(context.Background(), listener) }()
 	test.Cleanup(func() { _ = started.Close() })
 	return started
@@ -475,3 +481,43 @@
 		require.NoError(test, <-server.end())
 	}
 }
+
+// Guards against a refusal that waits for a body which the handler does not read: net/http sends
+// it at once if the body is large, or if the caller waits for "100 Continue".
+func TestRefusalDoesNotWaitForABody(test *testing.T) {
+	server := startHandler(test, http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	for _, framing := range []string{"Content-Length: 1000000", "Content-Length: 5\r\nExpect: 100-continue"} {
+		caller := server.dial()
+		caller.write("POST / HTTP/1.1\r\nHost: test\r\n" + framing + "\r\n\r\n")
+		answer, err := http.ReadResponse(caller.reader, nil)
+		require.NoError(test, err, framing)
+		assert.Equal(test, http.StatusServiceUnavailable, answer.StatusCode, framing)
+		assert.True(test, answer.Close, framing)
+	}
+}
+
+// Guards against a body that makes no progress, read by the handler or discarded after it, that
+// ends without being counted.
+func TestStalledBodyIsCounted(test *testing.T) {
+	for _, reads := range []bool{true, false} {
+		server := startConfig(test, httpserve.Config{
+			Name: "test", HeaderTimeout: waitBound, IdleTimeout: waitBound, BodyTimeout: 10 * waitTick,
+			Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+				if reads {
+					_, err := io.ReadAll(request.Body)
+					assert.ErrorIs(test, err, httpserve.ErrBodyStalled)
+				}
+				writer.WriteHeader(http.StatusRequestTimeout)
+			}),
+		})
+		caller := server.dial()
+		caller.write(strings.TrimSuffix(request("body"), "y"))
+		answer, err := http.ReadResponse(caller.reader, nil)
+		require.NoError(test, err)
+		assert.True(test, answer.Close)
+		server.awaitCounts(func(counts httpserve.Connections) bool { return counts == httpserve.Connections{} })
+		assert.GreaterOrEqual(test, testutil.ToFloat64(server.Collectors()[0]), 1.0)
+	}
+}
