--- a/httpserve/room.go
+++ b/httpserve/room.go
@@ -28,7 +28,7 @@
 	// yieldTime is how long a connection waits for another one that closes for it.
 	yieldTime = time.Second
 
-	// discardTime is how long the rest of a refused body may take.
+	// discardTime is how long the rest of a refused body may take, also if it makes progress.
 	discardTime = time.Second
 
 	// refusalTime bounds the writing of a refusal to a head.
