Keep no objectives for models that are not configured

Found in review: callers name the models, and each name was kept for 10 s with up to the size of a head. The bound is read for pools with groups only. No test of its own: the state is private and has no effect for such pools.

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -94,9 +94,9 @@
 // serveStream forwards a request to a serving group and streams the group's
 // events back to the caller.
 func (exchange *exchange) serveStream(ctx context.Context) {
-	exchange.server.objectives.Use(exchange.pool(), exchange.route.Key(), exchange.receivedAt)
 	// Callers name the models, so that other names have no bound. Every node would receive them.
 	if _, configured := exchange.service.Engine.Model(exchange.caller.Model); configured {
+		exchange.server.objectives.Use(exchange.pool(), exchange.route.Key(), exchange.receivedAt)
 		exchange.server.config.Traffic.Arrived(exchange.pool(), exchange.receivedAt)
 		defer func() {
 			if len(exchange.attempts) == 0 {
