Review case: requests reach a runner after its entry was removed

After open connections to the store go silent, the node that reads the store finds that out from the timeout of its watch, up to 3 s later. It takes the failed call for an outage of the platform and keeps every target that is missing from the next listing as ready for another 2.3 s, longer than the drain bound of 2 s, although the store removed the entry while it answered.

--- /dev/null
+++ b/review/standin2/node.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// A node is a process of the system with the settings of a small deployment, as the deploy
+// file and its template render them.
+type node struct {
+	name    string
+	callers string
+	ready   string
+	process *exec.Cmd
+	log     *os.File
+}
+
+const settingsTemplate = `[node]
+name           = %s
+failure-domain = %s
+stop-notice    = 2500ms
+processor-share = 0.4
+bootstrap      = %s
+
+[listen]
+callers = %s
+ready   = %s
+peers   = %s
+admin   = %s
+
+[store]
+addresses = %s
+timeout   = 1s
+protocol  = shared
+
+[bounds]
+revocation   = 5000ms
+retry-ratio  = 0.2
+retry-slack  = 130
+retry-window = 10s
+load-window  = 5s
+drain        = 2000ms
+`
+
+func freeAddresses(count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+func startNode(folder, name, zone, store string) (*node, error) {
+	addresses, err := freeAddresses(4)
+	if err != nil {
+		return nil, err
+	}
+	started := &node{name: name, callers: addresses[0], ready: addresses[1]}
+	settings := filepath.Join(folder, name+".ini")
+	text := fmt.Sprintf(settingsTemplate, name, zone, "yes", addresses[0], addresses[1], addresses[2], addresses[3], store)
+	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	if started.log, err = os.Create(filepath.Join(folder, name+".log")); err != nil {
+		return nil, err
+	}
+	started.process = exec.Command("target/lacewingspoke", "node")
+	started.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + folder, "LACEWINGSPOKE_NODE_FILE=" + settings,
+		"LACEWINGSPOKE_STOP_GRACE=8s", "LACEWINGSPOKE_MEMORY=284MiB", "LACEWINGSPOKE_DESCRIPTORS=4200",
+		"LACEWINGSPOKE_EVACUATION=ms", "LACEWINGSPOKE_COLD_OVERAGE=", "LACEWINGSPOKE_FOLLOW_DEMAND=true"}
+	started.process.Stdout, started.process.Stderr = started.log, started.log
+	return started, started.process.Start()
+}
+
+func (node *node) isReady() bool {
+	client := http.Client{Timeout: time.Second}
+	answer, err := client.Get("http://" + node.ready + "/ready")
+	if err != nil {
+		return false
+	}
+	answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
+// end stops the process and waits for its end.
+func (node *node) end() {
+	_ = node.process.Process.Signal(syscall.SIGKILL)
+	_ = node.process.Wait()
+	node.log.Close()
+}
