--- a/review/standin2/runner.go
+++ b/review/standin2/runner.go
@@ -87,13 +87,27 @@
 	return runner.store.remove("servers/" + runner.id)
 }
 
+func (runner *runner) isLeaving() bool {
+	select {
+	case <-runner.leave:
+		return true
+	default:
+		return false
+	}
+}
+
 func (runner *runner) exit() { _ = runner.server.Close() }
 
 // ServeHTTP runs a booking.
 func (runner *runner) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if runner.isLeaving() {
+		writer.Header().Set("Connection", "close")
+	}
 	if request.URL.Path == "/health" {
 		writer.Header().Set("Runner-Id", runner.id)
-		writer.WriteHeader(http.StatusOK)
+		if runner.isLeaving() {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	at, attempt := time.Now(), request.Header.Get("Attempt-Id")
