Review case: requests reach a leaving head through undisturbed nodes

A reader that lost the store answers the other nodes for up to 1.5 s as if nothing had changed, and each of them keeps an engine without an entry for another second from its own reading. If the node that is cut off leads the fabric domain, nobody has the group closed earlier, and the sum is over the drain bound of 2 s.

--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -24,17 +24,22 @@
 	err     error
 }
 
-// A client sends bookings to one node at a steady rate.
+// A client sends bookings, or prompts, to one node at a steady rate.
 type client struct {
-	node *node
-	http http.Client
-	note func(booking)
-	wait sync.WaitGroup
+	node   *node
+	path   string
+	header map[string]string
+	http   http.Client
+	note   func(booking)
+	wait   sync.WaitGroup
 }
 
-func newClient(node *node, note func(booking)) *client {
+// promptHeader are the headers of a request for a stream.
+var promptHeader = map[string]string{"Model": engineModel, "Token-Count": "400,21", "Prompt-Prefix": "5c1e07a2:40,91bd3f06:360"}
+
+func newClient(node *node, path string, header map[string]string, note func(booking)) *client {
 	dialer := net.Dialer{Timeout: time.Second}
-	return &client{node: node, note: note, http: http.Client{Transport: &http.Transport{
+	return &client{node: node, path: path, header: header, note: note, http: http.Client{Transport: &http.Transport{
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 64, IdleConnTimeout: 8 * time.Second, DisableCompression: true,
 	}}}
@@ -63,7 +68,7 @@
 	sent := booking{attempt: attempt, node: client.node.name, sentAt: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), bookingDeadline)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+client.node.callers+"/book/2f", strings.NewReader("plank 12\n"))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+client.node.callers+client.path, strings.NewReader("plank 12\n"))
 	if err != nil {
 		panic(err)
 	}
@@ -72,6 +77,9 @@
 	request.Header.Set("Attempt-Id", attempt)
 	request.Header.Set("Key", "key-of-tenant-1")
 	request.Header.Set("Deadline-Ms", fmt.Sprint(bookingDeadline.Milliseconds()))
+	for name, value := range client.header {
+		request.Header.Set(name, value)
+	}
 	answer, err := client.http.Do(request)
 	if err == nil {
 		_, err = io.Copy(io.Discard, answer.Body)
--- a/review/standin2/drain.go
+++ b/review/standin2/drain.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
-	"os"
 	"sync"
 	"time"
 )
@@ -17,8 +15,6 @@
 )
 
 const (
-	startTime = 20 * time.Second
-
 	// calmTime is the time with load before the disruption.
 	calmTime = 5 * time.Second
 
@@ -29,125 +25,43 @@
 
 	// tolerance covers the clocks of the record: what happens within it of a bound is not
 	// counted.
-	tolerance = 100 * time.Millisecond
+	tolerance = 20 * time.Millisecond
 
 	interval = 50 * time.Millisecond
 )
 
-var zones = []string{"constanta-port", "mamaia-north", "eforie-south"}
-
-// A deployment is a small deployment with one plain service.
-type deployment struct {
-	store   *store
-	proxy   *proxy
-	runners []*runner
-	nodes   []*node
-	folder  string
-
-	mutex    sync.Mutex
-	arrivals []arrival
-	bookings []booking
-}
-
-func startDeployment(notes *record) (*deployment, error) {
-	folder, err := os.MkdirTemp("", "review-")
-	if err != nil {
-		return nil, err
-	}
-	started := &deployment{store: newStore(), folder: folder}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// runDrain lets all open connections to the store go silent, as new ones work, and a runner
+// leave soon after. It reports whether requests reached the runner later than the drain bound
+// after the store's acknowledgement, by nodes that were in touch.
+func runDrain(notes *record) (bool, error) {
+	deployment, err := newDeployment()
 	if err != nil {
-		return started, err
-	}
-	go started.store.serve(listener)
-	go started.store.expire()
-	if started.proxy, err = startProxy(listener.Addr().String()); err != nil {
-		return started, err
+		return false, err
 	}
-	started.store.set("op/config", fields{
-		"version": 7,
-		"routes": []fields{{"name": "book", "host": "planks.example", "prefix": "/book/", "kind": "non_idempotent", "timeoutMs": 2500,
-			"targetLatencyMs": 150, "priority": 1, "service": "ledger", "maxAttempts": 2, "public": false}},
-		"services": []fields{{"name": "ledger", "healthCheck": "/health", "maxConnections": 96, "protocol": "h1", "tls": false}},
-		"limits":   fields{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants":  []fields{{"name": "tenant-1", "apiKeys": []string{"key-of-tenant-1"}, "priority": 1}},
-	})
+	defer deployment.end()
+	deployment.configure(bookingRoute, plainService)
 	for index, zone := range zones {
-		runner, err := startRunner(started.store, fmt.Sprintf("i-00000%d", index+1), zone, started.arrived)
-		if err != nil {
-			return started, err
-		}
-		started.runners = append(started.runners, runner)
-	}
-	for index := range 2 * len(zones) {
-		zone := zones[index%len(zones)]
-		node, err := startNode(folder, fmt.Sprintf("edge-%s-%d", zone, index/len(zones)+1), zone, started.proxy.address())
+		runner, err := startRunner(deployment.store, fmt.Sprintf("i-00000%d", index+1), zone, deployment.arrived)
 		if err != nil {
-			return started, err
+			return false, err
 		}
-		started.nodes = append(started.nodes, node)
-		notes.line(time.Now(), "node %s started as process %d", node.name, node.process.Process.Pid)
+		deployment.runners = append(deployment.runners, runner)
 	}
-	return started, started.awaitReady()
-}
-
-func (deployment *deployment) awaitReady() error {
-	for began := time.Now(); time.Since(began) < startTime; time.Sleep(100 * time.Millisecond) {
-		ready := 0
-		for _, node := range deployment.nodes {
-			if node.isReady() {
-				ready++
-			}
-		}
-		if ready == len(deployment.nodes) {
-			return nil
-		}
-	}
-	return errors.New("the nodes did not become ready")
-}
-
-func (deployment *deployment) arrived(arrived arrival) {
-	deployment.mutex.Lock()
-	defer deployment.mutex.Unlock()
-	deployment.arrivals = append(deployment.arrivals, arrived)
-}
-
-func (deployment *deployment) ended(ended booking) {
-	deployment.mutex.Lock()
-	defer deployment.mutex.Unlock()
-	deployment.bookings = append(deployment.bookings, ended)
-}
-
-func (deployment *deployment) end() {
-	for _, node := range deployment.nodes {
-		node.end()
-	}
-	if folder := os.Getenv("KEEP"); folder == "" {
-		_ = os.RemoveAll(deployment.folder)
-	} else {
-		fmt.Println("logs are in", deployment.folder)
-	}
-}
-
-// runDrain lets all open connections to the store go silent, as new ones work, and a runner
-// leave soon after. It reports whether requests reached the runner later than the drain bound
-// after the store's acknowledgement, by nodes that were in touch.
-func runDrain(notes *record) (bool, error) {
-	deployment, err := startDeployment(notes)
-	defer deployment.end()
-	if err != nil {
+	if err := deployment.startNodes(notes); err != nil {
 		return false, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var clients sync.WaitGroup
 	for _, node := range deployment.nodes {
-		clients.Go(func() { newClient(node, deployment.ended).run(ctx, interval) })
+		clients.Go(func() { newClient(node, "/book/2f", nil, deployment.ended).run(ctx, interval) })
 	}
 	time.Sleep(calmTime)
 	silentAt := time.Now()
-	if notes.trouble {
-		notes.line(silentAt, "%d open connections to the store go silent", deployment.proxy.silence())
+	for _, node := range deployment.nodes {
+		if notes.trouble {
+			notes.line(silentAt, "%d open connections of %s to the store go silent", node.store.silence(), node.name)
+		}
 	}
 	time.Sleep(leaveAfter)
 	leaver := deployment.runners[0]
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -21,7 +21,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin2 CASE FOLDER")
 		os.Exit(exitNotRun)
 	}
-	cases := map[string]func(*record) (bool, error){"drain": runDrain}
+	cases := map[string]func(*record) (bool, error){"drain": runDrain, "lapse": runLapse}
 	run, found := cases[os.Args[1]]
 	if !found {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
--- a/review/standin2/node.go
+++ b/review/standin2/node.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -19,6 +21,10 @@
 	ready   string
 	process *exec.Cmd
 	log     *os.File
+
+	// store is the node's path to the store, and source the address at which the store sees it.
+	store  *proxy
+	source string
 }
 
 const settingsTemplate = `[node]
@@ -48,27 +54,41 @@
 drain        = 2000ms
 `
 
+// Ports of nodes lie below those that the system gives to outgoing connections, which could
+// take them before the node listens.
+const (
+	firstPort = 10000
+	lastPort  = 30000
+)
+
 func freeAddresses(count int) ([]string, error) {
 	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 100 * count {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
+		if addresses = append(addresses, address); len(addresses) == count {
+			return addresses, nil
+		}
 	}
-	return addresses, nil
+	return nil, errors.New("no free ports")
 }
 
-func startNode(folder, name, zone, store string) (*node, error) {
+func startNode(folder, name, zone, store, source string) (*node, error) {
 	addresses, err := freeAddresses(4)
 	if err != nil {
 		return nil, err
 	}
-	started := &node{name: name, callers: addresses[0], ready: addresses[1]}
+	path, err := startProxy(store, source)
+	if err != nil {
+		return nil, err
+	}
+	started := &node{name: name, callers: addresses[0], ready: addresses[1], store: path, source: source}
 	settings := filepath.Join(folder, name+".ini")
-	text := fmt.Sprintf(settingsTemplate, name, zone, "yes", addresses[0], addresses[1], addresses[2], addresses[3], store)
+	text := fmt.Sprintf(settingsTemplate, name, zone, "yes", addresses[0], addresses[1], addresses[2], addresses[3], path.address())
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
--- a/review/standin2/proxy.go
+++ b/review/standin2/proxy.go
@@ -9,10 +9,14 @@
 // A proxy passes connections on to a target.
 type proxy struct {
 	target   string
+	dialer   net.Dialer
 	listener net.Listener
 
 	mutex sync.Mutex
 	open  map[*link]bool
+
+	// healed is closed when a partition ends, nil while there is none.
+	healed chan struct{}
 }
 
 // A link is one connection with its other half. A silent one drops all bytes, in both
@@ -22,12 +26,13 @@
 	silent         atomic.Bool
 }
 
-func startProxy(target string) (*proxy, error) {
+// startProxy starts a proxy that connects to the target from a loopback address of its own.
+func startProxy(target, source string) (*proxy, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	started := &proxy{target: target, listener: listener, open: map[*link]bool{}}
+	started := &proxy{target: target, listener: listener, dialer: net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}}, open: map[*link]bool{}}
 	go started.accept()
 	return started, nil
 }
@@ -44,30 +49,60 @@
 	return len(proxy.open)
 }
 
+// cut begins a partition: bytes and new connections are held up until heal.
+func (proxy *proxy) cut() {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	proxy.healed = make(chan struct{})
+}
+
+func (proxy *proxy) heal() {
+	proxy.mutex.Lock()
+	defer proxy.mutex.Unlock()
+	close(proxy.healed)
+	proxy.healed = nil
+}
+
+// awaitPath blocks while a partition lasts.
+func (proxy *proxy) awaitPath() {
+	proxy.mutex.Lock()
+	healed := proxy.healed
+	proxy.mutex.Unlock()
+	if healed != nil {
+		<-healed
+	}
+}
+
 func (proxy *proxy) accept() {
 	for {
 		client, err := proxy.listener.Accept()
 		if err != nil {
 			return
 		}
-		server, err := net.Dial("tcp", proxy.target)
-		if err != nil {
-			client.Close()
-			continue
-		}
-		opened := &link{client: client, server: server}
-		proxy.mutex.Lock()
-		proxy.open[opened] = true
-		proxy.mutex.Unlock()
-		go proxy.pass(opened, client, server)
-		go proxy.pass(opened, server, client)
+		go proxy.connect(client)
 	}
 }
 
+func (proxy *proxy) connect(client net.Conn) {
+	proxy.awaitPath()
+	server, err := proxy.dialer.Dial("tcp", proxy.target)
+	if err != nil {
+		client.Close()
+		return
+	}
+	opened := &link{client: client, server: server}
+	proxy.mutex.Lock()
+	proxy.open[opened] = true
+	proxy.mutex.Unlock()
+	go proxy.pass(opened, client, server)
+	go proxy.pass(opened, server, client)
+}
+
 func (proxy *proxy) pass(open *link, from, to net.Conn) {
 	buffer := make([]byte, 64<<10)
 	for {
 		count, err := from.Read(buffer)
+		proxy.awaitPath()
 		if open.silent.Load() && err == nil {
 			continue
 		}
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -47,10 +47,13 @@
 	leases   map[uint64]*lease
 	lastID   uint64
 	changed  chan struct{}
+
+	// readers holds when each address last watched the entries of runners.
+	readers map[string]time.Time
 }
 
 func newStore() *store {
-	return &store{revision: 100, items: map[string]item{}, leases: map[uint64]*lease{}, lastID: 70000, changed: make(chan struct{})}
+	return &store{revision: 100, items: map[string]item{}, leases: map[uint64]*lease{}, lastID: 70000, changed: make(chan struct{}), readers: map[string]time.Time{}}
 }
 
 // notify wakes the watches. The caller holds the mutex.
@@ -190,6 +193,11 @@
 		reply(writer, http.StatusBadRequest, fields{})
 		return
 	}
+	if host, _, err := net.SplitHostPort(request.RemoteAddr); err == nil && strings.HasPrefix(prefix, "servers/") {
+		store.mutex.Lock()
+		store.readers[host] = time.Now()
+		store.mutex.Unlock()
+	}
 	timer := time.NewTimer(min(maxWatchWait, time.Duration(millis)*time.Millisecond))
 	defer timer.Stop()
 	for {
