--- a/review/standin2/engine.go
+++ b/review/standin2/engine.go
@@ -39,16 +39,15 @@
 	store                     *store
 	note                      func(arrival)
 
-	mutex     sync.Mutex
-	group     *membership
-	lastModel string
-	staged    []string
-	begun     uint64
-	fence     uint64
-	topEpoch  uint64
-	running   int
-	beats     uint64
-	gone      bool
+	mutex    sync.Mutex
+	group    *membership
+	staged   []string
+	begun    uint64
+	fence    uint64
+	topEpoch uint64
+	running  int
+	beats    uint64
+	gone     bool
 }
 
 func startEngine(store *store, id, zone, domain string, note func(arrival)) (*engine, error) {
