--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -72,9 +72,15 @@
 // startNodes starts six nodes, each with its own path to the store, and waits until they are
 // ready.
 func (deployment *deployment) startNodes(notes *record) error {
-	for index := range 2 * len(zones) {
+	count := 2 * len(zones)
+	addresses, err := freeAddresses(addressesOfNode * count)
+	if err != nil {
+		return err
+	}
+	for index := range count {
 		zone := zones[index%len(zones)]
-		node, err := startNode(deployment.folder, fmt.Sprintf("edge-%s-%d", zone, index/len(zones)+1), zone, deployment.address, fmt.Sprintf("127.0.0.%d", 11+index))
+		node, err := startNode(deployment.folder, fmt.Sprintf("edge-%s-%d", zone, index/len(zones)+1), zone, deployment.address, fmt.Sprintf("127.0.0.%d", 11+index),
+			addresses[addressesOfNode*index:addressesOfNode*(index+1)])
 		if err != nil {
 			return err
 		}
@@ -92,6 +98,11 @@
 			return nil
 		}
 	}
+	for _, node := range deployment.nodes {
+		if !node.isReady() {
+			fmt.Println(node.name, "is not ready:", node.lastLine())
+		}
+	}
 	return errors.New("the nodes did not become ready")
 }
 
--- a/review/standin2/lapse.go
+++ b/review/standin2/lapse.go
@@ -18,6 +18,9 @@
 
 	formWait = 25 * time.Second
 
+	// findWait bounds the search for the node that reads the store, and a group that it leads.
+	findWait = 10 * time.Second
+
 	// promptInterval is the time between two prompts to one node.
 	promptInterval = 20 * time.Millisecond
 
@@ -60,6 +63,9 @@
 	}
 	time.Sleep(calmTime)
 	reader, head, err := deployment.readerAndHead()
+	for began := time.Now(); err != nil && time.Since(began) < findWait; time.Sleep(200 * time.Millisecond) {
+		reader, head, err = deployment.readerAndHead()
+	}
 	if err != nil {
 		return false, err
 	}
--- a/review/standin2/node.go
+++ b/review/standin2/node.go
@@ -77,11 +77,10 @@
 	return nil, errors.New("no free ports")
 }
 
-func startNode(folder, name, zone, store, source string) (*node, error) {
-	addresses, err := freeAddresses(4)
-	if err != nil {
-		return nil, err
-	}
+// addressesOfNode are those for callers, the health check, other nodes and operators.
+const addressesOfNode = 4
+
+func startNode(folder, name, zone, store, source string, addresses []string) (*node, error) {
 	path, err := startProxy(store, source)
 	if err != nil {
 		return nil, err
@@ -113,6 +112,12 @@
 	return answer.StatusCode == http.StatusOK
 }
 
+// lastLine returns the end of the node's log.
+func (node *node) lastLine() string {
+	text, _ := os.ReadFile(node.log.Name())
+	return string(text[max(0, len(text)-400):])
+}
+
 // end stops the process and waits for its end.
 func (node *node) end() {
 	_ = node.process.Process.Signal(syscall.SIGKILL)
