Review stand-in: a signal ends the nodes, and a leaving engine fails its health check

A script told to end by a signal left its six node processes running. An engine whose entry was removed answered its health check with 200 until the end; it now answers 503, as the runner stand-in does.

--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -23,6 +25,9 @@
 	nodes   []*node
 	folder  string
 
+	// starting is held while a node is started and while all are ended.
+	starting sync.Mutex
+
 	mutex    sync.Mutex
 	arrivals []arrival
 	bookings []booking
@@ -55,9 +60,20 @@
 	created := &deployment{store: newStore(), folder: folder, address: listener.Addr().String()}
 	go created.store.serve(listener)
 	go created.store.expire()
+	go created.endAtSignal()
 	return created, nil
 }
 
+// endAtSignal ends the nodes and the program when it is told to end.
+func (deployment *deployment) endAtSignal() {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	<-told
+	deployment.end()
+	fmt.Fprintln(os.Stderr, "not run: told to end")
+	os.Exit(exitNotRun)
+}
+
 // configure writes the configuration as the operator does.
 func (deployment *deployment) configure(route, service fields) {
 	deployment.store.set("op/config", fields{
@@ -79,12 +95,16 @@
 	}
 	for index := range count {
 		zone := zones[index%len(zones)]
+		deployment.starting.Lock()
 		node, err := startNode(deployment.folder, fmt.Sprintf("edge-%s-%d", zone, index/len(zones)+1), zone, deployment.address, fmt.Sprintf("127.0.0.%d", 11+index),
 			addresses[addressesOfNode*index:addressesOfNode*(index+1)])
+		if err == nil {
+			deployment.nodes = append(deployment.nodes, node)
+		}
+		deployment.starting.Unlock()
 		if err != nil {
 			return err
 		}
-		deployment.nodes = append(deployment.nodes, node)
 		notes.line(time.Now(), "node %s started as process %d", node.name, node.process.Process.Pid)
 	}
 	for began := time.Now(); time.Since(began) < startTime; time.Sleep(100 * time.Millisecond) {
@@ -119,6 +139,8 @@
 }
 
 func (deployment *deployment) end() {
+	deployment.starting.Lock()
+	defer deployment.starting.Unlock()
 	for _, node := range deployment.nodes {
 		node.end()
 	}
--- a/review/standin2/engine.go
+++ b/review/standin2/engine.go
@@ -135,6 +135,8 @@
 	case request.URL.Path == "/order":
 		status := engine.order(request.Body)
 		writer.WriteHeader(status)
+	case request.URL.Path == "/health" && leaving:
+		writer.WriteHeader(http.StatusServiceUnavailable)
 	case request.URL.Path == "/health":
 		writer.WriteHeader(http.StatusOK)
 	default:
