review: a failure after the run passes for a promise that it has not run

Cause: the node passes an unmarked 503 of a runner on to the client of a route whose requests may run once. Only Not-Executed says that a request has not run.

The case has one of three runners fail a third of the bookings that it has run with 503. Clients send these again, as 503 promises that they have not run.

--- /dev/null
+++ b/review/standin3/unmarked.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+func init() {
+	cases["unmarked"] = playUnmarked
+}
+
+// failingStep makes the runner fail every third of its requests, less than the share of 0.45 in the
+// site file.
+const failingStep = 3
+
+// playUnmarked has one of three runners fail a third of the bookings that it has run, with 503
+// and without Not-Executed. A client sends a booking again after 503 or 429 only, because these
+// promise that it has not run and never will.
+func playUnmarked(scenario *scenario) (bool, error) {
+	scenario.configure(7)
+	var runs sync.Map
+	var runners []*runner
+	for index, zone := range zones {
+		started, err := scenario.startRunner([]string{"i-7f3a91c2", "i-02d9e6b4", "i-90c1aa07"}[index], zone)
+		if err != nil {
+			return false, err
+		}
+		started.ran = func(attempt string) { runs.Store(attempt, started.id) }
+		runners = append(runners, started)
+	}
+	if err := scenario.startNodes(3); err != nil {
+		return false, err
+	}
+	time.Sleep(time.Second)
+	if scenario.trouble {
+		var count atomic.Int64
+		runners[0].setFailure(func(attempt string) int {
+			if count.Add(1)%failingStep != 0 {
+				return 0
+			}
+			return http.StatusServiceUnavailable
+		})
+	}
+	const perNode = 60
+	var mutex sync.Mutex
+	var waiting sync.WaitGroup
+	total, refusedAfterRun, doubled := 0, 0, 0
+	for _, node := range scenario.nodes {
+		waiting.Add(1)
+		go func() {
+			defer waiting.Done()
+			for range perNode {
+				first := scenario.send(node, http.MethodPost, "/puxa403/2f", "plank 17")
+				_, firstRan := runs.Load(first.attempt)
+				promised := first.status == http.StatusServiceUnavailable || first.status == http.StatusTooManyRequests ||
+					first.status == http.StatusRequestTimeout || first.status == http.StatusMisdirectedRequest
+				secondRan := false
+				if promised {
+					second := scenario.send(node, http.MethodPost, "/puxa403/2f", "plank 17")
+					_, secondRan = runs.Load(second.attempt)
+				}
+				mutex.Lock()
+				total++
+				if promised && firstRan {
+					refusedAfterRun++
+					scenario.record.line("request %s is answered %d, and has run", first.attempt, first.status)
+				}
+				if promised && firstRan && secondRan {
+					doubled++
+				}
+				mutex.Unlock()
+				time.Sleep(60 * time.Millisecond)
+			}
+		}()
+	}
+	waiting.Wait()
+	scenario.record.line("%d bookings, %d of them answered as not run although they had run, %d of these were made twice by their clients", total, refusedAfterRun, doubled)
+	return refusedAfterRun > 0, nil
+}
