review: a stream that a client resumes begins anew

Cause: Last-Event-Id of the client is removed and not set again for a service without an engine, also on a streaming route.

The case resets the connections of some clients in the middle of their streams. They resume at another node, and get the first pieces twice.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -253,8 +253,10 @@
 	zone     string
 	born     int64
 
-	// ran is told of each request that the runner runs. It may be nil.
-	ran func(attempt string)
+	// ran is told of each request that the runner runs, and handle answers in place of the
+	// runner. They may be nil.
+	ran    func(attempt string)
+	handle http.HandlerFunc
 
 	mutex    sync.Mutex
 	sequence int
@@ -307,6 +309,10 @@
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if runner.handle != nil {
+		runner.handle(writer, request)
+		return
+	}
 	runner.scenario.record.line("runner %s runs request %s: %s %s, %d bytes", runner.id, attempt, request.Method, request.RequestURI, len(body))
 	if runner.ran != nil {
 		runner.ran(attempt)
