--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -340,6 +340,7 @@
 	attempt string
 	status  int
 	sealed  bool
+	body    string
 	err     error
 }
 
@@ -366,7 +367,8 @@
 		return sent
 	}
 	defer response.Body.Close()
-	_, sent.err = io.ReadAll(response.Body)
+	received, err := io.ReadAll(response.Body)
+	sent.body, sent.err = string(received), err
 	sent.status, sent.sealed = response.StatusCode, response.Header.Get("Response-Seal") != ""
 	scenario.record.line("request %s is answered %d, signed by a runner: %v", sent.attempt, sent.status, sent.sealed)
 	return sent
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -99,13 +99,6 @@
 	store.put(key, value, 0)
 }
 
-func (store *store) drop(key string) {
-	store.mutex.Lock()
-	defer store.mutex.Unlock()
-	store.revision++
-	store.remove(key)
-}
-
 func (store *store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
 	path := request.URL.Path
 	switch {
