--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -340,12 +340,16 @@
 	attempt string
 	status  int
 	sealed  bool
-	body    string
 	err     error
 }
 
 // send sends one attempt of a client on a new connection.
 func (scenario *scenario) send(node *node, method, path string, body string) answer {
+	return scenario.sendWith(node, method, path, body, nil)
+}
+
+// sendWith sends an attempt with further headers.
+func (scenario *scenario) sendWith(node *node, method, path, body string, headers map[string]string) answer {
 	sent := answer{attempt: fmt.Sprintf("%016x", rand.Uint64())}
 	ctx, cancel := context.WithTimeout(context.Background(), 2500*time.Millisecond)
 	defer cancel()
@@ -358,6 +362,9 @@
 	request.Header.Set("Attempt-Id", sent.attempt)
 	request.Header.Set("Key", scenario.key)
 	request.Header.Set("Deadline-Ms", "2500")
+	for name, value := range headers {
+		request.Header.Set(name, value)
+	}
 	scenario.record.line("request %s sent to %s: %s %s", sent.attempt, node.name, method, path)
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	response, err := client.Do(request)
@@ -367,8 +374,7 @@
 		return sent
 	}
 	defer response.Body.Close()
-	received, err := io.ReadAll(response.Body)
-	sent.body, sent.err = string(received), err
+	_, sent.err = io.ReadAll(response.Body)
 	sent.status, sent.sealed = response.StatusCode, response.Header.Get("Response-Seal") != ""
 	scenario.record.line("request %s is answered %d, signed by a runner: %v", sent.attempt, sent.status, sent.sealed)
 	return sent
