--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -114,14 +114,29 @@
 	return exitHeld
 }
 
-// freePort returns a port that is free on all addresses.
-func freePort() int {
-	listener, err := net.Listen("tcp", "0.0.0.0:0")
-	if err != nil {
-		return 0
+// freePorts returns different ports that are free on all the addresses.
+func freePorts(count int, ips []string) ([]int, error) {
+	var ports []int
+	for len(ports) < count {
+		first, err := net.Listen("tcp", ips[0]+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer first.Close()
+		port, free := first.Addr().(*net.TCPAddr).Port, true
+		for _, ip := range ips[1:] {
+			other, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+			if err != nil {
+				free = false
+				break
+			}
+			defer other.Close()
+		}
+		if free {
+			ports = append(ports, port)
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().(*net.TCPAddr).Port
+	return ports, nil
 }
 
 // settings is deploy/node.ini.tmpl as the platform fills it in for a small deployment.
@@ -157,10 +172,17 @@
 
 // startNodes starts the nodes, on loopback addresses of their own and the same ports.
 func (scenario *scenario) startNodes(count int) error {
-	ports := []int{freePort(), freePort(), freePort(), freePort()}
+	var ips []string
 	for index := range count {
+		ips = append(ips, fmt.Sprintf("127.43.%d.%d", os.Getpid()%250, 10+index))
+	}
+	ports, err := freePorts(4, ips)
+	if err != nil {
+		return err
+	}
+	for index, ip := range ips {
 		zone := zones[index%len(zones)]
-		started := &node{name: fmt.Sprintf("edge-%s-%d", zone, 1+index/len(zones)), ip: fmt.Sprintf("127.43.%d.%d", os.Getpid()%250, 10+index), ended: make(chan error, 1)}
+		started := &node{name: fmt.Sprintf("edge-%s-%d", zone, 1+index/len(zones)), ip: ip, ended: make(chan error, 1)}
 		started.frontend = fmt.Sprintf("%s:%d", started.ip, ports[0])
 		started.ready = fmt.Sprintf("%s:%d", started.ip, ports[1])
 		path := filepath.Join(scenario.work, started.name+".ini")
