review: cases 11 and 13 stay inside the time of their disruptions

The runner of case 13 sent bytes for ten seconds, longer than the 5 s that the site names, and its first requests came before the nodes were in touch. Both cases now end the disruption in time, and all wait until the nodes are in touch.

--- a/review/standin3/entry.go
+++ b/review/standin3/entry.go
@@ -25,7 +25,6 @@
 	if err := scenario.startNodes(3); err != nil {
 		return false, err
 	}
-	time.Sleep(time.Second)
 	if scenario.trouble {
 		if err := scenario.writeForeignEntry(); err != nil {
 			return false, err
--- a/review/standin3/extra.go
+++ b/review/standin3/extra.go
@@ -20,6 +20,9 @@
 // share is just below 0.03, the largest one of the site file and of its days.
 const spoiledStep = 35
 
+// spoiledTime is for how long, the longest time of late extra answers in the site file.
+const spoiledTime = 5 * time.Second
+
 // extraBytes are what some servers write of themselves after a complete answer, as if another
 // request had begun that they cannot read. They have no Attempt-Id and no seal.
 const extraBytes = "HTTP/1.1 400 Bad Request\r\nContent-Type: text/plain\r\nContent-Length: 12\r\n\r\nBad Request\n"
@@ -39,9 +42,10 @@
 	if err := scenario.startNodes(3); err != nil {
 		return false, err
 	}
-	time.Sleep(time.Second)
+	began := time.Now()
 	runners[0].faulty.Store(scenario.trouble)
-	const clients, perClient = 6, 400
+	time.AfterFunc(spoiledTime, func() { runners[0].faulty.Store(false) })
+	const clients = 15
 	var mutex sync.Mutex
 	var waiting sync.WaitGroup
 	total, denied := 0, 0
@@ -50,7 +54,7 @@
 		go func() {
 			defer waiting.Done()
 			node := scenario.nodes[client%len(scenario.nodes)]
-			for range perClient {
+			for time.Since(began) < spoiledTime {
 				got := scenario.send(node, http.MethodGet, "/cufi504/fi50/2f", "")
 				mutex.Lock()
 				total++
@@ -117,7 +121,7 @@
 			fmt.Fprintf(connection, "HTTP/1.1 421 Misdirected Request\r\nRunner-Id: %s\r\nContent-Length: 0\r\n\r\n", runner.id)
 			continue
 		}
-		if late {
+		if late && runner.faulty.Load() {
 			runner.scenario.record.line("runner %s sends bytes after an earlier answer, request %s is next on the connection", runner.id, attempt)
 			if _, err := io.WriteString(connection, extraBytes); err != nil {
 				return
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -33,6 +33,10 @@
 	host         = "ficu95.example"
 	plainService = "wuno96b"
 	heartbeat    = 1200 * time.Millisecond
+
+	// touchTime is the time after their start in which machines are not in touch yet:
+	// stableWindowMs and a reserve.
+	touchTime = 3500 * time.Millisecond
 )
 
 // A scenario is one play of a case.
@@ -211,6 +215,7 @@
 			return err
 		}
 	}
+	time.Sleep(touchTime)
 	return nil
 }
 
--- a/review/standin3/resume.go
+++ b/review/standin3/resume.go
@@ -54,7 +54,6 @@
 	if err := scenario.startNodes(3); err != nil {
 		return false, err
 	}
-	time.Sleep(time.Second)
 	var mutex sync.Mutex
 	var waiting sync.WaitGroup
 	total, resumed, wrong := 0, 0, 0
--- a/review/standin3/unmarked.go
+++ b/review/standin3/unmarked.go
@@ -15,6 +15,9 @@
 // site file.
 const failingStep = 3
 
+// failingTime is for how long, below the 6.5 s of the site file.
+const failingTime = 6 * time.Second
+
 // playUnmarked has one of three runners fail a third of the bookings that it has run, with 503
 // and without Not-Executed. A client sends a booking again after 503 or 429 only, because these
 // promise that it has not run and never will.
@@ -33,8 +36,8 @@
 	if err := scenario.startNodes(3); err != nil {
 		return false, err
 	}
-	time.Sleep(time.Second)
 	if scenario.trouble {
+		time.AfterFunc(failingTime, func() { runners[0].setFailure(nil) })
 		var count atomic.Int64
 		runners[0].setFailure(func(attempt string) int {
 			if count.Add(1)%failingStep != 0 {
