review: case 15, a runner that becomes cold while the store is down

Cause: a target is taken for cold only because of its entry in the store or of an evacuation that is taken back. No health check is ever sent, so that Cold-Ms is not read. While the store is down, a runner that becomes cold again gets its usual requests.

--- a/review/standin3/engine.go
+++ b/review/standin3/engine.go
@@ -6,7 +6,9 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,6 +29,15 @@
 	born     int64
 	models   []string
 	answer   http.HandlerFunc
+	server   *http.Server
+
+	// cold and told are of the case of the cold runner; told counts the answers to health
+	// checks with Cold-Ms.
+	cold coldState
+	told atomic.Int64
+
+	// ended is true once the engine has ended because of too many requests.
+	ended atomic.Bool
 
 	mutex    sync.Mutex
 	beats    int
@@ -58,20 +69,21 @@
 	Expected     *uint64  `json:"expected"`
 }
 
-func (scenario *scenario) startEngine(id, zone string, models []string, answer http.HandlerFunc) error {
+func (scenario *scenario) startEngine(id, zone string, models []string, answer http.HandlerFunc) (*engine, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return err
+		return nil, err
 	}
 	started := &engine{scenario: scenario, id: id, address: listener.Addr().String(), zone: zone, domain: zone + "-d0", born: time.Now().UnixMilli(), models: models, answer: answer}
-	go func() { _ = http.Serve(listener, started) }()
+	started.server = &http.Server{Handler: started}
+	go func() { _ = started.server.Serve(listener) }()
 	started.announce()
 	go func() {
 		for range time.Tick(heartbeat) {
 			started.announce()
 		}
 	}()
-	return nil
+	return started, nil
 }
 
 func (engine *engine) announce() {
@@ -81,11 +93,14 @@
 }
 
 func (engine *engine) announceLocked() {
+	if engine.ended.Load() || engine.scenario.store.isDown() {
+		return
+	}
 	engine.beats++
 	entry := engine.state()
 	for name, value := range map[string]any{
 		"service": engineService, "address": engine.address, "zone": engine.zone, "domain": engine.domain, "version": "v1", "slots": 26,
-		"state": "ready", "coldRemainingMs": 0, "sequence": engine.beats,
+		"state": "ready", "coldRemainingMs": engine.cold.remaining().Milliseconds(), "sequence": engine.beats,
 	} {
 		entry[name] = value
 	}
@@ -113,6 +128,13 @@
 		return
 	}
 	switch request.URL.Path {
+	case "/health":
+		writer.Header().Set("Runner-Id", engine.id)
+		if remaining := engine.cold.remaining(); remaining > 0 {
+			writer.Header().Set("Cold-Ms", strconv.FormatInt(remaining.Milliseconds(), 10))
+			engine.told.Add(1)
+		}
+		writer.WriteHeader(http.StatusOK)
 	case "/report":
 		engine.mutex.Lock()
 		report := engine.state()
@@ -147,6 +169,11 @@
 		writer.WriteHeader(status)
 		return
 	}
+	if arrived := engine.cold.arrive(); arrived > coldEnd && !engine.ended.Swap(true) {
+		engine.scenario.record.line("engine %s is cold, has got %d requests in one second, and ends", engine.id, arrived)
+		_ = engine.server.Close()
+		return
+	}
 	_, _ = io.Copy(io.Discard, request.Body)
 	engine.answer(writer, request)
 }
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -48,6 +48,10 @@
 	nodes   []*node
 	record  *recorder
 	key     string
+
+	// coldOverage and evacuation are the bounds coldOverage and evacuateMs, empty where the
+	// deployment has none.
+	coldOverage, evacuation string
 }
 
 // A recorder writes what was sent, answered and run.
@@ -202,7 +206,7 @@
 		started.command.Stdout, started.command.Stderr = log, log
 		started.command.Env = []string{
 			"PATH=" + os.Getenv("PATH"), "LACEWINGSPOKE_NODE_FILE=" + path, "LACEWINGSPOKE_STOP_GRACE=8s", "LACEWINGSPOKE_MEMORY=284MiB",
-			"LACEWINGSPOKE_DESCRIPTORS=4200", "LACEWINGSPOKE_EVACUATION=ms", "LACEWINGSPOKE_COLD_OVERAGE=", "LACEWINGSPOKE_FOLLOW_DEMAND=true",
+			"LACEWINGSPOKE_DESCRIPTORS=4200", "LACEWINGSPOKE_EVACUATION=" + scenario.evacuation + "ms", "LACEWINGSPOKE_COLD_OVERAGE=" + scenario.coldOverage, "LACEWINGSPOKE_FOLLOW_DEMAND=true",
 		}
 		if err := started.command.Start(); err != nil {
 			return err
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -35,6 +35,9 @@
 	leases   map[uint64]*lease
 	lastID   uint64
 	changed  chan struct{}
+
+	// downSince is when the store stopped answering, zero if it answers.
+	downSince time.Time
 }
 
 func newStore() *store {
@@ -50,6 +53,9 @@
 func (store *store) expire() {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
+	if !store.downSince.IsZero() {
+		return
+	}
 	for id, granted := range store.leases {
 		if time.Now().After(granted.end) {
 			store.endLease(id)
@@ -100,6 +106,10 @@
 }
 
 func (store *store) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if store.isDown() {
+		<-request.Context().Done()
+		return
+	}
 	path := request.URL.Path
 	switch {
 	case path == "/kv-key":
@@ -172,6 +182,10 @@
 		}
 		revision, changed := store.revision, store.changed
 		store.mutex.Unlock()
+		if store.isDown() {
+			<-request.Context().Done()
+			return
+		}
 		if len(events) > 0 {
 			reply(writer, http.StatusOK, map[string]any{"events": events, "storeRevision": revision})
 			return
--- a/review/standin3/unary.go
+++ b/review/standin3/unary.go
@@ -44,7 +44,7 @@
 		}
 	}
 	for index := range 6 {
-		if err := scenario.startEngine(fmt.Sprintf("i-7f3a91c%d", index), zones[index/2], []string{modelName}, answer); err != nil {
+		if _, err := scenario.startEngine(fmt.Sprintf("i-7f3a91c%d", index), zones[index/2], []string{modelName}, answer); err != nil {
 			return false, err
 		}
 	}
