review: the stand-in ends its nodes when it is told to end, and engines record what they run

A case that got SIGTERM left its three nodes behind, and the record of case 15 lacked what was run.

Shown: after SIGTERM to a case the exit is 2 and no node is left, 3 before.

--- a/review/standin3/engine.go
+++ b/review/standin3/engine.go
@@ -175,6 +175,7 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, request.Body)
+	engine.scenario.record.line("engine %s runs request %s: %s %s", engine.id, request.Header.Get("Attempt-Id"), request.Method, request.RequestURI)
 	engine.answer(writer, request)
 }
 
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -17,6 +17,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -46,8 +47,12 @@
 	store   *store
 	address string
 	nodes   []*node
-	record  *recorder
-	key     string
+
+	// mutex guards the start and the end of the nodes.
+	mutex sync.Mutex
+
+	record *recorder
+	key    string
 
 	// coldOverage and evacuation are the bounds coldOverage and evacuateMs, empty where the
 	// deployment has none.
@@ -73,7 +78,7 @@
 	frontend string
 	ready    string
 	command  *exec.Cmd
-	ended    chan error
+	ended    chan struct{}
 }
 
 var cases = map[string]func(scenario *scenario) (broken bool, err error){}
@@ -106,6 +111,7 @@
 	played.address = listener.Addr().String()
 	go func() { _ = http.Serve(listener, played.store) }()
 	defer played.endNodes()
+	go played.endOnSignal()
 	broken, err := run(played)
 	switch {
 	case err != nil:
@@ -190,7 +196,7 @@
 	}
 	for index, ip := range ips {
 		zone := zones[index%len(zones)]
-		started := &node{name: fmt.Sprintf("edge-%s-%d", zone, 1+index/len(zones)), ip: ip, ended: make(chan error, 1)}
+		started := &node{name: fmt.Sprintf("edge-%s-%d", zone, 1+index/len(zones)), ip: ip, ended: make(chan struct{})}
 		started.frontend = fmt.Sprintf("%s:%d", started.ip, ports[0])
 		started.ready = fmt.Sprintf("%s:%d", started.ip, ports[1])
 		path := filepath.Join(scenario.work, started.name+".ini")
@@ -208,11 +214,17 @@
 			"PATH=" + os.Getenv("PATH"), "LACEWINGSPOKE_NODE_FILE=" + path, "LACEWINGSPOKE_STOP_GRACE=8s", "LACEWINGSPOKE_MEMORY=284MiB",
 			"LACEWINGSPOKE_DESCRIPTORS=4200", "LACEWINGSPOKE_EVACUATION=" + scenario.evacuation + "ms", "LACEWINGSPOKE_COLD_OVERAGE=" + scenario.coldOverage, "LACEWINGSPOKE_FOLLOW_DEMAND=true",
 		}
+		scenario.mutex.Lock()
 		if err := started.command.Start(); err != nil {
+			scenario.mutex.Unlock()
 			return err
 		}
-		go func() { started.ended <- started.command.Wait() }()
+		go func() {
+			_ = started.command.Wait()
+			close(started.ended)
+		}()
 		scenario.nodes = append(scenario.nodes, started)
+		scenario.mutex.Unlock()
 	}
 	for _, started := range scenario.nodes {
 		if err := started.awaitReady(10 * time.Second); err != nil {
@@ -238,7 +250,25 @@
 	return fmt.Errorf("node %s is not ready", node.name)
 }
 
+// endOnSignal ends the nodes and the case when it is told to end.
+func (scenario *scenario) endOnSignal() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	<-signals
+	scenario.mutex.Lock()
+	defer scenario.mutex.Unlock()
+	scenario.endLocked()
+	_ = os.RemoveAll(scenario.work)
+	os.Exit(exitNotRun)
+}
+
 func (scenario *scenario) endNodes() {
+	scenario.mutex.Lock()
+	defer scenario.mutex.Unlock()
+	scenario.endLocked()
+}
+
+func (scenario *scenario) endLocked() {
 	for _, started := range scenario.nodes {
 		_ = started.command.Process.Signal(syscall.SIGTERM)
 	}
--- a/review/standin3/unary.go
+++ b/review/standin3/unary.go
@@ -29,7 +29,6 @@
 		mutex.Lock()
 		ran[attempt]++
 		mutex.Unlock()
-		scenario.record.line("request %s runs: %s %s", attempt, request.Method, request.RequestURI)
 		writer.Header().Set("Attempt-Id", attempt)
 		writer.Header().Set("Response-Seal", "3e1b.07."+attempt)
 		time.Sleep(30 * time.Millisecond)
