forward: log and count the failures that targets answer

A 503 in a request line does not show whether the target stated that it has not run the request, whose id the answer had or whether its connection had carried other requests, so the node's own refusals, true refusals of a target and its failures after the work look alike.

Change: a line 'target answered with a failure' with these inputs, and a counter of the failures by class and statement.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
@@ -146,6 +147,25 @@
 	return unknown{reason: "target " + attempt.name + " gave no whole answer"}
 }
 
+// recordFailure records an answer with a status that is no success, with what tells whose it is
+// and whether the request has run.
+func (attempt *attempt) recordFailure(response *response, answer Answer) {
+	status := response.http.StatusCode
+	if status < http.StatusMultipleChoices {
+		return
+	}
+	statement := "none"
+	if answer.Refused {
+		statement = "not-run"
+	}
+	server := attempt.exchange.server
+	server.metrics.failures.WithLabelValues(strconv.Itoa(status/100)+"xx", statement).Inc()
+	server.config.Logger.Info("target answered with a failure",
+		zap.String("id", attempt.exchange.caller.Attempt), zap.String("target", attempt.name), zap.Int("status", status), zap.String("statement", statement),
+		zap.Bool("sealed", answer.Sealed), zap.String("answer-id", answer.Attempt), zap.String("through", attempt.through),
+		zap.Bool("new-connection", !response.relayed && response.conn.opened))
+}
+
 // isOwnFault reports whether an attempt failed for a reason that is not the target's.
 func isOwnFault(err error) bool {
 	// An answer without room is far larger than those of other targets.
--- a/forward/groupcall.go
+++ b/forward/groupcall.go
@@ -159,6 +159,7 @@
 	answer := server.config.Codec.ParseAnswer(response.http.StatusCode, response.http.Header)
 	observed := observedGroup(call.target)
 	server.observeAnswer(observed, exchange.caller.Attempt, response.http, answer, sentAt)
+	call.attempt.recordFailure(response, answer)
 	switch {
 	case answer.Refused:
 		call.result = call.attempt.refused(response, answer)
--- a/forward/metrics.go
+++ b/forward/metrics.go
@@ -16,6 +16,7 @@
 	dials    *prometheus.CounterVec
 	resumed  *prometheus.CounterVec
 	relayed  *prometheus.CounterVec
+	failures *prometheus.CounterVec
 
 	lostServices prometheus.Counter
 	rests        prometheus.Counter
@@ -43,6 +44,7 @@
 		retries:  newCounterVec("retries_total", "Retries by decision.", "decision"),
 		dials:    newCounterVec("connections_total", "Connections to targets.", "result"),
 		relayed:  newCounterVec("relayed_total", "Requests sent to targets for other nodes or by them.", "direction", "outcome"),
+		failures: newCounterVec("target_failures_total", "Answers of targets with a status that is no success, by the target's statement that it has not run the request, or its lack.", "class", "statement"),
 		lostServices: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: metricsPrefix + "lost_services_total", Help: "Times that this node has lost the targets of a service.",
 		}),
@@ -74,7 +76,7 @@
 	}, func() float64 { return float64(bodies.Used()) })
 	collectors := []prometheus.Collector{
 		registered.requests, registered.attempts, registered.retries, registered.dials,
-		registered.resumed, registered.relayed, registered.lostServices, registered.rests, registered.duration, registered.firstEvent, registered.predictionError, limitedTargets, coldTargets, registered.coldRefused, heldBytes,
+		registered.resumed, registered.relayed, registered.failures, registered.lostServices, registered.rests, registered.duration, registered.firstEvent, registered.predictionError, limitedTargets, coldTargets, registered.coldRefused, heldBytes,
 	}
 	for _, collector := range collectors {
 		if err := config.Registerer.Register(collector); err != nil {
--- a/forward/runner.go
+++ b/forward/runner.go
@@ -136,6 +136,7 @@
 	answer := server.config.Codec.ParseAnswer(response.http.StatusCode, response.http.Header)
 	observed := observedRunner(target)
 	server.observeAnswer(observed, exchange.caller.Attempt, response.http, answer, sentAt)
+	attempt.recordFailure(response, answer)
 	if answer.Refused {
 		return attempt.refused(response, answer)
 	}
