forward: a target's failure is no promise that the request has not run

Cause: 408, 421, 429 and 503 promise that a request has not run. A target promises that with its statement (Not-Executed) only, but any failure of a target was passed on as it came, and a 421 counted as a statement by itself.

Evidence: the lines 'target answered with a failure' of these requests have status 503, statement none, sealed, the request's own id and a new connection; their request lines have the outcome complete, so the node did not refuse them.

Change: an answer with such a status and without the statement is discarded. The outcome of the attempt is unknown: another target where the request may be repeated, else 502 of the node, without seal and Retry-After. This holds for routes of each kind, plain services and groups, and for answers through other nodes, as all of them end in mayPassOn.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -368,8 +368,23 @@
 	return !exchange.mayHaveRun || exchange.route.Repeatable() && exchange.mayRepeat()
 }
 
-// shouldRetryStatus reports whether a response with this status is discarded and
-// the request retried, because another target may succeed.
-func (exchange *exchange) shouldRetryStatus(status int) bool {
-	return status >= http.StatusInternalServerError && exchange.route.Repeatable() && exchange.mayReachAnother()
+// promisesNotRun reports whether a response with this status promises callers that their request
+// has not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// mayPassOn reports whether a target's answer with this status goes to the caller. A target that
+// does not state that it has not run the request, see Answer.Refused, may have run it, so that a
+// status with that promise is discarded, and the node answers for itself. A server error of a
+// request that may be repeated is discarded if another target may succeed.
+func (exchange *exchange) mayPassOn(status int) bool {
+	if promisesNotRun(status) {
+		return false
+	}
+	return status < http.StatusInternalServerError || !exchange.route.Repeatable() || !exchange.mayReachAnother()
 }
