forward: the route says whether an answer is a stream

Cause: exchange.serve went by the engine of the service alone. A streaming route to a service without one was sent as a unary request: its destination has no resumeAfter, and its answer is read whole, up to 8 MB.

Change: streams of plain runners go through the delivery that those of groups have: the caller's last event, events as they arrive, another runner after the last delivered event where the route may be resumed, an aborted connection where not. What differs by the kind of the target (placement, forecast, stall detector) is in callTarget. An answer that is no stream of events is read whole. The other node of a relayed request has whether it is a stream.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"strconv"
@@ -159,10 +160,18 @@
 	exchange.parts = []string{whole}
 	if exchange.service.Engine != nil {
 		exchange.parts = append(exchange.parts, caller.PromptParts[:max(0, len(caller.PromptParts)-1)]...)
-		exchange.serveStream(ctx)
+	}
+	exchange.forward(ctx)
+}
+
+// forward sends the request to a target of its service. The service says what its targets are,
+// and the route whether the answer is a stream: docs/design.md has a table of all pairs.
+func (exchange *exchange) forward(ctx context.Context) {
+	if exchange.service.Engine == nil && !exchange.streams() {
+		exchange.serveRunner(ctx)
 		return
 	}
-	exchange.serveRunner(ctx)
+	exchange.serveDelivery(ctx)
 }
 
 // remaining returns the time until the deadline, or until the end of a planned stop.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -1,6 +1,6 @@
-// Package forward forwards callers' HTTP requests to targets: unary requests to
-// the runners of plain services, and streaming requests to rank 0 of serving
-// groups.
+// Package forward forwards callers' HTTP requests to targets: to rank 0 of serving
+// groups for services with an engine, else to the runners of plain services. Whether
+// the answer is a stream of events depends on the route only.
 //
 // The method, path and body of a request are forwarded unchanged, and so are
 // the status, body and seal of the response. A Codec reads and writes the
@@ -12,8 +12,8 @@
 //
 // 429 and 503 are sent only for a request that has not run and will not run. A
 // request that may have run ends with 502 or 504, or with a closed connection
-// if its stream has already started. If a group fails during a stream and the
-// route allows it, the stream resumes at another group after the last complete
+// if its stream has already started. If a target fails during a stream and the
+// route allows it, the stream resumes at another target after the last complete
 // event.
 //
 // # Other nodes
@@ -254,6 +254,7 @@
 	direct        *directCalls
 	picker        *route.Picker
 	stallDetector *route.StallDetector
+	runnerStalls  *route.StallDetector
 	forecast      *limit.Forecast
 	objectives    *limit.Objectives
 	cancel        context.CancelFunc
@@ -360,6 +361,7 @@
 			},
 		}),
 		stallDetector: route.NewStallDetector(route.StallDetectorConfig{MinEventGap: minEventGap, MinFirstEventGap: minFirstEventGap, MaxEventGap: minEventTimeout}),
+		runnerStalls:  route.NewStallDetector(route.StallDetectorConfig{MinEventGap: minEventTimeout, MinFirstEventGap: minEventTimeout, MaxEventGap: minEventTimeout}),
 		forecast:      limit.NewForecast(limit.ForecastConfig{GapMaxAge: gapMaxAge}),
 		cancel:        cancel,
 		watchDone:     make(chan error, 1),
@@ -407,6 +409,11 @@
 			server.recordStalled(stalled)
 			server.recordSilent(stalled.Name)
 		}
+		for _, stalled := range server.runnerStalls.SuspectStalled(now) {
+			server.suspects.Failed(stalled.Name, now)
+			server.config.Logger.Info("streams of runner stalled", zap.String("target", stalled.Name),
+				zap.Int("streams", stalled.Streams), zap.Duration("silence", stalled.Silence))
+		}
 		if table := server.config.Publisher.Current(); table != lastTable {
 			server.logClosedGroups(lastTable, table)
 			lastTable = table
--- a/forward/harness_test.go
+++ b/forward/harness_test.go
@@ -44,7 +44,7 @@
 		wait = 2 * time.Second
 	}
 	return forward.CallerHeaders{
-		Attempt: header.Get("Id"), Key: header.Get("Secret"), Model: cmp.Or(header.Get("Model"), "m"), Deadline: wait,
+		Attempt: header.Get("Id"), Key: header.Get("Secret"), ResumeAfter: header.Get("After"), Model: cmp.Or(header.Get("Model"), "m"), Deadline: wait,
 		PromptParts: header.Values("Part"), PartTokens: slices.Repeat([]int{partTokens}, len(header.Values("Part"))),
 	}, nil
 }
@@ -230,6 +230,14 @@
 	groups           []*target
 	attempts         int
 
+	// runners are those of the service of streams, which has no engine then. It has none
+	// either if plainStream is true.
+	runners     []*target
+	plainStream bool
+
+	// kinds are the services of routes by prefix, if they are not those of their names.
+	kinds map[string]string
+
 	// generation is 1 if it is 0, and routes are all of them if it is nil. noRetries is
 	// used by newNode only.
 	generation uint64
@@ -323,7 +331,8 @@
 	routeTo := func(name string, kind catalog.Kind) catalog.Route {
 		return catalog.Route{
 			Name: name, Host: "host.example", Prefix: "/" + name + "/", Kind: kind, Timeout: 20 * time.Second, Objective: 100 * time.Millisecond, GapObjective: fixture.gap,
-			MaxAttempts: attempts, Priority: fixture.priority, Resumable: !fixture.unresumable, Splits: []catalog.Split{{Service: name, Weight: 1}},
+			MaxAttempts: attempts, Priority: fixture.priority, Resumable: !fixture.unresumable,
+			Splits: []catalog.Split{{Service: cmp.Or(fixture.kinds["/"+name+"/"], name), Weight: 1}},
 		}
 	}
 	generation := max(fixture.generation, 1)
@@ -348,7 +357,7 @@
 	}
 	current, err := catalog.New(catalog.Config{
 		Version:     generation,
-		Services:    []catalog.Service{{Name: "once"}, {Name: "idempotent"}, {Name: "stream", Engine: &catalog.Engine{Slots: 4, Step: fixture.step, MeanAnswerTokens: 20, KeepsPrompts: fixture.keepsPrompts, ReadRate: 10000, Models: []catalog.Model{{Name: "m"}}}}},
+		Services:    []catalog.Service{{Name: "once"}, {Name: "idempotent"}, {Name: "stream", Engine: fixture.engine()}},
 		Routes:      routes,
 		RequiresKey: fixture.requiresKey,
 		Workspaces:  workspaces,
@@ -363,6 +372,7 @@
 	}
 	add("once", fixture.once)
 	add("idempotent", fixture.idempotent)
+	add("stream", fixture.runners)
 	for _, target := range fixture.groups {
 		config.Groups = append(config.Groups, route.GroupTarget{
 			Name: target.name, Service: cmp.Or(fixture.groupService, "stream"), Spec: "m", Epoch: 1, VM: target.name, Address: target.address(), FailureDomain: "zone", Open: true,
@@ -372,6 +382,16 @@
 	node.publisher.Publish(route.NewTable(config))
 }
 
+// engine returns the engine of the service of streams, nil if its targets are plain runners.
+func (fixture tableFixture) engine() *catalog.Engine {
+	if fixture.plainStream || len(fixture.runners) > 0 {
+		return nil
+	}
+	return &catalog.Engine{
+		Slots: 4, Step: fixture.step, MeanAnswerTokens: 20, KeepsPrompts: fixture.keepsPrompts, ReadRate: 10000, Models: []catalog.Model{{Name: "m"}},
+	}
+}
+
 type reply struct {
 	status int
 	header http.Header
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -62,6 +62,10 @@
 	Group string `msgpack:"group"`
 	Epoch uint64 `msgpack:"epoch"`
 
+	// Stream is true if the answer is a stream of events. Nodes of earlier releases send streams
+	// to groups only.
+	Stream bool `msgpack:"stream"`
+
 	// Service is the one to which the sender has routed the request, by the configuration
 	// Generation.
 	Service    string `msgpack:"service"`
--- a/forward/relay_server.go
+++ b/forward/relay_server.go
@@ -321,7 +321,7 @@
 				return failure
 			}
 		}
-		if err == io.EOF && empty && relayed.message.Group != "" && response.untilClose() {
+		if err == io.EOF && empty && (relayed.message.Stream || relayed.message.Group != "") && response.untilClose() {
 			return errEmptyStream
 		}
 		if err == io.EOF {
--- a/forward/send.go
+++ b/forward/send.go
@@ -291,7 +291,7 @@
 		}
 		values := exchange.outgoingValues(to)
 		return relayedCall{
-			Target: to.id, Group: to.group, Epoch: to.epoch, Service: exchange.service.Name, Generation: exchange.table.Generation(),
+			Target: to.id, Group: to.group, Epoch: to.epoch, Stream: exchange.streams(), Service: exchange.service.Name, Generation: exchange.table.Generation(),
 			Parts: exchange.parts, Probe: attempt.admission.Probe(),
 			Method: exchange.request.Method, URI: exchange.request.RequestURI, Host: exchange.request.Host, Header: header, Body: exchange.body,
 			Workspace: values.Workspace, ResumeAfter: values.ResumeAfter, Urgency: values.Urgency,
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 	"go.uber.org/zap"
 
+	"lacewingspoke.org/lacewingspoke/catalog"
 	"lacewingspoke.org/lacewingspoke/group"
 	"lacewingspoke.org/lacewingspoke/httpserve"
 	"lacewingspoke.org/lacewingspoke/limit"
@@ -61,15 +62,15 @@
 
 	// calls are the calls in progress, the oldest first, and superseded those that were
 	// ended because another one went on.
-	calls      []*groupCall
-	superseded []*groupCall
+	calls      []*streamCall
+	superseded []*streamCall
 
 	// seeking is true while another group is looked for.
 	seeking bool
 
 	// events are those of the calls. suspicions are the calls that may have stalled.
 	events     chan callEvent
-	suspicions chan *groupCall
+	suspicions chan *streamCall
 
 	// headerSent is true once the response header has been sent to the caller. contentType
 	// is the type in it.
@@ -91,36 +92,56 @@
 	duration time.Duration
 }
 
-// serveStream forwards a request to a serving group and streams the group's
-// events back to the caller.
-func (exchange *exchange) serveStream(ctx context.Context) {
+// streams reports whether the answer to the request is a stream of events.
+func (exchange *exchange) streams() bool {
+	return exchange.route.Kind == catalog.KindStream || exchange.service.Engine != nil
+}
+
+// countArrival counts a request to the groups of a model, and returns a function to be called
+// at its end.
+func (exchange *exchange) countArrival() (ended func()) {
+	server, engine := exchange.server, exchange.service.Engine
+	if engine == nil {
+		return func() {}
+	}
 	// Callers name the models, so that other names have no bound. Every node would receive them.
-	if _, configured := exchange.service.Engine.Model(exchange.caller.Model); configured {
-		exchange.server.objectives.Use(exchange.pool(), exchange.route.Key(), exchange.receivedAt)
-		exchange.server.config.Traffic.Arrived(exchange.pool(), exchange.receivedAt)
-		defer func() {
-			if len(exchange.attempts) == 0 {
-				exchange.server.config.Traffic.Refused(exchange.pool(), exchange.server.config.Now())
-			}
-		}()
+	if _, configured := engine.Model(exchange.caller.Model); !configured {
+		return func() {}
+	}
+	if exchange.streams() {
+		// The objective of another route is no bound on the time to a first event.
+		server.objectives.Use(exchange.pool(), exchange.route.Key(), exchange.receivedAt)
 	}
+	server.config.Traffic.Arrived(exchange.pool(), exchange.receivedAt)
+	return func() {
+		if len(exchange.attempts) == 0 {
+			server.config.Traffic.Refused(exchange.pool(), server.config.Now())
+		}
+	}
+}
+
+// serveDelivery forwards a request to a serving group, or one whose answer is a stream to a
+// runner of a plain service, and passes the answer on: a stream event by event, any other
+// answer whole.
+func (exchange *exchange) serveDelivery(ctx context.Context) {
+	defer exchange.countArrival()()
 	delivery := &delivery{
 		exchange: exchange, lastEventID: exchange.caller.ResumeAfter, seeking: true,
-		events: make(chan callEvent), suspicions: make(chan *groupCall, maxCalls), pauses: map[string]resumePause{},
+		events: make(chan callEvent), suspicions: make(chan *streamCall, maxCalls), pauses: map[string]resumePause{},
 	}
 	delivery.search = newSearch(exchange, attemptPlan{
 		next: func(excluded map[string]bool) (candidate, bool) {
-			target, found := delivery.pickGroup(excluded)
+			target, found := delivery.pick(excluded)
 			return candidate{
-				name: target.Name,
-				take: func() bool { return exchange.server.take(target.VM) },
+				name: target.name,
+				take: func() bool { return exchange.server.take(target.to.id) },
 				try: func() attemptResult {
 					delivery.beginCall(ctx, target)
 					return nil
 				},
 			}, found
 		},
-		noTargetReason: exchange.noGroupReason,
+		noTargetReason: exchange.noTargetReason,
 	})
 	defer delivery.awaitCalls()
 	defer delivery.endCalls()
@@ -214,7 +235,7 @@
 }
 
 // suspect looks for another group for a call that may have stalled.
-func (delivery *delivery) suspect(call *groupCall) {
+func (delivery *delivery) suspect(call *streamCall) {
 	exchange := delivery.exchange
 	now := exchange.server.config.Now()
 	if !exchange.route.Repeatable() || !exchange.mayRepeat() || !slices.Contains(delivery.calls, call) || !call.suspectedAt.IsZero() && delivery.seeking {
@@ -223,8 +244,8 @@
 	call.suspectedAt = now
 	delivery.seeking = len(delivery.calls) < maxCalls
 	if delivery.seeking {
-		exchange.server.config.Logger.Info("looking for another group for a stream that may have stalled", zap.String("id", exchange.caller.Attempt),
-			zap.String("group", call.target.Name), zap.String("last-event", delivery.lastEventID))
+		exchange.server.config.Logger.Info("looking for another target for a stream that may have stalled", zap.String("id", exchange.caller.Attempt),
+			zap.String("target", call.target.name), zap.String("last-event", delivery.lastEventID))
 	}
 }
 
@@ -243,7 +264,7 @@
 }
 
 // countResumed counts a started stream that goes on after a stall or at another group.
-func (delivery *delivery) countResumed(call *groupCall) {
+func (delivery *delivery) countResumed(call *streamCall) {
 	resumed := delivery.exchange.server.metrics.resumed
 	switch {
 	case call.resumed && !call.delivered:
@@ -255,11 +276,19 @@
 }
 
 // end handles the end of a call. It returns false after the request has ended.
-func (delivery *delivery) end(ended *groupCall) bool {
+func (delivery *delivery) end(ended *streamCall) bool {
 	exchange := delivery.exchange
-	delivery.calls = slices.DeleteFunc(delivery.calls, func(call *groupCall) bool { return call == ended })
+	delivery.calls = slices.DeleteFunc(delivery.calls, func(call *streamCall) bool { return call == ended })
+	if ended.whole != nil && delivery.headerSent {
+		// It is no end of the stream that has started.
+		ended.result = unknown{reason: errNotTheStream.Error()}
+	}
 	if _, whole := ended.result.(completed); whole {
 		delivery.supersede(nil)
+		if ended.whole != nil {
+			delivery.passOn(ended, "complete", "")
+			return false
+		}
 		if delivery.finish() != nil {
 			delivery.abandon()
 			return false
@@ -267,7 +296,7 @@
 		exchange.log("complete", http.StatusOK, "")
 		return false
 	}
-	delivery.search.failed(ended.target.Name, ended.attempt, ended.result)
+	delivery.search.failed(ended.target.name, ended.attempt, ended.result)
 	if delivery.headerSent {
 		delivery.pause(ended)
 	}
@@ -277,10 +306,8 @@
 		return true
 	}
 	switch {
-	case ended.failure != nil && !delivery.headerSent && exchange.mayPassOn(ended.failure.StatusCode):
-		exchange.copyHeader(ended.failure)
-		exchange.respond(ended.failure.StatusCode, ended.failureBody)
-		exchange.log("failed", ended.failure.StatusCode, "group "+ended.target.Name+" failed")
+	case ended.whole != nil && !delivery.headerSent && exchange.mayPassOn(ended.whole.StatusCode):
+		delivery.passOn(ended, "failed", "target "+ended.target.name+" failed")
 		return false
 	case !delivery.search.mayRetry(), !delivery.headerSent && !exchange.mayReachAnother():
 		delivery.giveUp(delivery.search.reason)
@@ -290,18 +317,26 @@
 	return true
 }
 
+// passOn sends an answer that is no stream to the caller.
+func (delivery *delivery) passOn(ended *streamCall, outcome, reason string) {
+	exchange := delivery.exchange
+	exchange.copyHeader(ended.whole)
+	exchange.respond(ended.whole.StatusCode, ended.wholeBody)
+	exchange.log(outcome, ended.whole.StatusCode, reason)
+}
+
 // pause keeps a started stream from a target for a while.
-func (delivery *delivery) pause(failed *groupCall) {
+func (delivery *delivery) pause(failed *streamCall) {
 	server, instance := delivery.exchange.server, failed.attempt.to.instance
 	duration := min(max(2*delivery.pauses[instance].duration, minResumePause), maxResumePause)
 	spread := time.Duration((0.5 + server.randomFraction()) * float64(duration))
 	delivery.pauses[instance] = resumePause{until: server.config.Now().Add(spread), duration: duration}
-	delete(delivery.search.excluded, failed.target.Name)
-	delete(delivery.search.unreached, failed.target.Name)
+	delete(delivery.search.excluded, failed.target.name)
+	delete(delivery.search.unreached, failed.target.name)
 }
 
 // supersede ends all calls other than the one that goes on.
-func (delivery *delivery) supersede(kept *groupCall) {
+func (delivery *delivery) supersede(kept *streamCall) {
 	if len(delivery.calls) == 1 && delivery.calls[0] == kept {
 		return
 	}
@@ -312,7 +347,7 @@
 			delivery.superseded = append(delivery.superseded, call)
 		}
 	}
-	delivery.calls = slices.DeleteFunc(delivery.calls, func(call *groupCall) bool { return call != kept })
+	delivery.calls = slices.DeleteFunc(delivery.calls, func(call *streamCall) bool { return call != kept })
 }
 
 // endCalls ends all calls at the end of the request.
@@ -330,12 +365,22 @@
 	for _, call := range delivery.calls {
 		<-call.done
 		if call.result != nil {
-			delivery.search.failed(call.target.Name, call.attempt, call.result)
+			delivery.search.failed(call.target.name, call.attempt, call.result)
 		}
 	}
 	delivery.calls, delivery.superseded = nil, nil
 }
 
+// pick returns a target for the next call, or false.
+func (delivery *delivery) pick(excluded map[string]bool) (callTarget, bool) {
+	if delivery.exchange.service.Engine == nil {
+		target, found := delivery.exchange.pickRunner(delivery.withoutRunners(excluded))
+		return callRunner(target), found
+	}
+	target, found := delivery.pickGroup(excluded)
+	return callGroup(target), found
+}
+
 // pickGroup returns a group for the next call, or false. Until the stream has started, the
 // group must be predicted to meet the objective. A started stream accepts any group, also one
 // that has refused it or has broken off.
@@ -364,21 +409,44 @@
 // unavailable adds the groups that take no further call of this stream now to the excluded
 // ones.
 func (delivery *delivery) unavailable(excluded map[string]bool, table *route.Table, now time.Time) map[string]bool {
+	if len(delivery.exchange.attempts) == 0 {
+		return excluded
+	}
+	extended, takes := maps.Clone(excluded), delivery.takers(now)
+	for _, target := range delivery.exchange.groups(table) {
+		if !takes(target.Instance()) {
+			extended[target.Name] = true
+		}
+	}
+	return extended
+}
+
+// withoutRunners is unavailable for the runners of a plain service.
+func (delivery *delivery) withoutRunners(excluded map[string]bool) map[string]bool {
 	exchange := delivery.exchange
 	if len(exchange.attempts) == 0 {
 		return excluded
 	}
-	extended, runners, another := maps.Clone(excluded), exchange.runners(), exchange.mayReachAnother()
-	for _, target := range exchange.groups(table) {
-		instance := target.Instance()
-		calling := slices.ContainsFunc(delivery.calls, func(call *groupCall) bool { return call.attempt.to.instance == instance })
-		if calling || !another && !runners[instance] || now.Before(delivery.pauses[instance].until) {
-			extended[target.Name] = true
+	server := exchange.server
+	extended, takes := maps.Clone(excluded), delivery.takers(server.config.Now())
+	for _, target := range server.config.Publisher.Current().Services(exchange.service.Name) {
+		if !takes(target.Instance()) {
+			extended[target.ID()] = true
 		}
 	}
 	return extended
 }
 
+// takers returns a function that reports whether an instance of a target may get a further call:
+// it has none, does not pause, and is one of the targets to which the request may be sent.
+func (delivery *delivery) takers(now time.Time) func(instance string) bool {
+	runners, another := delivery.exchange.runners(), delivery.exchange.mayReachAnother()
+	return func(instance string) bool {
+		calling := slices.ContainsFunc(delivery.calls, func(call *streamCall) bool { return call.attempt.to.instance == instance })
+		return !calling && (another || runners[instance]) && !now.Before(delivery.pauses[instance].until)
+	}
+}
+
 // firstEventBound returns the longest predicted time to the first event at which the request
 // is sent to a group. Without an objective that can be met, it is the time for which the
 // caller waits.
@@ -475,6 +543,14 @@
 	return best, found
 }
 
+// noTargetReason describes why no target was chosen.
+func (exchange *exchange) noTargetReason() string {
+	if exchange.service.Engine == nil {
+		return exchange.noRunnerReason()
+	}
+	return exchange.noGroupReason()
+}
+
 // noGroupReason describes why no group of the model was chosen.
 func (exchange *exchange) noGroupReason() string {
 	if exchange.withoutRoom {
@@ -530,6 +606,14 @@
 	return pace
 }
 
+// targetRetryDelay returns the Retry-After of a request that no target took.
+func (exchange *exchange) targetRetryDelay() time.Duration {
+	if exchange.service.Engine == nil {
+		return exchange.runnerRetryDelay()
+	}
+	return exchange.refusalDelay()
+}
+
 // patience returns the time without an event after which the caller abandons the stream.
 func (exchange *exchange) patience() time.Duration {
 	return max(callerPatience, objectivePatience*exchange.route.Objective, gapPatience*exchange.route.GapObjective)
@@ -600,7 +684,7 @@
 // that the caller does not take it for complete.
 func (delivery *delivery) giveUp(reason string) {
 	if !delivery.headerSent {
-		delivery.exchange.giveUp(reason, delivery.exchange.restEndsIn()+delivery.exchange.refusalDelay())
+		delivery.exchange.giveUp(reason, delivery.exchange.restEndsIn()+delivery.exchange.targetRetryDelay())
 		return
 	}
 	exchange := delivery.exchange
@@ -608,7 +692,7 @@
 		exchange.log("caller-left", http.StatusOK, reason)
 		httpserve.Abort(exchange.writer, exchange.request)
 	}
-	places := exchange.places()
+	places := exchange.noTargetReason()
 	exchange.server.metrics.resumed.WithLabelValues("aborted").Inc()
 	exchange.log("cut", http.StatusOK, reason)
 	exchange.server.config.Logger.Info("stream to the caller aborted", zap.String("id", exchange.caller.Attempt), zap.String("last-event", delivery.lastEventID),
--- a/forward/groupcall.go
+++ b/forward/streamcall.go
@@ -9,18 +9,16 @@
 
 	"github.com/juju/errors"
 
-	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/quarantine"
 	"lacewingspoke.org/lacewingspoke/route"
-	"lacewingspoke.org/lacewingspoke/traffic"
 )
 
-// A groupCall is one call to a group, which reads the events of a stream in a goroutine of
-// its own. The delivery that began it reads its events.
-type groupCall struct {
+// A streamCall is one call to a target, which reads its answer in a goroutine of
+// its own. The delivery that began it reads the events, or the whole answer.
+type streamCall struct {
 	delivery *delivery
 	attempt  *attempt
-	target   route.GroupTarget
+	target   callTarget
 	cancel   context.CancelCauseFunc
 
 	// resumed is true if the stream has started: the call must go on after lastEventID, with
@@ -35,29 +33,22 @@
 	delivered   bool
 
 	// done is closed at the end of the goroutine. result is the result of the call then, nil
-	// if its delivery has ended it. failure is an error response that may be passed on to the
-	// caller, and failureBody its body.
-	done        chan struct{}
-	result      attemptResult
-	failure     *http.Response
-	failureBody []byte
+	// if its delivery has ended it. whole is an answer that is no stream and that may be passed
+	// on to the caller, and wholeBody its body.
+	done      chan struct{}
+	result    attemptResult
+	whole     *http.Response
+	wholeBody []byte
 
-	// beganAt is when the call began, and predicted the time to its first event that was
-	// predicted then.
-	beganAt   time.Time
-	predicted time.Duration
-
-	// The goroutine's own state.
-	stream      *route.MonitoredStream
-	pending     *limit.PendingRequest
-	use         *traffic.Use
-	evidence    *quarantine.Attempt
-	lastEventAt time.Time
+	// The goroutine's own state. stream is nil for an answer that is no stream.
+	stream   *route.MonitoredStream
+	progress progress
+	evidence *quarantine.Attempt
 }
 
 // A callEvent is an event of a call's answer.
 type callEvent struct {
-	call     *groupCall
+	call     *streamCall
 	response *http.Response
 	received event
 
@@ -85,38 +76,34 @@
 // errNoEvent is returned for a complete stream without an event.
 var errNoEvent = errors.New("stream ended without an event")
 
-// beginCall begins a call to a group.
-func (delivery *delivery) beginCall(ctx context.Context, target route.GroupTarget) {
+// beginCall begins a call to a target.
+func (delivery *delivery) beginCall(ctx context.Context, target callTarget) {
 	exchange := delivery.exchange
 	server := exchange.server
 	now := server.config.Now()
-	exchange.load = server.picker.GroupLoad(target, now)
-	prediction := exchange.predict(target, now)
-	exchange.predicted = prediction.FirstEvent
-	server.picker.Sent(target, exchange.groupRequest(nil), now)
 	ctx, cancel := context.WithCancelCause(ctx)
-	call := &groupCall{
+	call := &streamCall{
 		delivery: delivery, target: target, cancel: cancel, done: make(chan struct{}),
 		resumed: delivery.headerSent, contentType: delivery.contentType, lastEventID: delivery.lastEventID,
 	}
-	to := destination{id: target.VM, instance: target.Instance(), address: target.Address, group: target.Name, epoch: target.Epoch, failureDomain: target.FailureDomain, resumeAfter: delivery.lastEventID}
+	to := target.to
+	to.resumeAfter = delivery.lastEventID
 	if exchange.route.Repeatable() {
 		to.silent = call.suspect
 	}
-	call.attempt = exchange.begin(target.Name, target.Life(), to)
+	call.attempt = exchange.begin(target.name, target.observed.life, to)
 	call.evidence = server.config.Quarantine.Begin(call.attempt.life, exchange.parts, call.attempt.admission, func() { cancel(errQuarantined) })
-	firstGap := max(firstEventTimeoutFactor*exchange.route.Objective, minEventTimeout)
-	call.stream = server.stallDetector.Begin(target.Name, firstGap, now, call.suspect)
-	call.predicted = prediction.FirstEvent
-	call.pending = server.forecast.Begin(target.Name, exchange.pool(), exchange.caller.PromptTokens, prediction, now)
-	call.use = server.config.Traffic.Begin(exchange.pool(), target.Name, exchange.caller.PromptTokens, now)
-	call.beganAt = now
+	if exchange.streams() {
+		firstGap := max(firstEventTimeoutFactor*exchange.route.Objective, minEventTimeout)
+		call.stream = server.stalls(target).Begin(target.name, firstGap, now, call.suspect)
+	}
+	call.progress = exchange.beginProgress(target, now)
 	delivery.calls = append(delivery.calls, call)
-	go call.run(ctx, server.tracker.Start(target.Name, now))
+	go call.run(ctx, server.tracker.Start(target.observed.name, now))
 }
 
 // suspect informs the delivery that the call may have stalled. The call goes on.
-func (call *groupCall) suspect() {
+func (call *streamCall) suspect() {
 	select {
 	case call.delivery.suspicions <- call:
 	default:
@@ -125,14 +112,15 @@
 }
 
 // run makes the call. ended records its end in the tracker.
-func (call *groupCall) run(ctx context.Context, ended func(time.Time)) {
+func (call *streamCall) run(ctx context.Context, ended func(time.Time)) {
 	defer close(call.done)
 	defer func() { ended(call.delivery.exchange.server.config.Now()) }()
 	defer call.cancel(nil)
 	defer call.evidence.Close()
-	defer call.stream.End()
-	defer call.pending.End()
-	defer func() { call.use.End(call.delivery.exchange.server.config.Now()) }()
+	defer func() { call.progress.end(call.delivery.exchange.server.config.Now()) }()
+	if call.stream != nil {
+		defer call.stream.End()
+	}
 	call.forward(ctx)
 	if call.ended(ctx) {
 		call.result = nil
@@ -140,10 +128,10 @@
 }
 
 // ended reports whether the delivery has ended the call.
-func (call *groupCall) ended(ctx context.Context) bool { return context.Cause(ctx) == errNotNeeded }
+func (call *streamCall) ended(ctx context.Context) bool { return context.Cause(ctx) == errNotNeeded }
 
 // forward sends the request, posts the events of the answer and sets the result.
-func (call *groupCall) forward(ctx context.Context) {
+func (call *streamCall) forward(ctx context.Context) {
 	exchange := call.delivery.exchange
 	server := exchange.server
 	sentAt := server.config.Now()
@@ -157,8 +145,7 @@
 		return
 	}
 	answer := server.config.Codec.ParseAnswer(response.http.StatusCode, response.http.Header)
-	observed := observedGroup(call.target)
-	server.observeAnswer(observed, exchange.caller.Attempt, response.http, answer, sentAt)
+	server.observeAnswer(call.target.observed, exchange.caller.Attempt, response.http, answer, sentAt)
 	call.attempt.recordFailure(response, answer)
 	switch {
 	case answer.Refused:
@@ -166,10 +153,10 @@
 		return
 	case !isOwnResponse(exchange.caller.Attempt, response.http, answer):
 		response.discard()
-		call.result = unknown{reason: "group " + call.target.Name + " sent an answer that is not its own"}
+		call.result = unknown{reason: "target " + call.target.name + " sent an answer that is not its own"}
 		return
-	case response.http.StatusCode != http.StatusOK:
-		call.readFailure(response)
+	case !call.streams(response.http):
+		call.readWhole(ctx, response)
 		return
 	}
 	err = call.readEvents(ctx, response)
@@ -184,34 +171,68 @@
 		return
 	}
 	response.release()
-	server.observeTrailer(observed, exchange.caller.Attempt, response.http)
+	call.succeeded(response)
+}
+
+// succeeded records the end of a complete answer.
+func (call *streamCall) succeeded(response *response) {
+	exchange := call.delivery.exchange
+	server := exchange.server
+	server.observeTrailer(call.target.observed, exchange.caller.Attempt, response.http)
 	call.evidence.Completed(server.config.Now())
-	server.suspects.Succeeded(call.target.Name)
+	server.suspects.Succeeded(call.target.name)
 	exchange.countAttempt("complete")
 	call.result = completed{}
 }
 
+// streams reports whether an answer is read event by event. The route says so, and a target
+// that answers with something else says that.
+func (call *streamCall) streams(answer *http.Response) bool {
+	if !call.delivery.exchange.streams() || answer.StatusCode != http.StatusOK {
+		return false
+	}
+	name := mediaType(answer)
+	return call.resumed || name == "" || name == eventStreamType
+}
+
+// eventStreamType is the media type of a stream of events.
+const eventStreamType = "text/event-stream"
+
 // timeout returns the time after which the call ends without the next event. That of a
-// stream that has started does not end for silence: its group may only be slow, and another
-// call delivers the next event if it can.
-func (call *groupCall) timeout() time.Duration {
+// stream that has started does not end for silence: its target may only be slow, and another
+// call delivers the next event if it can. An answer that is no stream may take all the time.
+func (call *streamCall) timeout() time.Duration {
 	exchange := call.delivery.exchange
-	if call.resumed || call.attempt.began {
+	if call.resumed || call.attempt.began || !exchange.streams() {
 		return exchange.remaining()
 	}
 	return min(exchange.patience(), exchange.remaining())
 }
 
-// readFailure reads the body of a group's error response.
-func (call *groupCall) readFailure(response *response) {
-	call.result = unknown{reason: "group " + call.target.Name + " answered " + response.http.Status}
+// readWhole reads an answer that is no stream. A failure is passed on only if no other target
+// gets the request.
+func (call *streamCall) readWhole(ctx context.Context, response *response) {
+	exchange := call.delivery.exchange
+	call.result = unknown{reason: "target " + call.target.name + " answered " + response.http.Status}
+	if err := response.setTimeout(exchange.remaining()); err != nil {
+		response.discard()
+		return
+	}
 	body, err := response.readAll(maxAnswerBytes)
 	if err != nil {
 		response.discard()
+		if !call.ended(ctx) {
+			call.result = call.attempt.broken(ctx, call.evidence, err)
+		}
 		return
 	}
 	response.release()
-	call.failure, call.failureBody = response.http, body
+	call.whole, call.wholeBody = response.http, body
+	if response.http.StatusCode < http.StatusMultipleChoices && !call.resumed {
+		call.succeeded(response)
+		return
+	}
+	exchange.countAttempt("failed")
 }
 
 // mediaType returns the type of an answer's body without parameters.
@@ -222,7 +243,7 @@
 
 // readEvents posts the events of an answer until its end. It returns nil at the end of a
 // complete stream.
-func (call *groupCall) readEvents(ctx context.Context, response *response) error {
+func (call *streamCall) readEvents(ctx context.Context, response *response) error {
 	if call.resumed && mediaType(response.http) != call.contentType {
 		return errNotTheStream
 	}
@@ -255,7 +276,7 @@
 }
 
 // post passes an event to the delivery. It returns false if the call's context ends before.
-func (call *groupCall) post(ctx context.Context, posted callEvent) bool {
+func (call *streamCall) post(ctx context.Context, posted callEvent) bool {
 	select {
 	case call.delivery.events <- posted:
 		return true
@@ -271,8 +292,8 @@
 	}
 }
 
-// recordEvent records the arrival of an event for stall detection and for the forecast.
-func (call *groupCall) recordEvent(received event) {
+// recordEvent records the arrival of an event.
+func (call *streamCall) recordEvent(received event) {
 	server := call.delivery.exchange.server
 	now := server.config.Now()
 	if received.id != "" {
@@ -281,16 +302,9 @@
 	call.attempt.began = true
 	call.stream.Event(now)
 	call.evidence.EventArrived(now)
+	call.progress.event(now)
 	if direct := call.attempt.direct; direct != nil {
 		direct.received(now)
 		server.answered(direct.target, false)
 	}
-	if call.lastEventAt.IsZero() {
-		call.pending.FirstEventArrived(now)
-		call.use.FirstEvent(now)
-		server.metrics.predictionError.Observe((call.predicted - now.Sub(call.beganAt)).Seconds())
-	} else {
-		server.forecast.RecordGap(call.target.Name, now.Sub(call.lastEventAt), now)
-	}
-	call.lastEventAt = now
 }
