forward: serve routes without streams at services with an engine

Change: whether an answer is a stream is a matter of the route alone. Requests without streams go to rank 0 of a group, placed as streams are, may take all their time, and are repeated as the kind of their route says.

Measured: TestLongRequestToGroupIsAwaited and two cases of TestWholeAnswersArePassedOnWhateverTheService fail without it.

--- a/forward/pairs_test.go
+++ b/forward/pairs_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -124,6 +125,8 @@
 	verdict := answers(200, "Seal: s\r\nContent-Type: application/json\r\n", `{"verdict":1}`)
 	created := answers(201, "Seal: s\r\nX-Own: 1\r\n", "receipt")
 	for name, fixture := range map[string]tableFixture{
+		"group, once":        {kinds: map[string]string{"/once/": "stream"}},
+		"group, idempotent":  {kinds: map[string]string{"/idempotent/": "stream"}},
 		"group, stream":      {kinds: map[string]string{"/stream/": "stream"}},
 		"runner, stream":     {plainStream: true},
 		"runner, idempotent": {kinds: map[string]string{"/idempotent/": "idempotent"}},
@@ -152,3 +155,34 @@
 		}
 	}
 }
+
+// Guards against a request to a group, on a route without streams, that runs twice although it
+// may run once, or that is not repeated although it may be.
+func TestRequestsToGroupsAreRepeatedAsTheirRouteSays(test *testing.T) {
+	breaks := func(conn net.Conn, request *http.Request) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: a1\r\nSeal: s\r\nContent-Length: 9\r\n\r\nver")
+		return false
+	}
+	for prefix, runs := range map[string]int{"/once/": 1, "/idempotent/": 2} {
+		first, second := newTarget(test, "g1", breaks), newTarget(test, "g2", breaks)
+		node := newNode(test, tableFixture{groups: []*target{first, second}, kinds: map[string]string{prefix: "stream"}})
+		got := node.request(test, http.MethodPost, prefix+"1", "x")
+		require.Equal(test, http.StatusBadGateway, got.status, prefix)
+		require.Equal(test, runs, first.count()+second.count(), prefix)
+	}
+}
+
+// Guards against an answer of a group that is given up because no event of a stream arrives.
+func TestLongRequestToGroupIsAwaited(test *testing.T) {
+	slow := newTarget(test, "g1", func(conn net.Conn, request *http.Request) bool {
+		if !staysOpen(conn, 2500*time.Millisecond) {
+			return false
+		}
+		return answer(conn, request, 200, "Seal: s\r\n", "verdict")
+	})
+	node := newNode(test, tableFixture{groups: []*target{slow}, kinds: map[string]string{"/once/": "stream"}})
+	request := node.newRequest(test, http.MethodPost, "/once/1", "x")
+	request.Header.Set("Wait", "10s")
+	require.Equal(test, "verdict", node.send(request).body)
+	require.Equal(test, 1, slow.count())
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -92,10 +92,9 @@
 	duration time.Duration
 }
 
-// streams reports whether the answer to the request is a stream of events.
-func (exchange *exchange) streams() bool {
-	return exchange.route.Kind == catalog.KindStream || exchange.service.Engine != nil
-}
+// streams reports whether the answer to the request is a stream of events. The route says so,
+// whatever the kind of its service.
+func (exchange *exchange) streams() bool { return exchange.route.Kind == catalog.KindStream }
 
 // countArrival counts a request to the groups of a model, and returns a function to be called
 // at its end.
