forward: a stream whose events have no ids is not resumed

A stream that broke off after events without ids was sent to another target, which began anew: the caller got its events twice.

Cause: the delivery resumed after the last id that it had delivered. With none it sent no Last-Event-Id, as if nothing had been delivered.

Change: once an event without an id was delivered no other call is begun, for a broken stream or for one that may have stalled; the connection to the caller is aborted.

Measured: TestStreamWithoutIDsIsNotResumed fails on the code before, for plain runners and groups.

--- a/forward/pairs_test.go
+++ b/forward/pairs_test.go
@@ -100,6 +100,24 @@
 	}
 }
 
+// Guards against a stream that is resumed although its events have no ids, so that it begins anew
+// behind the events that were delivered.
+func TestStreamWithoutIDsIsNotResumed(test *testing.T) {
+	const text = "data: piece\n\n"
+	script := func(conn net.Conn, request *http.Request) bool {
+		fmt.Fprintf(conn, "%s%x\r\n%s\r\n", chunkedHead(request), len(text), text)
+		return false
+	}
+	first, second := newTarget(test, "t1", script), newTarget(test, "t2", script)
+	for _, fixture := range []tableFixture{{runners: []*target{first, second}}, {groups: []*target{first, second}}} {
+		before := first.count() + second.count()
+		got := newNode(test, fixture).request(test, http.MethodPost, "/stream/1", "prompt")
+		require.Error(test, got.err)
+		require.Equal(test, text, got.body)
+		require.Equal(test, before+1, first.count()+second.count())
+	}
+}
+
 // Guards against a stream of a plain service of more bytes than an answer may have that is read
 // whole.
 func TestLongStreamOfPlainServiceHasNoBound(test *testing.T) {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -81,6 +81,10 @@
 	lastEventID string
 	deliveredAt time.Time
 
+	// unnumbered is true once an event without an id was delivered. No other call can go on
+	// after it.
+	unnumbered bool
+
 	// pauses hold when a started stream may be sent again to a target, by instance.
 	pauses map[string]resumePause
 }
@@ -237,7 +241,7 @@
 func (delivery *delivery) suspect(call *streamCall) {
 	exchange := delivery.exchange
 	now := exchange.server.config.Now()
-	if !exchange.route.Repeatable() || !exchange.mayRepeat() || !slices.Contains(delivery.calls, call) || !call.suspectedAt.IsZero() && delivery.seeking {
+	if !exchange.route.Repeatable() || delivery.unnumbered || !exchange.mayRepeat() || !slices.Contains(delivery.calls, call) || !call.suspectedAt.IsZero() && delivery.seeking {
 		return
 	}
 	call.suspectedAt = now
@@ -308,7 +312,7 @@
 	case ended.whole != nil && !delivery.headerSent && exchange.mayPassOn(ended.whole.StatusCode):
 		delivery.passOn(ended, "failed", "target "+ended.target.name+" failed")
 		return false
-	case !delivery.search.mayRetry(), !delivery.headerSent && !exchange.mayReachAnother():
+	case !delivery.search.mayRetry(), delivery.unnumbered, !delivery.headerSent && !exchange.mayReachAnother():
 		delivery.giveUp(delivery.search.reason)
 		return false
 	}
@@ -637,6 +641,7 @@
 	if received.received.id != "" {
 		delivery.lastEventID = received.received.id
 	}
+	delivery.unnumbered = delivery.unnumbered || received.received.id == "" && !received.received.comment
 	if received.more {
 		return nil
 	}
