httpanswer: the end of a failed connection is not the end of a body

A caller got 11 of 30 bytes of an answer without a length as a complete 200, after the runner had reset the connection while the upload was still being written.

Cause: the system hands the reset of a connection out once. When the write of the request gets it, the next read returns the ordinary end, which ends a body without a length. forward goes on to read after a failed write, because servers refuse before they have read a long request; in http.Transport another goroutine writes.

Evidence: with a length or in chunks the same answer is an error. In the tests the write fails with ECONNRESET, and the read behind the part of the body returns no error.

Change: package httpanswer has the connections over which answers are received: forward's, and those of all http.Transports (httpsend, service and its reports, engine). After a failed write they return that failure in place of the end, and at the end they await a write in progress.

--- a/engine/generate.go
+++ b/engine/generate.go
@@ -14,6 +14,7 @@
 
 	"github.com/juju/errors"
 
+	"lacewingspoke.org/lacewingspoke/httpanswer"
 	"lacewingspoke.org/lacewingspoke/httpsend"
 )
 
@@ -62,7 +63,7 @@
 // unresponsive, which would be detected only after a whole timeout, whereas a
 // new connection costs one round trip.
 type Generator struct {
-	transport *http.Transport
+	transport *httpanswer.Transport
 	config    GeneratorConfig
 }
 
@@ -76,7 +77,7 @@
 	}
 	return &Generator{
 		config: config,
-		transport: &http.Transport{
+		transport: httpanswer.NewTransport(&http.Transport{
 			DisableKeepAlives:      true,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: httpsend.MaxHeadBytes,
@@ -88,7 +89,7 @@
 				sent, _ := ctx.Value(sentKey{}).(*atomic.Bool)
 				return &sentConn{Conn: conn, sent: sent}, nil
 			},
-		},
+		}),
 	}
 }
 
--- a/forward/client.go
+++ b/forward/client.go
@@ -16,6 +16,7 @@
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
 
+	"lacewingspoke.org/lacewingspoke/httpanswer"
 	"lacewingspoke.org/lacewingspoke/httpserve"
 	"lacewingspoke.org/lacewingspoke/limit"
 )
@@ -135,8 +136,12 @@
 // A conn is one connection to a target.
 type conn struct {
 	net.Conn
-	key    string
-	reader *bufio.Reader
+	key string
+
+	// answers is the connection with the checks of the answers on it, and reader reads within
+	// the budget from it.
+	answers *httpanswer.Conn
+	reader  *bufio.Reader
 
 	// idleTimeout is how long the connection may be idle and still be reused.
 	idleTimeout time.Duration
@@ -163,7 +168,7 @@
 	if int64(len(buffer)) > connection.readBudget {
 		buffer = buffer[:connection.readBudget]
 	}
-	count, err := connection.Conn.Read(buffer)
+	count, err := connection.answers.Read(buffer)
 	connection.readBudget -= int64(count)
 	if connection.head != nil {
 		connection.headBytes += int64(count)
@@ -174,6 +179,9 @@
 	return count, err
 }
 
+// Write writes to the connection.
+func (connection *conn) Write(data []byte) (int, error) { return connection.answers.Write(data) }
+
 // expectBody allows a body, or a part of one, of up to the given length.
 func (response *response) expectBody(length int64) {
 	response.conn.readBudget = maxChunkOverhead*length + maxHeadBytes
@@ -245,7 +253,7 @@
 	switch {
 	case err == nil:
 		// The other end may answer, for example refuse, before it has read a long request, and
-		// then closes the connection.
+		// then closes the connection. A body without a length is not whole then, see httpanswer.
 		response.http.Close = response.http.Close || writeErr != nil
 		return true, nil
 	case writeErr != nil:
@@ -390,7 +398,7 @@
 		return nil, errors.Annotate(err, "connect to target")
 	}
 	client.metrics.dials.WithLabelValues("ok").Inc()
-	connection := &conn{Conn: opened, key: key, opened: true}
+	connection := &conn{Conn: opened, answers: httpanswer.NewConn(opened), key: key, opened: true}
 	connection.reader = bufio.NewReaderSize(connection, readBufferBytes)
 	return connection, nil
 }
--- /dev/null
+++ b/httpsend/answer_test.go
@@ -0,0 +1,29 @@
+package httpsend
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"lacewingspoke.org/lacewingspoke/standin/cut"
+)
+
+// requireNoReply requires that a call whose answer is text fails, and may have been sent.
+func requireNoReply(t *testing.T, config cut.Config, text string, body []byte) {
+	config.Answer = cut.Always(text)
+	server, err := cut.Start(config)
+	require.NoError(t, err)
+	defer server.Close()
+	server.SetLength(len(text))
+	got, err := testClient(t).Do(t.Context(), Request{Method: "PUT", Address: server.Address(), Path: "/", Body: body, Timeout: testTimeout, MaxReplyBytes: 1 << 10})
+	require.Error(t, err, "%q: status %d, %q", text, got.Status, got.Body)
+	require.True(t, MayHaveBeenSent(err))
+}
+
+// Guards against half an answer of the store, of an engine or of another node that is returned as
+// whole, because a write of the request has got the reset of the connection.
+func TestResetReplyWithoutLengthIsAnError(t *testing.T) {
+	for range 5 {
+		requireNoReply(t, cut.Config{Reset: true, Early: true}, "HTTP/1.1 200 OK\r\n\r\n{\"items\":[]}", make([]byte, 32<<20))
+	}
+}
--- a/httpsend/conn.go
+++ b/httpsend/conn.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"lacewingspoke.org/lacewingspoke/httpanswer"
 )
 
 // connSet is the set of open connections of a Client.
@@ -157,7 +159,7 @@
 }
 
 func (conns *callConns) gotConn(info httptrace.GotConnInfo) {
-	use := info.Conn.(*countedConn).beginUse()
+	use := info.Conn.(*httpanswer.Conn).Inner().(*countedConn).beginUse()
 	conns.mutex.Lock()
 	defer conns.mutex.Unlock()
 	conns.uses = append(conns.uses, use)
--- a/httpsend/httpsend.go
+++ b/httpsend/httpsend.go
@@ -33,6 +33,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"lacewingspoke.org/lacewingspoke/httpanswer"
 )
 
 // Config is the configuration of a Client.
@@ -106,12 +108,12 @@
 // A Client makes calls over persistent connections. It is safe for concurrent
 // use.
 type Client struct {
-	transport *http.Transport
+	transport *httpanswer.Transport
 	conns     *connSet
 	silences  *silences
 
 	// fresh opens a connection for each call.
-	fresh *http.Transport
+	fresh *httpanswer.Transport
 }
 
 // MaxHeadBytes bounds the header of a response. The default of net/http, 10 MB for
@@ -144,7 +146,7 @@
 	}
 	fresh := newTransport()
 	fresh.DisableKeepAlives = true
-	return &Client{conns: conns, silences: newSilences(), transport: newTransport(), fresh: fresh}
+	return &Client{conns: conns, silences: newSilences(), transport: httpanswer.NewTransport(newTransport()), fresh: httpanswer.NewTransport(fresh)}
 }
 
 // acceptTimeout is far above the round trip between failure domains. The retry of a
@@ -180,7 +182,7 @@
 	return client.doOnce(ctx, client.transport, request, &callConns{})
 }
 
-func (client *Client) doOnce(ctx context.Context, transport *http.Transport, request Request, used *callConns) (Reply, error) {
+func (client *Client) doOnce(ctx context.Context, transport *httpanswer.Transport, request Request, used *callConns) (Reply, error) {
 	reply, err := roundTrip(ctx, transport, request, used)
 	if err == nil {
 		return reply, nil
@@ -196,7 +198,7 @@
 // Close closes the idle connections.
 func (client *Client) Close() { client.transport.CloseIdleConnections() }
 
-func roundTrip(ctx context.Context, transport *http.Transport, request Request, used *callConns) (Reply, error) {
+func roundTrip(ctx context.Context, transport *httpanswer.Transport, request Request, used *callConns) (Reply, error) {
 	outgoing, err := newRequest(ctx, request, used)
 	if err != nil {
 		return Reply{}, err
--- a/httpsend/silence.go
+++ b/httpsend/silence.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
+
+	"lacewingspoke.org/lacewingspoke/httpanswer"
 )
 
 // repeatBackoff is how long calls to an address are not repeated after a repetition that was
@@ -88,7 +89,7 @@
 			<-results
 		}
 	}()
-	send := func(transport *http.Transport, request Request, used *callConns) {
+	send := func(transport *httpanswer.Transport, request Request, used *callConns) {
 		running++
 		repeated := transport == client.fresh
 		go func(ctx context.Context, results chan<- callResult) {
--- a/service/report.go
+++ b/service/report.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"lacewingspoke.org/lacewingspoke/httpanswer"
 	"lacewingspoke.org/lacewingspoke/httpsend"
 )
 
@@ -36,7 +37,7 @@
 
 // NewReportClient returns a client that can request the report of any runner.
 func NewReportClient() *ReportClient {
-	return &ReportClient{httpClient: &http.Client{Transport: &http.Transport{MaxResponseHeaderBytes: httpsend.MaxHeadBytes}}}
+	return &ReportClient{httpClient: &http.Client{Transport: httpanswer.NewTransport(&http.Transport{MaxResponseHeaderBytes: httpsend.MaxHeadBytes})}}
 }
 
 // Report requests the report of the runner at address, an IP:port. The context
--- a/service/service.go
+++ b/service/service.go
@@ -37,6 +37,7 @@
 
 	"github.com/juju/errors"
 
+	"lacewingspoke.org/lacewingspoke/httpanswer"
 	"lacewingspoke.org/lacewingspoke/httpsend"
 	"lacewingspoke.org/lacewingspoke/outcome"
 )
@@ -64,8 +65,8 @@
 // A Client sends requests to plain services. It is safe for concurrent use.
 type Client struct {
 	config    Config
-	singleUse *http.Transport
-	keepAlive *http.Transport
+	singleUse *httpanswer.Transport
+	keepAlive *httpanswer.Transport
 }
 
 // New returns a client with the configuration.
@@ -80,14 +81,14 @@
 		config.Dial = (&net.Dialer{Timeout: config.DialTimeout}).DialContext
 	}
 	client := &Client{config: config}
-	client.singleUse = client.newTransport()
-	client.singleUse.DisableKeepAlives = true
-	client.keepAlive = client.newTransport()
+	client.singleUse = client.newTransport(true)
+	client.keepAlive = client.newTransport(false)
 	return client
 }
 
-func (client *Client) newTransport() *http.Transport {
-	return &http.Transport{
+func (client *Client) newTransport(singleUse bool) *httpanswer.Transport {
+	return httpanswer.NewTransport(&http.Transport{
+		DisableKeepAlives:      singleUse,
 		DisableCompression:     true,
 		IdleConnTimeout:        idleTimeout,
 		MaxIdleConnsPerHost:    maxIdlePerRunner,
@@ -99,7 +100,7 @@
 			}
 			return &trackedConn{Conn: conn}, nil
 		},
-	}
+	})
 }
 
 // Close closes idle connections.
@@ -227,12 +228,7 @@
 func (tracker *writeTracker) trace() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			conn, tracked := info.Conn.(*trackedConn)
-			if !tracked {
-				tracker.sent.Store(true)
-				return
-			}
-			conn.tracker.Store(tracker)
+			info.Conn.(*httpanswer.Conn).Inner().(*trackedConn).tracker.Store(tracker)
 		},
 	}
 }
--- a/standin/cut/cut.go
+++ b/standin/cut/cut.go
@@ -19,6 +19,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -31,6 +32,11 @@
 	// Reset is true if connections are reset after the answer instead of closed.
 	Reset bool
 
+	// Early is true if requests are answered after their head, and the connection ends while the
+	// client is still writing a body that is larger than the buffers of a connection. The
+	// answer's function gets no body then.
+	Early bool
+
 	// Exempt maps paths to answers that are written whole and whose connections are closed.
 	// Their requests do not count.
 	Exempt map[string]string
@@ -79,7 +85,10 @@
 	if err != nil {
 		return
 	}
-	body, _ := io.ReadAll(request.Body)
+	var body []byte
+	if !server.config.Early {
+		body, _ = io.ReadAll(request.Body)
+	}
 	if answer, exempt := server.config.Exempt[request.URL.Path]; exempt {
 		Write(conn, answer, len(answer), false)
 		return
@@ -87,8 +96,14 @@
 	server.requests.Add(1)
 	answer := server.config.Answer(body)
 	Write(conn, answer, server.Length(), server.config.Reset)
+	if server.config.Early {
+		time.Sleep(earlyPause)
+	}
 }
 
+// earlyPause is far above the time in which a client fills the buffers of a connection.
+const earlyPause = 100 * time.Millisecond
+
 // Write writes the first length bytes of an answer to a connection, or all of a shorter one.
 // With reset, the connection will be reset when it is closed.
 func Write(conn net.Conn, answer string, length int, reset bool) {
