httpanswer: a head without a valid status line is no answer

A runner in trouble sends statuses such as 000; on other systems clients got them as answers. Here 600 to 999 and any version went on to callers, and httpsend, service and engine took 000, +20 and HTTP/9.9 for replies and refusals.

Cause: http.ReadResponse takes any three characters that make a number for a status, and any version.

Change: the connections over which answers are received check the status line byte by byte: HTTP/1, one blank, 100 to 599, no 101. What is no answer is a failure of the target that may have run the request. Relayed heads have the same bounds. The log says why, and the attempts count as not-an-answer.

--- a/forward/answers_test.go
+++ b/forward/answers_test.go
@@ -1,12 +1,15 @@
 package forward_test
 
 import (
+	"encoding/binary"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 
 	"lacewingspoke.org/lacewingspoke/standin/cut"
 )
@@ -70,3 +73,64 @@
 		}
 	}
 }
+
+// invalidStatusLines are no status lines of an answer.
+var invalidStatusLines = []string{
+	"HTTP/1.1 000 OK", "HTTP/1.1 099 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK", "HTTP/1.1 20 OK", "HTTP/9.9 200 OK", "HTTP/2.0 200 OK",
+}
+
+// requireNoAnswer requires that what a target sends is not passed on, and that the caller gets a
+// failure of the node that promises nothing.
+func requireNoAnswer(test *testing.T, text string) {
+	for kind, fixture := range map[string]func(address string) tableFixture{"any": anyTarget, "plain": plainTarget} {
+		test.Run(kind, func(test *testing.T) {
+			sent := newTarget(test, "t1", func(conn net.Conn, _ *http.Request) bool {
+				fmt.Fprint(conn, text)
+				return false
+			})
+			eachWay(test, fixture(sent.address()), func(test *testing.T, node *node, path string) {
+				before := sent.count()
+				got := node.request(test, http.MethodPost, path, "x")
+				require.Greater(test, sent.count(), before)
+				if got.err != nil {
+					// A stream that has started ends with an aborted connection.
+					require.Equal(test, "/stream/1", path)
+					return
+				}
+				require.Equal(test, http.StatusBadGateway, got.status)
+				require.Empty(test, got.header.Get("Seal"))
+				require.Empty(test, got.header.Get("X-Own"))
+				require.NotContains(test, got.body, "piece")
+			})
+		})
+	}
+}
+
+// Guards against bytes with an invalid status line that are passed on as an answer.
+func TestInvalidStatusIsNoAnswer(test *testing.T) {
+	fields := strings.TrimPrefix(sealedHead, "HTTP/1.1 200 OK\r\n")
+	for _, line := range invalidStatusLines {
+		test.Run(line, func(test *testing.T) {
+			requireNoAnswer(test, fmt.Sprintf("%s\r\n%sContent-Length: %d\r\n\r\n%s", line, fields, len(event(1)), event(1)))
+		})
+	}
+}
+
+// Guards against a relayed answer with an invalid status that is passed on: the node
+// that relays it may be of an earlier release.
+func TestInvalidRelayedAnswerIsNoAnswer(test *testing.T) {
+	for name, head := range map[string]map[string]any{
+		"status 600": {"status": 600, "header": http.Header{"Id": {"a1"}, "Seal": {"s"}}},
+		"status 999": {"status": 999, "header": http.Header{"Id": {"a1"}, "Seal": {"s"}}},
+	} {
+		encoded, err := msgpack.Marshal(head)
+		require.NoError(test, err)
+		frame := string(binary.BigEndian.AppendUint32(nil, uint32(len(encoded)))) + string(encoded)
+		text := fmt.Sprintf("HTTP/1.1 200 OK\r\nRelay-Outcome: answered\r\nTrailer: Relay-End\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\nRelay-End: answered\r\n\r\n", len(frame), frame)
+		hop := newTarget(test, "hop", cutAt(text, len(text), false))
+		node := newNode(test, tableFixture{once: []*target{closedTarget(test, "t1")}})
+		node.connectTo("hop", hop.address())
+		require.Equal(test, http.StatusBadGateway, node.request(test, http.MethodPost, "/once/1", "x").status, name)
+		require.Equal(test, 1, hop.count(), name)
+	}
+}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -137,6 +137,8 @@
 		label = "caller-left"
 	case !maySent(err):
 		label = "not-reached"
+	case errors.Is(err, errors.NotValid):
+		label = "not-an-answer"
 	case attempt.began:
 		label = "broken"
 	}
--- a/forward/client.go
+++ b/forward/client.go
@@ -244,6 +244,7 @@
 // end may have received a part of the request.
 func (response *response) roundTrip(method string, request message) (sent bool, err error) {
 	connection := response.conn
+	connection.answers.Expect()
 	written, writeErr := request.write(connection)
 	// On a reused connection, what can still be read may be an earlier answer.
 	if writeErr != nil && (written == 0 || !connection.opened) {
@@ -265,24 +266,22 @@
 
 // readHead reads the status and headers of the final response and skips the interim ones
 // before it. net/http would complete an interim response that is passed on with a 200 and an
-// empty body. No request asks for another protocol, so a response that switches to one is
-// not valid.
+// empty body.
 func (response *response) readHead(method string) error {
 	response.conn.readBudget = maxHeadBytes
 	response.conn.head, response.conn.headBytes = response, 0
 	defer func() { response.conn.head = nil }()
 	for {
 		answer, err := http.ReadResponse(response.conn.reader, &http.Request{Method: method})
-		switch {
-		case err != nil:
-			return err
-		case answer.StatusCode >= http.StatusOK:
-			response.http = answer
-			response.idleTimeout = parseIdleTimeout(answer.Header)
-			return nil
-		case answer.StatusCode < http.StatusContinue, answer.StatusCode == http.StatusSwitchingProtocols:
-			return errors.NotValidf("response with status %d", answer.StatusCode)
+		if err != nil {
+			return response.conn.answers.Cause(err)
+		}
+		if answer.StatusCode < httpanswer.MinStatus {
+			continue
 		}
+		response.http = answer
+		response.idleTimeout = parseIdleTimeout(answer.Header)
+		return nil
 	}
 }
 
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -13,6 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"lacewingspoke.org/lacewingspoke/fleet"
+	"lacewingspoke.org/lacewingspoke/httpanswer"
 	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/route"
 )
@@ -100,9 +101,6 @@
 
 const headLengthBytes = 4
 
-// maxStatus is the largest status that HTTP can express, and that net/http writes.
-const maxStatus = 999
-
 // encodeHead returns the head with its length.
 func encodeHead(head relayedHead) ([]byte, error) {
 	encoded, err := msgpack.Marshal(head)
@@ -130,7 +128,7 @@
 	if err := msgpack.Unmarshal(encoded, &head); err != nil {
 		return relayedHead{}, errors.Trace(err)
 	}
-	if head.Status < http.StatusOK || head.Status > maxStatus {
+	if head.Status < httpanswer.MinStatus || head.Status > httpanswer.MaxStatus {
 		return relayedHead{}, errors.NotValidf("relayed answer with status %d", head.Status)
 	}
 	return head, nil
--- a/httpanswer/transport.go
+++ b/httpanswer/transport.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
 )
 
 // A Transport is an http.Transport that receives answers over Conns.
@@ -29,7 +31,20 @@
 
 // RoundTrip implements http.RoundTripper.
 func (transport *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	return transport.base.RoundTrip(request)
+	var used atomic.Pointer[Conn]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		conn := info.Conn.(*Conn)
+		conn.Expect()
+		used.Store(conn)
+	}}
+	answer, err := transport.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if conn := used.Load(); err != nil && conn != nil {
+		return nil, conn.Cause(err)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return answer, nil
 }
 
 // CloseIdleConnections closes the connections that no call uses.
--- a/httpsend/answer_test.go
+++ b/httpsend/answer_test.go
@@ -27,3 +27,10 @@
 		requireNoReply(t, cut.Config{Reset: true, Early: true}, "HTTP/1.1 200 OK\r\n\r\n{\"items\":[]}", make([]byte, 32<<20))
 	}
 }
+
+// Guards against bytes with an invalid status line that are returned as a reply.
+func TestInvalidStatusIsNoReply(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 600 OK", "HTTP/9.9 200 OK", "HTTP/1.1 101 Switching Protocols"} {
+		requireNoReply(t, cut.Config{}, line+"\r\nContent-Length: 2\r\n\r\n{}", []byte("b"))
+	}
+}
--- a/service/answer_test.go
+++ b/service/answer_test.go
@@ -32,3 +32,23 @@
 func TestResetAnswerWithoutLengthIsUnknown(t *testing.T) {
 	requireUnknown(t, cut.Config{Reset: true, Early: true}, "HTTP/1.1 200 OK\r\n\r\nplank 7, pl", strings.Repeat("x", 32<<20))
 }
+
+// Guards against bytes with an invalid status line that are taken for an answer or a refusal.
+func TestInvalidStatusIsUnknown(t *testing.T) {
+	for _, line := range []string{"HTTP/1.1 000 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 600 OK", "HTTP/9.9 200 OK", "HTTP/9.9 503 Full"} {
+		requireUnknown(t, cut.Config{}, line+"\r\nContent-Length: 2\r\n\r\nok", "b")
+	}
+}
+
+// Guards against a report that is read from bytes that are no answer.
+func TestReportFromNoAnswerIsAnError(t *testing.T) {
+	const content = `{"running":1,"state":"ready"}`
+	for _, head := range []string{"HTTP/1.1 +20 OK\r\n\r\n", "HTTP/9.9 200 OK\r\n\r\n"} {
+		server, err := cut.Start(cut.Config{Answer: cut.Always(head + content)})
+		require.NoError(t, err)
+		server.SetLength(len(head + content))
+		_, err = service.NewReportClient().Report(t.Context(), server.Address())
+		require.Error(t, err, head)
+		server.Close()
+	}
+}
--- a/service/service.go
+++ b/service/service.go
@@ -159,10 +159,6 @@
 		return client.failedResult(ctx, attempt, err)
 	}
 	defer response.Body.Close()
-	if response.StatusCode == http.StatusSwitchingProtocols {
-		// No request asks for another protocol, and such a response has no end.
-		return client.failedResult(ctx, attempt, errors.NotValidf("answer with status %d", response.StatusCode))
-	}
 	body, err := client.readBody(response)
 	if err != nil {
 		return client.failedResult(ctx, attempt, err)
