httpanswer: a head or trailer with an invalid field is no answer

A runner in trouble sends names with a blank or a control byte; clients got such a line with the answer, or a body that was not the runner's.

Cause: net/textproto takes a blank in a name and does not make the name canonical, so that 'Content-Length : 2' and 'Transfer-Encoding : chunked' are overlooked and the body goes to the end of the connection. Trailers go by the same parser. net/http drops an encoding in HTTP/1.0.

Change: the connections over which answers are received check the names of the fields, also of interim heads, and refuse HTTP/1.0 with a transfer encoding. Bodies end with an error in place of their end after an invalid trailer. The names in relayed heads are checked when they are decoded. Values folded over several lines stay valid, as the protocol lets a gateway join them.

--- a/engine/answer_test.go
+++ b/engine/answer_test.go
@@ -15,7 +15,10 @@
 	const stream = `data: {"attempt":"a","index":0,"done":true}` + "\n\n"
 	for _, text := range []string{
 		"HTTP/9.9 200 OK\r\n\r\n" + stream,
+		"HTTP/1.1 200 OK\r\nX Y: 1\r\n\r\n" + stream,
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + stream,
 		"HTTP/9.9 503 Full\r\nContent-Length: 4\r\n\r\nfull",
+		"HTTP/1.1 503 Full\r\nContent-Length : 4\r\n\r\nfull",
 	} {
 		server, err := cut.Start(cut.Config{Answer: cut.Always(text)})
 		require.NoError(t, err)
--- a/forward/answers_test.go
+++ b/forward/answers_test.go
@@ -116,12 +116,32 @@
 	}
 }
 
-// Guards against a relayed answer with an invalid status that is passed on: the node
+// Guards against bytes with an invalid field, before or after the body, that are passed on as an
+// answer, with the field or with a body that is not that of the target.
+func TestInvalidFieldIsNoAnswer(test *testing.T) {
+	chunk := fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(event(1)), event(1))
+	length := fmt.Sprintf("Content-Length: %d\r\n", len(event(1)))
+	for name, text := range map[string]string{
+		"blank in a name":          sealedHead + "X Own: 1\r\n" + length + "\r\n" + event(1),
+		"control byte in a name":   sealedHead + "X\x02Own: 1\r\n" + length + "\r\n" + event(1),
+		"blank after a length":     sealedHead + "Content-Length : 5\r\n\r\n" + event(1),
+		"blank after an encoding":  sealedHead + "Transfer-Encoding : chunked\r\n\r\n" + chunk + "\r\n",
+		"encoding in HTTP/1.0":     strings.Replace(sealedHead, "1.1", "1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n" + chunk + "\r\n",
+		"blank in the trailer":     sealedHead + "Transfer-Encoding: chunked\r\n\r\n" + chunk + "X Own: 1\r\n\r\n",
+		"blank in an interim head": "HTTP/1.1 103 Early Hints\r\nX Own: 1\r\n\r\n" + sealedHead + length + "\r\n" + event(1),
+	} {
+		test.Run(name, func(test *testing.T) { requireNoAnswer(test, text) })
+	}
+}
+
+// Guards against a relayed answer with an invalid status or field that is passed on: the node
 // that relays it may be of an earlier release.
 func TestInvalidRelayedAnswerIsNoAnswer(test *testing.T) {
 	for name, head := range map[string]map[string]any{
-		"status 600": {"status": 600, "header": http.Header{"Id": {"a1"}, "Seal": {"s"}}},
-		"status 999": {"status": 999, "header": http.Header{"Id": {"a1"}, "Seal": {"s"}}},
+		"status 600":      {"status": 600, "header": http.Header{"Id": {"a1"}, "Seal": {"s"}}},
+		"status 999":      {"status": 999, "header": http.Header{"Id": {"a1"}, "Seal": {"s"}}},
+		"blank in a name": {"status": 200, "header": http.Header{"Id": {"a1"}, "Seal": {"s"}, "X Own": {"1"}}},
+		"no name":         {"status": 200, "header": http.Header{"Id": {"a1"}, "Seal": {"s"}, "": {"1"}}},
 	} {
 		encoded, err := msgpack.Marshal(head)
 		require.NoError(test, err)
--- a/forward/client.go
+++ b/forward/client.go
@@ -279,6 +279,7 @@
 		if answer.StatusCode < httpanswer.MinStatus {
 			continue
 		}
+		httpanswer.CheckTrailer(answer)
 		response.http = answer
 		response.idleTimeout = parseIdleTimeout(answer.Header)
 		return nil
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -131,7 +131,8 @@
 	if head.Status < httpanswer.MinStatus || head.Status > httpanswer.MaxStatus {
 		return relayedHead{}, errors.NotValidf("relayed answer with status %d", head.Status)
 	}
-	return head, nil
+	// Nodes of earlier releases send fields on as net/http has read them.
+	return head, errors.Annotate(httpanswer.CheckFields(head.Header), "relayed answer")
 }
 
 // relay sends a call through a node and reads the head of the target's answer within the
--- a/httpanswer/httpanswer.go
+++ b/httpanswer/httpanswer.go
@@ -2,9 +2,12 @@
 // the one place for that: the clients of targets, of other nodes, of the store and of plain
 // services all receive through it.
 //
-// net/http takes more for an answer than the protocol does: a status such as 000 or +20, and any
-// version. A Conn checks each head as it is received and ends the connection with an error that
-// says why, so that neither net/http nor its user sees such an answer.
+// net/http takes more for an answer than the protocol does: a status such as 000 or +20, a blank
+// in the name of a field, which hides that the field is a length or an encoding, an encoding in
+// an answer of HTTP/1.0, and any version. What comes out then is not what the server has sent. A
+// Conn checks each head as it is received and ends the connection with an error that says why, so
+// that neither net/http nor its user sees such an answer. CheckTrailer does the same for the
+// fields after a body.
 //
 // A body without a length and without chunks ends with its connection, and the end of a
 // connection that has failed looks the same: the system hands the reset of a connection out once,
@@ -27,11 +30,13 @@
 //	if err != nil {
 //		return conn.Cause(err)
 //	}
+//	httpanswer.CheckTrailer(answer)
 package httpanswer
 
 import (
 	"io"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 
@@ -151,3 +156,42 @@
 		conn.failure = err
 	}
 }
+
+// CheckTrailer makes the body of an answer end with an errors.NotValid error in place of io.EOF
+// if a field after it has no valid name.
+func CheckTrailer(answer *http.Response) {
+	answer.Body = &checkedBody{ReadCloser: answer.Body, answer: answer}
+}
+
+// A checkedBody is a body whose trailer is checked at its end.
+type checkedBody struct {
+	io.ReadCloser
+	answer *http.Response
+}
+
+// Read implements io.Reader.
+func (body *checkedBody) Read(buffer []byte) (int, error) {
+	count, err := body.ReadCloser.Read(buffer)
+	if err == io.EOF {
+		if invalid := CheckFields(body.answer.Trailer); invalid != nil {
+			return count, errors.Annotate(invalid, "trailer")
+		}
+	}
+	return count, err
+}
+
+// CheckFields returns an errors.NotValid error if a field has no valid name. It is for fields
+// that were not received over a Conn.
+func CheckFields(fields http.Header) error {
+	for name := range fields {
+		if name == "" {
+			return errors.NotValidf("answer with a field without a name")
+		}
+		for index := range len(name) {
+			if !isNameChar(name[index]) {
+				return invalidName(name)
+			}
+		}
+	}
+	return nil
+}
--- a/httpanswer/httpanswer_test.go
+++ b/httpanswer/httpanswer_test.go
@@ -62,6 +62,29 @@
 	"invalid after an interim": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok",
 }
 
+// invalidFields are bytes with a field, or a framing, that is none.
+var invalidFields = map[string]string{
+	"carriage return in head":  "HTTP/1.1 200 OK\r\nX: a\rY: b\r\nContent-Length: 2\r\n\r\nok",
+	"blank before the colon":   "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok and more",
+	"tab before the colon":     "HTTP/1.1 200 OK\r\nContent-Length\t: 2\r\n\r\nok",
+	"encoding with a blank":    "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"blank in a name":          "HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 2\r\n\r\nok",
+	"control byte in a name":   "HTTP/1.1 200 OK\r\nX\x01Y: 1\r\nContent-Length: 2\r\n\r\nok",
+	"NUL in a name":            "HTTP/1.1 200 OK\r\nX\x00Y: 1\r\nContent-Length: 2\r\n\r\nok",
+	"DEL in a name":            "HTTP/1.1 200 OK\r\nX\x7fY: 1\r\nContent-Length: 2\r\n\r\nok",
+	"Latin-1 in a name":        "HTTP/1.1 200 OK\r\nX\xe4Y: 1\r\nContent-Length: 2\r\n\r\nok",
+	"parenthesis in a name":    "HTTP/1.1 200 OK\r\nX(Y): 1\r\nContent-Length: 2\r\n\r\nok",
+	"no name":                  "HTTP/1.1 200 OK\r\n: 1\r\nContent-Length: 2\r\n\r\nok",
+	"no colon":                 "HTTP/1.1 200 OK\r\nX\r\nContent-Length: 2\r\n\r\nok",
+	"fold first":               "HTTP/1.1 200 OK\r\n X: 1\r\nContent-Length: 2\r\n\r\nok",
+	"control byte in a value":  "HTTP/1.1 200 OK\r\nX: \x01\r\nContent-Length: 2\r\n\r\nok",
+	"HTTP/1.0 in chunks":       "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"HTTP/1.0 in chunks, fold": "HTTP/1.0 200 OK\r\ntransfer-encoding:\r\n chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"blank in the trailer":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Y: 1\r\n\r\n",
+	"invalid interim":          "HTTP/1.1 100 Continue\r\nX Y: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+	"one digit of length":      "HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nok",
+}
+
 // A wire is a connection from which bytes are read in parts of a given size.
 type wire struct {
 	net.Conn
@@ -85,6 +108,7 @@
 		if answer.StatusCode < httpanswer.MinStatus {
 			continue
 		}
+		httpanswer.CheckTrailer(answer)
 		body, err := io.ReadAll(answer.Body)
 		return string(body), err
 	}
@@ -103,6 +127,10 @@
 			body, err := receive(text, part)
 			require.Error(test, err, "%s in parts of %d: body %q", name, part, body)
 		}
+		for name, text := range invalidFields {
+			body, err := receive(text, part)
+			require.Error(test, err, "%s in parts of %d: body %q", name, part, body)
+		}
 	}
 }
 
@@ -112,6 +140,9 @@
 	body, err := receive(long+"Content-Length: 2\r\n\r\nok", 100)
 	require.NoError(test, err)
 	require.Equal(test, "ok", body)
+	_, err = receive(long+"X Y: 1\r\nContent-Length: 2\r\n\r\nok", 100)
+	require.ErrorIs(test, err, errors.NotValid)
+	require.ErrorContains(test, err, `"X "`)
 }
 
 // serve starts a server that calls a script with each connection after the head of a request.
@@ -212,7 +243,7 @@
 		reader := bufio.NewReader(conn)
 		fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 		if _, err := http.ReadRequest(reader); err == nil {
-			fmt.Fprint(conn, "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok")
+			fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok and more")
 		}
 	})
 	base := &http.Transport{}
@@ -235,8 +266,8 @@
 	}
 }
 
-// FuzzHead checks that whatever passes for an answer has a status of the protocol, and that the same
-// bytes pass however they are split.
+// FuzzHead checks that whatever passes for an answer has a status of the protocol and fields with
+// valid names, and that the same bytes pass however they are split.
 func FuzzHead(fuzz *testing.F) {
 	for _, answer := range valid {
 		fuzz.Add(answer[0])
@@ -244,6 +275,9 @@
 	for _, text := range invalidStatus {
 		fuzz.Add(text)
 	}
+	for _, text := range invalidFields {
+		fuzz.Add(text)
+	}
 	fuzz.Fuzz(func(test *testing.T, text string) {
 		whole, wholeErr := receive(text, 1<<20)
 		split, splitErr := receive(text, 1)
@@ -256,6 +290,7 @@
 		if err == nil {
 			require.GreaterOrEqual(test, answer.StatusCode, 100)
 			require.LessOrEqual(test, answer.StatusCode, httpanswer.MaxStatus)
+			require.NoError(test, httpanswer.CheckFields(answer.Header))
 		}
 	})
 }
--- a/httpanswer/transport.go
+++ b/httpanswer/transport.go
@@ -44,6 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
+	CheckTrailer(answer)
 	return answer, nil
 }
 
--- a/httpsend/answer_test.go
+++ b/httpsend/answer_test.go
@@ -34,3 +34,16 @@
 		requireNoReply(t, cut.Config{}, line+"\r\nContent-Length: 2\r\n\r\n{}", []byte("b"))
 	}
 }
+
+// Guards against bytes with an invalid field that are returned as a reply.
+func TestInvalidFieldIsNoReply(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{} ",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nX Y: 1\r\n\r\n",
+	} {
+		requireNoReply(t, cut.Config{}, text, []byte("b"))
+	}
+}
--- a/service/answer_test.go
+++ b/service/answer_test.go
@@ -40,10 +40,22 @@
 	}
 }
 
+// Guards against bytes with an invalid field that are taken for an answer or a refusal.
+func TestInvalidFieldIsUnknown(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 503 Full\r\nContent-Length : 2\r\n\r\nok ",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Y: 1\r\n\r\n",
+	} {
+		requireUnknown(t, cut.Config{}, text, "b")
+	}
+}
+
 // Guards against a report that is read from bytes that are no answer.
 func TestReportFromNoAnswerIsAnError(t *testing.T) {
 	const content = `{"running":1,"state":"ready"}`
-	for _, head := range []string{"HTTP/1.1 +20 OK\r\n\r\n", "HTTP/9.9 200 OK\r\n\r\n"} {
+	for _, head := range []string{"HTTP/1.1 +20 OK\r\n\r\n", "HTTP/9.9 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nX Y: 1\r\n\r\n"} {
 		server, err := cut.Start(cut.Config{Answer: cut.Always(head + content)})
 		require.NoError(t, err)
 		server.SetLength(len(head + content))
