forward: bytes after an answer are not the next answer

Cause: an answer without an id counted as that of the request, also on a connection that had carried others. Only refusals made that difference.

Evidence: the lines 'target answered with a failure' of these requests have an empty answer-id, no seal and no new connection, and the runner's record has its own answer 200.

Change: without an id an answer belongs to the request only if its connection has had no other; a connection whose answer had none is closed, so that services that never send ids are served over new ones. What such an answer reports of its target is ignored too. It is no longer read to its end. The node that relays an answer sends whether the connection was new.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/juju/errors"
 	"go.uber.org/zap"
@@ -165,7 +166,7 @@
 	server.config.Logger.Info("target answered with a failure",
 		zap.String("id", attempt.exchange.caller.Attempt), zap.String("target", attempt.name), zap.Int("status", status), zap.String("statement", statement),
 		zap.Bool("sealed", answer.Sealed), zap.String("answer-id", answer.Attempt), zap.String("through", attempt.through),
-		zap.Bool("new-connection", !response.relayed && response.conn.opened))
+		zap.Bool("new-connection", response.first))
 }
 
 // isOwnFault reports whether an attempt failed for a reason that is not the target's.
@@ -193,7 +194,8 @@
 // refused returns the result of a refusal.
 func (attempt *attempt) refused(response *response, answer Answer) attemptResult {
 	response.discard()
-	if !attempt.exchange.isOwnRefusal(response, answer) {
+	if !attempt.exchange.sentRequest(time.Time{}).has(response, answer) {
+		attempt.exchange.countAttempt("not-its-own")
 		return unknown{reason: "target " + attempt.name + " sent a refusal that is not its own"}
 	}
 	attempt.exchange.server.suspects.Failed(attempt.name, attempt.exchange.server.config.Now())
--- a/forward/client.go
+++ b/forward/client.go
@@ -205,6 +205,9 @@
 	// called once at the end, and may be nil.
 	relayed  bool
 	finished func()
+
+	// first is true if the connection to the target has had no other request.
+	first bool
 }
 
 // untilClose reports whether the body ends with the connection, without a length or chunks.
@@ -221,7 +224,7 @@
 		return nil, &callError{cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = connection.SetDeadline(time.Unix(1, 0)) })
-	response := &response{client: client, conn: connection, stop: stop, ctx: ctx, hold: outgoing.hold}
+	response := &response{client: client, conn: connection, stop: stop, ctx: ctx, hold: outgoing.hold, first: connection.opened}
 	if err := response.setTimeout(timeout); err != nil {
 		response.discard()
 		return nil, &callError{cause: err}
--- a/forward/observe.go
+++ b/forward/observe.go
@@ -119,17 +119,29 @@
 		failureDomain: target.FailureDomain, loadMaxAge: runnerLoadMaxAge}
 }
 
-// observeAnswer records what a target reports of itself in the answer to a request that was
-// sent at sentAt. The answer of another target or to another request is ignored.
-func (server *Server) observeAnswer(target observedTarget, attempt string, response *http.Response, answer Answer, sentAt time.Time) {
-	now := server.config.Now()
-	if response.StatusCode == http.StatusMisdirectedRequest || !isOwnResponse(attempt, response, answer) {
+// parseAnswer returns what the headers of an answer contain, and records what its target
+// reports of itself there.
+func (server *Server) parseAnswer(target observedTarget, sent sentRequest, response *response) Answer {
+	answer := server.config.Codec.ParseAnswer(response.http.StatusCode, response.http.Header)
+	if answer.Attempt == "" && !response.relayed {
+		// The next answer on the connection could not be told from bytes after this one.
+		response.http.Close = true
+	}
+	server.observeAnswer(target, sent, response, answer)
+	return answer
+}
+
+// observeAnswer records what a target reports of itself in the answer to a request. The answer
+// of another target or to another request is ignored.
+func (server *Server) observeAnswer(target observedTarget, sent sentRequest, response *response, answer Answer) {
+	now, attempt := server.config.Now(), sent.attempt
+	if response.http.StatusCode == http.StatusMisdirectedRequest || !isOwnResponse(sent, response, answer) {
 		return
 	}
 	if answer.Load != nil {
 		server.tracker.Observe(target.name, answer.Load.Load, target.loadMaxAge, now)
 	}
-	server.observeLimit(target.id, attempt, answer, sentAt)
+	server.observeLimit(target.id, attempt, answer, sent.at)
 	server.observeLeaving(target, attempt, answer)
 	if answer.Rest > 0 {
 		server.closures.Rest(target.instance, answer.Rest, now)
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -97,6 +97,10 @@
 type relayedHead struct {
 	Status int         `msgpack:"status"`
 	Header http.Header `msgpack:"header"`
+
+	// First is true if the connection to the target has had no other request. Nodes of earlier
+	// releases do not send it.
+	First bool `msgpack:"first"`
 }
 
 const headLengthBytes = 4
@@ -173,7 +177,7 @@
 		response.discard()
 		return nil, &callError{cause: errors.Annotate(response.cause(err), "read head of a relayed answer"), sent: true}
 	}
-	response.relayed = true
+	response.relayed, response.first = true, head.First
 	response.http = &http.Response{
 		StatusCode: head.Status, Status: http.StatusText(head.Status), Header: head.Header, Body: &relayedBody{hop: hop}, Close: hop.Close,
 		ContentLength: -1,
--- a/forward/relay_server.go
+++ b/forward/relay_server.go
@@ -233,8 +233,7 @@
 		return
 	}
 	server.answered(target, response.conn.opened)
-	answer := server.config.Codec.ParseAnswer(response.http.StatusCode, response.http.Header)
-	server.observeAnswer(relayed.target, relayed.attempt, response.http, answer, sentAt)
+	server.parseAnswer(relayed.target, sentRequest{attempt: relayed.attempt, at: sentAt, once: relayed.message.NewConnection}, response)
 	relayed.passOn(ctx, address, response)
 }
 
@@ -270,7 +269,7 @@
 	header := relayed.writer.Header()
 	header.Set(headerRelayOutcome, string(relayAnswered))
 	header.Set("Trailer", headerRelayEnd)
-	encoded, err := encodeHead(relayedHead{Status: response.http.StatusCode, Header: response.http.Header})
+	encoded, err := encodeHead(relayedHead{Status: response.http.StatusCode, Header: response.http.Header, First: response.first})
 	if err != nil {
 		response.discard()
 		relayed.report(relayBroken, err)
--- a/forward/runner.go
+++ b/forward/runner.go
@@ -133,23 +133,23 @@
 		attempt.checkTarget(ctx, evidence, err)
 		return attempt.failed(err)
 	}
-	answer := server.config.Codec.ParseAnswer(response.http.StatusCode, response.http.Header)
 	observed := observedRunner(target)
-	server.observeAnswer(observed, exchange.caller.Attempt, response.http, answer, sentAt)
+	answer := server.parseAnswer(observed, exchange.sentRequest(sentAt), response)
 	attempt.recordFailure(response, answer)
 	if answer.Refused {
 		return attempt.refused(response, answer)
 	}
+	if !isOwnResponse(exchange.sentRequest(sentAt), response, answer) {
+		response.discard()
+		exchange.countAttempt("not-its-own")
+		return unknown{reason: "runner " + target.Name + " sent an answer that is not its own"}
+	}
 	body, err := response.readAll(maxAnswerBytes)
 	if err != nil {
 		response.discard()
 		return attempt.broken(ctx, evidence, err)
 	}
 	evidence.Completed(server.config.Now())
-	if !isOwnResponse(exchange.caller.Attempt, response.http, answer) {
-		response.discard()
-		return unknown{reason: "runner " + target.Name + " sent an answer that is not its own"}
-	}
 	response.release()
 	server.observeTrailer(observed, exchange.caller.Attempt, response.http)
 	if !exchange.mayPassOn(response.http.StatusCode) {
@@ -173,24 +173,39 @@
 	})
 }
 
-// isOwnResponse reports whether a response was produced by the target itself and
-// for this request. Success responses must carry the target's seal.
-func isOwnResponse(attempt string, response *http.Response, answer Answer) bool {
-	if answer.Foreign || answer.Attempt != "" && answer.Attempt != attempt {
-		return false
-	}
-	return answer.Sealed || response.StatusCode >= http.StatusMultipleChoices
+// A sentRequest is what an answer is compared with.
+type sentRequest struct {
+	// attempt is the id of the request, and at when it was sent.
+	attempt string
+	at      time.Time
+
+	// once is true for a request that may run once. It is sent on a new connection, also by
+	// another node.
+	once bool
+}
+
+func (exchange *exchange) sentRequest(at time.Time) sentRequest {
+	return sentRequest{attempt: exchange.caller.Attempt, at: at, once: !exchange.route.Repeatable()}
 }
 
-// isOwnRefusal reports whether a refusal belongs to this request. A target in trouble may
-// write an earlier one once more, while it runs the request: only one with the request's id
-// is trusted, or one without an id if the connection has had no other request.
-func (exchange *exchange) isOwnRefusal(response *response, answer Answer) bool {
+// has reports whether an answer belongs to the request. A target in trouble may send bytes after
+// a complete answer, and these arrive in place of the answer to the next request on the
+// connection. The id tells them apart. Without one an answer belongs to the request only if the
+// connection has had no other.
+func (sent sentRequest) has(response *response, answer Answer) bool {
 	if answer.Attempt != "" {
-		return answer.Attempt == exchange.caller.Attempt
+		return answer.Attempt == sent.attempt
+	}
+	return sent.once || response.first
+}
+
+// isOwnResponse reports whether a response was produced by the target itself and for this
+// request. Success responses must carry the target's seal.
+func isOwnResponse(sent sentRequest, response *response, answer Answer) bool {
+	if answer.Foreign || !sent.has(response, answer) {
+		return false
 	}
-	// Requests that may run once have new connections also between the nodes.
-	return !exchange.route.Repeatable() || !response.relayed && response.conn.opened
+	return answer.Sealed || response.http.StatusCode >= http.StatusMultipleChoices
 }
 
 func (exchange *exchange) countAttempt(result string) {
--- a/forward/streamcall.go
+++ b/forward/streamcall.go
@@ -144,15 +144,15 @@
 		call.result = call.attempt.failed(err)
 		return
 	}
-	answer := server.config.Codec.ParseAnswer(response.http.StatusCode, response.http.Header)
-	server.observeAnswer(call.target.observed, exchange.caller.Attempt, response.http, answer, sentAt)
+	answer := server.parseAnswer(call.target.observed, exchange.sentRequest(sentAt), response)
 	call.attempt.recordFailure(response, answer)
 	switch {
 	case answer.Refused:
 		call.result = call.attempt.refused(response, answer)
 		return
-	case !isOwnResponse(exchange.caller.Attempt, response.http, answer):
+	case !isOwnResponse(exchange.sentRequest(sentAt), response, answer):
 		response.discard()
+		exchange.countAttempt("not-its-own")
 		call.result = unknown{reason: "target " + call.target.name + " sent an answer that is not its own"}
 		return
 	case !call.streams(response.http):
