forward: a failure without seal and id is not the target's

Cause: only a success needed the seal. A failure without an id counted as that of the request.

Change: a failure must bear the seal or the request's id. Targets echo the id in all their answers; a server that is none, at an address that was used again or in an entry of another writer, has neither. Such an answer is discarded, and its outcome is unknown.

Measured: TestFailureOfAnotherServerIsNotPassedOn fails on the code before.

--- a/forward/extra_test.go
+++ b/forward/extra_test.go
@@ -101,3 +101,24 @@
 		}
 	}
 }
+
+// Guards against a failure of a server that is no target, at an address that was used again, that
+// is passed on as the target's: it has neither the seal nor the request's id.
+func TestFailureOfAnotherServerIsNotPassedOn(test *testing.T) {
+	for _, status := range []int{301, 400, 401, 403, 404, 405, 500, 502} {
+		other := newTarget(test, "t1", func(conn net.Conn, _ *http.Request) bool {
+			fmt.Fprintf(conn, "HTTP/1.1 %d Status\r\nContent-Length: 5\r\n\r\nother", status)
+			return true
+		})
+		sound := newTarget(test, "t2", answers(200, "Seal: s\r\n", "ok"))
+		node := newNode(test, tableFixture{once: []*target{other}, idempotent: []*target{other, sound}, groups: []*target{other}})
+		for range 8 {
+			require.Equal(test, "ok", node.request(test, http.MethodGet, "/idempotent/1", "").body, status)
+		}
+		for _, path := range []string{"/once/1", "/stream/1"} {
+			got := node.request(test, http.MethodPost, path, "x")
+			require.Equal(test, http.StatusBadGateway, got.status, "%d at %s", status, path)
+			require.NotContains(test, got.body, "other")
+		}
+	}
+}
--- a/forward/runner.go
+++ b/forward/runner.go
@@ -200,12 +200,13 @@
 }
 
 // isOwnResponse reports whether a response was produced by the target itself and for this
-// request. Success responses must carry the target's seal.
+// request. A success must carry the target's seal, a failure the seal or the request's id: a
+// server that is no target, at an address that was used again, has neither.
 func isOwnResponse(sent sentRequest, response *response, answer Answer) bool {
 	if answer.Foreign || !sent.has(response, answer) {
 		return false
 	}
-	return answer.Sealed || response.http.StatusCode >= http.StatusMultipleChoices
+	return answer.Sealed || answer.Attempt != "" && response.http.StatusCode >= http.StatusMultipleChoices
 }
 
 func (exchange *exchange) countAttempt(result string) {
