forward: Last-Event-Id goes on with requests without streams

The caller's Last-Event-Id was lost on routes without streams to plain services.

Cause: the codec removes it with the headers that nodes set, and the destination of a unary request had no last event.

Change: the destination has the caller's last event.

Measured: TestLastEventIsForwardedOnEachRoute fails on the code before.

--- a/forward/pairs_test.go
+++ b/forward/pairs_test.go
@@ -50,6 +50,27 @@
 	}
 }
 
+// Guards against the header with the caller's last event that is lost on a route without streams.
+func TestLastEventIsForwardedOnEachRoute(test *testing.T) {
+	runner, group := newTarget(test, "r1", answers(200, "Seal: s\r\n", "ok")), newTarget(test, "g1", answers(200, "Seal: s\r\n", "ok"))
+	for _, fixture := range []tableFixture{
+		{once: []*target{runner}, idempotent: []*target{runner}}, {groups: []*target{group}, kinds: map[string]string{"/once/": "stream", "/idempotent/": "stream"}},
+	} {
+		node := newNode(test, fixture)
+		for _, path := range []string{"/once/1", "/idempotent/1"} {
+			request := node.newRequest(test, http.MethodPost, path, "x")
+			request.Header.Set("After", "7")
+			require.Equal(test, 200, node.send(request).status)
+		}
+	}
+	for _, target := range []*target{runner, group} {
+		require.Len(test, target.requests, 2)
+		for _, received := range target.requests {
+			require.Equal(test, "7", received.Header.Get("After"))
+		}
+	}
+}
+
 // Guards against events of a plain service that reach the caller only with the end of the stream.
 func TestEventsOfPlainServiceArePassedOnAsTheyArrive(test *testing.T) {
 	read := make(chan bool)
--- a/forward/runner.go
+++ b/forward/runner.go
@@ -116,7 +116,7 @@
 	defer func() { ended(server.config.Now()) }()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	to := destination{id: target.ID(), instance: target.Instance(), address: target.Address, failureDomain: target.FailureDomain}
+	to := destination{id: target.ID(), instance: target.Instance(), address: target.Address, failureDomain: target.FailureDomain, resumeAfter: exchange.caller.ResumeAfter}
 	attempt := exchange.begin(target.Name, target.ID(), to)
 	evidence := server.config.Quarantine.Begin(attempt.life, exchange.parts, attempt.admission, func() { cancel(errQuarantined) })
 	defer evidence.Close()
