httpserve: an answered connection yields no sooner than an idle one

Cause: the rank of a connection is its elapsed time as a share of what its step may take. An answered one counted as discarding the rest of its request, which may take 1 s, until net/http waits for the next request; a head may take several.

Change: an answered connection ranks as an idle one unless it reads the rest of its request.

Measured: TestAnsweredConnectionRanksAsIdle fails on the code before.

--- a/httpserve/connection.go
+++ b/httpserve/connection.go
@@ -425,7 +425,11 @@
 	case stateBody:
 		holding.Allowed = config.BodyTimeout
 	case stateAnswered:
-		holding.Allowed = discardTime
+		// Without a rest of its request to read, it is about to be idle.
+		holding.Allowed = config.IdleTimeout
+		if !connection.bodyDeadline.IsZero() {
+			holding.Allowed = discardTime
+		}
 	}
 	size := int64(ConnectionBytes)
 	switch share {
--- a/httpserve/connection_test.go
+++ b/httpserve/connection_test.go
@@ -46,3 +46,18 @@
 		require.NoError(test, answered.failure)
 	}
 }
+
+// Guards against a connection that has just been answered and closes for others before ones that
+// stand still: it counted as one that discards the rest of its request, which may take a second.
+func TestAnsweredConnectionRanksAsIdle(test *testing.T) {
+	answered, idle := newTestConnection(test, stateAnswered), newTestConnection(test, stateIdle)
+	answered.server.config.IdleTimeout, idle.server.config.IdleTimeout = time.Minute, time.Minute
+	allowed := func(connection *connection) time.Duration {
+		holding, _, may := connection.holding(shareConnections, time.Now())
+		require.True(test, may)
+		return holding.Allowed
+	}
+	require.Equal(test, allowed(idle), allowed(answered))
+	answered.bodyDeadline = time.Now().Add(discardTime)
+	require.Equal(test, discardTime, allowed(answered), "the rest of its request is read")
+}
