forward: a stream of a plain service must end inside a planned stop

A resumable stream of a plain service could be accepted late in a planned stop and aborted at its end.

Cause: a request that may be repeated is accepted if it is expected to end well inside. For streams of plain services the objective of the first event stood for the whole stream.

Change: the length of such a stream is not known, so that its deadline must lie inside, as for requests that may run once.

Measured: TestStreamOfPlainServiceThatMayOutlastTheStopIsRefused fails on the code before.

--- a/forward/exchange.go
+++ b/forward/exchange.go
@@ -182,7 +182,9 @@
 // endsInGrace reports whether the request may be sent to a target although the node is
 // stopping.
 func (exchange *exchange) endsInGrace() bool {
-	return exchange.server.requests.Allows(exchange.deadline, exchange.route.Repeatable(), exchange.expectedTime())
+	// How long a stream of a plain service lasts is not known.
+	lengthKnown := !exchange.streams() || exchange.service.Engine != nil
+	return exchange.server.requests.Allows(exchange.deadline, exchange.route.Repeatable() && lengthKnown, exchange.expectedTime())
 }
 
 // expectedTime returns the time that a target with a short queue needs for the request.
--- a/forward/grace_test.go
+++ b/forward/grace_test.go
@@ -39,6 +39,17 @@
 	assert.Equal(test, http.StatusOK, repeatable.status, "a request that may be repeated and ends soon")
 }
 
+// Guards against a stream of a plain service that is accepted late in a planned stop and aborted
+// at its end: it may last until its deadline.
+func TestStreamOfPlainServiceThatMayOutlastTheStopIsRefused(test *testing.T) {
+	runner := newTarget(test, "runner", streams(2, "0\r\n\r\n"))
+	node := newNode(test, tableFixture{runners: []*target{runner}})
+	require.Equal(test, http.StatusOK, node.request(test, http.MethodPost, "/stream/1", "prompt").status)
+	node.forward.BeginStop(callerDeadline / 2)
+	require.Equal(test, http.StatusServiceUnavailable, node.request(test, http.MethodPost, "/stream/1", "prompt").status)
+	require.Equal(test, 1, runner.count())
+}
+
 // Guards against a stop that refuses requests that end in time.
 func TestRequestThatEndsInsideTheStopIsServed(test *testing.T) {
 	runner := newTarget(test, "runner", answers(http.StatusOK, "Seal: s\r\n", "booked"))
