forward: the progress of a call is that of a group or none

An interface with methods stood where the house style has a type switch, for a case that records nothing.

Change: plain runners have no progress; the kind of a target is a type switch.

Measured: no change of behaviour; the tests of streams in forward pass.

--- a/forward/streamcall.go
+++ b/forward/streamcall.go
@@ -40,9 +40,10 @@
 	whole     *http.Response
 	wholeBody []byte
 
-	// The goroutine's own state. stream is nil for an answer that is no stream.
+	// The goroutine's own state. stream is nil for an answer that is no stream, progress for a
+	// plain runner.
 	stream   *route.MonitoredStream
-	progress progress
+	progress *groupProgress
 	evidence *quarantine.Attempt
 }
 
@@ -117,7 +118,9 @@
 	defer func() { ended(call.delivery.exchange.server.config.Now()) }()
 	defer call.cancel(nil)
 	defer call.evidence.Close()
-	defer func() { call.progress.end(call.delivery.exchange.server.config.Now()) }()
+	if call.progress != nil {
+		defer func() { call.progress.end(call.delivery.exchange.server.config.Now()) }()
+	}
 	if call.stream != nil {
 		defer call.stream.End()
 	}
@@ -302,7 +305,9 @@
 	call.attempt.began = true
 	call.stream.Event(now)
 	call.evidence.EventArrived(now)
-	call.progress.event(now)
+	if call.progress != nil {
+		call.progress.event(now)
+	}
 	if direct := call.attempt.direct; direct != nil {
 		direct.received(now)
 		server.answered(direct.target, false)
--- a/forward/streamtarget.go
+++ b/forward/streamtarget.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/juju/errors"
+
 	"lacewingspoke.org/lacewingspoke/limit"
 	"lacewingspoke.org/lacewingspoke/route"
 	"lacewingspoke.org/lacewingspoke/traffic"
@@ -45,27 +47,18 @@
 // stalls returns the detector for the streams of a target. The pace of an engine says little
 // about a plain service.
 func (server *Server) stalls(target callTarget) *route.StallDetector {
-	if _, plain := target.kind.(plainRunner); plain {
+	switch kind := target.kind.(type) {
+	case servingGroup:
+		return server.stallDetector
+	case plainRunner:
 		return server.runnerStalls
+	default:
+		panic(errors.Errorf("forward: target kind %T is not handled", kind))
 	}
-	return server.stallDetector
-}
-
-// A progress records how far a call is, for the decisions on later requests: groupProgress or
-// runnerProgress.
-type progress interface {
-	// event records the arrival of an event.
-	event(now time.Time)
-	end(now time.Time)
 }
 
-// runnerProgress records nothing: no forecast is made for plain runners.
-type runnerProgress struct{}
-
-func (runnerProgress) event(time.Time) {}
-func (runnerProgress) end(time.Time)   {}
-
-// groupProgress is the progress of a call to a group.
+// A groupProgress records how far a call to a group is, for the decisions on later requests.
+// Nothing is predicted for plain runners.
 type groupProgress struct {
 	server *Server
 	name   string
@@ -82,12 +75,12 @@
 	lastEventAt time.Time
 }
 
-// beginProgress begins the progress of a call to a target.
-func (exchange *exchange) beginProgress(target callTarget, now time.Time) progress {
+// beginProgress begins the progress of a call to a target. It returns nil for a plain runner.
+func (exchange *exchange) beginProgress(target callTarget, now time.Time) *groupProgress {
 	server := exchange.server
 	serving, isGroup := target.kind.(servingGroup)
 	if !isGroup {
-		return runnerProgress{}
+		return nil
 	}
 	exchange.load = server.picker.GroupLoad(serving.target, now)
 	prediction := exchange.predict(serving.target, now)
@@ -104,6 +97,7 @@
 	return begun
 }
 
+// event records the arrival of an event.
 func (progress *groupProgress) event(now time.Time) {
 	if progress.lastEventAt.IsZero() {
 		progress.pending.FirstEventArrived(now)
