forward: a resumed stream may have nothing left

A caller that had got the last event of a stream, but not its end, resumed it and got 502.

Cause: a complete stream without an event was a failure of its target unless the node itself had resumed it.

Change: it is one only if the stream does not go on after an event. The caller gets the head and the end of the answer.

Measured: TestCallerResumesAfterTheLastEvent fails on the code before (502).

--- a/forward/pairs_test.go
+++ b/forward/pairs_test.go
@@ -50,6 +50,24 @@
 	}
 }
 
+// Guards against a caller that has got the last event, but not the end of its stream, and whose
+// resumed stream fails because nothing is left.
+func TestCallerResumesAfterTheLastEvent(test *testing.T) {
+	whole := newTarget(test, "t1", streams(5, "0\r\n\r\n"))
+	for name, fixture := range map[string]tableFixture{"runner": {runners: []*target{whole}}, "group": {groups: []*target{whole}}, "once": {runners: []*target{whole}, unresumable: true}} {
+		reaching := newNode(test, fixture)
+		cutOff := newNode(test, tableFixture{runners: closedTargets(test, fixture.runners), groups: closedTargets(test, fixture.groups), unresumable: fixture.unresumable})
+		cutOff.connect(test, reaching)
+		for _, asked := range []*node{reaching, cutOff} {
+			got := asked.resume(test, "5")
+			require.NoError(test, got.err, name)
+			require.Equal(test, 200, got.status, name)
+			require.Equal(test, "s", got.header.Get("Seal"), name)
+			require.Empty(test, got.body, name)
+		}
+	}
+}
+
 // Guards against the header with the caller's last event that is lost on a route without streams.
 func TestLastEventIsForwardedOnEachRoute(test *testing.T) {
 	runner, group := newTarget(test, "r1", answers(200, "Seal: s\r\n", "ok")), newTarget(test, "g1", answers(200, "Seal: s\r\n", "ok"))
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -292,6 +292,7 @@
 			delivery.passOn(ended, "complete", "")
 			return false
 		}
+		delivery.sendHeader(ended.head)
 		if delivery.finish() != nil {
 			delivery.abandon()
 			return false
--- a/forward/streamcall.go
+++ b/forward/streamcall.go
@@ -40,6 +40,9 @@
 	whole     *http.Response
 	wholeBody []byte
 
+	// head is the head of a complete answer.
+	head *http.Response
+
 	// The goroutine's own state. stream is nil for an answer that is no stream, progress for a
 	// plain runner.
 	stream   *route.MonitoredStream
@@ -74,7 +77,8 @@
 // target that ends right after the header sends the same.
 var errEmptyStream = errors.New("stream without a byte ended with its connection")
 
-// errNoEvent is returned for a complete stream without an event.
+// errNoEvent is returned for a complete stream without an event, unless it goes on after one: the
+// caller may have got the last one, but not the end.
 var errNoEvent = errors.New("stream ended without an event")
 
 // beginCall begins a call to a target.
@@ -184,6 +188,7 @@
 	server.observeTrailer(call.target.observed, exchange.caller.Attempt, response.http)
 	call.evidence.Completed(server.config.Now())
 	server.suspects.Succeeded(call.target.name)
+	call.head = response.http
 	exchange.countAttempt("complete")
 	call.result = completed{}
 }
@@ -261,7 +266,7 @@
 		switch {
 		case err == io.EOF && empty && response.untilClose():
 			return errEmptyStream
-		case err == io.EOF && empty && !call.resumed:
+		case err == io.EOF && empty && call.lastEventID == "":
 			return errNoEvent
 		case err == io.EOF:
 			return nil
